--- /dev/null
+++ b/internal/result/result_test.go
@@ -0,0 +1,34 @@
+package result_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/result"
+)
+
+// Guards against codes without a name, and refusals that claim "not run" for codes of the 3xxx range.
+func TestCodesAreConsistent(t *testing.T) {
+	c := qt.New(t)
+	names := map[string]result.Code{}
+	for _, code := range result.All() {
+		name := code.String()
+		other, taken := names[name]
+		c.Check(taken, qt.IsFalse, qt.Commentf("%d and %d are both named %q", code, other, name))
+		names[name] = code
+		if code >= 3000 && code < 4000 {
+			c.Check(code.NotRun(), qt.IsFalse, qt.Commentf("code %s", code))
+		}
+	}
+}
+
+// Guards against an unknown error being reported as not run.
+func TestFromKeepsNotRunFalseForUnknownErrors(t *testing.T) {
+	c := qt.New(t)
+	c.Check(result.From(errors.New("boom")).NotRun, qt.IsFalse)
+	wrapped := fmt.Errorf("routing: %w", result.New(result.QueueFull, "queue of %d is full", 4))
+	c.Check(result.From(wrapped).NotRun, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,100 @@
+// Package rules holds the operators' rules: pools, services, client accounts, routes and failure domains.
+package rules
+
+import "time"
+
+// Rules is a checked configuration. Maps are keyed by the rule's name. It must not be changed after parsing.
+type Rules struct {
+	Pools          map[string]Pool
+	Services       map[string]Service
+	Accounts       map[string]Account
+	Routes         []Route // In file order; the first match applies.
+	FailureDomains map[string]FailureDomain
+	Weights        WeightBudget
+	// Origins is keyed by "section/name", for example "pools/drafts".
+	Origins map[string]Origin
+}
+
+// Origin tells where a rule stands and who asked for it.
+type Origin struct {
+	Line    int
+	Text    string
+	Comment string
+}
+
+// Limits bounds the requests in flight at one target.
+type Limits struct {
+	Cold int // Requests in flight that a target bears right after its start.
+	Full int // Requests in flight that a warm target bears.
+}
+
+// Pool is a set of model replicas, each a group of VMs in one fabric domain.
+type Pool struct {
+	Name     string
+	Model    string
+	VMs      int // VMs per replica.
+	Replicas int
+	Limits   Limits
+	MaxQueue int           // Queued requests per holder; more are refused with queue_full.
+	Deadline time.Duration // Default time limit of a request.
+	// FencedOrders is true if the engines refuse orders with an old fencing number.
+	FencedOrders bool
+}
+
+// Service is a plain HTTP service beside the model engines.
+type Service struct {
+	Name     string
+	Targets  []ServiceTarget
+	Limits   Limits
+	MaxQueue int
+	Deadline time.Duration
+}
+
+// ServiceTarget is one back end of a service.
+type ServiceTarget struct {
+	Address       string // host:port.
+	FailureDomain string
+}
+
+// Priority orders queued requests.
+type Priority uint32
+
+// Priorities, lowest first.
+const (
+	PriorityLow    Priority = 0
+	PriorityNormal Priority = 1
+	PriorityHigh   Priority = 2
+)
+
+// Account is a client account. Limits hold over all entry nodes together.
+type Account struct {
+	Name        string
+	TokenSHA256 string  // Lower-case hex of the SHA-256 of the bearer token.
+	Rate        float64 // Requests per second.
+	Burst       int     // Requests.
+	Concurrency int     // Requests in flight.
+	Priority    Priority
+}
+
+// Route gives the properties of some calls to a service.
+type Route struct {
+	Service  string
+	Method   string // "*" matches every method.
+	Path     string // Path prefix below /v1/services/{service}; "/x/*" matches what is below, "/x" only itself.
+	Repeat   bool   // False: the call must not run twice and needs an Idempotency-Key.
+	Priority Priority
+	// HasPriority is false if the account's priority applies.
+	HasPriority bool
+}
+
+// FailureDomain tells whether a failure domain takes new work.
+type FailureDomain struct {
+	Name string
+	Out  bool
+}
+
+// WeightBudget meters loads from the weight store over all fabric domains.
+type WeightBudget struct {
+	AtOnce    int // Loads in progress.
+	PerMinute int // Load starts.
+}
