--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,350 @@
+// Package claims makes sure that a request which must not repeat runs at most once.
+//
+// A request is claimed in the platform's object API before it is dispatched. The claim is one create-if-absent, so two
+// nodes cannot both hold it. The claim moves from claimed to answered, released or unknown, and never back except
+// from released to claimed, which is one conditional update.
+package claims
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+const (
+	kind = "claims"
+
+	// Window is the age up to which an Idempotency-Key is accepted.
+	Window = 10 * time.Minute
+	// MaxSkew bounds the difference between two clocks, of callers and of nodes.
+	MaxSkew = time.Minute
+	// MaxKeptAnswer is the size in bytes up to which an answer is kept with its claim.
+	MaxKeptAnswer = 64 << 10
+
+	// storeWait bounds how long an answer waits for its claim to be written. After that it is passed on, and the
+	// write goes on in the background.
+	storeWait      = 2 * time.Second
+	retryInterval  = 500 * time.Millisecond
+	ownerPoll      = 100 * time.Millisecond
+	ownerCallLimit = time.Second
+	maxCASAttempts = 8
+)
+
+// Store is the part of the platform's object API that claims use.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Create(ctx context.Context, kind, name string, data []byte) (platform.Object, error)
+	Update(ctx context.Context, obj platform.Object) (platform.Object, error)
+}
+
+// Owners reaches the node that wrote a claim.
+type Owners interface {
+	// ClaimStatus asks the node that wrote the claim. alive is false if that incarnation of the node is known to have
+	// ended. A nil response means that the node could not be asked.
+	ClaimStatus(ctx context.Context, claim *schema.Claim) (resp *schema.ClaimStatusResponse, alive bool)
+}
+
+// Options configures a Manager.
+type Options struct {
+	Node        string
+	Incarnation string
+	Store       Store
+	Owners      Owners
+	Now         func() time.Time
+	Log         logrus.FieldLogger
+}
+
+// Manager claims requests for one node.
+type Manager struct {
+	opts Options
+
+	mu sync.Mutex
+	// mine holds the claims of this process that are not settled in the platform. The key is the nonce of the attempt: two
+	// attempts for one Idempotency-Key at this node must not be confused, since one can be running while the other is
+	// released.
+	mine map[string]*schema.Claim
+}
+
+// New returns a Manager.
+func New(opts Options) *Manager {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &Manager{opts: opts, mine: make(map[string]*schema.Claim)}
+}
+
+// Request identifies a non-idempotent request.
+type Request struct {
+	Key         string
+	Account     string
+	Fingerprint string // Hash of method, path and body.
+}
+
+// Claim is the right to dispatch a request once.
+type Claim struct {
+	m       *Manager
+	object  platform.Object
+	content *schema.Claim
+}
+
+// CheckKey refuses keys that are missing, malformed or outside the window. The time in the key makes it safe to
+// delete old claims: a key that old is never accepted again.
+func CheckKey(key string, now time.Time) *result.Error {
+	if key == "" {
+		return result.New(result.KeyMissing, "this call may not be repeated and needs an Idempotency-Key header with a UUIDv7")
+	}
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 || id.Variant() != uuid.RFC4122 || id.String() != key {
+		return result.New(result.KeyMalformed, "Idempotency-Key %.64q is not a UUIDv7 in lower-case canonical form", key)
+	}
+	created := keyTime(id)
+	switch {
+	case created.Before(now.Add(-Window)):
+		return result.New(result.KeyTooOld, "Idempotency-Key was made at %s, more than %s ago", created.Format(time.RFC3339), Window)
+	case created.After(now.Add(MaxSkew)):
+		return result.New(result.KeyInFuture, "Idempotency-Key was made at %s, in the future", created.Format(time.RFC3339))
+	}
+	return nil
+}
+
+// keyTime returns the Unix time in milliseconds that the first 48 bits of a UUIDv7 hold.
+func keyTime(id uuid.UUID) time.Time {
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms).UTC()
+}
+
+// Acquire claims the request. It returns a Claim that must be ended by Answer, Release or Unknown, or the stored answer
+// of an earlier run, or an error that says what is known of the earlier run.
+func (m *Manager) Acquire(ctx context.Context, req Request) (*Claim, *schema.Claim, *result.Error) {
+	if err := CheckKey(req.Key, m.opts.Now()); err != nil {
+		return nil, nil, err
+	}
+	content := m.newContent(req)
+	claim, err := m.create(ctx, content)
+	switch {
+	case err == nil:
+		return m.confirm(ctx, claim)
+	case errors.Is(err, platform.ErrConflict):
+		return m.existing(ctx, req)
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		m.abandon(content, 0)
+		return nil, nil, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
+	default:
+		return nil, nil, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
+	}
+}
+
+// Lookup returns the stored answer of an earlier run, if there is one.
+func (m *Manager) Lookup(ctx context.Context, req Request) *schema.Claim {
+	_, stored, err := m.read(ctx, req.Key)
+	if err != nil || stored.State != schema.ClaimState_CLAIM_STATE_ANSWERED || !sameRequest(stored, req) {
+		return nil
+	}
+	return stored
+}
+
+func (m *Manager) newContent(req Request) *schema.Claim {
+	return &schema.Claim{
+		Key:         req.Key,
+		Account:     req.Account,
+		Fingerprint: req.Fingerprint,
+		Node:        m.opts.Node,
+		Incarnation: m.opts.Incarnation,
+		State:       schema.ClaimState_CLAIM_STATE_CLAIMED,
+		Nonce:       uuid.NewString(),
+	}
+}
+
+func (m *Manager) create(ctx context.Context, content *schema.Claim) (*Claim, error) {
+	data, err := platform.Encode(content)
+	if err != nil {
+		return nil, err
+	}
+	m.set(content.Nonce, content)
+	obj, err := m.opts.Store.Create(ctx, kind, content.Key, data)
+	if err != nil {
+		if !errors.Is(err, platform.ErrOutcomeUnknown) {
+			m.forget(content.Nonce)
+		}
+		return nil, err
+	}
+	return &Claim{m: m, object: obj, content: content}, nil
+}
+
+// confirm checks the key's age again after the claim was written. Without it, a node that was paused before the write
+// could claim a key whose earlier claim had been deleted as too old, and run the request a second time.
+func (m *Manager) confirm(ctx context.Context, claim *Claim) (*Claim, *schema.Claim, *result.Error) {
+	if err := CheckKey(claim.content.Key, m.opts.Now()); err != nil {
+		claim.Release(ctx)
+		return nil, nil, err
+	}
+	return claim, nil, nil
+}
+
+// existing decides what an earlier claim with the same key means for this request. It waits while the owner of the claim
+// is still running the request.
+func (m *Manager) existing(ctx context.Context, req Request) (*Claim, *schema.Claim, *result.Error) {
+	for {
+		obj, stored, err := m.read(ctx, req.Key)
+		if err != nil {
+			return nil, nil, result.New(result.PlatformUnavailable, "an earlier claim of this key could not be read").WithCause(err)
+		}
+		if !sameRequest(stored, req) {
+			return nil, nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
+		}
+		claim, answer, again, failure := m.settle(ctx, req, obj, stored)
+		if !again {
+			return claim, answer, failure
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil, result.New(result.RequestInProgress, "an earlier request with this key is still running")
+		case <-time.After(ownerPoll):
+		}
+	}
+}
+
+func sameRequest(stored *schema.Claim, req Request) bool {
+	return stored.Account == req.Account && stored.Fingerprint == req.Fingerprint
+}
+
+// settle handles one observed state of an earlier claim. again is true if the claim is still running or has just changed.
+func (m *Manager) settle(ctx context.Context, req Request, obj platform.Object, stored *schema.Claim) (claim *Claim, answer *schema.Claim, again bool, failure *result.Error) {
+	switch stored.State {
+	case schema.ClaimState_CLAIM_STATE_ANSWERED:
+		return nil, stored, false, nil
+	case schema.ClaimState_CLAIM_STATE_UNKNOWN:
+		return nil, nil, false, unknownOutcome(req.Key)
+	case schema.ClaimState_CLAIM_STATE_RELEASED:
+		return m.reclaim(ctx, req, obj)
+	}
+	status, alive := m.owner(ctx, stored)
+	if !alive {
+		m.markUnknown(ctx, obj, stored)
+		return nil, nil, false, unknownOutcome(req.Key)
+	}
+	switch status.GetState() {
+	case schema.ClaimState_CLAIM_STATE_RELEASED:
+		return m.reclaim(ctx, req, obj)
+	case schema.ClaimState_CLAIM_STATE_ANSWERED:
+		if status.GetClaim() != nil {
+			return nil, status.GetClaim(), false, nil
+		}
+	case schema.ClaimState_CLAIM_STATE_UNKNOWN:
+		return nil, nil, false, unknownOutcome(req.Key)
+	}
+	return nil, nil, true, nil
+}
+
+func unknownOutcome(key string) *result.Error {
+	return result.New(result.OutcomeUnknown, "the request with key %s may have run; it is not run again", key)
+}
+
+// owner asks the process that wrote the claim. A process that runs but knows nothing of the claim has settled it since it
+// was read, so the caller reads it again.
+func (m *Manager) owner(ctx context.Context, stored *schema.Claim) (*schema.ClaimStatusResponse, bool) {
+	if stored.Node == m.opts.Node && stored.Incarnation == m.opts.Incarnation {
+		return m.Status(stored.Nonce), true
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerCallLimit)
+	defer cancel()
+	return m.opts.Owners.ClaimStatus(ctx, stored)
+}
+
+// reclaim takes over a claim that is proved not run. The conditional update lets one of several takers win.
+func (m *Manager) reclaim(ctx context.Context, req Request, obj platform.Object) (*Claim, *schema.Claim, bool, *result.Error) {
+	content := m.newContent(req)
+	data, err := platform.Encode(content)
+	if err != nil {
+		return nil, nil, false, result.From(err)
+	}
+	m.set(content.Nonce, content)
+	updated, err := m.opts.Store.Update(ctx, platform.Object{Kind: kind, Name: req.Key, Version: obj.Version, Data: data})
+	switch {
+	case err == nil:
+		claim, answer, failure := m.confirm(ctx, &Claim{m: m, object: updated, content: content})
+		return claim, answer, false, failure
+	case errors.Is(err, platform.ErrConflict):
+		m.forget(content.Nonce)
+		return nil, nil, true, nil
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		m.abandon(content, obj.Version)
+	default:
+		m.forget(content.Nonce)
+	}
+	return nil, nil, false, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
+}
+
+func (m *Manager) markUnknown(ctx context.Context, obj platform.Object, stored *schema.Claim) {
+	changed := proto.Clone(stored).(*schema.Claim)
+	changed.State = schema.ClaimState_CLAIM_STATE_UNKNOWN
+	changed.Nonce = uuid.NewString()
+	data, err := platform.Encode(changed)
+	if err != nil {
+		return
+	}
+	// A failed write changes nothing: the owner stays ended and the next repeat gets the same result.
+	_, _ = m.opts.Store.Update(ctx, platform.Object{Kind: kind, Name: stored.Key, Version: obj.Version, Data: data})
+}
+
+func (m *Manager) read(ctx context.Context, key string) (platform.Object, *schema.Claim, error) {
+	obj, err := m.opts.Store.Get(ctx, kind, key)
+	if err != nil {
+		return obj, nil, err
+	}
+	stored := &schema.Claim{}
+	if err := platform.Decode(obj.Data, stored); err != nil {
+		return obj, nil, eris.Wrapf(err, "claim %s", key)
+	}
+	return obj, stored, nil
+}
+
+// Status tells what this process knows of its own claim, named by the nonce of the attempt.
+func (m *Manager) Status(nonce string) *schema.ClaimStatusResponse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	claim, ok := m.mine[nonce]
+	if !ok {
+		return &schema.ClaimStatusResponse{}
+	}
+	return &schema.ClaimStatusResponse{State: claim.State, Known: true, Claim: proto.Clone(claim).(*schema.Claim)}
+}
+
+// set records the state of the attempt with this nonce.
+func (m *Manager) set(nonce string, claim *schema.Claim) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mine[nonce] = proto.Clone(claim).(*schema.Claim)
+}
+
+func (m *Manager) forget(nonce string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.mine, nonce)
+}
+
+// Fingerprint identifies the content of a request, so that a key used for other content is refused.
+func Fingerprint(destination, method, path string, body []byte) string {
+	h := sha256.New()
+	for _, part := range []string{destination, method, path} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/executor/executor.go
@@ -0,0 +1,226 @@
+// Package executor runs requests on the targets that this node holds.
+package executor
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/claims"
+	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/dispatch"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/target"
+)
+
+// settleLimit bounds the time after a request's deadline in which its claim is settled.
+const settleLimit = 5 * time.Second
+
+// Sink takes the parts of an answer, without its end.
+type Sink func(*schema.DispatchChunk) error
+
+// Options configures an Executor.
+type Options struct {
+	Targets *target.Table
+	Runner  *dispatch.Dispatcher
+	Claims  *claims.Manager
+	Crashes *crash.Table
+	// MayServe returns an error if this node has lost the right to serve. It is asked before every dispatch.
+	MayServe func() *result.Error
+	// OnCrash is called when a target was lost while it ran a request.
+	OnCrash func(context.Context, *schema.CrashReport)
+	Log     logrus.FieldLogger
+}
+
+// Executor runs requests.
+type Executor struct {
+	opts Options
+}
+
+// New returns an Executor.
+func New(opts Options) *Executor { return &Executor{opts: opts} }
+
+// Execute runs a request on one of this node's targets and passes its answer to sink.
+func (e *Executor) Execute(ctx context.Context, req *schema.DispatchRequest, sink Sink) *schema.DispatchEnd {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	if err := e.allowed(req); err != nil {
+		return endOf(err)
+	}
+	slot, err := e.acquire(ctx, req)
+	if err != nil {
+		return e.withoutSlot(ctx, req, result.From(err), sink)
+	}
+	if err := e.allowed(req); err != nil { // The wait for the slot can be long.
+		slot.Release(target.Outcome{NotRun: true})
+		return endOf(err)
+	}
+	if req.Repeatable {
+		return e.run(ctx, slot, req, sink)
+	}
+	return e.runOnce(ctx, slot, req, sink)
+}
+
+func (e *Executor) allowed(req *schema.DispatchRequest) *result.Error {
+	if err := e.opts.MayServe(); err != nil {
+		return err
+	}
+	if e.opts.Crashes.Blocked(req.Fingerprint) {
+		return result.New(result.CrashingRequest, "this request crashed targets before and is refused")
+	}
+	return nil
+}
+
+func (e *Executor) acquire(ctx context.Context, req *schema.DispatchRequest) (*target.Slot, error) {
+	deadline, _ := ctx.Deadline()
+	return e.opts.Targets.Acquire(ctx, target.Want{
+		Destination: req.Destination,
+		PrefixHash:  req.PrefixHash,
+		Priority:    req.Priority,
+		Exclude:     req.ExcludeTargets,
+		Deadline:    deadline,
+	})
+}
+
+// withoutSlot answers a request for which there is no target. A repeat of a non-idempotent request needs none if its
+// answer is kept.
+func (e *Executor) withoutSlot(ctx context.Context, req *schema.DispatchRequest, refusal *result.Error, sink Sink) *schema.DispatchEnd {
+	if !req.Repeatable {
+		if stored := e.opts.Claims.Lookup(ctx, claimRequest(req)); stored != nil {
+			return replay(stored, sink)
+		}
+	}
+	return endOf(refusal)
+}
+
+// run dispatches a request and reports a crash of the target.
+func (e *Executor) run(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) *schema.DispatchEnd {
+	end := e.opts.Runner.Run(ctx, slot, req, sink)
+	if end.Crashed {
+		e.opts.OnCrash(context.WithoutCancel(ctx), &schema.CrashReport{
+			Fingerprint: req.Fingerprint,
+			Target:      end.Target,
+			Incarnation: slot.Incarnation(),
+		})
+	}
+	return end
+}
+
+// runOnce claims a non-idempotent request, dispatches it once and keeps the answer with the claim. The exchange goes on
+// when the caller goes away, since its answer is needed for a repeat.
+func (e *Executor) runOnce(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) *schema.DispatchEnd {
+	claim, stored, refusal := e.opts.Claims.Acquire(ctx, claimRequest(req))
+	if claim == nil {
+		slot.Release(target.Outcome{NotRun: true})
+		if stored != nil {
+			return replay(stored, sink)
+		}
+		return endOf(refusal)
+	}
+	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(req.DeadlineMs)*time.Millisecond+settleLimit)
+	defer cancel()
+	if err := e.opts.MayServe(); err != nil || ctx.Err() != nil {
+		slot.Release(target.Outcome{NotRun: true})
+		claim.Release(settle)
+		if err == nil {
+			err = result.New(result.DeadlineUnreachable, "the deadline passed before the request was sent")
+		}
+		return endOf(err)
+	}
+
+	var answer collector
+	exchange, stop := withoutCallerCancel(ctx)
+	defer stop()
+	end := e.run(exchange, slot, req, answer.add)
+	switch {
+	case end.Code == int32(result.OK):
+		claim.Answer(settle, answer.answer())
+		return replayAnswer(answer.chunks, sink, end)
+	case end.NotRun:
+		claim.Release(settle)
+	default:
+		end.Code = int32(result.OutcomeUnknown)
+		claim.Unknown(settle)
+	}
+	return end
+}
+
+// withoutCallerCancel keeps the deadline of ctx and drops its cancellation.
+func withoutCallerCancel(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	ctx = context.WithoutCancel(ctx)
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+func claimRequest(req *schema.DispatchRequest) claims.Request {
+	return claims.Request{
+		Key:         req.IdempotencyKey,
+		Account:     req.Account,
+		Fingerprint: claims.Fingerprint(req.Destination, req.Method, req.Path, req.Body),
+	}
+}
+
+// collector holds the parts of an answer until its claim is settled.
+type collector struct {
+	chunks []*schema.DispatchChunk
+}
+
+func (c *collector) add(chunk *schema.DispatchChunk) error {
+	c.chunks = append(c.chunks, chunk)
+	return nil
+}
+
+func (c *collector) answer() claims.Answer {
+	var a claims.Answer
+	a.Headers = make(map[string]string)
+	for _, chunk := range c.chunks {
+		if head := chunk.GetHead(); head != nil {
+			a.Status = head.Status
+			for _, h := range head.Headers {
+				a.Headers[http.CanonicalHeaderKey(h.Name)] = h.Value
+			}
+		}
+		a.Body = append(a.Body, chunk.GetData()...)
+	}
+	return a
+}
+
+func replayAnswer(chunks []*schema.DispatchChunk, sink Sink, end *schema.DispatchEnd) *schema.DispatchEnd {
+	for _, chunk := range chunks {
+		if err := sink(chunk); err != nil {
+			return endOf(result.New(result.OutcomeUnknown, "the answer could not be passed on; a repeat gets it").WithCause(err))
+		}
+	}
+	return end
+}
+
+// replay passes on the answer that was kept with a claim.
+func replay(stored *schema.Claim, sink Sink) *schema.DispatchEnd {
+	if stored.AnswerDropped {
+		return endOf(result.New(result.AnswerNotKept, "the request ran and was answered; its answer was too large to keep"))
+	}
+	head := &schema.DispatchHead{Status: stored.Status}
+	for name, value := range stored.Headers {
+		head.Headers = append(head.Headers, &schema.Header{Name: name, Value: value})
+	}
+	chunks := []*schema.DispatchChunk{
+		{Part: &schema.DispatchChunk_Head{Head: head}},
+		{Part: &schema.DispatchChunk_Data{Data: stored.Answer}},
+	}
+	return replayAnswer(chunks, sink, &schema.DispatchEnd{})
+}
+
+func endOf(err *result.Error) *schema.DispatchEnd {
+	return &schema.DispatchEnd{
+		Code:         int32(err.Code),
+		Message:      err.Message,
+		NotRun:       err.NotRun,
+		RetryAfterMs: err.RetryAfter.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,212 @@
+// Package gateway answers callers: it checks and admits requests, chooses the node that runs them, and passes answers on.
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/admission"
+	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/retry"
+	"cassiadeal.example/cassiadeal/internal/router"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Address is one address that callers may use.
+type Address struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// Addresses is the answer to GET /v1/addresses.
+type Addresses struct {
+	Addresses   []Address `json:"addresses"`
+	KeepSeconds float64   `json:"keep_seconds"`
+}
+
+// Metrics counts results. telemetry.Metrics implements it.
+type Metrics interface {
+	Refusal(code result.Code)
+	Retry(reason string)
+	Request(destination string, code result.Code, elapsed time.Duration)
+}
+
+// Options configures a Gateway.
+type Options struct {
+	Node      string
+	Rules     func() (*rules.Rules, uint64)
+	Admission *admission.Controller
+	Router    *router.Router
+	// Execute runs a request at the given node and passes its answer to sink, without its end.
+	Execute func(ctx context.Context, node router.Node, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd
+	Crashes *crash.Table
+	Budget  *retry.Budget
+	// MayServe returns an error if this node must not take new requests.
+	MayServe  func() *result.Error
+	Addresses func(seed string) Addresses
+	Metrics   Metrics
+	Log       logrus.FieldLogger
+
+	MaxBodyBytes    int64
+	MaxAnswerBytes  int
+	MaxInFlight     int // Requests being read or run at this node.
+	BodyReadTimeout time.Duration
+}
+
+// Gateway is the callers' HTTP handler.
+type Gateway struct {
+	opts     Options
+	inFlight atomic.Int64
+}
+
+// New returns a Gateway.
+func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+
+// InFlight returns the number of requests being served.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
+// Handler returns the callers' routes.
+func (g *Gateway) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.NotFound(func(w http.ResponseWriter, req *http.Request) {
+		g.refuse(w, nil, result.New(result.NotFound, "there is nothing at %.200q", req.URL.Path))
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, req *http.Request) {
+		g.refuse(w, nil, result.New(result.MethodNotAllowed, "method %.20q is not allowed at %.200q", req.Method, req.URL.Path))
+	})
+	r.Get("/v1/addresses", g.addresses)
+	r.Post("/v1/pools/{pool}/generate", g.count(g.generate))
+	r.HandleFunc("/v1/services/{service}", g.count(g.service))
+	r.HandleFunc("/v1/services/{service}/*", g.count(g.service))
+	return r
+}
+
+func (g *Gateway) addresses(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// An encoding error means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(g.opts.Addresses(req.RemoteAddr + req.Header.Get("Authorization")))
+}
+
+// count bounds the requests in this process, and with them the memory that bodies take.
+func (g *Gateway) count(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		defer g.inFlight.Add(-1)
+		if g.inFlight.Add(1) > int64(g.opts.MaxInFlight) {
+			g.refuse(w, nil, result.New(result.QueueFull, "this node has %d requests in progress", g.opts.MaxInFlight).
+				WithRetryAfter(time.Second))
+			return
+		}
+		next(w, req)
+	}
+}
+
+// call is one caller's request in progress.
+type call struct {
+	id          string
+	account     rules.Account
+	rules       *rules.Rules
+	request     *schema.DispatchRequest
+	affinity    uint64
+	deadline    time.Time
+	started     time.Time
+	destination string
+	log         logrus.FieldLogger
+}
+
+// accept does what all requests have in common: right to serve, account, admission. release is not nil if err is nil.
+func (g *Gateway) accept(req *http.Request, destination string) (c *call, release func(), err *result.Error) {
+	if err := g.opts.MayServe(); err != nil {
+		return nil, nil, err
+	}
+	current, revision := g.opts.Rules()
+	if current == nil {
+		return nil, nil, result.New(result.NoRightToServe, "this node has no configuration yet").WithRetryAfter(time.Second)
+	}
+	account, err := findAccount(current, req)
+	if err != nil {
+		return nil, nil, err
+	}
+	release, err = g.opts.Admission.Admit(account.Name)
+	if err != nil {
+		return nil, nil, err
+	}
+	id := uuid.NewString()
+	c = &call{
+		id:          id,
+		account:     account,
+		rules:       current,
+		started:     time.Now(),
+		destination: destination,
+		request: &schema.DispatchRequest{
+			RequestId:      id,
+			Account:        account.Name,
+			Destination:    destination,
+			Method:         req.Method,
+			Priority:       uint32(account.Priority),
+			ConfigRevision: revision,
+		},
+		log: g.opts.Log.WithFields(logrus.Fields{"request_id": id, "account": account.Name, "destination": destination}),
+	}
+	return c, release, nil
+}
+
+func findAccount(current *rules.Rules, req *http.Request) (rules.Account, *result.Error) {
+	token, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return rules.Account{}, result.New(result.UnknownAccount, "the request has no bearer token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	hash := hex.EncodeToString(sum[:])
+	for _, a := range current.Accounts {
+		if a.TokenSHA256 == hash {
+			return a, nil
+		}
+	}
+	return rules.Account{}, result.New(result.UnknownAccount, "the bearer token belongs to no account")
+}
+
+// setDeadline takes the rule's time limit, or the caller's own if it is shorter.
+func (c *call) setDeadline(limit time.Duration, req *http.Request) *result.Error {
+	if header := req.Header.Get("X-Timeout-Ms"); header != "" {
+		ms, err := parsePositive(header)
+		if err != nil {
+			return result.New(result.BadRequest, "header X-Timeout-Ms %.20q is not a positive number of milliseconds", header)
+		}
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	c.deadline = c.started.Add(limit)
+	return nil
+}
+
+func (g *Gateway) refuse(w http.ResponseWriter, c *call, err *result.Error) {
+	g.finish(c, err.Code, "")
+	g.opts.Metrics.Refusal(err.Code)
+	result.Write(w, err)
+}
+
+// finish writes the log line and the metrics of a request.
+func (g *Gateway) finish(c *call, code result.Code, target string) {
+	if c == nil {
+		return
+	}
+	elapsed := time.Since(c.started)
+	g.opts.Metrics.Request(c.destination, code, elapsed)
+	c.log.WithFields(logrus.Fields{
+		"target":     target,
+		"code":       int(code),
+		"result":     code.String(),
+		"elapsed_ms": elapsed.Milliseconds(),
+	}).Info("request finished")
+}
--- /dev/null
+++ b/internal/gateway/generate.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+const (
+	maxTokensLimit = 1 << 16
+	// prefixBytes is the length of the prompt prefix that cache affinity uses: long enough to tell system prompts apart,
+	// short enough that requests with a common beginning meet on one target.
+	prefixBytes = 256
+)
+
+// generateBody is the body of POST /v1/pools/{pool}/generate.
+type generateBody struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// engineBody is the part of the engine's request that the caller decides.
+type engineBody struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+func (g *Gateway) generate(w http.ResponseWriter, req *http.Request) {
+	name := chi.URLParam(req, "pool")
+	c, release, err := g.accept(req, "pool/"+name)
+	if err != nil {
+		g.refuse(w, c, err)
+		return
+	}
+	defer release()
+	stream, err := g.prepareGenerate(w, req, c, name)
+	if err != nil {
+		g.refuse(w, c, err)
+		return
+	}
+	g.opts.Budget.Request(c.destination)
+	if stream {
+		g.answerStream(w, req, c)
+		return
+	}
+	g.answerJSON(w, req, c)
+}
+
+func (g *Gateway) prepareGenerate(w http.ResponseWriter, req *http.Request, c *call, name string) (stream bool, err *result.Error) {
+	pool, ok := c.rules.Pools[name]
+	if !ok {
+		return false, result.New(result.UnknownPool, "pool %.100q does not exist", name)
+	}
+	if err := c.setDeadline(pool.Deadline, req); err != nil {
+		return false, err
+	}
+	data, err := g.readBody(w, req)
+	if err != nil {
+		return false, err
+	}
+	var body generateBody
+	if jsonErr := json.Unmarshal(data, &body); jsonErr != nil {
+		return false, result.New(result.BadRequest, "the body is not valid JSON: %v", jsonErr)
+	}
+	if body.Prompt == "" || body.MaxTokens < 1 || body.MaxTokens > maxTokensLimit {
+		return false, result.New(result.BadRequest, "prompt must not be empty and max_tokens must be from 1 to %d", maxTokensLimit)
+	}
+	engine, jsonErr := json.Marshal(engineBody{Prompt: body.Prompt, MaxTokens: body.MaxTokens})
+	if jsonErr != nil {
+		return false, result.New(result.Internal, "encoding the engine's request: %v", jsonErr)
+	}
+	c.request.Body = engine
+	c.request.Path = "/v1/generate"
+	c.request.Generate = true
+	c.request.Repeatable = true
+	c.request.PrefixHash = xxhash.Sum64String(body.Prompt[:min(prefixBytes, len(body.Prompt))])
+	c.request.Fingerprint = crash.Fingerprint(c.account.Name, c.destination, engine)
+	c.affinity = c.request.PrefixHash
+	return body.Stream || strings.Contains(req.Header.Get("Accept"), "text/event-stream"), nil
+}
+
+// generateAnswer is the JSON answer to a generate request.
+type generateAnswer struct {
+	RequestID string `json:"request_id"`
+	Text      string `json:"text"`
+	Tokens    uint64 `json:"tokens"`
+}
+
+func (g *Gateway) answerJSON(w http.ResponseWriter, req *http.Request, c *call) {
+	out := &tokenCollector{limit: g.opts.MaxAnswerBytes}
+	end := g.run(req.Context(), c, out)
+	if end.Code != int32(result.OK) {
+		g.refuse(w, c, errorOf(end))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Request-Id", c.id)
+	// An encoding error means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(generateAnswer{RequestID: c.id, Text: out.text.String(), Tokens: out.next})
+	g.finish(c, result.OK, end.Target)
+}
+
+// tokenCollector joins the tokens of an answer.
+type tokenCollector struct {
+	limit int
+	text  strings.Builder
+	next  uint64
+}
+
+func (t *tokenCollector) part(chunk *schema.DispatchChunk) error {
+	token := chunk.GetToken()
+	if token == nil {
+		return nil
+	}
+	if token.Offset != t.next {
+		return result.New(result.AnswerMismatch, "token %d arrived in place of token %d", token.Offset, t.next)
+	}
+	if t.text.Len()+len(token.Text) > t.limit {
+		return result.New(result.StreamIncomplete, "the answer is larger than %d bytes", t.limit)
+	}
+	t.next++
+	t.text.WriteString(token.Text)
+	return nil
+}
+
+func (t *tokenCollector) started() bool { return false }
+
+func (t *tokenCollector) reset() {
+	t.text.Reset()
+	t.next = 0
+}
+
+func (g *Gateway) answerStream(w http.ResponseWriter, req *http.Request, c *call) {
+	out := &eventStream{w: w, id: c.id, flush: http.NewResponseController(w).Flush}
+	end := g.run(req.Context(), c, out)
+	if end.Code == int32(result.OK) {
+		if err := out.event("end", streamEnd{RequestID: c.id, Tokens: out.next}); err != nil {
+			g.finish(c, result.StreamIncomplete, end.Target)
+			return
+		}
+		g.finish(c, result.OK, end.Target)
+		return
+	}
+	failure := errorOf(end)
+	if !out.started() {
+		g.refuse(w, c, failure)
+		return
+	}
+	// The status line has gone out, so the failure is an event of its own; the stream has no end event.
+	_ = out.event("error", failure.Body())
+	g.opts.Metrics.Refusal(failure.Code)
+	g.finish(c, failure.Code, end.Target)
+}
+
+// streamEnd is the data of the event that marks a stream as whole.
+type streamEnd struct {
+	RequestID string `json:"request_id"`
+	Tokens    uint64 `json:"tokens"`
+}
+
+// streamToken is the data of one token's event.
+type streamToken struct {
+	Offset uint64 `json:"offset"`
+	Token  string `json:"token"`
+}
+
+// eventStream writes server-sent events.
+type eventStream struct {
+	w     http.ResponseWriter
+	id    string
+	flush func() error
+	next  uint64
+	begun bool
+}
+
+func (s *eventStream) part(chunk *schema.DispatchChunk) error {
+	token := chunk.GetToken()
+	if token == nil {
+		return nil
+	}
+	if token.Offset != s.next {
+		return result.New(result.AnswerMismatch, "token %d arrived in place of token %d", token.Offset, s.next)
+	}
+	s.next++
+	return s.event("", streamToken{Offset: token.Offset, Token: token.Text})
+}
+
+func (s *eventStream) started() bool { return s.begun }
+
+func (s *eventStream) reset() {}
+
+// event writes one event; an empty name is the default event type.
+func (s *eventStream) event(name string, data any) error {
+	if !s.begun {
+		s.begun = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.Header().Set("X-Request-Id", s.id)
+	}
+	payload, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	if name != "" {
+		name = "event: " + name + "\n"
+	}
+	if _, err := fmt.Fprintf(s.w, "%sdata: %s\n\n", name, payload); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+var (
+	_ output = (*tokenCollector)(nil)
+	_ output = (*eventStream)(nil)
+)
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/router"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+const (
+	maxAttempts = 4
+	// noTargetWait is how long a request waits for a target to appear, for example while another node takes over the
+	// targets of a dead one.
+	noTargetWait     = 4 * time.Second
+	noTargetInterval = 50 * time.Millisecond
+)
+
+// output receives the parts of an answer.
+type output interface {
+	part(*schema.DispatchChunk) error
+	// started tells whether any part has reached the caller, after which the request can't be tried elsewhere.
+	started() bool
+	// reset drops the parts of a failed attempt.
+	reset()
+}
+
+// run tries the request on nodes until it has an answer, a final failure or no more attempts.
+func (g *Gateway) run(ctx context.Context, c *call, out output) *schema.DispatchEnd {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	tried := make(map[string]bool)
+	waitUntil := time.Now().Add(noTargetWait)
+	var last *schema.DispatchEnd
+	for attempt := 0; attempt < maxAttempts; {
+		node, ok := g.pick(c, tried)
+		if !ok {
+			if last != nil && !waitable(last) || time.Now().After(waitUntil) || !sleep(ctx, noTargetInterval) {
+				return g.noMore(ctx, c, last)
+			}
+			clear(tried)
+			continue
+		}
+		attempt++
+		last = g.attempt(ctx, c, node, out)
+		if last.Code == int32(result.OK) || !g.mayRetry(ctx, c, last, out) {
+			return last
+		}
+		if last.NotRun {
+			tried[node.Name] = true
+		}
+		out.reset()
+	}
+	return last
+}
+
+func (g *Gateway) pick(c *call, tried map[string]bool) (router.Node, bool) {
+	for _, n := range g.opts.Router.Candidates(c.destination, c.affinity) {
+		if !tried[n.Name] {
+			return n, true
+		}
+	}
+	return router.Node{}, false
+}
+
+// waitable tells whether a refusal can pass within noTargetWait, as when a target is changing its holder.
+func waitable(end *schema.DispatchEnd) bool {
+	switch result.Code(end.Code) {
+	case result.NoTarget, result.NodeUnreachable, result.NodeStopping, result.NoRightToServe, result.TargetUnreachable:
+		return end.NotRun
+	}
+	return false
+}
+
+func (g *Gateway) noMore(ctx context.Context, c *call, last *schema.DispatchEnd) *schema.DispatchEnd {
+	if last != nil {
+		return last
+	}
+	code, message := result.NoTarget, "no target of "+c.destination+" is available"
+	if ctx.Err() != nil {
+		code, message = result.DeadlineUnreachable, "no target of "+c.destination+" became available before the deadline"
+	}
+	return &schema.DispatchEnd{Code: int32(code), Message: message, NotRun: true, RetryAfterMs: time.Second.Milliseconds()}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (g *Gateway) attempt(ctx context.Context, c *call, node router.Node, out output) *schema.DispatchEnd {
+	g.opts.Router.Sent(node, c.destination)
+	c.request.DeadlineMs = time.Until(c.deadline).Milliseconds()
+	if c.request.DeadlineMs <= 0 {
+		return &schema.DispatchEnd{Code: int32(result.DeadlineUnreachable), NotRun: true, Message: "the deadline has passed"}
+	}
+	end := g.opts.Execute(ctx, node, c.request, out.part)
+	if end.Code != int32(result.OK) {
+		c.log.WithFields(logrus.Fields{
+			"node": node.Name, "target": end.Target, "code": end.Code, "not_run": end.NotRun, "message": end.Message,
+		}).Debug("attempt failed")
+	}
+	return end
+}
+
+// mayRetry decides on another attempt. An attempt that ran nothing costs targets nothing, so it is limited only by the
+// number of attempts. One that ran is repeated only if the request is idempotent, nothing of the answer has been
+// passed on, and the retry budget allows it.
+func (g *Gateway) mayRetry(ctx context.Context, c *call, end *schema.DispatchEnd, out output) bool {
+	code := result.Code(end.Code)
+	if ctx.Err() != nil || out.started() || !retryable(code, end.NotRun) {
+		return false
+	}
+	if !end.NotRun {
+		if !c.request.Repeatable || g.opts.Crashes.Blocked(c.request.Fingerprint) ||
+			!g.opts.Budget.Allow(c.destination, code.String()) {
+			return false
+		}
+		if end.Target != "" {
+			c.request.ExcludeTargets = append(c.request.ExcludeTargets, end.Target)
+		}
+	}
+	g.opts.Metrics.Retry(code.String())
+	return true
+}
+
+// retryable tells whether another node or target may give another result.
+func retryable(code result.Code, notRun bool) bool {
+	switch code {
+	case result.QueueFull, result.DeadlineUnreachable, result.NoTarget, result.NodeStopping, result.NoRightToServe,
+		result.TargetUnreachable, result.NodeUnreachable:
+		return notRun
+	case result.StreamIncomplete, result.TargetFailed, result.AnswerMismatch:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,172 @@
+// Package peer carries the RPCs between entry nodes over drpc.
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+const (
+	maxMessageBytes   = 4 << 20 // Above the largest request body plus headers.
+	idleExpiry        = 2 * time.Second
+	idlePerNode       = 64
+	keepAliveInterval = 500 * time.Millisecond
+	// A node that sends no chunk for this long is given up. It covers three keep-alive intervals and the delay of
+	// a lossy link.
+	silenceLimit = 2 * time.Second
+	dialTimeout  = time.Second
+)
+
+// Client calls other nodes. drpc runs one RPC at a time on a connection, so concurrent calls have their own
+// connections and a slow stream doesn't hold up another.
+type Client struct {
+	pool *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+// NewClient returns a client with an empty connection pool.
+func NewClient() *Client {
+	return &Client{pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+		Expiration:  idleExpiry,
+		KeyCapacity: idlePerNode,
+	})}
+}
+
+// Close closes all pooled connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connecting to node at %s", address)
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+}
+
+func (c *Client) call(ctx context.Context, address string, f func(schema.DRPCPeerClient) error) error {
+	conn := c.pool.Get(ctx, address, dial)
+	defer func() { _ = conn.Close() }() // Returns the connection to the pool.
+	return eris.Wrapf(f(schema.NewDRPCPeerClient(conn)), "calling node at %s", address)
+}
+
+// Heartbeat exchanges the state of two nodes.
+func (c *Client) Heartbeat(ctx context.Context, address string, req *schema.HeartbeatRequest) (resp *schema.HeartbeatResponse, err error) {
+	err = c.call(ctx, address, func(p schema.DRPCPeerClient) error {
+		resp, err = p.Heartbeat(ctx, req)
+		return err
+	})
+	return resp, err
+}
+
+// GetConfig returns the configuration that a node applies.
+func (c *Client) GetConfig(ctx context.Context, address string) (cfg *schema.Config, err error) {
+	err = c.call(ctx, address, func(p schema.DRPCPeerClient) error {
+		cfg, err = p.GetConfig(ctx, &schema.GetConfigRequest{})
+		return err
+	})
+	return cfg, err
+}
+
+// RelayConfig pushes a configuration and returns the revision that the node then applies.
+func (c *Client) RelayConfig(ctx context.Context, address string, cfg *schema.Config) (revision uint64, err error) {
+	err = c.call(ctx, address, func(p schema.DRPCPeerClient) error {
+		resp, err := p.RelayConfig(ctx, cfg)
+		revision = resp.GetRevision()
+		return err
+	})
+	return revision, err
+}
+
+// ReportCrash tells a node of a crash before the request is tried again.
+func (c *Client) ReportCrash(ctx context.Context, address string, report *schema.CrashReport) error {
+	return c.call(ctx, address, func(p schema.DRPCPeerClient) error {
+		_, err := p.ReportCrash(ctx, report)
+		return err
+	})
+}
+
+// ClaimStatus asks the node that wrote a claim what became of it.
+func (c *Client) ClaimStatus(ctx context.Context, address string, req *schema.ClaimStatusRequest) (resp *schema.ClaimStatusResponse, err error) {
+	err = c.call(ctx, address, func(p schema.DRPCPeerClient) error {
+		resp, err = p.ClaimStatus(ctx, req)
+		return err
+	})
+	return resp, err
+}
+
+// Dispatch runs a request on a target held by the node at address and passes the answer to sink, without its end,
+// which is returned. A request that is not repeatable goes over a fresh connection: on a pooled connection that
+// went silent, a lost request could not be told from a lost answer.
+func (c *Client) Dispatch(ctx context.Context, address string, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	var conn drpc.Conn
+	if req.Repeatable {
+		conn = c.pool.Get(ctx, address, dial)
+	} else {
+		fresh, err := dial(ctx, address)
+		if err != nil {
+			return failure(result.NodeUnreachable, true, err)
+		}
+		conn = fresh
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := schema.NewDRPCPeerClient(conn).Dispatch(ctx, req)
+	if err != nil {
+		return failure(lostCode(req), false, err)
+	}
+	return receive(cancel, stream, req, sink)
+}
+
+// receive passes on chunks until the end chunk. The watchdog cancels the stream when the node falls silent.
+func receive(cancel context.CancelFunc, stream schema.DRPCPeer_DispatchClient, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
+	watchdog := time.AfterFunc(silenceLimit, cancel)
+	defer watchdog.Stop()
+	for {
+		chunk, err := stream.Recv()
+		if err != nil {
+			return failure(lostCode(req), false, err)
+		}
+		watchdog.Stop() // A blocked sink is back pressure from the caller, not silence of the node.
+		if end := chunk.GetEnd(); end != nil {
+			return end
+		}
+		if chunk.GetPart() != nil {
+			if err := sink(chunk); err != nil {
+				return failure(lostCode(req), false, err)
+			}
+		}
+		watchdog.Reset(silenceLimit)
+	}
+}
+
+func lostCode(req *schema.DispatchRequest) result.Code {
+	switch {
+	case !req.Repeatable:
+		return result.OutcomeUnknown
+	case req.Generate:
+		return result.StreamIncomplete
+	default:
+		return result.TargetFailed
+	}
+}
+
+func failure(code result.Code, notRun bool, err error) *schema.DispatchEnd {
+	return &schema.DispatchEnd{Code: int32(code), NotRun: notRun, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Handler answers the RPCs of other nodes.
+type Handler interface {
+	HandleHeartbeat(ctx context.Context, req *schema.HeartbeatRequest) (*schema.HeartbeatResponse, error)
+	Config() *schema.Config
+	OfferConfig(ctx context.Context, cfg *schema.Config) uint64
+	Execute(ctx context.Context, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd
+	CrashReported(report *schema.CrashReport)
+	ClaimStatus(ctx context.Context, req *schema.ClaimStatusRequest) *schema.ClaimStatusResponse
+}
+
+// Serve answers RPCs on lis until ctx ends.
+func Serve(ctx context.Context, lis net.Listener, h Handler) error {
+	mux := drpcmux.New()
+	if err := schema.DRPCRegisterPeer(mux, &server{handler: h}); err != nil {
+		return eris.Wrap(err, "registering the peer service")
+	}
+	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	return eris.Wrap(srv.Serve(ctx, lis), "serving peers")
+}
+
+type server struct {
+	handler Handler
+}
+
+func (s *server) Heartbeat(ctx context.Context, req *schema.HeartbeatRequest) (*schema.HeartbeatResponse, error) {
+	return s.handler.HandleHeartbeat(ctx, req)
+}
+
+func (s *server) GetConfig(context.Context, *schema.GetConfigRequest) (*schema.Config, error) {
+	return s.handler.Config(), nil
+}
+
+func (s *server) RelayConfig(ctx context.Context, cfg *schema.Config) (*schema.RelayConfigResponse, error) {
+	return &schema.RelayConfigResponse{Revision: s.handler.OfferConfig(ctx, cfg)}, nil
+}
+
+func (s *server) ReportCrash(_ context.Context, report *schema.CrashReport) (*schema.CrashReportResponse, error) {
+	s.handler.CrashReported(report)
+	return &schema.CrashReportResponse{}, nil
+}
+
+func (s *server) ClaimStatus(ctx context.Context, req *schema.ClaimStatusRequest) (*schema.ClaimStatusResponse, error) {
+	return s.handler.ClaimStatus(ctx, req), nil
+}
+
+func (s *server) Dispatch(req *schema.DispatchRequest, stream schema.DRPCPeer_DispatchStream) error {
+	out := &chunkSender{stream: stream}
+	stop := out.keepAlive(stream.Context())
+	defer stop()
+	end := s.handler.Execute(stream.Context(), req, out.send)
+	return out.send(&schema.DispatchChunk{Part: &schema.DispatchChunk_End{End: end}})
+}
+
+// chunkSender serialises the answer and the keep-alive chunks on one stream.
+type chunkSender struct {
+	mu     sync.Mutex
+	stream schema.DRPCPeer_DispatchStream
+}
+
+func (c *chunkSender) send(chunk *schema.DispatchChunk) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stream.Send(chunk)
+}
+
+func (c *chunkSender) keepAlive(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(keepAliveInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				if c.send(&schema.DispatchChunk{}) != nil {
+					return
+				}
+			}
+		}
+	}()
+	return cancel
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -44,15 +44,15 @@
 	PlatformUnavailable Code = 2009
 	TargetUnreachable   Code = 2010
 	NodeUnreachable     Code = 2011
-	RequestInProgress   Code = 2012
 
-	OutcomeUnknown   Code = 3001
-	AnswerNotKept    Code = 3002
-	StreamIncomplete Code = 3003
-	TargetFailed     Code = 3004
-	DeadlineExceeded Code = 3005
-	ShutdownLimit    Code = 3006
-	AnswerMismatch   Code = 3007
+	OutcomeUnknown    Code = 3001
+	AnswerNotKept     Code = 3002
+	StreamIncomplete  Code = 3003
+	TargetFailed      Code = 3004
+	DeadlineExceeded  Code = 3005
+	ShutdownLimit     Code = 3006
+	AnswerMismatch    Code = 3007
+	RequestInProgress Code = 3008
 
 	RevisionConflict Code = 4001
 	RulesInvalid     Code = 4002
@@ -97,7 +97,6 @@
 	PlatformUnavailable: {"platform_unavailable", http.StatusServiceUnavailable, true},
 	TargetUnreachable:   {"target_unreachable", http.StatusBadGateway, true},
 	NodeUnreachable:     {"node_unreachable", http.StatusBadGateway, true},
-	RequestInProgress:   {"request_in_progress", http.StatusConflict, false},
 
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, false},
 	AnswerNotKept:    {"answer_not_kept", http.StatusConflict, false},
@@ -107,6 +106,8 @@
 	ShutdownLimit:    {"shutdown_limit", http.StatusServiceUnavailable, false},
 	AnswerMismatch:   {"answer_mismatch", http.StatusBadGateway, false},
 
+	RequestInProgress: {"request_in_progress", http.StatusConflict, false},
+
 	RevisionConflict: {"revision_conflict", http.StatusConflict, true},
 	RulesInvalid:     {"rules_invalid", http.StatusUnprocessableEntity, true},
 	NotInForce:       {"not_in_force", http.StatusGatewayTimeout, false},
