Add platform client and lease clock

The object API loses replies after a write took effect, and http.Transport may repeat requests on a reused connection. The client settles a lost reply by reading the object back and comparing the content with its nonce, repeats a write at most once under the same condition, and gives bodies without GetBody. "Not there" after a lost reply is reported as unknown.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,52 @@
+package clock
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a lease that counts from the reply, or that is valid at its very end.
+func TestLease(t *testing.T) {
+	c := qt.New(t)
+	clk := NewManual(time.Hour)
+	r := StartRenewal(clk)
+	clk.Advance(time.Second) // Slow reply.
+	lease := r.Lease(3 * time.Second)
+	c.Assert(lease.Remaining(clk.Now()), qt.Equals, 2*time.Second)
+	clk.Advance(2*time.Second - 1)
+	c.Assert(lease.ValidAt(clk.Now()), qt.IsTrue)
+	clk.Advance(1)
+	c.Assert(lease.ValidAt(clk.Now()), qt.IsFalse)
+	c.Assert(Lease{}.ValidAt(0), qt.IsFalse)
+	c.Assert(LapsedFor(0, Time(3499*time.Millisecond), 3*time.Second, 500*time.Millisecond), qt.IsFalse)
+	c.Assert(LapsedFor(0, Time(3500*time.Millisecond), 3*time.Second, 500*time.Millisecond), qt.IsTrue)
+}
+
+// Guards against a sleeper that misses an advance or outlives its context.
+func TestSleep(t *testing.T) {
+	c := qt.New(t)
+	clk := NewManual(0)
+	done := make(chan error, 1)
+	go func() { done <- Sleep(context.Background(), clk, time.Second) }()
+	for clk.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clk.Advance(time.Second)
+	c.Assert(<-done, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(Sleep(ctx, clk, time.Second), qt.ErrorIs, context.Canceled)
+	c.Assert(clk.Waiting(), qt.Equals, 0)
+}
+
+// Guards against a clock that is not CLOCK_BOOTTIME or that goes back.
+func TestBoottime(t *testing.T) {
+	c := qt.New(t)
+	clk := Boottime()
+	before := clk.Now()
+	c.Assert(Sleep(context.Background(), clk, time.Millisecond), qt.IsNil)
+	c.Assert(clk.Now().Sub(before) >= time.Millisecond, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,162 @@
+// Package platform is the client of the platform's object API and VM list. docs/protocols.md describes the wire format.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// Errors of the client, for errors.Is.
+var (
+	// ErrNotFound: the object does not exist.
+	ErrNotFound = errors.New("platform object not found")
+	// ErrConflict: the object has another version or content than the write expected. The write is not in force. It may
+	// have taken effect and been overwritten if its first reply was lost.
+	ErrConflict = errors.New("platform object conflict")
+	// ErrUnavailable: the read failed, or the write certainly did not take effect.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrOutcomeUnknown: the write may have taken effect or may still do so.
+	ErrOutcomeUnknown = errors.New("outcome of platform write unknown")
+	// ErrTooOld: the version to watch from is no longer kept; list again.
+	ErrTooOld = errors.New("watch version too old")
+	// ErrRejected: the platform refused the request as invalid, for example because it is above 1 MB.
+	ErrRejected = errors.New("platform rejected the request")
+)
+
+const (
+	defaultTimeout = time.Second
+	// maxBody bounds an answer: the 1 MB objects of a list of a few dozen, with room.
+	maxBody = 64 << 20
+	// maxIdle is the number of idle connections kept; a node has a handful of concurrent calls.
+	maxIdle = 16
+	// idleTimeout bounds how long an unused connection is kept. Load balancers and NAT drop idle flows silently.
+	idleTimeout = 20 * time.Second
+)
+
+// Object is a stored object. Data is its JSON value.
+type Object struct {
+	Kind, Name string
+	Version    uint64
+	Data       []byte
+}
+
+// Event is a change of an object. Data is nil if Deleted.
+type Event struct {
+	Object
+	Deleted bool
+}
+
+// Options configures a Client.
+type Options struct {
+	// BaseURL is scheme and authority of the platform, for example "http://10.0.0.1:7000".
+	BaseURL string
+	// Client names this node in the header X-Client.
+	Client string
+	// Timeout bounds each call, connection setup included; a watch gets its wait on top. Default 1 s.
+	Timeout time.Duration
+	// Meter counts calls; nil counts in memory only.
+	Meter metric.Meter
+	Log   logrus.FieldLogger
+}
+
+// CallKey identifies a counter of calls.
+type CallKey struct{ Kind, Method, Result string }
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	opts      Options
+	http      *http.Client
+	transport *http.Transport
+	counter   metric.Int64Counter
+
+	mu    sync.Mutex // Guards stats.
+	stats map[CallKey]uint64
+}
+
+// New returns a client.
+func New(opts Options) *Client {
+	if opts.Timeout <= 0 {
+		opts.Timeout = defaultTimeout
+	}
+	if opts.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		opts.Log = silent
+	}
+	if opts.Meter == nil {
+		opts.Meter = noop.NewMeterProvider().Meter("platform")
+	}
+	opts.BaseURL = strings.TrimRight(opts.BaseURL, "/")
+	counter, err := opts.Meter.Int64Counter("cassiadeal.platform.calls",
+		metric.WithDescription("Calls to the platform by kind, method and result"), metric.WithUnit("{call}"))
+	if err != nil {
+		opts.Log.WithError(err).Error("create counter of platform calls")
+		counter = noop.Int64Counter{}
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: opts.Timeout}).DialContext,
+		MaxIdleConns:        maxIdle,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Client{
+		opts:      opts,
+		http:      &http.Client{Transport: transport},
+		transport: transport,
+		counter:   counter,
+		stats:     map[CallKey]uint64{},
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Stats returns the number of calls so far by kind, method and result. The VM list has the kind "vms".
+func (c *Client) Stats() map[CallKey]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[CallKey]uint64, len(c.stats))
+	for k, n := range c.stats {
+		out[k] = n
+	}
+	return out
+}
+
+func (c *Client) count(ctx context.Context, kind, method, result string) {
+	c.mu.Lock()
+	c.stats[CallKey{kind, method, result}]++
+	c.mu.Unlock()
+	c.counter.Add(context.WithoutCancel(ctx), 1, metric.WithAttributes(
+		attribute.String("kind", kind), attribute.String("method", method), attribute.String("result", result)))
+}
+
+// Encode returns the protojson form of a stored object.
+func Encode(m proto.Message) ([]byte, error) {
+	data, err := protojson.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	return data, nil
+}
+
+// Decode parses the protojson form of a stored object. Unknown fields are ignored, so that a newer node may add some.
+func Decode(data []byte, m proto.Message) error {
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, m); err != nil {
+		return fmt.Errorf("decode %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,273 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// store is a minimal object API. before may answer a request itself; after may drop the reply of a performed write.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[string]Object
+	puts    int
+	before  func(n int, w http.ResponseWriter, r *http.Request) bool
+	after   func(n int, r *http.Request)
+}
+
+func drop() { panic(http.ErrAbortHandler) }
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method != http.MethodGet {
+		s.puts++
+	}
+	if s.before != nil && s.before(s.puts, w, r) {
+		return
+	}
+	status := s.serve(w, r)
+	if r.Method != http.MethodGet && s.after != nil {
+		s.after(s.puts, r)
+	}
+	w.WriteHeader(status)
+	if o, ok := s.objects[r.URL.Path]; ok && r.Method == http.MethodGet {
+		_, _ = w.Write(o.Data)
+	}
+}
+
+func (s *store) serve(w http.ResponseWriter, r *http.Request) int {
+	o, exists := s.objects[r.URL.Path]
+	match := r.Header.Get("If-Match") == strconv.FormatUint(o.Version, 10) || r.Header.Get("If-None-Match") == "*"
+	switch {
+	case r.Method == http.MethodGet && !exists:
+		return http.StatusNotFound
+	case r.Method == http.MethodGet:
+	case !match || exists == (r.Header.Get("If-None-Match") == "*"):
+		return http.StatusPreconditionFailed
+	case r.Method == http.MethodDelete:
+		delete(s.objects, r.URL.Path)
+		return http.StatusNoContent
+	default:
+		data, _ := io.ReadAll(r.Body)
+		s.set(r.URL.Path, data)
+	}
+	w.Header().Set("X-Object-Version", strconv.FormatUint(s.objects[r.URL.Path].Version, 10))
+	return http.StatusOK
+}
+
+func (s *store) set(path string, data []byte) {
+	s.version++
+	s.objects[path] = Object{Version: s.version, Data: data}
+}
+
+func start(t *testing.T, h http.Handler) *Client {
+	server := httptest.NewServer(h)
+	client := New(Options{BaseURL: server.URL, Client: "node-a", Timeout: 200 * time.Millisecond})
+	t.Cleanup(func() { client.Close(); server.CloseClientConnections(); server.Close() })
+	return client
+}
+
+const path = "/v1/objects/claims/k"
+
+// Guards against a wrong verdict on a write whose reply was lost or doubtful.
+func TestLostReplies(t *testing.T) {
+	ctx := context.Background()
+	down := func(w http.ResponseWriter) bool { w.WriteHeader(http.StatusServiceUnavailable); return true }
+	lostFirst := func(n int, r *http.Request) {
+		if n == 1 {
+			drop()
+		}
+	}
+	tests := []struct {
+		name    string
+		prepare func(s *store)
+		update  bool
+		want    error
+		puts    int
+	}{
+		{name: "plain create", puts: 1},
+		{name: "plain update", update: true, puts: 1},
+		{name: "create took effect, reply lost", prepare: func(s *store) { s.after = lostFirst }, puts: 1},
+		{name: "update took effect, reply lost", update: true, prepare: func(s *store) { s.after = lostFirst }, puts: 1},
+		{name: "request lost, second copy succeeds", update: true, puts: 2, prepare: func(s *store) {
+			s.before = func(n int, _ http.ResponseWriter, r *http.Request) bool {
+				if n == 1 && r.Method == http.MethodPut {
+					drop()
+				}
+				return false
+			}
+		}},
+		{name: "first copy takes effect after the read-back", puts: 2, prepare: func(s *store) {
+			var late []byte
+			s.before = func(n int, _ http.ResponseWriter, r *http.Request) bool {
+				if r.Method == http.MethodPut && n == 1 {
+					late, _ = io.ReadAll(r.Body)
+					drop()
+				}
+				if r.Method == http.MethodPut {
+					s.set(path, late)
+				}
+				return false
+			}
+		}},
+		{name: "nothing to be seen", want: ErrOutcomeUnknown, puts: 2, prepare: func(s *store) {
+			s.before = func(_ int, _ http.ResponseWriter, r *http.Request) bool {
+				if r.Method == http.MethodPut {
+					drop()
+				}
+				return false
+			}
+		}},
+		{name: "read-back fails", want: ErrOutcomeUnknown, puts: 2, prepare: func(s *store) {
+			s.before = func(n int, w http.ResponseWriter, r *http.Request) bool {
+				if r.Method == http.MethodPut && n == 1 {
+					drop()
+				}
+				return down(w)
+			}
+		}},
+		{name: "overwritten by another", update: true, want: ErrConflict, puts: 1, prepare: func(s *store) {
+			s.after = func(int, *http.Request) { s.set(path, []byte(`{"nonce":"other"}`)); drop() }
+		}},
+		{name: "exists", want: ErrConflict, puts: 1, prepare: func(s *store) { s.set(path, []byte(`{"nonce":"other"}`)) }},
+		{name: "conflict with an earlier copy of the same write", puts: 1, prepare: func(s *store) {
+			s.set(path, []byte(` { "nonce": "mine" }`))
+		}},
+		{name: "outage", want: ErrUnavailable, puts: 1, prepare: func(s *store) {
+			s.before = func(_ int, w http.ResponseWriter, _ *http.Request) bool { return down(w) }
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &store{objects: map[string]Object{}}
+			if test.update {
+				s.set(path, []byte(`{"nonce":"old"}`))
+			}
+			if test.prepare != nil {
+				test.prepare(s)
+			}
+			client := start(t, s)
+			var version uint64
+			var err error
+			if test.update {
+				version, err = client.Update(ctx, "claims", "k", 1, []byte(`{"nonce":"mine"}`))
+			} else {
+				version, err = client.Create(ctx, "claims", "k", []byte(`{"nonce":"mine"}`))
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			c.Assert(s.puts, qt.Equals, test.puts)
+			if test.want != nil {
+				c.Assert(err, qt.ErrorIs, test.want)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(version, qt.Equals, s.objects[path].Version)
+		})
+	}
+}
+
+// Guards against a transport that sends a write again by itself when a reused connection breaks.
+func TestTransportDoesNotReplayWrites(t *testing.T) {
+	c := qt.New(t)
+	s := &store{objects: map[string]Object{}}
+	client := start(t, s)
+	ctx := context.Background()
+	_, err := client.Create(ctx, "claims", "k", []byte(`{"nonce":"a"}`)) // Leaves a connection to reuse.
+	c.Assert(err, qt.IsNil)
+	seen := 0
+	s.before = func(_ int, _ http.ResponseWriter, r *http.Request) bool {
+		if r.Method != http.MethodGet {
+			seen++
+			drop()
+		}
+		return false
+	}
+	c.Assert(client.Delete(ctx, "claims", "k", 1), qt.ErrorIs, ErrOutcomeUnknown)
+	c.Assert(seen, qt.Equals, 1)
+	_, err = client.putOnce(ctx, write{"claims", "k", 1, []byte(`{"nonce":"b"}`)})
+	c.Assert(err, qt.ErrorIs, ErrOutcomeUnknown)
+	c.Assert(seen, qt.Equals, 2)
+}
+
+// Guards against a refused connection being reported as a doubtful write.
+func TestNotSent(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	c.Assert(listener.Close(), qt.IsNil)
+	client := New(Options{BaseURL: "http://" + address, Timeout: time.Second})
+	_, err = client.Create(context.Background(), "claims", "k", []byte(`{}`))
+	c.Assert(err, qt.ErrorIs, ErrUnavailable)
+	c.Assert(err, qt.Not(qt.ErrorIs), ErrOutcomeUnknown)
+}
+
+// Guards against a call that waits forever on a connection that went silent.
+func TestSilentConnection(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	var silent sync.Once
+	client := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		wait := false
+		silent.Do(func() { wait = true })
+		if wait {
+			<-release
+		}
+		_, _ = fmt.Fprint(w, `{"version":3,"vms":[{"name":"vm-1","state":"VM_STATE_LEAVING"}]}`)
+	}))
+	_, _, err := client.VMs(context.Background())
+	c.Assert(err, qt.ErrorIs, ErrUnavailable)
+	vms, version, err := client.VMs(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(version, qt.Equals, uint64(3))
+	c.Assert(vms[0].State, qt.Equals, schema.VMState_VM_STATE_LEAVING)
+	c.Assert(client.Stats(), qt.DeepEquals, map[CallKey]uint64{{"vms", "list", "timeout"}: 1, {"vms", "list", "200"}: 1})
+}
+
+// Guards against lost events, and against 410 being taken for an outage.
+func TestListAndWatch(t *testing.T) {
+	c := qt.New(t)
+	client := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		items := []map[string]any{{"name": "a", "version": 4, "data": map[string]string{"name": "a"}},
+			{"name": "b", "version": 5, "deleted": true}}
+		switch {
+		case r.URL.Query().Get("since") == "1":
+			w.WriteHeader(http.StatusGone)
+		case r.URL.Query().Get("watch") == "1":
+			_ = json.NewEncoder(w).Encode(map[string]any{"version": 9, "events": items})
+		default:
+			_ = json.NewEncoder(w).Encode(map[string]any{"version": 8, "items": items[:1]})
+		}
+	}))
+	ctx := context.Background()
+	objects, version, err := client.List(ctx, "nodes")
+	c.Assert(err, qt.IsNil)
+	c.Assert(version, qt.Equals, uint64(8))
+	var node schema.Node
+	c.Assert(Decode(objects[0].Data, &node), qt.IsNil)
+	c.Assert(node.Name, qt.Equals, "a")
+	events, next, err := client.Watch(ctx, "nodes", version, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(next, qt.Equals, uint64(9))
+	c.Assert(events, qt.HasLen, 2)
+	c.Assert(events[1].Deleted, qt.IsTrue)
+	_, _, err = client.Watch(ctx, "nodes", 1, time.Second)
+	c.Assert(err, qt.ErrorIs, ErrTooOld)
+}
--- /dev/null
+++ b/internal/platform/read.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+type listItem struct {
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Deleted bool            `json:"deleted"`
+	Data    json.RawMessage `json:"data"`
+}
+
+type listAnswer struct {
+	Version uint64     `json:"version"`
+	Items   []listItem `json:"items"`
+	Events  []listItem `json:"events"`
+}
+
+type vmAnswer struct {
+	Version uint64            `json:"version"`
+	VMs     []json.RawMessage `json:"vms"`
+}
+
+// Get returns an object.
+func (c *Client) Get(ctx context.Context, kind, name string) (*Object, error) {
+	what := fmt.Sprintf("get %s/%s", kind, name)
+	a, err := c.do(ctx, request{kind: kind, method: "get", verb: http.MethodGet, path: objectPath(kind, name)})
+	if err != nil || a.status != http.StatusOK {
+		return nil, readError(what, a, err)
+	}
+	if a.version == 0 {
+		return nil, fmt.Errorf("%s: %w: answer without version", what, ErrUnavailable)
+	}
+	return &Object{Kind: kind, Name: name, Version: a.version, Data: a.body}, nil
+}
+
+// List returns all objects of a kind and the version of the list, from which Watch can go on.
+func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
+	what := "list " + kind
+	a, err := c.do(ctx, request{kind: kind, method: "list", verb: http.MethodGet, path: "/v1/objects/" + url.PathEscape(kind)})
+	if err != nil || a.status != http.StatusOK {
+		return nil, 0, readError(what, a, err)
+	}
+	var parsed listAnswer
+	if err := json.Unmarshal(a.body, &parsed); err != nil {
+		return nil, 0, readError(what, nil, err)
+	}
+	objects := make([]Object, 0, len(parsed.Items))
+	for _, item := range parsed.Items {
+		objects = append(objects, Object{Kind: kind, Name: item.Name, Version: item.Version, Data: item.Data})
+	}
+	return objects, parsed.Version, nil
+}
+
+// Watch waits up to wait for changes after the version since and returns them with the version to go on from. It returns
+// no event when nothing changed. After ErrTooOld the caller lists again.
+func (c *Client) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Event, uint64, error) {
+	what := fmt.Sprintf("watch %s since %d", kind, since)
+	a, err := c.do(ctx, c.watchRequest(kind, "/v1/objects/"+url.PathEscape(kind), since, wait))
+	if err != nil || a.status != http.StatusOK {
+		return nil, 0, readError(what, a, err)
+	}
+	var parsed listAnswer
+	if err := json.Unmarshal(a.body, &parsed); err != nil {
+		return nil, 0, readError(what, nil, err)
+	}
+	events := make([]Event, 0, len(parsed.Events))
+	for _, item := range parsed.Events {
+		event := Event{Object: Object{Kind: kind, Name: item.Name, Version: item.Version}, Deleted: item.Deleted}
+		if !item.Deleted {
+			event.Data = item.Data
+		}
+		events = append(events, event)
+	}
+	return events, parsed.Version, nil
+}
+
+func (c *Client) watchRequest(kind, path string, since uint64, wait time.Duration) request {
+	query := url.Values{
+		"watch":      {"1"},
+		"since":      {strconv.FormatUint(since, 10)},
+		"timeout_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	return request{kind: kind, method: "watch", verb: http.MethodGet, path: path + "?" + query.Encode(),
+		timeout: wait + c.opts.Timeout}
+}
+
+// VMs returns the VM list and its version. The list lags behind the VMs.
+func (c *Client) VMs(ctx context.Context) ([]*schema.VM, uint64, error) {
+	return c.vms(ctx, request{kind: "vms", method: "list", verb: http.MethodGet, path: "/v1/vms"})
+}
+
+// WatchVMs waits up to wait for a version of the VM list after since and returns the whole list.
+func (c *Client) WatchVMs(ctx context.Context, since uint64, wait time.Duration) ([]*schema.VM, uint64, error) {
+	return c.vms(ctx, c.watchRequest("vms", "/v1/vms", since, wait))
+}
+
+func (c *Client) vms(ctx context.Context, r request) ([]*schema.VM, uint64, error) {
+	a, err := c.do(ctx, r)
+	if err != nil || a.status != http.StatusOK {
+		return nil, 0, readError(r.method+" VMs", a, err)
+	}
+	var parsed vmAnswer
+	if err := json.Unmarshal(a.body, &parsed); err != nil {
+		return nil, 0, readError(r.method+" VMs", nil, err)
+	}
+	vms := make([]*schema.VM, 0, len(parsed.VMs))
+	for _, raw := range parsed.VMs {
+		vm := &schema.VM{}
+		if err := Decode(raw, vm); err != nil {
+			return nil, 0, readError(r.method+" VMs", nil, err)
+		}
+		vms = append(vms, vm)
+	}
+	return vms, parsed.Version, nil
+}
