Add holder tables: preference, takeover, handover and doubt

Cause: every target needs exactly one node that sends to it, also across lease expiry, lost replies and restarts. Conclusion: the decision is a pure function; the active part writes tables conditionally and settles lost replies by nonce. A target that was taken from a holder of unproved silence stays in doubt for term + margin after the write.

--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,806 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Kind is the kind of the holder tables in the object API; the name is the failure domain.
+const Kind = "holders"
+
+const (
+	maxAttempts     = 8                     // Conditional writes of one change before it is left to the next step.
+	maxRetryJitter  = 50 * time.Millisecond // Several round trips, so that writers in conflict spread out.
+	defaultInterval = 250 * time.Millisecond
+	watchWait       = 20 * time.Second
+	movesPerSecond  = 2
+	// forgetAfter is how long a target is unknown before its holder removes it from the table. It exceeds the lag
+	// between nodes that learn of a new target.
+	forgetAfter = time.Minute
+)
+
+// Members is what a holder needs to know about the entry nodes.
+type Members interface {
+	// Nodes returns all listed nodes, this one included.
+	Nodes() []Node
+	RightToServe() bool
+	PlatformReachable() bool
+}
+
+// Options configures a Holders.
+type Options struct {
+	Self Identity
+	// Platform is the object API. This node's lease record must name its incarnation before Run is called, so that an
+	// earlier incarnation can no longer renew.
+	Platform Platform
+	Members  Members
+	Term     time.Duration // Lease term.
+	Margin   time.Duration // Added to the term before a takeover.
+	Interval time.Duration // Between two steps; 250 ms if zero.
+	// Now is the monotonic clock; the process clock if nil.
+	Now   func() time.Duration
+	Log   logrus.FieldLogger
+	Meter metric.Meter
+	// BeforeRelease waits until the work in flight at a target is done or its time limit has passed. The target is no
+	// longer held while it runs.
+	BeforeRelease func(ctx context.Context, target string)
+}
+
+// Held is the state of a target that this node holds.
+type Held struct {
+	Epoch uint64
+	// InDoubt is true if another node may still send to the target. The doubt of the whole node, which has only one of
+	// the two bases of its right to serve, is known to membership and comes on top.
+	InDoubt bool
+}
+
+// Takeover is a takeover by path M, announced to peers until it is in the table.
+type Takeover struct {
+	Target Target
+	Entry  Entry
+	// TableEpoch is the epoch of the table's entry at the takeover; a table with a higher one supersedes it.
+	TableEpoch uint64
+}
+
+type table struct {
+	version uint64
+	entries map[string]Entry
+}
+
+// doubt is set before the write of a takeover, so that it also applies if the write takes effect after its reply is lost.
+type doubt struct {
+	epoch uint64
+	until time.Duration // Zero until the entry was seen in the table.
+}
+
+// Holders follows the holder tables and takes part in them. Its methods may be called concurrently.
+type Holders struct {
+	o     Options
+	moves metric.Int64Counter
+
+	moving sync.WaitGroup
+	write  sync.Mutex // Held over a whole change of a table; taken before mu.
+
+	mu        sync.Mutex
+	targets   map[string]Target
+	tables    map[string]table // By failure domain.
+	byTarget  map[string]Entry // Union of the tables.
+	listed    bool             // The tables were read at least once.
+	readVer   uint64           // Highest version of a list that was read.
+	doubts    map[string]doubt
+	changed   map[string]time.Duration // When the table's entry of a target was seen to change.
+	unknown   map[string]time.Duration // Since when a target with an entry of this node is not in targets.
+	releasing map[string]bool          // Targets whose handover is in progress or has an unknown outcome.
+	unsettled map[string][]string      // By failure domain: targets whose handover has an unknown outcome.
+	takeovers map[string]Takeover      // By target; own ones and those of peers.
+	absent    map[Identity]time.Duration
+	lastMove  time.Duration
+	draining  bool
+}
+
+// New returns a Holders; call Run to start it.
+func New(o Options) *Holders {
+	if o.Interval == 0 {
+		o.Interval = defaultInterval
+	}
+	if o.Now == nil {
+		start := time.Now()
+		o.Now = func() time.Duration { return time.Since(start) }
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	if o.Meter == nil {
+		o.Meter = noop.Meter{}
+	}
+	h := &Holders{
+		o: o, targets: map[string]Target{}, tables: map[string]table{}, byTarget: map[string]Entry{},
+		doubts: map[string]doubt{}, changed: map[string]time.Duration{}, unknown: map[string]time.Duration{},
+		releasing: map[string]bool{}, unsettled: map[string][]string{}, takeovers: map[string]Takeover{},
+		absent: map[Identity]time.Duration{},
+	}
+	moves, err := o.Meter.Int64Counter("cassiadeal.holder.changes",
+		metric.WithDescription("Targets taken or handed over by this node, by path."))
+	if err != nil {
+		o.Log.WithError(err).Warn("counter of holder changes is not available")
+		moves = noop.Int64Counter{}
+	}
+	h.moves = moves
+	return h
+}
+
+// SetTargets sets the targets that are to have a holder.
+func (h *Holders) SetTargets(ts []Target) {
+	m := make(map[string]Target, len(ts))
+	for _, t := range ts {
+		m[t.ID] = t
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.targets = m
+}
+
+// Run follows the tables and takes, keeps and hands over targets until ctx ends.
+func (h *Holders) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer h.moving.Wait()
+	wg.Go(func() { h.follow(ctx) })
+	tick := time.NewTicker(h.o.Interval)
+	defer tick.Stop()
+	for {
+		h.Step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// follow keeps the tables current by one watch.
+func (h *Holders) follow(ctx context.Context) {
+	since := uint64(0)
+	for ctx.Err() == nil {
+		err := h.followOnce(ctx, &since)
+		if err == nil {
+			continue
+		}
+		since = 0
+		select {
+		case <-ctx.Done():
+		case <-time.After(h.o.Interval + rand.N(h.o.Interval)):
+		}
+	}
+}
+
+func (h *Holders) followOnce(ctx context.Context, since *uint64) error {
+	if *since == 0 {
+		if err := h.Reread(ctx); err != nil {
+			return err
+		}
+		h.mu.Lock()
+		*since = h.readVer
+		h.mu.Unlock()
+	}
+	events, v, err := h.o.Platform.Watch(ctx, Kind, *since, watchWait)
+	if err != nil {
+		return eris.Wrapf(err, "watch %s since %d", Kind, *since)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range events {
+		if e.Deleted {
+			h.applyLocked(e.Object.Name, table{version: e.Object.Version})
+		} else if err := h.applyObjectLocked(e.Object); err != nil {
+			return err
+		}
+	}
+	*since = max(v, *since)
+	return nil
+}
+
+// Reread reads all tables and drops what this node has lost. It fails on a read that is older than an earlier one.
+func (h *Holders) Reread(ctx context.Context) error {
+	// Only versions known before the read prove it stale: a write of this node may finish while it is under way.
+	known := h.knownVersion()
+	objects, v, err := h.o.Platform.List(ctx, Kind)
+	if err != nil {
+		return eris.Wrapf(err, "list %s", Kind)
+	}
+	if v < known {
+		return eris.Errorf("list of %s is stale: version %d after %d", Kind, v, known)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range objects {
+		if err := h.applyObjectLocked(o); err != nil {
+			return err
+		}
+	}
+	h.readVer, h.listed = max(v, h.readVer), true
+	return nil
+}
+
+func (h *Holders) knownVersion() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v := h.readVer
+	for _, t := range h.tables {
+		v = max(v, t.version)
+	}
+	return v
+}
+
+func decode(o Object) (*schema.HolderTable, error) {
+	t := &schema.HolderTable{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(o.Data, t); err != nil {
+		return nil, eris.Wrapf(err, "holder table %q version %d", o.Name, o.Version)
+	}
+	return t, nil
+}
+
+func (h *Holders) applyObjectLocked(o Object) error {
+	t, err := decode(o)
+	if err != nil {
+		return err
+	}
+	next := table{version: o.Version, entries: make(map[string]Entry, len(t.Holders))}
+	for id, e := range t.Holders {
+		next.entries[id] = Entry{Identity{e.Node, e.Incarnation}, e.Epoch}
+	}
+	h.applyLocked(o.Name, next)
+	return nil
+}
+
+// applyLocked adopts a table unless a later version is known.
+func (h *Holders) applyLocked(domain string, next table) {
+	old := h.tables[domain]
+	if next.version <= old.version {
+		return
+	}
+	now := h.o.Now()
+	for id := range old.entries {
+		if _, ok := next.entries[id]; !ok {
+			delete(h.byTarget, id)
+			delete(h.changed, id)
+		}
+	}
+	for id, e := range next.entries {
+		if h.byTarget[id] != e {
+			h.changed[id] = now
+		}
+		h.byTarget[id] = e
+	}
+	h.tables[domain] = next
+	for id, t := range h.takeovers {
+		if t.Target.FailureDomain == domain && next.entries[id].Epoch != t.TableEpoch {
+			delete(h.takeovers, id)
+		}
+	}
+	for id, d := range h.doubts {
+		e, ok := next.entries[id]
+		if !ok {
+			continue
+		}
+		switch {
+		case e.Epoch > d.epoch || e.Epoch == d.epoch && e.Identity != h.o.Self:
+			delete(h.doubts, id) // Another node got the target first.
+		case e.Epoch == d.epoch && d.until == 0:
+			d.until = now + h.o.Term + h.o.Margin
+			h.doubts[id] = d
+		}
+	}
+}
+
+// effectiveLocked returns the current holder of a target, including takeovers that are not in the table yet.
+func (h *Holders) effectiveLocked(id string) (Entry, bool) {
+	e, ok := h.byTarget[id]
+	if t, taken := h.takeovers[id]; taken && t.Entry.Epoch > e.Epoch {
+		return t.Entry, true
+	}
+	return e, ok
+}
+
+func (h *Holders) heldLocked(id string) (Held, bool) {
+	e, ok := h.effectiveLocked(id)
+	if !ok || e.Identity != h.o.Self || h.releasing[id] {
+		return Held{}, false
+	}
+	_, unwritten := h.takeovers[id]
+	d, doubtful := h.doubts[id]
+	doubtful = doubtful && d.epoch == e.Epoch && (d.until == 0 || h.o.Now() < d.until)
+	return Held{Epoch: e.Epoch, InDoubt: unwritten || doubtful}, true
+}
+
+// Holds tells whether this node may send to a target now.
+func (h *Holders) Holds(id string) (Held, bool) {
+	if !h.o.Members.RightToServe() {
+		return Held{}, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heldLocked(id)
+}
+
+// Held returns all targets that this node may send to.
+func (h *Holders) Held() map[string]Held {
+	held := map[string]Held{}
+	if !h.o.Members.RightToServe() {
+		return held
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.targets {
+		if s, ok := h.heldLocked(id); ok {
+			held[id] = s
+		}
+	}
+	return held
+}
+
+// HolderOf returns the node that holds a target as far as this node knows.
+func (h *Holders) HolderOf(id string) (node string, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e, ok := h.effectiveLocked(id)
+	return e.Name, ok
+}
+
+// Takeovers returns this node's takeovers by path M that are not in the table yet.
+func (h *Holders) Takeovers() []Takeover {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var own []Takeover
+	for _, id := range slices.Sorted(maps.Keys(h.takeovers)) {
+		if t := h.takeovers[id]; t.Entry.Identity == h.o.Self {
+			own = append(own, t)
+		}
+	}
+	return own
+}
+
+// NoteTakeovers records takeovers by path M that peers announced.
+func (h *Holders) NoteTakeovers(ts []Takeover) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range ts {
+		if h.byTarget[t.Target.ID].Epoch != t.TableEpoch {
+			continue
+		}
+		old, ok := h.takeovers[t.Target.ID]
+		// Two nodes that see different peers as live can both take a target. The rendezvous score alone decides, so
+		// that both agree.
+		if !ok || t.Entry.Epoch > old.Entry.Epoch || t.Entry.Epoch == old.Entry.Epoch &&
+			Score(t.Target.ID, t.Entry.Name) > Score(t.Target.ID, old.Entry.Name) {
+			h.takeovers[t.Target.ID] = t
+		}
+	}
+}
+
+// input assembles what Decide needs; ok is false before the tables were read.
+func (h *Holders) input() (in Input, ok bool) {
+	m := h.o.Members
+	nodes, right, reachable := m.Nodes(), m.RightToServe(), m.PlatformReachable()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.o.Now()
+	in = Input{
+		Self: h.o.Self, Nodes: nodes, RightToServe: right, PlatformReachable: reachable,
+		Entries: make(map[string]Entry, len(h.targets)), Absent: h.absentLocked(nodes, now),
+		Fixed: map[string]bool{},
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.targets)) {
+		in.Targets = append(in.Targets, h.targets[id])
+		if e, held := h.effectiveLocked(id); held {
+			in.Entries[id] = e
+		}
+		if s, held := h.heldLocked(id); !held || s.InDoubt {
+			in.Fixed[id] = true
+		}
+	}
+	if !h.draining && now-h.lastMove >= time.Second {
+		in.MaxMoves = movesPerSecond
+	}
+	return in, h.listed && !h.draining
+}
+
+// absentLocked returns the holders that no listed node has matched for term + margin. The wait covers a node list that
+// lags behind the tables, and the lease of an earlier incarnation.
+func (h *Holders) absentLocked(nodes []Node, now time.Duration) map[Identity]bool {
+	listed := map[Identity]bool{}
+	for _, n := range nodes {
+		listed[n.Identity] = true
+	}
+	gone, since := map[Identity]bool{}, map[Identity]time.Duration{}
+	for id := range h.targets {
+		e, ok := h.effectiveLocked(id)
+		if !ok || listed[e.Identity] {
+			continue
+		}
+		first, seen := h.absent[e.Identity]
+		if !seen {
+			first = now
+		}
+		since[e.Identity] = first
+		gone[e.Identity] = now-first >= h.o.Term+h.o.Margin
+	}
+	h.absent = since
+	return gone
+}
+
+// Step decides once and carries the decision out. Run calls it periodically.
+func (h *Holders) Step(ctx context.Context) {
+	in, ok := h.input()
+	if !ok {
+		return
+	}
+	if in.PlatformReachable && in.RightToServe {
+		h.settleHandovers(ctx)
+		h.prune(ctx)
+	}
+	d := Decide(in)
+	byDomain := map[string][]Take{}
+	for _, t := range d.Take {
+		// The holder that is taken over from may itself have taken the target a moment ago, from one that still sends.
+		t.InDoubt = t.InDoubt || t.Path != PathFree && h.changedRecently(t.Target.ID)
+		if t.Path == PathMajority {
+			h.takeInMemory(ctx, t)
+			continue
+		}
+		byDomain[t.Target.FailureDomain] = append(byDomain[t.Target.FailureDomain], t)
+	}
+	if in.PlatformReachable && in.RightToServe {
+		for _, t := range h.Takeovers() {
+			byDomain[t.Target.FailureDomain] = append(byDomain[t.Target.FailureDomain],
+				Take{Target: t.Target, From: Entry{Epoch: t.TableEpoch}, Path: PathMajority, InDoubt: true})
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		if err := h.take(ctx, domain, byDomain[domain]); err != nil {
+			h.o.Log.WithError(err).WithField("failure_domain", domain).Warn("targets were not taken")
+		}
+	}
+	if len(d.HandOver) > 0 {
+		h.mu.Lock()
+		h.lastMove = h.o.Now()
+		h.mu.Unlock()
+		// Work in flight may take long to finish; takeovers must not wait for it.
+		h.moving.Go(func() { h.move(ctx, d.HandOver) })
+	}
+}
+
+func (h *Holders) changedRecently(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.o.Now()-h.changed[id] < h.o.Term+h.o.Margin
+}
+
+// settleHandovers rewrites the tables in which a handover has an unknown outcome. A conditional write that is still
+// under way cannot succeed after that, so this node may send again to what it still holds.
+func (h *Holders) settleHandovers(ctx context.Context) {
+	h.mu.Lock()
+	unsettled := maps.Clone(h.unsettled)
+	h.mu.Unlock()
+	for _, domain := range slices.Sorted(maps.Keys(unsettled)) {
+		err := h.change(ctx, domain, func(*schema.HolderTable) bool { return true })
+		if err != nil {
+			h.o.Log.WithError(err).WithField("failure_domain", domain).Warn("outcome of a handover is still unknown")
+			continue
+		}
+		h.mu.Lock()
+		delete(h.unsettled, domain)
+		for _, id := range unsettled[domain] {
+			delete(h.releasing, id)
+		}
+		h.mu.Unlock()
+	}
+}
+
+// prune removes entries of this node whose targets have not existed for forgetAfter. Entries of other nodes stay: their
+// holder may know a target that this node has not learned of.
+func (h *Holders) prune(ctx context.Context) {
+	for domain, ids := range h.prunable() {
+		err := h.change(ctx, domain, func(t *schema.HolderTable) bool {
+			n := len(t.Holders)
+			maps.DeleteFunc(t.Holders, func(id string, e *schema.Holder) bool {
+				return slices.Contains(ids, id) && entryOf(e).Identity == h.o.Self
+			})
+			return len(t.Holders) < n
+		})
+		if err != nil {
+			h.o.Log.WithError(err).WithField("failure_domain", domain).Warn("entries of old targets were not removed")
+		}
+	}
+}
+
+func (h *Holders) prunable() map[string][]string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now, since, ids := h.o.Now(), map[string]time.Duration{}, map[string][]string{}
+	for domain, t := range h.tables {
+		for id, e := range t.entries {
+			if _, exists := h.targets[id]; exists || e.Identity != h.o.Self {
+				continue
+			}
+			first, seen := h.unknown[id]
+			if !seen {
+				first = now
+			}
+			since[id] = first
+			if now-first >= forgetAfter {
+				ids[domain] = append(ids[domain], id)
+			}
+		}
+	}
+	h.unknown = since
+	return ids
+}
+
+func (h *Holders) count(ctx context.Context, path string, n int) {
+	h.moves.Add(ctx, int64(n), metric.WithAttributes(pathKey.String(path)))
+}
+
+func (h *Holders) takeInMemory(ctx context.Context, t Take) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e, _ := h.effectiveLocked(t.Target.ID); e != t.From {
+		return
+	}
+	h.takeovers[t.Target.ID] = Takeover{
+		Target: t.Target, Entry: Entry{h.o.Self, t.From.Epoch + 1}, TableEpoch: h.byTarget[t.Target.ID].Epoch,
+	}
+	h.count(ctx, "majority", 1)
+	h.o.Log.WithFields(logrus.Fields{"target": t.Target.ID, "from": t.From.Name}).Info("target taken without the platform")
+}
+
+// take writes this node as the holder of targets of one failure domain, all in one write.
+func (h *Holders) take(ctx context.Context, domain string, takes []Take) error {
+	taken := 0
+	err := h.change(ctx, domain, func(t *schema.HolderTable) bool {
+		taken = 0
+		for _, k := range takes {
+			e, had := t.Holders[k.Target.ID]
+			if k.Path == PathMajority && e.GetEpoch() != k.From.Epoch {
+				continue
+			}
+			if k.Path != PathMajority && entryOf(e) != k.From || k.Path != PathFree && !had {
+				continue
+			}
+			next := h.nextEpoch(k, e.GetEpoch())
+			if k.InDoubt {
+				h.setDoubt(k.Target.ID, next)
+			}
+			t.Holders[k.Target.ID] = &schema.Holder{Node: h.o.Self.Name, Incarnation: h.o.Self.Incarnation, Epoch: next}
+			taken++
+		}
+		return taken > 0
+	})
+	if err == nil && taken > 0 {
+		h.count(ctx, "platform", taken)
+	}
+	return err
+}
+
+// nextEpoch returns the epoch to write; a takeover by path M keeps the one that was announced.
+func (h *Holders) nextEpoch(k Take, tableEpoch uint64) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t, ok := h.takeovers[k.Target.ID]; ok && t.Entry.Identity == h.o.Self {
+		return t.Entry.Epoch
+	}
+	return tableEpoch + 1
+}
+
+func (h *Holders) setDoubt(id string, epoch uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.doubts[id] = doubt{epoch: epoch}
+}
+
+func entryOf(e *schema.Holder) Entry {
+	return Entry{Identity{e.GetNode(), e.GetIncarnation()}, e.GetEpoch()}
+}
+
+// change applies mutate to the current table of a failure domain by conditional writes. mutate returns false if there
+// is nothing to write; it is called again after a conflict.
+func (h *Holders) change(ctx context.Context, domain string, mutate func(*schema.HolderTable) bool) error {
+	h.write.Lock()
+	defer h.write.Unlock()
+	var last error
+	for attempt := range maxAttempts {
+		if attempt > 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(rand.N(maxRetryJitter)):
+			}
+		}
+		done, err := h.changeOnce(ctx, domain, mutate)
+		if done {
+			return err
+		}
+		last = err
+	}
+	return eris.Wrapf(last, "holder table %q: %d attempts", domain, maxAttempts)
+}
+
+// changeOnce makes one attempt; done is false if another one is worthwhile.
+func (h *Holders) changeOnce(ctx context.Context, domain string, mutate func(*schema.HolderTable) bool) (bool, error) {
+	o, err := h.o.Platform.Get(ctx, Kind, domain)
+	missing := errors.Is(err, ErrNotFound)
+	if err != nil && !missing {
+		return true, eris.Wrapf(err, "read holder table %q", domain)
+	}
+	t := &schema.HolderTable{FailureDomain: domain}
+	if !missing {
+		if t, err = decode(o); err != nil {
+			return true, err
+		}
+		h.adopt(o)
+	}
+	if t.Holders == nil {
+		t.Holders = map[string]*schema.Holder{}
+	}
+	if !mutate(t) {
+		return true, nil
+	}
+	t.Nonce = uuid.NewString()
+	if o.Data, err = protojson.Marshal(t); err != nil {
+		return true, eris.Wrapf(err, "encode holder table %q", domain)
+	}
+	if !h.o.Members.RightToServe() {
+		return true, fmt.Errorf("holder table %q: no right to serve", domain)
+	}
+	var written Object
+	if missing {
+		written, err = h.o.Platform.Create(ctx, Kind, domain, o.Data)
+	} else {
+		o.Kind, o.Name = Kind, domain
+		written, err = h.o.Platform.Update(ctx, o)
+	}
+	if errors.Is(err, ErrOutcomeUnknown) {
+		written, err = h.settle(ctx, domain, t)
+	}
+	switch {
+	case err == nil:
+		written.Name, written.Data = domain, o.Data
+		h.adopt(written)
+		return true, nil
+	case errors.Is(err, ErrConflict):
+		return false, err
+	}
+	return true, eris.Wrapf(err, "write holder table %q", domain)
+}
+
+// settle reads a table back after a lost reply and compares the nonce.
+func (h *Holders) settle(ctx context.Context, domain string, t *schema.HolderTable) (Object, error) {
+	o, err := h.o.Platform.Get(ctx, Kind, domain)
+	if errors.Is(err, ErrNotFound) {
+		return o, ErrConflict
+	}
+	if err != nil {
+		return o, err
+	}
+	now, err := decode(o)
+	if err != nil {
+		return o, err
+	}
+	h.adopt(o)
+	if now.Nonce != t.Nonce || !proto.Equal(now, t) {
+		return o, ErrConflict
+	}
+	return o, nil
+}
+
+func (h *Holders) adopt(o Object) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.applyObjectLocked(o); err != nil {
+		h.o.Log.WithError(err).Error("holder table is not readable")
+	}
+}
+
+// move stops sending to targets, waits for their work in flight and writes the new holders, one write per failure domain.
+func (h *Holders) move(ctx context.Context, moves []Move) {
+	h.mu.Lock()
+	for _, m := range moves {
+		h.releasing[m.Target.ID] = true
+	}
+	h.mu.Unlock()
+	h.waitReleased(ctx, moves)
+	byDomain := map[string][]Move{}
+	for _, m := range moves {
+		byDomain[m.Target.FailureDomain] = append(byDomain[m.Target.FailureDomain], m)
+	}
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		given := 0
+		err := h.change(ctx, domain, func(t *schema.HolderTable) bool {
+			given = 0
+			for _, m := range byDomain[domain] {
+				e := t.Holders[m.Target.ID]
+				if entryOf(e).Identity != h.o.Self {
+					continue
+				}
+				t.Holders[m.Target.ID] = &schema.Holder{
+					Node: m.To.Name, Incarnation: m.To.Incarnation, Epoch: e.Epoch + 1,
+				}
+				given++
+			}
+			return given > 0
+		})
+		if err != nil {
+			h.o.Log.WithError(err).WithField("failure_domain", domain).Warn("targets were not handed over")
+		} else {
+			h.count(ctx, "handover", given)
+		}
+		h.endMove(domain, byDomain[domain], err)
+	}
+}
+
+func (h *Holders) endMove(domain string, moves []Move, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range moves {
+		if err != nil {
+			h.unsettled[domain] = append(h.unsettled[domain], m.Target.ID)
+		} else {
+			delete(h.releasing, m.Target.ID)
+		}
+	}
+}
+
+func (h *Holders) waitReleased(ctx context.Context, moves []Move) {
+	if h.o.BeforeRelease == nil {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, m := range moves {
+		wg.Go(func() { h.o.BeforeRelease(ctx, m.Target.ID) })
+	}
+	wg.Wait()
+}
+
+// HandOver gives every held target to the next node in preference and takes no more. Targets for which there is no
+// other node stay in the table and lapse with the lease.
+func (h *Holders) HandOver(ctx context.Context) {
+	nodes := h.o.Members.Nodes()
+	byName := map[string]Node{}
+	for _, n := range nodes {
+		byName[n.Name] = n
+	}
+	h.mu.Lock()
+	h.draining = true
+	var moves []Move
+	for _, id := range slices.Sorted(maps.Keys(h.targets)) {
+		if s, ok := h.heldLocked(id); !ok || s.InDoubt {
+			continue // The next holder could not know of the doubt.
+		}
+		for _, name := range Prefer(h.targets[id], nodes) {
+			if name != h.o.Self.Name {
+				moves = append(moves, Move{h.targets[id], byName[name].Identity})
+				break
+			}
+		}
+	}
+	h.mu.Unlock()
+	if len(moves) > 0 {
+		h.move(ctx, moves)
+	}
+}
