Add the pure planner of replica groups

Cause: groups must be repaired from spares without a VM in two groups, and replicas spread evenly. One simulated hour, six groups of four, 8 restarts, 4 losses, 2 leaving VMs, 90 s loads (figures of the simulation, not of engines). Repair is the default, because it is never worse and needs fewer loads when the weight store is the bottleneck.

--- /dev/null
+++ b/internal/groups/plan.go
@@ -0,0 +1,569 @@
+// Package groups plans the replica groups of each fabric domain and carries the plans out.
+package groups
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// VM is one VM of a fabric domain in the platform's list.
+type VM struct {
+	Name          string
+	Address       string // host:port of the engine.
+	FabricDomain  string
+	FailureDomain string
+	Leaving       bool
+}
+
+// Report is the last state that the engine of a VM reported.
+type Report struct {
+	Incarnation string
+	Group       string // Empty if the engine is in no group.
+	Number      uint64
+	Rank        uint32
+	Size        uint32
+	Model       string
+	Loading     bool
+	Ready       bool
+	Weights     []string // Models whose weights the VM holds.
+	// Age is the time since the report was sent for, or since reports are collected if there was none.
+	Age time.Duration
+	// Seen is false if no report has arrived yet.
+	Seen bool
+}
+
+// Share is a pool with the number of its replicas that this fabric domain should carry.
+type Share struct {
+	Pool     rules.Pool
+	Replicas int
+	// Placed is the sum of Replicas over all fabric domains.
+	Placed int
+	// ReadyElsewhere counts the pool's ready groups of other fabric domains.
+	ReadyElsewhere int
+}
+
+// Policy tells how a broken group is restored.
+type Policy int
+
+const (
+	// RepairWithSpare keeps the remaining members and fills the gaps with spares of the fabric domain.
+	RepairWithSpare Policy = iota
+	// RebuildWholeGroup dissolves the group and builds a new one.
+	RebuildWholeGroup
+)
+
+// Timing bounds the planner's waits.
+type Timing struct {
+	Fresh time.Duration // A report older than this proves nothing; 1 s if zero.
+	Lost  time.Duration // A member without a report for this long is lost; 3 s if zero.
+	Drain time.Duration // A retiring group keeps its VMs for this long; 30 s if zero.
+}
+
+func (t Timing) withDefaults() Timing {
+	return Timing{
+		Fresh: cmp.Or(t.Fresh, time.Second), Lost: cmp.Or(t.Lost, 3*time.Second),
+		Drain: cmp.Or(t.Drain, 30*time.Second),
+	}
+}
+
+// Input is what Plan depends on.
+type Input struct {
+	Now              time.Time
+	FabricDomain     string
+	FailureDomain    string
+	FailureDomainOut bool
+	VMs              []VM // VMs of this fabric domain.
+	Plan             *schema.FabricDomain
+	// Version is the object version of Plan. It makes the IDs of new groups unique.
+	Version uint64
+	Reports map[string]Report // By VM name.
+	Shares  []Share
+	// Budget is this fabric domain's part of the weight budget; LoadStarts counts loads ordered in the last minute.
+	Budget     rules.WeightBudget
+	LoadStarts int
+	Policy     Policy
+	Timing     Timing
+}
+
+// Action is the kind of an order.
+type Action string
+
+// Actions of the engines' order protocol.
+const (
+	Join  Action = "join"
+	Leave Action = "leave"
+)
+
+// Order is a command to the engine of one VM. The controller adds the fencing number.
+type Order struct {
+	VM      string
+	Address string
+	Action  Action
+	Group   string
+	Number  uint64
+	Rank    uint32
+	Size    uint32
+	Members []string // Addresses by rank.
+	Model   string
+	Pool    string
+	// Load is true if the VM has to fetch the weights.
+	Load bool
+}
+
+// Output is the result of Plan.
+type Output struct {
+	Plan    *schema.FabricDomain
+	Changed bool
+	// Orders are those that the new plan needs. They may be sent only once it is written.
+	Orders []Order
+}
+
+type planner struct {
+	in      Input
+	plan    *schema.FabricDomain
+	vms     map[string]VM
+	shares  map[string]Share
+	created int
+}
+
+// Plan computes the next plan of one fabric domain and the orders that carry it out. It doesn't change its arguments.
+func Plan(in Input) Output {
+	in.Timing = in.Timing.withDefaults()
+	p := &planner{in: in, vms: map[string]VM{}, shares: map[string]Share{}}
+	if in.Plan == nil {
+		in.Plan = &schema.FabricDomain{Name: in.FabricDomain, FailureDomain: in.FailureDomain}
+	}
+	p.plan = proto.CloneOf(in.Plan)
+	if p.plan.Assignments == nil {
+		p.plan.Assignments = map[string]*schema.Assignment{}
+	}
+	if p.plan.Groups == nil {
+		p.plan.Groups = map[string]*schema.Group{}
+	}
+	for _, vm := range in.VMs {
+		p.vms[vm.Name] = vm
+	}
+	for _, s := range in.Shares {
+		p.shares[s.Pool.Name] = s
+	}
+	for _, id := range p.groupIDs() {
+		p.updateGroup(p.plan.Groups[id])
+	}
+	p.retireSurplus()
+	p.repair()
+	p.create()
+	return Output{Plan: p.plan, Changed: !proto.Equal(p.plan, in.Plan), Orders: p.orders()}
+}
+
+func (p *planner) groupIDs() []string { return slices.Sorted(maps.Keys(p.plan.Groups)) }
+
+// members returns the VM names of a group by rank; a missing rank is empty.
+func members(plan *schema.FabricDomain, g *schema.Group) []string {
+	names := make([]string, g.Size)
+	for vm, a := range plan.Assignments {
+		if a.Group == g.Id && a.Rank < g.Size {
+			names[a.Rank] = vm
+		}
+	}
+	return names
+}
+
+// lost tells whether a member can no longer serve. A VM without any report since collection began is given the same
+// time, so that a new controller doesn't dissolve everything.
+func (p *planner) lost(vm string) bool {
+	if _, listed := p.vms[vm]; !listed {
+		return true
+	}
+	r, ok := p.in.Reports[vm]
+	return ok && r.Age > p.in.Timing.Lost
+}
+
+func (p *planner) fresh(vm string) (Report, bool) {
+	r, ok := p.in.Reports[vm]
+	return r, ok && r.Seen && r.Age <= p.in.Timing.Fresh
+}
+
+// spare tells whether a VM may join a group now. An engine that still reports an earlier group must leave it first.
+func (p *planner) spare(vm VM) bool {
+	_, assigned := p.plan.Assignments[vm.Name]
+	r, fresh := p.fresh(vm.Name)
+	return !assigned && !vm.Leaving && fresh && r.Group == ""
+}
+
+// spares returns the VMs that may join, those that hold the model first.
+func (p *planner) spares(model string) []string {
+	var names []string
+	for _, vm := range p.in.VMs {
+		if p.spare(vm) {
+			names = append(names, vm.Name)
+		}
+	}
+	cold := func(vm string) int {
+		if slices.Contains(p.in.Reports[vm].Weights, model) {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(cold(a), cold(b)), cmp.Compare(a, b)) })
+	return slices.Compact(names)
+}
+
+// renumber makes all earlier reports and orders of a group stale and asks its members to confirm again.
+func (p *planner) renumber(g *schema.Group) {
+	g.Number++
+	g.State = schema.GroupState_GROUP_STATE_PLANNED
+	for _, a := range p.plan.Assignments {
+		if a.Group == g.Id {
+			a.Incarnation = ""
+		}
+	}
+}
+
+func (p *planner) dissolve(g *schema.Group) {
+	maps.DeleteFunc(p.plan.Assignments, func(_ string, a *schema.Assignment) bool { return a.Group == g.Id })
+	delete(p.plan.Groups, g.Id)
+}
+
+func (p *planner) retire(g *schema.Group) {
+	if g.State != schema.GroupState_GROUP_STATE_READY {
+		p.dissolve(g)
+		return
+	}
+	g.State = schema.GroupState_GROUP_STATE_RETIRING
+	g.RetireUnixMs = p.in.Now.Add(p.in.Timing.Drain).UnixMilli()
+}
+
+// updateGroup brings one group in line with the VM list, the reports and the rules.
+func (p *planner) updateGroup(g *schema.Group) {
+	var lost []string
+	for _, vm := range members(p.plan, g) {
+		if vm != "" && p.lost(vm) {
+			lost = append(lost, vm)
+		}
+	}
+	if g.State == schema.GroupState_GROUP_STATE_RETIRING {
+		if len(lost) > 0 || p.in.Now.UnixMilli() >= g.RetireUnixMs {
+			p.dissolve(g)
+		}
+		return
+	}
+	if _, wanted := p.shares[g.Pool]; !wanted {
+		p.retire(g)
+		return
+	}
+	ready := g.State == schema.GroupState_GROUP_STATE_READY
+	if p.outdated(g) && (!ready || len(lost) > 0) || len(lost) > 0 && p.in.Policy == RebuildWholeGroup {
+		p.dissolve(g)
+		return
+	}
+	if len(lost) > 0 {
+		for _, vm := range lost {
+			delete(p.plan.Assignments, vm)
+		}
+		p.renumber(g)
+		return
+	}
+	if ready {
+		p.checkReady(g)
+	} else {
+		p.checkPlanned(g)
+	}
+}
+
+func (p *planner) checkReady(g *schema.Group) {
+	for _, vm := range members(p.plan, g) {
+		r, fresh := p.fresh(vm)
+		if !fresh {
+			continue
+		}
+		a := p.plan.Assignments[vm]
+		if r.Incarnation != a.Incarnation || !inGroup(r, g, a.Rank) {
+			p.renumber(g)
+			return
+		}
+	}
+}
+
+func inGroup(r Report, g *schema.Group, rank uint32) bool {
+	return r.Group == g.Id && r.Number == g.Number && r.Rank == rank
+}
+
+func (p *planner) checkPlanned(g *schema.Group) {
+	names := members(p.plan, g)
+	if slices.Contains(names, "") {
+		return
+	}
+	for _, vm := range names {
+		r, fresh := p.fresh(vm)
+		if !fresh || !r.Ready || !inGroup(r, g, p.plan.Assignments[vm].Rank) {
+			return
+		}
+	}
+	g.State = schema.GroupState_GROUP_STATE_READY
+	for _, vm := range names {
+		p.plan.Assignments[vm].Incarnation = p.in.Reports[vm].Incarnation
+	}
+}
+
+// outdated tells whether the rules have changed the composition of the group's pool.
+func (p *planner) outdated(g *schema.Group) bool {
+	pool := p.shares[g.Pool].Pool
+	return pool.VMs != int(g.Size) || pool.Model != g.Model
+}
+
+// leaving tells whether a group has to be replaced by another one.
+func (p *planner) leaving(g *schema.Group) bool {
+	return p.outdated(g) || slices.ContainsFunc(members(p.plan, g), func(vm string) bool { return p.vms[vm].Leaving })
+}
+
+func (p *planner) missing(g *schema.Group) int {
+	n := 0
+	for _, vm := range members(p.plan, g) {
+		if vm == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// poolGroups returns the groups of a pool that are not retiring.
+func (p *planner) poolGroups(pool string) []*schema.Group {
+	var gs []*schema.Group
+	for _, id := range p.groupIDs() {
+		if g := p.plan.Groups[id]; g.Pool == pool && g.State != schema.GroupState_GROUP_STATE_RETIRING {
+			gs = append(gs, g)
+		}
+	}
+	return gs
+}
+
+func (p *planner) poolNames() []string { return slices.Sorted(maps.Keys(p.shares)) }
+
+// retireSurplus retires groups beyond the pool's share, those that serve least first. A ready group is retired only if
+// the pool has enough ready groups without it, which is what makes a replacement come before the break.
+func (p *planner) retireSurplus() {
+	if p.in.FailureDomainOut {
+		return // It keeps its groups and returns with them.
+	}
+	for _, pool := range p.poolNames() {
+		share := p.shares[pool]
+		groups := p.poolGroups(pool)
+		rank := func(g *schema.Group) int {
+			ready := g.State == schema.GroupState_GROUP_STATE_READY
+			switch {
+			case !ready && p.missing(g) > 0:
+				return 0
+			case ready && p.leaving(g):
+				return 1
+			case !ready:
+				return 2
+			}
+			return 3
+		}
+		slices.SortStableFunc(groups, func(a, b *schema.Group) int {
+			return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Id, a.Id))
+		})
+		surplus := len(groups) - share.Replicas
+		replacing := 0
+		for _, g := range groups {
+			if p.leaving(g) && g.State == schema.GroupState_GROUP_STATE_READY {
+				replacing++
+			}
+		}
+		for _, g := range groups {
+			if surplus <= 0 {
+				break
+			}
+			ready := g.State == schema.GroupState_GROUP_STATE_READY
+			if ready && p.readyCount(pool)-1+share.ReadyElsewhere < share.Placed {
+				continue
+			}
+			// A replacement under construction is not surplus while the group that it replaces still serves.
+			if !ready && surplus <= replacing {
+				continue
+			}
+			if ready && p.leaving(g) {
+				replacing--
+			}
+			p.retire(g)
+			surplus--
+		}
+	}
+}
+
+func (p *planner) readyCount(pool string) int {
+	n := 0
+	for _, g := range p.poolGroups(pool) {
+		if g.State == schema.GroupState_GROUP_STATE_READY {
+			n++
+		}
+	}
+	return n
+}
+
+// repair fills the gaps of broken groups, those with the fewest gaps first. If spares run out, the group with the most
+// gaps is dissolved when another one lacks members too, so that its VMs can complete that one.
+func (p *planner) repair() {
+	var broken []*schema.Group
+	for _, id := range p.groupIDs() {
+		g := p.plan.Groups[id]
+		if g.State != schema.GroupState_GROUP_STATE_PLANNED {
+			continue
+		}
+		p.dropLeaving(g)
+		if p.missing(g) > 0 {
+			broken = append(broken, g)
+		}
+	}
+	slices.SortStableFunc(broken, func(a, b *schema.Group) int { return cmp.Compare(p.missing(a), p.missing(b)) })
+	var unfilled []*schema.Group
+	for _, g := range broken {
+		if !p.fill(g) {
+			unfilled = append(unfilled, g)
+		}
+	}
+	if len(unfilled) > 1 {
+		p.dissolve(unfilled[len(unfilled)-1])
+	}
+}
+
+// dropLeaving removes leaving members from a group that doesn't serve.
+func (p *planner) dropLeaving(g *schema.Group) {
+	changed := false
+	for _, vm := range members(p.plan, g) {
+		if vm != "" && p.vms[vm].Leaving {
+			delete(p.plan.Assignments, vm)
+			changed = true
+		}
+	}
+	if changed {
+		p.renumber(g)
+	}
+}
+
+// fill assigns spares to all missing ranks, or to none if there are too few.
+func (p *planner) fill(g *schema.Group) bool {
+	spares := p.spares(g.Model)
+	if len(spares) < p.missing(g) {
+		return false
+	}
+	for rank, vm := range members(p.plan, g) {
+		if vm == "" {
+			p.plan.Assignments[spares[0]] = &schema.Assignment{Group: g.Id, Rank: uint32(rank)}
+			spares = spares[1:]
+		}
+	}
+	p.renumber(g)
+	return true
+}
+
+// create adds groups up to the pool's share. A group with a leaving member doesn't count, so that its replacement is
+// built while it still serves.
+func (p *planner) create() {
+	if p.in.FailureDomainOut {
+		return
+	}
+	for _, pool := range p.poolNames() {
+		share := p.shares[pool]
+		staying := 0
+		for _, g := range p.poolGroups(pool) {
+			if !p.leaving(g) {
+				staying++
+			}
+		}
+		for ; staying < share.Replicas; staying++ {
+			// IDs contain the version of the plan that they are based on: only one write succeeds on it.
+			g := &schema.Group{
+				Id:   fmt.Sprintf("%s.%s.%d.%d", pool, p.in.FabricDomain, p.in.Version, p.created),
+				Pool: pool, Size: uint32(share.Pool.VMs), Model: share.Pool.Model,
+				State: schema.GroupState_GROUP_STATE_PLANNED,
+			}
+			if g.Size == 0 {
+				break
+			}
+			if !p.fill(g) {
+				p.makeRoom(pool)
+				break
+			}
+			p.created++
+			p.plan.Groups[g.Id] = g
+		}
+	}
+}
+
+// makeRoom retires one outdated group if no spares are left to replace it first, and none of the pool's other groups is
+// being replaced. A group with a leaving member serves until that VM is gone.
+func (p *planner) makeRoom(pool string) {
+	var outdated *schema.Group
+	for _, id := range p.groupIDs() {
+		g := p.plan.Groups[id]
+		switch {
+		case g.Pool != pool:
+		case g.State != schema.GroupState_GROUP_STATE_READY:
+			return
+		case p.outdated(g):
+			outdated = g
+		}
+	}
+	if outdated != nil {
+		p.retire(outdated)
+	}
+}
+
+// orders lists the orders that the reports show to be missing.
+func (p *planner) orders() []Order {
+	var orders []Order
+	loads := 0
+	for vm := range p.vms {
+		if p.in.Reports[vm].Loading {
+			loads++
+		}
+	}
+	starts := p.in.LoadStarts
+	for _, id := range p.groupIDs() {
+		g := p.plan.Groups[id]
+		names := members(p.plan, g)
+		if g.State != schema.GroupState_GROUP_STATE_PLANNED || slices.Contains(names, "") {
+			continue
+		}
+		addresses := make([]string, len(names))
+		for i, vm := range names {
+			addresses[i] = p.vms[vm].Address
+		}
+		for rank, vm := range names {
+			r, fresh := p.fresh(vm)
+			if !fresh || inGroup(r, g, uint32(rank)) {
+				continue
+			}
+			load := !slices.Contains(r.Weights, g.Model)
+			if load && !r.Loading {
+				if loads >= p.in.Budget.AtOnce || starts >= p.in.Budget.PerMinute {
+					continue
+				}
+				loads++
+				starts++
+			}
+			orders = append(orders, Order{
+				VM: vm, Address: p.vms[vm].Address, Action: Join, Group: g.Id, Number: g.Number, Rank: uint32(rank),
+				Size: g.Size, Members: addresses, Model: g.Model, Pool: g.Pool, Load: load,
+			})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.vms)) {
+		r, fresh := p.fresh(name)
+		if _, assigned := p.plan.Assignments[name]; !assigned && fresh && r.Group != "" {
+			orders = append(orders, Order{
+				VM: name, Address: p.vms[name].Address, Action: Leave, Group: r.Group, Number: r.Number,
+			})
+		}
+	}
+	return orders
+}
--- /dev/null
+++ b/internal/groups/plan_test.go
@@ -0,0 +1,329 @@
+package groups
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// sim is a fabric domain whose engines carry orders out at once, except that loads take loadTime.
+type sim struct {
+	now      time.Duration
+	loadTime time.Duration
+	in       Input
+	engines  map[string]*engine
+}
+
+type engine struct {
+	Report
+	readyAt time.Duration
+	silent  time.Duration // Since when it doesn't answer; negative if it does.
+}
+
+func newSim(vms, groups int, policy Policy) *sim {
+	pool := rules.Pool{Name: "p", Model: "m", VMs: 4, Replicas: groups}
+	s := &sim{loadTime: 90 * time.Second, engines: map[string]*engine{}, in: Input{
+		FabricDomain: "f", FailureDomain: "z", Version: 1, Policy: policy,
+		Shares: []Share{{Pool: pool, Replicas: groups, Placed: groups}},
+		Budget: rules.WeightBudget{AtOnce: 4, PerMinute: 8},
+	}}
+	for i := range vms {
+		s.add(fmt.Sprintf("vm%02d", i))
+	}
+	return s
+}
+
+func (s *sim) add(vm string) {
+	s.in.VMs = append(s.in.VMs, VM{Name: vm, Address: vm + ":1", FabricDomain: "f", FailureDomain: "z"})
+	s.engines[vm] = &engine{Report: Report{Incarnation: "1", Seen: true}, silent: -1}
+}
+
+func (s *sim) remove(vm string) {
+	for i, v := range s.in.VMs {
+		if v.Name == vm {
+			s.in.VMs = append(s.in.VMs[:i:i], s.in.VMs[i+1:]...)
+		}
+	}
+	delete(s.engines, vm)
+}
+
+func (s *sim) restart(vm string) {
+	e := s.engines[vm]
+	e.Report = Report{Incarnation: e.Incarnation + "'", Seen: true, Weights: e.Weights}
+}
+
+// step plans once, stores the plan and carries out the orders.
+func (s *sim) step() []Order {
+	s.in.Now = time.UnixMilli(s.now.Milliseconds())
+	s.in.Reports = map[string]Report{}
+	for vm, e := range s.engines {
+		if e.Loading && s.now >= e.readyAt {
+			e.Loading, e.Ready, e.Weights = false, true, []string{e.Model}
+		}
+		r := e.Report
+		if e.silent >= 0 {
+			r.Age = s.now - e.silent
+		}
+		s.in.Reports[vm] = r
+	}
+	out := Plan(s.in)
+	if out.Changed {
+		s.in.Plan = out.Plan
+		s.in.Version++
+	}
+	for _, o := range out.Orders {
+		e := s.engines[o.VM]
+		if e == nil || e.silent >= 0 {
+			continue
+		}
+		if o.Action == Leave {
+			e.Report = Report{Incarnation: e.Incarnation, Seen: true, Weights: e.Weights}
+			continue
+		}
+		e.Group, e.Number, e.Rank, e.Size, e.Model = o.Group, o.Number, o.Rank, o.Size, o.Model
+		e.Ready = !o.Load
+		if o.Load && !e.Loading {
+			e.Loading, e.readyAt = true, s.now+s.loadTime
+		}
+	}
+	return out.Orders
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += time.Second {
+		s.step()
+	}
+}
+
+func (s *sim) states() map[schema.GroupState]int {
+	n := map[schema.GroupState]int{}
+	for _, g := range s.in.Plan.GetGroups() {
+		n[g.State]++
+	}
+	return n
+}
+
+const (
+	planned  = schema.GroupState_GROUP_STATE_PLANNED
+	ready    = schema.GroupState_GROUP_STATE_READY
+	retiring = schema.GroupState_GROUP_STATE_RETIRING
+)
+
+func (s *sim) member(t testing.TB) string {
+	for vm, a := range s.in.Plan.Assignments {
+		if a.Rank == 1 {
+			return vm
+		}
+	}
+	t.Fatal("no group has members")
+	return ""
+}
+
+// Guards against more loads at once than the weight store allows.
+func TestPlanBuildsWithinBudget(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(9, 2, RepairWithSpare)
+	loads := 0
+	for _, o := range s.step() {
+		if o.Load {
+			loads++
+		}
+	}
+	c.Assert(loads, qt.Equals, 4)
+	s.run(4 * time.Minute)
+	c.Assert(s.states(), qt.DeepEquals, map[schema.GroupState]int{ready: 2})
+	c.Assert(s.step(), qt.HasLen, 0)
+	c.Assert(Stranded(s.in.Plan, []string{"vm00", "vm08"}), qt.Equals, 1)
+}
+
+func TestPlanRepairs(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		vms    int
+		fault  func(s *sim, vm string)
+		during time.Duration
+		want   map[schema.GroupState]int
+		number uint64
+	}{
+		{"restart needs a new number", 8, func(s *sim, vm string) { s.restart(vm) }, 3 * time.Second,
+			map[schema.GroupState]int{ready: 2}, 2},
+		{"silent member is replaced by a spare", 9, func(s *sim, vm string) { s.engines[vm].silent = s.now }, 5 * time.Second,
+			map[schema.GroupState]int{ready: 1, planned: 1}, 3},
+		{"without a spare the group waits", 8, func(s *sim, vm string) { s.remove(vm) }, time.Minute,
+			map[schema.GroupState]int{ready: 1, planned: 1}, 2},
+		{"leaving, no spare group: serves to the end", 9, func(s *sim, vm string) { s.leave(vm) }, time.Minute,
+			map[schema.GroupState]int{ready: 2}, 1},
+		{"leaving, spare group fits: built first", 12, func(s *sim, vm string) { s.leave(vm) }, time.Minute,
+			map[schema.GroupState]int{ready: 2, planned: 1}, 1},
+		{"leaving, replacement ready: old one retires", 12, func(s *sim, vm string) { s.leave(vm) }, 95 * time.Second,
+			map[schema.GroupState]int{ready: 2, retiring: 1}, 1},
+		{"leaving, retired", 12, func(s *sim, vm string) { s.leave(vm) }, 3 * time.Minute,
+			map[schema.GroupState]int{ready: 2}, 0},
+		{"failure domain out keeps groups", 12, func(s *sim, vm string) {
+			s.in.FailureDomainOut = true
+			s.in.Shares[0].Replicas, s.in.Shares[0].Placed, s.in.Shares[0].ReadyElsewhere = 0, 2, 2
+		}, time.Minute, map[schema.GroupState]int{ready: 2}, 1},
+		{"surplus waits for the groups elsewhere", 8, func(s *sim, vm string) { s.in.Shares[0].Replicas = 1 }, time.Minute,
+			map[schema.GroupState]int{ready: 2}, 1},
+		{"surplus retires", 8, func(s *sim, vm string) {
+			s.in.Shares[0].Replicas, s.in.Shares[0].ReadyElsewhere = 1, 1
+		}, 2 * time.Second, map[schema.GroupState]int{ready: 1, retiring: 1}, 1},
+		{"late order is a mismatch", 8, func(s *sim, vm string) { s.engines[vm].Number = 0 }, 3 * time.Second,
+			map[schema.GroupState]int{ready: 2}, 2},
+		{"new model, no room: one group at a time", 8, func(s *sim, vm string) { s.in.Shares[0].Pool.Model = "n" },
+			20 * time.Second, map[schema.GroupState]int{ready: 1, retiring: 1}, 1},
+		{"pool removed", 8, func(s *sim, vm string) { s.in.Shares = nil }, 40 * time.Second, map[schema.GroupState]int{}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSim(tc.vms, 2, RepairWithSpare)
+			s.run(4 * time.Minute)
+			vm := s.member(t)
+			group := s.in.Plan.Assignments[vm].Group
+			tc.fault(s, vm)
+			s.run(tc.during)
+			qt.Assert(t, s.states(), qt.DeepEquals, tc.want)
+			qt.Assert(t, s.in.Plan.Groups[group].GetNumber(), qt.Equals, tc.number)
+		})
+	}
+}
+
+func (s *sim) leave(vm string) {
+	for i := range s.in.VMs {
+		if s.in.VMs[i].Name == vm {
+			s.in.VMs[i].Leaving = true
+		}
+	}
+}
+
+// Guards against a reload when a spare already has the weights.
+func TestPlanPrefersVMsWithWeights(t *testing.T) {
+	s := newSim(10, 2, RepairWithSpare)
+	s.engines["vm09"].Weights = []string{"m"}
+	s.in.VMs = s.in.VMs[:9]
+	s.run(4 * time.Minute)
+	s.in.VMs = append(s.in.VMs, VM{Name: "vm09", Address: "vm09:1"})
+	s.remove(s.member(t))
+	s.run(3 * time.Second)
+	qt.Assert(t, s.states(), qt.DeepEquals, map[schema.GroupState]int{ready: 2})
+	qt.Assert(t, s.in.Plan.Assignments["vm09"], qt.IsNotNil)
+}
+
+// Guards against two incomplete groups that each hold the VMs the other one needs.
+func TestPlanMergesBrokenGroups(t *testing.T) {
+	s := newSim(8, 2, RepairWithSpare)
+	s.run(4 * time.Minute)
+	byGroup := map[string]string{}
+	for vm, a := range s.in.Plan.Assignments {
+		byGroup[a.Group] = vm
+	}
+	for _, vm := range byGroup {
+		s.remove(vm)
+	}
+	s.run(20 * time.Second)
+	qt.Assert(t, s.states(), qt.DeepEquals, map[schema.GroupState]int{ready: 1})
+}
+
+func TestSpread(t *testing.T) {
+	c := qt.New(t)
+	pools := []rules.Pool{{Name: "a", VMs: 4, Replicas: 6}, {Name: "b", VMs: 2, Replicas: 3}, {Name: "c", VMs: 20, Replicas: 1}}
+	fabrics := []Capacity{{"f1", "z1", 12, false}, {"f2", "z1", 12, false}, {"f3", "z2", 16, false}, {"f4", "z3", 3, false}}
+	s := Spread(pools, fabrics)
+	c.Assert(s["f1"]["a"]+s["f2"]["a"], qt.Equals, 3)
+	c.Assert(s["f3"]["a"], qt.Equals, 3)
+	c.Assert(s["f4"]["a"], qt.Equals, 0) // Fewer VMs than a group needs.
+	c.Assert(s["f4"]["b"], qt.Equals, 1)
+	for _, f := range fabrics {
+		c.Assert(s[f.Fabric]["c"], qt.Equals, 0)
+	}
+	fabrics[2].Out = true
+	s = Spread(pools, fabrics)
+	c.Assert(s["f3"], qt.HasLen, 0)
+	c.Assert(s["f1"], qt.DeepEquals, map[string]int{"a": 2, "b": 1})
+	c.Assert(s["f2"], qt.DeepEquals, map[string]int{"a": 2, "b": 1})
+}
+
+func TestBudgetShareAddsUp(t *testing.T) {
+	total, names := rules.WeightBudget{AtOnce: 2, PerMinute: 7}, []string{"x", "y", "z"}
+	for minute := range 4 {
+		var sum rules.WeightBudget
+		for _, n := range names {
+			b := BudgetShare(total, n, names, time.Unix(int64(minute)*60, 0))
+			sum.AtOnce += b.AtOnce
+			sum.PerMinute += b.PerMinute
+		}
+		qt.Assert(t, sum, qt.Equals, total)
+	}
+}
+
+// TestPolicies compares the two ways to restore a broken group over a fixed fault script; run with -v for the figures.
+func TestPolicies(t *testing.T) {
+	usage := map[Policy]Usage{}
+	for policy, name := range map[Policy]string{RepairWithSpare: "repair with spare", RebuildWholeGroup: "rebuild whole group"} {
+		for _, tc := range []struct{ spares, loads int }{{0, 4}, {2, 4}, {6, 4}, {6, 1}} {
+			u := faultScript(policy, tc.spares, tc.loads)
+			usage[policy] = Usage{usage[policy].GroupDowntime + u.GroupDowntime, usage[policy].Stranded + u.Stranded}
+			t.Logf("%s: spares %d, loads at once %d: group downtime %v, stranded %v", name, tc.spares, tc.loads,
+				u.GroupDowntime, u.Stranded)
+		}
+	}
+	repair, rebuild := usage[RepairWithSpare], usage[RebuildWholeGroup]
+	qt.Assert(t, repair.GroupDowntime <= rebuild.GroupDowntime, qt.IsTrue)
+	qt.Assert(t, repair.Stranded <= rebuild.Stranded, qt.IsTrue)
+}
+
+// faultScript runs six groups of four for an hour: eight restarts, four losses with a replacement after 10 min, and two
+// leaving VMs.
+func faultScript(policy Policy, spares, loads int) Usage {
+	const groups = 6
+	s := newSim(4*groups+spares, groups, policy)
+	s.run(20 * time.Minute)
+	s.in.Budget.AtOnce = loads
+	start, end := s.now, s.now+time.Hour
+	var timeline []Sample
+	for ; s.now < end; s.now += time.Second {
+		at := int((s.now - start) / time.Second)
+		vm := fmt.Sprintf("vm%02d", at/30*7%(4*groups))
+		_, exists := s.engines[vm]
+		switch {
+		case at%450 == 100 && exists:
+			s.restart(vm)
+		case at%900 == 300 && exists:
+			s.remove(vm)
+		case at%900 == 899:
+			s.add(fmt.Sprintf("new%d", at))
+		case at == 1000 || at == 2800:
+			s.leave(vm)
+		case at == 1300 || at == 3100: // at/30*7 differs, so name the VM that was told to leave.
+			s.remove(fmt.Sprintf("vm%02d", (at-300)/30*7%(4*groups)))
+		}
+		s.step()
+		var healthy []string
+		for v := range s.engines {
+			healthy = append(healthy, v)
+		}
+		timeline = append(timeline, Sample{s.now - start, groups, s.serving(), Stranded(s.in.Plan, healthy)})
+	}
+	return Measure(timeline, time.Hour)
+}
+
+// serving counts the ready groups whose members all report what the plan says.
+func (s *sim) serving() int {
+	n := 0
+	for _, g := range s.in.Plan.Groups {
+		whole := g.State == ready
+		for _, vm := range members(s.in.Plan, g) {
+			e := s.engines[vm]
+			whole = whole && e != nil && e.Ready && e.Group == g.Id && e.Number == g.Number &&
+				e.Incarnation == s.in.Plan.Assignments[vm].Incarnation
+		}
+		if whole {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/groups/spread.go
@@ -0,0 +1,114 @@
+package groups
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/holder"
+	"cassiadeal.example/cassiadeal/internal/rules"
+)
+
+// Capacity is the size of one fabric domain.
+type Capacity struct {
+	Fabric        string
+	FailureDomain string
+	VMs           int  // Live VMs in the platform's list.
+	Out           bool // The failure domain takes no new work.
+}
+
+// Spread says how many replicas of each pool every fabric domain carries. Replicas are spread evenly over failure
+// domains, then over fabric domains. It depends only on its arguments, so all nodes agree. The number of VMs bounds the
+// choice but doesn't rank it, so that the loss of one VM moves few replicas.
+func Spread(pools []rules.Pool, fabrics []Capacity) map[string]map[string]int {
+	s := spreader{
+		free: map[string]int{}, perDomain: map[string]map[string]int{}, allDomain: map[string]int{},
+		allFabric: map[string]int{}, shares: map[string]map[string]int{},
+	}
+	for _, f := range fabrics {
+		s.shares[f.Fabric] = map[string]int{}
+		if !f.Out {
+			s.free[f.Fabric] = f.VMs
+			s.fabrics = append(s.fabrics, f)
+		}
+	}
+	pools = slices.Clone(pools)
+	// Large groups are placed first, because only whole ones fit.
+	slices.SortFunc(pools, func(a, b rules.Pool) int {
+		return cmp.Or(cmp.Compare(b.VMs, a.VMs), cmp.Compare(a.Name, b.Name))
+	})
+	// Pools take turns, so that a shortage is shared.
+	for round, placed := 0, true; placed; round++ {
+		placed = false
+		for _, p := range pools {
+			if round < p.Replicas && p.VMs > 0 && s.place(p) {
+				placed = true
+			}
+		}
+	}
+	return s.shares
+}
+
+type spreader struct {
+	fabrics   []Capacity
+	free      map[string]int            // VMs left, by fabric domain.
+	perDomain map[string]map[string]int // Replicas by failure domain and pool.
+	allDomain map[string]int            // VMs used, by failure domain.
+	allFabric map[string]int            // VMs used, by fabric domain.
+	shares    map[string]map[string]int
+}
+
+func (s *spreader) place(p rules.Pool) bool {
+	best := -1
+	for i, f := range s.fabrics {
+		if s.free[f.Fabric] >= p.VMs && (best < 0 || s.compare(p, f, s.fabrics[best]) < 0) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	f := s.fabrics[best]
+	s.free[f.Fabric] -= p.VMs
+	s.allDomain[f.FailureDomain] += p.VMs
+	s.allFabric[f.Fabric] += p.VMs
+	s.shares[f.Fabric][p.Name]++
+	if s.perDomain[f.FailureDomain] == nil {
+		s.perDomain[f.FailureDomain] = map[string]int{}
+	}
+	s.perDomain[f.FailureDomain][p.Name]++
+	return true
+}
+
+func (s *spreader) compare(p rules.Pool, a, b Capacity) int {
+	return cmp.Or(
+		cmp.Compare(s.perDomain[a.FailureDomain][p.Name], s.perDomain[b.FailureDomain][p.Name]),
+		cmp.Compare(s.allDomain[a.FailureDomain], s.allDomain[b.FailureDomain]),
+		cmp.Compare(s.shares[a.Fabric][p.Name], s.shares[b.Fabric][p.Name]),
+		cmp.Compare(s.allFabric[a.Fabric], s.allFabric[b.Fabric]),
+		cmp.Compare(holder.Score(p.Name, a.Fabric), holder.Score(p.Name, b.Fabric)),
+		cmp.Compare(a.Fabric, b.Fabric),
+	)
+}
+
+// budgetTurn is how long a fabric domain keeps the remainder of the weight budget.
+const budgetTurn = time.Minute
+
+// BudgetShare divides the weight budget among the fabric domains that have groups to load. The remainder goes round, so
+// that a budget smaller than the number of domains reaches all of them.
+func BudgetShare(total rules.WeightBudget, fabric string, loading []string, now time.Time) rules.WeightBudget {
+	loading = slices.Sorted(slices.Values(loading))
+	i := slices.Index(loading, fabric)
+	if i < 0 {
+		return rules.WeightBudget{}
+	}
+	n := len(loading)
+	turn := (i + int(now.UnixNano()/int64(budgetTurn)%int64(n))) % n
+	share := func(v int) int {
+		if turn < v%n {
+			return v/n + 1
+		}
+		return v / n
+	}
+	return rules.WeightBudget{AtOnce: share(total.AtOnce), PerMinute: share(total.PerMinute)}
+}
