--- /dev/null
+++ b/internal/rules/parse.go
@@ -0,0 +1,409 @@
+package rules
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Section names of the rules file.
+const (
+	SectionPools          = "pools"
+	SectionServices       = "services"
+	SectionAccounts       = "accounts"
+	SectionRoutes         = "routes"
+	SectionFailureDomains = "failure_domains"
+	SectionWeights        = "weights"
+
+	// unknownSection collects the rules below an unknown header, which are not checked further.
+	unknownSection = "?"
+)
+
+// Bounds of values.
+const (
+	maxVMsPerReplica = 1024
+	maxReplicas      = 100_000
+	maxInFlight      = 100_000
+	maxQueueLength   = 1_000_000
+	minDeadline      = time.Millisecond
+	maxDeadline      = 24 * time.Hour
+	minRate          = 0.001 // Requests per second.
+	maxRate          = 1_000_000
+	maxBurst         = 1_000_000
+	maxConcurrency   = 1_000_000
+	maxLoads         = 1_000_000
+	maxModelLength   = 200
+	maxPathLength    = 1024
+)
+
+// Weight budget of a file without [weights].
+const (
+	defaultAtOnce    = 2
+	defaultPerMinute = 30
+)
+
+// emptyTokenSHA256 is the SHA-256 of no bytes: an account with it would accept an empty bearer token.
+const emptyTokenSHA256 = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+// required marks a key without a default.
+const required = ""
+
+type section struct {
+	keys  map[string]string // Key to default; required if there is none.
+	build func(p *parser, r *rule)
+}
+
+var sections map[string]section
+
+func init() { // Not an initializer, because the build functions refer to sections.
+	sections = map[string]section{
+		SectionPools: {map[string]string{
+			"model": required, "vms": required, "replicas": required, "cold_limit": required, "full_limit": required,
+			"max_queue": "64", "deadline": "60s", "fenced_orders": "no",
+		}, (*parser).pool},
+		SectionServices: {map[string]string{
+			"targets": required, "cold_limit": required, "full_limit": required, "max_queue": "64", "deadline": "10s",
+		}, (*parser).service},
+		SectionAccounts: {map[string]string{
+			"token_sha256": required, "rate": required, "burst": required, "concurrency": required, "priority": "normal",
+		}, (*parser).account},
+		SectionRoutes: {map[string]string{
+			"service": required, "method": "*", "path": "/*", "repeat": required, "priority": "account",
+		}, (*parser).route},
+		SectionFailureDomains: {map[string]string{"state": required}, (*parser).failureDomain},
+		SectionWeights: {map[string]string{
+			"at_once": strconv.Itoa(defaultAtOnce), "per_minute": strconv.Itoa(defaultPerMinute),
+		}, (*parser).weights},
+	}
+}
+
+// Default returns the value that a key has if a rule leaves it out; ok is false if the key must be given or is unknown.
+// Pools: max_queue=64 deadline=60s fenced_orders=no. Services: max_queue=64 deadline=10s. Accounts: priority=normal.
+// Routes: method=* path=/* and the account's priority ("account"). Weights: at_once=2 per_minute=30.
+func Default(sectionName, key string) (value string, ok bool) {
+	value = sections[sectionName].keys[key]
+	return value, value != required
+}
+
+func knownSections() string {
+	return strings.Join(slices.Sorted(maps.Keys(sections)), ", ")
+}
+
+type parser struct {
+	file         string
+	problems     []Problem
+	rules        *Rules
+	sectionLines map[string]int
+	names        map[string]int    // "section/name" to line, also of rules with problems.
+	tokens       map[string]string // Token hash to account.
+	targets      map[string]string // Address to service.
+	routes       map[string]string // Service, method and path to route.
+}
+
+// Parse reads and checks a rules file. It returns nil rules and at least one problem, sorted by position, if the text is
+// refused. The file name only labels problems.
+func Parse(file string, text string) (*Rules, []Problem) {
+	p := &parser{
+		file: file, sectionLines: map[string]int{}, names: map[string]int{},
+		tokens: map[string]string{}, targets: map[string]string{}, routes: map[string]string{},
+		rules: &Rules{
+			Pools: map[string]Pool{}, Services: map[string]Service{}, Accounts: map[string]Account{},
+			FailureDomains: map[string]FailureDomain{}, Origins: map[string]Origin{}, File: file,
+			Weights: WeightBudget{AtOnce: defaultAtOnce, PerMinute: defaultPerMinute},
+		},
+	}
+	if len(text) > MaxFileBytes {
+		return nil, []Problem{{File: file, Reason: fmt.Sprintf("the file has %d bytes; at most %d are allowed", len(text), MaxFileBytes)}}
+	}
+	found := p.scanLines(text)
+	for _, r := range found {
+		key := r.section + "/" + r.name
+		if first, again := p.names[key]; again {
+			p.add(r.line, r.column, "rule %q is already defined on line %d", r.name, first)
+			r.duplicate = true
+			continue
+		}
+		p.names[key] = r.line
+		p.rules.Origins[key] = Origin{Line: r.line, Text: r.text, Comment: r.comment}
+	}
+	for _, r := range found {
+		p.checkRequired(r)
+		sections[r.section].build(p, r)
+	}
+	if len(p.problems) > 0 {
+		return nil, sortProblems(file, p.problems)
+	}
+	return p.rules, nil
+}
+
+func (p *parser) add(line, column int, format string, args ...any) {
+	reason := printable(fmt.Sprintf(format, args...))
+	p.problems = append(p.problems, Problem{File: p.file, Line: line, Column: column, Reason: reason})
+}
+
+// printable escapes what a terminal would interpret, because reasons quote the refused text.
+func printable(s string) string {
+	s = strings.ToValidUTF8(s, "\uFFFD")
+	if strings.IndexFunc(s, unprintable) < 0 {
+		return s
+	}
+	var b strings.Builder
+	for _, r := range s {
+		if unprintable(r) {
+			fmt.Fprintf(&b, "\\u%04x", r)
+		} else {
+			b.WriteRune(r)
+		}
+	}
+	return b.String()
+}
+
+func unprintable(r rune) bool { return !unicode.IsPrint(r) }
+
+func (p *parser) checkRequired(r *rule) {
+	for _, key := range slices.Sorted(maps.Keys(sections[r.section].keys)) {
+		if _, given := r.fields[key]; !given && sections[r.section].keys[key] == required {
+			p.add(r.line, r.column, "rule %q lacks %s=", r.name, key)
+		}
+	}
+}
+
+// value returns the given or default value of a key; ok is false if there is none, which is already reported.
+func (r *rule) value(key string) (f field, ok bool) {
+	f, given := r.fields[key]
+	if !given {
+		f = field{value: sections[r.section].keys[key], column: r.column}
+	}
+	return f, f.value != ""
+}
+
+func (p *parser) integer(r *rule, key string, low, high int) int {
+	f, ok := r.value(key)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.Atoi(f.value)
+	if err != nil || n < low || n > high {
+		p.add(r.line, f.column, "%s=%s must be a whole number from %d to %d", key, f.value, low, high)
+		return 0
+	}
+	return n
+}
+
+func (p *parser) duration(r *rule, key string) time.Duration {
+	f, ok := r.value(key)
+	if !ok {
+		return 0
+	}
+	d, err := time.ParseDuration(f.value)
+	if err != nil || d < minDeadline || d > maxDeadline {
+		p.add(r.line, f.column, "%s=%s must be a time from %v to %v, such as 500ms or 30s", key, f.value, minDeadline, maxDeadline)
+		return 0
+	}
+	return d
+}
+
+// choice returns the index of the value among the allowed ones, or 0 with a problem.
+func (p *parser) choice(r *rule, key string, allowed ...string) int {
+	f, ok := r.value(key)
+	if !ok {
+		return 0
+	}
+	i := slices.Index(allowed, f.value)
+	if i < 0 {
+		p.add(r.line, f.column, "%s=%s must be one of %s", key, f.value, strings.Join(allowed, ", "))
+		return 0
+	}
+	return i
+}
+
+func (p *parser) limits(r *rule) Limits {
+	l := Limits{Cold: p.integer(r, "cold_limit", 1, maxInFlight), Full: p.integer(r, "full_limit", 1, maxInFlight)}
+	if l.Full > 0 && l.Cold > l.Full {
+		p.add(r.line, r.fields["cold_limit"].column, "cold_limit=%d is above full_limit=%d", l.Cold, l.Full)
+	}
+	return l
+}
+
+func (p *parser) pool(r *rule) {
+	model, ok := r.value("model")
+	if ok && (len(model.value) > maxModelLength || !onlyASCII(model.value, "._/:-")) {
+		p.add(r.line, model.column, "model=%s must have at most %d of letters, digits and . _ / : -", model.value, maxModelLength)
+	}
+	p.rules.Pools[r.name] = Pool{
+		Name: r.name, Model: model.value,
+		VMs: p.integer(r, "vms", 1, maxVMsPerReplica), Replicas: p.integer(r, "replicas", 1, maxReplicas),
+		Limits: p.limits(r), MaxQueue: p.integer(r, "max_queue", 0, maxQueueLength), Deadline: p.duration(r, "deadline"),
+		FencedOrders: p.choice(r, "fenced_orders", "no", "yes") == 1,
+	}
+}
+
+func (p *parser) service(r *rule) {
+	s := Service{
+		Name: r.name, Limits: p.limits(r),
+		MaxQueue: p.integer(r, "max_queue", 0, maxQueueLength), Deadline: p.duration(r, "deadline"),
+	}
+	if list, ok := r.value("targets"); ok {
+		column := list.column
+		for _, item := range strings.Split(list.value, ",") {
+			if target, ok := p.target(r, item, column); ok {
+				s.Targets = append(s.Targets, target)
+			}
+			column += utf8.RuneCountInString(item) + 1
+		}
+	}
+	p.rules.Services[r.name] = s
+}
+
+func (p *parser) target(r *rule, item string, column int) (ServiceTarget, bool) {
+	address, domain, ok := strings.Cut(item, "@")
+	if !ok {
+		p.add(r.line, column, "target %q must have the form IP:PORT@FAILURE-DOMAIN", item)
+		return ServiceTarget{}, false
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || parsed.Port() == 0 || parsed.Addr().Zone() != "" || parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast() {
+		p.add(r.line, column, "target address %q must be IP:PORT with an IP number and a port from 1 to 65535", address)
+		return ServiceTarget{}, false
+	}
+	address = netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()).String()
+	if owner, taken := p.targets[address]; taken && !r.duplicate {
+		p.add(r.line, column, "target %s already belongs to service %q", address, owner)
+	} else if !taken {
+		p.targets[address] = r.name
+	}
+	if p.names[SectionFailureDomains+"/"+domain] == 0 {
+		p.add(r.line, column+utf8.RuneCountInString(item)-utf8.RuneCountInString(domain),
+			"target %s is in failure domain %q, which is not in [%s]", address, domain, SectionFailureDomains)
+	}
+	return ServiceTarget{Address: address, FailureDomain: domain}, true
+}
+
+func (p *parser) account(r *rule) {
+	token, ok := r.value("token_sha256")
+	if ok {
+		p.checkToken(r, token)
+	}
+	p.rules.Accounts[r.name] = Account{
+		Name: r.name, TokenSHA256: token.value, Rate: p.rate(r),
+		Burst: p.integer(r, "burst", 1, maxBurst), Concurrency: p.integer(r, "concurrency", 1, maxConcurrency),
+		Priority: Priority(p.choice(r, "priority", "low", "normal", "high")),
+	}
+}
+
+func (p *parser) checkToken(r *rule, token field) {
+	const hexLength = 64
+	if len(token.value) != hexLength || strings.Trim(token.value, "0123456789abcdef") != "" {
+		p.add(r.line, token.column, "token_sha256 must have %d digits of lower-case hex", hexLength)
+		return
+	}
+	if token.value == emptyTokenSHA256 {
+		p.add(r.line, token.column, "token_sha256 is the hash of an empty token")
+	}
+	if owner, taken := p.tokens[token.value]; taken && !r.duplicate {
+		p.add(r.line, token.column, "account %q already has this token", owner)
+	} else if !taken {
+		p.tokens[token.value] = r.name
+	}
+}
+
+func (p *parser) rate(r *rule) float64 {
+	f, ok := r.value("rate")
+	if !ok {
+		return 0
+	}
+	rate, err := strconv.ParseFloat(f.value, 64)
+	if err != nil || !(rate >= minRate && rate <= maxRate) { // The negation also refuses NaN.
+		p.add(r.line, f.column, "rate=%s must be a number of requests per second from %v to %d", f.value, minRate, maxRate)
+		return 0
+	}
+	return rate
+}
+
+func (p *parser) route(r *rule) {
+	service, _ := r.value("service")
+	method, _ := r.value("method")
+	path, _ := r.value("path")
+	if service.value != "" && p.names[SectionServices+"/"+service.value] == 0 {
+		p.add(r.line, service.column, "service %q is not in [%s]", service.value, SectionServices)
+	}
+	p.choice(r, "method", "*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+	if path.value != "" && !validPath(path.value) {
+		p.add(r.line, path.column, "path=%s must begin with /, may end with /*, and must not contain . segments, //, ? or %%", path.value)
+	}
+	if first, covered := p.coveringRoute(service.value, method.value, path.value); covered && !r.duplicate {
+		p.add(r.line, r.column, "route %q never applies, because route %q above covers its calls", r.name, first)
+	} else if !covered {
+		p.routes[routeKey(service.value, method.value, path.value)] = r.name
+	}
+	route := Route{
+		Name: r.name, Service: service.value, Method: method.value, Path: path.value,
+		Repeat: p.choice(r, "repeat", "never", "safe") == 1,
+	}
+	if priority := p.choice(r, "priority", "account", "low", "normal", "high"); priority > 0 {
+		route.HasPriority, route.Priority = true, Priority(priority-1)
+	}
+	p.rules.Routes = append(p.rules.Routes, route)
+}
+
+func routeKey(service, method, path string) string { return service + " " + method + " " + path }
+
+// coveringRoute returns an earlier route that takes every call of the given one. The first match applies, so that a
+// repeat=safe on /* would silently override a later repeat=never.
+func (p *parser) coveringRoute(service, method, path string) (string, bool) {
+	patterns := []string{path}
+	for i, c := range path {
+		if c == '/' {
+			patterns = append(patterns, path[:i+1]+"*")
+		}
+	}
+	for _, pattern := range patterns {
+		for _, m := range []string{method, "*"} {
+			if name, found := p.routes[routeKey(service, m, pattern)]; found {
+				return name, true
+			}
+		}
+	}
+	return "", false
+}
+
+func validPath(path string) bool {
+	trimmed := strings.TrimSuffix(path, "/*")
+	if !strings.HasPrefix(path, "/") || len(path) > maxPathLength || !onlyASCII(trimmed, "/-._~!$&'()+,;=:@") {
+		return false
+	}
+	for i, segment := range strings.Split(trimmed, "/") {
+		if segment == "." || segment == ".." || (i > 0 && segment == "" && trimmed != "/") {
+			return false
+		}
+	}
+	return true
+}
+
+func onlyASCII(s, others string) bool {
+	for _, c := range s {
+		letterOrDigit := (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+		if !letterOrDigit && !strings.ContainsRune(others, c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *parser) failureDomain(r *rule) {
+	p.rules.FailureDomains[r.name] = FailureDomain{Name: r.name, Out: p.choice(r, "state", "in", "out") == 1}
+}
+
+func (p *parser) weights(r *rule) {
+	if r.name != "loads" {
+		p.add(r.line, r.column, "unknown rule %q in [%s]; known is loads", r.name, SectionWeights)
+		return
+	}
+	p.rules.Weights = WeightBudget{AtOnce: p.integer(r, "at_once", 1, maxLoads), PerMinute: p.integer(r, "per_minute", 1, maxLoads)}
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -1,7 +1,10 @@
 // Package rules holds the operators' rules: pools, services, client accounts, routes and failure domains.
 package rules
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Rules is a checked configuration. Maps are keyed by the rule's name. It must not be changed after parsing.
 type Rules struct {
@@ -13,12 +16,14 @@
 	Weights        WeightBudget
 	// Origins is keyed by "section/name", for example "pools/drafts".
 	Origins map[string]Origin
+	// File is the name that Parse was given; problems found later name it.
+	File string
 }
 
 // Origin tells where a rule stands and who asked for it.
 type Origin struct {
 	Line    int
-	Text    string
+	Text    string // Canonical form of the rule: one space between settings, no comment.
 	Comment string
 }
 
@@ -66,6 +71,18 @@
 	PriorityHigh   Priority = 2
 )
 
+// String returns the priority as written in the rules file.
+func (p Priority) String() string {
+	switch p {
+	case PriorityLow:
+		return "low"
+	case PriorityHigh:
+		return "high"
+	default:
+		return "normal"
+	}
+}
+
 // Account is a client account. Limits hold over all entry nodes together.
 type Account struct {
 	Name        string
@@ -78,6 +95,7 @@
 
 // Route gives the properties of some calls to a service.
 type Route struct {
+	Name     string
 	Service  string
 	Method   string // "*" matches every method.
 	Path     string // Path prefix below /v1/services/{service}; "/x/*" matches what is below, "/x" only itself.
@@ -98,3 +116,21 @@
 	AtOnce    int // Loads in progress.
 	PerMinute int // Load starts.
 }
+
+// Match returns the first route of the service that covers the call. A call that no route covers gets a route without
+// a name that may not be repeated.
+func (r *Rules) Match(service, method, path string) Route {
+	for _, route := range r.Routes {
+		if route.Service == service && (route.Method == "*" || route.Method == method) && pathCovers(route.Path, path) {
+			return route
+		}
+	}
+	return Route{Service: service, Method: method, Path: path}
+}
+
+func pathCovers(pattern, path string) bool {
+	if prefix, below := strings.CutSuffix(pattern, "*"); below {
+		return strings.HasPrefix(path, prefix)
+	}
+	return path == pattern
+}
