--- /dev/null
+++ b/internal/operator/types.go
@@ -0,0 +1,130 @@
+// Package operator serves the operators' listener: health, metrics, status and configuration.
+package operator
+
+import (
+	"context"
+
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Backend is what the listener needs from a node. Errors are *result.Error where a code says more than Internal.
+type Backend interface {
+	// Healthy returns nil while the process works; an error asks for its replacement.
+	Healthy() error
+	// Ready returns nil while the node takes new requests, else the reason.
+	Ready() error
+	Status(ctx context.Context) (Status, error)
+	// Config returns the configuration that this node applies; revision 0 and no rules before the first one.
+	Config(ctx context.Context) (Config, error)
+	// VMs returns the latest known VM list. PlatformUnavailable if none is known.
+	VMs(ctx context.Context) ([]*schema.VM, error)
+	// Apply writes checked rules as the successor of the base revision and waits until they are in force everywhere or
+	// its time limit ends. RevisionConflict: nothing was written. PlatformUnavailable: nothing was written. ApplyUnknown:
+	// the write may have taken effect.
+	Apply(ctx context.Context, change Change) (Applied, error)
+}
+
+// Change is a checked apply.
+type Change struct {
+	BaseRevision uint64
+	Text         string
+	Rules        *rules.Rules
+	Author       string
+}
+
+// Applied is the outcome of a written change.
+type Applied struct {
+	Revision uint64
+	// Missing names the nodes that neither reported the revision nor are proved stopped. Empty: in force everywhere.
+	Missing []string
+}
+
+// Config is the body of GET /v1/config.
+type Config struct {
+	Revision uint64 `json:"revision"`
+	Rules    string `json:"rules"`
+	Author   string `json:"author"`
+}
+
+// ApplyRequest is the body of POST /v1/config and, without base revision and author, of POST /v1/config/check.
+type ApplyRequest struct {
+	BaseRevision *uint64 `json:"base_revision,omitempty"`
+	Rules        string  `json:"rules"`
+	Author       string  `json:"author,omitempty"`
+}
+
+// ApplyAnswer is the body of 200 and 504 answers to POST /v1/config.
+type ApplyAnswer struct {
+	Revision uint64   `json:"revision"`
+	Accepted bool     `json:"accepted"`
+	Missing  []string `json:"missing,omitempty"`
+}
+
+// Refusal is the body of every other answer that is not 200.
+type Refusal struct {
+	result.Body
+	Problems []rules.Problem `json:"problems,omitempty"`
+}
+
+// CheckAnswer is the body of 200 answers to POST /v1/config/check.
+type CheckAnswer struct {
+	// CapacityChecked is false if the node knows no VM list.
+	CapacityChecked bool `json:"capacity_checked"`
+}
+
+// Status is the body of GET /v1/status: one node's view.
+type Status struct {
+	Node              string `json:"node"`
+	Incarnation       string `json:"incarnation"`
+	FailureDomain     string `json:"failure_domain"`
+	State             string `json:"state"` // starting, serving or draining.
+	RightToServe      bool   `json:"right_to_serve"`
+	Basis             string `json:"basis"` // platform, majority, both or none.
+	InDoubt           bool   `json:"in_doubt"`
+	ConfigRevision    uint64 `json:"config_revision"`
+	PlatformContactMS int64  `json:"platform_contact_ms"` // Age of the last answer; negative if there was none.
+
+	Nodes        []NodeStatus        `json:"nodes"`
+	Destinations []DestinationStatus `json:"destinations"`
+	Targets      []TargetStatus      `json:"targets"`
+	// StrandedVMs are healthy VMs in no serving group.
+	StrandedVMs []string `json:"stranded_vms"`
+}
+
+// NodeStatus is one entry node as another one sees it.
+type NodeStatus struct {
+	Name            string `json:"name"`
+	FailureDomain   string `json:"failure_domain"`
+	OperatorAddress string `json:"operator_address"`
+	State           string `json:"state"`
+	ConfigRevision  uint64 `json:"config_revision"`
+	LastHeardMS     int64  `json:"last_heard_ms"` // Negative if it was never heard.
+}
+
+// DestinationStatus sums up one pool or service.
+type DestinationStatus struct {
+	Kind     string `json:"kind"` // pool or service.
+	Name     string `json:"name"`
+	Wanted   int    `json:"wanted"` // Replicas or targets that the rules ask for.
+	Serving  int    `json:"serving"`
+	InFlight int    `json:"in_flight"`
+	Limit    int    `json:"limit"` // Sum of the current limits of the serving targets.
+	Queued   int    `json:"queued"`
+}
+
+// TargetStatus is one replica group or service target.
+type TargetStatus struct {
+	ID            string   `json:"id"`
+	Kind          string   `json:"kind"` // pool or service.
+	Destination   string   `json:"destination"`
+	FailureDomain string   `json:"failure_domain"`
+	FabricDomain  string   `json:"fabric_domain,omitempty"`
+	VMs           []string `json:"vms,omitempty"` // Members of a replica group by rank.
+	Holder        string   `json:"holder"`
+	State         string   `json:"state"` // planned, cold, warming, warm, draining or lost.
+	InFlight      int      `json:"in_flight"`
+	Limit         int      `json:"limit"`
+	InDoubt       bool     `json:"in_doubt"`
+}
