--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"container/list"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+const (
+	blockTokens    = 16   // tokens per block of the prefix cache
+	maxCacheEvents = 1024 // older events are forgotten
+)
+
+// CacheEvent is one change of the prefix cache.
+type CacheEvent struct {
+	Seq        uint64 `json:"seq"`
+	PrefixHash string `json:"prefix_hash"`
+	Kind       string `json:"kind"` // add or evict
+
+	at time.Time
+}
+
+// PrefixHashes returns one hash per full block of 16 prompt tokens. Each is the FNV-1a hash, in 16 hex digits, of the
+// prompt up to the end of the block, its tokens joined by single spaces. Prompt tokens are separated by white space.
+func PrefixHashes(prompt string) []string {
+	tokens := strings.Fields(prompt)
+	h := fnv.New64a()
+	var hashes []string
+	for i, token := range tokens {
+		if i > 0 {
+			token = " " + token
+		}
+		_, _ = h.Write([]byte(token)) // A hash never fails.
+		if (i+1)%blockTokens == 0 {
+			hashes = append(hashes, fmt.Sprintf("%016x", h.Sum64()))
+		}
+	}
+	return hashes
+}
+
+// prefixCache is an LRU cache of prompt blocks with late, gappy events.
+type prefixCache struct {
+	blocks int
+	delay  time.Duration
+	loss   float64
+	rng    *rand.Rand
+	lru    *list.List // of string, most recently used first
+	byHash map[string]*list.Element
+	seq    uint64
+	events []CacheEvent
+}
+
+func newPrefixCache(opts Options, rng *rand.Rand) *prefixCache {
+	return &prefixCache{
+		blocks: opts.CacheTokens / blockTokens, delay: opts.CacheEventDelay, loss: opts.CacheEventLoss, rng: rng,
+		lru: list.New(), byHash: map[string]*list.Element{},
+	}
+}
+
+// use looks a prompt up, adds its blocks and returns the number of its tokens that were cached.
+func (c *prefixCache) use(prompt string) int {
+	hit, whole := 0, true
+	for _, hash := range PrefixHashes(prompt) {
+		if e := c.byHash[hash]; e != nil {
+			c.lru.MoveToFront(e)
+			if whole {
+				hit += blockTokens
+			}
+			continue
+		}
+		whole = false
+		c.byHash[hash] = c.lru.PushFront(hash)
+		c.event(hash, "add")
+	}
+	for c.lru.Len() > c.blocks {
+		oldest := c.lru.Remove(c.lru.Back()).(string)
+		delete(c.byHash, oldest)
+		c.event(oldest, "evict")
+	}
+	return hit
+}
+
+func (c *prefixCache) event(hash, kind string) {
+	c.seq++
+	if c.rng.Float64() < c.loss {
+		return
+	}
+	c.events = append(c.events, CacheEvent{Seq: c.seq, PrefixHash: hash, Kind: kind, at: time.Now()})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[1:]
+	}
+}
+
+// since returns the events after seq that are old enough to be reported, and the seq to ask from next.
+func (c *prefixCache) since(seq uint64) (events []CacheEvent, next uint64) {
+	events, next = []CacheEvent{}, seq
+	for _, e := range c.events {
+		if e.Seq > seq && time.Since(e.at) >= c.delay {
+			events = append(events, e)
+			next = e.Seq
+		}
+	}
+	return events, next
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,214 @@
+// Package engine is the stand-in for the model engines. One server hosts several VMs, each on its own address.
+// docs/protocols.md describes the protocol.
+package engine
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/standin"
+)
+
+// VM is one VM that the server hosts.
+type VM struct {
+	Name   string
+	Listen string // host:port; port 0 is replaced by a free one
+}
+
+// Options configures the stand-in. Zero values take the defaults.
+type Options struct {
+	VMs           []VM
+	Admin         string   // listen address for switches and records while VMs are down, default 127.0.0.1:0
+	ChecksFencing bool     // refuse orders with a lower fencing number than one accepted
+	Weights       []string // models that every VM holds from the start
+
+	SlotsWarm       int           // batch slots, and the bound of a warm engine, default 8
+	BearsCold       int           // requests in flight that a cold engine bears, default 2
+	TokenDelay      time.Duration // per batch step, default 5 ms
+	PrefillPerToken time.Duration // per uncached prompt token, default 20 µs
+	LoadTime        time.Duration // of a model's weights, default 500 ms
+	RestartTime     time.Duration // between two incarnations, default 200 ms
+	LoadLag         time.Duration // least age of reported load, default 200 ms
+	CacheTokens     int           // size of the prefix cache, default 8192
+	CacheEventDelay time.Duration // default 300 ms
+	CacheEventLoss  float64       // probability that an event is never reported, default 0.1
+	OrphanTime      time.Duration // a request without a reader is cancelled after it, default 2 s
+	KeepEnded       int           // ended streams kept for resume, default 256
+	Seed            uint64
+}
+
+func (o Options) withDefaults() Options {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	defInt := func(n *int, v int) {
+		if *n == 0 {
+			*n = v
+		}
+	}
+	def(&o.TokenDelay, 5*time.Millisecond)
+	def(&o.PrefillPerToken, 20*time.Microsecond)
+	def(&o.LoadTime, 500*time.Millisecond)
+	def(&o.RestartTime, 200*time.Millisecond)
+	def(&o.LoadLag, 200*time.Millisecond)
+	def(&o.CacheEventDelay, 300*time.Millisecond)
+	def(&o.OrphanTime, 2*time.Second)
+	defInt(&o.SlotsWarm, 8)
+	defInt(&o.BearsCold, 2)
+	defInt(&o.CacheTokens, 8192)
+	defInt(&o.KeepEnded, 256)
+	if o.CacheEventLoss == 0 {
+		o.CacheEventLoss = 0.1
+	}
+	if o.Admin == "" {
+		o.Admin = "127.0.0.1:0"
+	}
+	return o
+}
+
+// Faults is the body of POST /faults. Absent fields leave a switch as it is; switches stay until changed.
+type Faults struct {
+	VM              string  `json:"vm,omitempty"`   // empty: the VM at this address; every VM at the admin address
+	Down            *bool   `json:"down,omitempty"` // after true and false the VM has a new incarnation
+	Restart         bool    `json:"restart,omitempty"`
+	CrashOnPrompt   *string `json:"crash_on_prompt,omitempty"` // "" switches it off
+	TurnCold        bool    `json:"turn_cold,omitempty"`
+	PauseMS         int64   `json:"pause_ms,omitempty"`         // neither answers nor generates for this long
+	TokenDelayMS    *int64  `json:"token_delay_ms,omitempty"`   // 0 restores the configured one
+	SilentStreams   *int    `json:"silent_streams,omitempty"`   // the next N streams go silent after their first token
+	CutStreamAfter  *int    `json:"cut_stream_after,omitempty"` // each stream breaks after N tokens; 0 switches it off
+	WrongRequestID  *bool   `json:"wrong_request_id,omitempty"`
+	NoEndMarker     *bool   `json:"no_end_marker,omitempty"`
+	DuplicateTokens *bool   `json:"duplicate_tokens,omitempty"`
+	SlowStateMS     *int64  `json:"slow_state_ms,omitempty"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	admin    *standin.Port
+	machines []*machine
+	byName   map[string]*machine
+}
+
+// New returns a server whose VMs do not listen yet.
+func New(opts Options) *Server {
+	opts = opts.withDefaults()
+	s := &Server{admin: standin.NewPort(opts.Admin), byName: map[string]*machine{}}
+	for i, vm := range opts.VMs {
+		m := newMachine(opts, vm, opts.Seed+uint64(i))
+		s.machines = append(s.machines, m)
+		s.byName[vm.Name] = m
+	}
+	return s
+}
+
+// Start opens the addresses of all VMs and the admin address.
+func (s *Server) Start() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults", s.postFaults)
+	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, s.Record())
+	})
+	mux.HandleFunc("GET /healthz", healthz)
+	if err := s.admin.Up(mux); err != nil {
+		return err
+	}
+	for _, m := range s.machines {
+		if err := m.start(); err != nil {
+			s.Close()
+			return fmt.Errorf("VM %q: %w", m.name, err)
+		}
+	}
+	return nil
+}
+
+// Close stops all VMs.
+func (s *Server) Close() {
+	for _, m := range s.machines {
+		m.life.Lock()
+		m.stop("closed")
+		m.life.Unlock()
+	}
+	s.admin.Down()
+}
+
+// AdminAddr returns the address for switches and records.
+func (s *Server) AdminAddr() string { return s.admin.Addr() }
+
+// Addrs returns the address of each VM by name.
+func (s *Server) Addrs() map[string]string {
+	addrs := map[string]string{}
+	for _, m := range s.machines {
+		addrs[m.name] = m.port.Addr()
+	}
+	return addrs
+}
+
+// SetFaults changes switches and waits until they are in force.
+func (s *Server) SetFaults(f Faults) error {
+	if f.VM == "" {
+		for _, m := range s.machines {
+			if err := m.setFaults(f); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	m := s.byName[f.VM]
+	if m == nil {
+		return fmt.Errorf("unknown VM %q", f.VM)
+	}
+	return m.setFaults(f)
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !standin.ReadJSON(w, r, &f) {
+		return
+	}
+	if err := s.SetFaults(f); err != nil {
+		fail(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Record returns what each VM received and did.
+func (s *Server) Record() Record {
+	rec := Record{VMs: map[string]VMRecord{}}
+	for _, m := range s.machines {
+		rec.VMs[m.name] = m.snapshot()
+	}
+	return rec
+}
+
+func healthz(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, map[string]bool{"ok": true})
+}
+
+func fail(w http.ResponseWriter, status int, format string, args ...any) {
+	standin.WriteJSON(w, status, map[string]string{"error": fmt.Sprintf(format, args...)})
+}
+
+const defaultMaxTokens = 16
+
+// Text returns the tokens that an engine generates. It depends on nothing but its arguments, so that a test can
+// compute what each caller must receive. maxTokens below 1 means 16.
+func Text(model, prompt string, maxTokens int) []string {
+	if maxTokens < 1 {
+		maxTokens = defaultMaxTokens
+	}
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s\x00%s", model, prompt) // A hash never fails.
+	rng := rand.New(rand.NewPCG(h.Sum64(), 0))
+	tokens := make([]string, maxTokens)
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf("%06x ", rng.Uint32N(1<<24))
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,185 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/standin/engine"
+)
+
+const model = "m1"
+
+type fixture struct {
+	c    *qt.C
+	s    *engine.Server
+	addr string
+}
+
+func start(t *testing.T, opts engine.Options) fixture {
+	opts.VMs = []engine.VM{{Name: "v1", Listen: "127.0.0.1:0"}}
+	opts.TokenDelay, opts.RestartTime, opts.LoadTime = time.Millisecond, time.Millisecond, 10*time.Millisecond
+	s := engine.New(opts)
+	qt.Assert(t, s.Start(), qt.IsNil)
+	t.Cleanup(s.Close)
+	return fixture{qt.New(t), s, "http://" + s.Addrs()["v1"]}
+}
+
+func (f fixture) post(path, id string, body any) *http.Response {
+	data, err := json.Marshal(body)
+	f.c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	f.c.Cleanup(cancel)
+	r, err := http.NewRequestWithContext(ctx, "POST", f.addr+path, bytes.NewReader(data))
+	f.c.Assert(err, qt.IsNil)
+	r.Header.Set("X-Request-Id", id)
+	resp, err := http.DefaultClient.Do(r)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func (f fixture) state() (st engine.State) {
+	resp, err := http.Get(f.addr + "/v1/state")
+	if err != nil {
+		return st
+	}
+	defer resp.Body.Close()
+	f.c.Assert(json.NewDecoder(resp.Body).Decode(&st), qt.IsNil)
+	return st
+}
+
+func (f fixture) waitFor(what string, cond func() bool) {
+	for end := time.Now().Add(10 * time.Second); !cond(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			f.c.Fatalf("timeout: %s; record %+v", what, f.s.Record())
+		}
+	}
+}
+
+func (f fixture) join(number, fence uint64) int {
+	o := engine.Order{Fence: fence, Action: "join", Group: "g", Number: number, Size: 1, Model: model, Pool: "p"}
+	return f.post("/v1/orders", "", o).StatusCode
+}
+
+func (f fixture) joinReady() {
+	f.c.Assert(f.join(1, 1), qt.Equals, 200)
+	f.waitFor("ready", func() bool { return f.state().Ready })
+}
+
+func gen(prompt string, maxTokens int) engine.GenerateRequest {
+	return engine.GenerateRequest{Prompt: prompt, MaxTokens: maxTokens, Group: "g", Number: 1}
+}
+
+// read returns up to max tokens and whether the end marker came.
+func (f fixture) read(resp *http.Response, id string, max int) (tokens []string, last engine.StreamEvent) {
+	sc := bufio.NewScanner(resp.Body)
+	for len(tokens) < max && sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		last = engine.StreamEvent{}
+		f.c.Assert(json.Unmarshal([]byte(data), &last), qt.IsNil)
+		f.c.Assert(last.RequestID, qt.Equals, id)
+		if !last.End {
+			tokens = append(tokens, last.Token)
+		}
+	}
+	return tokens, last
+}
+
+// Guards against a stream that is not the pure function of model and prompt, and against a cache without effect.
+func TestGenerateAndCache(t *testing.T) {
+	f := start(t, engine.Options{})
+	f.c.Check(f.post("/v1/generate", "r0", gen("x", 3)).StatusCode, qt.Equals, 409)
+	f.joinReady()
+	prompt := strings.Repeat("word ", 40)
+	for i, cached := range []int{0, 32} {
+		id := fmt.Sprint("r", i+1)
+		tokens, last := f.read(f.post("/v1/generate", id, gen(prompt, 5)), id, 100)
+		f.c.Check(tokens, qt.DeepEquals, engine.Text(model, prompt, 5))
+		f.c.Check(last.End, qt.IsTrue)
+		f.c.Check(*last.CachedTokens, qt.Equals, cached)
+	}
+	rec := f.s.Record().VMs["v1"].Generates
+	f.c.Check([]string{rec[0].Outcome, rec[1].Outcome, rec[2].Outcome}, qt.DeepEquals, []string{"refused", "done", "done"})
+}
+
+// Guards against a resumed stream with a gap, and against one that survives its incarnation.
+func TestSilentStreamAndResume(t *testing.T) {
+	f := start(t, engine.Options{})
+	f.joinReady()
+	f.c.Assert(f.s.SetFaults(engine.Faults{SilentStreams: new(1)}), qt.IsNil)
+	first, _ := f.read(f.post("/v1/generate", "r", gen("x", 20)), "r", 1)
+	body := map[string]any{"request_id": "r", "offset": 1}
+	rest, last := f.read(f.post("/v1/resume", "r", body), "r", 100)
+	f.c.Check(slices.Concat(first, rest), qt.DeepEquals, engine.Text(model, "x", 20))
+	f.c.Check(last.End, qt.IsTrue)
+	f.c.Assert(f.s.SetFaults(engine.Faults{Restart: true}), qt.IsNil)
+	f.c.Check(f.post("/v1/resume", "r", body).StatusCode, qt.Equals, 404)
+	f.c.Check(f.state().Group, qt.Equals, "")
+}
+
+// Guards against an engine that accepts an old order although it checks fencing numbers, or that is the other way round.
+func TestFencing(t *testing.T) {
+	for checks, want := range map[bool]int{true: 409, false: 200} {
+		f := start(t, engine.Options{ChecksFencing: checks})
+		f.c.Check(f.join(1, 7), qt.Equals, 200)
+		f.c.Check(f.join(2, 6), qt.Equals, want, qt.Commentf("checks %t", checks))
+	}
+}
+
+// Guards against an overload or a crash that is not recorded or does not break the other streams.
+func TestOverloadAndCrash(t *testing.T) {
+	f := start(t, engine.Options{BearsCold: 1})
+	f.joinReady()
+	before := f.state().Incarnation
+	long := f.post("/v1/generate", "long", gen("x", 5000))
+	f.c.Check(f.post("/v1/generate", "extra", gen("y", 3)).StatusCode, qt.Equals, 503)
+	_, last := f.read(long, "long", 5000)
+	f.c.Check(last.End, qt.IsFalse)
+	f.waitFor("new incarnation", func() bool { st := f.state(); return st.VM != "" && st.Incarnation != before })
+	f.joinReady()
+	f.c.Assert(f.s.SetFaults(engine.Faults{CrashOnPrompt: new("boom")}), qt.IsNil)
+	_, err := http.Post(f.addr+"/v1/generate", "", strings.NewReader("{}")) // Without a request number: refused, no crash.
+	f.c.Assert(err, qt.IsNil)
+	data, _ := json.Marshal(gen("a boom b", 3))
+	r, _ := http.NewRequest("POST", f.addr+"/v1/generate", bytes.NewReader(data))
+	r.Header.Set("X-Request-Id", "crash")
+	_, err = http.DefaultClient.Do(r)
+	f.c.Check(err, qt.IsNotNil)
+	f.waitFor("third incarnation", func() bool { return len(f.s.Record().VMs["v1"].Incarnations) == 3 })
+	rec := f.s.Record().VMs["v1"]
+	f.c.Check(rec.Overloads, qt.HasLen, 1)
+	f.c.Check(rec.InFlight.Cold, qt.Equals, 2)
+	outcomes := []string{}
+	for _, g := range rec.Generates {
+		outcomes = append(outcomes, g.Outcome)
+	}
+	f.c.Check(outcomes, qt.DeepEquals, []string{"lost", "overload", "crash"})
+}
+
+// Guards against a VM that answers while down, and against a request that runs on after a cancel or without a reader.
+func TestDownAndCancel(t *testing.T) {
+	f := start(t, engine.Options{OrphanTime: 20 * time.Millisecond})
+	f.joinReady()
+	f.post("/v1/generate", "a", gen("x", 100000))
+	f.post("/v1/cancel", "", map[string]string{"request_id": "a"})
+	f.post("/v1/generate", "b", gen("x", 100000)).Body.Close()
+	f.waitFor("abandoned", func() bool { return f.s.Record().VMs["v1"].Generates[1].Outcome == "abandoned" })
+	f.c.Check(f.s.Record().VMs["v1"].Generates[0].Outcome, qt.Equals, "cancelled")
+	f.c.Assert(f.s.SetFaults(engine.Faults{VM: "v1", Down: new(true)}), qt.IsNil)
+	f.c.Check(f.state().VM, qt.Equals, "")
+	f.c.Assert(f.s.SetFaults(engine.Faults{VM: "v1", Down: new(false)}), qt.IsNil)
+	f.c.Check(f.state().VM, qt.Equals, "v1")
+}
--- /dev/null
+++ b/internal/standin/engine/generate.go
@@ -0,0 +1,354 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/standin"
+)
+
+// GenerateRequest is the body of POST /v1/generate.
+type GenerateRequest struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Priority  int    `json:"priority"` // higher ones are batched first
+	Group     string `json:"group"`
+	Number    uint64 `json:"number"`
+}
+
+// StreamEvent is the data of one event of a stream.
+type StreamEvent struct {
+	RequestID    string `json:"request_id"`
+	Offset       *int   `json:"offset,omitempty"`
+	Token        string `json:"token,omitempty"`
+	End          bool   `json:"end,omitempty"`
+	Tokens       *int   `json:"tokens,omitempty"`
+	CachedTokens *int   `json:"cached_tokens,omitempty"`
+}
+
+// request is one generation. The machine's mu guards it.
+type request struct {
+	id       string
+	prompt   string
+	priority int
+	tokens   []string // whole text
+	produced int
+	cached   int
+	entry    standin.Entry
+	record   int    // index of its receipt, or -1
+	outcome  string // empty until ended
+	notify   chan struct{}
+	readers  int
+	orphaned *time.Timer
+}
+
+func (m *machine) generate(w http.ResponseWriter, r *http.Request, p *process) {
+	var body GenerateRequest
+	if !standin.ReadJSON(w, r, &body) {
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		fail(w, http.StatusBadRequest, "X-Request-Id is missing")
+		return
+	}
+	m.mu.Lock()
+	if m.proc != p || p.falling {
+		m.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	receipt := GenerateRecord{
+		TimeUnixMS: nowMS(), Incarnation: p.incarnation, RequestID: id, Group: body.Group, Number: body.Number,
+	}
+	a := p.assigned
+	if !p.ready || a.Rank != 0 || a.Group != body.Group || a.Number != body.Number {
+		receipt.Outcome, receipt.EndUnixMS = "refused", receipt.TimeUnixMS
+		appendBounded(&m.record, &m.record.Generates, receipt)
+		m.mu.Unlock()
+		fail(w, http.StatusConflict, "request for group %q number %d; this VM is in %q number %d rank %d, ready %t",
+			body.Group, body.Number, a.Group, a.Number, a.Rank, p.ready)
+		return
+	}
+	entry := p.gate.Enter()
+	receipt.InFlight, receipt.Bears, receipt.Outcome = entry.InFlight, entry.Bears, "running"
+	req := &request{
+		id: id, prompt: body.Prompt, priority: body.Priority, tokens: Text(a.Model, body.Prompt, body.MaxTokens),
+		entry: entry, notify: make(chan struct{}), record: appendBounded(&m.record, &m.record.Generates, receipt),
+	}
+	p.requests[id] = req
+	crash := m.switches.crashOnPrompt != "" && strings.Contains(body.Prompt, m.switches.crashOnPrompt)
+	switch {
+	case entry.Overload:
+		p.falling = true
+		p.end(req, "overload")
+		appendBounded(&m.record, &m.record.Overloads, Overload{
+			TimeUnixMS: nowMS(), Incarnation: p.incarnation, InFlight: entry.InFlight, Bears: entry.Bears,
+		})
+		m.mu.Unlock()
+		w.Header().Set("Connection", "close")
+		fail(w, http.StatusServiceUnavailable, "engine fell over: %d requests in flight, it bears %d", entry.InFlight, entry.Bears)
+		_ = http.NewResponseController(w).Flush() // The caller has gone; there is nobody to tell.
+		go p.fall()
+		return
+	case crash:
+		p.falling = true
+		p.end(req, "crash")
+		m.mu.Unlock()
+		go p.fall()
+		<-p.ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	p.waiting = append(p.waiting, req)
+	p.poke()
+	m.mu.Unlock()
+	p.stream(w, r, req, 0)
+}
+
+// fall replaces the process after an overload or a crash.
+func (p *process) fall() {
+	if err := p.m.restart(p, "lost"); err != nil {
+		panic(fmt.Sprintf("VM %s: %v", p.m.name, err))
+	}
+}
+
+func (m *machine) resume(w http.ResponseWriter, r *http.Request, p *process) {
+	var body struct {
+		RequestID string `json:"request_id"`
+		Offset    int    `json:"offset"`
+	}
+	if !standin.ReadJSON(w, r, &body) {
+		return
+	}
+	m.mu.Lock()
+	m.record.Resumes++
+	req := p.requests[body.RequestID]
+	known := req != nil && (req.outcome == "" || req.outcome == "done") && body.Offset >= 0 && body.Offset <= len(req.tokens)
+	m.mu.Unlock()
+	if !known {
+		fail(w, http.StatusNotFound, "request %q has no stream at offset %d", body.RequestID, body.Offset)
+		return
+	}
+	p.stream(w, r, req, body.Offset)
+}
+
+func (m *machine) cancelRequest(w http.ResponseWriter, r *http.Request, p *process) {
+	var body struct {
+		RequestID string `json:"request_id"`
+	}
+	if !standin.ReadJSON(w, r, &body) {
+		return
+	}
+	m.mu.Lock()
+	m.record.Cancels++
+	if req := p.requests[body.RequestID]; req != nil {
+		p.end(req, "cancelled")
+	}
+	m.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, map[string]any{})
+}
+
+// poke wakes the batch loop.
+func (p *process) poke() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// batchLoop runs one step after the other: each step admits waiting requests to free slots, pays for their prefill
+// and produces one token for every running request.
+func (p *process) batchLoop() {
+	for {
+		p.m.mu.Lock()
+		cost := p.admit()
+		idle := len(p.running) == 0
+		p.m.mu.Unlock()
+		if idle {
+			select {
+			case <-p.wake:
+				continue
+			case <-p.ctx.Done():
+				return
+			}
+		}
+		if !p.sleep(p.ctx, cost) || !p.waitPause(p.ctx) {
+			return
+		}
+		p.m.mu.Lock()
+		for _, req := range slices.Clone(p.running) {
+			req.produced++
+			if req.produced == len(req.tokens) {
+				p.end(req, "done")
+			} else {
+				req.changed()
+			}
+		}
+		p.m.mu.Unlock()
+	}
+}
+
+// admit moves waiting requests to free slots, higher priorities first, and returns the time of the next step.
+// The caller holds mu.
+func (p *process) admit() time.Duration {
+	opts := p.m.opts
+	cost := opts.TokenDelay
+	if d := p.m.switches.tokenDelay; d > 0 {
+		cost = d
+	}
+	slices.SortStableFunc(p.waiting, func(a, b *request) int { return b.priority - a.priority })
+	for len(p.waiting) > 0 && len(p.running) < opts.SlotsWarm {
+		req := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		req.cached = p.cache.use(req.prompt)
+		cost += time.Duration(len(strings.Fields(req.prompt))-req.cached) * opts.PrefillPerToken
+		p.running = append(p.running, req)
+	}
+	return cost
+}
+
+// end ends a request once. Its slot is free before its reader can see the end. The caller holds mu.
+func (p *process) end(req *request, outcome string) {
+	if req.outcome != "" {
+		return
+	}
+	req.outcome = outcome
+	is := func(r *request) bool { return r == req }
+	p.waiting = slices.DeleteFunc(p.waiting, is)
+	p.running = slices.DeleteFunc(p.running, is)
+	p.gate.Leave(req.entry, outcome == "done")
+	if req.record >= 0 {
+		rec := &p.m.record.Generates[req.record]
+		rec.Outcome, rec.EndUnixMS = outcome, nowMS()
+	}
+	p.ended = append(p.ended, req)
+	if len(p.ended) > p.m.opts.KeepEnded {
+		oldest := p.ended[0]
+		p.ended = p.ended[1:]
+		if p.requests[oldest.id] == oldest {
+			delete(p.requests, oldest.id)
+		}
+	}
+	req.changed()
+	p.poke()
+}
+
+// endAll ends all requests that have not ended. The caller holds mu.
+func (p *process) endAll(outcome string) {
+	for _, req := range slices.Concat(p.running, p.waiting) {
+		p.end(req, outcome)
+	}
+}
+
+func (r *request) changed() {
+	close(r.notify)
+	r.notify = make(chan struct{})
+}
+
+// stream sends the events of a request from an offset on.
+func (p *process) stream(w http.ResponseWriter, r *http.Request, req *request, offset int) {
+	m := p.m
+	m.mu.Lock()
+	sw := m.switches
+	silent := sw.silentStreams > 0
+	if silent {
+		m.switches.silentStreams--
+	}
+	p.attach(req)
+	m.mu.Unlock()
+	defer p.detach(req)
+
+	id := req.id
+	if sw.wrongRequestID {
+		id = "wrong-" + id
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Incarnation", p.incarnation)
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w).Flush
+	sent := 0
+	for {
+		m.mu.Lock()
+		produced, outcome, notify := req.produced, req.outcome, req.notify
+		m.mu.Unlock()
+		for ; offset < produced; offset++ {
+			event := StreamEvent{RequestID: id, Offset: new(offset), Token: req.tokens[offset]}
+			writeEvent(w, event)
+			if sw.duplicateTokens {
+				writeEvent(w, event)
+			}
+			sent++
+			if silent || sent == sw.cutStreamAfter {
+				break
+			}
+		}
+		_ = flush() // A caller that has gone shows in the request's context.
+		switch {
+		case silent && sent > 0:
+			p.hold(r)
+		case sw.cutStreamAfter > 0 && sent >= sw.cutStreamAfter:
+			panic(http.ErrAbortHandler)
+		case outcome == "done":
+			if !sw.noEndMarker {
+				writeEvent(w, StreamEvent{RequestID: id, End: true, Tokens: new(len(req.tokens)), CachedTokens: new(req.cached)})
+			}
+			return
+		case outcome != "":
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-notify:
+		case <-r.Context().Done():
+			return
+		case <-p.ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// hold keeps a connection open and silent until the caller or the process goes.
+func (p *process) hold(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-p.ctx.Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func writeEvent(w http.ResponseWriter, e StreamEvent) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		panic(err) // The type has no value that fails to marshal.
+	}
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", data) // A caller that has gone shows in the request's context.
+}
+
+// attach counts a reader. The caller holds mu.
+func (p *process) attach(req *request) {
+	req.readers++
+	if req.orphaned != nil {
+		req.orphaned.Stop()
+		req.orphaned = nil
+	}
+}
+
+// detach ends a request that has no reader for OrphanTime.
+func (p *process) detach(req *request) {
+	p.m.mu.Lock()
+	defer p.m.mu.Unlock()
+	req.readers--
+	if req.readers > 0 || req.outcome != "" {
+		return
+	}
+	req.orphaned = time.AfterFunc(p.m.opts.OrphanTime, func() {
+		p.m.mu.Lock()
+		defer p.m.mu.Unlock()
+		if req.readers == 0 {
+			p.end(req, "abandoned")
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/engine/machine.go
@@ -0,0 +1,403 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/standin"
+)
+
+// Order is the body of POST /v1/orders.
+type Order struct {
+	Fence   uint64   `json:"fence"`
+	Action  string   `json:"action"` // join or leave
+	Group   string   `json:"group"`
+	Number  uint64   `json:"number"`
+	Rank    int      `json:"rank"`
+	Size    int      `json:"size"`
+	Members []string `json:"members"`
+	Model   string   `json:"model"`
+	Pool    string   `json:"pool"`
+}
+
+// State is the answer to GET /v1/state.
+type State struct {
+	VM          string   `json:"vm"`
+	Incarnation string   `json:"incarnation"`
+	Group       string   `json:"group"`
+	Number      uint64   `json:"number"`
+	Rank        int      `json:"rank"`
+	Size        int      `json:"size"`
+	Pool        string   `json:"pool"`
+	Model       string   `json:"model"`
+	Loading     bool     `json:"loading"`
+	Ready       bool     `json:"ready"`
+	Cold        bool     `json:"cold"`
+	Running     int      `json:"running"`
+	Waiting     int      `json:"waiting"`
+	LoadAgeMS   int64    `json:"load_age_ms"`
+	Weights     []string `json:"weights"`
+	TimeUnixMS  int64    `json:"time_unix_ms"`
+}
+
+// switches are the fault switches of one VM.
+type switches struct {
+	crashOnPrompt   string
+	pausedUntil     time.Time
+	tokenDelay      time.Duration // 0: the configured one
+	silentStreams   int
+	cutStreamAfter  int
+	wrongRequestID  bool
+	noEndMarker     bool
+	duplicateTokens bool
+	slowState       time.Duration
+}
+
+// machine is one VM. Its process is replaced at each restart. Lock order: life, mu, gate.
+type machine struct {
+	opts Options
+	name string
+	port *standin.Port
+
+	life sync.Mutex // held while the process is being stopped or started
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	proc     *process // nil while down
+	weights  []string // on the VM's disk, so they survive a restart
+	switches switches
+	record   VMRecord
+}
+
+// process is one incarnation of an engine. The machine's mu guards it.
+type process struct {
+	m           *machine
+	incarnation string
+	ctx         context.Context
+	cancel      context.CancelFunc
+	gate        *standin.Gate
+	cache       *prefixCache
+	falling     bool
+
+	fence    uint64
+	assigned Order // zero when in no group
+	loading  bool
+	ready    bool
+	changes  int // counts changes of assignment, to discard finished loads of an earlier one
+
+	requests map[string]*request // including ended ones that are kept
+	ended    []*request          // oldest first
+	waiting  []*request
+	running  []*request
+	wake     chan struct{} // has a value when the batch loop should look for work
+
+	reported, sampled load
+}
+
+type load struct {
+	at               time.Time
+	running, waiting int
+}
+
+func newMachine(opts Options, vm VM, seed uint64) *machine {
+	return &machine{
+		opts: opts, name: vm.Name, port: standin.NewPort(vm.Listen), rng: rand.New(rand.NewPCG(seed, 2)),
+		weights: slices.Clone(opts.Weights),
+	}
+}
+
+// start begins a new incarnation. The caller holds life or is the only user.
+func (m *machine) start() error {
+	p := &process{
+		m: m, incarnation: standin.NewIncarnation(), gate: standin.NewGate(m.opts.BearsCold, m.opts.SlotsWarm),
+		requests: map[string]*request{}, wake: make(chan struct{}, 1),
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.sampled.at = time.Now()
+	p.reported = p.sampled
+	m.mu.Lock()
+	p.cache = newPrefixCache(m.opts, m.rng)
+	m.proc = p
+	appendBounded(&m.record, &m.record.Incarnations, IncarnationRecord{Incarnation: p.incarnation, StartUnixMS: nowMS()})
+	m.recordState()
+	m.mu.Unlock()
+	go p.batchLoop()
+	return m.port.Up(m.handler())
+}
+
+// stop ends the incarnation: its requests end with the outcome and all connections break. The caller holds life.
+func (m *machine) stop(outcome string) {
+	m.mu.Lock()
+	p := m.proc
+	if p == nil {
+		m.mu.Unlock()
+		return
+	}
+	m.proc = nil
+	p.endAll(outcome)
+	m.record.InFlight = maxPeak(m.record.InFlight, p.gate.Peak())
+	m.record.Incarnations[len(m.record.Incarnations)-1].EndUnixMS = nowMS()
+	m.recordState()
+	m.mu.Unlock()
+	p.cancel()
+	m.port.Down()
+}
+
+// restart replaces an incarnation unless that already happened.
+func (m *machine) restart(p *process, outcome string) error {
+	m.life.Lock()
+	defer m.life.Unlock()
+	m.mu.Lock()
+	current := m.proc
+	m.mu.Unlock()
+	if current != p || p == nil {
+		return nil
+	}
+	m.stop(outcome)
+	time.Sleep(m.opts.RestartTime)
+	return m.start()
+}
+
+func (m *machine) process() *process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.proc
+}
+
+func (m *machine) setFaults(f Faults) error {
+	m.mu.Lock()
+	sw := &m.switches
+	set(&sw.crashOnPrompt, f.CrashOnPrompt)
+	set(&sw.silentStreams, f.SilentStreams)
+	set(&sw.cutStreamAfter, f.CutStreamAfter)
+	set(&sw.wrongRequestID, f.WrongRequestID)
+	set(&sw.noEndMarker, f.NoEndMarker)
+	set(&sw.duplicateTokens, f.DuplicateTokens)
+	setMS(&sw.tokenDelay, f.TokenDelayMS)
+	setMS(&sw.slowState, f.SlowStateMS)
+	if f.PauseMS > 0 {
+		sw.pausedUntil = time.Now().Add(time.Duration(f.PauseMS) * time.Millisecond)
+	}
+	if f.TurnCold && m.proc != nil {
+		m.proc.gate.TurnCold()
+	}
+	m.mu.Unlock()
+	if f.Down != nil {
+		if err := m.setDown(*f.Down); err != nil {
+			return err
+		}
+	}
+	if f.Restart {
+		return m.restart(m.process(), "lost")
+	}
+	return nil
+}
+
+func set[T any](to *T, from *T) {
+	if from != nil {
+		*to = *from
+	}
+}
+
+func setMS(to *time.Duration, ms *int64) {
+	if ms != nil {
+		*to = time.Duration(*ms) * time.Millisecond
+	}
+}
+
+func (m *machine) setDown(down bool) error {
+	m.life.Lock()
+	defer m.life.Unlock()
+	if down {
+		m.stop("lost")
+		return nil
+	}
+	if m.process() != nil {
+		return nil
+	}
+	return m.start()
+}
+
+// handler serves the VM's own address.
+func (m *machine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/state", m.running(m.getState))
+	mux.HandleFunc("POST /v1/orders", m.running(m.postOrder))
+	mux.HandleFunc("POST /v1/generate", m.running(m.generate))
+	mux.HandleFunc("POST /v1/resume", m.running(m.resume))
+	mux.HandleFunc("POST /v1/cancel", m.running(m.cancelRequest))
+	mux.HandleFunc("GET /v1/cache-events", m.running(m.cacheEvents))
+	mux.HandleFunc("GET /healthz", m.running(func(w http.ResponseWriter, r *http.Request, _ *process) { healthz(w, r) }))
+	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, Record{VMs: map[string]VMRecord{m.name: m.snapshot()}})
+	})
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if !standin.ReadJSON(w, r, &f) {
+			return
+		}
+		if f.VM != "" && f.VM != m.name {
+			fail(w, http.StatusBadRequest, "this is VM %q, not %q", m.name, f.VM)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+		go func() {
+			if err := m.setFaults(f); err != nil {
+				panic(fmt.Sprintf("VM %s: %v", m.name, err))
+			}
+		}()
+	})
+	return mux
+}
+
+// running passes the current process to h, after a pause that the switches may demand.
+func (m *machine) running(h func(http.ResponseWriter, *http.Request, *process)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p := m.process()
+		if p == nil || !p.waitPause(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		h(w, r, p)
+	}
+}
+
+// waitPause returns false if the process or the caller has gone.
+func (p *process) waitPause(ctx context.Context) bool {
+	for {
+		p.m.mu.Lock()
+		left := time.Until(p.m.switches.pausedUntil)
+		p.m.mu.Unlock()
+		if left <= 0 {
+			return p.ctx.Err() == nil && ctx.Err() == nil
+		}
+		if !p.sleep(ctx, left) {
+			return false
+		}
+	}
+}
+
+func (p *process) sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+	case <-p.ctx.Done():
+	}
+	return false
+}
+
+func (m *machine) getState(w http.ResponseWriter, r *http.Request, p *process) {
+	m.mu.Lock()
+	slow := m.switches.slowState
+	m.mu.Unlock()
+	if slow > 0 && !p.sleep(r.Context(), slow) {
+		panic(http.ErrAbortHandler)
+	}
+	m.mu.Lock()
+	now := time.Now()
+	if now.Sub(p.sampled.at) >= m.opts.LoadLag {
+		p.reported = p.sampled
+		p.sampled = load{at: now, running: len(p.running), waiting: len(p.waiting)}
+	}
+	state := State{
+		VM: m.name, Incarnation: p.incarnation, Group: p.assigned.Group, Number: p.assigned.Number,
+		Rank: p.assigned.Rank, Size: p.assigned.Size, Pool: p.assigned.Pool, Model: p.assigned.Model,
+		Loading: p.loading, Ready: p.ready, Cold: p.gate.Cold(),
+		Running: p.reported.running, Waiting: p.reported.waiting, LoadAgeMS: now.Sub(p.reported.at).Milliseconds(),
+		Weights: append([]string{}, m.weights...), TimeUnixMS: standin.UnixMS(now),
+	}
+	m.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, state)
+}
+
+func (m *machine) postOrder(w http.ResponseWriter, r *http.Request, p *process) {
+	var o Order
+	if !standin.ReadJSON(w, r, &o) {
+		return
+	}
+	m.mu.Lock()
+	outcome := p.order(o)
+	appendBounded(&m.record, &m.record.Orders,
+		OrderRecord{TimeUnixMS: nowMS(), Incarnation: p.incarnation, Order: o, Outcome: outcome})
+	fence := p.fence
+	m.mu.Unlock()
+	switch outcome {
+	case "fenced":
+		standin.WriteJSON(w, http.StatusConflict, map[string]any{"accepted": false, "fence": fence})
+	case "invalid":
+		fail(w, http.StatusBadRequest, "invalid order %+v", o)
+	default:
+		standin.WriteJSON(w, http.StatusOK, map[string]any{"accepted": true})
+	}
+}
+
+// order carries an order out and returns its outcome. The caller holds mu.
+func (p *process) order(o Order) string {
+	join := o.Action == "join"
+	if !join && o.Action != "leave" || join && (o.Group == "" || o.Model == "" || o.Rank < 0 || o.Rank >= o.Size) {
+		return "invalid"
+	}
+	if p.m.opts.ChecksFencing && o.Fence < p.fence {
+		return "fenced"
+	}
+	p.fence = max(p.fence, o.Fence)
+	if join && sameAssignment(p.assigned, o) || !join && p.assigned.Group == "" {
+		return "repeated"
+	}
+	p.endAll("ordered_away")
+	p.gate.TurnCold()
+	p.changes++
+	p.loading, p.ready = false, false
+	if !join {
+		p.assigned = Order{}
+		p.m.recordState()
+		return "accepted"
+	}
+	p.assigned = o
+	if slices.Contains(p.m.weights, o.Model) {
+		p.ready = true
+	} else {
+		p.loading = true
+		change := p.changes
+		time.AfterFunc(p.m.opts.LoadTime, func() { p.loaded(change) })
+	}
+	p.m.recordState()
+	return "accepted"
+}
+
+func sameAssignment(a, b Order) bool {
+	return a.Group == b.Group && a.Number == b.Number && a.Rank == b.Rank && a.Size == b.Size &&
+		a.Model == b.Model && a.Pool == b.Pool && slices.Equal(a.Members, b.Members)
+}
+
+// loaded ends a weight load unless the assignment has changed since.
+func (p *process) loaded(change int) {
+	p.m.mu.Lock()
+	defer p.m.mu.Unlock()
+	if p.m.proc != p || p.changes != change {
+		return
+	}
+	p.m.weights = append(p.m.weights, p.assigned.Model)
+	p.loading, p.ready = false, true
+	p.m.recordState()
+}
+
+func (m *machine) cacheEvents(w http.ResponseWriter, r *http.Request, p *process) {
+	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, "since: %v", err)
+		return
+	}
+	m.mu.Lock()
+	events, next := p.cache.since(since)
+	m.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"next": next, "events": events})
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,596 @@
+// Package platform is the stand-in for the platform's object API and VM list. It keeps everything in memory.
+// docs/protocols.md describes the protocol.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/standin"
+)
+
+const (
+	maxObjectBytes = 1 << 20
+	vmKind         = "vms" // kind under which VM list calls are counted and faulted
+	maxWatch       = 10 * time.Minute
+)
+
+// Options configures the stand-in. Zero values take the defaults.
+type Options struct {
+	HistoryLimit int    // events kept per kind for watches, default 4096
+	RecordLimit  int    // accepted writes kept in the record, default 20000
+	WritesPerSec int    // 429 above it; 0 means no limit
+	ReadsPerSec  int    // 429 above it; 0 means no limit; a watch counts as one read
+	Seed         uint64 // of the fault probability
+}
+
+// Fault modes.
+const (
+	ModeOK          = "ok"
+	ModeDown        = "down"
+	ModeSlow        = "slow"
+	ModeLoseReplies = "lose_replies"
+	ModeStaleReads  = "stale_reads"
+)
+
+// Faults is the body of POST /faults. It replaces the previous switches.
+type Faults struct {
+	Mode        string   `json:"mode"`
+	DelayMS     int64    `json:"delay_ms,omitempty"`    // for ModeSlow
+	Probability float64  `json:"probability,omitempty"` // 0 means always
+	Kinds       []string `json:"kinds,omitempty"`       // empty means all; the VM list is kind "vms"
+	Clients     []string `json:"clients,omitempty"`     // empty means all
+}
+
+// Event is one change that a watch reports.
+type Event struct {
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Deleted bool            `json:"deleted"`
+	Data    json.RawMessage `json:"data,omitempty"`
+}
+
+// Item is one object of a list.
+type Item struct {
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Data    json.RawMessage `json:"data"`
+}
+
+// VMs is the body of PUT /admin/vms.
+type VMs struct {
+	VMs       []json.RawMessage `json:"vms"` // schema.VM as protojson
+	ListLagMS int64             `json:"list_lag_ms,omitempty"`
+}
+
+// CallCount is the number of calls of one client, method and kind. Methods are GET, LIST, WATCH, PUT and DELETE.
+type CallCount struct {
+	Client string `json:"client"`
+	Method string `json:"method"`
+	Kind   string `json:"kind"`
+	Count  int    `json:"count"`
+}
+
+// Write is one accepted write.
+type Write struct {
+	TimeUnixMS int64           `json:"time_unix_ms"`
+	Client     string          `json:"client"`
+	Kind       string          `json:"kind"`
+	Name       string          `json:"name"`
+	Version    uint64          `json:"version"`
+	Deleted    bool            `json:"deleted,omitempty"`
+	Data       json.RawMessage `json:"data,omitempty"`
+}
+
+// Record is the answer to GET /record.
+type Record struct {
+	Calls          []CallCount `json:"calls"`
+	WaitingWatches int         `json:"waiting_watches"`
+	Writes         []Write     `json:"writes"`
+	DroppedWrites  int         `json:"dropped_writes"` // oldest writes that no longer fit the record
+}
+
+type history struct {
+	events  []Event
+	dropped uint64 // version of the newest event that was discarded
+}
+
+// state is what reads are answered from; stale reads use a copy of it.
+type state struct {
+	version   uint64
+	objects   map[string]map[string]Item
+	vms       []json.RawMessage
+	vmVersion uint64
+}
+
+// Server is the stand-in.
+type Server struct {
+	opts   Options
+	port   *standin.Port
+	mux    *http.ServeMux
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	now       state
+	stale     *state
+	history   map[string]*history
+	faults    Faults
+	changed   chan struct{} // closed and replaced at each change
+	calls     map[CallCount]int
+	waiting   int
+	written   []Write
+	lost      int
+	vmPut     uint64
+	vmVisible uint64
+}
+
+// New returns a stand-in that does not listen yet.
+func New(opts Options) *Server {
+	if opts.HistoryLimit == 0 {
+		opts.HistoryLimit = 4096
+	}
+	if opts.RecordLimit == 0 {
+		opts.RecordLimit = 20000
+	}
+	s := &Server{
+		opts: opts, mux: http.NewServeMux(), rng: rand.New(rand.NewPCG(opts.Seed, 1)),
+		reads: limiter(opts.ReadsPerSec), writes: limiter(opts.WritesPerSec),
+		now: state{objects: map[string]map[string]Item{}}, history: map[string]*history{},
+		changed: make(chan struct{}), calls: map[CallCount]int{}, faults: Faults{Mode: ModeOK},
+	}
+	s.mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.api("GET", s.get))
+	s.mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.api("PUT", s.put))
+	s.mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.api("DELETE", s.delete))
+	s.mux.HandleFunc("GET /v1/objects/{kind}", s.api("LIST", s.list))
+	s.mux.HandleFunc("GET /v1/vms", s.api("LIST", s.listVMs))
+	s.mux.HandleFunc("PUT /admin/vms", s.putVMs)
+	s.mux.HandleFunc("POST /faults", s.postFaults)
+	s.mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, s.Record())
+	})
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, http.StatusOK, map[string]bool{"ok": true})
+	})
+	return s
+}
+
+func limiter(perSec int) *rate.Limiter {
+	if perSec == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSec), perSec)
+}
+
+// Handler returns the HTTP handler of the stand-in.
+func (s *Server) Handler() http.Handler { return s.mux }
+
+// Start listens on the address and serves until Close.
+func (s *Server) Start(listen string) (addr string, err error) {
+	s.port = standin.NewPort(listen)
+	if err := s.port.Up(s.mux); err != nil {
+		return "", err
+	}
+	return s.port.Addr(), nil
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() {
+	if s.port != nil {
+		s.port.Down()
+	}
+}
+
+// call is one call of the API after its body was read and the faults were chosen.
+type call struct {
+	client, kind, name string
+	body               []byte
+	stale              *state
+	loseReply          bool
+}
+
+// api counts the call, applies the fault switches and runs the handler.
+func (s *Server) api(method string, h func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := call{client: r.Header.Get("X-Client"), kind: r.PathValue("kind"), name: r.PathValue("name")}
+		if c.kind == "" {
+			c.kind = vmKind
+		}
+		write := method == "PUT" || method == "DELETE"
+		label, limit := method, s.reads
+		if r.URL.Query().Get("watch") == "1" {
+			label = "WATCH"
+		}
+		if write {
+			limit = s.writes
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
+		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+			fail(w, http.StatusRequestEntityTooLarge, "object %s/%s exceeds %d bytes", c.kind, c.name, maxObjectBytes)
+			return
+		} else if err != nil {
+			fail(w, http.StatusBadRequest, "read body: %v", err)
+			return
+		}
+		c.body = body
+		faults := s.count(c, label)
+		if !limit.Allow() {
+			fail(w, http.StatusTooManyRequests, "rate limit")
+			return
+		}
+		switch faults.Mode {
+		case ModeDown:
+			fail(w, http.StatusServiceUnavailable, "outage")
+			return
+		case ModeSlow:
+			// The delay is not cut short when the client leaves, so that a write can take effect after its client gave up.
+			time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+		case ModeLoseReplies:
+			c.loseReply = write
+		case ModeStaleReads:
+			s.mu.Lock()
+			c.stale = s.stale
+			s.mu.Unlock()
+		}
+		if c.loseReply {
+			h(discard{http.Header{}}, r, c)
+			panic(http.ErrAbortHandler)
+		}
+		h(w, r, c)
+	}
+}
+
+// discard is the response writer of a reply that is lost.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func fail(w http.ResponseWriter, status int, format string, args ...any) {
+	standin.WriteJSON(w, status, map[string]string{"error": fmt.Sprintf(format, args...)})
+}
+
+// count records the call and returns the faults that apply to it.
+func (s *Server) count(c call, method string) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[CallCount{Client: c.client, Method: method, Kind: c.kind}]++
+	return s.faultsFor(c)
+}
+
+func (s *Server) faultsFor(c call) Faults {
+	f := s.faults
+	applies := (len(f.Kinds) == 0 || slices.Contains(f.Kinds, c.kind)) &&
+		(len(f.Clients) == 0 || slices.Contains(f.Clients, c.client))
+	if !applies || f.Probability > 0 && s.rng.Float64() >= f.Probability {
+		return Faults{Mode: ModeOK}
+	}
+	return f
+}
+
+// view returns the state that a read is answered from. The caller holds mu.
+func (s *Server) view(c call) *state {
+	if c.stale != nil {
+		return c.stale
+	}
+	return &s.now
+}
+
+func (s *Server) get(w http.ResponseWriter, _ *http.Request, c call) {
+	s.mu.Lock()
+	item, ok := s.view(c).objects[c.kind][c.name]
+	s.mu.Unlock()
+	if !ok {
+		fail(w, http.StatusNotFound, "object %s/%s does not exist", c.kind, c.name)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Object-Version", strconv.FormatUint(item.Version, 10))
+	_, _ = w.Write(item.Data) // The caller has gone; there is nobody to tell.
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request, c call) {
+	create, match := r.Header.Get("If-None-Match") == "*", r.Header.Get("If-Match")
+	if create == (match != "") {
+		fail(w, http.StatusBadRequest, "a PUT needs either If-None-Match: * or If-Match")
+		return
+	}
+	if !json.Valid(c.body) {
+		fail(w, http.StatusBadRequest, "object %s/%s is not JSON", c.kind, c.name)
+		return
+	}
+	s.mu.Lock()
+	old, exists := s.now.objects[c.kind][c.name]
+	if create && exists || !create && (!exists || match != strconv.FormatUint(old.Version, 10)) {
+		s.mu.Unlock()
+		fail(w, http.StatusPreconditionFailed, "object %s/%s: exists %t, version %d", c.kind, c.name, exists, old.Version)
+		return
+	}
+	version := s.change(c, Event{Name: c.name, Data: c.body})
+	s.mu.Unlock()
+	w.Header().Set("X-Object-Version", strconv.FormatUint(version, 10))
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request, c call) {
+	s.mu.Lock()
+	old, exists := s.now.objects[c.kind][c.name]
+	if !exists {
+		s.mu.Unlock()
+		fail(w, http.StatusNotFound, "object %s/%s does not exist", c.kind, c.name)
+		return
+	}
+	if r.Header.Get("If-Match") != strconv.FormatUint(old.Version, 10) {
+		s.mu.Unlock()
+		fail(w, http.StatusPreconditionFailed, "object %s/%s has version %d", c.kind, c.name, old.Version)
+		return
+	}
+	s.change(c, Event{Name: c.name, Deleted: true})
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// change applies and records an accepted write. The caller holds mu.
+func (s *Server) change(c call, e Event) uint64 {
+	s.now.version++
+	e.Version = s.now.version
+	if s.now.objects[c.kind] == nil {
+		s.now.objects[c.kind] = map[string]Item{}
+	}
+	if e.Deleted {
+		delete(s.now.objects[c.kind], c.name)
+	} else {
+		s.now.objects[c.kind][c.name] = Item{Name: c.name, Version: e.Version, Data: e.Data}
+	}
+	h := s.history[c.kind]
+	if h == nil {
+		h = &history{}
+		s.history[c.kind] = h
+	}
+	h.events = append(h.events, e)
+	if extra := len(h.events) - s.opts.HistoryLimit; extra > 0 {
+		h.dropped = h.events[extra-1].Version
+		h.events = slices.Delete(h.events, 0, extra)
+	}
+	s.written = append(s.written, Write{
+		TimeUnixMS: standin.UnixMS(time.Now()), Client: c.client, Kind: c.kind, Name: c.name,
+		Version: e.Version, Deleted: e.Deleted, Data: e.Data,
+	})
+	if len(s.written) > s.opts.RecordLimit {
+		s.written = s.written[1:]
+		s.lost++
+	}
+	s.wake()
+	return e.Version
+}
+
+// wake makes waiting watches look again. The caller holds mu.
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request, c call) {
+	if r.URL.Query().Get("watch") == "1" {
+		s.watch(w, r, c)
+		return
+	}
+	s.mu.Lock()
+	view := s.view(c)
+	version, items := view.version, make([]Item, 0, len(view.objects[c.kind]))
+	for _, item := range view.objects[c.kind] {
+		items = append(items, item)
+	}
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Name, b.Name) })
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"version": version, "items": items})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, c call) {
+	s.wait(w, r, c, func(since uint64, expired bool) (any, int) {
+		events, version, tooOld := s.eventsAfter(c, since)
+		if tooOld {
+			return map[string]string{"error": "version too old, list again"}, http.StatusGone
+		}
+		if len(events) == 0 && !expired {
+			return nil, 0
+		}
+		return map[string]any{"version": version, "events": events}, http.StatusOK
+	})
+}
+
+// eventsAfter returns the events of a kind after a version. The caller holds mu.
+func (s *Server) eventsAfter(c call, since uint64) (events []Event, version uint64, tooOld bool) {
+	events = []Event{}
+	if c.stale != nil {
+		return events, max(since, c.stale.version), false
+	}
+	h := s.history[c.kind]
+	if since > s.now.version || h != nil && since < h.dropped {
+		return nil, 0, true
+	}
+	if h != nil {
+		for _, e := range h.events {
+			if e.Version > since {
+				events = append(events, e)
+			}
+		}
+	}
+	return events, s.now.version, false
+}
+
+// wait polls answer at each change until it returns a status. An outage that starts meanwhile ends the wait.
+func (s *Server) wait(w http.ResponseWriter, r *http.Request, c call, answer func(since uint64, expired bool) (any, int)) {
+	q := r.URL.Query()
+	since, err := strconv.ParseUint(q.Get("since"), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, "since %q: %v", q.Get("since"), err)
+		return
+	}
+	ms, _ := strconv.ParseInt(q.Get("timeout_ms"), 10, 64) // Absent or malformed: answer at once.
+	timer := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWatch))
+	defer timer.Stop()
+	expired := ms <= 0
+	s.mu.Lock()
+	s.waiting++
+	defer func() {
+		s.waiting--
+		s.mu.Unlock()
+	}()
+	for {
+		if s.faultsFor(c).Mode == ModeDown {
+			fail(w, http.StatusServiceUnavailable, "outage")
+			return
+		}
+		if body, status := answer(since, expired); status != 0 {
+			s.mu.Unlock()
+			standin.WriteJSON(w, status, body)
+			s.mu.Lock()
+			return
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		case <-r.Context().Done():
+			s.mu.Lock()
+			return
+		}
+		s.mu.Lock()
+	}
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, r *http.Request, c call) {
+	answer := func(since uint64, expired bool) (any, int) {
+		view := s.view(c)
+		if view.vmVersion == since && !expired {
+			return nil, 0
+		}
+		vms := append([]json.RawMessage{}, view.vms...)
+		return map[string]any{"version": view.vmVersion, "vms": vms}, http.StatusOK
+	}
+	if r.URL.Query().Get("watch") == "1" {
+		s.wait(w, r, c, answer)
+		return
+	}
+	s.mu.Lock()
+	body, status := answer(0, true)
+	s.mu.Unlock()
+	standin.WriteJSON(w, status, body)
+}
+
+func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
+	var body VMs
+	if !standin.ReadJSON(w, r, &body) {
+		return
+	}
+	if err := s.SetVMs(body); err != nil {
+		fail(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// SetVMs sets the VM list, which callers see after the list lag.
+func (s *Server) SetVMs(body VMs) error {
+	for _, raw := range body.VMs {
+		if err := protojson.Unmarshal(raw, &schema.VM{}); err != nil {
+			return fmt.Errorf("VM %s: %w", raw, err)
+		}
+	}
+	s.mu.Lock()
+	s.vmPut++
+	put := s.vmPut
+	s.mu.Unlock()
+	show := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if put < s.vmVisible {
+			return // A later list with a shorter lag is already visible.
+		}
+		s.vmVisible = put
+		s.now.version++
+		s.now.vms, s.now.vmVersion = body.VMs, s.now.version
+		s.wake()
+	}
+	if body.ListLagMS > 0 {
+		time.AfterFunc(time.Duration(body.ListLagMS)*time.Millisecond, show)
+	} else {
+		show()
+	}
+	return nil
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !standin.ReadJSON(w, r, &f) {
+		return
+	}
+	if err := s.SetFaults(f); err != nil {
+		fail(w, http.StatusBadRequest, "%v", err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// SetFaults replaces the fault switches.
+func (s *Server) SetFaults(f Faults) error {
+	if f.Mode == "" {
+		f.Mode = ModeOK
+	}
+	if !slices.Contains([]string{ModeOK, ModeDown, ModeSlow, ModeLoseReplies, ModeStaleReads}, f.Mode) {
+		return fmt.Errorf("unknown fault mode %q", f.Mode)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Mode == ModeStaleReads && s.faults.Mode != ModeStaleReads {
+		s.stale = s.now.copy()
+	}
+	s.faults = f
+	s.wake()
+	return nil
+}
+
+func (st *state) copy() *state {
+	c := *st
+	c.objects = map[string]map[string]Item{}
+	for kind, items := range st.objects {
+		c.objects[kind] = map[string]Item{}
+		for name, item := range items {
+			c.objects[kind][name] = item
+		}
+	}
+	return &c
+}
+
+// Record returns what the stand-in received and accepted.
+func (s *Server) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec := Record{WaitingWatches: s.waiting, Writes: slices.Clone(s.written), DroppedWrites: s.lost, Calls: []CallCount{}}
+	for c, n := range s.calls {
+		c.Count = n
+		rec.Calls = append(rec.Calls, c)
+	}
+	slices.SortFunc(rec.Calls, func(a, b CallCount) int {
+		return strings.Compare(a.Client+" "+a.Kind+" "+a.Method, b.Client+" "+b.Kind+" "+b.Method)
+	})
+	return rec
+}
