Add the fault proxy and the process harness

Cause: integration tests run real processes and need connections that freeze, lose one direction, are reset or refused. Conclusion: bandwidth limits use toxiproxy; delays are the proxy's own, because toxiproxy's jitter has no seed.

--- /dev/null
+++ b/test/faultproxy/faultproxy.go
@@ -0,0 +1,381 @@
+// Package faultproxy is a TCP proxy inside the test process that delays, cuts, freezes, resets and refuses
+// connections. Bandwidth limits come from toxiproxy; its jitter cannot be seeded, so delays are this package's own.
+package faultproxy
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// Direction is a direction of data.
+type Direction int
+
+// Directions.
+const (
+	ToUpstream Direction = iota
+	ToClient
+	Both
+)
+
+const (
+	chunkBytes   = 32 << 10
+	queuedChunks = 256 // per connection and direction; a full queue stops reading
+	dialTimeout  = 5 * time.Second
+	relistenTime = 5 * time.Second // bound on waiting for the port after Refuse(false)
+)
+
+// Proxy relays TCP connections to one upstream address.
+type Proxy struct {
+	upstream string
+	addr     string
+
+	mu            sync.Mutex
+	rng           *rand.Rand
+	listener      net.Listener // nil while refusing
+	closed        bool
+	conns         map[*conn]struct{}
+	cut           [2]bool
+	delay, jitter time.Duration
+	limiter       *toxiproxy.Proxy // nil without a bandwidth limit
+}
+
+// New returns a proxy on a free loopback port with seed 1.
+func New(upstream string) (*Proxy, error) { return NewSeeded(upstream, 1) }
+
+// NewSeeded returns a proxy whose jitter follows from the seed.
+func NewSeeded(upstream string, seed uint64) (*Proxy, error) {
+	p := &Proxy{
+		upstream: upstream, addr: "127.0.0.1:0", rng: rand.New(rand.NewPCG(seed, 3)), conns: map[*conn]struct{}{},
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// listen opens the port. The caller holds mu.
+func (p *Proxy) listen() error {
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return fmt.Errorf("fault proxy for %s: %w", p.upstream, err)
+	}
+	p.listener, p.addr = l, l.Addr().String()
+	go p.accept(l)
+	return nil
+}
+
+// Addr returns the address that clients connect to.
+func (p *Proxy) Addr() string { return p.addr }
+
+// SetDelay delays data of both directions by d, plus or minus up to jitter. Order is kept.
+func (p *Proxy) SetDelay(d, jitter time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay, p.jitter = d, jitter
+}
+
+// SetBandwidth limits each new connection to a rate in KB/s per direction; 0 lifts the limit. Connections under the
+// previous limit end.
+func (p *Proxy) SetBandwidth(kbPerSec int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limiter != nil {
+		p.limiter.Stop()
+		p.limiter = nil
+	}
+	if kbPerSec == 0 {
+		return nil
+	}
+	logger := zerolog.Nop()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), logger)
+	limiter := toxiproxy.NewProxy(server, "limit", "127.0.0.1:0", p.upstream)
+	if err := limiter.Start(); err != nil {
+		return fmt.Errorf("start bandwidth limit for %s: %w", p.upstream, err)
+	}
+	for _, stream := range []string{"upstream", "downstream"} {
+		toxic := fmt.Sprintf(`{"name":%q,"type":"bandwidth","stream":%q,"attributes":{"rate":%d}}`, stream, stream, kbPerSec)
+		if _, err := limiter.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
+			limiter.Stop()
+			return fmt.Errorf("set bandwidth for %s: %w", p.upstream, err)
+		}
+	}
+	p.limiter = limiter
+	return nil
+}
+
+// Cut drops all data of a direction on present and new connections while the other direction flows. New connections
+// are still accepted.
+func (p *Proxy) Cut(d Direction) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, one := range []Direction{ToUpstream, ToClient} {
+		if d == one || d == Both {
+			p.cut[one] = true
+		}
+	}
+}
+
+// FreezeExisting makes the present connections silent for good: they stay open, and no data or end passes in either
+// direction, not even after Restore. New connections work.
+func (p *Proxy) FreezeExisting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		c.frozen = true
+	}
+}
+
+// ResetAll ends the present connections with a TCP reset on both sides.
+func (p *Proxy) ResetAll() {
+	for _, c := range p.present() {
+		c.close(true)
+	}
+}
+
+func (p *Proxy) present() []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := make([]*conn, 0, len(p.conns))
+	for c := range p.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Refuse closes the listening port, so that new connections are refused, or opens it again. Present connections stay.
+func (p *Proxy) Refuse(refuse bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if refuse {
+		if p.listener != nil {
+			_ = p.listener.Close() // Errors of closing a listener have no consequence here.
+			p.listener = nil
+		}
+		return nil
+	}
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	err := p.listen()
+	for end := time.Now().Add(relistenTime); err != nil && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+		err = p.listen()
+	}
+	return err
+}
+
+// Restore ends delay, bandwidth limit, cuts and refusal. Connections that lost data are reset, because TCP never
+// delivers a stream with a hole. Frozen connections stay frozen.
+func (p *Proxy) Restore() error {
+	p.mu.Lock()
+	p.cut = [2]bool{}
+	p.delay, p.jitter = 0, 0
+	var lossy []*conn
+	for c := range p.conns {
+		if c.lossy && !c.frozen {
+			lossy = append(lossy, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range lossy {
+		c.close(true)
+	}
+	return errors.Join(p.SetBandwidth(0), p.Refuse(false))
+}
+
+// Close closes the port and all connections.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	_ = p.Refuse(true) // Refusing never fails.
+	for _, c := range p.present() {
+		c.close(false)
+	}
+	_ = p.SetBandwidth(0) // Lifting the limit never fails.
+}
+
+func (p *Proxy) accept(l net.Listener) {
+	for {
+		client, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go p.relay(client.(*net.TCPConn))
+	}
+}
+
+// conn is one relayed connection. The proxy's mu guards the flags.
+type conn struct {
+	p                *Proxy
+	client, upstream *net.TCPConn
+	done             chan struct{}
+	once             sync.Once
+	frozen           bool
+	lossy            bool
+}
+
+func (p *Proxy) relay(client *net.TCPConn) {
+	p.mu.Lock()
+	target := p.upstream
+	if p.limiter != nil {
+		target = p.limiter.Listen
+	}
+	p.mu.Unlock()
+	upstream, err := net.DialTimeout("tcp", target, dialTimeout)
+	if err != nil {
+		_ = client.SetLinger(0) // The connection is closed in any case.
+		_ = client.Close()
+		return
+	}
+	c := &conn{p: p, client: client, upstream: upstream.(*net.TCPConn), done: make(chan struct{})}
+	p.mu.Lock()
+	closed := p.closed
+	p.conns[c] = struct{}{}
+	p.mu.Unlock()
+	if closed {
+		c.close(false)
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { c.pump(ToUpstream, c.client, c.upstream) })
+	wg.Go(func() { c.pump(ToClient, c.upstream, c.client) })
+	wg.Wait()
+	c.close(false)
+}
+
+func (c *conn) close(reset bool) {
+	c.once.Do(func() {
+		c.p.mu.Lock()
+		delete(c.p.conns, c)
+		c.p.mu.Unlock()
+		close(c.done)
+		for _, side := range []*net.TCPConn{c.client, c.upstream} {
+			if reset {
+				_ = side.SetLinger(0) // The connection is closed in any case.
+			}
+			_ = side.Close()
+		}
+	})
+}
+
+// chunk is data to pass on at a time, or the end of the stream if err is set.
+type chunk struct {
+	data []byte
+	err  error
+	due  time.Time
+}
+
+// pump passes the data of one direction on, each chunk at its due time.
+func (c *conn) pump(d Direction, from, to *net.TCPConn) {
+	queue := make(chan chunk, queuedChunks)
+	go c.read(from, queue)
+	for {
+		select {
+		case <-c.done:
+			return
+		case ch := <-queue:
+			if !c.sleepUntil(ch.due) {
+				return
+			}
+			switch pass, forever := c.fate(d); {
+			case forever:
+				<-c.done
+				return
+			case !pass && ch.err == nil:
+				continue
+			case !pass:
+				<-c.done // The end of the stream is lost as well.
+				return
+			}
+			if ch.err == io.EOF {
+				_ = to.CloseWrite() // Fails only if the peer has gone, which the other direction notices.
+				return
+			}
+			if ch.err != nil {
+				c.close(true)
+				return
+			}
+			if _, err := to.Write(ch.data); err != nil {
+				c.close(true)
+				return
+			}
+		}
+	}
+}
+
+// fate tells whether data of a direction passes now, or whether the connection is frozen forever.
+func (c *conn) fate(d Direction) (pass, frozen bool) {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	if c.p.cut[d] {
+		c.lossy = true
+	}
+	return !c.p.cut[d], c.frozen
+}
+
+func (c *conn) sleepUntil(due time.Time) bool {
+	d := time.Until(due)
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+func (c *conn) read(from *net.TCPConn, queue chan<- chunk) {
+	var last time.Time
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := from.Read(buf)
+		due := time.Now().Add(c.p.nextDelay())
+		if due.Before(last) {
+			due = last
+		}
+		last = due
+		var chunks []chunk
+		if n > 0 {
+			chunks = append(chunks, chunk{data: buf[:n], due: due})
+		}
+		if err != nil {
+			chunks = append(chunks, chunk{err: err, due: due})
+		}
+		for _, ch := range chunks {
+			select {
+			case queue <- ch:
+			case <-c.done:
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *Proxy) nextDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.delay
+	if p.jitter > 0 {
+		d += time.Duration(p.rng.Int64N(int64(2*p.jitter)+1)) - p.jitter
+	}
+	return max(d, 0)
+}
--- /dev/null
+++ b/test/faultproxy/faultproxy_test.go
@@ -0,0 +1,141 @@
+package faultproxy_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/test/faultproxy"
+)
+
+const (
+	quiet = 100 * time.Millisecond // a connection without data for this long counts as silent
+	soon  = 10 * time.Second
+)
+
+// start returns a proxy in front of an echo server; received gets what the server reads.
+func start(t *testing.T) (c *qt.C, p *faultproxy.Proxy, received chan string) {
+	c = qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	received = make(chan string, 100)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buf := make([]byte, 4096)
+				for {
+					n, err := conn.Read(buf)
+					if err != nil {
+						return
+					}
+					received <- string(buf[:n])
+					_, _ = conn.Write(buf[:n])
+				}
+			}()
+		}
+	}()
+	p, err = faultproxy.New(l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(p.Close)
+	return c, p, received
+}
+
+func dial(c *qt.C, p *faultproxy.Proxy) net.Conn {
+	conn, err := net.Dial("tcp", p.Addr())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func echo(conn net.Conn, text string, wait time.Duration) error {
+	if _, err := io.WriteString(conn, text); err != nil {
+		return err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(wait))
+	_, err := io.ReadFull(conn, make([]byte, len(text)))
+	return err
+}
+
+// Guards against a frozen connection that comes back, ends or takes new ones with it.
+func TestFreezeExisting(t *testing.T) {
+	c, p, _ := start(t)
+	old := dial(c, p)
+	c.Assert(echo(old, "a", soon), qt.IsNil)
+	p.FreezeExisting()
+	c.Check(echo(old, "b", quiet), qt.ErrorIs, os.ErrDeadlineExceeded)
+	c.Check(echo(dial(c, p), "c", soon), qt.IsNil)
+	c.Assert(p.Restore(), qt.IsNil)
+	c.Check(echo(old, "d", quiet), qt.ErrorIs, os.ErrDeadlineExceeded)
+}
+
+// Guards against a cut that drops the wrong direction, and against a hole in a stream after Restore.
+func TestCutOneDirection(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		cut     faultproxy.Direction
+		arrives bool
+	}{
+		{"to client", faultproxy.ToClient, true},
+		{"to upstream", faultproxy.ToUpstream, false},
+		{"both", faultproxy.Both, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, p, received := start(t)
+			conn := dial(c, p)
+			p.Cut(tc.cut)
+			c.Check(echo(conn, "x", quiet), qt.ErrorIs, os.ErrDeadlineExceeded)
+			c.Check(len(received) == 1, qt.Equals, tc.arrives)
+			c.Assert(p.Restore(), qt.IsNil)
+			err := echo(conn, "y", soon)
+			c.Check(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(echo(dial(c, p), "z", soon), qt.IsNil)
+		})
+	}
+}
+
+// Guards against a reset that looks like an orderly end, and against a refusal that still accepts.
+func TestResetAndRefuse(t *testing.T) {
+	c, p, _ := start(t)
+	conn := dial(c, p)
+	c.Assert(echo(conn, "a", soon), qt.IsNil)
+	p.ResetAll()
+	_, err := conn.Read(make([]byte, 1))
+	c.Check(err, qt.ErrorIs, syscall.ECONNRESET)
+	c.Assert(p.Refuse(true), qt.IsNil)
+	_, err = net.Dial("tcp", p.Addr())
+	c.Check(err, qt.ErrorIs, syscall.ECONNREFUSED)
+	c.Assert(p.Refuse(false), qt.IsNil)
+	c.Check(echo(dial(c, p), "b", soon), qt.IsNil)
+}
+
+// Guards against a delay or a bandwidth limit without effect, and against one that outlives Restore.
+func TestDelayAndBandwidth(t *testing.T) {
+	c, p, _ := start(t)
+	roundTrip := func() time.Duration {
+		begin := time.Now()
+		c.Assert(echo(dial(c, p), string(make([]byte, 10000)), soon), qt.IsNil)
+		return time.Since(begin)
+	}
+	p.SetDelay(50*time.Millisecond, 10*time.Millisecond)
+	c.Check(roundTrip() >= 80*time.Millisecond, qt.IsTrue)
+	p.SetDelay(0, 0)
+	c.Assert(p.SetBandwidth(100), qt.IsNil)
+	c.Check(roundTrip() >= 80*time.Millisecond, qt.IsTrue) // 10 kB at 100 kB/s
+	c.Assert(p.Restore(), qt.IsNil)
+	end := time.Now().Add(soon) // One fast round trip suffices, because a busy machine may slow others down.
+	for roundTrip() >= 80*time.Millisecond {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
--- /dev/null
+++ b/test/harness/process.go
@@ -0,0 +1,255 @@
+// Package harness runs the project's programs as child processes for integration tests and speaks to the stand-ins.
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	modulePath   = "cassiadeal.example/cassiadeal"
+	pollInterval = 5 * time.Millisecond
+	readyTimeout = 20 * time.Second
+	killTimeout  = 10 * time.Second
+	maxLogBytes  = 64 << 10 // of a child's output printed when a test fails
+)
+
+var builds = struct {
+	mu   sync.Mutex
+	dir  string
+	done map[string]func() (string, error)
+}{done: map[string]func() (string, error){}}
+
+// Main runs the tests and removes the built binaries. Call it from TestMain.
+func Main(m *testing.M) int {
+	code := m.Run()
+	builds.mu.Lock()
+	defer builds.mu.Unlock()
+	if builds.dir != "" {
+		_ = os.RemoveAll(builds.dir) // Left-over files in the temporary directory do no harm.
+	}
+	return code
+}
+
+// Build returns the path of the binary of cmd/NAME, built at its first use in this test run.
+func Build(t testing.TB, name string) string {
+	t.Helper()
+	builds.mu.Lock()
+	build := builds.done[name]
+	if build == nil {
+		build = sync.OnceValues(func() (string, error) { return goBuild(name) })
+		builds.done[name] = build
+	}
+	builds.mu.Unlock()
+	path, err := build()
+	if err != nil {
+		t.Fatalf("build %s: %v", name, err)
+	}
+	return path
+}
+
+func goBuild(name string) (string, error) {
+	builds.mu.Lock()
+	defer builds.mu.Unlock()
+	if builds.dir == "" {
+		dir, err := os.MkdirTemp("", "cassiadeal-test-")
+		if err != nil {
+			return "", err
+		}
+		builds.dir = dir
+	}
+	path := filepath.Join(builds.dir, name)
+	out, err := exec.Command("go", "build", "-o", path, modulePath+"/cmd/"+name).CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// Pdeathsig kills a child when the thread that started it ends, so all children are started by one goroutine that
+// keeps its thread for as long as the test process lives.
+var spawn = sync.OnceValue(func() chan<- func() {
+	jobs := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for job := range jobs {
+			job()
+		}
+	}()
+	return jobs
+})
+
+func startOnSpawner(cmd *exec.Cmd) error {
+	result := make(chan error)
+	spawn() <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+// Process is a running child.
+type Process struct {
+	Name string
+
+	t      testing.TB
+	cmd    *exec.Cmd
+	output string // path of the file with stdout and stderr
+	exited chan struct{}
+}
+
+// Start runs a program of this module. Its output is printed if the test fails, and it is killed when the test ends.
+func Start(t testing.TB, program string, args ...string) *Process {
+	t.Helper()
+	return StartPath(t, program, Build(t, program), args...)
+}
+
+// StartPath runs the binary at a path like Start. The name labels its output.
+func StartPath(t testing.TB, name, path string, args ...string) *Process {
+	t.Helper()
+	file, err := os.CreateTemp(t.TempDir(), name+"-*.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = file, file
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := startOnSpawner(cmd); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	p := &Process{Name: name, t: t, cmd: cmd, output: file.Name(), exited: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait() // The exit status is in cmd.ProcessState.
+		close(p.exited)
+	}()
+	t.Cleanup(p.cleanup)
+	return p
+}
+
+func (p *Process) cleanup() {
+	p.signal(syscall.SIGKILL)
+	select {
+	case <-p.exited:
+	case <-time.After(killTimeout):
+		p.t.Errorf("%s (pid %d) did not end within %s of SIGKILL", p.Name, p.Pid(), killTimeout)
+	}
+	if p.t.Failed() {
+		out := p.Output()
+		p.t.Logf("output of %s %q:\n%s", p.Name, p.cmd.Args[1:], out[max(0, len(out)-maxLogBytes):])
+	}
+}
+
+// signal signals the child's process group; it does nothing after the child was waited for.
+func (p *Process) signal(s syscall.Signal) {
+	select {
+	case <-p.exited:
+		return
+	default:
+	}
+	if err := syscall.Kill(-p.cmd.Process.Pid, s); err != nil && !errors.Is(err, syscall.ESRCH) {
+		p.t.Errorf("signal %s to %s: %v", s, p.Name, err)
+	}
+}
+
+// Pid returns the process ID.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Kill ends the child with SIGKILL and waits for it.
+func (p *Process) Kill() {
+	p.t.Helper()
+	p.signal(syscall.SIGKILL)
+	p.WaitExit(killTimeout)
+}
+
+// Freeze stops the child with SIGSTOP.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Thaw continues the child with SIGCONT.
+func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
+
+// Terminate asks the child to shut down with SIGTERM. It doesn't wait; see WaitExit.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// Exited is closed when the child has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// WaitExit waits for the end and returns the exit code, -1 after a signal. It fails the test after the timeout.
+func (p *Process) WaitExit(timeout time.Duration) int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(timeout):
+		p.t.Fatalf("%s (pid %d) did not end within %s", p.Name, p.Pid(), timeout)
+		return 0
+	}
+}
+
+// Output returns what the child has written to stdout and stderr so far.
+func (p *Process) Output() string {
+	data, err := os.ReadFile(p.output)
+	if err != nil {
+		p.t.Errorf("output of %s: %v", p.Name, err)
+	}
+	return string(data)
+}
+
+// WaitReady waits for the child's line {"ready":true,...} and decodes it into v.
+func (p *Process) WaitReady(v any) {
+	p.t.Helper()
+	Eventually(p.t, readyTimeout, func() error {
+		select {
+		case <-p.exited:
+			p.t.Fatalf("%s ended before it was ready: %s", p.Name, p.cmd.ProcessState)
+		default:
+		}
+		for line := range bytes.Lines([]byte(p.Output())) {
+			var ready struct{ Ready bool }
+			if bytes.HasSuffix(line, []byte("\n")) && json.Unmarshal(line, &ready) == nil && ready.Ready {
+				return json.Unmarshal(line, v)
+			}
+		}
+		return fmt.Errorf("%s has printed no ready line", p.Name)
+	})
+}
+
+// Eventually calls f until it returns nil. It fails the test with the last error after the timeout.
+func Eventually(t testing.TB, timeout time.Duration, f func() error) {
+	t.Helper()
+	for end := time.Now().Add(timeout); ; time.Sleep(pollInterval) {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("after %s: %v", timeout, err)
+		}
+	}
+}
+
+var handedOut sync.Map // addresses that FreeAddr returned
+
+// FreeAddr returns a loopback address whose port was free, a different one at each call.
+func FreeAddr(t testing.TB) string {
+	t.Helper()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := l.Addr().String()
+		_ = l.Close() // Nothing was accepted.
+		if _, taken := handedOut.LoadOrStore(addr, true); !taken {
+			return addr
+		}
+	}
+}
--- /dev/null
+++ b/test/harness/standins.go
@@ -0,0 +1,177 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/standin/engine"
+	"cassiadeal.example/cassiadeal/internal/standin/platform"
+	"cassiadeal.example/cassiadeal/internal/standin/service"
+)
+
+// adminTimeout covers a restart or a slow switch of a stand-in.
+const adminTimeout = 30 * time.Second
+
+// standIn is a stand-in process with an admin address.
+type standIn struct {
+	*Process
+	Admin string // host:port for switches and records
+}
+
+// Platform is a running platform stand-in.
+type Platform struct {
+	standIn
+	Address string
+}
+
+// Engine is a running engine stand-in.
+type Engine struct {
+	standIn
+	VMs map[string]string // address by VM name
+}
+
+// Service is a running service stand-in.
+type Service struct {
+	standIn
+	Address string
+}
+
+type readyLine struct {
+	Admin   string
+	Address string
+	VMs     map[string]string
+}
+
+func startStandIn(t testing.TB, kind string, args []string) (standIn, readyLine) {
+	t.Helper()
+	p := Start(t, "standin", append([]string{kind}, args...)...)
+	p.Name += " " + kind
+	var ready readyLine
+	p.WaitReady(&ready)
+	return standIn{p, ready.Admin}, ready
+}
+
+// StartPlatform runs a platform stand-in, on a free port unless the arguments name one.
+func StartPlatform(t testing.TB, args ...string) *Platform {
+	t.Helper()
+	s, ready := startStandIn(t, "platform", args)
+	return &Platform{s, ready.Address}
+}
+
+// StartEngine runs an engine stand-in with the VMs on free ports.
+func StartEngine(t testing.TB, vms []string, args ...string) *Engine {
+	t.Helper()
+	for _, vm := range vms {
+		args = append(args, "--vm", vm+"=127.0.0.1:0")
+	}
+	s, ready := startStandIn(t, "engine", args)
+	return &Engine{s, ready.VMs}
+}
+
+// StartService runs a service stand-in, on a free port unless the arguments name one.
+func StartService(t testing.TB, name string, args ...string) *Service {
+	t.Helper()
+	s, ready := startStandIn(t, "service", append([]string{"--name", name}, args...))
+	return &Service{s, ready.Address}
+}
+
+// call sends a request to the admin address and decodes the answer into out unless that is nil.
+func (s standIn) call(method, path string, in, out any) {
+	s.t.Helper()
+	if err := s.try(method, path, in, out); err != nil {
+		s.t.Fatalf("%s: %s %s: %v", s.Name, method, path, err)
+	}
+}
+
+func (s standIn) try(method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return err
+		}
+	}
+	r, err := http.NewRequest(method, "http://"+s.Admin+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	client := http.Client{Timeout: adminTimeout}
+	resp, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
+
+// Faults replaces the fault switches.
+func (p *Platform) Faults(f platform.Faults) {
+	p.t.Helper()
+	p.call("POST", "/faults", f, nil)
+}
+
+// SetVMs sets the VM list, which callers see after the lag.
+func (p *Platform) SetVMs(lag time.Duration, vms ...*schema.VM) {
+	p.t.Helper()
+	body := platform.VMs{VMs: []json.RawMessage{}, ListLagMS: lag.Milliseconds()}
+	for _, vm := range vms {
+		data, err := protojson.Marshal(vm)
+		if err != nil {
+			p.t.Fatalf("VM %v: %v", vm, err)
+		}
+		body.VMs = append(body.VMs, data)
+	}
+	p.call("PUT", "/admin/vms", body, nil)
+}
+
+// Record returns what the stand-in received and accepted.
+func (p *Platform) Record() (rec platform.Record) {
+	p.t.Helper()
+	p.call("GET", "/record", nil, &rec)
+	return rec
+}
+
+// Faults changes the switches of one VM, or of all if f names none, and waits until they are in force.
+func (e *Engine) Faults(f engine.Faults) {
+	e.t.Helper()
+	e.call("POST", "/faults", f, nil)
+}
+
+// Record returns what each VM received and did.
+func (e *Engine) Record() map[string]engine.VMRecord {
+	e.t.Helper()
+	var rec engine.Record
+	e.call("GET", "/record", nil, &rec)
+	return rec.VMs
+}
+
+// Faults changes the switches and waits until they are in force.
+func (s *Service) Faults(f service.Faults) {
+	s.t.Helper()
+	s.call("POST", "/faults", f, nil)
+}
+
+// Record returns what the service received and did.
+func (s *Service) Record() (rec service.Record) {
+	s.t.Helper()
+	s.call("GET", "/record", nil, &rec)
+	return rec
+}
