Add the target table of a node

Cause: a node needs to know which of its targets may get a request right now, how many each bears, and which request waits for which slot.

Any doubt about a target (missed probe, lost connection, new incarnation, cold report, gap in the probes) puts it back to its cold limit, and only completions of requests that began later raise it again. After a lost connection, only reports of later probes count.

Measured: go test -race -count=10 ./internal/target passes. go vet and staticcheck report nothing.

--- /dev/null
+++ b/internal/target/target.go
@@ -0,0 +1,432 @@
+// Package target is the target table of a node: the replica groups and service back ends that this node sends to, what is
+// known of their health, and the bounded queues of requests that wait for a slot.
+//
+// Table.mu is the only lock of the package. It is never held while probing, waiting, or calling a Prober; a Policy runs
+// under it and must not block. Code that holds another lock may call into the table, and the table calls out to nobody
+// with mu held, so mu is last in every lock order.
+package target
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Defaults of Options.
+const (
+	DefaultProbe     = 250 * time.Millisecond
+	DefaultFreshness = time.Second
+)
+
+// Member is one VM of a group, or the single process behind a service back end.
+type Member struct {
+	VM          string
+	Address     string // host:port.
+	Incarnation string // As seen when the group became ready. Ignored for services.
+}
+
+// Spec describes one target as the holder table, the plan and the rules define it.
+type Spec struct {
+	ID            string
+	Destination   string // "pool/NAME" or "service/NAME".
+	FailureDomain string
+	Address       string   // host:port of rank 0 or of the back end.
+	Members       []Member // By rank. A service back end may leave it empty.
+	Group         string
+	Number        uint64
+	Limits        rules.Limits
+	MaxQueue      int  // Queued requests of the destination; the largest of its targets applies.
+	Draining      bool // Takes no new work; work in flight finishes.
+	InDoubt       bool // Another node may be sending to the target too.
+}
+
+func (s Spec) service() bool { return strings.HasPrefix(s.Destination, "service/") }
+
+// sameProcesses tells whether the spec names the same processes in the same group as other.
+func (s Spec) sameProcesses(other Spec) bool {
+	return s.Destination == other.Destination && s.Address == other.Address && s.Group == other.Group &&
+		s.Number == other.Number && slices.Equal(s.Members, other.Members)
+}
+
+// Options configures a Table. Zero durations get the defaults.
+type Options struct {
+	Probe        time.Duration // Mean interval between the probes of one member.
+	ProbeTimeout time.Duration // Default: half the freshness bound.
+	Freshness    time.Duration // Largest age of a report that permits a dispatch, counted from the sending of the probe.
+	Prober       Prober
+	Policy       Policy               // Default: Affinity.
+	Now          func() time.Duration // Monotonic clock. Default: time since New.
+	Log          logrus.FieldLogger
+	Meter        metric.Meter
+}
+
+// Table holds the targets of one node. Its methods may be called concurrently.
+type Table struct {
+	opt      Options
+	probes   metric.Int64Counter
+	resets   metric.Int64Counter
+	refusals metric.Int64Counter
+
+	mu      sync.Mutex
+	runCtx  context.Context // Nil until Run.
+	targets map[string]*target
+	queues  map[string]*queue
+	seq     uint64
+	wg      sync.WaitGroup
+}
+
+type member struct {
+	Member
+	cancel    context.CancelFunc
+	kick      chan struct{} // Asks for a probe now.
+	report    Report
+	reported  bool          // report is usable.
+	sentAt    time.Duration // Sending of the probe that gave report.
+	probedAt  time.Duration // Sending of the last finished probe.
+	probed    bool
+	lastError error
+}
+
+type target struct {
+	spec     Spec
+	members  []*member
+	inFlight int
+	limit    int           // Between the cold and the full limit.
+	credit   int           // Completions towards the next step of limit.
+	warm     bool          // limit reached the full limit by completions.
+	epoch    uint64        // Counts resets to the cold limit.
+	removed  bool          // Kept only for its work in flight.
+	usableAt time.Duration // When the target was last known to serve, or was added.
+	lostAt   time.Duration // Last broken exchange; reports of probes sent before it don't count.
+	changed  chan struct{} // Closed and replaced on each probe result and release.
+}
+
+// New returns an empty table.
+func New(opt Options) *Table {
+	if opt.Probe <= 0 {
+		opt.Probe = DefaultProbe
+	}
+	if opt.Freshness <= 0 {
+		opt.Freshness = DefaultFreshness
+	}
+	if opt.ProbeTimeout <= 0 {
+		opt.ProbeTimeout = opt.Freshness / 2
+	}
+	if opt.Policy == nil {
+		opt.Policy = &Affinity{}
+	}
+	if opt.Now == nil {
+		start := time.Now()
+		opt.Now = func() time.Duration { return time.Since(start) }
+	}
+	if opt.Log == nil {
+		discard := logrus.New()
+		discard.SetOutput(io.Discard)
+		opt.Log = discard
+	}
+	if opt.Meter == nil {
+		opt.Meter = noop.NewMeterProvider().Meter("target")
+	}
+	if opt.Prober == nil {
+		opt.Prober = NewHTTPProber()
+	}
+	t := &Table{opt: opt, targets: map[string]*target{}, queues: map[string]*queue{}}
+	t.probes = t.counter("cassiadeal_target_probes_total", "Probes of target members by result.")
+	t.resets = t.counter("cassiadeal_target_cold_resets_total", "Resets of targets to their cold limit by reason.")
+	t.refusals = t.counter("cassiadeal_target_refusals_total", "Requests refused by the target table by result code.")
+	return t
+}
+
+func (t *Table) counter(name, description string) metric.Int64Counter {
+	c, err := t.opt.Meter.Int64Counter(name, metric.WithDescription(description))
+	if err != nil {
+		t.opt.Log.WithError(err).WithField("metric", name).Error("cannot create counter")
+		c, _ = noop.NewMeterProvider().Meter("target").Int64Counter(name)
+	}
+	return c
+}
+
+func count(c metric.Int64Counter, key, value string) {
+	c.Add(context.Background(), 1, metric.WithAttributes(attribute.String(key, value)))
+}
+
+// SetSpecs replaces the set of targets. A target that stays keeps its requests in flight and its limit, unless the
+// processes behind it changed: then it starts cold.
+func (t *Table) SetSpecs(specs []Spec) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opt.Now()
+	seen := make(map[string]bool, len(specs))
+	for _, s := range specs {
+		s.Members = slices.Clone(s.Members)
+		if s.service() && len(s.Members) == 0 {
+			s.Members = []Member{{Address: s.Address}}
+		}
+		seen[s.ID] = true
+		t.setSpecLocked(s, now)
+	}
+	for id, g := range t.targets {
+		if !seen[id] && !g.removed {
+			g.removed = true
+			t.stopMembersLocked(g)
+		}
+		if g.removed && g.inFlight == 0 {
+			g.notify()
+			delete(t.targets, id)
+		}
+	}
+	for _, q := range t.queues {
+		t.serveLocked(q)
+	}
+	for name, q := range t.queues {
+		if len(q.waiters) == 0 && len(t.ofLocked(name)) == 0 {
+			delete(t.queues, name)
+		}
+	}
+}
+
+func (t *Table) setSpecLocked(s Spec, now time.Duration) {
+	g := t.targets[s.ID]
+	if g != nil && !g.removed && g.spec.sameProcesses(s) {
+		old := g.spec.Limits
+		g.spec = s
+		if old != s.Limits {
+			g.applyLimits()
+		}
+		return
+	}
+	if g == nil {
+		g = &target{changed: make(chan struct{})}
+		t.targets[s.ID] = g
+	} else {
+		t.stopMembersLocked(g)
+	}
+	g.spec, g.removed, g.usableAt = s, false, now
+	t.resetLocked(g, "spec")
+	g.members = nil
+	for _, m := range s.Members {
+		g.members = append(g.members, &member{Member: m, kick: make(chan struct{}, 1)})
+	}
+	if t.runCtx != nil {
+		t.startMembersLocked(g)
+	}
+}
+
+// applyLimits keeps a warm target at its limit, bounded by the new full limit; any other starts from the new cold limit.
+func (g *target) applyLimits() {
+	if !g.warm {
+		g.limit, g.credit = g.spec.Limits.Cold, 0
+		return
+	}
+	g.limit = max(min(g.limit, g.spec.Limits.Full), g.spec.Limits.Cold)
+	g.warm = g.limit >= g.spec.Limits.Full
+}
+
+// resetLocked puts the target back to its cold limit.
+func (t *Table) resetLocked(g *target, reason string) {
+	g.limit, g.credit, g.warm = g.spec.Limits.Cold, 0, false
+	g.epoch++
+	count(t.resets, "reason", reason)
+}
+
+func (g *target) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// effectiveLimit is the number of requests that this node may have in flight at the target.
+func (g *target) effectiveLimit() int {
+	if g.spec.InDoubt && !g.warm {
+		return g.spec.Limits.Cold / 2
+	}
+	return g.limit
+}
+
+// unusable returns why no request may be sent to the target, or "".
+func (t *Table) unusable(g *target, now time.Duration) string {
+	switch {
+	case g.removed:
+		return "not held by this node"
+	case g.spec.Draining:
+		return "draining"
+	case len(g.members) == 0:
+		return "no members"
+	}
+	for _, m := range g.members {
+		if reason := m.unusable(g.spec, now, t.opt.Freshness); reason != "" {
+			return "member " + m.Address + ": " + reason
+		}
+	}
+	return ""
+}
+
+func (m *member) unusable(s Spec, now, freshness time.Duration) string {
+	r := m.report
+	switch {
+	case !m.reported:
+		return "no report"
+	case now-m.sentAt >= freshness:
+		return "report too old"
+	case s.service():
+		return ""
+	case r.Group != s.Group || r.Number != s.Number:
+		return "in another group"
+	case m.Incarnation == "" || r.Incarnation != m.Incarnation:
+		return "another incarnation"
+	case r.Loading:
+		return "loading"
+	case !r.Ready:
+		return "not ready"
+	}
+	return ""
+}
+
+// completedLocked raises the limit by one for each n completions, n being the current limit. Completions of requests
+// that began before the last reset prove nothing about the target since.
+func (t *Table) completedLocked(g *target, epoch uint64) {
+	if epoch != g.epoch || g.spec.InDoubt || g.warm || t.unusable(g, t.opt.Now()) != "" || g.reportsCold() {
+		return
+	}
+	g.credit++
+	if g.credit < g.limit {
+		return
+	}
+	g.credit = 0
+	g.limit = min(g.limit+1, g.spec.Limits.Full)
+	g.warm = g.limit == g.spec.Limits.Full
+}
+
+func (g *target) reportsCold() bool {
+	return slices.ContainsFunc(g.members, func(m *member) bool { return m.report.Cold })
+}
+
+// ofLocked returns the targets of a destination, sorted by ID.
+func (t *Table) ofLocked(destination string) []*target {
+	var found []*target
+	for _, g := range t.targets {
+		if g.spec.Destination == destination && !g.removed {
+			found = append(found, g)
+		}
+	}
+	slices.SortFunc(found, func(a, b *target) int { return strings.Compare(a.spec.ID, b.spec.ID) })
+	return found
+}
+
+// InFlight returns the number of slots given out for the target.
+func (t *Table) InFlight(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.targets[id]; g != nil {
+		return g.inFlight
+	}
+	return 0
+}
+
+// WaitIdle returns when no request is in flight at the target, or with the error of ctx. The caller sets Draining or
+// removes the target first; otherwise new work can start meanwhile.
+func (t *Table) WaitIdle(ctx context.Context, id string) error {
+	for {
+		t.mu.Lock()
+		g := t.targets[id]
+		if g == nil || g.inFlight == 0 {
+			t.mu.Unlock()
+			return nil
+		}
+		changed := g.changed
+		t.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Summary returns the free slots of each destination and failure domain. The queue is one per destination, and each
+// entry of the destination states it in full.
+func (t *Table) Summary() []*schema.PoolSummary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opt.Now()
+	byKey := map[string]*schema.PoolSummary{}
+	for _, g := range t.targets {
+		if g.removed {
+			continue
+		}
+		key := g.spec.Destination + "\x00" + g.spec.FailureDomain
+		p := byKey[key]
+		if p == nil {
+			p = &schema.PoolSummary{Name: g.spec.Destination, FailureDomain: g.spec.FailureDomain}
+			if q := t.queues[p.Name]; q != nil {
+				p.Queued = uint32(len(q.waiters))
+				p.OldestQueuedMs = q.oldest(now).Milliseconds()
+			}
+			byKey[key] = p
+		}
+		if t.unusable(g, now) == "" {
+			p.TotalSlots += uint32(max(g.effectiveLimit(), 0))
+			p.FreeSlots += uint32(max(g.effectiveLimit()-g.inFlight, 0))
+		}
+	}
+	list := make([]*schema.PoolSummary, 0, len(byKey))
+	for _, p := range byKey {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *schema.PoolSummary) int {
+		return strings.Compare(a.Name+"\x00"+a.FailureDomain, b.Name+"\x00"+b.FailureDomain)
+	})
+	return list
+}
+
+// Status is what operators see of one target.
+type Status struct {
+	Spec
+	Unusable string // Why it gets no work; empty if it does.
+	Limit    int    // Requests that this node may have in flight at it.
+	Warm     bool
+	InFlight int
+	Reports  []MemberStatus
+}
+
+// MemberStatus is the last report of one member.
+type MemberStatus struct {
+	Member    Member
+	Report    Report
+	Age       time.Duration // Since the sending of the probe; negative if there is no report.
+	LastError string
+}
+
+// Status returns all targets, sorted by ID, including those kept only for their work in flight.
+func (t *Table) Status() []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opt.Now()
+	list := make([]Status, 0, len(t.targets))
+	for _, g := range t.targets {
+		s := Status{Spec: g.spec, Unusable: t.unusable(g, now), Limit: g.effectiveLimit(), Warm: g.warm, InFlight: g.inFlight}
+		for _, m := range g.members {
+			ms := MemberStatus{Member: m.Member, Report: m.report, Age: -1}
+			if m.reported {
+				ms.Age = now - m.sentAt
+			}
+			if m.lastError != nil {
+				ms.LastError = m.lastError.Error()
+			}
+			s.Reports = append(s.Reports, ms)
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b Status) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
