--- /dev/null
+++ b/internal/dispatch/generate_test.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// sse is the raw answer of an engine up to and including the given events. Each is an offset, "end" or a whole event.
+func sse(incarnation string, events ...any) string {
+	var b strings.Builder
+	b.WriteString(okHead + "X-Incarnation: " + incarnation + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, ev := range events {
+		text := fmt.Sprintf(`{"request_id":"r1","offset":%v,"token":"t"}`, ev)
+		if s, ok := ev.(string); ok {
+			text = s
+		}
+		line := "data: " + text + "\n\n"
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(line), line)
+	}
+	return b.String()
+}
+
+func endEvent(tokens int) string {
+	return fmt.Sprintf(`{"request_id":"r1","end":true,"tokens":%d,"cached_tokens":3}`, tokens)
+}
+
+const (
+	lastChunk = "0\r\n\r\n"
+	silent    = "silent" // Suffix of an answer: keep the connection open without sending more.
+)
+
+// Guards against streams that lose, repeat or mix tokens, or that count as whole without their end marker.
+func TestGenerateEndings(t *testing.T) {
+	plain := func(status string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, test := range []struct {
+		name    string
+		answers []string // By request, cancels not counted; the last one repeats.
+		tokens  int
+		code    result.Code
+		notRun  bool
+		resumes []string // Bodies of the resume requests.
+	}{
+		{"whole", []string{sse("i1", 0, 1, endEvent(2)) + lastChunk}, 2, result.OK, false, nil},
+		{"no tokens", []string{sse("i1", endEvent(0)) + lastChunk}, 0, result.OK, false, nil},
+		{"duplicates", []string{sse("i1", 0, 0, 1, 0, endEvent(2)) + lastChunk}, 2, result.OK, false, nil},
+		{"gap", []string{sse("i1", 0, 2, endEvent(3)) + lastChunk}, 1, result.StreamIncomplete, false, nil},
+		{"end too early", []string{sse("i1", 0, endEvent(2)) + lastChunk}, 1, result.StreamIncomplete, false, nil},
+		{"foreign event", []string{sse("i1", 0, `{"request_id":"r2","offset":1,"token":"t"}`)}, 1, result.AnswerMismatch, false, nil},
+		{"foreign head", []string{strings.Replace(sse("i1", 0), "r1", "r2", 1)}, 0, result.AnswerMismatch, false, nil},
+		{"malformed event", []string{sse("i1", 0, `{`)}, 1, result.StreamIncomplete, false, nil},
+		{"long event", []string{sse("i1", 0, strings.Repeat("x", maxEventLine))}, 1, result.StreamIncomplete, false, nil},
+		{"other incarnation", []string{sse("i2", 0)}, 0, result.TargetFailed, false, nil},
+		{"not ready", []string{plain("409 Conflict")}, 0, result.TargetUnreachable, true, nil},
+		{"fell over", []string{plain("503 Overload")}, 0, result.TargetFailed, false, nil},
+		{"cut, resumed", []string{sse("i1", 0, 1), sse("i1", 2, endEvent(3)) + lastChunk}, 3, result.OK, false,
+			[]string{`{"offset":2,"request_id":"r1"}`}},
+		{"no end marker, resumed", []string{sse("i1", 0) + lastChunk, sse("i1", endEvent(1)) + lastChunk}, 1, result.OK, false,
+			[]string{`{"offset":1,"request_id":"r1"}`}},
+		{"silent, resumed", []string{sse("i1", 0) + silent, sse("i1", 1, endEvent(2)) + lastChunk}, 2, result.OK, false,
+			[]string{`{"offset":1,"request_id":"r1"}`}},
+		{"silent from the start, unknown", []string{silent, plain("404 Not Found")}, 0, result.TargetFailed, false,
+			[]string{`{"offset":0,"request_id":"r1"}`}},
+		{"cut, other incarnation", []string{sse("i1", 0), sse("i2", 1, endEvent(2)) + lastChunk}, 1, result.TargetFailed, false,
+			[]string{`{"offset":1,"request_id":"r1"}`}},
+		{"cut, no more tokens", []string{sse("i1", 0), sse("i1")}, 1, result.StreamIncomplete, false,
+			[]string{`{"offset":1,"request_id":"r1"}`, `{"offset":1,"request_id":"r1"}`}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var resumes []string
+			served := 0
+			server := newRawServer(t, func(_ int, conn net.Conn, req *http.Request, body string) bool {
+				switch req.URL.Path {
+				case "/v1/cancel":
+					_, _ = io.WriteString(conn, plain("200 OK"))
+					return false
+				case "/v1/resume":
+					resumes = append(resumes, body)
+				}
+				reply, hang := strings.CutSuffix(test.answers[min(served, len(test.answers)-1)], silent)
+				served++
+				_, _ = io.WriteString(conn, reply)
+				if hang {
+					_, _ = io.Copy(io.Discard, conn)
+				}
+				return false
+			})
+			slot, _, table := slotAt(t, server.address, "pool/p")
+			var got answer
+			end := New(Options{Idle: 100 * time.Millisecond, ResumeTries: 2}).Run(t.Context(), slot, &schema.DispatchRequest{RequestId: "r1",
+				Body: []byte(`{"prompt":"p"}`), Repeatable: true, Generate: true}, got.sink)
+			qt.Assert(t, result.Code(end.GetCode()), qt.Equals, test.code, qt.Commentf("%s", end.GetMessage()))
+			qt.Assert(t, end.GetNotRun(), qt.Equals, test.notRun)
+			qt.Assert(t, end.GetTokens(), qt.Equals, uint64(test.tokens))
+			qt.Assert(t, end.GetCacheHit(), qt.Equals, test.code == result.OK)
+			qt.Assert(t, got.tokens, qt.HasLen, test.tokens)
+			for i, token := range got.tokens {
+				qt.Assert(t, token, qt.Equals, fmt.Sprintf("%dt", i))
+			}
+			qt.Assert(t, resumes, qt.DeepEquals, test.resumes)
+			qt.Assert(t, table.InFlight("t1"), qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against an engine that works on for a caller that is gone.
+func TestGenerateCancel(t *testing.T) {
+	server := newRawServer(t, func(_ int, conn net.Conn, req *http.Request, _ string) bool {
+		if req.URL.Path == "/v1/generate" {
+			_, _ = io.WriteString(conn, sse("i1", 0))
+			_, _ = io.Copy(io.Discard, conn)
+		}
+		return false
+	})
+	slot, _, _ := slotAt(t, server.address, "pool/p")
+	ctx, cancel := context.WithCancel(t.Context())
+	end := New(Options{Idle: testTimeout}).Run(ctx, slot, &schema.DispatchRequest{RequestId: "r1", Body: []byte("{}"), Generate: true, Repeatable: true},
+		func(chunk *schema.DispatchChunk) error {
+			if chunk.GetToken() != nil {
+				cancel()
+			}
+			return nil
+		})
+	qt.Assert(t, result.Code(end.GetCode()), qt.Equals, result.StreamIncomplete)
+	qt.Assert(t, end.GetCrashed(), qt.IsFalse)
+	qt.Assert(t, server.seen(), qt.DeepEquals, []string{"POST /v1/generate", "POST /v1/cancel"})
+}
+
+// Guards against unbounded memory per stream: while the receiver doesn't take tokens, the engine can't send on.
+func TestGenerateBackpressure(t *testing.T) {
+	const limit = 64 << 20 // Far above the socket buffers of both sides.
+	blocked := make(chan int, 1)
+	server := newRawServer(t, func(_ int, conn net.Conn, req *http.Request, _ string) bool {
+		if req.URL.Path != "/v1/generate" {
+			return false
+		}
+		sent := 0
+		comment := ":" + strings.Repeat("x", 60<<10) + "\n"
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(comment), comment)
+		_, _ = io.WriteString(conn, sse("i1", 0))
+		for sent < limit {
+			_ = conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			n, err := io.WriteString(conn, chunk)
+			if sent += n; err != nil {
+				break
+			}
+		}
+		blocked <- sent
+		return false
+	})
+	slot, _, _ := slotAt(t, server.address, "pool/p")
+	var sent int
+	New(Options{}).Run(t.Context(), slot, &schema.DispatchRequest{RequestId: "r1", Body: []byte("{}"), Generate: true, Repeatable: true},
+		func(chunk *schema.DispatchChunk) error {
+			if chunk.GetToken() != nil {
+				sent = <-blocked
+			}
+			return nil
+		})
+	qt.Assert(t, sent > 0 && sent < limit, qt.IsTrue, qt.Commentf("the engine sent %d bytes", sent))
+}
