--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -39,14 +39,13 @@
 	retryInterval  = 500 * time.Millisecond
 	ownerPoll      = 100 * time.Millisecond
 	ownerCallLimit = time.Second
-	maxCASAttempts = 8
 )
 
 // Store is the part of the platform's object API that claims use.
 type Store interface {
-	Get(ctx context.Context, kind, name string) (platform.Object, error)
-	Create(ctx context.Context, kind, name string, data []byte) (platform.Object, error)
-	Update(ctx context.Context, obj platform.Object) (platform.Object, error)
+	Get(ctx context.Context, kind, name string) (*platform.Object, error)
+	Create(ctx context.Context, kind, name string, data []byte) (version uint64, err error)
+	Update(ctx context.Context, kind, name string, version uint64, data []byte) (newVersion uint64, err error)
 }
 
 // Owners reaches the node that wrote a claim.
@@ -95,7 +94,7 @@
 // Claim is the right to dispatch a request once.
 type Claim struct {
 	m       *Manager
-	object  platform.Object
+	version uint64 // Of the platform's object.
 	content *schema.Claim
 }
 
@@ -176,14 +175,14 @@
 		return nil, err
 	}
 	m.set(content.Nonce, content)
-	obj, err := m.opts.Store.Create(ctx, kind, content.Key, data)
+	version, err := m.opts.Store.Create(ctx, kind, content.Key, data)
 	if err != nil {
 		if !errors.Is(err, platform.ErrOutcomeUnknown) {
 			m.forget(content.Nonce)
 		}
 		return nil, err
 	}
-	return &Claim{m: m, object: obj, content: content}, nil
+	return &Claim{m: m, version: version, content: content}, nil
 }
 
 // confirm checks the key's age again after the claim was written. Without it, a node that was paused before the write
@@ -200,14 +199,14 @@
 // is still running the request.
 func (m *Manager) existing(ctx context.Context, req Request) (*Claim, *schema.Claim, *result.Error) {
 	for {
-		obj, stored, err := m.read(ctx, req.Key)
+		version, stored, err := m.read(ctx, req.Key)
 		if err != nil {
 			return nil, nil, result.New(result.PlatformUnavailable, "an earlier claim of this key could not be read").WithCause(err)
 		}
 		if !sameRequest(stored, req) {
 			return nil, nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
 		}
-		claim, answer, again, failure := m.settle(ctx, req, obj, stored)
+		claim, answer, again, failure := m.settle(ctx, req, version, stored)
 		if !again {
 			return claim, answer, failure
 		}
@@ -224,23 +223,23 @@
 }
 
 // settle handles one observed state of an earlier claim. again is true if the claim is still running or has just changed.
-func (m *Manager) settle(ctx context.Context, req Request, obj platform.Object, stored *schema.Claim) (claim *Claim, answer *schema.Claim, again bool, failure *result.Error) {
+func (m *Manager) settle(ctx context.Context, req Request, version uint64, stored *schema.Claim) (claim *Claim, answer *schema.Claim, again bool, failure *result.Error) {
 	switch stored.State {
 	case schema.ClaimState_CLAIM_STATE_ANSWERED:
 		return nil, stored, false, nil
 	case schema.ClaimState_CLAIM_STATE_UNKNOWN:
 		return nil, nil, false, unknownOutcome(req.Key)
 	case schema.ClaimState_CLAIM_STATE_RELEASED:
-		return m.reclaim(ctx, req, obj)
+		return m.reclaim(ctx, req, version)
 	}
 	status, alive := m.owner(ctx, stored)
 	if !alive {
-		m.markUnknown(ctx, obj, stored)
+		m.markUnknown(ctx, version, stored)
 		return nil, nil, false, unknownOutcome(req.Key)
 	}
 	switch status.GetState() {
 	case schema.ClaimState_CLAIM_STATE_RELEASED:
-		return m.reclaim(ctx, req, obj)
+		return m.reclaim(ctx, req, version)
 	case schema.ClaimState_CLAIM_STATE_ANSWERED:
 		if status.GetClaim() != nil {
 			return nil, status.GetClaim(), false, nil
@@ -267,30 +266,30 @@
 }
 
 // reclaim takes over a claim that is proved not run. The conditional update lets one of several takers win.
-func (m *Manager) reclaim(ctx context.Context, req Request, obj platform.Object) (*Claim, *schema.Claim, bool, *result.Error) {
+func (m *Manager) reclaim(ctx context.Context, req Request, version uint64) (*Claim, *schema.Claim, bool, *result.Error) {
 	content := m.newContent(req)
 	data, err := platform.Encode(content)
 	if err != nil {
 		return nil, nil, false, result.From(err)
 	}
 	m.set(content.Nonce, content)
-	updated, err := m.opts.Store.Update(ctx, platform.Object{Kind: kind, Name: req.Key, Version: obj.Version, Data: data})
+	updated, err := m.opts.Store.Update(ctx, kind, req.Key, version, data)
 	switch {
 	case err == nil:
-		claim, answer, failure := m.confirm(ctx, &Claim{m: m, object: updated, content: content})
+		claim, answer, failure := m.confirm(ctx, &Claim{m: m, version: updated, content: content})
 		return claim, answer, false, failure
 	case errors.Is(err, platform.ErrConflict):
 		m.forget(content.Nonce)
 		return nil, nil, true, nil
 	case errors.Is(err, platform.ErrOutcomeUnknown):
-		m.abandon(content, obj.Version)
+		m.abandon(content, version)
 	default:
 		m.forget(content.Nonce)
 	}
 	return nil, nil, false, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 }
 
-func (m *Manager) markUnknown(ctx context.Context, obj platform.Object, stored *schema.Claim) {
+func (m *Manager) markUnknown(ctx context.Context, version uint64, stored *schema.Claim) {
 	changed := proto.Clone(stored).(*schema.Claim)
 	changed.State = schema.ClaimState_CLAIM_STATE_UNKNOWN
 	changed.Nonce = uuid.NewString()
@@ -299,19 +298,19 @@
 		return
 	}
 	// A failed write changes nothing: the owner stays ended and the next repeat gets the same result.
-	_, _ = m.opts.Store.Update(ctx, platform.Object{Kind: kind, Name: stored.Key, Version: obj.Version, Data: data})
+	_, _ = m.opts.Store.Update(ctx, kind, stored.Key, version, data)
 }
 
-func (m *Manager) read(ctx context.Context, key string) (platform.Object, *schema.Claim, error) {
+func (m *Manager) read(ctx context.Context, key string) (version uint64, stored *schema.Claim, err error) {
 	obj, err := m.opts.Store.Get(ctx, kind, key)
 	if err != nil {
-		return obj, nil, err
+		return 0, nil, err
 	}
-	stored := &schema.Claim{}
+	stored = &schema.Claim{}
 	if err := platform.Decode(obj.Data, stored); err != nil {
-		return obj, nil, eris.Wrapf(err, "claim %s", key)
+		return 0, nil, eris.Wrapf(err, "claim %s", key)
 	}
-	return obj, stored, nil
+	return obj.Version, stored, nil
 }
 
 // Status tells what this process knows of its own claim, named by the nonce of the attempt.
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -56,7 +56,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.m.write(context.WithoutCancel(ctx), c.content, c.object, settled)
+		c.m.write(context.WithoutCancel(ctx), c.content, c.version, settled)
 	}()
 	select {
 	case <-done:
@@ -65,7 +65,7 @@
 }
 
 // write repeats the conditional update until the platform has it or the key is too old to be used.
-func (m *Manager) write(ctx context.Context, from *schema.Claim, obj platform.Object, settled *schema.Claim) {
+func (m *Manager) write(ctx context.Context, from *schema.Claim, version uint64, settled *schema.Claim) {
 	data, err := platform.Encode(settled)
 	if err != nil {
 		m.opts.Log.WithError(err).Error("claim could not be encoded")
@@ -73,31 +73,31 @@
 	}
 	deadline := m.opts.Now().Add(Window + 2*MaxSkew)
 	for m.opts.Now().Before(deadline) {
-		obj.Data = data
-		_, err := m.opts.Store.Update(ctx, obj)
+		_, err := m.opts.Store.Update(ctx, kind, from.Key, version, data)
 		if err == nil {
 			m.forget(from.Nonce)
 			return
 		}
-		if errors.Is(err, platform.ErrConflict) && m.lost(ctx, from, &obj) {
-			m.forget(from.Nonce)
-			return
+		if errors.Is(err, platform.ErrConflict) {
+			current, lost := m.current(ctx, from, version)
+			if lost {
+				m.forget(from.Nonce)
+				return
+			}
+			version = current
 		}
 		time.Sleep(retryInterval)
 	}
 }
 
-// lost tells whether somebody else has settled or taken over the claim. Otherwise it sets obj to the version to update.
-func (m *Manager) lost(ctx context.Context, from *schema.Claim, obj *platform.Object) bool {
-	current, stored, err := m.read(ctx, from.Key)
+// current returns the version of a claim after a conflict on an older version, or that older one if the claim can't be read.
+// lost is true if somebody else has settled or taken over the claim, or if it was deleted.
+func (m *Manager) current(ctx context.Context, from *schema.Claim, older uint64) (version uint64, lost bool) {
+	version, stored, err := m.read(ctx, from.Key)
 	if err != nil {
-		return errors.Is(err, platform.ErrNotFound)
-	}
-	if stored.Nonce != from.Nonce {
-		return true
+		return older, errors.Is(err, platform.ErrNotFound)
 	}
-	obj.Version = current.Version
-	return false
+	return version, stored.Nonce != from.Nonce
 }
 
 // abandon keeps a claim whose write has an unknown outcome and that is not dispatched. It is known to be released at
@@ -115,13 +115,13 @@
 	ctx := context.Background()
 	deadline := m.opts.Now().Add(Window + 2*MaxSkew)
 	for m.opts.Now().Before(deadline) {
-		obj, stored, err := m.read(ctx, content.Key)
+		version, stored, err := m.read(ctx, content.Key)
 		switch {
 		case err != nil:
 		case stored.Nonce == content.Nonce:
-			m.write(ctx, content, obj, released)
+			m.write(ctx, content, version, released)
 			return
-		case obj.Version != base:
+		case version != base:
 			// Another write came first, so the lost one can't take effect any more.
 			m.forget(content.Nonce)
 			return
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -12,6 +12,7 @@
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/dispatch"
 	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/internal/target"
 )
@@ -25,14 +26,16 @@
 // Options configures an Executor.
 type Options struct {
 	Targets *target.Table
-	Runner  *dispatch.Dispatcher
+	Runner  *dispatch.Runner
 	Claims  *claims.Manager
 	Crashes *crash.Table
 	// MayServe returns an error if this node has lost the right to serve. It is asked before every dispatch.
 	MayServe func() *result.Error
 	// OnCrash is called when a target was lost while it ran a request.
 	OnCrash func(context.Context, *schema.CrashReport)
-	Log     logrus.FieldLogger
+	// Clock is the clock of the target table.
+	Clock func() time.Duration
+	Log   logrus.FieldLogger
 }
 
 // Executor runs requests.
@@ -75,13 +78,12 @@
 }
 
 func (e *Executor) acquire(ctx context.Context, req *schema.DispatchRequest) (*target.Slot, error) {
-	deadline, _ := ctx.Deadline()
 	return e.opts.Targets.Acquire(ctx, target.Want{
 		Destination: req.Destination,
 		PrefixHash:  req.PrefixHash,
-		Priority:    req.Priority,
+		Priority:    rules.Priority(req.Priority),
 		Exclude:     req.ExcludeTargets,
-		Deadline:    deadline,
+		Deadline:    e.opts.Clock() + time.Duration(req.DeadlineMs)*time.Millisecond,
 	})
 }
 
@@ -103,7 +105,7 @@
 		e.opts.OnCrash(context.WithoutCancel(ctx), &schema.CrashReport{
 			Fingerprint: req.Fingerprint,
 			Target:      end.Target,
-			Incarnation: slot.Incarnation(),
+			Incarnation: slot.Incarnation,
 		})
 	}
 	return end
