Add the retry budget

Cause: retries without a bound multiply the load of a destination that fails. Each destination has a token bucket: 0.1 token per request, a floor of 1 per second, at most 10 saved up (all settings).

Conclusion: the bound holds per node. It isn't shared between nodes.

--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,137 @@
+// Package retry bounds the retries of each destination to a share of its requests, so that retries can't multiply the load
+// when a destination fails.
+package retry
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+)
+
+// Defaults of Options.
+const (
+	DefaultShare          = 0.1
+	DefaultFloorPerSecond = 1.0
+	DefaultBurst          = 10.0
+)
+
+// Reason tells why a request is tried again.
+type Reason string
+
+// Reasons.
+const (
+	ReasonTargetUnreachable Reason = "target_unreachable"
+	ReasonTargetFailed      Reason = "target_failed"
+	ReasonNodeUnreachable   Reason = "node_unreachable"
+	ReasonAnswerMismatch    Reason = "answer_mismatch"
+	ReasonStreamIncomplete  Reason = "stream_incomplete"
+	ReasonNoSlot            Reason = "no_slot"
+)
+
+// Options configures a Budget. Zero values get the defaults; a negative share or floor means none.
+type Options struct {
+	Share          float64              // Retries per request.
+	FloorPerSecond float64              // Retries per second that are allowed whatever the number of requests.
+	Burst          float64              // Most retries that can be saved up.
+	Now            func() time.Duration // Monotonic clock. Default: time since New.
+	Log            logrus.FieldLogger
+	Meter          metric.Meter
+}
+
+// Budget holds a token bucket per destination. It may be used concurrently. Its only lock is held by no call to others.
+type Budget struct {
+	opt     Options
+	retries metric.Int64Counter
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	tokens float64
+	filled time.Duration // When the floor was last added.
+}
+
+// New returns a Budget. Each destination starts with a full bucket.
+func New(opt Options) *Budget {
+	if opt.Share == 0 {
+		opt.Share = DefaultShare
+	}
+	if opt.FloorPerSecond == 0 {
+		opt.FloorPerSecond = DefaultFloorPerSecond
+	}
+	if opt.Burst <= 0 {
+		opt.Burst = DefaultBurst
+	}
+	if opt.Now == nil {
+		start := time.Now()
+		opt.Now = func() time.Duration { return time.Since(start) }
+	}
+	if opt.Meter == nil {
+		opt.Meter = noop.NewMeterProvider().Meter("retry")
+	}
+	if opt.Log == nil {
+		discard := logrus.New()
+		discard.SetOutput(io.Discard)
+		opt.Log = discard
+	}
+	counter, err := opt.Meter.Int64Counter("cassiadeal_retries_total", metric.WithDescription("Retries by destination, reason and whether the budget allowed them."))
+	if err != nil {
+		opt.Log.WithError(err).Error("cannot create the retry counter")
+		counter, _ = noop.NewMeterProvider().Meter("retry").Int64Counter("cassiadeal_retries_total")
+	}
+	return &Budget{opt: opt, retries: counter, buckets: map[string]*bucket{}}
+}
+
+// Request counts one request to the destination, retries not included. It earns a share of a retry.
+func (b *Budget) Request(destination string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucketLocked(destination)
+	k.tokens = min(b.opt.Burst, k.tokens+max(b.opt.Share, 0))
+}
+
+// Allow takes one retry from the budget of the destination and tells whether there was one. It doesn't judge the reason,
+// which only labels the counter: whether a request may be tried again at all is for the caller to know.
+func (b *Budget) Allow(destination string, reason Reason) bool {
+	b.mu.Lock()
+	k := b.bucketLocked(destination)
+	allowed := k.tokens >= 1
+	if allowed {
+		k.tokens--
+	}
+	b.mu.Unlock()
+	b.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("destination", destination),
+		attribute.String("reason", string(reason)), attribute.Bool("allowed", allowed)))
+	return allowed
+}
+
+func (b *Budget) bucketLocked(destination string) *bucket {
+	now := b.opt.Now()
+	k := b.buckets[destination]
+	if k == nil {
+		k = &bucket{tokens: b.opt.Burst, filled: now}
+		b.buckets[destination] = k
+	}
+	earned := (now - k.filled).Seconds() * max(b.opt.FloorPerSecond, 0)
+	k.tokens = min(b.opt.Burst, k.tokens+earned)
+	k.filled = now
+	return k
+}
+
+// Keep forgets all destinations but the given ones, as after a change of the rules.
+func (b *Budget) Keep(destinations map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name := range b.buckets {
+		if !destinations[name] {
+			delete(b.buckets, name)
+		}
+	}
+}
