--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/router"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
@@ -122,7 +123,7 @@
 	}
 	if !end.NotRun {
 		if !c.request.Repeatable || g.opts.Crashes.Blocked(c.request.Fingerprint) ||
-			!g.opts.Budget.Allow(c.destination, code.String()) {
+			!g.opts.Budget.Allow(c.destination, retry.Reason(code.String())) {
 			return false
 		}
 		if end.Target != "" {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -55,9 +55,12 @@
 		return err
 	}
 	path := strings.TrimPrefix(req.URL.EscapedPath(), "/v1/services/"+name)
-	route, found := c.rules.Match(name, req.Method, path)
-	c.request.Repeatable = found && route.Repeat
-	if found && route.HasPriority {
+	if path == "" {
+		path = "/"
+	}
+	route := c.rules.Match(name, req.Method, path)
+	c.request.Repeatable = route.Repeat
+	if route.HasPriority {
 		c.request.Priority = uint32(route.Priority)
 	}
 	c.request.IdempotencyKey = req.Header.Get("Idempotency-Key")
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,304 @@
+// Package node assembles the parts of the daemon.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/admission"
+	"cassiadeal.example/cassiadeal/internal/claims"
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/configsync"
+	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/dispatch"
+	"cassiadeal.example/cassiadeal/internal/executor"
+	"cassiadeal.example/cassiadeal/internal/gateway"
+	"cassiadeal.example/cassiadeal/internal/groups"
+	"cassiadeal.example/cassiadeal/internal/holder"
+	"cassiadeal.example/cassiadeal/internal/membership"
+	"cassiadeal.example/cassiadeal/internal/operator"
+	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/peer"
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/retry"
+	"cassiadeal.example/cassiadeal/internal/router"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/settings"
+	"cassiadeal.example/cassiadeal/internal/target"
+	"cassiadeal.example/cassiadeal/internal/telemetry"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Node is one daemon.
+type Node struct {
+	settings *settings.Settings
+	log      *logrus.Entry
+	self     *schema.Node
+	clock    clock.Clock
+	metrics  *telemetry.Metrics
+
+	platform   *platform.Client
+	peers      *peer.Client
+	membership *membership.Membership
+	config     *configsync.Sync
+	holders    *holder.Holders
+	groups     *groups.Controller
+	targets    *target.Table
+	claims     *claims.Manager
+	crashes    *crash.Table
+	budget     *retry.Budget
+	admission  *admission.Controller
+	router     *router.Router
+	executor   *executor.Executor
+	gateway    *gateway.Gateway
+
+	vms      vmList
+	statuses peerStatuses
+
+	mu sync.Mutex
+	// draining is set at the start of a graceful shutdown.
+	draining bool
+	// announced is set when this node has told the others that it serves.
+	announced bool
+	// stopped is set at its end, when no new request is taken any more.
+	stopped bool
+	// lastNamed is when this node's address was last given to a caller. It is valid while draining is false.
+	lastNamed time.Time
+
+	// running counts the requests that other nodes forwarded to this one.
+	running   atomic.Int64
+	listeners listeners
+}
+
+// listeners are the bound sockets of a node.
+type listeners struct {
+	caller, peer, operator net.Listener
+}
+
+// New binds the listeners and assembles a node. It serves nothing before Run.
+func New(s *settings.Settings, log *logrus.Entry) (*Node, error) {
+	metrics, err := telemetry.New(s.Node.Name)
+	if err != nil {
+		return nil, eris.Wrap(err, "setting up metrics")
+	}
+	n := &Node{settings: s, log: log, metrics: metrics, clock: clock.Boottime(), peers: peer.NewClient()}
+	if n.listeners, err = bind(&s.Listen); err != nil {
+		return nil, err
+	}
+	n.self = &schema.Node{
+		Name:            s.Node.Name,
+		Incarnation:     uuid.NewString(),
+		CallerAddress:   advertised(s.Advertise.Caller, s.Listen.Caller, n.listeners.caller),
+		PeerAddress:     advertised(s.Advertise.Peer, s.Listen.Peer, n.listeners.peer),
+		OperatorAddress: advertised(s.Advertise.Operator, s.Listen.Operator, n.listeners.operator),
+		FailureDomain:   s.Node.FailureDomain,
+		LeaseTermMs:     s.Timing.Term.Milliseconds(),
+	}
+	n.log = log.WithField("incarnation", n.self.Incarnation)
+	if err := n.assemble(); err != nil {
+		n.listeners.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func bind(addresses *settings.Addresses) (l listeners, err error) {
+	for _, b := range []struct {
+		address string
+		to      *net.Listener
+	}{{addresses.Caller, &l.caller}, {addresses.Peer, &l.peer}, {addresses.Operator, &l.operator}} {
+		if *b.to, err = net.Listen("tcp", b.address); err != nil {
+			l.close()
+			return listeners{}, eris.Wrapf(err, "listening on %s", b.address)
+		}
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, lis := range []net.Listener{l.caller, l.peer, l.operator} {
+		if lis != nil {
+			_ = lis.Close()
+		}
+	}
+}
+
+// advertised returns the address that others use. A listener on port 0 advertises the port that it got.
+func advertised(advertise, listen string, bound net.Listener) string {
+	if advertise == listen {
+		return bound.Addr().String()
+	}
+	return advertise
+}
+
+// CallerAddress returns the address that callers use.
+func (n *Node) CallerAddress() string { return n.self.CallerAddress }
+
+// OperatorAddress returns the address of the operators' listener.
+func (n *Node) OperatorAddress() string { return n.self.OperatorAddress }
+
+// now is the monotonic clock of the request path.
+func (n *Node) now() time.Duration { return time.Duration(n.clock.Now()) }
+
+func (n *Node) assemble() (err error) {
+	t := n.settings.Timing
+	meter := n.metrics.Meter()
+	n.platform = platform.New(platform.Options{
+		BaseURL: n.settings.Platform.URL, Client: n.self.Name, Timeout: n.settings.Platform.Timeout, Meter: meter, Log: n.log,
+	})
+	n.membership, err = membership.New(membership.Options{
+		Self: n.self, Platform: n.platform, Peers: n.peers,
+		Heartbeat: t.Heartbeat, Renew: t.Renew, Term: t.Term, Margin: t.Margin, ForgetAfter: t.ForgetAfter, MaxOutage: t.MaxOutage,
+		Clock: n.clock, Log: n.log, Meter: meter,
+		FillStatus: n.fillStatus, OnPeerStatus: n.onPeerStatus,
+		AfterRenew: func(ctx context.Context, _ uint64) error { return n.holders.Reread(ctx) },
+	})
+	if err != nil {
+		return err
+	}
+	n.assembleControl()
+	n.assembleRequests()
+	return nil
+}
+
+func (n *Node) assembleControl() {
+	t := n.settings.Timing
+	meter := n.metrics.Meter()
+	api := objectAPI{n.platform}
+	self := holder.Identity{Name: n.self.Name, Incarnation: n.self.Incarnation}
+	n.config = configsync.New(configsync.Options{
+		Node: n.self.Name, Platform: n.platform, Members: configMembers{n.membership}, Peers: n.peers,
+		Parse: parseRules, Term: t.Term, Margin: t.Margin, Clock: n.clock, Log: n.log, Meter: meter,
+	})
+	n.config.OnChange(n.onRules)
+	n.holders = holder.New(holder.Options{
+		Self: self, Platform: api, Members: holderMembers{n.membership}, Term: t.Term, Margin: t.Margin,
+		Now: n.now, Log: n.log, Meter: meter, BeforeRelease: n.beforeRelease,
+	})
+	n.groups = groups.New(groups.Options{
+		Self: self, Platform: api, Members: holderMembers{n.membership}, Orders: orders.New(orders.Options{Timeout: t.OrderDelivery}),
+		VMs: n.vms.get, Rules: func() *rules.Rules { _, r := n.config.Current(); return r },
+		OrderDelivery: t.OrderDelivery, Term: t.Term, Margin: t.Margin, Log: n.log, Meter: meter,
+	})
+}
+
+func (n *Node) assembleRequests() {
+	t := n.settings.Timing
+	limits := n.settings.Limits
+	meter := n.metrics.Meter()
+	n.targets = target.New(target.Options{
+		Probe: t.Probe, Freshness: t.Freshness, Prober: target.NewHTTPProber(), Now: n.now, Log: n.log, Meter: meter,
+	})
+	n.crashes = crash.New(crash.Options{Now: n.now})
+	n.budget = retry.New(retry.Options{Now: n.now, Log: n.log, Meter: meter})
+	n.admission = admission.New(n.self.Name, nil)
+	n.claims = claims.New(claims.Options{
+		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Log: n.log,
+	})
+	n.executor = executor.New(executor.Options{
+		Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash, Clock: n.now, Log: n.log,
+		Runner: dispatch.New(dispatch.Options{Idle: t.StreamIdle, MaxAnswer: limits.MaxAnswerBytes, Log: n.log, Meter: meter}),
+	})
+	n.router = router.New(n.self.FailureDomain, n.routableNodes)
+	n.gateway = gateway.New(gateway.Options{
+		Node: n.self.Name, Admission: n.admission, Router: n.router, Execute: n.execute, Crashes: n.crashes, Budget: n.budget,
+		Rules:    func() (*rules.Rules, uint64) { c, r := n.config.Current(); return r, c.GetRevision() },
+		MayServe: n.mayAccept, Addresses: n.addresses, Metrics: n.metrics, Log: n.log,
+		MaxBodyBytes: limits.MaxBodyBytes, MaxAnswerBytes: int(limits.MaxAnswerBytes), MaxInFlight: int(limits.MaxInFlight),
+		BodyReadTimeout: limits.BodyReadTimeout,
+	})
+}
+
+func parseRules(text string) (*rules.Rules, error) {
+	parsed, problems := rules.Parse(operator.RulesFile, text)
+	if len(problems) > 0 {
+		return nil, result.New(result.RulesInvalid, "%s", problems[0])
+	}
+	return parsed, nil
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 8)
+	var wg sync.WaitGroup
+	start := func(name string, f func(context.Context) error) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := f(background); err != nil && background.Err() == nil {
+				failed <- eris.Wrap(err, name)
+			}
+		}()
+	}
+	forever := func(f func(context.Context)) func(context.Context) error {
+		return func(ctx context.Context) error { f(ctx); return nil }
+	}
+	caller := n.callerServer()
+	admin := &http.Server{
+		Handler:           operator.NewHandler(operator.Options{Backend: backend{n}, Metrics: n.metrics.Handler(), Log: n.log}),
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	}
+	start("peer listener", func(ctx context.Context) error { return peer.Serve(ctx, n.listeners.peer, handler{n}) })
+	start("caller listener", serveHTTP(caller, n.listeners.caller))
+	start("operator listener", serveHTTP(admin, n.listeners.operator))
+	start("membership", n.membership.Run)
+	start("configuration", forever(n.config.Run))
+	start("holders", forever(n.holders.Run))
+	start("groups", forever(n.groups.Run))
+	start("targets", forever(n.targets.Run))
+	start("VM list", forever(n.followVMs))
+	start("reconciler", forever(n.reconcileLoop))
+	n.log.WithFields(logrus.Fields{
+		"caller": n.self.CallerAddress, "peer": n.self.PeerAddress, "operator": n.self.OperatorAddress,
+	}).Info("node started")
+
+	var err error
+	select {
+	case <-ctx.Done():
+		err = n.shutdown(background, caller)
+	case err = <-failed:
+		n.log.WithError(err).Error("node stops because a part of it failed")
+	}
+	stop()
+	_ = caller.Close()
+	_ = admin.Close()
+	n.listeners.close()
+	wg.Wait()
+	_ = n.peers.Close()
+	return err
+}
+
+func (n *Node) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           n.gateway.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(n.settings.Limits.MaxHeaderBytes),
+	}
+}
+
+func serveHTTP(srv *http.Server, lis net.Listener) func(context.Context) error {
+	return func(context.Context) error {
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiadeal.example/cassiadeal/internal/gateway"
+	"cassiadeal.example/cassiadeal/internal/holder"
+	"cassiadeal.example/cassiadeal/internal/router"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+const (
+	// crashNoticeLimit bounds how long a request waits for the other nodes to learn of a crash before it is tried again.
+	crashNoticeLimit = 500 * time.Millisecond
+)
+
+// peerStatuses holds the last status of each peer.
+type peerStatuses struct {
+	mu       sync.Mutex
+	sequence uint64
+	byName   map[string]peerStatus
+}
+
+type peerStatus struct {
+	sequence uint64
+	status   *schema.NodeStatus
+}
+
+func (p *peerStatuses) set(s *schema.NodeStatus) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byName == nil {
+		p.byName = make(map[string]peerStatus)
+	}
+	p.sequence++
+	p.byName[s.Name] = peerStatus{p.sequence, s}
+}
+
+func (p *peerStatuses) get(name string) peerStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name]
+}
+
+// fillStatus adds what this node reports in heartbeats.
+func (n *Node) fillStatus(s *schema.NodeStatus) {
+	s.ConfigRevision = n.config.Revision()
+	s.Pools = n.targets.Summary()
+	s.Crashes = n.crashes.Reports()
+	s.Accounts = n.admission.Demand()
+	for _, t := range n.holders.Takeovers() {
+		s.Takeovers = append(s.Takeovers, &schema.Takeover{
+			Target: t.Target.ID, FailureDomain: t.Target.FailureDomain, Epoch: t.Entry.Epoch, TableEpoch: t.TableEpoch,
+		})
+	}
+}
+
+// onPeerStatus takes over what a peer reports.
+func (n *Node) onPeerStatus(s *schema.NodeStatus) {
+	n.statuses.set(s)
+	n.crashes.Merge(s.Crashes)
+	n.holders.NoteTakeovers(takeovers(s))
+	if address, ok := n.peerAddress(s.Name); ok {
+		n.config.NoteRevision(s.Name, address, s.ConfigRevision)
+	}
+}
+
+func takeovers(s *schema.NodeStatus) []holder.Takeover {
+	list := make([]holder.Takeover, 0, len(s.Takeovers))
+	for _, t := range s.Takeovers {
+		list = append(list, holder.Takeover{
+			Target:     holder.Target{ID: t.Target, FailureDomain: t.FailureDomain},
+			Entry:      holder.Entry{Identity: holder.Identity{Name: s.Name, Incarnation: s.Incarnation}, Epoch: t.Epoch},
+			TableEpoch: t.TableEpoch,
+		})
+	}
+	return list
+}
+
+func (n *Node) peerAddress(name string) (string, bool) {
+	for _, info := range n.membership.Nodes() {
+		if info.Record.Name == name {
+			return info.Record.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
+// shareAccounts passes the demand that the serving peers report to admission.
+func (n *Node) shareAccounts() {
+	demand := make(map[string][]*schema.AccountDemand)
+	for _, info := range n.membership.Nodes() {
+		if info.Record.Name == n.self.Name || info.LeaseLapsed || state(info) != schema.NodeState_NODE_STATE_SERVING {
+			continue
+		}
+		demand[info.Record.Name] = info.Status.GetAccounts()
+	}
+	n.admission.SetPeers(demand)
+}
+
+// routableNodes lists the live nodes that run requests.
+func (n *Node) routableNodes() []router.Node {
+	nodes := []router.Node{{
+		Name: n.self.Name, FailureDomain: n.self.FailureDomain, Self: true, StatusSequence: 0, Pools: n.targets.Summary(),
+	}}
+	for _, info := range n.membership.Nodes() {
+		if info.Record.Name == n.self.Name || !info.Live {
+			continue
+		}
+		st := n.statuses.get(info.Record.Name)
+		nodes = append(nodes, router.Node{
+			Name: info.Record.Name, PeerAddress: info.Record.PeerAddress, FailureDomain: info.Record.FailureDomain,
+			StatusSequence: st.sequence, Pools: st.status.GetPools(),
+		})
+	}
+	return nodes
+}
+
+// execute runs a request here or at another node.
+func (n *Node) execute(ctx context.Context, node router.Node, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
+	if node.Self {
+		return n.executor.Execute(ctx, req, sink)
+	}
+	return n.peers.Dispatch(ctx, node.PeerAddress, req, sink)
+}
+
+// reportCrash counts a crash and tells the live peers before the request is tried again.
+func (n *Node) reportCrash(ctx context.Context, report *schema.CrashReport) {
+	n.crashes.Record(report.Fingerprint, report.Target, report.Incarnation, 0)
+	ctx, cancel := context.WithTimeout(ctx, crashNoticeLimit)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, info := range n.membership.Nodes() {
+		if info.Record.Name == n.self.Name || !info.Live {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			// A node that misses the report learns of it from the next heartbeat.
+			_ = n.peers.ReportCrash(ctx, info.Record.PeerAddress, report)
+		}()
+	}
+	wg.Wait()
+}
+
+// addresses answers GET /v1/addresses. Draining nodes and nodes without room come last or not at all; the seed spreads
+// callers over the others.
+func (n *Node) addresses(seed string) gateway.Addresses {
+	answer := gateway.Addresses{Addresses: []gateway.Address{}, KeepSeconds: n.settings.Timing.AddressKeep.Seconds()}
+	var names []string
+	byName := make(map[string]gateway.Address)
+	for _, info := range n.membership.Nodes() {
+		if !n.usableByCallers(info.Record.Name) {
+			continue
+		}
+		names = append(names, info.Record.Name)
+		byName[info.Record.Name] = gateway.Address{Address: info.Record.CallerAddress, FailureDomain: info.Record.FailureDomain}
+	}
+	for _, name := range orderBySeed(names, seed) {
+		answer.Addresses = append(answer.Addresses, byName[name])
+	}
+	return answer
+}
+
+func (n *Node) usableByCallers(name string) bool {
+	if name == n.self.Name {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.draining || !n.announced {
+			return false
+		}
+		n.lastNamed = time.Now()
+		return n.membership.Right().Serve
+	}
+	for _, info := range n.membership.Nodes() {
+		if info.Record.Name == name {
+			return info.Live && state(info) == schema.NodeState_NODE_STATE_SERVING
+		}
+	}
+	return false
+}
+
+func orderBySeed(names []string, seed string) []string {
+	sortBy(names, func(name string) uint64 { return xxhash.Sum64String(seed + "\x00" + name) })
+	return names
+}
+
+func sortBy[T any, K cmp.Ordered](list []T, key func(T) K) {
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+}
+
+// handler answers the RPCs of other nodes.
+type handler struct{ n *Node }
+
+func (h handler) HandleHeartbeat(ctx context.Context, req *schema.HeartbeatRequest) (*schema.HeartbeatResponse, error) {
+	return h.n.membership.HandleHeartbeat(ctx, req)
+}
+
+func (h handler) Config() *schema.Config {
+	c, _ := h.n.config.Current()
+	if c == nil {
+		return &schema.Config{}
+	}
+	return c
+}
+
+func (h handler) OfferConfig(ctx context.Context, cfg *schema.Config) uint64 {
+	return h.n.config.Offer(ctx, cfg)
+}
+
+func (h handler) Execute(ctx context.Context, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
+	h.n.running.Add(1)
+	defer h.n.running.Add(-1)
+	return h.n.executor.Execute(ctx, req, sink)
+}
+
+func (h handler) CrashReported(r *schema.CrashReport) {
+	h.n.crashes.Record(r.Fingerprint, r.Target, r.Incarnation, time.Duration(r.AgeMs)*time.Millisecond)
+}
+
+func (h handler) ClaimStatus(_ context.Context, req *schema.ClaimStatusRequest) *schema.ClaimStatusResponse {
+	if req.Incarnation != h.n.self.Incarnation {
+		return &schema.ClaimStatusResponse{}
+	}
+	return h.n.claims.Status(req.Nonce)
+}
+
+// claimOwners asks the nodes that wrote claims.
+type claimOwners struct{ n *Node }
+
+// ClaimStatus implements claims.Owners.
+func (c claimOwners) ClaimStatus(ctx context.Context, claim *schema.Claim) (*schema.ClaimStatusResponse, bool) {
+	for _, info := range c.n.membership.Nodes() {
+		if info.Record.Name != claim.Node || info.Record.Incarnation != claim.Incarnation {
+			continue
+		}
+		resp, err := c.n.peers.ClaimStatus(ctx, info.Record.PeerAddress, &schema.ClaimStatusRequest{
+			Key: claim.Key, Incarnation: claim.Incarnation, Nonce: claim.Nonce,
+		})
+		if err == nil {
+			return resp, true
+		}
+	}
+	return nil, !c.n.membership.LeaseEnded(claim.Node, claim.Incarnation)
+}
--- /dev/null
+++ b/internal/node/reconcile.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/groups"
+	"cassiadeal.example/cassiadeal/internal/holder"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/target"
+)
+
+const (
+	reconcileInterval = 50 * time.Millisecond
+	vmWatchWait       = 20 * time.Second
+	vmRetryInterval   = 500 * time.Millisecond
+)
+
+// vmList is the last VM list that was read.
+type vmList struct {
+	mu    sync.Mutex
+	vms   []*schema.VM
+	known bool
+}
+
+func (v *vmList) get() []*schema.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.vms
+}
+
+// getKnown returns false if the list was never read.
+func (v *vmList) getKnown() ([]*schema.VM, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.vms, v.known
+}
+
+func (v *vmList) set(vms []*schema.VM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.vms, v.known = vms, true
+}
+
+// followVMs keeps the VM list current by one waiting watch.
+func (n *Node) followVMs(ctx context.Context) {
+	var since uint64
+	for ctx.Err() == nil {
+		vms, version, err := n.platform.WatchVMs(ctx, since, vmWatchWait)
+		if err != nil {
+			n.log.WithError(err).Debug("VM list could not be read")
+			sleepFor(ctx, vmRetryInterval)
+			continue
+		}
+		since = version
+		if vms != nil {
+			n.vms.set(vms)
+		}
+	}
+}
+
+func sleepFor(ctx context.Context, d time.Duration) { sleepUntil(ctx, time.Now().Add(d)) }
+
+// reconcileLoop keeps the target table in line with the rules, the groups and the holder table.
+func (n *Node) reconcileLoop(ctx context.Context) {
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		n.reconcile()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) reconcile() {
+	_, current := n.config.Current()
+	if current == nil {
+		return
+	}
+	if n.config.Ready() {
+		n.announceServing()
+	}
+	all := n.allSpecs(current)
+	ids := make([]holder.Target, 0, len(all))
+	for _, s := range all {
+		ids = append(ids, holder.Target{ID: s.ID, FailureDomain: s.FailureDomain})
+	}
+	n.holders.SetTargets(ids)
+	inDoubt := n.membership.Right().InDoubt
+	var held []target.Spec
+	for _, s := range all {
+		if h, ok := n.holders.Holds(s.ID); ok {
+			s.InDoubt = h.InDoubt || inDoubt
+			held = append(held, s)
+		}
+	}
+	n.targets.SetSpecs(held)
+	n.shareAccounts()
+}
+
+// announceServing changes the announced state once, when this node knows the configuration in force.
+func (n *Node) announceServing() {
+	n.mu.Lock()
+	first := !n.announced && !n.draining
+	n.announced = true
+	n.mu.Unlock()
+	if first {
+		n.membership.SetState(schema.NodeState_NODE_STATE_SERVING)
+	}
+}
+
+// allSpecs lists the targets of all nodes.
+func (n *Node) allSpecs(current *rules.Rules) []target.Spec {
+	var specs []target.Spec
+	for _, g := range n.groups.Groups() {
+		if spec, ok := groupSpec(current, g); ok {
+			specs = append(specs, spec)
+		}
+	}
+	for _, s := range current.Services {
+		for _, t := range s.Targets {
+			specs = append(specs, target.Spec{
+				ID: "service/" + s.Name + "/" + t.Address, Destination: "service/" + s.Name, FailureDomain: t.FailureDomain,
+				Address: t.Address, Limits: s.Limits, MaxQueue: s.MaxQueue, Draining: current.FailureDomains[t.FailureDomain].Out,
+			})
+		}
+	}
+	return specs
+}
+
+// groupSpec returns the target for a group. Groups that are still being built are no targets.
+func groupSpec(current *rules.Rules, g groups.View) (target.Spec, bool) {
+	pool, ok := current.Pools[g.Pool]
+	if !ok || g.State == schema.GroupState_GROUP_STATE_PLANNED || len(g.Members) == 0 {
+		return target.Spec{}, false
+	}
+	spec := target.Spec{
+		ID: "group/" + g.FabricDomain + "/" + g.ID, Destination: "pool/" + g.Pool, FailureDomain: g.FailureDomain,
+		Address: g.Members[0].Address, Group: g.ID, Number: g.Number, Limits: pool.Limits, MaxQueue: pool.MaxQueue,
+		Draining: g.State == schema.GroupState_GROUP_STATE_RETIRING || current.FailureDomains[g.FailureDomain].Out,
+	}
+	for _, m := range g.Members {
+		spec.Members = append(spec.Members, target.Member{VM: m.VM, Address: m.Address, Incarnation: m.Incarnation})
+		spec.Draining = spec.Draining || m.Leaving
+	}
+	return spec, true
+}
+
+// onRules applies new rules to the parts that are not reconciled.
+func (n *Node) onRules(r *rules.Rules, revision uint64) {
+	n.admission.SetAccounts(r.Accounts)
+	n.log.WithField("revision", revision).Info("configuration in force at this node")
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"strings"
+
+	"cassiadeal.example/cassiadeal/internal/membership"
+	"cassiadeal.example/cassiadeal/internal/operator"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/target"
+)
+
+// backend serves the operators' listener.
+type backend struct{ n *Node }
+
+// Healthy implements operator.Backend. A node without the right to serve is healthy: a replacement would have no more.
+func (b backend) Healthy() error { return nil }
+
+// Ready implements operator.Backend.
+func (b backend) Ready() error {
+	if err := b.n.mayAccept(); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Config implements operator.Backend.
+func (b backend) Config(context.Context) (operator.Config, error) {
+	c, _ := b.n.config.Current()
+	return operator.Config{Revision: c.GetRevision(), Rules: c.GetRules(), Author: c.GetAuthor()}, nil
+}
+
+// VMs implements operator.Backend.
+func (b backend) VMs(context.Context) ([]*schema.VM, error) {
+	vms, known := b.n.vms.getKnown()
+	if !known {
+		return nil, result.New(result.PlatformUnavailable, "the VM list has not been read yet")
+	}
+	return vms, nil
+}
+
+// Apply implements operator.Backend.
+func (b backend) Apply(ctx context.Context, change operator.Change) (operator.Applied, error) {
+	applied, err := b.n.config.Apply(ctx, change.BaseRevision, change.Text, change.Author)
+	return operator.Applied{Revision: applied.Revision, Missing: applied.Missing}, err
+}
+
+// Status implements operator.Backend.
+func (b backend) Status(context.Context) (operator.Status, error) {
+	n := b.n
+	right := n.membership.Right()
+	s := operator.Status{
+		Node: n.self.Name, Incarnation: n.self.Incarnation, FailureDomain: n.self.FailureDomain, State: n.stateName(),
+		RightToServe: right.Serve, Basis: basis(right), InDoubt: right.InDoubt, ConfigRevision: n.config.Revision(),
+		PlatformContactMS: n.membership.PlatformAge().Milliseconds(),
+	}
+	for _, info := range n.membership.Nodes() {
+		s.Nodes = append(s.Nodes, nodeStatus(info))
+	}
+	s.Targets = n.targetStatuses()
+	if _, current := n.config.Current(); current != nil {
+		s.Destinations = destinations(current, s.Targets, n.routableNodes())
+	}
+	s.StrandedVMs = n.strandedVMs()
+	return s, nil
+}
+
+func (n *Node) stateName() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.draining:
+		return "draining"
+	case n.announced:
+		return "serving"
+	}
+	return "starting"
+}
+
+func basis(r membership.Right) string {
+	switch {
+	case r.PlatformLease && r.Majority:
+		return "both"
+	case r.PlatformLease:
+		return "platform"
+	case r.Majority:
+		return "majority"
+	}
+	return "none"
+}
+
+func nodeStatus(info membership.NodeInfo) operator.NodeStatus {
+	s := operator.NodeStatus{
+		Name: info.Record.Name, FailureDomain: info.Record.FailureDomain, OperatorAddress: info.Record.OperatorAddress,
+		State: strings.ToLower(strings.TrimPrefix(state(info).String(), "NODE_STATE_")), ConfigRevision: info.Record.ConfigRevision,
+		LastHeardMS: info.HeardAge.Milliseconds(),
+	}
+	if info.Status != nil {
+		s.ConfigRevision = max(s.ConfigRevision, info.Status.ConfigRevision)
+	}
+	return s
+}
+
+// targetStatuses lists all targets; numbers are known for those that this node holds.
+func (n *Node) targetStatuses() []operator.TargetStatus {
+	_, current := n.config.Current()
+	if current == nil {
+		return nil
+	}
+	held := make(map[string]target.Status)
+	for _, s := range n.targets.Status() {
+		held[s.ID] = s
+	}
+	var list []operator.TargetStatus
+	for _, spec := range n.allSpecs(current) {
+		kind, name, _ := strings.Cut(spec.Destination, "/")
+		t := operator.TargetStatus{ID: spec.ID, Kind: kind, Destination: name, FailureDomain: spec.FailureDomain, State: "unknown"}
+		t.Holder, _ = n.holders.HolderOf(spec.ID)
+		for _, m := range spec.Members {
+			t.VMs = append(t.VMs, m.VM)
+		}
+		if st, ok := held[spec.ID]; ok {
+			t.State, t.InFlight, t.Limit, t.InDoubt = targetState(st), st.InFlight, st.Limit, st.InDoubt
+		} else if spec.Draining {
+			t.State = "draining"
+		}
+		list = append(list, t)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+func targetState(s target.Status) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Unusable != "":
+		return "lost"
+	case s.Warm:
+		return "warm"
+	case s.Limit > s.Limits.Cold:
+		return "warming"
+	}
+	return "cold"
+}
+
+// strandedVMs lists live VMs in no ready group.
+func (n *Node) strandedVMs() []string {
+	serving := make(map[string]bool)
+	for _, g := range n.groups.Groups() {
+		if g.State != schema.GroupState_GROUP_STATE_READY {
+			continue
+		}
+		for _, m := range g.Members {
+			serving[m.VM] = true
+		}
+	}
+	stranded := []string{}
+	for _, vm := range n.vms.get() {
+		if vm.State == schema.VMState_VM_STATE_LIVE && !serving[vm.Name] {
+			stranded = append(stranded, vm.Name)
+		}
+	}
+	sort.Strings(stranded)
+	return stranded
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -81,7 +81,7 @@
 		if p.Name == destination {
 			c.free += int(p.FreeSlots)
 			c.total += int(p.TotalSlots)
-			c.queue += int(p.Queued)
+			c.queue = max(c.queue, int(p.Queued)) // Every summary of a node repeats its one queue.
 		}
 	}
 	c.free -= r.sentSince(n, destination)
