Add the operators' command line

A lost reply of apply must not look like a failure: the command asks the nodes whether its text is written, and has an exit code of its own if that stays unknown. It has not run against a daemon yet. Conclusion: check, diff, apply, status, why and drain-plan work; load and demo return "not built yet".

--- /dev/null
+++ b/cmd/cassiadeal/main.go
@@ -0,0 +1,26 @@
+// Command cassiadeal is the operators' command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cassiadeal.example/cassiadeal/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, cli.Options{
+		Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Load: notBuilt, Demo: notBuilt,
+	}, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+func notBuilt(context.Context, []string, io.Writer, io.Writer) error {
+	return errors.New("not built yet")
+}
--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,239 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/operator"
+	"cassiadeal.example/cassiadeal/internal/rules"
+)
+
+func (a *app) check(ctx context.Context, c *checkCommand) error {
+	_, text, err := a.readRules(c.File)
+	if err != nil {
+		return err
+	}
+	if len(a.nodes.addresses) == 0 {
+		fmt.Fprintf(a.Stdout, "%s is valid; without --node it was not checked against the VM list\n", c.File)
+		return nil
+	}
+	var failures []string
+	for _, address := range a.nodes.addresses {
+		answer, err := a.nodes.call(ctx, address, http.MethodPost, "/v1/config/check", operator.ApplyRequest{Rules: text}, a.nodes.timeout)
+		var checked operator.CheckAnswer
+		switch {
+		case err != nil:
+			failures = append(failures, fmt.Sprintf("%s: %v", address, err))
+		case answer.status == http.StatusUnprocessableEntity:
+			return a.refused(c.File, answer)
+		case answer.status != http.StatusOK || json.Unmarshal(answer.body, &checked) != nil:
+			failures = append(failures, address+": "+refusalText(answer))
+		case !checked.CapacityChecked:
+			fmt.Fprintf(a.Stdout, "%s is valid; %s knows no VM list, so the capacity was not checked\n", c.File, address)
+			return nil
+		default:
+			fmt.Fprintf(a.Stdout, "%s is valid and fits the VM list\n", c.File)
+			return nil
+		}
+	}
+	return a.nodes.noNode(failures)
+}
+
+func (a *app) refused(file string, answer reply) error {
+	var refusal operator.Refusal
+	if json.Unmarshal(answer.body, &refusal) == nil && len(refusal.Problems) > 0 {
+		return a.invalid(file, refusal.Problems)
+	}
+	return exitf(ExitInvalid, "%s is refused: %s", file, refusalText(answer))
+}
+
+func (a *app) diff(ctx context.Context, d *diffCommand) error {
+	changed, _, err := a.readRules(d.File)
+	if err != nil {
+		return err
+	}
+	var old *rules.Rules
+	if d.Other != "" {
+		old, _, err = a.readRules(d.Other)
+	} else {
+		old, _, _, err = a.inForce(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	changes := rules.Diff(old, changed)
+	if d.JSON {
+		return a.printJSON(append([]rules.Change{}, changes...))
+	}
+	a.printChanges(changes)
+	return nil
+}
+
+func (a *app) printChanges(changes []rules.Change) {
+	if len(changes) == 0 {
+		fmt.Fprintln(a.Stdout, "no changes")
+	}
+	for _, change := range changes {
+		for _, line := range strings.Split(change.String(), "\n") {
+			switch line[0] {
+			case '-':
+				line = a.paint(red, line)
+			case '+':
+				line = a.paint(green, line)
+			}
+			fmt.Fprintln(a.Stdout, line)
+		}
+	}
+}
+
+func (a *app) apply(ctx context.Context, c *applyCommand) error {
+	if c.Author == "" {
+		return exitf(ExitUsage, "--author is missing")
+	}
+	changed, text, err := a.readRules(c.File)
+	if err != nil {
+		return err
+	}
+	request := operator.ApplyRequest{BaseRevision: c.Base, Rules: text, Author: c.Author}
+	if c.Base == nil {
+		current, _, err := a.nodes.config(ctx)
+		if err != nil {
+			return err
+		}
+		if current.Rules == text {
+			fmt.Fprintf(a.Stdout, "the same text is already written as revision %d\n", current.Revision)
+			return a.confirm(ctx, current.Revision)
+		}
+		if old, problems := rules.Parse("in force", current.Rules); len(problems) == 0 {
+			a.printChanges(rules.Diff(old, changed))
+		}
+		request.BaseRevision = &current.Revision
+	}
+	return a.send(ctx, c.File, request)
+}
+
+// send tries the nodes in order until one has taken the change or may have taken it.
+func (a *app) send(ctx context.Context, file string, request operator.ApplyRequest) error {
+	var failures []string
+	for _, address := range a.nodes.addresses {
+		answer, err := a.nodes.call(ctx, address, http.MethodPost, "/v1/config", request, a.nodes.timeout)
+		var usage *exitError
+		switch {
+		case errors.As(err, &usage):
+			return err
+		case err != nil && notSent(err):
+			failures = append(failures, fmt.Sprintf("%s: %v", address, err))
+			continue
+		case err != nil:
+			return a.resolve(ctx, file, request, fmt.Sprintf("the reply of %s is lost: %v", address, err))
+		}
+		if answer.status >= http.StatusInternalServerError && refusedNotRun(answer) {
+			failures = append(failures, address+": "+refusalText(answer))
+			continue
+		}
+		return a.outcome(ctx, file, request, address, answer)
+	}
+	return a.nodes.noNode(failures)
+}
+
+func refusedNotRun(answer reply) bool {
+	var refusal operator.Refusal
+	return json.Unmarshal(answer.body, &refusal) == nil && refusal.NotRun
+}
+
+func (a *app) outcome(ctx context.Context, file string, request operator.ApplyRequest, address string, answer reply) error {
+	var applied operator.ApplyAnswer
+	decoded := json.Unmarshal(answer.body, &applied) == nil
+	switch {
+	case answer.status == http.StatusOK && decoded && applied.Accepted:
+		fmt.Fprintln(a.Stdout, a.paint(green, fmt.Sprintf("accepted: revision %d is in force everywhere", applied.Revision)))
+		return nil
+	case answer.status == http.StatusGatewayTimeout && decoded && applied.Revision > 0:
+		return notInForce(applied.Revision, applied.Missing)
+	case answer.status == http.StatusConflict:
+		return exitf(ExitConflict, "nothing was written: %s; run diff, then apply again", refusalText(answer))
+	case answer.status == http.StatusUnprocessableEntity:
+		return a.refused(file, answer)
+	case answer.status >= http.StatusBadRequest && answer.status < http.StatusInternalServerError:
+		return exitf(ExitUsage, "%s refused the change: %s", address, refusalText(answer))
+	default:
+		return a.resolve(ctx, file, request, fmt.Sprintf("%s answered: %s", address, refusalText(answer)))
+	}
+}
+
+func notInForce(revision uint64, missing []string) error {
+	return exitf(ExitNotInForce, "revision %d is written but not in force everywhere; missing: %s", revision, orNone(missing))
+}
+
+// resolve finds out after a lost reply whether the text was written. Only its presence proves anything: a write that is
+// still on its way may land after any number of reads that don't show it.
+func (a *app) resolve(ctx context.Context, file string, request operator.ApplyRequest, cause string) error {
+	fmt.Fprintf(a.Stderr, "cassiadeal: %s; asking the nodes for the outcome\n", cause)
+	var revision uint64
+	found := a.poll(ctx, func(ctx context.Context) bool {
+		for _, address := range a.nodes.addresses {
+			one := *a.nodes
+			one.addresses = []string{address}
+			config, _, err := one.config(ctx)
+			if err == nil && config.Revision > *request.BaseRevision && config.Rules == request.Rules && config.Author == request.Author {
+				revision = config.Revision
+				return true
+			}
+		}
+		return false
+	})
+	if !found {
+		return exitf(ExitUnknown, "the outcome is unknown: no node shows the text of %s, but it may still be written; check with: cassiadeal diff %s", file, file)
+	}
+	return a.confirm(ctx, revision)
+}
+
+// confirm waits until every listed node reports the revision.
+func (a *app) confirm(ctx context.Context, revision uint64) error {
+	var missing []string
+	reached := false
+	inForce := a.poll(ctx, func(ctx context.Context) bool {
+		status, err := a.nodes.status(ctx)
+		if err != nil {
+			return false
+		}
+		reached, missing = true, nil
+		for _, node := range status.Nodes {
+			if node.ConfigRevision < revision {
+				missing = append(missing, node.Name)
+			}
+		}
+		return len(missing) == 0 && len(status.Nodes) > 0
+	})
+	if inForce {
+		fmt.Fprintln(a.Stdout, a.paint(green, fmt.Sprintf("accepted: revision %d is in force on every listed node", revision)))
+		return nil
+	}
+	if !reached {
+		return exitf(ExitNotInForce, "revision %d is written; no node says whether it is in force everywhere", revision)
+	}
+	return notInForce(revision, missing)
+}
+
+// poll repeats the check until it succeeds or the time limit ends.
+func (a *app) poll(ctx context.Context, check func(context.Context) bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, a.nodes.timeout)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		if check(ctx) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/drain.go
@@ -0,0 +1,179 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	"cassiadeal.example/cassiadeal/internal/operator"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// drainPlan is what drain-plan prints.
+type drainPlan struct {
+	Name         string      `json:"name"`
+	Kind         string      `json:"kind"` // failure_domain, fabric_domain or vm.
+	VMs          int         `json:"vms"`  // Live VMs that are lost.
+	EntryNodes   []string    `json:"entry_nodes"`
+	Destinations []drainLine `json:"destinations"`
+}
+
+// drainLine is one pool or service. Capacities are requests in flight at the full limits.
+type drainLine struct {
+	Kind              string `json:"kind"`
+	Name              string `json:"name"`
+	Wanted            int    `json:"wanted"`
+	Serving           int    `json:"serving"`
+	Lost              int    `json:"lost"`
+	Remaining         int    `json:"remaining"`
+	Capacity          int    `json:"capacity"`
+	RemainingCapacity int    `json:"remaining_capacity"`
+	// AfterRepair is the number of replicas that the remaining VMs have room for; for services, Remaining.
+	AfterRepair int `json:"after_repair"`
+}
+
+func (a *app) drainPlan(ctx context.Context, c *drainCommand) error {
+	r, _, _, err := a.inForce(ctx)
+	if err != nil {
+		return err
+	}
+	status, err := a.nodes.status(ctx)
+	if err != nil {
+		return err
+	}
+	vms, err := a.nodes.vms(ctx)
+	if err != nil {
+		return err
+	}
+	plan, found := planDrain(r, &status, vms, c.Name)
+	if !found {
+		return exitf(ExitNotFound, "no failure domain, fabric domain or VM is named %q", c.Name)
+	}
+	if c.JSON {
+		return a.printJSON(plan)
+	}
+	a.printPlan(plan)
+	return nil
+}
+
+func (a *app) printPlan(plan drainPlan) {
+	fmt.Fprintf(a.Stdout, "taking out %s %s loses %s and entry nodes: %s\n", plan.Kind, plan.Name, plural(plan.VMs, "VM"), orNone(plan.EntryNodes))
+	a.table("DESTINATION\tKIND\tWANTED\tSERVING\tLOST\tCAPACITY\tCAPACITY LEFT\tAFTER REPAIR\tREMAINING", func(w io.Writer) {
+		for _, d := range plan.Destinations {
+			colour := green
+			if d.Remaining == 0 && d.Wanted > 0 {
+				colour = red
+			} else if d.Lost > 0 {
+				colour = yellow
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", d.Name, d.Kind, d.Wanted, d.Serving, d.Lost,
+				d.Capacity, d.RemainingCapacity, d.AfterRepair, a.paint(colour, fmt.Sprint(d.Remaining)))
+		}
+	})
+}
+
+// planDrain computes the loss from the rules in force, one node's status and the VM list. Targets in failure domains that
+// are already out count neither as serving nor as lost.
+func planDrain(r *rules.Rules, status *operator.Status, vms []*schema.VM, name string) (drainPlan, bool) {
+	plan := drainPlan{Name: name, EntryNodes: []string{}}
+	taken, left := map[string]bool{}, []*schema.VM(nil)
+	kind := drainKind(r, vms, name)
+	if kind == "" {
+		return plan, false
+	}
+	plan.Kind = kind
+	for _, vm := range vms {
+		switch {
+		case inDrain(kind, name, vm):
+			taken[vm.GetName()] = true
+			if vm.GetState() == schema.VMState_VM_STATE_LIVE {
+				plan.VMs++
+			}
+		case !r.FailureDomains[vm.GetFailureDomain()].Out:
+			left = append(left, vm)
+		}
+	}
+	for _, node := range status.Nodes {
+		if kind == kindFailureDomain && node.FailureDomain == name {
+			plan.EntryNodes = append(plan.EntryNodes, node.Name)
+		}
+	}
+	lost := func(t operator.TargetStatus) bool {
+		return (kind == kindFailureDomain && t.FailureDomain == name) || (kind == kindFabricDomain && t.FabricDomain == name) ||
+			slices.ContainsFunc(t.VMs, func(vm string) bool { return taken[vm] })
+	}
+	plan.Destinations = drainLines(r, status, lost, rules.Place(r, left))
+	return plan, true
+}
+
+// Kinds of what can be taken out.
+const (
+	kindFailureDomain = "failure_domain"
+	kindFabricDomain  = "fabric_domain"
+	kindVM            = "vm"
+)
+
+func drainKind(r *rules.Rules, vms []*schema.VM, name string) string {
+	if _, ok := r.FailureDomains[name]; ok {
+		return kindFailureDomain
+	}
+	for _, kind := range []string{kindFailureDomain, kindFabricDomain, kindVM} {
+		if slices.ContainsFunc(vms, func(vm *schema.VM) bool { return inDrain(kind, name, vm) }) {
+			return kind
+		}
+	}
+	return ""
+}
+
+func inDrain(kind, name string, vm *schema.VM) bool {
+	switch kind {
+	case kindFailureDomain:
+		return vm.GetFailureDomain() == name
+	case kindFabricDomain:
+		return vm.GetFabricDomain() == name
+	default:
+		return vm.GetName() == name
+	}
+}
+
+func drainLines(r *rules.Rules, status *operator.Status, lost func(operator.TargetStatus) bool, placed map[string]int) []drainLine {
+	var lines []drainLine
+	for name, pool := range r.Pools {
+		lines = append(lines, drainLine{Kind: "pool", Name: name, Wanted: pool.Replicas, AfterRepair: placed[name]})
+	}
+	for name, service := range r.Services {
+		lines = append(lines, drainLine{Kind: "service", Name: name, Wanted: len(service.Targets)})
+	}
+	slices.SortFunc(lines, func(x, y drainLine) int {
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Name, y.Name))
+	})
+	for i := range lines {
+		line := &lines[i]
+		full := r.Pools[line.Name].Limits.Full
+		if line.Kind == "service" {
+			full = r.Services[line.Name].Limits.Full
+		}
+		for _, t := range status.Targets {
+			if t.Kind != line.Kind || t.Destination != line.Name || !serves(t) || r.FailureDomains[t.FailureDomain].Out {
+				continue
+			}
+			line.Serving++
+			if lost(t) {
+				line.Lost++
+			}
+		}
+		line.Remaining = line.Serving - line.Lost
+		line.Capacity, line.RemainingCapacity = line.Serving*full, line.Remaining*full
+		if line.Kind == "service" {
+			line.AfterRepair = line.Remaining
+		}
+	}
+	return lines
+}
+
+func serves(t operator.TargetStatus) bool {
+	return t.State == "cold" || t.State == "warming" || t.State == "warm"
+}
