Test concurrent callers, priorities, cache events and switches of the stand-ins

Cause: integration tests rely on these behaviours and nothing checked them. Measured: go vet, staticcheck and go test -race -count=10 on the engine and platform stand-ins pass. Conclusion: the switches act as docs/protocols.md states.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -183,3 +184,105 @@
 	f.c.Assert(f.s.SetFaults(engine.Faults{VM: "v1", Down: new(false)}), qt.IsNil)
 	f.c.Check(f.state().VM, qt.Equals, "v1")
 }
+
+// Guards against crossed answers of concurrent callers.
+func TestConcurrentCallers(t *testing.T) {
+	f := start(t, engine.Options{SlotsWarm: 8, BearsCold: 8})
+	f.joinReady()
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			id := fmt.Sprint("r", i)
+			tokens, last := f.read(f.post("/v1/generate", id, gen(id, 10+i)), id, 100)
+			f.c.Check(tokens, qt.DeepEquals, engine.Text(model, id, 10+i))
+			f.c.Check(last.End, qt.IsTrue)
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against waiting requests that are batched without regard to their priority.
+func TestPriority(t *testing.T) {
+	f := start(t, engine.Options{SlotsWarm: 1, BearsCold: 1})
+	f.joinReady()
+	f.post("/v1/generate", "first", gen("x", 100000))
+	low, high := gen("low", 20), gen("high", 20)
+	high.Priority = 2
+	lowStream, highStream := f.post("/v1/generate", "low", low), f.post("/v1/generate", "high", high)
+	f.post("/v1/cancel", "", map[string]string{"request_id": "first"})
+	f.read(lowStream, "low", 100)
+	f.read(highStream, "high", 100)
+	rec := f.s.Record().VMs["v1"].Generates
+	f.c.Check(rec[2].EndUnixMS < rec[1].EndUnixMS, qt.IsTrue, qt.Commentf("%+v", rec))
+}
+
+// Guards against an unlimited cache and against events that are reported at once.
+func TestCacheEvents(t *testing.T) {
+	f := start(t, engine.Options{CacheTokens: 32, CacheEventDelay: 50 * time.Millisecond, CacheEventLoss: 1e-9})
+	f.joinReady()
+	type answer struct {
+		Next   uint64
+		Events []engine.CacheEvent
+	}
+	events := func() (a answer) {
+		resp, err := http.Get(f.addr + "/v1/cache-events?since=0")
+		f.c.Assert(err, qt.IsNil)
+		defer resp.Body.Close()
+		f.c.Assert(json.NewDecoder(resp.Body).Decode(&a), qt.IsNil)
+		return a
+	}
+	begin := time.Now()
+	for _, word := range []string{"a", "b"} {
+		f.read(f.post("/v1/generate", word, gen(strings.Repeat(word+" ", 32), 1)), word, 100)
+	}
+	f.waitFor("six events", func() bool { return events().Next == 6 })
+	f.c.Check(time.Since(begin) >= 50*time.Millisecond, qt.IsTrue)
+	var kinds []string
+	for _, e := range events().Events {
+		kinds = append(kinds, e.Kind)
+	}
+	f.c.Check(kinds, qt.DeepEquals, []string{"add", "add", "add", "add", "evict", "evict"})
+}
+
+// Guards against stream switches that do not spoil a stream in the way that a test of the dispatcher relies on.
+func TestStreamSwitches(t *testing.T) {
+	text := engine.Text(model, "x", 3)
+	for _, tc := range []struct {
+		name   string
+		faults engine.Faults
+		id     string
+		tokens []string
+		end    bool
+	}{
+		{"cut", engine.Faults{CutStreamAfter: new(2)}, "r", text[:2], false},
+		{"wrong request number", engine.Faults{WrongRequestID: new(true)}, "wrong-r", text, true},
+		{"no end marker", engine.Faults{NoEndMarker: new(true)}, "r", text, false},
+		{"duplicates", engine.Faults{DuplicateTokens: new(true)}, "r",
+			[]string{text[0], text[0], text[1], text[1], text[2], text[2]}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := start(t, engine.Options{})
+			f.joinReady()
+			f.c.Assert(f.s.SetFaults(tc.faults), qt.IsNil)
+			tokens, last := f.read(f.post("/v1/generate", "r", gen("x", 3)), tc.id, 100)
+			f.c.Check(tokens, qt.DeepEquals, tc.tokens)
+			f.c.Check(last.End, qt.Equals, tc.end)
+		})
+	}
+}
+
+// Guards against reported load that is current, a pause that is not kept and a warm engine that ignores turn_cold.
+func TestStateLagPauseAndTurnCold(t *testing.T) {
+	f := start(t, engine.Options{SlotsWarm: 2, BearsCold: 1, LoadLag: 20 * time.Millisecond})
+	f.joinReady()
+	f.c.Check(f.state().Cold, qt.IsTrue)
+	f.read(f.post("/v1/generate", "a", gen("x", 1)), "a", 100)
+	f.c.Check(f.state().Cold, qt.IsFalse)
+	f.post("/v1/generate", "b", gen("x", 100000))
+	f.c.Check(f.state().Running, qt.Equals, 0)
+	f.waitFor("load report", func() bool { st := f.state(); return st.Running == 1 && st.LoadAgeMS >= 20 })
+	begin := time.Now()
+	f.c.Assert(f.s.SetFaults(engine.Faults{PauseMS: 50, TurnCold: true}), qt.IsNil)
+	f.c.Check(f.state().Cold, qt.IsTrue)
+	f.c.Check(time.Since(begin) >= 50*time.Millisecond, qt.IsTrue)
+}
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -142,3 +142,21 @@
 	status, _, _ = cl.do("PUT", "/admin/vms", "", `{"vms":[{"name":"v1","state":"BROKEN"}]}`)
 	cl.c.Check(status, qt.Equals, 400)
 }
+
+// Guards against a slow write that is dropped when its client gives up, and against a rate limit without effect.
+func TestSlowWriteAndRateLimit(t *testing.T) {
+	cl, s := start(t, platform.Options{ReadsPerSec: 1})
+	cl.c.Assert(s.SetFaults(platform.Faults{Mode: platform.ModeSlow, DelayMS: 100}), qt.IsNil)
+	r, err := http.NewRequest("PUT", cl.base+"/v1/objects/a/x", strings.NewReader(`{}`))
+	cl.c.Assert(err, qt.IsNil)
+	r.Header.Set("If-None-Match", "*")
+	_, err = (&http.Client{Timeout: 20 * time.Millisecond}).Do(r)
+	cl.c.Check(err, qt.IsNotNil)
+	for end := time.Now().Add(10 * time.Second); len(s.Record().Writes) == 0; time.Sleep(time.Millisecond) {
+		cl.c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+	cl.c.Assert(s.SetFaults(platform.Faults{}), qt.IsNil)
+	first, _, _ := cl.do("GET", "/v1/objects/a/x", "", "")
+	second, _, _ := cl.do("GET", "/v1/objects/a/x", "", "")
+	cl.c.Check([]int{first, second}, qt.DeepEquals, []int{200, 429})
+}
