Keep the caller's generate fields byte for byte

Cause: the body of a generate request was decoded and encoded again, which rounds large numbers and replaces invalid UTF-8. Now only the priority and the group are added; the other fields stay raw. A body of null is refused as not run instead of causing a panic.

Also: the attempt to cancel at an engine is bounded by 500 ms instead of 1 s, because the slot is held meanwhile; a test shows that a report's age counts from the sending of its probe; the lock order names the calls that are made under the lock.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 	// lossCheck bounds the wait for fresh probes after a broken exchange.
 	lossCheck = 2 * time.Second
 	// cancelTimeout bounds the attempt to cancel a request at an engine.
-	cancelTimeout = time.Second
+	cancelTimeout = 500 * time.Millisecond
 )
 
 // Options configures a Runner. Zero values get the defaults.
@@ -118,7 +118,9 @@
 	return e
 }
 
-// Run sends the request to the target of the slot and releases the slot. The returned end is not passed to the sink.
+// Run sends the request to the target of the slot and releases the slot. The returned end is not passed to the sink; its
+// code is a result.Code, and not_run is true only if no byte was sent or the engine stated that it refused the request.
+// Without a deadline, in the request or in ctx, an exchange with a silent service does not end.
 func (r *Runner) Run(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
 	if req.GetDeadlineMs() > 0 {
 		var cancel context.CancelFunc
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -75,13 +75,24 @@
 	return s.failure(ctx, err)
 }
 
-// generateBody adds the priority and the group to the caller's body, so that an engine of another group refuses it.
+// generateBody adds the priority and the group to the caller's body, so that an engine of another group refuses it. The
+// other fields stay as the caller wrote them.
 func generateBody(slot *target.Slot, req *schema.DispatchRequest) ([]byte, error) {
-	fields := map[string]any{}
+	fields := map[string]json.RawMessage{}
 	if err := json.Unmarshal(req.GetBody(), &fields); err != nil {
 		return nil, err
 	}
-	fields["priority"], fields["group"], fields["number"] = req.GetPriority(), slot.Group, slot.Number
+	if fields == nil {
+		return nil, errors.New("the body is null instead of an object")
+	}
+	added := map[string]any{"priority": req.GetPriority(), "group": slot.Group, "number": slot.Number}
+	for name, value := range added {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			return nil, err
+		}
+		fields[name] = encoded
+	}
 	return json.Marshal(fields)
 }
 
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -1,9 +1,9 @@
 // Package target is the target table of a node: the replica groups and service back ends that this node sends to, what is
 // known of their health, and the bounded queues of requests that wait for a slot.
 //
-// Table.mu is the only lock of the package. It is never held while probing, waiting, or calling a Prober; a Policy runs
-// under it and must not block. Code that holds another lock may call into the table, and the table calls out to nobody
-// with mu held, so mu is last in every lock order.
+// Table.mu is the only lock of the package. It is never held while probing or waiting. A Policy and the clock are called
+// and metric counters are incremented under it; they must not block or call the table. Code that holds another lock may
+// call the table, so mu is last in every lock order.
 package target
 
 import (
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -395,8 +395,24 @@
 	qt.Assert(t, (&Affinity{}).Choose(42, []Candidate{{ID: "t0"}}), qt.Equals, -1)
 }
 
-// Guards against overlapping probes of one member, reports dated by their arrival, and a silent probe connection that is
-// used again.
+// slowProber takes the whole freshness bound for each answer.
+type slowProber struct{ w *world }
+
+func (p slowProber) Probe(context.Context, bool, string) (Report, error) {
+	p.w.advance(DefaultFreshness)
+	return ready, nil
+}
+
+// Guards against reports that are dated by their arrival.
+func TestReportAgeCountsFromSending(t *testing.T) {
+	w := newWorld(t, nil, pool("t1", 1, 1))
+	w.table.opt.Prober = slowProber{w}
+	g := w.table.targets["t1"]
+	w.table.probeOnce(t.Context(), g, g.members[0])
+	qt.Assert(t, g.members[0].unusable(g.spec, w.clock(), DefaultFreshness), qt.Equals, "report too old")
+}
+
+// Guards against overlapping probes of one member and a silent probe connection that is used again.
 func TestRunProbes(t *testing.T) {
 	var mu sync.Mutex
 	running, highest, hangs := 0, 0, 1
