Test the body of generate requests; use httptest in the dispatch tests

Cause: the handling of a body that is no object had no test, and the raw test server repeated what httptest offers. Raw answers are now written to hijacked connections; every check stays as it was.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -9,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,65 +25,40 @@
 
 const testTimeout = 10 * time.Second
 
-// rawServer gives each request and its connection to handle, which writes the raw answer. The connection is closed when
-// handle returns false.
+// rawServer gives each request and its connection to handle, which writes the raw answer. Afterwards the connection is
+// closed. Requests for whose number raw returns false get an empty answer and their connection is kept; raw may be nil.
 type rawServer struct {
 	address string
-	handle  func(n int, conn net.Conn, req *http.Request, body string) bool
 
 	mu       sync.Mutex
 	requests []string // Method, path and Idempotency-Key, in order of arrival.
 	headers  []http.Header
 }
 
-func newRawServer(t *testing.T, handle func(n int, conn net.Conn, req *http.Request, body string) bool) *rawServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	s := &rawServer{address: listener.Addr().String(), handle: handle}
-	var wg sync.WaitGroup
-	var conns sync.Map
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			conns.Store(conn, true)
-			wg.Add(1)
-			go func() { defer wg.Done(); s.serve(conn) }()
-		}
-	}()
-	t.Cleanup(func() {
-		listener.Close()
-		conns.Range(func(conn, _ any) bool { conn.(net.Conn).Close(); return true })
-		wg.Wait()
-	})
-	return s
-}
-
-func (s *rawServer) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
-			return
-		}
+func newRawServer(t *testing.T, raw func(n int) bool, handle func(conn net.Conn, req *http.Request, body string)) *rawServer {
+	s := &rawServer{}
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body) // A cut body shows as another body.
 		s.mu.Lock()
 		s.requests = append(s.requests, strings.TrimSpace(req.Method+" "+req.URL.Path+" "+req.Header.Get("Idempotency-Key")))
 		s.headers = append(s.headers, req.Header)
 		n := len(s.requests)
 		s.mu.Unlock()
-		if !s.handle(n, conn, req, string(body)) {
+		if raw != nil && !raw(n) {
+			rw.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
 			return
 		}
-	}
+		conn, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		handle(conn, req, string(body))
+	}))
+	t.Cleanup(server.Close)
+	s.address = server.Listener.Addr().String()
+	return s
 }
 
 func (s *rawServer) seen() []string {
@@ -163,10 +138,7 @@
 	} {
 		for _, repeatable := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s/repeatable=%t", test.name, repeatable), func(t *testing.T) {
-				server := newRawServer(t, func(_ int, conn net.Conn, _ *http.Request, _ string) bool {
-					_, _ = io.WriteString(conn, test.reply)
-					return false
-				})
+				server := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, _ string) { _, _ = io.WriteString(conn, test.reply) })
 				slot, _, table := slotAt(t, server.address, "service/s")
 				var got answer
 				end := New(Options{MaxAnswer: 50}).Run(t.Context(), slot, &schema.DispatchRequest{RequestId: "r1", Method: "POST",
@@ -192,13 +164,8 @@
 // test provokes that replay.
 func TestNonRepeatableRunsOnceOnDeadConnection(t *testing.T) {
 	executed := func(t *testing.T, send func(t *testing.T, server *rawServer, method, key string)) []string {
-		server := newRawServer(t, func(n int, conn net.Conn, _ *http.Request, _ string) bool {
-			if n == 2 { // Executed; then the connection dies without an answer.
-				return false
-			}
-			_, _ = io.WriteString(conn, okHead+"Content-Length: 0\r\n\r\n")
-			return true
-		})
+		// The second request is executed, and then its connection dies without an answer.
+		server := newRawServer(t, func(n int) bool { return n == 2 }, func(net.Conn, *http.Request, string) {})
 		send(t, server, "GET", "")
 		send(t, server, "POST", "k1")
 		return server.seen()
@@ -250,7 +217,7 @@
 		qt.Assert(t, end.GetNotRun(), qt.IsTrue)
 	})
 	t.Run("target restarts before the first byte", func(t *testing.T) {
-		server := newRawServer(t, func(int, net.Conn, *http.Request, string) bool { return false })
+		server := newRawServer(t, nil, func(net.Conn, *http.Request, string) {})
 		slot, prober, table := slotAt(t, server.address, "service/s")
 		prober.incarnation.Store("i2")
 		deadline := time.Now().Add(testTimeout)
@@ -267,9 +234,8 @@
 
 // Guards against a hanging caller, and against a crash count for a target that only was silent.
 func TestServiceDeadline(t *testing.T) {
-	server := newRawServer(t, func(_ int, conn net.Conn, _ *http.Request, _ string) bool {
+	server := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, _ string) {
 		_, _ = io.Copy(io.Discard, conn) // Until the other side closes.
-		return false
 	})
 	for repeatable, want := range map[bool]result.Code{true: result.DeadlineExceeded, false: result.OutcomeUnknown} {
 		slot, _, _ := slotAt(t, server.address, "service/s")
@@ -284,10 +250,7 @@
 // Guards against an uncounted crash: the target loses the connection and comes back with another incarnation.
 func TestCrashed(t *testing.T) {
 	var prober *fakeProber
-	server := newRawServer(t, func(int, net.Conn, *http.Request, string) bool {
-		prober.incarnation.Store("i2")
-		return false
-	})
+	server := newRawServer(t, nil, func(net.Conn, *http.Request, string) { prober.incarnation.Store("i2") })
 	for _, generate := range []bool{false, true} {
 		destination := map[bool]string{true: "pool/p", false: "service/s"}[generate]
 		var slot *target.Slot
@@ -301,9 +264,8 @@
 
 // Guards against headers of one connection reaching the other one.
 func TestHopByHopHeaders(t *testing.T) {
-	server := newRawServer(t, func(_ int, conn net.Conn, _ *http.Request, _ string) bool {
+	server := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, _ string) {
 		_, _ = io.WriteString(conn, okHead+"Connection: X-Secret\r\nX-Secret: 1\r\nX-Kept: 1\r\nContent-Length: 0\r\n\r\n")
-		return false
 	})
 	slot, _, _ := slotAt(t, server.address, "service/s")
 	var names []string
@@ -324,9 +286,8 @@
 
 // Guards against a slot that stays taken when the receiver of the answer is gone.
 func TestSinkError(t *testing.T) {
-	server := newRawServer(t, func(_ int, conn net.Conn, _ *http.Request, _ string) bool {
+	server := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, _ string) {
 		_, _ = io.WriteString(conn, okHead+"Content-Length: 5\r\n\r\nhello")
-		return false
 	})
 	slot, _, table := slotAt(t, server.address, "service/s")
 	end := New(Options{}).Run(t.Context(), slot, &schema.DispatchRequest{RequestId: "r1", Method: "GET", Path: "/", Repeatable: true},
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -81,11 +81,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			var resumes []string
 			served := 0
-			server := newRawServer(t, func(_ int, conn net.Conn, req *http.Request, body string) bool {
+			server := newRawServer(t, nil, func(conn net.Conn, req *http.Request, body string) {
 				switch req.URL.Path {
 				case "/v1/cancel":
 					_, _ = io.WriteString(conn, plain("200 OK"))
-					return false
+					return
 				case "/v1/resume":
 					resumes = append(resumes, body)
 				}
@@ -95,7 +95,6 @@
 				if hang {
 					_, _ = io.Copy(io.Discard, conn)
 				}
-				return false
 			})
 			slot, _, table := slotAt(t, server.address, "pool/p")
 			var got answer
@@ -117,12 +116,11 @@
 
 // Guards against an engine that works on for a caller that is gone.
 func TestGenerateCancel(t *testing.T) {
-	server := newRawServer(t, func(_ int, conn net.Conn, req *http.Request, _ string) bool {
+	server := newRawServer(t, nil, func(conn net.Conn, req *http.Request, _ string) {
 		if req.URL.Path == "/v1/generate" {
 			_, _ = io.WriteString(conn, sse("i1", 0))
 			_, _ = io.Copy(io.Discard, conn)
 		}
-		return false
 	})
 	slot, _, _ := slotAt(t, server.address, "pool/p")
 	ctx, cancel := context.WithCancel(t.Context())
@@ -142,9 +140,9 @@
 func TestGenerateBackpressure(t *testing.T) {
 	const limit = 64 << 20 // Far above the socket buffers of both sides.
 	blocked := make(chan int, 1)
-	server := newRawServer(t, func(_ int, conn net.Conn, req *http.Request, _ string) bool {
+	server := newRawServer(t, nil, func(conn net.Conn, req *http.Request, _ string) {
 		if req.URL.Path != "/v1/generate" {
-			return false
+			return
 		}
 		sent := 0
 		comment := ":" + strings.Repeat("x", 60<<10) + "\n"
@@ -158,7 +156,6 @@
 			}
 		}
 		blocked <- sent
-		return false
 	})
 	slot, _, _ := slotAt(t, server.address, "pool/p")
 	var sent int
@@ -171,3 +168,22 @@
 		})
 	qt.Assert(t, sent > 0 && sent < limit, qt.IsTrue, qt.Commentf("the engine sent %d bytes", sent))
 }
+
+// Guards against a changed prompt, a group chosen by the caller, and a panic or a dispatch for a body that is no object.
+func TestGenerateBody(t *testing.T) {
+	for body, want := range map[string]string{
+		`null`: "", `[]`: "", `{`: "", ``: "",
+		`{"prompt":"\ud800","seed":12345678901234567890,"group":"x"}`: `{"group":"g","number":7,"priority":2,"prompt":"\ud800","seed":12345678901234567890}`,
+	} {
+		var got []string
+		server := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, body string) {
+			got = append(got, body)
+			_, _ = io.WriteString(conn, sse("i1", endEvent(0))+lastChunk)
+		})
+		slot, _, _ := slotAt(t, server.address, "pool/p")
+		end := New(Options{}).Run(t.Context(), slot, &schema.DispatchRequest{RequestId: "r1", Body: []byte(body), Priority: 2, Generate: true, Repeatable: true}, new(answer).sink)
+		qt.Assert(t, strings.Join(got, " "), qt.Equals, want)
+		qt.Assert(t, end.GetNotRun(), qt.Equals, want == "")
+		qt.Assert(t, end.GetCode() == int32(result.BadRequest), qt.Equals, want == "")
+	}
+}
