--- /dev/null
+++ b/internal/demo/calls.go
@@ -0,0 +1,117 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"cassiadeal.example/cassiadeal/internal/operator"
+)
+
+// callerURL spreads requests over the nodes, as callers with different addresses do.
+func (d *demo) callerURL(path string) string {
+	d.turn++
+	return "http://" + d.nodes[d.turn%len(d.nodes)].CallerAddress() + path
+}
+
+func (d *demo) do(ctx context.Context, method, url, body string, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	return d.client.Do(req)
+}
+
+func (d *demo) call(ctx context.Context, method, path, body string, header http.Header) ([]byte, error) {
+	resp, err := d.do(ctx, method, d.callerURL(path), body, header)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(answer))
+	}
+	return bytes.TrimSpace(answer), nil
+}
+
+const prompt = `"prompt":"Draft a loan agreement for twelve hoops."`
+
+func (d *demo) generateJSON(ctx context.Context) (string, error) {
+	body, err := d.call(ctx, http.MethodPost, "/v1/pools/drafts/generate", `{`+prompt+`,"max_tokens":8}`, nil)
+	return shorten(body), err
+}
+
+func (d *demo) generateStream(ctx context.Context) (string, error) {
+	resp, err := d.do(ctx, http.MethodPost, d.callerURL("/v1/pools/drafts/generate"), `{`+prompt+`,"max_tokens":8,"stream":true}`, nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	events, ended := 0, false
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		ended = ended || lines.Text() == "event: end"
+		if strings.HasPrefix(lines.Text(), "data: ") {
+			events++
+		}
+	}
+	if resp.StatusCode != http.StatusOK || !ended {
+		return "", eris.Errorf("the stream had status %s and %d events without an end", resp.Status, events)
+	}
+	return fmt.Sprintf("%d tokens, then the end event", events-1), lines.Err()
+}
+
+func (d *demo) operatorCall(ctx context.Context, method, path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	resp, err := d.do(ctx, method, "http://"+d.nodes[0].OperatorAddress()+path, string(data), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("%s: %s", resp.Status, bytes.TrimSpace(answer))
+	}
+	return json.Unmarshal(answer, into)
+}
+
+func (d *demo) status(ctx context.Context) (s operator.Status, err error) {
+	err = d.operatorCall(ctx, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+// apply puts the rules with fd-a in or out into force.
+func (d *demo) apply(ctx context.Context, state string) (string, error) {
+	text := fmt.Sprintf(rulesTemplate, d.stand.serviceAddresses[0], d.stand.serviceAddresses[1], tokenHash(), state)
+	var answer operator.ApplyAnswer
+	err := poll(ctx, readyLimit, func() error {
+		base := d.revision
+		return d.operatorCall(ctx, http.MethodPost, "/v1/config", operator.ApplyRequest{BaseRevision: &base, Rules: text, Author: "demo"}, &answer)
+	})
+	if err != nil {
+		return "", err
+	}
+	d.revision = answer.Revision
+	return fmt.Sprintf("revision %d accepted by all nodes", answer.Revision), nil
+}
