--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -52,25 +53,35 @@
 	return exitf(ExitInvalid, "%s is refused: %s", file, refusalText(answer))
 }
 
+// difference is what diff prints as JSON; the revision is 0 between two files.
+type difference struct {
+	Revision uint64         `json:"revision"`
+	Changes  []rules.Change `json:"changes"`
+}
+
 func (a *app) diff(ctx context.Context, d *diffCommand) error {
 	changed, _, err := a.readRules(d.File)
 	if err != nil {
 		return err
 	}
 	var old *rules.Rules
+	var revision uint64
 	if d.Other != "" {
 		old, _, err = a.readRules(d.Other)
 	} else {
-		old, _, _, err = a.inForce(ctx)
+		old, revision, _, err = a.inForce(ctx)
 	}
 	if err != nil {
 		return err
 	}
 	changes := rules.Diff(old, changed)
 	if d.JSON {
-		return a.printJSON(append([]rules.Change{}, changes...))
+		return a.printJSON(difference{revision, append([]rules.Change{}, changes...)})
 	}
 	a.printChanges(changes)
+	if d.Other == "" {
+		fmt.Fprintf(a.Stdout, "compared with revision %d; to apply: cassiadeal apply --base %d %s\n", revision, revision, d.File)
+	}
 	return nil
 }
 
@@ -91,6 +102,10 @@
 	}
 }
 
+// currentBase stands for the revision in force. It is not the default, because a file made from an older revision would
+// then undo what others applied meanwhile, without a conflict.
+const currentBase = "current"
+
 func (a *app) apply(ctx context.Context, c *applyCommand) error {
 	if c.Author == "" {
 		return exitf(ExitUsage, "--author is missing")
@@ -99,22 +114,24 @@
 	if err != nil {
 		return err
 	}
-	request := operator.ApplyRequest{BaseRevision: c.Base, Rules: text, Author: c.Author}
-	if c.Base == nil {
-		current, _, err := a.nodes.config(ctx)
-		if err != nil {
-			return err
-		}
-		if current.Rules == text {
-			fmt.Fprintf(a.Stdout, "the same text is already written as revision %d\n", current.Revision)
-			return a.confirm(ctx, current.Revision)
-		}
-		if old, problems := rules.Parse("in force", current.Rules); len(problems) == 0 {
-			a.printChanges(rules.Diff(old, changed))
+	current, _, err := a.nodes.config(ctx)
+	if err != nil {
+		return err
+	}
+	base := current.Revision
+	if c.Base != currentBase {
+		if base, err = strconv.ParseUint(c.Base, 10, 64); err != nil {
+			return exitf(ExitUsage, "--base %q must be a revision or %q", c.Base, currentBase)
 		}
-		request.BaseRevision = &current.Revision
 	}
-	return a.send(ctx, c.File, request)
+	if current.Revision > 0 && current.Rules == text {
+		fmt.Fprintf(a.Stdout, "the same text is already written as revision %d\n", current.Revision)
+		return a.confirm(ctx, current.Revision)
+	}
+	if old, problems := rules.Parse("in force", current.Rules); len(problems) == 0 {
+		a.printChanges(rules.Diff(old, changed))
+	}
+	return a.send(ctx, c.File, operator.ApplyRequest{BaseRevision: &base, Rules: text, Author: c.Author})
 }
 
 // send tries the nodes in order until one has taken the change or may have taken it.
@@ -193,7 +210,7 @@
 	return a.confirm(ctx, revision)
 }
 
-// confirm waits until every listed node reports the revision.
+// confirm waits until every listed node reports the revision or is proved stopped.
 func (a *app) confirm(ctx context.Context, revision uint64) error {
 	var missing []string
 	reached := false
@@ -204,7 +221,7 @@
 		}
 		reached, missing = true, nil
 		for _, node := range status.Nodes {
-			if node.ConfigRevision < revision {
+			if node.ConfigRevision < revision && !node.Stopped {
 				missing = append(missing, node.Name)
 			}
 		}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -70,9 +70,9 @@
 }
 
 type applyCommand struct {
-	File   string  `arg:"positional,required" help:"rules file"`
-	Base   *uint64 `arg:"--base" placeholder:"REVISION" help:"revision that the file was made from; without it the one in force now"`
-	Author string  `arg:"--author,env:USER" help:"who applies, kept with the revision"`
+	File   string `arg:"positional,required" help:"rules file"`
+	Base   string `arg:"--base,required" placeholder:"REVISION" help:"revision that the file was made from, as diff shows it; \"current\" takes the one in force now and may undo changes that you have not seen"`
+	Author string `arg:"--author,env:USER" help:"who applies, kept with the revision"`
 }
 
 type stateCommand struct {
@@ -226,7 +226,7 @@
 
 func (a *app) invalid(path string, problems []rules.Problem) error {
 	for _, p := range problems {
-		p.File = path
+		p.File = path // A node doesn't know the name of the file.
 		fmt.Fprintln(a.Stderr, a.paint(red, p.String()))
 	}
 	if len(problems) > 0 {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"unicode"
 
@@ -72,8 +73,15 @@
 	s.answer(w, q, status, err)
 }
 
+// config answers JSON, or the bare rules text to a request that accepts text/plain.
 func (s *server) config(w http.ResponseWriter, q *http.Request) {
 	config, err := s.Backend.Config(q.Context())
+	if err == nil && q.Header.Get("Accept") == "text/plain" {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Header().Set("X-Config-Revision", strconv.FormatUint(config.Revision, 10))
+		_, _ = w.Write([]byte(config.Rules)) // The reader has gone; there is nobody to tell.
+		return
+	}
 	s.answer(w, q, config, err)
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -91,3 +91,29 @@
 		})
 	}
 }
+
+type contextBackend struct{ backend }
+
+func (b *contextBackend) Apply(ctx context.Context, _ operator.Change) (operator.Applied, error) {
+	return operator.Applied{Revision: 8}, ctx.Err()
+}
+
+// Guards against a revision that is relayed to some nodes only, because the operator's connection was lost meanwhile; and
+// against a saved rules file that isn't the exact text in force.
+func TestApplyOutlivesConnectionAndConfigIsText(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b := &contextBackend{backend{config: operator.Config{Revision: 7, Rules: pool}}}
+	h := operator.NewHandler(operator.Options{Backend: b, Metrics: http.NotFoundHandler(), Log: logrus.NewEntry(log)})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("POST", "/v1/config", strings.NewReader(body(7, ""))).WithContext(ctx))
+	qt.Check(t, w.Body.String(), qt.Contains, `"accepted":true`)
+
+	r := httptest.NewRequest("GET", "/v1/config", nil)
+	r.Header.Set("Accept", "text/plain")
+	w = httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	qt.Check(t, w.Body.String()+w.Header().Get("X-Config-Revision"), qt.Equals, pool+"7")
+}
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -101,6 +101,9 @@
 	State           string `json:"state"`
 	ConfigRevision  uint64 `json:"config_revision"`
 	LastHeardMS     int64  `json:"last_heard_ms"` // Negative if it was never heard.
+	// Stopped is true if the node is proved stopped: its lease expired more than the margin ago and a majority has not
+	// heard it for as long. Such a node needn't report a revision.
+	Stopped bool `json:"stopped"`
 }
 
 // DestinationStatus sums up one pool or service.
