Treat ambiguous paths as not repeatable

Cause: a call to /stock/../orders matched a repeat=safe route on /stock/*, although a service may run it as /orders, and a retry would then run an order twice. Conclusion: paths with empty or dot segments, backslashes or remaining escapes match no route, so repeat=never holds.

--- a/internal/rules/parse_test.go
+++ b/internal/rules/parse_test.go
@@ -63,6 +63,17 @@
 	c.Check(r.Match("bookings", "POST", "/confirm").Priority, qt.Equals, rules.PriorityHigh)
 }
 
+// Guards against a call that counts as repeatable although the service resolves its path to another one.
+func TestMatchRefusesAmbiguousPaths(t *testing.T) {
+	r := parse(t, read(t, exampleFile))
+	for _, path := range []string{
+		"/stock/../orders", "/stock/./x", "/stock//x", "/stock/..", "/stock/..;a/orders", "/stock/%2e%2e/orders", `/stock/..\orders`,
+	} {
+		qt.Check(t, r.Match("orders", "GET", path).Repeat, qt.IsFalse, qt.Commentf("path %s", path))
+	}
+	qt.Check(t, r.Match("orders", "GET", "/stock/..red.v2/x").Repeat, qt.IsTrue)
+}
+
 // Guards against a file that the platform's size limit would refuse, and a reply without bound.
 func TestParseBoundsSize(t *testing.T) {
 	_, problems := rules.Parse("f", strings.Repeat("x", rules.MaxFileBytes+1))
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -118,8 +118,12 @@
 }
 
 // Match returns the first route of the service that covers the call. A call that no route covers gets a route without
-// a name that may not be repeated.
+// a name that may not be repeated, and so does a path that a service may resolve to another one: /stock/../confirm lies
+// below /stock/ only by its letters.
 func (r *Rules) Match(service, method, path string) Route {
+	if ambiguousPath(path) {
+		return Route{Service: service, Method: method, Path: path}
+	}
 	for _, route := range r.Routes {
 		if route.Service == service && (route.Method == "*" || route.Method == method) && pathCovers(route.Path, path) {
 			return route
@@ -134,3 +138,18 @@
 	}
 	return path == pattern
 }
+
+// ambiguousPath is true for empty segments, the segments "." and "..", backslashes, and escapes that are not decoded.
+// Some servers also cut a segment at a semicolon, so that "..;x" means "..".
+func ambiguousPath(path string) bool {
+	if strings.ContainsAny(path, "%\\") || strings.Contains(path, "//") {
+		return true
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		name, _, _ := strings.Cut(segment, ";")
+		if name == "." || name == ".." {
+			return true
+		}
+	}
+	return false
+}
