--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"strings"
@@ -54,11 +55,10 @@
 	if err := c.setDeadline(service.Deadline, req); err != nil {
 		return err
 	}
-	path := strings.TrimPrefix(req.URL.EscapedPath(), "/v1/services/"+name)
-	if path == "" {
-		path = "/"
-	}
-	route := c.rules.Match(name, req.Method, path)
+	path := cmp.Or(strings.TrimPrefix(req.URL.EscapedPath(), "/v1/services/"+name), "/")
+	// Routes match the decoded path, so that an escaped spelling of a path can't evade its rule.
+	decoded := strings.TrimPrefix(req.URL.Path, "/v1/services/"+name)
+	route := c.rules.Match(name, req.Method, cmp.Or(decoded, "/"))
 	c.request.Repeatable = route.Repeat
 	if route.HasPriority {
 		c.request.Priority = uint32(route.Priority)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -58,7 +58,9 @@
 		PlatformContactMS: n.membership.PlatformAge().Milliseconds(),
 	}
 	for _, info := range n.membership.Nodes() {
-		s.Nodes = append(s.Nodes, nodeStatus(info))
+		status := nodeStatus(info)
+		status.Stopped = info.LeaseLapsed && n.membership.ConfirmedSilent(info.Record.Name)
+		s.Nodes = append(s.Nodes, status)
 	}
 	s.Targets = n.targetStatuses()
 	if _, current := n.config.Current(); current != nil {
