Add membership: leases, heartbeats, right to serve

A lease counts from before its renewal is written and only after the caller re-read the holder tables at the written version, so a node that is sure of its lease has seen every table written more than a term ago. A list of nodes counts only if it shows the own last renewal; stale or failed reads prove no silence.

--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,244 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+func (n *testNode) info(name string) NodeInfo {
+	for _, info := range n.Nodes() {
+		if info.Record.GetName() == name {
+			return info
+		}
+	}
+	return NodeInfo{}
+}
+
+// Guards against a node that serves without a basis, or that counts as sure with one basis only.
+func TestRight(t *testing.T) {
+	tests := []struct {
+		name           string
+		cutPlatform    bool
+		isolate        bool
+		pause          time.Duration
+		lease, maj     bool
+		serve, inDoubt bool
+	}{
+		{name: "healthy", lease: true, maj: true, serve: true},
+		{name: "cut from platform", cutPlatform: true, maj: true, serve: true, inDoubt: true},
+		{name: "cut from peers", isolate: true, lease: true, serve: true, inDoubt: true},
+		{name: "cut from both", cutPlatform: true, isolate: true, inDoubt: true},
+		{name: "paused past the term", pause: DefaultTerm, inDoubt: true},
+		{name: "paused within the term", pause: DefaultTerm / 2, lease: true, maj: true, serve: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			cl := newCluster(3)
+			n := cl.nodes["n0"]
+			c.Assert(n.Right().Serve, qt.IsFalse)
+			cl.run(2*time.Second, cl.names...)
+			n.view.cut = test.cutPlatform
+			cl.isolate("n0", test.isolate)
+			cl.run(4*time.Second, cl.names...)
+			cl.advance(test.pause)
+			right := n.Right()
+			c.Assert(right.PlatformLease, qt.Equals, test.lease)
+			c.Assert(right.Majority, qt.Equals, test.maj)
+			c.Assert(right.Serve, qt.Equals, test.serve)
+			c.Assert(right.InDoubt, qt.Equals, test.inDoubt)
+			c.Assert(n.PlatformReachable(), qt.Equals, !test.cutPlatform && test.pause < DefaultTerm)
+		})
+	}
+}
+
+// Guards against a majority basis that outlasts MaxOutage.
+func TestMaxOutage(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(2)
+	n := cl.add("n2", "1", func(_ *testNode, o *Options) { o.MaxOutage = 10 * time.Second })
+	cl.run(2*time.Second, cl.names...)
+	n.view.cut = true
+	cl.run(8*time.Second, cl.names...)
+	c.Assert(n.Right().Serve, qt.IsTrue)
+	cl.run(4*time.Second, cl.names...)
+	c.Assert(n.Right().Serve, qt.IsFalse)
+}
+
+// Guards against a renewal that counts although the caller could not re-read what it holds, or that counts from its end.
+func TestAfterRenew(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(0)
+	fail := errors.New("no tables")
+	n := cl.add("n0", "1", func(n *testNode, o *Options) {
+		o.AfterRenew = func(_ context.Context, version uint64) error {
+			c.Check(version, qt.Equals, cl.s.version)
+			n.clk.Advance(time.Second)
+			return fail
+		}
+	})
+	n.cycle(context.Background())
+	c.Assert(n.Right().PlatformLease, qt.IsFalse)
+	fail = nil
+	n.cycle(context.Background())
+	c.Assert(n.Right().PlatformLease, qt.IsTrue)
+	n.clk.Advance(DefaultTerm - time.Second)
+	c.Assert(n.Right().PlatformLease, qt.IsFalse)
+}
+
+// Guards against a takeover of a node that lives, or that was merely not seen during an outage or in stale reads.
+func TestLapse(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(3)
+	n := cl.nodes["n0"]
+	others := []string{"n0", "n1"}
+	cl.run(2*time.Second, cl.names...)
+	cl.run(3*time.Second, others...)
+	c.Assert(n.info("n2").LeaseLapsed, qt.IsFalse)
+	c.Assert(n.ConfirmedSilent("n2"), qt.IsFalse)
+	cl.run(2*time.Second, others...)
+	c.Assert(n.info("n2").LeaseLapsed, qt.IsTrue)
+	c.Assert(n.LeaseEnded("n2", "1"), qt.IsTrue)
+	c.Assert(n.LeaseEnded("n1", "1"), qt.IsFalse)
+	c.Assert(n.ConfirmedSilent("n2"), qt.IsTrue)
+	c.Assert(n.info("n2").Live, qt.IsFalse)
+	c.Assert(n.info("n1").Live, qt.IsTrue)
+
+	cl.run(2*time.Second, cl.names...) // n2 is back.
+	c.Assert(n.info("n2").LeaseLapsed, qt.IsFalse)
+	for _, name := range cl.names {
+		cl.nodes[name].view.cut = true
+	}
+	cl.run(10*time.Second, cl.names...)
+	c.Assert(n.info("n2").LeaseLapsed, qt.IsFalse, qt.Commentf("during an outage"))
+	for _, name := range cl.names {
+		cl.nodes[name].view.cut = false
+	}
+	cl.run(time.Second, others...) // n2 has not renewed yet.
+	c.Assert(n.info("n2").LeaseLapsed, qt.IsFalse, qt.Commentf("right after an outage"))
+
+	cl.run(2*time.Second, cl.names...)
+	cl.s.snapshot, cl.s.snapVer = map[string]platform.Object{}, cl.s.version
+	for key, o := range cl.s.objects {
+		cl.s.snapshot[key] = o
+	}
+	cl.run(10*time.Second, cl.names...)
+	c.Assert(n.info("n2").LeaseLapsed, qt.IsFalse, qt.Commentf("stale reads"))
+}
+
+// Guards against a restarted node confirming silence that it can't know about.
+func TestUnknownAfterStart(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(3)
+	cl.run(2*time.Second, cl.names...)
+	cl.run(3*time.Second, "n0", "n1")
+	cl.add("n1", "2", nil)
+	cl.run(time.Second, "n0", "n1")
+	c.Assert(cl.nodes["n0"].info("n2").HeardAge >= DefaultTerm+DefaultMargin, qt.IsTrue)
+	c.Assert(cl.nodes["n0"].ConfirmedSilent("n2"), qt.IsFalse)
+	cl.run(3*time.Second, "n0", "n1")
+	c.Assert(cl.nodes["n0"].ConfirmedSilent("n2"), qt.IsTrue)
+}
+
+// Guards against two incarnations of one node serving side by side, and against an old lease that counts as ended early.
+func TestNewIncarnation(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(2)
+	cl.run(2*time.Second, cl.names...)
+	old := cl.nodes["n1"]
+	c.Assert(cl.nodes["n0"].LeaseEnded("n1", "1"), qt.IsFalse)
+	cl.add("n1", "2", nil)
+	cl.nodes["n0"].cycle(context.Background())
+	c.Assert(cl.nodes["n0"].LeaseEnded("n1", "1"), qt.IsFalse, qt.Commentf("record not replaced yet"))
+	cl.run(2*time.Second, cl.names...)
+	c.Assert(cl.nodes["n0"].LeaseEnded("n1", "1"), qt.IsTrue)
+	c.Assert(cl.nodes["n0"].LeaseEnded("n1", "2"), qt.IsFalse)
+	old.cycle(context.Background())
+	c.Assert(old.Run(context.Background()), qt.ErrorIs, ErrReplaced)
+	c.Assert(old.Right().Serve, qt.IsFalse)
+}
+
+// Guards against a lost reply of a renewal being taken for a takeover of the name.
+func TestRenewalWithLostReply(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(1)
+	n := cl.nodes["n0"]
+	n.view.lose = true
+	cl.run(2*time.Second, "n0")
+	c.Assert(n.Right().PlatformLease, qt.IsFalse)
+	n.view.lose = false
+	cl.run(time.Second, "n0")
+	c.Assert(n.Right(), qt.DeepEquals, Right{Serve: true, PlatformLease: true, Majority: true})
+}
+
+// Guards against removal of a record without a majority, and against dead records that stay.
+func TestRemoval(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(3)
+	cl.run(2*time.Second, cl.names...)
+	cl.run(DefaultForgetAfter+8*time.Second, "n0")
+	c.Assert(len(cl.nodes["n0"].Nodes()), qt.Equals, 3, qt.Commentf("no majority"))
+	cl.run(2*time.Second, "n1") // Knows n0 only; n2 stays silent.
+	cl.run(DefaultForgetAfter+8*time.Second, "n0", "n1")
+	c.Assert(len(cl.nodes["n0"].Nodes()), qt.Equals, 2)
+	cl.run(2*time.Second, cl.names...) // n2 was only paused and joins again.
+	c.Assert(cl.nodes["n2"].Right().InDoubt, qt.IsFalse)
+}
+
+// Guards against a node that keeps its right, or its record, after it has left.
+func TestLeave(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(2)
+	cl.run(2*time.Second, cl.names...)
+	c.Assert(cl.nodes["n1"].Leave(context.Background()), qt.IsNil)
+	c.Assert(cl.nodes["n1"].Right().Serve, qt.IsFalse)
+	cl.run(2*time.Second, cl.names...)
+	c.Assert(len(cl.nodes["n0"].Nodes()), qt.Equals, 1)
+	c.Assert(cl.nodes["n0"].Right().InDoubt, qt.IsFalse)
+}
+
+// Guards against loops that delay each other: a peer that never answers must not stop heartbeats to the others. Also
+// checks that a changed state is written without waiting for the next interval.
+func TestRunWithSilentPeer(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cl := newCluster(3)
+	for _, name := range []string{"n1", "n2"} {
+		cl.nodes[name].cycle(ctx)
+	}
+	peers := &silentPeers{cl: cl, heard: make(chan string, 100)}
+	n := cl.add("n0", "2", func(_ *testNode, o *Options) { o.Peers = peers })
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	for len(peers.heard) < 3 { // n2 is still in its first heartbeat.
+		time.Sleep(time.Millisecond)
+		n.clk.Advance(DefaultHeartbeat / 10)
+	}
+	n.SetState(schema.NodeState_NODE_STATE_DRAINING)
+	for n.info("n0").Record.GetState() != schema.NodeState_NODE_STATE_DRAINING {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	c.Assert(<-done, qt.ErrorIs, context.Canceled)
+}
+
+type silentPeers struct {
+	cl    *cluster
+	heard chan string
+}
+
+func (p *silentPeers) Heartbeat(ctx context.Context, address string, req *schema.HeartbeatRequest) (*schema.HeartbeatResponse, error) {
+	if address == "n2" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	p.heard <- address
+	return p.cl.nodes[address].HandleHeartbeat(ctx, req)
+}
