Note when the right to serve was regained

A node that resumes after a pause may renew before anyone asks for its right, so the pause leaves no trace and its configuration may be outdated. Right now carries the time of the last change made without the right, and the status in an answer is delivered before the answer counts.

Ran: go test ./internal/membership, go vet, staticcheck: pass.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -95,10 +95,17 @@
 	}
 	m.countHeartbeat(ctx, "ok")
 	m.mu.Lock()
-	p := m.hear(resp.GetResponder())
-	p.answer, p.answerSent = resp.GetResponder(), sent
+	m.hear(resp.GetResponder())
 	m.mu.Unlock()
+	// Before the answer counts: a node that regains its right by this answer must know the revision that it reports.
 	m.notify(resp.GetResponder())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.change(func() {
+		if p := m.peers[name]; p != nil {
+			p.answer, p.answerSent = resp.GetResponder(), sent
+		}
+	})
 }
 
 // HandleHeartbeat answers a peer's heartbeat.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -106,6 +106,7 @@
 	proofSent    clock.Time
 	contactAt    clock.Time // Start of the last successful platform call.
 	contact      bool
+	servingSince clock.Time // Last change that was made without the right to serve.
 	listed       map[string]*record
 	listKnown    bool
 	// proved is the time up to which the last list is known to be current, provedSince the start of the uninterrupted
--- a/internal/membership/renew.go
+++ b/internal/membership/renew.go
@@ -57,7 +57,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lease = renewal.Lease(m.opts.Term)
+	m.change(func() { m.lease = renewal.Lease(m.opts.Term) })
 	return nil
 }
 
@@ -157,7 +157,7 @@
 		}
 		delete(m.unlistedSince, name)
 	}
-	m.listed, m.listKnown = found, true
+	m.change(func() { m.listed, m.listKnown = found, true })
 	for name, p := range m.peers {
 		if found[name] == nil && now.Sub(p.heardAt) > m.opts.Term+m.opts.Margin {
 			delete(m.peers, name)
--- a/internal/membership/right.go
+++ b/internal/membership/right.go
@@ -17,7 +17,9 @@
 	// InDoubt is true unless both bases hold. A target that this node took over stays in doubt for longer, until the
 	// holder table that this node wrote is one term and the margin old.
 	InDoubt bool
-	Reason  string
+	// Since is when the right to serve was last regained. What this node learned before may be outdated by then.
+	Since  clock.Time
+	Reason string
 }
 
 // NodeInfo is what is known about a listed node.
@@ -38,7 +40,20 @@
 func (m *Membership) Right() Right {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.right(m.clk.Now())
+}
+
+// change applies f, which may give the right to serve, and notes when the right was regained. The caller holds mu.
+func (m *Membership) change(f func()) {
 	now := m.clk.Now()
+	before := m.right(now).Serve
+	f()
+	if !before {
+		m.servingSince = now
+	}
+}
+
+func (m *Membership) right(now clock.Time) Right {
 	if m.left {
 		return Right{InDoubt: true, Reason: "node has left"}
 	}
@@ -49,6 +64,7 @@
 	r := Right{
 		PlatformLease: m.lease.ValidAt(now),
 		Majority:      answers >= needed && m.withinOutage(now),
+		Since:         m.servingSince,
 	}
 	r.Serve = r.PlatformLease || r.Majority
 	r.InDoubt = !r.PlatformLease || !r.Majority
