Add configsync: current configuration and apply

A node adopts only higher revisions, from relays, peers or the platform. Apply counts as in force when every listed node has reported the revision or is proved stopped, and when the list of nodes is newer than the write. A refresh after each renewal lets a node that had lapsed catch up before its lease counts. Records of dead nodes are also removed after max_outage when reads failed in between, because an equal version proves the silence.

--- /dev/null
+++ b/internal/configsync/apply.go
@@ -0,0 +1,213 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/membership"
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// ApplyResult is the outcome of an apply that was written. Missing names the nodes that are not known to have it in force.
+type ApplyResult struct {
+	Revision uint64
+	Missing  []string
+}
+
+// Apply writes a new configuration on top of the revision base, relays it, and waits until every listed node has reported
+// it or is proved stopped. Errors are *result.Error: RulesInvalid, RevisionConflict or PlatformUnavailable if nothing was
+// written, ApplyUnknown if it isn't known whether it was, and NotInForce if it was written and nodes are missing.
+func (s *Sync) Apply(ctx context.Context, base uint64, text, author string) (ApplyResult, error) {
+	if _, err := s.opts.Parse(text); err != nil {
+		return ApplyResult{}, result.New(result.RulesInvalid, "rules refused").WithCause(err)
+	}
+	stored, version, err := s.readCurrent(ctx)
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	if err := s.checkBase(base, stored); err != nil {
+		return ApplyResult{}, err
+	}
+	config := &schema.Config{Revision: base + 1, Rules: text, Nonce: uuid.NewString(), Author: author}
+	if err := s.write(ctx, config, version); err != nil {
+		return ApplyResult{}, err
+	}
+	applied := ApplyResult{Revision: config.GetRevision()}
+	if err := s.adopt(config); err != nil {
+		return applied, result.New(result.Internal, "revision %d is written but not in force here", applied.Revision).WithCause(err)
+	}
+	missing, listed := s.spread(ctx, config)
+	applied.Missing = missing
+	switch {
+	case len(missing) > 0:
+		return applied, result.New(result.NotInForce, "revision %d is written but not reported by %s within %v",
+			applied.Revision, strings.Join(missing, ", "), s.opts.Within)
+	case !listed:
+		return applied, result.New(result.NotInForce, "revision %d is written, but the list of nodes could not be read within %v",
+			applied.Revision, s.opts.Within)
+	}
+	return applied, nil
+}
+
+// readCurrent returns the stored configuration and its version, or an empty one and 0.
+func (s *Sync) readCurrent(ctx context.Context) (*schema.Config, uint64, error) {
+	stored := &schema.Config{}
+	o, err := s.opts.Platform.Get(ctx, Kind, Name)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return stored, 0, nil
+	case err != nil:
+		return nil, 0, result.New(result.PlatformUnavailable, "current revision can't be read").WithCause(err)
+	}
+	if err := platform.Decode(o.Data, stored); err != nil {
+		return nil, 0, result.New(result.Internal, "stored configuration").WithCause(err)
+	}
+	return stored, o.Version, nil
+}
+
+// checkBase refuses an apply on top of another revision than the stored one, and on top of a store that is behind the
+// nodes: it answered from the past or lost data, and a revision number would be used twice.
+func (s *Sync) checkBase(base uint64, stored *schema.Config) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := max(s.highest, s.config.GetRevision())
+	if stored.GetRevision() < known {
+		return result.New(result.RevisionConflict, "the platform has revision %d, but nodes have %d: it lost data or answers from the past",
+			stored.GetRevision(), known)
+	}
+	if s.config != nil && stored.GetRevision() == s.config.GetRevision() && !sameContent(stored, s.config) {
+		return result.New(result.RevisionConflict, "the platform has other content for revision %d than this node", stored.GetRevision())
+	}
+	if stored.GetRevision() != base {
+		return result.New(result.RevisionConflict, "base revision is %d, current is %d", base, stored.GetRevision())
+	}
+	return nil
+}
+
+func (s *Sync) write(ctx context.Context, config *schema.Config, version uint64) error {
+	data, err := platform.Encode(config)
+	if err != nil {
+		return result.New(result.Internal, "configuration").WithCause(err)
+	}
+	if version == 0 {
+		_, err = s.opts.Platform.Create(ctx, Kind, Name, data)
+	} else {
+		_, err = s.opts.Platform.Update(ctx, Kind, Name, version, data)
+	}
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrConflict):
+		// If an earlier copy of the write took effect and was overwritten, another author saw it and went on from there.
+		return result.New(result.RevisionConflict, "another configuration was written after revision %d", config.GetRevision()-1).WithCause(err)
+	case errors.Is(err, platform.ErrRejected):
+		return result.New(result.RulesInvalid, "the platform refuses the configuration of %d bytes", len(data)).WithCause(err)
+	case errors.Is(err, platform.ErrUnavailable):
+		return result.New(result.PlatformUnavailable, "the configuration can't be written").WithCause(err)
+	default:
+		return result.New(result.ApplyUnknown, "it is not known whether revision %d was written", config.GetRevision()).WithCause(err)
+	}
+}
+
+// spread relays the configuration until it is in force everywhere or the time is over. It returns the missing nodes and
+// whether the list of nodes is newer than the write. A node absent from that list joins after the write: it reads the
+// configuration after its first renewal and before its lease counts.
+func (s *Sync) spread(ctx context.Context, config *schema.Config) (missing []string, listed bool) {
+	written := s.clk.Now()
+	deadline := written.Add(s.opts.Within)
+	ctx, cancel := context.WithCancel(ctx)
+	r := &relays{sync: s, config: config, acked: map[string]bool{}, running: map[string]bool{}}
+	defer r.wg.Wait()
+	defer cancel()
+	for {
+		at, ok := s.opts.Members.ListedAt()
+		listed = ok && at >= written
+		nodes := r.missing()
+		if (len(nodes) == 0 && listed) || s.clk.Now() >= deadline {
+			return names(nodes), listed
+		}
+		r.start(ctx, nodes)
+		if clock.Sleep(ctx, s.clk, checkInterval) != nil {
+			return names(nodes), listed
+		}
+	}
+}
+
+// relays sends one configuration to the peers, one loop per node.
+type relays struct {
+	sync   *Sync
+	config *schema.Config
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex // Guards the fields below.
+	acked map[string]bool
+	// running is keyed like acked, by name and incarnation: a restarted node has to report again.
+	running map[string]bool
+}
+
+func key(n membership.NodeInfo) string { return n.Record.GetName() + "/" + n.Record.GetIncarnation() }
+
+// missing returns the listed nodes that neither reported the revision nor are proved stopped.
+func (r *relays) missing() []membership.NodeInfo {
+	var missing []membership.NodeInfo
+	for _, n := range r.sync.opts.Members.Nodes() {
+		name := n.Record.GetName()
+		r.mu.Lock()
+		acked := r.acked[key(n)]
+		r.mu.Unlock()
+		reported := n.Status.GetConfigRevision() >= r.config.GetRevision() &&
+			n.Status.GetIncarnation() == n.Record.GetIncarnation()
+		stopped := n.LeaseLapsed && r.sync.opts.Members.ConfirmedSilent(name)
+		if name != r.sync.opts.Self && !acked && !reported && !stopped {
+			missing = append(missing, n)
+		}
+	}
+	return missing
+}
+
+func (r *relays) start(ctx context.Context, missing []membership.NodeInfo) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range missing {
+		if r.running[key(n)] {
+			continue
+		}
+		r.running[key(n)] = true
+		r.wg.Go(func() { r.relay(ctx, key(n), n.Record.GetPeerAddress()) })
+	}
+}
+
+func (r *relays) relay(ctx context.Context, node, address string) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		revision, err := r.sync.opts.Peers.RelayConfig(callCtx, address, proto.Clone(r.config).(*schema.Config))
+		cancel()
+		if err == nil && revision >= r.config.GetRevision() {
+			r.mu.Lock()
+			r.acked[node] = true
+			r.mu.Unlock()
+			return
+		}
+		if clock.Sleep(ctx, r.sync.clk, relayInterval) != nil {
+			return
+		}
+	}
+}
+
+func names(nodes []membership.NodeInfo) []string {
+	var out []string
+	for _, n := range nodes {
+		out = append(out, n.Record.GetName())
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/internal/configsync/configsync.go
@@ -0,0 +1,421 @@
+// Package configsync keeps the configuration in force on this node and applies new ones.
+//
+// The platform object config/current decides which revision is current. Nodes learn of it from relays, from each other's
+// heartbeats and from the platform, and never go back to a lower revision.
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/membership"
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Kind and Name identify the configuration in the platform.
+const (
+	Kind = "config"
+	Name = "current"
+)
+
+const (
+	// defaultPoll bounds how late a revision is seen whose relay was lost and whose holder can't be heard.
+	defaultPoll = time.Second
+	// defaultWithin is the bound within which an accepted configuration is in force everywhere.
+	defaultWithin = 6 * time.Second
+	// defaultPeerWait is how long a starting node waits for the first status of each listed peer; a peer that answers
+	// nothing in four heartbeat intervals isn't reachable.
+	defaultPeerWait = time.Second
+	// catchUp is how long a serving node may know of a higher revision that it doesn't have. It covers the exchange with
+	// the reporting peer, so that a node in the middle of an apply doesn't refuse requests. It is far below the time after
+	// which a silent node is proved stopped.
+	catchUp = time.Second
+	// callTimeout bounds one call to a peer.
+	callTimeout = time.Second
+	// relayInterval is the time between two relays to a node that doesn't have the revision yet.
+	relayInterval = 500 * time.Millisecond
+	// checkInterval is the time between two checks whether a revision is in force everywhere.
+	checkInterval = 20 * time.Millisecond
+)
+
+// errInvalid marks a configuration that this release can't parse.
+var errInvalid = errors.New("invalid rules")
+
+// Platform is the part of platform.Client that is used here.
+type Platform interface {
+	Get(ctx context.Context, kind, name string) (*platform.Object, error)
+	List(ctx context.Context, kind string) ([]platform.Object, uint64, error)
+	Create(ctx context.Context, kind, name string, data []byte) (uint64, error)
+	Update(ctx context.Context, kind, name string, version uint64, data []byte) (uint64, error)
+	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]platform.Event, uint64, error)
+}
+
+// Members is the part of membership.Membership that is used here.
+type Members interface {
+	Nodes() []membership.NodeInfo
+	ConfirmedSilent(name string) bool
+	Right() membership.Right
+	ListedAt() (clock.Time, bool)
+}
+
+// Peers calls other nodes.
+type Peers interface {
+	GetConfig(ctx context.Context, address string) (*schema.Config, error)
+	RelayConfig(ctx context.Context, address string, config *schema.Config) (uint64, error)
+}
+
+// Options configures a Sync. Zero durations take the defaults.
+type Options struct {
+	// Self is the name of this node.
+	Self     string
+	Platform Platform
+	Members  Members
+	Peers    Peers
+	// Parse checks the text of a rules file.
+	Parse func(text string) (*rules.Rules, error)
+
+	Poll     time.Duration // Longest time between two looks at the platform. Default 1 s.
+	Within   time.Duration // How long Apply waits for the revision to be in force. Default 6 s.
+	PeerWait time.Duration // How long a starting node waits for its peers' revisions. Default 1 s.
+
+	Clock clock.Clock // Default clock.Boottime().
+	Log   logrus.FieldLogger
+	Meter metric.Meter
+}
+
+// Sync holds the current configuration. It is safe for concurrent use.
+type Sync struct {
+	opts    Options
+	clk     clock.Clock
+	changes metric.Int64Counter
+	pulls   sync.WaitGroup
+
+	// adoptMu serialises adoption, so that callbacks see revisions in ascending order. It is taken before mu.
+	adoptMu sync.Mutex
+	// refreshMu serialises reads of the platform. It is taken before adoptMu.
+	refreshMu sync.Mutex
+	// since is the platform version up to which changes were seen; 0 means list. Guarded by refreshMu.
+	since uint64
+
+	mu       sync.Mutex // Guards all fields below.
+	config   *schema.Config
+	rules    *rules.Rules
+	onChange []func(*rules.Rules, uint64)
+	// refreshed is the start of the last look at the platform that succeeded.
+	refreshed   clock.Time
+	refreshedOK bool
+	// highest is the highest revision that a peer reported; behindSince is when it first exceeded the own one.
+	highest     uint64
+	behindSince clock.Time
+	pulling     bool
+	// settled: every listed peer reported its revision once, or was given PeerWait for it.
+	settled     bool
+	settleFrom  clock.Time
+	settleBegan bool
+}
+
+// New returns a Sync without a configuration.
+func New(opts Options) *Sync {
+	for _, d := range []struct {
+		value *time.Duration
+		dflt  time.Duration
+	}{{&opts.Poll, defaultPoll}, {&opts.Within, defaultWithin}, {&opts.PeerWait, defaultPeerWait}} {
+		if *d.value <= 0 {
+			*d.value = d.dflt
+		}
+	}
+	if opts.Clock == nil {
+		opts.Clock = clock.Boottime()
+	}
+	if opts.Log == nil {
+		silent := logrus.New()
+		silent.SetOutput(io.Discard)
+		opts.Log = silent
+	}
+	if opts.Meter == nil {
+		opts.Meter = noop.NewMeterProvider().Meter("configsync")
+	}
+	counter, err := opts.Meter.Int64Counter("cassiadeal.configsync.offers",
+		metric.WithDescription("Configurations seen, by result"), metric.WithUnit("{config}"))
+	if err != nil {
+		opts.Log.WithError(err).Error("create counter of configurations")
+		counter = noop.Int64Counter{}
+	}
+	return &Sync{opts: opts, clk: opts.Clock, changes: counter}
+}
+
+// Run looks at the platform whenever nobody called Refresh for the poll interval. It returns when ctx is done.
+func (s *Sync) Run(ctx context.Context) error {
+	defer s.pulls.Wait()
+	for {
+		wait := s.untilPoll()
+		if wait <= 0 {
+			if err := s.Refresh(ctx, 0); err != nil {
+				s.opts.Log.WithError(err).Warn("reading the configuration failed")
+			}
+			wait = s.opts.Poll
+		}
+		if err := clock.Sleep(ctx, s.clk, wait); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Sync) untilPoll() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.refreshedOK {
+		return 0
+	}
+	return s.opts.Poll - s.clk.Now().Sub(s.refreshed)
+}
+
+// Refresh looks for a new revision in the platform. Called from membership's AfterRenew with the version of the renewed
+// record, it guarantees that a node whose lease had lapsed knows every revision that was accepted meanwhile before the
+// lease counts. An answer with a version below minVersion is stale and gives an error. Most calls are a watch without
+// wait, whose answer is empty.
+func (s *Sync) Refresh(ctx context.Context, minVersion uint64) error {
+	s.refreshMu.Lock()
+	defer s.refreshMu.Unlock()
+	started := s.clk.Now()
+	next, err := s.readChanges(ctx)
+	if err == nil && (s.since == 0 || next < minVersion) {
+		next, err = s.readList(ctx)
+	}
+	if err != nil {
+		s.since = 0
+		return err
+	}
+	if next < minVersion {
+		s.since = 0
+		return fmt.Errorf("list of %s has version %d, below %d: stale", Kind, next, minVersion)
+	}
+	s.since = next
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshed, s.refreshedOK = started, true
+	return nil
+}
+
+// readChanges adopts what changed since the last look, if there was one.
+func (s *Sync) readChanges(ctx context.Context) (uint64, error) {
+	if s.since == 0 {
+		return 0, nil
+	}
+	events, next, err := s.opts.Platform.Watch(ctx, Kind, s.since, 0)
+	if errors.Is(err, platform.ErrTooOld) {
+		s.since = 0
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range events {
+		if e.Name == Name && e.Deleted {
+			s.opts.Log.Error("the configuration was deleted from the platform; keeping the current one")
+		} else if err := s.adoptObject(e.Object); err != nil {
+			return 0, err
+		}
+	}
+	return next, nil
+}
+
+func (s *Sync) readList(ctx context.Context) (uint64, error) {
+	objects, version, err := s.opts.Platform.List(ctx, Kind)
+	if err != nil {
+		return 0, err
+	}
+	for _, o := range objects {
+		if err := s.adoptObject(o); err != nil {
+			return 0, err
+		}
+	}
+	return version, nil
+}
+
+func (s *Sync) adoptObject(o platform.Object) error {
+	if o.Name != Name {
+		return nil
+	}
+	config := &schema.Config{}
+	if err := platform.Decode(o.Data, config); err != nil {
+		return err
+	}
+	if err := s.adopt(config); !errors.Is(err, errInvalid) {
+		return err
+	}
+	return nil // Logged; Ready reports that this node is behind.
+}
+
+// adopt puts a configuration in force if its revision is higher than the current one.
+func (s *Sync) adopt(config *schema.Config) error {
+	s.adoptMu.Lock()
+	defer s.adoptMu.Unlock()
+	current, _ := s.Current()
+	log := s.opts.Log.WithField("revision", config.GetRevision())
+	switch {
+	case current != nil && config.GetRevision() < current.GetRevision():
+		s.count("lower") // Stale read, late relay, or a store that lost data.
+		return nil
+	case current != nil && config.GetRevision() == current.GetRevision():
+		if !sameContent(config, current) {
+			s.count("other_content")
+			log.Error("a configuration with the current revision has other content; the platform has lost data")
+		}
+		return nil
+	}
+	parsed, err := s.opts.Parse(config.GetRules())
+	if err != nil {
+		// The writer may be a newer release with more rules. Only Ready fails then, not the reading of the platform.
+		s.count("invalid")
+		s.note(config.GetRevision())
+		log.WithError(err).Error("the configuration can't be parsed")
+		return fmt.Errorf("configuration revision %d: %w: %w", config.GetRevision(), errInvalid, err)
+	}
+	s.count("adopted")
+	s.mu.Lock()
+	s.config, s.rules = proto.Clone(config).(*schema.Config), parsed
+	callbacks := append([]func(*rules.Rules, uint64){}, s.onChange...)
+	s.mu.Unlock()
+	log.WithField("author", config.GetAuthor()).Info("configuration adopted")
+	for _, f := range callbacks {
+		f(parsed, config.GetRevision())
+	}
+	return nil
+}
+
+// sameContent compares the nonce too: it tells two writes of the same text apart.
+func sameContent(a, b *schema.Config) bool {
+	return a.GetNonce() == b.GetNonce() && a.GetRules() == b.GetRules()
+}
+
+func (s *Sync) count(result string) {
+	s.changes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
+// OnChange registers a function that is called with each adopted configuration, in order of revision. It must not call
+// Offer, Refresh or Apply.
+func (s *Sync) OnChange(f func(*rules.Rules, uint64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onChange = append(s.onChange, f)
+}
+
+// Current returns the configuration in force and its parsed rules; nil if there is none. Neither may be changed.
+func (s *Sync) Current() (*schema.Config, *rules.Rules) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config, s.rules
+}
+
+// Revision returns the revision in force, 0 if there is none.
+func (s *Sync) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config.GetRevision()
+}
+
+// Offer adopts a relayed configuration if its revision is higher, and returns the revision in force.
+func (s *Sync) Offer(_ context.Context, config *schema.Config) uint64 {
+	_ = s.adopt(config) // Logged; the returned revision tells the sender.
+	return s.Revision()
+}
+
+// NoteRevision takes the revision that a peer reports and fetches the configuration from it in the background if it is
+// higher than the current one.
+func (s *Sync) NoteRevision(ctx context.Context, node, address string, revision uint64) {
+	s.note(revision)
+	if !s.startPull(revision) {
+		return
+	}
+	s.pulls.Go(func() {
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.pulling = false
+		}()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+		defer cancel()
+		config, err := s.opts.Peers.GetConfig(ctx, address)
+		if err == nil {
+			err = s.adopt(config)
+		}
+		if err != nil {
+			s.opts.Log.WithError(err).WithField("node", node).Warn("fetching a newer configuration failed")
+		}
+	})
+}
+
+// note records that a revision exists.
+func (s *Sync) note(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision > s.highest {
+		if s.highest <= s.config.GetRevision() {
+			s.behindSince = s.clk.Now()
+		}
+		s.highest = revision
+	}
+}
+
+// startPull tells whether the caller has to fetch a revision. One fetch runs at a time; heartbeats repeat the report
+// until it has succeeded.
+func (s *Sync) startPull(revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision <= s.config.GetRevision() || s.pulling {
+		return false
+	}
+	s.pulling = true
+	return true
+}
+
+// Ready tells whether the configuration is known well enough to serve: the platform was read, every reachable peer had
+// the chance to report its revision, and none is higher. A node that serves without interruption may be behind for a
+// moment, since no apply counts as in force before this node reports the revision. After a lapse of the right to serve it
+// may not: others may have proved it stopped and gone on without it.
+func (s *Sync) Ready() bool {
+	nodes, right := s.opts.Members.Nodes(), s.opts.Members.Right()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config == nil || !s.refreshedOK || !s.settle(nodes) {
+		return false
+	}
+	if s.highest <= s.config.GetRevision() {
+		return true
+	}
+	return s.behindSince > right.Since && s.clk.Now().Sub(s.behindSince) < catchUp
+}
+
+// settle tells whether the listed peers' revisions are known as far as they can be. The caller holds mu.
+func (s *Sync) settle(nodes []membership.NodeInfo) bool {
+	if s.settled || len(nodes) == 0 {
+		return s.settled
+	}
+	if !s.settleBegan {
+		s.settleFrom, s.settleBegan = s.clk.Now(), true
+	}
+	s.settled = s.clk.Now().Sub(s.settleFrom) >= s.opts.PeerWait
+	if !s.settled {
+		s.settled = true
+		for _, n := range nodes {
+			if n.Record.GetName() != s.opts.Self && n.Status == nil {
+				s.settled = false
+			}
+		}
+	}
+	return s.settled
+}
--- /dev/null
+++ b/internal/configsync/configsync_test.go
@@ -0,0 +1,337 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/membership"
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// fake is the platform, the membership and the peers of the tested node "a".
+type fake struct {
+	mu       sync.Mutex
+	clk      *clock.Manual
+	version  uint64
+	object   *platform.Object
+	readErr  error
+	writeErr error
+	race     func() // Runs before a write.
+	oldList  bool   // The list of nodes is never renewed.
+	nodes    []membership.NodeInfo
+	silent   map[string]bool
+	since    clock.Time
+	relayErr map[string]error
+	relayed  map[string]*schema.Config
+	pull     *schema.Config
+	watches  int
+}
+
+func (f *fake) lock() func() { f.mu.Lock(); return f.mu.Unlock }
+
+func (f *fake) Get(context.Context, string, string) (*platform.Object, error) {
+	defer f.lock()()
+	if f.readErr != nil {
+		return nil, f.readErr
+	}
+	if f.object == nil {
+		return nil, platform.ErrNotFound
+	}
+	return f.object, nil
+}
+
+func (f *fake) List(context.Context, string) ([]platform.Object, uint64, error) {
+	defer f.lock()()
+	if f.object == nil {
+		return nil, f.version, f.readErr
+	}
+	return []platform.Object{*f.object}, f.version, f.readErr
+}
+
+func (f *fake) Watch(_ context.Context, _ string, since uint64, _ time.Duration) ([]platform.Event, uint64, error) {
+	defer f.lock()()
+	f.watches++
+	if f.object == nil || f.object.Version <= since {
+		return nil, f.version, f.readErr
+	}
+	return []platform.Event{{Object: *f.object}}, f.version, f.readErr
+}
+
+func (f *fake) Create(ctx context.Context, kind, name string, data []byte) (uint64, error) {
+	return f.Update(ctx, kind, name, 0, data)
+}
+
+func (f *fake) Update(_ context.Context, kind, name string, version uint64, data []byte) (uint64, error) {
+	if f.race != nil {
+		f.race()
+	}
+	defer f.lock()()
+	if f.writeErr != nil {
+		return 0, f.writeErr
+	}
+	if (f.object == nil) != (version == 0) || (f.object != nil && f.object.Version != version) {
+		return 0, platform.ErrConflict
+	}
+	f.version++
+	f.object = &platform.Object{Kind: kind, Name: name, Version: f.version, Data: data}
+	return f.version, nil
+}
+
+func (f *fake) Nodes() []membership.NodeInfo { defer f.lock()(); return f.nodes }
+
+func (f *fake) ConfirmedSilent(name string) bool { defer f.lock()(); return f.silent[name] }
+
+func (f *fake) Right() membership.Right {
+	defer f.lock()()
+	return membership.Right{Serve: true, Since: f.since}
+}
+
+func (f *fake) ListedAt() (clock.Time, bool) { return f.clk.Now(), !f.oldList }
+
+func (f *fake) GetConfig(context.Context, string) (*schema.Config, error) {
+	defer f.lock()()
+	if f.pull == nil {
+		return nil, errors.New("no answer")
+	}
+	return f.pull, nil
+}
+
+func (f *fake) RelayConfig(_ context.Context, address string, c *schema.Config) (uint64, error) {
+	defer f.lock()()
+	f.relayed[address] = c
+	return c.GetRevision(), f.relayErr[address]
+}
+
+// store puts a configuration into the platform, whatever it contains.
+func (f *fake) store(c *schema.Config) {
+	defer f.lock()()
+	data, err := platform.Encode(c)
+	if err != nil {
+		panic(err)
+	}
+	f.version++
+	f.object = &platform.Object{Kind: Kind, Name: Name, Version: f.version, Data: data}
+}
+
+func node(name string, revision uint64) membership.NodeInfo {
+	return membership.NodeInfo{Record: &schema.Node{Name: name, Incarnation: "1", PeerAddress: name},
+		Status: &schema.NodeStatus{Name: name, Incarnation: "1", ConfigRevision: revision}}
+}
+
+func config(revision uint64, text string) *schema.Config {
+	return &schema.Config{Revision: revision, Rules: text, Nonce: text, Author: "kim"}
+}
+
+func setUp() (*fake, *Sync) {
+	f := &fake{clk: clock.NewManual(time.Hour), silent: map[string]bool{}, relayErr: map[string]error{},
+		relayed: map[string]*schema.Config{}, nodes: []membership.NodeInfo{node("a", 0), node("b", 0), node("c", 0)}}
+	s := New(Options{Self: "a", Platform: f, Members: f, Peers: f, Clock: f.clk,
+		Parse: func(text string) (*rules.Rules, error) {
+			if strings.Contains(text, "bad") {
+				return nil, errors.New("line 1: bad")
+			}
+			return &rules.Rules{}, nil
+		}})
+	return f, s
+}
+
+// drive advances the clock whenever something waits for it, until stop is closed.
+func drive(clk *clock.Manual, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if clk.Waiting() > 0 {
+			clk.Advance(checkInterval)
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+// Guards against an apply that reports success without being in force everywhere, overwrites another author's revision,
+// or builds on a store that lost data.
+func TestApply(t *testing.T) {
+	tests := []struct {
+		name    string
+		base    uint64
+		text    string
+		prepare func(f *fake, s *Sync)
+		code    result.Code
+		missing []string
+		written bool
+	}{
+		{name: "first", text: "x", written: true},
+		{name: "next", base: 4, text: "x", written: true, prepare: func(f *fake, _ *Sync) { f.store(config(4, "old")) }},
+		{name: "invalid", text: "bad", code: result.RulesInvalid},
+		{name: "stale base", base: 3, text: "x", code: result.RevisionConflict,
+			prepare: func(f *fake, _ *Sync) { f.store(config(4, "old")) }},
+		{name: "lost race", base: 4, text: "x", code: result.RevisionConflict, prepare: func(f *fake, _ *Sync) {
+			f.store(config(4, "old"))
+			f.race = func() { f.store(config(5, "other")) }
+		}},
+		{name: "store behind this node", base: 4, text: "x", code: result.RevisionConflict, prepare: func(f *fake, s *Sync) {
+			f.store(config(4, "old"))
+			s.Offer(context.Background(), config(5, "mine"))
+		}},
+		{name: "store behind a peer", base: 4, text: "x", code: result.RevisionConflict, prepare: func(f *fake, s *Sync) {
+			f.store(config(4, "old"))
+			s.NoteRevision(context.Background(), "b", "b", 5)
+		}},
+		{name: "other content in store", base: 4, text: "x", code: result.RevisionConflict, prepare: func(f *fake, s *Sync) {
+			f.store(config(4, "old"))
+			s.Offer(context.Background(), config(4, "mine"))
+		}},
+		{name: "read fails", text: "x", code: result.PlatformUnavailable,
+			prepare: func(f *fake, _ *Sync) { f.readErr = platform.ErrUnavailable }},
+		{name: "write refused", text: "x", code: result.PlatformUnavailable,
+			prepare: func(f *fake, _ *Sync) { f.writeErr = platform.ErrUnavailable }},
+		{name: "write unknown", text: "x", code: result.ApplyUnknown,
+			prepare: func(f *fake, _ *Sync) { f.writeErr = platform.ErrOutcomeUnknown }},
+		{name: "too large", text: "x", code: result.RulesInvalid,
+			prepare: func(f *fake, _ *Sync) { f.writeErr = platform.ErrRejected }},
+		{name: "node cut off", text: "x", code: result.NotInForce, missing: []string{"b"}, written: true,
+			prepare: func(f *fake, _ *Sync) { f.relayErr["b"] = errors.New("no answer") }},
+		{name: "lapsed but heard by others", text: "x", code: result.NotInForce, missing: []string{"b"}, written: true,
+			prepare: func(f *fake, _ *Sync) { f.relayErr["b"] = errors.New("no answer"); f.nodes[1].LeaseLapsed = true }},
+		{name: "silent but lease unproved", text: "x", code: result.NotInForce, missing: []string{"b"}, written: true,
+			prepare: func(f *fake, _ *Sync) { f.relayErr["b"] = errors.New("no answer"); f.silent["b"] = true }},
+		{name: "node proved stopped", text: "x", written: true, prepare: func(f *fake, _ *Sync) {
+			f.relayErr["b"] = errors.New("no answer")
+			f.nodes[1].LeaseLapsed, f.silent["b"] = true, true
+		}},
+		{name: "reported by heartbeat", text: "x", written: true, prepare: func(f *fake, _ *Sync) {
+			f.relayErr["b"] = errors.New("reply lost")
+			f.nodes[1] = node("b", 1)
+		}},
+		{name: "reported by an older incarnation", text: "x", code: result.NotInForce, missing: []string{"b"}, written: true,
+			prepare: func(f *fake, _ *Sync) {
+				f.relayErr["b"] = errors.New("no answer")
+				f.nodes[1] = node("b", 1)
+				f.nodes[1].Record.Incarnation = "2"
+			}},
+		{name: "list of nodes not renewed", text: "x", code: result.NotInForce, written: true,
+			prepare: func(f *fake, _ *Sync) { f.oldList = true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f, s := setUp()
+			if test.prepare != nil {
+				test.prepare(f, s)
+			}
+			stop := make(chan struct{})
+			defer close(stop)
+			go drive(f.clk, stop)
+			applied, err := s.Apply(context.Background(), test.base, test.text, "kim")
+			c.Assert(applied.Missing, qt.DeepEquals, test.missing)
+			var refusal *result.Error
+			if errors.As(err, &refusal) {
+				c.Assert(refusal.Code, qt.Equals, test.code)
+			} else {
+				c.Assert(err, qt.IsNil)
+				c.Assert(test.code, qt.Equals, result.OK)
+			}
+			if !test.written {
+				c.Assert(applied.Revision, qt.Equals, uint64(0))
+				c.Assert(len(f.relayed), qt.Equals, 0)
+				return
+			}
+			c.Assert(applied.Revision, qt.Equals, test.base+1)
+			c.Assert(s.Revision(), qt.Equals, test.base+1)
+			c.Assert(f.relayed["c"].GetRules(), qt.Equals, "x")
+		})
+	}
+}
+
+// Guards against a return to a lower revision or another content, by relay or by a stale read, and against callbacks for
+// configurations that were not adopted.
+func TestNeverReverts(t *testing.T) {
+	c := qt.New(t)
+	f, s := setUp()
+	ctx := context.Background()
+	var seen []uint64
+	s.OnChange(func(_ *rules.Rules, revision uint64) { seen = append(seen, revision) })
+	c.Assert(s.Offer(ctx, config(3, "three")), qt.Equals, uint64(3))
+	c.Assert(s.Offer(ctx, config(2, "two")), qt.Equals, uint64(3))
+	c.Assert(s.Offer(ctx, config(3, "other")), qt.Equals, uint64(3))
+	c.Assert(s.Offer(ctx, config(4, "bad")), qt.Equals, uint64(3))
+	f.store(config(1, "one"))
+	c.Assert(s.Refresh(ctx, 0), qt.IsNil)
+	current, _ := s.Current()
+	c.Assert(proto.Equal(current, config(3, "three")), qt.IsTrue)
+	f.store(config(5, "five"))
+	c.Assert(s.Refresh(ctx, 0), qt.IsNil)
+	c.Assert(f.watches, qt.Equals, 1)
+	c.Assert(seen, qt.DeepEquals, []uint64{3, 5})
+	c.Assert(s.Refresh(ctx, 99), qt.ErrorMatches, ".*stale")
+}
+
+// Guards against a node that serves an old configuration: after its start, or after a lapse during which others may have
+// gone on without it.
+func TestReady(t *testing.T) {
+	c := qt.New(t)
+	f, s := setUp()
+	ctx := context.Background()
+	f.nodes[2].Status = nil // c was not heard yet.
+	s.Offer(ctx, config(3, "three"))
+	c.Assert(s.Ready(), qt.IsFalse, qt.Commentf("platform not read"))
+	f.store(config(3, "three"))
+	c.Assert(s.Refresh(ctx, 0), qt.IsNil)
+	c.Assert(s.Ready(), qt.IsFalse, qt.Commentf("peer not heard"))
+	f.clk.Advance(defaultPeerWait)
+	c.Assert(s.Ready(), qt.IsTrue)
+
+	f.since = f.clk.Now()
+	f.clk.Advance(time.Second)
+	s.NoteRevision(ctx, "b", "b", 4) // The fetch fails.
+	s.pulls.Wait()
+	c.Assert(s.Ready(), qt.IsTrue, qt.Commentf("serving without interruption"))
+	f.clk.Advance(catchUp)
+	c.Assert(s.Ready(), qt.IsFalse, qt.Commentf("can't catch up"))
+	f.pull = config(4, "four")
+	s.NoteRevision(ctx, "b", "b", 4)
+	s.pulls.Wait()
+	c.Assert(s.Revision(), qt.Equals, uint64(4))
+	c.Assert(s.Ready(), qt.IsTrue)
+
+	f.clk.Advance(10 * time.Second) // A pause.
+	s.NoteRevision(ctx, "b", "b", 5)
+	f.since = f.clk.Now()
+	c.Assert(s.Ready(), qt.IsFalse, qt.Commentf("behind after a lapse"))
+	s.pulls.Wait()
+}
+
+// Guards against a node that never looks at the platform by itself, or looks although Refresh was just called.
+func TestRunPolls(t *testing.T) {
+	c := qt.New(t)
+	f, s := setUp()
+	ctx, cancel := context.WithCancel(context.Background())
+	f.store(config(1, "one"))
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	stop := make(chan struct{})
+	go drive(f.clk, stop)
+	for s.Revision() != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	f.store(config(2, "two"))
+	for s.Revision() != 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(stop)
+	cancel()
+	c.Assert(<-done, qt.ErrorIs, context.Canceled)
+}
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -142,13 +142,18 @@
 	w.nested = true
 	defer func() { w.nested = false }()
 	w.check()
-	if rapid.IntRange(0, 39).Draw(w.t, "interrupt") == 0 {
-		n.busy = true
-		for range rapid.IntRange(1, 4).Draw(w.t, "nested steps") {
+	if rapid.IntRange(0, 29).Draw(w.t, "interrupt") != 0 {
+		return
+	}
+	n.busy = true
+	for range rapid.IntRange(1, 3).Draw(w.t, "nested steps") {
+		if rapid.Bool().Draw(w.t, "paused") {
+			w.live(nil)
+		} else {
 			w.step()
 		}
-		n.busy = false
 	}
+	n.busy = false
 }
 
 func (w *world) idle() []*modelNode {
--- a/internal/membership/renew.go
+++ b/internal/membership/renew.go
@@ -198,12 +198,13 @@
 	now := m.clk.Now()
 	var dead []*record
 	for name, r := range m.listed {
-		silence := m.provedSilence(r, now)
-		lapsed := silence - m.termOf(r) - m.opts.Margin
-		if name == m.opts.Self.GetName() || lapsed < m.opts.ForgetAfter {
+		if name == m.opts.Self.GetName() || !m.provedNow(now) {
 			continue
 		}
-		if m.confirmedSilent(name, now) || lapsed >= m.opts.MaxOutage {
+		lapse := m.termOf(r) + m.opts.Margin
+		forgotten := m.provedSilence(r, now) >= lapse+m.opts.ForgetAfter && m.confirmedSilent(name, now)
+		// An equal version proves that there was no renewal, whatever reads failed in between.
+		if forgotten || m.proved.Sub(r.changedAt) >= lapse+m.opts.MaxOutage {
 			dead = append(dead, r)
 		}
 	}
--- a/internal/membership/right.go
+++ b/internal/membership/right.go
@@ -152,6 +152,14 @@
 	return m.contact && m.clk.Now().Sub(m.contactAt) < m.opts.Term
 }
 
+// ListedAt returns the time up to which the list of nodes is proved to be current: a node that is absent from Nodes had no
+// record then. It returns false if the list was never proved.
+func (m *Membership) ListedAt() (clock.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.proved, m.provedOnce
+}
+
 // Nodes returns the listed nodes by name, this node included.
 func (m *Membership) Nodes() []NodeInfo {
 	m.mu.Lock()
