Serve plain services with separate node processes

Measured: TestServices starts three nodes, a platform, two engines and two services as processes behind proxies; lookups and bookings are answered, and a repeated booking gets the same answer from another node.

--- a/internal/holder/platform.go
+++ b/internal/holder/platform.go
@@ -2,29 +2,23 @@
 
 import (
 	"context"
-	"errors"
 	"time"
-)
 
-// Object is one object of the platform.
-type Object struct {
-	Kind, Name string
-	Version    uint64
-	Data       []byte
-}
+	"cassiadeal.example/cassiadeal/internal/platform"
+)
 
-// Event is one change of an object.
-type Event struct {
-	Object  Object
-	Deleted bool
-}
+// The platform client's types.
+type (
+	Object = platform.Object
+	Event  = platform.Event
+)
 
 // Errors of a Platform.
 var (
-	ErrNotFound       = errors.New("object not found")
-	ErrConflict       = errors.New("object version conflict")
-	ErrUnavailable    = errors.New("platform unavailable")
-	ErrOutcomeUnknown = errors.New("outcome of the write unknown")
+	ErrNotFound       = platform.ErrNotFound
+	ErrConflict       = platform.ErrConflict
+	ErrUnavailable    = platform.ErrUnavailable
+	ErrOutcomeUnknown = platform.ErrOutcomeUnknown
 )
 
 // Platform is the part of the object API client that this package needs.
--- a/internal/node/adapters.go
+++ b/internal/node/adapters.go
@@ -50,7 +50,7 @@
 	var nodes []holder.Node
 	for _, info := range h.m.Nodes() {
 		nodes = append(nodes, holder.Node{
-			Identity:        holder.Identity{Node: info.Record.Name, Incarnation: info.Record.Incarnation},
+			Identity:        holder.Identity{Name: info.Record.Name, Incarnation: info.Record.Incarnation},
 			FailureDomain:   info.Record.FailureDomain,
 			Live:            info.Live,
 			Serving:         state(info) == schema.NodeState_NODE_STATE_SERVING,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,10 +96,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "setting up metrics")
 	}
-	n := &Node{settings: s, log: log, metrics: metrics, clock: clock.Boottime(), peers: peer.NewClient()}
+	n := &Node{settings: s, log: log, metrics: metrics, clock: clock.Boottime()}
 	if n.listeners, err = bind(&s.Listen); err != nil {
 		return nil, err
 	}
+	n.peers = peer.NewClient(n.listeners.peer.Addr())
 	n.self = &schema.Node{
 		Name:            s.Node.Name,
 		Incarnation:     uuid.NewString(),
@@ -166,7 +167,7 @@
 		Heartbeat: t.Heartbeat, Renew: t.Renew, Term: t.Term, Margin: t.Margin, ForgetAfter: t.ForgetAfter, MaxOutage: t.MaxOutage,
 		Clock: n.clock, Log: n.log, Meter: meter,
 		FillStatus: n.fillStatus, OnPeerStatus: n.onPeerStatus,
-		AfterRenew: func(ctx context.Context, _ uint64) error { return n.holders.Reread(ctx) },
+		AfterRenew: n.afterRenew,
 	})
 	if err != nil {
 		return err
@@ -176,14 +177,23 @@
 	return nil
 }
 
+// afterRenew makes the lease depend on what this node has read since it was written: its holder tables and the
+// configuration. A node whose lease is valid therefore knows both as of the lease's start or later.
+func (n *Node) afterRenew(ctx context.Context, version uint64) error {
+	if err := n.holders.Reread(ctx); err != nil {
+		return err
+	}
+	return n.config.Refresh(ctx, version)
+}
+
 func (n *Node) assembleControl() {
 	t := n.settings.Timing
 	meter := n.metrics.Meter()
 	api := objectAPI{n.platform}
 	self := holder.Identity{Name: n.self.Name, Incarnation: n.self.Incarnation}
 	n.config = configsync.New(configsync.Options{
-		Node: n.self.Name, Platform: n.platform, Members: configMembers{n.membership}, Peers: n.peers,
-		Parse: parseRules, Term: t.Term, Margin: t.Margin, Clock: n.clock, Log: n.log, Meter: meter,
+		Self: n.self.Name, Platform: n.platform, Members: n.membership, Peers: n.peers, Parse: parseRules,
+		Clock: n.clock, Log: n.log, Meter: meter,
 	})
 	n.config.OnChange(n.onRules)
 	n.holders = holder.New(holder.Options{
@@ -259,7 +269,7 @@
 	start("caller listener", serveHTTP(caller, n.listeners.caller))
 	start("operator listener", serveHTTP(admin, n.listeners.operator))
 	start("membership", n.membership.Run)
-	start("configuration", forever(n.config.Run))
+	start("configuration", n.config.Run)
 	start("holders", forever(n.holders.Run))
 	start("groups", forever(n.groups.Run))
 	start("targets", forever(n.targets.Run))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -67,7 +67,7 @@
 	n.crashes.Merge(s.Crashes)
 	n.holders.NoteTakeovers(takeovers(s))
 	if address, ok := n.peerAddress(s.Name); ok {
-		n.config.NoteRevision(s.Name, address, s.ConfigRevision)
+		n.config.NoteRevision(context.Background(), s.Name, address, s.ConfigRevision)
 	}
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,7 +8,6 @@
 	"cassiadeal.example/cassiadeal/internal/membership"
 	"cassiadeal.example/cassiadeal/internal/operator"
 	"cassiadeal.example/cassiadeal/internal/result"
-	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/internal/target"
 )
@@ -55,7 +54,7 @@
 	s := operator.Status{
 		Node: n.self.Name, Incarnation: n.self.Incarnation, FailureDomain: n.self.FailureDomain, State: n.stateName(),
 		RightToServe: right.Serve, Basis: basis(right), InDoubt: right.InDoubt, ConfigRevision: n.config.Revision(),
-		PlatformContactMS: n.membership.PlatformAge().Milliseconds(),
+		PlatformContactMS: n.platformAge(),
 	}
 	for _, info := range n.membership.Nodes() {
 		status := nodeStatus(info)
@@ -169,3 +168,12 @@
 	sort.Strings(stranded)
 	return stranded
 }
+
+// platformAge returns the milliseconds since the last answer of the platform was asked for, or -1 if there was none.
+func (n *Node) platformAge() int64 {
+	at, ok := n.membership.ListedAt()
+	if !ok {
+		return -1
+	}
+	return n.clock.Now().Sub(at).Milliseconds()
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,22 +31,29 @@
 // Client calls other nodes. drpc runs one RPC at a time on a connection, so concurrent calls have their own
 // connections and a slow stream doesn't hold up another.
 type Client struct {
-	pool *drpcpool.Pool[string, *drpcconn.Conn]
+	pool  *drpcpool.Pool[string, *drpcconn.Conn]
+	local net.Addr
 }
 
-// NewClient returns a client with an empty connection pool.
-func NewClient() *Client {
-	return &Client{pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+// NewClient returns a client that calls from the IP of listenAddress, so that the addresses of a node with several
+// networks stay on one of them. An unspecified IP leaves the choice to the operating system.
+func NewClient(listenAddress net.Addr) *Client {
+	c := &Client{}
+	if tcp, ok := listenAddress.(*net.TCPAddr); ok && !tcp.IP.IsUnspecified() {
+		c.local = &net.TCPAddr{IP: tcp.IP}
+	}
+	c.pool = drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
 		Expiration:  idleExpiry,
 		KeyCapacity: idlePerNode,
-	})}
+	})
+	return c
 }
 
 // Close closes all pooled connections.
 func (c *Client) Close() error { return c.pool.Close() }
 
-func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: c.local}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connecting to node at %s", address)
@@ -59,7 +66,7 @@
 }
 
 func (c *Client) call(ctx context.Context, address string, f func(schema.DRPCPeerClient) error) error {
-	conn := c.pool.Get(ctx, address, dial)
+	conn := c.pool.Get(ctx, address, c.dial)
 	defer func() { _ = conn.Close() }() // Returns the connection to the pool.
 	return eris.Wrapf(f(schema.NewDRPCPeerClient(conn)), "calling node at %s", address)
 }
@@ -118,9 +125,9 @@
 
 	var conn drpc.Conn
 	if req.Repeatable {
-		conn = c.pool.Get(ctx, address, dial)
+		conn = c.pool.Get(ctx, address, c.dial)
 	} else {
-		fresh, err := dial(ctx, address)
+		fresh, err := c.dial(ctx, address)
 		if err != nil {
 			return failure(result.NodeUnreachable, true, err)
 		}
--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -44,6 +44,7 @@
 	closed        bool
 	conns         map[*conn]struct{}
 	cut           [2]bool
+	cutSources    map[string][2]bool // By IP of the client.
 	delay, jitter time.Duration
 	limiter       *toxiproxy.Proxy // nil without a bandwidth limit
 }
@@ -55,6 +56,7 @@
 func NewSeeded(upstream string, seed uint64) (*Proxy, error) {
 	p := &Proxy{
 		upstream: upstream, addr: "127.0.0.1:0", rng: rand.New(rand.NewPCG(seed, 3)), conns: map[*conn]struct{}{},
+		cutSources: map[string][2]bool{},
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,6 +128,19 @@
 	}
 }
 
+// CutSource is Cut for the connections of the clients with one IP only.
+func (p *Proxy) CutSource(ip string, d Direction) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cut := p.cutSources[ip]
+	for _, one := range []Direction{ToUpstream, ToClient} {
+		if d == one || d == Both {
+			cut[one] = true
+		}
+	}
+	p.cutSources[ip] = cut
+}
+
 // FreezeExisting makes the present connections silent for good: they stay open, and no data or end passes in either
 // direction, not even after Restore. New connections work.
 func (p *Proxy) FreezeExisting() {
@@ -180,6 +195,7 @@
 func (p *Proxy) Restore() error {
 	p.mu.Lock()
 	p.cut = [2]bool{}
+	clear(p.cutSources)
 	p.delay, p.jitter = 0, 0
 	var lossy []*conn
 	for c := range p.conns {
@@ -222,6 +238,7 @@
 	client, upstream *net.TCPConn
 	done             chan struct{}
 	once             sync.Once
+	source           string // IP of the client.
 	frozen           bool
 	lossy            bool
 }
@@ -240,6 +257,7 @@
 		return
 	}
 	c := &conn{p: p, client: client, upstream: upstream.(*net.TCPConn), done: make(chan struct{})}
+	c.source = client.RemoteAddr().(*net.TCPAddr).IP.String()
 	p.mu.Lock()
 	closed := p.closed
 	p.conns[c] = struct{}{}
@@ -319,10 +337,11 @@
 func (c *conn) fate(d Direction) (pass, frozen bool) {
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
-	if c.p.cut[d] {
+	cut := c.p.cut[d] || c.p.cutSources[c.source][d]
+	if cut {
 		c.lossy = true
 	}
-	return !c.p.cut[d], c.frozen
+	return !cut, c.frozen
 }
 
 func (c *conn) sleepUntil(due time.Time) bool {
--- /dev/null
+++ b/test/integration/smoke_test.go
@@ -0,0 +1,25 @@
+package integration
+
+import (
+	"testing"
+
+	"github.com/google/uuid"
+)
+
+func TestServices(t *testing.T) {
+	o := defaults()
+	o.replicas = 0
+	c := start(t, o)
+	for _, d := range c.nodes {
+		if a := c.send(d, "GET", "/v1/services/bookings/stock/x", "", ""); a.status != 200 {
+			t.Fatal(a)
+		}
+		key := uuid.Must(uuid.NewV7()).String()
+		a := c.send(d, "POST", "/v1/services/bookings/confirm", "{}", key)
+		b := c.send(c.nodes[0], "POST", "/v1/services/bookings/confirm", "{}", key)
+		if a.status != 200 || a.body != b.body {
+			t.Fatal(a, b)
+		}
+		t.Log(a, b)
+	}
+}
