Renew at once after an apply is written

An apply waited up to one renew interval for a list of nodes newer than its write, and the poll of configsync ran beside the refresh after each renewal.

--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -123,6 +123,7 @@
 // configuration after its first renewal and before its lease counts.
 func (s *Sync) spread(ctx context.Context, config *schema.Config) (missing []string, listed bool) {
 	written := s.clk.Now()
+	s.opts.Members.Renew() // Otherwise the list is up to one renew interval old.
 	deadline := written.Add(s.opts.Within)
 	ctx, cancel := context.WithCancel(ctx)
 	r := &relays{sync: s, config: config, acked: map[string]bool{}, running: map[string]bool{}}
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -32,8 +32,9 @@
 )
 
 const (
-	// defaultPoll bounds how late a revision is seen whose relay was lost and whose holder can't be heard.
-	defaultPoll = time.Second
+	// defaultPoll bounds how late a revision is seen whose relay was lost and whose holder can't be heard. It is twice the
+	// renew interval, so that Run makes no call while every renewal is followed by a Refresh.
+	defaultPoll = 2 * time.Second
 	// defaultWithin is the bound within which an accepted configuration is in force everywhere.
 	defaultWithin = 6 * time.Second
 	// defaultPeerWait is how long a starting node waits for the first status of each listed peer; a peer that answers
@@ -69,6 +70,7 @@
 	ConfirmedSilent(name string) bool
 	Right() membership.Right
 	ListedAt() (clock.Time, bool)
+	Renew()
 }
 
 // Peers calls other nodes.
@@ -87,7 +89,7 @@
 	// Parse checks the text of a rules file.
 	Parse func(text string) (*rules.Rules, error)
 
-	Poll     time.Duration // Longest time between two looks at the platform. Default 1 s.
+	Poll     time.Duration // Longest time between two looks at the platform. Default 2 s.
 	Within   time.Duration // How long Apply waits for the revision to be in force. Default 6 s.
 	PeerWait time.Duration // How long a starting node waits for its peers' revisions. Default 1 s.
 
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -95,6 +95,8 @@
 	return membership.Right{Serve: true, Since: f.since}
 }
 
+func (f *fake) Renew() {}
+
 func (f *fake) ListedAt() (clock.Time, bool) { return f.clk.Now(), !f.oldList }
 
 func (f *fake) GetConfig(context.Context, string) (*schema.Config, error) {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -229,6 +229,11 @@
 	m.mu.Lock()
 	m.state = state
 	m.mu.Unlock()
+	m.Renew()
+}
+
+// Renew asks Run to renew and to read the list of nodes at once.
+func (m *Membership) Renew() {
 	select {
 	case m.kick <- struct{}{}:
 	default: // A renewal is already requested.
