Add the open-loop load tool

Cause: the measurements that the design calls for need arrivals that don't depend on answers, latency from the intended start, and answers that are checked. internal/load reads an experiment file, sends generate and service requests through the entry addresses or straight to an engine, sends the lines of [faults], and writes a table and a versioned JSON result.

Measured: go test -race ./internal/load passes; go vet and staticcheck of the package are clean. cmd/cassiadeal doesn't build yet because internal/node lacks packages; the wiring was compiled in a scratch copy without the demo.

Conclusion: usable against stand-ins; not yet run against real nodes.

--- a/cmd/cassiadeal/main.go
+++ b/cmd/cassiadeal/main.go
@@ -11,17 +11,24 @@
 
 	"cassiadeal.example/cassiadeal/internal/cli"
 	"cassiadeal.example/cassiadeal/internal/demo"
+	"cassiadeal.example/cassiadeal/internal/load"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	var loadExit *load.ExitError
 	code := cli.Run(ctx, cli.Options{
-		Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Load: notBuilt, Demo: demo.Main,
+		Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Demo: demo.Main,
+		Load: func(ctx context.Context, args []string, stdout, stderr io.Writer) error {
+			err := load.Main(ctx, args, stdout, stderr)
+			errors.As(err, &loadExit)
+			return err
+		},
 	}, os.Args[1:])
 	stop()
+	// Package cli knows only its own exit codes and returns 1 for every other error of a tool.
+	if loadExit != nil {
+		code = loadExit.Code
+	}
 	os.Exit(code)
 }
-
-func notBuilt(context.Context, []string, io.Writer, io.Writer) error {
-	return errors.New("not built yet")
-}
--- /dev/null
+++ b/internal/load/faults.go
@@ -0,0 +1,82 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// faultTimeout covers an apply that waits for all nodes, and the restart of a stand-in.
+const faultTimeout = 30 * time.Second
+
+// runFaults sends each line of [faults] at its time, whether or not the earlier ones have been answered, and returns
+// when all have ended. The lines have a client of their own, so that they never wait for a connection of the traffic.
+func runFaults(ctx context.Context, start time.Time, faults []Fault) []FaultResult {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: faultTimeout}
+	defer client.CloseIdleConnections()
+	results := make([]FaultResult, len(faults))
+	ended := make(chan struct{})
+	for i, f := range faults {
+		go func() {
+			results[i] = sendFault(ctx, client, start, f)
+			ended <- struct{}{}
+		}()
+	}
+	for range faults {
+		<-ended
+	}
+	return results
+}
+
+func sendFault(ctx context.Context, client *http.Client, start time.Time, f Fault) FaultResult {
+	r := FaultResult{Method: f.Method, URL: f.URL, AtMS: f.At.Milliseconds()}
+	if !waitUntil(ctx, start.Add(f.At)) {
+		r.Error = errInterrupted.Error()
+		return r
+	}
+	r.SentMS = sinceMS(start)
+	status, err := doFault(ctx, client, f)
+	r.Status, r.EndedMS = status, sinceMS(start)
+	if err != nil {
+		r.Error = err.Error()
+	}
+	return r
+}
+
+func doFault(ctx context.Context, client *http.Client, f Fault) (status int, err error) {
+	req, err := http.NewRequestWithContext(ctx, f.Method, f.URL, strings.NewReader(f.Body))
+	if err != nil {
+		return 0, err
+	}
+	if f.Body != "" {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	// The beginning of an error message is enough to find its reason.
+	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	if err == nil && resp.StatusCode >= http.StatusMultipleChoices {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(text)))
+	}
+	return resp.StatusCode, err
+}
+
+func sinceMS(start time.Time) float64 { return float64(time.Since(start).Microseconds()) / 1000 }
+
+// waitUntil returns false if the context ends first.
+func waitUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
