--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -248,3 +248,23 @@
 		}
 	}
 }
+
+// Guards against an interrupted run that hangs or passes for a whole one.
+func TestInterrupt(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	address := serve(t, func(_ http.ResponseWriter, req *http.Request) {
+		cancel()
+		<-req.Context().Done()
+	})
+	e, err := Parse("f.ini", strings.Replace(validFile, "127.0.0.1:1,127.0.0.1:2", address, 1))
+	qt.Assert(t, err, qt.IsNil)
+	e.Constant = true
+	r, err := Run(ctx, e)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.incomplete(), qt.Equals, "the run was interrupted")
+	qt.Assert(t, r.Sections[0].Results[0].Name, qt.Equals, interrupted)
+	// The whole run has 20 arrivals; a slow machine may start some more before it sees the end.
+	qt.Assert(t, r.Sections[0].Due < 20, qt.IsTrue)
+}
