Add the HTTP client for engine orders and state

Cause: an order that is replayed or of unknown outcome must not be taken for a refused one. Conclusion: each call has its own connection and a body without GetBody; errors tell not sent from outcome unknown.

--- /dev/null
+++ b/internal/orders/orders.go
@@ -0,0 +1,169 @@
+// Package orders sends fenced orders to model engines and reads their state.
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Action is the kind of an order.
+type Action string
+
+// Actions that engines accept.
+const (
+	Join  Action = "join"
+	Leave Action = "leave"
+)
+
+// Order is the body of POST /v1/orders.
+type Order struct {
+	// Fence is the version of the plan that the order follows from.
+	Fence   uint64   `json:"fence"`
+	Action  Action   `json:"action"`
+	Group   string   `json:"group"`
+	Number  uint64   `json:"number"`
+	Rank    uint32   `json:"rank"`
+	Size    uint32   `json:"size"`
+	Members []string `json:"members"` // host:port by rank.
+	Model   string   `json:"model"`
+	Pool    string   `json:"pool"`
+}
+
+// State is the answer to GET /v1/state.
+type State struct {
+	VM          string   `json:"vm"`
+	Incarnation string   `json:"incarnation"`
+	Group       string   `json:"group"` // Empty if the engine is in no group.
+	Number      uint64   `json:"number"`
+	Rank        uint32   `json:"rank"`
+	Size        uint32   `json:"size"`
+	Pool        string   `json:"pool"`
+	Model       string   `json:"model"`
+	Loading     bool     `json:"loading"`
+	Ready       bool     `json:"ready"`
+	Cold        bool     `json:"cold"`
+	Running     int      `json:"running"` // Lags by LoadAgeMS.
+	Waiting     int      `json:"waiting"` // Lags by LoadAgeMS.
+	LoadAgeMS   int64    `json:"load_age_ms"`
+	Weights     []string `json:"weights"` // Models whose weights the VM holds.
+	TimeUnixMS  int64    `json:"time_unix_ms"`
+}
+
+// FencedError tells that the engine has accepted an order with a higher fencing number.
+type FencedError struct {
+	Sent, Current uint64
+}
+
+// Error implements error.
+func (e *FencedError) Error() string {
+	return fmt.Sprintf("order with fence %d refused, engine has accepted %d", e.Sent, e.Current)
+}
+
+// ErrOutcomeUnknown tells that an order may have been carried out, or may still be.
+var ErrOutcomeUnknown = errors.New("outcome of the order unknown")
+
+// ErrNotSent tells that an order did not reach the engine.
+var ErrNotSent = errors.New("order not sent")
+
+const (
+	defaultTimeout = 2 * time.Second // The default of order_delivery.
+	maxAnswerBytes = 1 << 20
+)
+
+// Options configures a Client.
+type Options struct {
+	Timeout time.Duration // Of one call, connecting included; 2 s if zero.
+}
+
+// Client speaks to engines. Every call has its own connection, because http.Transport may send a request again when a
+// reused connection turns out dead.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a Client.
+func New(o Options) *Client {
+	if o.Timeout == 0 {
+		o.Timeout = defaultTimeout
+	}
+	return &Client{http: &http.Client{
+		Timeout: o.Timeout,
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+			DialContext:       (&net.Dialer{Timeout: o.Timeout}).DialContext,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// onceBody hides the type of the reader, so that net/http sets no GetBody and cannot replay the request.
+type onceBody struct{ io.Reader }
+
+// Send sends one order, once. It returns nil if the engine accepted it, a *FencedError if the engine refused it, an error
+// that is ErrNotSent if nothing was sent, and one that is ErrOutcomeUnknown otherwise.
+func (c *Client) Send(ctx context.Context, address string, o Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("%w: encode order for %s: %w", ErrNotSent, address, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/orders",
+		onceBody{bytes.NewReader(body)})
+	if err != nil {
+		return fmt.Errorf("%w: engine %q: %w", ErrNotSent, address, err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return fmt.Errorf("%w: engine %s: %w", ErrNotSent, address, err)
+		}
+		return fmt.Errorf("%w: engine %s: %w", ErrOutcomeUnknown, address, err)
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Accepted bool   `json:"accepted"`
+		Fence    uint64 `json:"fence"`
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&answer)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: engine %s: status %d: %w", ErrOutcomeUnknown, address, resp.StatusCode, err)
+	case resp.StatusCode == http.StatusConflict && !answer.Accepted:
+		return &FencedError{Sent: o.Fence, Current: answer.Fence}
+	case resp.StatusCode != http.StatusOK || !answer.Accepted:
+		return fmt.Errorf("%w: engine %s: status %d", ErrOutcomeUnknown, address, resp.StatusCode)
+	}
+	return nil
+}
+
+// State reads the state of the engine at address.
+func (c *Client) State(ctx context.Context, address string) (State, error) {
+	var s State
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/state", nil)
+	if err != nil {
+		return s, eris.Wrapf(err, "engine %q", address)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return s, eris.Wrapf(err, "state of engine %s", address)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, eris.Errorf("state of engine %s: status %d", address, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&s); err != nil {
+		return s, eris.Wrapf(err, "state of engine %s", address)
+	}
+	return s, nil
+}
