Add the controllers of fabric domains

Cause: plans must be written before orders, by one controller at a time, also when an old one wakes up late. Measurement: go vet, staticcheck, go test ./internal/groups (9 s) and go test -race -run Controllers (100 checks, 53 s), pass. Conclusion: takeover by the platform's lease only; each VM has at most one order without an answer.

--- /dev/null
+++ b/internal/groups/controller.go
@@ -0,0 +1,726 @@
+package groups
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/holder"
+	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Kind is the kind of the plans in the object API; the name is the fabric domain.
+const Kind = "domains"
+
+const (
+	defaultInterval      = 250 * time.Millisecond
+	defaultOrderDelivery = 2 * time.Second
+	watchWait            = 20 * time.Second
+	maxConcurrentOrders  = 16
+)
+
+// Sender sends orders to engines, each once.
+type Sender interface {
+	Send(ctx context.Context, address string, o orders.Order) error
+}
+
+// Options configures Controllers.
+type Options struct {
+	Self     Identity
+	Platform Platform
+	Members  Members
+	Orders   Sender
+	// VMs returns the VM list of all fabric domains; ok is false until it is known.
+	VMs func() (vms []VM, ok bool)
+	// Report returns the last state read from a VM's engine, with its age.
+	Report func(vm string) Report
+	Rules  func() *rules.Rules // Nil until a configuration is known.
+	Clock  func() time.Time    // Wall clock, for the end of retirement; time.Now if nil.
+	Now    func() time.Duration
+	// OrderDelivery is the longest time for which an order without an answer may still arrive; 2 s if zero.
+	OrderDelivery time.Duration
+	Term, Margin  time.Duration // Of node leases.
+	Interval      time.Duration // Between two plans of a fabric domain; 250 ms if zero.
+	Policy        Policy
+	Timing        Timing
+	Log           logrus.FieldLogger
+}
+
+// Member is one VM of a group.
+type Member struct {
+	VM          string // Empty if the rank is vacant.
+	Address     string
+	Incarnation string // As seen when the group became ready.
+	Leaving     bool
+}
+
+// View is one group as planned.
+type View struct {
+	ID            string
+	Pool          string
+	Model         string
+	Number        uint64
+	Size          int
+	State         schema.GroupState
+	FailureDomain string
+	FabricDomain  string
+	Members       []Member // By rank.
+}
+
+type domain struct {
+	version uint64
+	plan    *schema.FabricDomain
+}
+
+// control is what a node remembers about a fabric domain that it controls.
+type control struct {
+	// since is the time from which reports count; orders of an earlier controller have arrived by then.
+	since  time.Duration
+	vms    map[string]*vmOrders
+	starts []time.Duration // Weight loads ordered within the last minute.
+}
+
+// absence tells when a controller was first and last found to match no listed node.
+type absence struct {
+	first, last time.Duration
+}
+
+// vmOrders bounds a VM to one unanswered order.
+type vmOrders struct {
+	busy bool
+	// settled is the time from which a report shows the effect of the last order.
+	settled time.Duration
+}
+
+// Controllers follows the plans of all fabric domains and controls those that fall to this node.
+type Controllers struct {
+	o       Options
+	sending sync.WaitGroup
+	slots   chan struct{}
+	// stepping is held for reading by steps and for writing by Release. It is taken before mu.
+	stepping sync.RWMutex
+
+	mu       sync.Mutex
+	domains  map[string]domain
+	listed   bool
+	controls map[string]*control
+	running  map[string]bool
+	absent   map[Identity]absence
+	onChange []func()
+	released bool
+}
+
+// New returns Controllers; call Run to start them.
+func New(o Options) *Controllers {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Now == nil {
+		start := time.Now()
+		o.Now = func() time.Duration { return time.Since(start) }
+	}
+	if o.OrderDelivery == 0 {
+		o.OrderDelivery = defaultOrderDelivery
+	}
+	if o.Interval == 0 {
+		o.Interval = defaultInterval
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	o.Timing = o.Timing.withDefaults()
+	return &Controllers{
+		o: o, slots: make(chan struct{}, maxConcurrentOrders), domains: map[string]domain{},
+		controls: map[string]*control{}, running: map[string]bool{}, absent: map[Identity]absence{},
+	}
+}
+
+// OnChange registers a function that is called after every change of a plan. It must not block.
+func (c *Controllers) OnChange(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onChange = append(c.onChange, f)
+}
+
+// Run follows the plans and controls fabric domains until ctx ends.
+func (c *Controllers) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer c.sending.Wait()
+	defer wg.Wait()
+	wg.Go(func() { c.follow(ctx) })
+	tick := time.NewTicker(c.o.Interval)
+	defer tick.Stop()
+	for {
+		for _, fabric := range c.concerned() {
+			if c.start(fabric) {
+				wg.Go(func() { c.run(ctx, fabric) })
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (c *Controllers) start(fabric string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running[fabric] {
+		return false
+	}
+	c.running[fabric] = true
+	return true
+}
+
+// run controls one fabric domain for as long as it falls to this node.
+func (c *Controllers) run(ctx context.Context, fabric string) {
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.running, fabric)
+	}()
+	tick := time.NewTicker(c.o.Interval)
+	defer tick.Stop()
+	for slices.Contains(c.concerned(), fabric) {
+		if err := c.step(ctx, fabric); err != nil {
+			c.o.Log.WithError(err).WithField("fabric_domain", fabric).Warn("plan was not carried out")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (c *Controllers) follow(ctx context.Context) {
+	since := uint64(0)
+	for ctx.Err() == nil {
+		var err error
+		if since == 0 {
+			since, err = c.reread(ctx)
+		} else {
+			since, err = c.watch(ctx, since)
+		}
+		if err == nil {
+			continue
+		}
+		since = 0
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.o.Interval + rand.N(c.o.Interval)):
+		}
+	}
+}
+
+func (c *Controllers) reread(ctx context.Context) (uint64, error) {
+	objects, v, err := c.o.Platform.List(ctx, Kind)
+	if err != nil {
+		return 0, eris.Wrapf(err, "list %s", Kind)
+	}
+	for _, o := range objects {
+		if err := c.adopt(o); err != nil {
+			return 0, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = true
+	return v, nil
+}
+
+func (c *Controllers) watch(ctx context.Context, since uint64) (uint64, error) {
+	events, v, err := c.o.Platform.Watch(ctx, Kind, since, watchWait)
+	if err != nil {
+		return 0, eris.Wrapf(err, "watch %s since %d", Kind, since)
+	}
+	for _, e := range events {
+		if e.Deleted {
+			c.forget(e.Object)
+		} else if err := c.adopt(e.Object); err != nil {
+			return 0, err
+		}
+	}
+	return max(v, since), nil
+}
+
+func decode(o Object) (*schema.FabricDomain, error) {
+	d := &schema.FabricDomain{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(o.Data, d); err != nil {
+		return nil, eris.Wrapf(err, "plan of fabric domain %q version %d", o.Name, o.Version)
+	}
+	return d, nil
+}
+
+// adopt takes over a plan unless a later version is known.
+func (c *Controllers) adopt(o Object) error {
+	d, err := decode(o)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	if o.Version <= c.domains[o.Name].version {
+		c.mu.Unlock()
+		return nil
+	}
+	c.domains[o.Name] = domain{o.Version, d}
+	changed := slices.Clone(c.onChange)
+	c.mu.Unlock()
+	for _, f := range changed {
+		f()
+	}
+	return nil
+}
+
+func (c *Controllers) forget(o Object) {
+	c.mu.Lock()
+	delete(c.domains, o.Name)
+	changed := slices.Clone(c.onChange)
+	c.mu.Unlock()
+	for _, f := range changed {
+		f()
+	}
+}
+
+// Groups returns all groups of all fabric domains, ordered by ID.
+func (c *Controllers) Groups() []View {
+	list, _ := c.o.VMs()
+	vms := make(map[string]VM, len(list))
+	for _, vm := range list {
+		vms[vm.Name] = vm
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var views []View
+	for name, d := range c.domains {
+		for _, g := range d.plan.Groups {
+			v := View{
+				ID: g.Id, Pool: g.Pool, Model: g.Model, Number: g.Number, Size: int(g.Size), State: g.State,
+				FailureDomain: d.plan.FailureDomain, FabricDomain: name,
+			}
+			for _, vm := range members(d.plan, g) {
+				v.Members = append(v.Members, Member{
+					VM: vm, Address: vms[vm].Address, Incarnation: d.plan.Assignments[vm].GetIncarnation(),
+					Leaving: vms[vm].Leaving,
+				})
+			}
+			views = append(views, v)
+		}
+	}
+	slices.SortFunc(views, func(a, b View) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return views
+}
+
+// fabrics returns the capacity of all fabric domains, in order of name.
+func fabrics(vms []VM, r *rules.Rules) []Capacity {
+	byName := map[string]*Capacity{}
+	for _, vm := range vms {
+		f := byName[vm.FabricDomain]
+		if f == nil {
+			f = &Capacity{
+				Fabric: vm.FabricDomain, FailureDomain: vm.FailureDomain, Out: r.FailureDomains[vm.FailureDomain].Out,
+			}
+			byName[vm.FabricDomain] = f
+		}
+		if !vm.Leaving {
+			f.VMs++
+		}
+	}
+	var list []Capacity
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		list = append(list, *byName[name])
+	}
+	return list
+}
+
+// concerned returns the fabric domains that this node controls or should take.
+func (c *Controllers) concerned() []string {
+	vms, known := c.o.VMs()
+	if !known || c.o.Rules() == nil {
+		return nil
+	}
+	inDomain := map[string]string{}
+	for _, vm := range vms {
+		inDomain[vm.FabricDomain] = vm.FailureDomain
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.listed || c.released {
+		return nil
+	}
+	for name, d := range c.domains {
+		inDomain[name] = d.plan.FailureDomain
+	}
+	nodes := c.o.Members.Nodes()
+	var names []string
+	for name, fd := range inDomain {
+		if controllerOf(c.domains[name].plan) == c.o.Self || c.preferred(name, fd, nodes) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (c *Controllers) preferred(fabric, failureDomain string, nodes []holder.Node) bool {
+	order := holder.Prefer(holder.Target{ID: "domains/" + fabric, FailureDomain: failureDomain}, nodes)
+	return len(order) > 0 && order[0] == c.o.Self.Name
+}
+
+func controllerOf(d *schema.FabricDomain) Identity {
+	return Identity{Name: d.GetController(), Incarnation: d.GetControllerIncarnation()}
+}
+
+// mayControl tells whether this node may write plans and send orders now. The majority alone is no basis for it, because
+// a successor takes over by the platform's lease.
+func (c *Controllers) mayControl() bool {
+	return c.o.Members.RightToServe() && c.o.Members.PlatformReachable()
+}
+
+// step plans one fabric domain once, or takes it over.
+func (c *Controllers) step(ctx context.Context, fabric string) error {
+	c.stepping.RLock()
+	defer c.stepping.RUnlock()
+	vms, known := c.o.VMs()
+	r := c.o.Rules()
+	if !known || r == nil || !c.mayControl() {
+		return nil
+	}
+	c.mu.Lock()
+	current, stopped := c.domains[fabric], c.released || !c.listed
+	c.mu.Unlock()
+	if stopped {
+		return nil
+	}
+	if current.plan == nil || controllerOf(current.plan) != c.o.Self {
+		return c.takeOver(ctx, fabric, current, vms)
+	}
+	ctl := c.control(fabric)
+	in := c.input(fabric, current, ctl, vms, r)
+	if c.o.Now() < ctl.since {
+		return nil // Orders of the previous controller may still arrive.
+	}
+	out := Plan(in)
+	if out.Changed {
+		var err error
+		if current, err = c.write(ctx, fabric, current.version, out.Plan); err != nil {
+			return err
+		}
+	}
+	c.send(ctx, fabric, current.version, ctl, out.Orders)
+	return nil
+}
+
+// control returns the memory of a fabric domain that this node controls.
+func (c *Controllers) control(fabric string) *control {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ctl := c.controls[fabric]
+	if ctl == nil {
+		// The takeover took effect although its reply was lost, so that nothing is known about the previous controller.
+		ctl = &control{since: c.o.Now() + c.o.Term + c.o.Margin + c.o.OrderDelivery, vms: map[string]*vmOrders{}}
+		c.controls[fabric] = ctl
+	}
+	return ctl
+}
+
+// takeOver makes this node the controller if there is none or if its lease has provably ended.
+func (c *Controllers) takeOver(ctx context.Context, fabric string, current domain, vms []VM) error {
+	nodes := c.o.Members.Nodes()
+	i := slices.IndexFunc(vms, func(vm VM) bool { return vm.FabricDomain == fabric })
+	plan := &schema.FabricDomain{Name: fabric}
+	if i >= 0 {
+		plan.FailureDomain = vms[i].FailureDomain
+	}
+	if current.plan != nil {
+		plan = proto.CloneOf(current.plan)
+	}
+	old := controllerOf(current.plan)
+	if !c.preferred(fabric, plan.FailureDomain, nodes) || old != (Identity{}) && !c.ended(old, nodes) {
+		return nil
+	}
+	c.mu.Lock()
+	delete(c.controls, fabric)
+	c.mu.Unlock()
+	plan.Controller, plan.ControllerIncarnation = c.o.Self.Name, c.o.Self.Incarnation
+	if _, err := c.write(ctx, fabric, current.version, plan); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := c.o.Now()
+	if old != (Identity{}) && c.unfenced() {
+		since += c.o.Term + c.o.Margin + c.o.OrderDelivery
+	}
+	c.controls[fabric] = &control{since: since, vms: map[string]*vmOrders{}}
+	c.o.Log.WithFields(logrus.Fields{"fabric_domain": fabric, "from": old.Name}).Info("control taken")
+	return nil
+}
+
+// unfenced tells whether any pool's engines ignore fencing numbers.
+func (c *Controllers) unfenced() bool {
+	for _, p := range c.o.Rules().Pools {
+		if !p.FencedOrders {
+			return true
+		}
+	}
+	return false
+}
+
+// ended tells whether the lease of a controller is over: it lapsed, or no listed node has matched it for term + margin.
+func (c *Controllers) ended(old Identity, nodes []holder.Node) bool {
+	i := slices.IndexFunc(nodes, func(n holder.Node) bool { return n.Identity == old })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i >= 0 {
+		delete(c.absent, old)
+		return nodes[i].LeaseLapsed
+	}
+	now := c.o.Now()
+	a, seen := c.absent[old]
+	if !seen || now-a.last > c.o.Term {
+		a.first = now // It may have been listed since the last look.
+	}
+	a.last = now
+	c.absent[old] = a
+	return now-a.first >= c.o.Term+c.o.Margin
+}
+
+// input assembles what the planner needs.
+func (c *Controllers) input(fabric string, current domain, ctl *control, vms []VM, r *rules.Rules) Input {
+	in := Input{
+		Now: c.o.Clock(), FabricDomain: fabric, FailureDomain: current.plan.FailureDomain,
+		FailureDomainOut: r.FailureDomains[current.plan.FailureDomain].Out, Plan: current.plan, Version: current.version,
+		Reports: map[string]Report{}, Policy: c.o.Policy, Timing: c.o.Timing,
+	}
+	now := c.o.Now()
+	for _, vm := range vms {
+		if vm.FabricDomain == fabric {
+			in.VMs = append(in.VMs, vm)
+			in.Reports[vm.Name] = c.reportSince(vm.Name, now, ctl.since)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	loading := []string{fabric}
+	elsewhere := map[string]int{}
+	for name, d := range c.domains {
+		busy := false
+		for _, g := range d.plan.Groups {
+			if g.State == schema.GroupState_GROUP_STATE_READY && name != fabric {
+				elsewhere[g.Pool]++
+			}
+			busy = busy || g.State == schema.GroupState_GROUP_STATE_PLANNED
+		}
+		if busy && name != fabric {
+			loading = append(loading, name)
+		}
+	}
+	in.Budget = BudgetShare(r.Weights, fabric, loading, in.Now)
+	ctl.starts = slices.DeleteFunc(ctl.starts, func(t time.Duration) bool { return now-t >= time.Minute })
+	in.LoadStarts = len(ctl.starts)
+	in.Shares = shares(fabric, vms, r, elsewhere)
+	return in
+}
+
+// reportSince returns the report of a VM, or none if it was read before since.
+func (c *Controllers) reportSince(vm string, now, since time.Duration) Report {
+	r := c.o.Report(vm)
+	if now-r.Age < since {
+		return Report{Age: max(now-since, 0)}
+	}
+	return r
+}
+
+func shares(fabric string, vms []VM, r *rules.Rules, elsewhere map[string]int) []Share {
+	pools := slices.Collect(maps.Values(r.Pools))
+	spread := Spread(pools, fabrics(vms, r))
+	list := make([]Share, 0, len(pools))
+	for _, p := range pools {
+		s := Share{Pool: p, Replicas: spread[fabric][p.Name], ReadyElsewhere: elsewhere[p.Name]}
+		for _, f := range spread {
+			s.Placed += f[p.Name]
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// write stores a plan that was made from the given version; zero creates the object. A lost reply is settled by nonce.
+func (c *Controllers) write(ctx context.Context, fabric string, version uint64, plan *schema.FabricDomain) (domain, error) {
+	plan = proto.CloneOf(plan)
+	plan.Nonce = uuid.NewString()
+	data, err := protojson.Marshal(plan)
+	if err != nil {
+		return domain{}, eris.Wrapf(err, "encode plan of fabric domain %q", fabric)
+	}
+	if !c.mayControl() {
+		return domain{}, eris.Errorf("plan of fabric domain %q: no right to serve", fabric)
+	}
+	o := Object{Kind: Kind, Name: fabric, Version: version, Data: data}
+	var written Object
+	if version == 0 {
+		written, err = c.o.Platform.Create(ctx, Kind, fabric, data)
+	} else {
+		written, err = c.o.Platform.Update(ctx, o)
+	}
+	if errors.Is(err, ErrOutcomeUnknown) || errors.Is(err, ErrConflict) {
+		written, err = c.settle(ctx, fabric, plan.Nonce, err)
+	}
+	if err != nil {
+		return domain{}, eris.Wrapf(err, "write plan of fabric domain %q from version %d", fabric, version)
+	}
+	o.Version = written.Version
+	return domain{written.Version, plan}, c.adopt(o)
+}
+
+// settle reads a plan back after a write whose outcome is unknown, or that failed because the plan has changed.
+func (c *Controllers) settle(ctx context.Context, fabric, nonce string, cause error) (Object, error) {
+	o, err := c.o.Platform.Get(ctx, Kind, fabric)
+	if err != nil {
+		return o, errors.Join(cause, err)
+	}
+	d, err := decode(o)
+	if err != nil {
+		return o, err
+	}
+	if d.Nonce == nonce {
+		return o, nil
+	}
+	if err := c.adopt(o); err != nil {
+		return o, err
+	}
+	return o, cause
+}
+
+// send starts the orders of a written plan, except to VMs whose last order is not settled.
+func (c *Controllers) send(ctx context.Context, fabric string, version uint64, ctl *control, list []Order) {
+	now := c.o.Now()
+	for _, o := range list {
+		if !c.reserve(ctl, o, now) {
+			continue
+		}
+		c.sending.Go(func() {
+			c.slots <- struct{}{}
+			defer func() { <-c.slots }()
+			c.deliver(ctx, fabric, version, ctl, o)
+		})
+	}
+}
+
+// reserve marks a VM as having an order under way.
+func (c *Controllers) reserve(ctl *control, o Order, now time.Duration) bool {
+	sent := now - c.o.Report(o.VM).Age
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := ctl.vms[o.VM]
+	if v == nil {
+		v = &vmOrders{}
+		ctl.vms[o.VM] = v
+	}
+	if v.busy || sent < v.settled {
+		return false
+	}
+	v.busy = true
+	if o.Load {
+		ctl.starts = append(ctl.starts, now)
+	}
+	return true
+}
+
+// current tells whether this node may still send orders that follow from a version of a plan.
+func (c *Controllers) current(fabric string, version uint64) bool {
+	if !c.mayControl() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.domains[fabric]
+	return d.version == version && controllerOf(d.plan) == c.o.Self
+}
+
+// deliver sends one order. The next one to the same VM needs a report that was read after this one was answered or can
+// no longer arrive.
+func (c *Controllers) deliver(ctx context.Context, fabric string, version uint64, ctl *control, o Order) {
+	ctx, cancel := context.WithTimeout(ctx, c.o.OrderDelivery)
+	defer cancel()
+	var err error
+	sent := c.current(fabric, version)
+	if sent {
+		err = c.o.Orders.Send(ctx, o.Address, orders.Order{
+			Fence: version, Action: orders.Action(o.Action), Group: o.Group, Number: o.Number, Rank: o.Rank, Size: o.Size,
+			Members: o.Members, Model: o.Model, Pool: o.Pool,
+		})
+	}
+	if err != nil {
+		c.o.Log.WithError(err).WithFields(logrus.Fields{"vm": o.VM, "group": o.Group, "fence": version}).Warn("order failed")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := ctl.vms[o.VM]
+	v.busy = false
+	if !sent {
+		return
+	}
+	v.settled = c.o.Now()
+	if err != nil && !errors.Is(err, orders.ErrNotSent) {
+		v.settled += c.o.OrderDelivery
+	}
+}
+
+// Release gives up all fabric domains at a graceful shutdown, so that another node takes them without waiting for the
+// lease. It waits for orders under way; if one is without an answer, the lease has to run out.
+func (c *Controllers) Release(ctx context.Context) {
+	c.mu.Lock()
+	c.released = true
+	c.mu.Unlock()
+	c.stepping.Lock()
+	defer c.stepping.Unlock()
+	c.sending.Wait()
+	c.mu.Lock()
+	own := map[string]domain{}
+	for name, d := range c.domains {
+		if controllerOf(d.plan) == c.o.Self && c.settledLocked(name) {
+			own[name] = d
+		}
+	}
+	c.mu.Unlock()
+	for name, d := range own {
+		plan := proto.CloneOf(d.plan)
+		plan.Controller, plan.ControllerIncarnation = "", ""
+		if _, err := c.write(ctx, name, d.version, plan); err != nil {
+			c.o.Log.WithError(err).WithField("fabric_domain", name).Warn("control was not released")
+		}
+	}
+}
+
+func (c *Controllers) settledLocked(fabric string) bool {
+	ctl := c.controls[fabric]
+	if ctl == nil || c.o.Now() < ctl.since {
+		return false
+	}
+	for _, v := range ctl.vms {
+		if v.busy || c.o.Now() < v.settled {
+			return false
+		}
+	}
+	return true
+}
