--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -38,6 +38,7 @@
 	nodes    []*ctlNode
 	problem  string // Found outside the test's goroutine.
 	nextVM   int
+	orders   int // That arrived.
 	// delay makes the next order arrive only when its delivery time ends.
 	delay   bool
 	delayed map[string]delayedOrder // By VM.
@@ -161,6 +162,7 @@
 }
 
 func (w *world) arrive(address string, o orders.Order) error {
+	w.orders++
 	e := w.truth[address]
 	if e == nil || e.down {
 		return fmt.Errorf("%w: %s", orders.ErrOutcomeUnknown, address)
@@ -394,3 +396,36 @@
 		}
 	}
 }
+
+// Guards against orders of a new controller that meet those of the old one at engines that ignore fencing numbers.
+func TestControllerWaitsForOldOrders(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fenced=%v", fenced), func(t *testing.T) {
+			w := newWorld(t, fenced)
+			for w.object == nil || w.serving() < 2 {
+				w.advance(250 * time.Millisecond)
+				must(t, w.now < 2*time.Hour, "groups never served")
+			}
+			plan, _ := decode(*w.object)
+			old := w.nodes[slices.IndexFunc(w.nodes, func(n *ctlNode) bool { return n.name == plan.Controller })]
+			old.paused = true
+			for vm := range plan.Assignments {
+				w.truth[vm].Report = Report{Incarnation: "2", Seen: true}
+			}
+			taken, ordered := time.Duration(0), time.Duration(0)
+			for before := w.orders; ordered == 0; {
+				w.advance(250 * time.Millisecond)
+				must(t, w.now < 2*time.Hour, "no orders")
+				if plan, _ := decode(*w.object); taken == 0 && plan.Controller != old.name {
+					taken = w.now
+				}
+				if w.orders > before {
+					ordered = w.now
+				}
+			}
+			wait := ordered - taken
+			must(t, !fenced || wait <= time.Second, "waited %v although engines check fences", wait)
+			must(t, fenced || wait >= term+margin+defaultOrderDelivery, "waited only %v", wait)
+		})
+	}
+}
