Mend the settlement of claims and bound what an outage leaves behind

Review of internal/claims.

- A claim write that was reported as a conflict after a stale read-back, or as rejected after a lost first copy, was forgotten although it was in force.
Its key stayed "in progress" until the node ended.
- An answer with a header that is not UTF-8, or with headers above the object limit, could never be stored (TestAnswersThatCannotBeKept).
- Entries stayed in memory after the key had expired (TestOutageAfterDispatchEnds); a store call without an end blocked the settlement forever (TestSilentStore).
- A release after an answer replaced it, so that a repeat ran (TestFirstSettlementCounts).
- "Outcome unknown", which promises that the request never runs again, was reported without a durable mark; the paused owner could still release the claim (TestUnknownIsDurable).
- "Not run" was reported for a key with a known but unreadable earlier claim (TestEarlierClaimUnreadable).

Ruled out by review: two attempts with one key at one or two nodes, and an owner that wakes up after others marked its claim: every change is conditional on a version, and a marked claim never changes again.

A settlement no longer reads the claim back after a conflict: versions only grow, so the condition can't hold again. Manager.Run must be started by the node; without it, claims that could not be settled within 2 s stay open.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -30,14 +31,15 @@
 	Window = 10 * time.Minute
 	// MaxSkew bounds the difference between two clocks, of callers and of nodes.
 	MaxSkew = time.Minute
-	// MaxKeptAnswer is the size in bytes up to which an answer is kept with its claim.
+	// MaxKeptAnswer is the size in bytes, headers included, up to which an answer is kept with its claim.
 	MaxKeptAnswer = 64 << 10
 
-	// storeWait bounds how long an answer waits for its claim to be written. After that it is passed on, and the
-	// write goes on in the background.
-	storeWait      = 2 * time.Second
-	retryInterval  = 500 * time.Millisecond
-	ownerPoll      = 100 * time.Millisecond
+	// A repeat that waits for a running request asks again after pollMin, and then less and less often up to pollMax:
+	// one read and one call to the owner each time.
+	pollMin = 100 * time.Millisecond
+	pollMax = time.Second
+	// maxFailedReads is the number of failed reads in a row after which a waiting repeat gives up.
+	maxFailedReads = 3
 	ownerCallLimit = time.Second
 )
 
@@ -65,15 +67,16 @@
 	Log         logrus.FieldLogger
 }
 
-// Manager claims requests for one node.
+// Manager claims requests for one node. Run must be running.
 type Manager struct {
 	opts Options
 
 	mu sync.Mutex
-	// mine holds the claims of this process that are not settled in the platform. The key is the nonce of the attempt: two
-	// attempts for one Idempotency-Key at this node must not be confused, since one can be running while the other is
-	// released.
-	mine map[string]*schema.Claim
+	// mine holds the attempts of this process that are not settled in the platform, by nonce: two attempts for one
+	// Idempotency-Key at this node must not be confused, since one can be running while the other is released.
+	mine map[string]*attempt
+	// pending counts the attempts that Run has to settle.
+	pending int
 }
 
 // New returns a Manager.
@@ -81,7 +84,12 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
-	return &Manager{opts: opts, mine: make(map[string]*schema.Claim)}
+	if opts.Log == nil {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		opts.Log = log
+	}
+	return &Manager{opts: opts, mine: make(map[string]*attempt)}
 }
 
 // Request identifies a non-idempotent request.
@@ -94,8 +102,7 @@
 // Claim is the right to dispatch a request once.
 type Claim struct {
 	m       *Manager
-	version uint64 // Of the platform's object.
-	content *schema.Claim
+	attempt *attempt
 }
 
 // CheckKey refuses keys that are missing, malformed or outside the window. The time in the key makes it safe to
@@ -133,16 +140,15 @@
 	if err := CheckKey(req.Key, m.opts.Now()); err != nil {
 		return nil, nil, err
 	}
-	content := m.newContent(req)
-	claim, err := m.create(ctx, content)
+	if m.full() {
+		return nil, nil, result.New(result.PlatformUnavailable, "%d earlier claims of this node wait for the platform", maxPending)
+	}
+	a, err := m.claim(ctx, req, 0)
 	switch {
 	case err == nil:
-		return m.confirm(ctx, claim)
+		return m.confirm(ctx, a)
 	case errors.Is(err, platform.ErrConflict):
 		return m.existing(ctx, req)
-	case errors.Is(err, platform.ErrOutcomeUnknown):
-		m.abandon(content, 0)
-		return nil, nil, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 	default:
 		return nil, nil, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 	}
@@ -150,6 +156,9 @@
 
 // Lookup returns the stored answer of an earlier run, if there is one.
 func (m *Manager) Lookup(ctx context.Context, req Request) *schema.Claim {
+	if CheckKey(req.Key, m.opts.Now()) != nil {
+		return nil
+	}
 	_, stored, err := m.read(ctx, req.Key)
 	if err != nil || stored.State != schema.ClaimState_CLAIM_STATE_ANSWERED || !sameRequest(stored, req) {
 		return nil
@@ -169,26 +178,39 @@
 	}
 }
 
-func (m *Manager) create(ctx context.Context, content *schema.Claim) (*Claim, error) {
+// claim writes a claim: a create if base is 0, or else an update that is conditional on the version base. Unless the
+// write certainly took no effect, the attempt is abandoned on an error. This includes a conflict, because a stale read-back
+// makes the platform client report one for a write that is in force.
+func (m *Manager) claim(ctx context.Context, req Request, base uint64) (*attempt, error) {
+	content := m.newContent(req)
 	data, err := platform.Encode(content)
 	if err != nil {
 		return nil, err
 	}
-	m.set(content.Nonce, content)
-	version, err := m.opts.Store.Create(ctx, kind, content.Key, data)
-	if err != nil {
-		if !errors.Is(err, platform.ErrOutcomeUnknown) {
-			m.forget(content.Nonce)
-		}
-		return nil, err
+	a := m.begin(content, base)
+	var version uint64
+	if base == 0 {
+		version, err = m.opts.Store.Create(ctx, kind, req.Key, data)
+	} else {
+		version, err = m.opts.Store.Update(ctx, kind, req.Key, base, data)
+	}
+	switch {
+	case err == nil:
+		a.base = version
+		return a, nil
+	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown):
+		m.forget(a)
+	default:
+		m.abandon(a)
 	}
-	return &Claim{m: m, version: version, content: content}, nil
+	return nil, err
 }
 
 // confirm checks the key's age again after the claim was written. Without it, a node that was paused before the write
 // could claim a key whose earlier claim had been deleted as too old, and run the request a second time.
-func (m *Manager) confirm(ctx context.Context, claim *Claim) (*Claim, *schema.Claim, *result.Error) {
-	if err := CheckKey(claim.content.Key, m.opts.Now()); err != nil {
+func (m *Manager) confirm(ctx context.Context, a *attempt) (*Claim, *schema.Claim, *result.Error) {
+	claim := &Claim{m: m, attempt: a}
+	if err := CheckKey(a.key, m.opts.Now()); err != nil {
 		claim.Release(ctx)
 		return nil, nil, err
 	}
@@ -196,24 +218,29 @@
 }
 
 // existing decides what an earlier claim with the same key means for this request. It waits while the owner of the claim
-// is still running the request.
+// is still running the request. Its refusals don't say "not run" before the earlier claim is known, as that one may have run.
 func (m *Manager) existing(ctx context.Context, req Request) (*Claim, *schema.Claim, *result.Error) {
-	for {
+	failed := 0
+	for wait := pollMin; ; wait = min(2*wait, pollMax) {
 		version, stored, err := m.read(ctx, req.Key)
-		if err != nil {
-			return nil, nil, result.New(result.PlatformUnavailable, "an earlier claim of this key could not be read").WithCause(err)
-		}
-		if !sameRequest(stored, req) {
+		switch {
+		case err != nil:
+			if failed++; failed == maxFailedReads {
+				return nil, nil, result.New(result.RequestInProgress, "an earlier claim of this key could not be read").WithCause(err)
+			}
+		case !sameRequest(stored, req):
 			return nil, nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
-		}
-		claim, answer, again, failure := m.settle(ctx, req, version, stored)
-		if !again {
-			return claim, answer, failure
+		default:
+			failed = 0
+			claim, answer, again, failure := m.decide(ctx, req, version, stored)
+			if !again {
+				return claim, answer, failure
+			}
 		}
 		select {
 		case <-ctx.Done():
 			return nil, nil, result.New(result.RequestInProgress, "an earlier request with this key is still running")
-		case <-time.After(ownerPoll):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -222,8 +249,8 @@
 	return stored.Account == req.Account && stored.Fingerprint == req.Fingerprint
 }
 
-// settle handles one observed state of an earlier claim. again is true if the claim is still running or has just changed.
-func (m *Manager) settle(ctx context.Context, req Request, version uint64, stored *schema.Claim) (claim *Claim, answer *schema.Claim, again bool, failure *result.Error) {
+// decide handles one observed state of an earlier claim. again is true if the claim is still running or has just changed.
+func (m *Manager) decide(ctx context.Context, req Request, version uint64, stored *schema.Claim) (claim *Claim, answer *schema.Claim, again bool, failure *result.Error) {
 	switch stored.State {
 	case schema.ClaimState_CLAIM_STATE_ANSWERED:
 		return nil, stored, false, nil
@@ -234,8 +261,7 @@
 	}
 	status, alive := m.owner(ctx, stored)
 	if !alive {
-		m.markUnknown(ctx, version, stored)
-		return nil, nil, false, unknownOutcome(req.Key)
+		return m.markUnknown(ctx, version, stored)
 	}
 	switch status.GetState() {
 	case schema.ClaimState_CLAIM_STATE_RELEASED:
@@ -267,38 +293,37 @@
 
 // reclaim takes over a claim that is proved not run. The conditional update lets one of several takers win.
 func (m *Manager) reclaim(ctx context.Context, req Request, version uint64) (*Claim, *schema.Claim, bool, *result.Error) {
-	content := m.newContent(req)
-	data, err := platform.Encode(content)
-	if err != nil {
-		return nil, nil, false, result.From(err)
-	}
-	m.set(content.Nonce, content)
-	updated, err := m.opts.Store.Update(ctx, kind, req.Key, version, data)
+	a, err := m.claim(ctx, req, version)
 	switch {
 	case err == nil:
-		claim, answer, failure := m.confirm(ctx, &Claim{m: m, version: updated, content: content})
+		claim, answer, failure := m.confirm(ctx, a)
 		return claim, answer, false, failure
 	case errors.Is(err, platform.ErrConflict):
-		m.forget(content.Nonce)
 		return nil, nil, true, nil
-	case errors.Is(err, platform.ErrOutcomeUnknown):
-		m.abandon(content, version)
 	default:
-		m.forget(content.Nonce)
+		return nil, nil, false, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 	}
-	return nil, nil, false, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 }
 
-func (m *Manager) markUnknown(ctx context.Context, version uint64, stored *schema.Claim) {
+// markUnknown settles the claim of an owner that has ended. The owner may only be paused, and could still release the
+// claim; so "outcome unknown", after which the request never runs again, is reported only once the mark is written.
+func (m *Manager) markUnknown(ctx context.Context, version uint64, stored *schema.Claim) (*Claim, *schema.Claim, bool, *result.Error) {
 	changed := proto.Clone(stored).(*schema.Claim)
 	changed.State = schema.ClaimState_CLAIM_STATE_UNKNOWN
 	changed.Nonce = uuid.NewString()
 	data, err := platform.Encode(changed)
-	if err != nil {
-		return
+	if err == nil {
+		_, err = m.opts.Store.Update(ctx, kind, stored.Key, version, data)
+	}
+	switch {
+	case err == nil:
+		return nil, nil, false, unknownOutcome(stored.Key)
+	case errors.Is(err, platform.ErrConflict):
+		return nil, nil, true, nil
+	default:
+		return nil, nil, false, result.New(result.RequestInProgress,
+			"the node that claimed this key has ended, which could not be recorded").WithCause(err)
 	}
-	// A failed write changes nothing: the owner stays ended and the next repeat gets the same result.
-	_, _ = m.opts.Store.Update(ctx, kind, stored.Key, version, data)
 }
 
 func (m *Manager) read(ctx context.Context, key string) (version uint64, stored *schema.Claim, err error) {
@@ -317,24 +342,11 @@
 func (m *Manager) Status(nonce string) *schema.ClaimStatusResponse {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	claim, ok := m.mine[nonce]
+	a, ok := m.mine[nonce]
 	if !ok {
 		return &schema.ClaimStatusResponse{}
 	}
-	return &schema.ClaimStatusResponse{State: claim.State, Known: true, Claim: proto.Clone(claim).(*schema.Claim)}
-}
-
-// set records the state of the attempt with this nonce.
-func (m *Manager) set(nonce string, claim *schema.Claim) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.mine[nonce] = proto.Clone(claim).(*schema.Claim)
-}
-
-func (m *Manager) forget(nonce string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.mine, nonce)
+	return &schema.ClaimStatusResponse{State: a.claim.State, Known: true, Claim: proto.Clone(a.claim).(*schema.Claim)}
 }
 
 // Fingerprint identifies the content of a request, so that a key used for other content is refused.
--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,259 @@
+package claims
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// fixture runs a test in a bubble with fake time and two nodes over one store.
+type fixture struct {
+	*qt.C
+	cluster *cluster
+	a, b    *node
+	key     string
+}
+
+func run(t *testing.T, f func(f *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		fx := &fixture{C: qt.New(t), cluster: c, a: c.start("a", "1"), b: c.start("b", "1"), key: newKey(0)}
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, n := range []*node{fx.a, fx.b} {
+			go n.m.Run(ctx)
+		}
+		defer cancel()
+		f(fx)
+	})
+}
+
+// newKey returns a UUIDv7 of the current time. n tells keys of one millisecond apart.
+func newKey(n int) string {
+	var id uuid.UUID
+	ms := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6], id[8], id[14], id[15] = 0x70, 0x80, byte(n>>8), byte(n)
+	return id.String()
+}
+
+func (f *fixture) acquire(n *node, limit time.Duration) (*Claim, *schema.Claim, *result.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return n.m.Acquire(ctx, Request{Key: f.key, Account: "acc", Fingerprint: "fp"})
+}
+
+func (f *fixture) claim(n *node) *Claim {
+	claim, _, err := f.acquire(n, 10*time.Second)
+	f.Assert(err, qt.Equals, (*result.Error)(nil))
+	f.Assert(claim, qt.IsNotNil)
+	return claim
+}
+
+func (f *fixture) stored() *schema.Claim {
+	o, err := f.cluster.store.get(f.key, false)
+	f.Assert(err, qt.IsNil)
+	claim := &schema.Claim{}
+	f.Assert(platform.Decode(o.Data, claim), qt.IsNil)
+	return claim
+}
+
+// on makes the n-th call of a method (from 1) at the node meet a fault.
+func (n *node) on(method string, nth int, f fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count, next := 0, n.plan
+	n.plan = func(m, name string) fault {
+		if m == method {
+			if count++; count == nth {
+				return f
+			}
+		}
+		if next != nil {
+			return next(m, name)
+		}
+		return fault{}
+	}
+}
+
+func (n *node) always(f fault, methods ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.plan = func(m, _ string) fault {
+		if strings.Contains(strings.Join(methods, " "), m) {
+			return f
+		}
+		return fault{}
+	}
+}
+
+func (n *node) attempts() int {
+	n.m.mu.Lock()
+	defer n.m.mu.Unlock()
+	return len(n.m.mine)
+}
+
+func (s *fakeStore) reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls["get"]
+}
+
+var ctx = context.Background()
+
+// Guards against a claim write that is in force or comes into force late, while its attempt was reported as not in force:
+// its owner no longer knew of it and repeats waited until that process ended.
+func TestDoubtfulClaimWrites(t *testing.T) {
+	for name, f := range map[string]fault{
+		"reply lost":           {after: platform.ErrOutcomeUnknown},
+		"late":                 {late: 3 * time.Second},
+		"conflict after stale": {after: platform.ErrConflict},
+		"rejected second copy": {after: platform.ErrRejected},
+	} {
+		t.Run("create "+name, func(t *testing.T) {
+			run(t, func(f2 *fixture) {
+				f2.a.on("create", 1, f)
+				claim, _, _ := f2.acquire(f2.a, time.Second)
+				time.Sleep(5 * time.Second)
+				if claim == nil {
+					claim = f2.claim(f2.b)
+				}
+				claim.Answer(ctx, Answer{Status: 200})
+			})
+		})
+		t.Run("reclaim "+name, func(t *testing.T) {
+			run(t, func(f2 *fixture) {
+				f2.claim(f2.b).Release(ctx)
+				f2.a.on("update", 1, f)
+				// A stale read shows the claim before its release.
+				f2.a.on("get", 2, fault{stale: true})
+				claim, _, _ := f2.acquire(f2.a, time.Second)
+				time.Sleep(5 * time.Second)
+				if claim == nil {
+					claim = f2.claim(f2.b)
+				}
+				claim.Answer(ctx, Answer{Status: 200})
+			})
+		})
+	}
+}
+
+// Guards against answers that the platform cannot hold: the claim stayed open until its owner ended.
+func TestAnswersThatCannotBeKept(t *testing.T) {
+	for name, answer := range map[string]Answer{
+		"header not UTF-8":  {Status: 200, Headers: map[string]string{"X-Name": "\xff"}},
+		"headers too large": {Status: 200, Headers: map[string]string{"X-Large": strings.Repeat("x", 2<<20)}},
+		"body too large":    {Status: 200, Body: make([]byte, MaxKeptAnswer+1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(f *fixture) {
+				f.claim(f.a).Answer(ctx, answer)
+				f.Check(f.stored().State, qt.Equals, schema.ClaimState_CLAIM_STATE_ANSWERED)
+				_, stored, err := f.acquire(f.b, time.Second)
+				f.Assert(err, qt.Equals, (*result.Error)(nil))
+				f.Check(stored.AnswerDropped, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// Guards against entries and goroutines that stay after a key can't be used any more.
+func TestOutageAfterDispatchEnds(t *testing.T) {
+	run(t, func(f *fixture) {
+		claim := f.claim(f.a)
+		f.a.always(fault{before: platform.ErrUnavailable}, "get", "update")
+		claim.Answer(ctx, Answer{Status: 200})
+		f.Check(f.a.m.Status(claim.attempt.nonce).State, qt.Equals, schema.ClaimState_CLAIM_STATE_ANSWERED)
+		time.Sleep(Window + 3*MaxSkew)
+		f.Check(f.a.attempts(), qt.Equals, 0)
+	})
+}
+
+// Guards against a settlement that waits forever for a call without an end.
+func TestSilentStore(t *testing.T) {
+	run(t, func(f *fixture) {
+		claim := f.claim(f.a)
+		f.a.on("update", 1, fault{untilCancel: true})
+		claim.Answer(ctx, Answer{Status: 200})
+		time.Sleep(20 * time.Second)
+		f.Check(f.stored().State, qt.Equals, schema.ClaimState_CLAIM_STATE_ANSWERED)
+	})
+}
+
+// Guards against memory and reads that grow with the number of claims refused while the platform does not answer.
+func TestOutageIsBounded(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.a.always(fault{before: platform.ErrOutcomeUnknown}, "get", "update", "create")
+		for i := range 5000 {
+			f.key = newKey(i)
+			_, _, err := f.acquire(f.a, time.Second)
+			f.Assert(err.NotRun, qt.IsTrue)
+		}
+		f.Check(f.a.attempts() <= 1500, qt.IsTrue, qt.Commentf("%d attempts", f.a.attempts()))
+		time.Sleep(time.Minute)
+		f.Check(f.cluster.store.reads() <= 6000, qt.IsTrue, qt.Commentf("%d reads", f.cluster.store.reads()))
+	})
+}
+
+// Guards against a second settlement that replaces the first: a release after an answer let a repeat run.
+func TestFirstSettlementCounts(t *testing.T) {
+	run(t, func(f *fixture) {
+		claim := f.claim(f.a)
+		f.a.always(fault{before: platform.ErrUnavailable}, "update")
+		claim.Answer(ctx, Answer{Status: 201})
+		claim.Release(ctx)
+		second, stored, err := f.acquire(f.b, 10*time.Second)
+		f.Check(err, qt.Equals, (*result.Error)(nil))
+		f.Check(second, qt.IsNil)
+		f.Check(stored.GetStatus(), qt.Equals, uint32(201))
+	})
+}
+
+// Guards against "outcome unknown, never run again" for a claim that is not marked so: its owner woke up, released it and
+// a later repeat ran.
+func TestUnknownIsDurable(t *testing.T) {
+	run(t, func(f *fixture) {
+		claim := f.claim(f.a)
+		f.a.pause(time.Minute)
+		time.Sleep(10 * time.Second)
+		f.b.on("update", 1, fault{before: platform.ErrUnavailable})
+		_, _, err := f.acquire(f.b, time.Second)
+		f.Check(err.Code, qt.Equals, result.RequestInProgress)
+		_, _, err = f.acquire(f.b, time.Second)
+		f.Check(err.Code, qt.Equals, result.OutcomeUnknown)
+		time.Sleep(time.Minute)
+		claim.Release(ctx) // Too late: the claim is marked.
+		_, _, err = f.acquire(f.b, time.Second)
+		f.Check(err.Code, qt.Equals, result.OutcomeUnknown)
+	})
+}
+
+// Guards against "not run" for a key that is known to have an earlier claim.
+func TestEarlierClaimUnreadable(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.claim(f.a).Answer(ctx, Answer{Status: 200})
+		f.b.always(fault{before: platform.ErrUnavailable}, "get")
+		_, _, err := f.acquire(f.b, 30*time.Second)
+		f.Check(err.NotRun, qt.IsFalse)
+	})
+}
+
+// Guards against repeats that load the platform while they wait for a long request.
+func TestWaitingRepeatReadsLittle(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.claim(f.a)
+		_, _, err := f.acquire(f.b, time.Minute)
+		f.Check(err.Code, qt.Equals, result.RequestInProgress)
+		f.Check(f.cluster.store.reads() <= 100, qt.IsTrue, qt.Commentf("%d reads", f.cluster.store.reads()))
+	})
+}
--- /dev/null
+++ b/internal/claims/fake_test.go
@@ -0,0 +1,234 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// fault is what happens to one call of the fake store.
+type fault struct {
+	before      error         // The call fails without effect.
+	after       error         // The write is performed and this error is returned.
+	late        time.Duration // The write is performed this much later; its outcome is unknown.
+	stale       bool          // The read shows the version before the current one.
+	untilCancel bool          // The call blocks until its context ends.
+}
+
+const maxFakeObject = 1 << 20
+
+// fakeStore is an object API in memory.
+type fakeStore struct {
+	mu       sync.Mutex
+	version  uint64
+	objects  map[string]platform.Object
+	previous map[string]platform.Object
+	calls    map[string]int
+	// changed is called for every accepted write.
+	changed func(name string, before, after []byte)
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[string]platform.Object{}, previous: map[string]platform.Object{}, calls: map[string]int{}}
+}
+
+func (s *fakeStore) get(name string, stale bool) (*platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[name]
+	if stale {
+		o, ok = s.previous[name]
+	}
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return &o, nil
+}
+
+// put performs a write whose condition is the given version; 0 is a create. A nil value deletes.
+func (s *fakeStore) put(name string, version uint64, data []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(data) > maxFakeObject {
+		return 0, platform.ErrRejected
+	}
+	old, exists := s.objects[name]
+	if exists != (version != 0) || old.Version != version {
+		return 0, platform.ErrConflict
+	}
+	if s.changed != nil {
+		s.changed(name, old.Data, data)
+	}
+	delete(s.previous, name)
+	if exists {
+		s.previous[name] = old
+	}
+	s.version++
+	if data == nil {
+		delete(s.objects, name)
+	} else {
+		s.objects[name] = platform.Object{Name: name, Version: s.version, Data: data}
+	}
+	return s.version, nil
+}
+
+// node is one process that uses the store. Its calls end the goroutine once the process has ended and block while it is
+// paused.
+type node struct {
+	name, incarnation string
+	store             *fakeStore
+	m                 *Manager
+	plan              func(method, name string) fault
+
+	mu          sync.Mutex
+	dead        bool
+	pausedUntil time.Time
+	pausedSince time.Time
+}
+
+func (n *node) gate() {
+	for {
+		n.mu.Lock()
+		dead, wait := n.dead, time.Until(n.pausedUntil)
+		n.mu.Unlock()
+		if dead {
+			runtime.Goexit()
+		}
+		if wait <= 0 {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (n *node) pause(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pausedSince, n.pausedUntil = time.Now(), time.Now().Add(d)
+}
+
+// leaseEnded tells whether others consider the process as ended.
+func (n *node) leaseEnded(term time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead || time.Now().Before(n.pausedUntil) && time.Since(n.pausedSince) > term
+}
+
+func (n *node) paused() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Before(n.pausedUntil)
+}
+
+func (n *node) call(ctx context.Context, method, name string) (fault, error) {
+	n.gate()
+	n.store.mu.Lock()
+	n.store.calls[method]++
+	n.store.mu.Unlock()
+	n.mu.Lock()
+	var f fault
+	if n.plan != nil {
+		f = n.plan(method, name)
+	}
+	n.mu.Unlock()
+	if f.untilCancel {
+		<-ctx.Done()
+		return f, fmt.Errorf("%s %s: %w", method, name, platform.ErrOutcomeUnknown)
+	}
+	return f, f.before
+}
+
+func (n *node) Get(ctx context.Context, _, name string) (*platform.Object, error) {
+	f, err := n.call(ctx, "get", name)
+	if err != nil {
+		return nil, err
+	}
+	o, err := n.store.get(name, f.stale)
+	n.gate()
+	return o, err
+}
+
+func (n *node) Create(ctx context.Context, _, name string, data []byte) (uint64, error) {
+	return n.write(ctx, "create", name, 0, data)
+}
+
+func (n *node) Update(ctx context.Context, _, name string, version uint64, data []byte) (uint64, error) {
+	return n.write(ctx, "update", name, version, data)
+}
+
+func (n *node) Delete(ctx context.Context, _, name string, version uint64) error {
+	_, err := n.write(ctx, "delete", name, version, nil)
+	return err
+}
+
+func (n *node) write(ctx context.Context, method, name string, version uint64, data []byte) (uint64, error) {
+	f, err := n.call(ctx, method, name)
+	if err != nil {
+		return 0, err
+	}
+	if f.late > 0 {
+		time.AfterFunc(f.late, func() { _, _ = n.store.put(name, version, data) })
+		return 0, platform.ErrOutcomeUnknown
+	}
+	v, err := n.store.put(name, version, data)
+	n.gate()
+	if f.after != nil {
+		return 0, f.after
+	}
+	return v, err
+}
+
+// cluster is the set of processes that can ask each other about claims.
+type cluster struct {
+	store *fakeStore
+	term  time.Duration
+	now   func(node string) time.Time
+
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+func newCluster() *cluster {
+	return &cluster{store: newFakeStore(), term: 3 * time.Second, nodes: map[string]*node{}}
+}
+
+func discard() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func (c *cluster) start(name, incarnation string) *node {
+	n := &node{name: name, incarnation: incarnation, store: c.store}
+	opts := Options{Node: name, Incarnation: incarnation, Store: n, Owners: c, Log: discard()}
+	if c.now != nil {
+		opts.Now = func() time.Time { return c.now(name) }
+	}
+	n.m = New(opts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[name+incarnation] = n
+	return n
+}
+
+// ClaimStatus implements Owners.
+func (c *cluster) ClaimStatus(_ context.Context, claim *schema.Claim) (*schema.ClaimStatusResponse, bool) {
+	c.mu.Lock()
+	n := c.nodes[claim.Node+claim.Incarnation]
+	c.mu.Unlock()
+	switch {
+	case n == nil || n.leaseEnded(c.term):
+		return nil, false
+	case n.paused():
+		return nil, true
+	}
+	return n.m.Status(claim.Nonce), true
+}
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -1,8 +1,11 @@
 package claims
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -12,6 +15,44 @@
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
+const (
+	// storeWait bounds how long an answer waits for its claim to be written. After that it is passed on, and Run
+	// goes on with the write.
+	storeWait = 2 * time.Second
+	// callLimit bounds one call to the platform in the background. The platform client makes up to four exchanges of 1 s
+	// for a write whose reply is lost.
+	callLimit = 5 * time.Second
+	// Waits between two tries to settle one claim. Until the platform has it, this process still answers for the claim,
+	// so that a long wait delays nobody.
+	retryMin = 100 * time.Millisecond
+	retryMax = time.Minute
+	// keepUnsettled is the time after which no node accepts the key of a claim any more: a key is at most MaxSkew in the
+	// future when it is claimed, and is accepted up to Window later by a clock that is up to MaxSkew behind.
+	keepUnsettled = Window + 2*MaxSkew
+	// maxPending bounds the claims that wait for the platform. Each can hold an answer of MaxKeptAnswer: 64 MiB in total.
+	maxPending = 1024
+	// Run settles up to passSize claims each passInterval, at most 64 calls a second for a node.
+	passInterval = 500 * time.Millisecond
+	passSize     = 16
+)
+
+// attempt is one claim of this process until it is settled in the platform.
+type attempt struct {
+	nonce, key string
+	// base is the version that the next write is conditional on. While the claim's own write is in doubt, it is the
+	// version which that write was conditional on.
+	base   uint64
+	stored chan struct{} // Closed when the attempt is forgotten.
+
+	// The rest is guarded by Manager.mu.
+	claim   *schema.Claim // The state that Status reports; replaced, never changed.
+	doubt   bool          // The claim's own write may not be in force.
+	pending bool          // Run has to settle it.
+	next    time.Time     // Next try of Run.
+	wait    time.Duration
+	end     time.Time // The attempt is forgotten then.
+}
+
 // Answer is the answer of a target to a claimed request.
 type Answer struct {
 	Status  uint32
@@ -19,114 +60,202 @@
 	Body    []byte
 }
 
+// size returns the bytes of body and headers. As JSON they take up to six times as much, which is below the 1 MB of an
+// object.
+func (a Answer) size() int {
+	n := len(a.Body)
+	for name, value := range a.Headers {
+		n += len(name) + len(value)
+	}
+	return n
+}
+
 // Answer stores the answer so that a repeat gets the same one. It returns when the answer is stored, or after storeWait;
-// then the write goes on in the background and other nodes get the answer from this process.
+// then Run goes on with the write and other nodes get the answer from this process.
 func (c *Claim) Answer(ctx context.Context, answer Answer) {
-	settled := proto.Clone(c.content).(*schema.Claim)
-	settled.State = schema.ClaimState_CLAIM_STATE_ANSWERED
+	settled := c.next(schema.ClaimState_CLAIM_STATE_ANSWERED)
 	settled.Status = answer.Status
 	settled.Headers = answer.Headers
-	if len(answer.Body) <= MaxKeptAnswer {
-		settled.Answer = answer.Body
-	} else {
-		settled.AnswerDropped = true
+	settled.Answer = answer.Body
+	if _, err := platform.Encode(settled); err != nil || answer.size() > MaxKeptAnswer {
+		// An answer with a header that is not UTF-8 has no JSON form.
+		settled.Headers, settled.Answer, settled.AnswerDropped = nil, nil, true
 	}
 	c.settle(ctx, settled)
 }
 
 // Release records that the request did not run. The caller must know that no byte of it reached a target.
 func (c *Claim) Release(ctx context.Context) {
-	settled := proto.Clone(c.content).(*schema.Claim)
-	settled.State = schema.ClaimState_CLAIM_STATE_RELEASED
-	c.settle(ctx, settled)
+	c.settle(ctx, c.next(schema.ClaimState_CLAIM_STATE_RELEASED))
 }
 
 // Unknown records that the request was sent and its answer is lost.
 func (c *Claim) Unknown(ctx context.Context) {
-	settled := proto.Clone(c.content).(*schema.Claim)
-	settled.State = schema.ClaimState_CLAIM_STATE_UNKNOWN
-	c.settle(ctx, settled)
+	c.settle(ctx, c.next(schema.ClaimState_CLAIM_STATE_UNKNOWN))
+}
+
+func (c *Claim) next(state schema.ClaimState) *schema.Claim {
+	c.m.mu.Lock()
+	defer c.m.mu.Unlock()
+	return successor(c.attempt.claim, state)
+}
+
+func successor(claim *schema.Claim, state schema.ClaimState) *schema.Claim {
+	next := proto.Clone(claim).(*schema.Claim)
+	next.State = state
+	next.Nonce = uuid.NewString()
+	return next
 }
 
 // settle makes the final state known to this process at once and writes it to the platform. The write must not be
-// cut short by the caller's going away.
+// cut short by the caller's going away. Only the first settlement of a claim counts.
 func (c *Claim) settle(ctx context.Context, settled *schema.Claim) {
-	settled.Nonce = uuid.NewString()
-	c.m.set(c.content.Nonce, settled)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.m.write(context.WithoutCancel(ctx), c.content, c.version, settled)
-	}()
+	m, a := c.m, c.attempt
+	m.mu.Lock()
+	if a.claim.State != schema.ClaimState_CLAIM_STATE_CLAIMED {
+		m.mu.Unlock()
+		m.opts.Log.WithField("key", a.key).Errorf("claim is settled as %s already, not as %s", a.claim.State, settled.State)
+		return
+	}
+	a.claim, a.end = settled, m.opts.Now().Add(keepUnsettled)
+	m.mu.Unlock()
+	go m.settleNow(context.WithoutCancel(ctx), a)
+	timer := time.NewTimer(storeWait)
+	defer timer.Stop()
 	select {
-	case <-done:
-	case <-time.After(storeWait):
+	case <-a.stored:
+	case <-timer.C:
 	}
 }
 
-// write repeats the conditional update until the platform has it or the key is too old to be used.
-func (m *Manager) write(ctx context.Context, from *schema.Claim, version uint64, settled *schema.Claim) {
-	data, err := platform.Encode(settled)
-	if err != nil {
-		m.opts.Log.WithError(err).Error("claim could not be encoded")
-		return
-	}
-	deadline := m.opts.Now().Add(Window + 2*MaxSkew)
-	for m.opts.Now().Before(deadline) {
-		_, err := m.opts.Store.Update(ctx, kind, from.Key, version, data)
-		if err == nil {
-			m.forget(from.Nonce)
+// settleNow tries until storeWait has passed and then leaves the attempt to Run.
+func (m *Manager) settleNow(ctx context.Context, a *attempt) {
+	start := time.Now()
+	for wait := retryMin; ; wait *= 2 {
+		if m.try(ctx, a) {
+			m.forget(a)
 			return
 		}
-		if errors.Is(err, platform.ErrConflict) {
-			current, lost := m.current(ctx, from, version)
-			if lost {
-				m.forget(from.Nonce)
-				return
-			}
-			version = current
+		if time.Since(start)+wait > storeWait {
+			m.leaveToRun(a, wait)
+			return
 		}
-		time.Sleep(retryInterval)
+		time.Sleep(wait)
 	}
 }
 
-// current returns the version of a claim after a conflict on an older version, or that older one if the claim can't be read.
-// lost is true if somebody else has settled or taken over the claim, or if it was deleted.
-func (m *Manager) current(ctx context.Context, from *schema.Claim, older uint64) (version uint64, lost bool) {
-	version, stored, err := m.read(ctx, from.Key)
-	if err != nil {
-		return older, errors.Is(err, platform.ErrNotFound)
+// begin records a new attempt before its claim is written.
+func (m *Manager) begin(content *schema.Claim, base uint64) *attempt {
+	a := &attempt{nonce: content.Nonce, key: content.Key, base: base, claim: content, stored: make(chan struct{})}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mine[a.nonce] = a
+	return a
+}
+
+// abandon ends an attempt whose write may be in force or come into force, and that is never dispatched. It is known to be
+// released at once. Run releases the platform's copy, so that the key stays usable after this process has ended.
+func (m *Manager) abandon(a *attempt) {
+	m.mu.Lock()
+	a.claim, a.doubt, a.end = successor(a.claim, schema.ClaimState_CLAIM_STATE_RELEASED), true, m.opts.Now().Add(keepUnsettled)
+	m.mu.Unlock()
+	m.leaveToRun(a, retryMin)
+}
+
+func (m *Manager) leaveToRun(a *attempt, wait time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a.pending, a.wait, a.next = true, wait, m.opts.Now().Add(wait)
+	m.pending++
+}
+
+func (m *Manager) full() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pending >= maxPending
+}
+
+func (m *Manager) forget(a *attempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.mine, a.nonce)
+	if a.pending {
+		m.pending--
 	}
-	return version, stored.Nonce != from.Nonce
+	close(a.stored)
 }
 
-// abandon keeps a claim whose write has an unknown outcome and that is not dispatched. It is known to be released at
-// once, and the platform's copy is released when it can be reached, if the write took effect. base is the version that
-// the write was conditional on.
-func (m *Manager) abandon(content *schema.Claim, base uint64) {
-	released := proto.Clone(content).(*schema.Claim)
-	released.State = schema.ClaimState_CLAIM_STATE_RELEASED
-	m.set(content.Nonce, released)
-	released.Nonce = uuid.NewString()
-	go m.releaseWhenFound(content, released, base)
+// Run settles the claims that could not be settled at once, until ctx is done. Then it tries each of them once more.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(passInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			m.pass(ctx, m.due(m.opts.Now(), passSize))
+		case <-ctx.Done():
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeWait)
+			defer cancel()
+			m.pass(last, m.due(m.opts.Now().Add(retryMax), maxPending))
+			return
+		}
+	}
 }
 
-func (m *Manager) releaseWhenFound(content, released *schema.Claim, base uint64) {
-	ctx := context.Background()
-	deadline := m.opts.Now().Add(Window + 2*MaxSkew)
-	for m.opts.Now().Before(deadline) {
-		version, stored, err := m.read(ctx, content.Key)
+// due returns up to limit pending attempts whose next try is due at the given time, longest due first.
+func (m *Manager) due(at time.Time, limit int) []*attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []*attempt
+	for _, a := range m.mine {
+		if a.pending && !a.next.After(at) {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return cmp.Or(a.next.Compare(b.next), strings.Compare(a.key, b.key))
+	})
+	return list[:min(limit, len(list))]
+}
+
+func (m *Manager) pass(ctx context.Context, due []*attempt) {
+	for _, a := range due {
+		if ctx.Err() != nil {
+			return
+		}
+		if m.try(ctx, a) || !m.opts.Now().Before(a.end) {
+			m.forget(a)
+			continue
+		}
+		m.mu.Lock()
+		a.wait = min(2*a.wait, retryMax)
+		a.next = m.opts.Now().Add(a.wait)
+		m.mu.Unlock()
+	}
+}
+
+// try writes the state of an attempt once and returns true if nothing is left to do. A conflict means that another write
+// came after the claim's own: the condition can't hold again, since versions only grow.
+func (m *Manager) try(ctx context.Context, a *attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if a.doubt {
+		version, stored, err := m.read(ctx, a.key)
 		switch {
 		case err != nil:
-		case stored.Nonce == content.Nonce:
-			m.write(ctx, content, version, released)
-			return
-		case version != base:
-			// Another write came first, so the lost one can't take effect any more.
-			m.forget(content.Nonce)
-			return
+			return false
+		case stored.Nonce != a.nonce:
+			// A later version proves that the claim's own write is not in force and never will be. A version that is not
+			// later proves nothing, as the read may be stale.
+			return version > a.base
 		}
-		time.Sleep(retryInterval)
+		a.base, a.doubt = version, false
+	}
+	data, err := platform.Encode(a.claim)
+	if err != nil {
+		m.opts.Log.WithError(err).WithField("key", a.key).Error("claim can't be encoded")
+		return false
 	}
-	m.forget(content.Nonce)
+	_, err = m.opts.Store.Update(ctx, kind, a.key, a.base, data)
+	return err == nil || errors.Is(err, platform.ErrConflict)
 }
