Serve generate requests and services end to end

Cause: group control, holders, configuration and the request path were separate parts. Ruled out: a holder of engine states for every VM at every node; only the VMs that a controller asks for are read. No promise under failure is proved yet.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,8 @@
 	membership *membership.Membership
 	config     *configsync.Sync
 	holders    *holder.Holders
-	groups     *groups.Controller
+	groups     *groups.Controllers
+	reports    *vmReports
 	targets    *target.Table
 	claims     *claims.Manager
 	crashes    *crash.Table
@@ -200,10 +201,12 @@
 		Self: self, Platform: api, Members: holderMembers{n.membership}, Term: t.Term, Margin: t.Margin,
 		Now: n.now, Log: n.log, Meter: meter, BeforeRelease: n.beforeRelease,
 	})
+	engines := orders.New(orders.Options{Timeout: t.OrderDelivery})
+	n.reports = newVMReports(engines, n.now, n.vms.address, t.Probe, t.Freshness)
 	n.groups = groups.New(groups.Options{
-		Self: self, Platform: api, Members: holderMembers{n.membership}, Orders: orders.New(orders.Options{Timeout: t.OrderDelivery}),
-		VMs: n.vms.get, Rules: func() *rules.Rules { _, r := n.config.Current(); return r },
-		OrderDelivery: t.OrderDelivery, Term: t.Term, Margin: t.Margin, Log: n.log, Meter: meter,
+		Self: self, Platform: api, Members: holderMembers{n.membership}, Orders: engines, VMs: n.plannedVMs, Report: n.reports.get,
+		Rules: func() *rules.Rules { _, r := n.config.Current(); return r }, Now: n.now,
+		OrderDelivery: t.OrderDelivery, Term: t.Term, Margin: t.Margin, Log: n.log,
 	})
 }
 
@@ -273,6 +276,8 @@
 	start("holders", forever(n.holders.Run))
 	start("groups", forever(n.groups.Run))
 	start("targets", forever(n.targets.Run))
+	start("engine states", forever(n.reports.run))
+	start("claims", forever(n.claims.Run))
 	start("VM list", forever(n.followVMs))
 	start("reconciler", forever(n.reconcileLoop))
 	n.log.WithFields(logrus.Fields{
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -57,6 +57,7 @@
 	for _, t := range n.holders.Takeovers() {
 		s.Takeovers = append(s.Takeovers, &schema.Takeover{
 			Target: t.Target.ID, FailureDomain: t.Target.FailureDomain, Epoch: t.Entry.Epoch, TableEpoch: t.TableEpoch,
+			Holder: t.Entry.Name, HolderIncarnation: t.Entry.Incarnation,
 		})
 	}
 }
@@ -65,7 +66,7 @@
 func (n *Node) onPeerStatus(s *schema.NodeStatus) {
 	n.statuses.set(s)
 	n.crashes.Merge(s.Crashes)
-	n.holders.NoteTakeovers(takeovers(s))
+	n.holders.NoteTakeovers(s.Name, takeovers(s))
 	if address, ok := n.peerAddress(s.Name); ok {
 		n.config.NoteRevision(context.Background(), s.Name, address, s.ConfigRevision)
 	}
@@ -76,7 +77,7 @@
 	for _, t := range s.Takeovers {
 		list = append(list, holder.Takeover{
 			Target:     holder.Target{ID: t.Target, FailureDomain: t.FailureDomain},
-			Entry:      holder.Entry{Identity: holder.Identity{Name: s.Name, Incarnation: s.Incarnation}, Epoch: t.Epoch},
+			Entry:      holder.Entry{Identity: holder.Identity{Name: t.Holder, Incarnation: t.HolderIncarnation}, Epoch: t.Epoch},
 			TableEpoch: t.TableEpoch,
 		})
 	}
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -44,6 +44,31 @@
 	v.vms, v.known = vms, true
 }
 
+// address returns the engine address of a VM.
+func (v *vmList) address(name string) (string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, vm := range v.vms {
+		if vm.Name == name {
+			return vm.Address, true
+		}
+	}
+	return "", false
+}
+
+// plannedVMs returns the VM list for the planners of groups.
+func (n *Node) plannedVMs() ([]groups.VM, bool) {
+	vms, known := n.vms.getKnown()
+	list := make([]groups.VM, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, groups.VM{
+			Name: vm.Name, Address: vm.Address, FabricDomain: vm.FabricDomain, FailureDomain: vm.FailureDomain,
+			Leaving: vm.State == schema.VMState_VM_STATE_LEAVING,
+		})
+	}
+	return list, known
+}
+
 // followVMs keeps the VM list current by one waiting watch.
 func (n *Node) followVMs(ctx context.Context) {
 	var since uint64
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -30,6 +30,7 @@
 	defer cancel()
 
 	n.membership.SetState(schema.NodeState_NODE_STATE_DRAINING)
+	n.groups.Release(ctx)
 	n.holders.HandOver(ctx)
 	sleepUntil(ctx, answerUntil)
 	n.mu.Lock()
--- /dev/null
+++ b/test/cluster/cluster.go
@@ -0,0 +1,340 @@
+// Package cluster starts the system as separate processes behind fault-injecting proxies, for integration tests. The
+// stand-ins' own records decide what happened, not what the system says.
+package cluster
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/operator"
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/test/faultproxy"
+	"cassiadeal.example/cassiadeal/test/harness"
+)
+
+const (
+	// Model is the model of pool drafts.
+	Model = "loan-assistant"
+	// Token is the bearer token of the account schools.
+	Token      = "integration-token"
+	startLimit = 40 * time.Second // Covers the start on a busy machine; no promise of the system.
+)
+
+// Options describes a cluster.
+type Options struct {
+	Domains      []string // Failure domains; each has one fabric domain.
+	Nodes        []string // Failure domain of each node.
+	VMsPerDomain int
+	VMsPerGroup  int
+	Replicas     int
+	Services     int // Back ends, spread over the domains.
+	Fenced       bool
+	ColdLimit    int
+	FullLimit    int
+	EngineArgs   []string
+	ServiceArgs  []string
+	Timing       string // Lines for [timing].
+}
+
+// Defaults returns a small cluster of two failure domains, three nodes and four replicas.
+func Defaults() Options {
+	return Options{
+		Domains: []string{"fd-a", "fd-b"}, Nodes: []string{"fd-a", "fd-a", "fd-b"},
+		VMsPerDomain: 5, VMsPerGroup: 2, Replicas: 4, Services: 2, Fenced: true, ColdLimit: 2, FullLimit: 8,
+		EngineArgs: []string{"--token-delay=2ms", "--load-time=200ms"},
+	}
+}
+
+// Cluster is a running system with its outside systems. Nodes, callers and targets reach each other through proxies.
+type Cluster struct {
+	T            testing.TB
+	Options      Options
+	Platform     *harness.Platform
+	Engines      map[string]*harness.Engine   // By failure domain.
+	VMs          map[string]*schema.VM        // By name; addresses are those of the proxies.
+	VMProxy      map[string]*faultproxy.Proxy // By VM.
+	Services     []*harness.Service
+	ServiceProxy []*faultproxy.Proxy // By index in Services.
+	Nodes        []*Daemon
+	Dir          string
+	Client       *http.Client
+}
+
+// Daemon is one node process. Other nodes reach it through PeerProxy, and it reaches the platform through PlatformProxy.
+// It calls other nodes from IP, so that PeerProxy.CutSource can cut a pair of nodes.
+type Daemon struct {
+	*harness.Process
+	NodeName, Domain, IP     string
+	Caller, Peer, Operator   string // Listen addresses.
+	PeerProxy, PlatformProxy *faultproxy.Proxy
+	Settings                 string // Settings file.
+}
+
+// Start starts a cluster and waits until every replica and service serves.
+func Start(t testing.TB, o Options) *Cluster {
+	t.Helper()
+	c := &Cluster{
+		T: t, Options: o, Platform: harness.StartPlatform(t), Engines: map[string]*harness.Engine{}, VMs: map[string]*schema.VM{},
+		VMProxy: map[string]*faultproxy.Proxy{}, Dir: t.TempDir(), Client: &http.Client{Timeout: 30 * time.Second},
+	}
+	for _, domain := range o.Domains {
+		c.startEngines(domain)
+	}
+	for range o.Services {
+		s := harness.StartService(t, "bookings", o.ServiceArgs...)
+		c.Services = append(c.Services, s)
+		c.ServiceProxy = append(c.ServiceProxy, c.Proxy(s.Address))
+	}
+	c.SetVMs()
+	for i, domain := range o.Nodes {
+		c.Nodes = append(c.Nodes, c.StartNode(i, domain))
+	}
+	c.WaitMembers()
+	c.MustApply(c.Rules(nil))
+	c.WaitServing(o.Replicas)
+	return c
+}
+
+// Proxy starts a proxy that is closed at the end of the test.
+func (c *Cluster) Proxy(upstream string) *faultproxy.Proxy {
+	c.T.Helper()
+	p, err := faultproxy.New(upstream)
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	c.T.Cleanup(p.Close)
+	return p
+}
+
+func (c *Cluster) startEngines(domain string) {
+	var names []string
+	for i := range c.Options.VMsPerDomain {
+		names = append(names, fmt.Sprintf("%s-vm-%d", domain, i))
+	}
+	args := append([]string{fmt.Sprintf("--fenced=%t", c.Options.Fenced)}, c.Options.EngineArgs...)
+	e := harness.StartEngine(c.T, names, args...)
+	c.Engines[domain] = e
+	for name, address := range e.VMs {
+		c.VMProxy[name] = c.Proxy(address)
+		c.VMs[name] = &schema.VM{
+			Name: name, Address: c.VMProxy[name].Addr(), FabricDomain: "fabric-" + domain, FailureDomain: domain,
+			State: schema.VMState_VM_STATE_LIVE,
+		}
+	}
+}
+
+// SetVMs writes the platform's VM list.
+func (c *Cluster) SetVMs() {
+	var list []*schema.VM
+	for _, vm := range c.VMs {
+		list = append(list, vm)
+	}
+	c.Platform.SetVMs(0, list...)
+}
+
+// StartNode starts a node with an IP of its own, so that a proxy can tell the nodes apart.
+func (c *Cluster) StartNode(i int, domain string) *Daemon {
+	d := &Daemon{NodeName: fmt.Sprintf("node-%d", i), Domain: domain, IP: fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, i+1)}
+	d.Caller, d.Peer, d.Operator = c.freeAddr(d.IP), c.freeAddr(d.IP), c.freeAddr(d.IP)
+	d.PeerProxy, d.PlatformProxy = c.Proxy(d.Peer), c.Proxy(c.Platform.Address)
+	d.Settings = filepath.Join(c.Dir, d.NodeName+".ini")
+	text := fmt.Sprintf(`[node]
+name = %s
+failure_domain = %s
+[listen]
+caller = %s
+peer = %s
+operator = %s
+[advertise]
+peer = %s
+[platform]
+url = http://%s
+timeout = 1s
+[timing]
+%s
+`, d.NodeName, domain, d.Caller, d.Peer, d.Operator, d.PeerProxy.Addr(), d.PlatformProxy.Addr(), c.Options.Timing)
+	if err := os.WriteFile(d.Settings, []byte(text), 0o600); err != nil {
+		c.T.Fatal(err)
+	}
+	c.Launch(d)
+	return d
+}
+
+// Launch starts the process of a node, also after it was killed.
+func (c *Cluster) Launch(d *Daemon) {
+	d.Process = harness.Start(c.T, "cassiadeald", "--config", d.Settings)
+}
+
+func (c *Cluster) freeAddr(ip string) string {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// Rules returns the rules file. out names the failure domains that are out.
+func (c *Cluster) Rules(out []string) string {
+	o := c.Options
+	var b strings.Builder
+	if o.Replicas > 0 {
+		fmt.Fprintf(&b, "[pools]\ndrafts = model=%s vms=%d replicas=%d cold_limit=%d full_limit=%d deadline=20s fenced_orders=%s # test\n",
+			Model, o.VMsPerGroup, o.Replicas, o.ColdLimit, o.FullLimit, map[bool]string{true: "yes", false: "no"}[o.Fenced])
+	}
+	if o.Services > 0 {
+		var targets []string
+		for i, p := range c.ServiceProxy {
+			targets = append(targets, p.Addr()+"@"+o.Domains[i%len(o.Domains)])
+		}
+		fmt.Fprintf(&b, "[services]\nbookings = targets=%s cold_limit=%d full_limit=%d deadline=10s # test\n", strings.Join(targets, ","), o.ColdLimit, o.FullLimit)
+		b.WriteString("[routes]\nconfirm = service=bookings method=POST path=/confirm repeat=never # test\n" +
+			"stock = service=bookings method=GET path=/stock/* repeat=safe # test\n")
+	}
+	sum := sha256.Sum256([]byte(Token))
+	fmt.Fprintf(&b, "[accounts]\nschools = token_sha256=%s rate=2000 burst=2000 concurrency=500 # test\n", hex.EncodeToString(sum[:]))
+	b.WriteString("[failure_domains]\n")
+	for _, domain := range o.Domains {
+		state := "in"
+		for _, name := range out {
+			if name == domain {
+				state = "out"
+			}
+		}
+		fmt.Fprintf(&b, "%s = state=%s # test\n", domain, state)
+	}
+	b.WriteString("[weights]\nloads = at_once=20 per_minute=1000 # test\n")
+	return b.String()
+}
+
+// MustApply puts rules into force through the command line.
+func (c *Cluster) MustApply(text string) {
+	c.T.Helper()
+	file := filepath.Join(c.Dir, "rules.ini")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		c.T.Fatal(err)
+	}
+	if code, out := c.CLI("apply", "--author", "test", "--base", "current", file); code != 0 {
+		c.T.Fatalf("apply exited with %d: %s", code, out)
+	}
+}
+
+// WaitMembers waits until every node has both bases of its right to serve and sees all others.
+func (c *Cluster) WaitMembers() {
+	c.T.Helper()
+	harness.Eventually(c.T, startLimit, func() error {
+		for _, d := range c.Nodes {
+			if s, err := c.Status(d); err != nil || s.Basis != "both" || len(s.Nodes) != len(c.Nodes) {
+				return fmt.Errorf("%s: basis %q, %d nodes, error %v", d.NodeName, s.Basis, len(s.Nodes), err)
+			}
+		}
+		return nil
+	})
+}
+
+// CLI runs the command line and returns its exit code and output.
+func (c *Cluster) CLI(args ...string) (int, string) {
+	c.T.Helper()
+	var operators []string
+	for _, d := range c.Nodes {
+		operators = append(operators, d.Operator)
+	}
+	p := harness.Start(c.T, "cassiadeal", append([]string{"--node", strings.Join(operators, ",")}, args...)...)
+	code := p.WaitExit(startLimit)
+	return code, p.Output()
+}
+
+// Status returns what a node says about the system.
+func (c *Cluster) Status(d *Daemon) (s operator.Status, err error) {
+	resp, err := c.Client.Get("http://" + d.Operator + "/v1/status")
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// WaitServing waits until every node serves and sees the pool with that many replicas and all service targets.
+func (c *Cluster) WaitServing(replicas int) {
+	c.T.Helper()
+	harness.Eventually(c.T, startLimit, func() error {
+		for _, d := range c.Nodes {
+			s, err := c.Status(d)
+			if err != nil {
+				return err
+			}
+			for _, dest := range s.Destinations {
+				want := replicas
+				if dest.Kind == "service" {
+					want = c.Options.Services
+				}
+				if !s.RightToServe || s.InDoubt || dest.Serving < want || dest.Limit < want*c.Options.ColdLimit {
+					return fmt.Errorf("%s: not ready: serve=%t doubt=%t %+v", d.NodeName, s.RightToServe, s.InDoubt, dest)
+				}
+			}
+		}
+		return nil
+	})
+}
+
+// Answer is what a caller gets.
+type Answer struct {
+	Status int
+	Body   string
+	Code   int  // Result code of a refusal.
+	NotRun bool // As stated in a refusal.
+	Err    error
+}
+
+// String shows what a caller got.
+func (a Answer) String() string {
+	return fmt.Sprintf("status %d, code %d, not_run %t, err %v, body %.200s", a.Status, a.Code, a.NotRun, a.Err, a.Body)
+}
+
+// Send makes a request at a node.
+func (c *Cluster) Send(d *Daemon, method, path, body, key string) Answer {
+	req, err := http.NewRequest(method, "http://"+d.Caller+path, strings.NewReader(body))
+	if err != nil {
+		return Answer{Err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+Token)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	// A fresh connection each time, so that the test's own client never repeats a request.
+	client := http.Client{Timeout: c.Client.Timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	a := Answer{Status: resp.StatusCode, Body: string(bytes.TrimSpace(data)), Err: err}
+	if a.Status != http.StatusOK {
+		var refusal struct {
+			Code   int  `json:"code"`
+			NotRun bool `json:"not_run"`
+		}
+		if json.Unmarshal(data, &refusal) == nil {
+			a.Code, a.NotRun = refusal.Code, refusal.NotRun
+		}
+	}
+	return a
+}
+
+// Generate makes a JSON generate request at pool drafts.
+func (c *Cluster) Generate(d *Daemon, prompt string, tokens int) Answer {
+	body, _ := json.Marshal(map[string]any{"prompt": prompt, "max_tokens": tokens})
+	return c.Send(d, http.MethodPost, "/v1/pools/drafts/generate", string(body), "")
+}
--- a/test/integration/smoke_test.go
+++ b/test/integration/smoke_test.go
@@ -1,30 +1,41 @@
+// Package integration checks the whole path with separate processes.
 package integration
 
 import (
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/google/uuid"
 
 	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/standin/engine"
+	"cassiadeal.example/cassiadeal/test/cluster"
+	"cassiadeal.example/cassiadeal/test/harness"
 )
 
-// Guards against a broken path from callers through nodes to services, and against a repeat that gets another answer.
-func TestServices(t *testing.T) {
-	o := defaults()
-	o.replicas = 0
-	c := start(t, o)
-	for _, d := range c.nodes {
-		if a := c.send(d, "GET", "/v1/services/bookings/stock/x", "", ""); a.status != 200 {
-			t.Fatal(a)
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+// Guards against a broken path from callers through nodes to engines and services, and against a repeat that gets another
+// answer.
+func TestWholePath(t *testing.T) {
+	c := cluster.Start(t, cluster.Defaults())
+	want := strings.Join(engine.Text(cluster.Model, "a b c", 5), "")
+	for _, d := range c.Nodes {
+		if a := c.Send(d, "GET", "/v1/services/bookings/stock/x", "", ""); a.Status != 200 {
+			t.Error(a)
 		}
 		key := uuid.Must(uuid.NewV7()).String()
-		a := c.send(d, "POST", "/v1/services/bookings/confirm", "{}", key)
-		b := c.send(c.nodes[0], "POST", "/v1/services/bookings/confirm", "{}", key)
-		if a.status != 200 || a.body != b.body {
-			t.Fatal(a, b)
+		first := c.Send(d, "POST", "/v1/services/bookings/confirm", "{}", key)
+		again := c.Send(c.Nodes[0], "POST", "/v1/services/bookings/confirm", "{}", key)
+		if first.Status != 200 || first.Body != again.Body {
+			t.Error(first, again)
+		}
+		if a := c.Generate(d, "a b c", 5); a.Status != 200 || !strings.Contains(a.Body, want) {
+			t.Errorf("%v; want text %q", a, want)
 		}
-		if a := c.generate(d, "x", 1); a.code != int(result.UnknownPool) || !a.notRun {
-			t.Fatal(a)
+		if a := c.Send(d, "POST", "/v1/pools/none/generate", `{"prompt":"x","max_tokens":1}`, ""); a.Code != int(result.UnknownPool) || !a.NotRun {
+			t.Error(a)
 		}
 	}
 }
