--- /dev/null
+++ b/cmd/cassiadeal/main.go
@@ -0,0 +1,34 @@
+// Command cassiadeal is the operators' command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cassiadeal.example/cassiadeal/internal/cli"
+	"cassiadeal.example/cassiadeal/internal/demo"
+	"cassiadeal.example/cassiadeal/internal/load"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	var loadExit *load.ExitError
+	code := cli.Run(ctx, cli.Options{
+		Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Demo: demo.Main,
+		Load: func(ctx context.Context, args []string, stdout, stderr io.Writer) error {
+			err := load.Main(ctx, args, stdout, stderr)
+			errors.As(err, &loadExit)
+			return err
+		},
+	}, os.Args[1:])
+	stop()
+	// Package cli knows only its own exit codes and returns 1 for every other error of a tool.
+	if loadExit != nil {
+		code = loadExit.Code
+	}
+	os.Exit(code)
+}
