Count a restarted peer towards a majority only after a term and the margin

Cause: a process that has just started has lost what its previous incarnation knew of takeovers without the platform. A cut-off old holder could regain the right to serve through it and send beside the new holder. Ruled out: counting it at once when the platform is reachable; the counting node can't know that for its peer.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -255,6 +255,7 @@
 		Incarnation:   m.opts.Self.GetIncarnation(),
 		State:         m.state,
 		PlatformAgeMs: -1,
+		UptimeMs:      now.Sub(m.started).Milliseconds(),
 	}
 	if m.lease.Term > 0 {
 		s.PlatformAgeMs = now.Sub(m.lease.Start).Milliseconds()
--- a/internal/membership/right.go
+++ b/internal/membership/right.go
@@ -94,17 +94,23 @@
 	return n/2 + 1
 }
 
-// answers counts this node and the listed nodes that answered a heartbeat sent within the term.
+// answers counts this node and the listed nodes that answered a heartbeat sent within the term. A process that started less
+// than a term and the margin before its answer doesn't count, because it may not have heard yet of takeovers without the
+// platform that its previous incarnation knew of.
 func (m *Membership) answers(now clock.Time) int {
 	n := 1
 	for name := range m.listed {
-		if name != m.opts.Self.GetName() && m.answered(m.peers[name], now) {
+		if name != m.opts.Self.GetName() && m.answered(m.peers[name], now) && m.settled(m.peers[name]) {
 			n++
 		}
 	}
 	return n
 }
 
+func (m *Membership) settled(p *peer) bool {
+	return time.Duration(p.answer.GetUptimeMs())*time.Millisecond >= m.opts.Term+m.opts.Margin
+}
+
 func (m *Membership) answered(p *peer, now clock.Time) bool {
 	return p != nil && p.answer != nil && now.Sub(p.answerSent) < m.opts.Term
 }
