Bound the memory of bodies and refuse bad input with a code while the caller is slow

Cause: tests with raw connections showed that a refusal before the end of a body was not sent: net/http first waits for the rest of the body, so a slow caller held its connection and its refusal for good. Bodies were bounded one by one but not together (4096 x 1 MiB), and a caller that stopped reading held its slot at a target until the deadline. Ruled out: resetting the read deadline after a failed read, which is what made the wait endless. Conclusion: a refusal closes the connection when the body was not read; all bodies together take at most 64 MiB.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,16 +59,20 @@
 	Metrics   Metrics
 	Log       logrus.FieldLogger
 
-	MaxBodyBytes    int64
-	MaxAnswerBytes  int
-	MaxInFlight     int // Requests being read or run at this node.
-	BodyReadTimeout time.Duration
+	MaxHeaderBytes   int
+	MaxBodyBytes     int64
+	MaxBufferedBytes int64 // Sum of the bodies held in memory at a time.
+	MaxAnswerBytes   int
+	MaxInFlight      int // Requests being read or run at this node.
+	BodyReadTimeout  time.Duration
+	WriteTimeout     time.Duration // For each part of an answer that the caller has to take.
 }
 
 // Gateway is the callers' HTTP handler.
 type Gateway struct {
 	opts     Options
 	inFlight atomic.Int64
+	buffered atomic.Int64 // Bytes of request bodies.
 }
 
 // New returns a Gateway.
@@ -81,10 +85,10 @@
 func (g *Gateway) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.NotFound(func(w http.ResponseWriter, req *http.Request) {
-		g.refuse(w, nil, result.New(result.NotFound, "there is nothing at %.200q", req.URL.Path))
+		g.refuse(w, req, nil, result.New(result.NotFound, "there is nothing at %.200q", req.URL.Path))
 	})
 	r.MethodNotAllowed(func(w http.ResponseWriter, req *http.Request) {
-		g.refuse(w, nil, result.New(result.MethodNotAllowed, "method %.20q is not allowed at %.200q", req.Method, req.URL.Path))
+		g.refuse(w, req, nil, result.New(result.MethodNotAllowed, "method %.20q is not allowed at %.200q", req.Method, req.URL.Path))
 	})
 	r.Get("/v1/addresses", g.addresses)
 	r.Post("/v1/pools/{pool}/generate", g.count(g.generate))
@@ -99,12 +103,19 @@
 	_ = json.NewEncoder(w).Encode(g.opts.Addresses(req.RemoteAddr + req.Header.Get("Authorization")))
 }
 
-// count bounds the requests in this process, and with them the memory that bodies take.
+// count bounds the requests in this process and the size of their headers.
 func (g *Gateway) count(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
+		if req.Body != http.NoBody {
+			req.Body = &trackedBody{ReadCloser: req.Body}
+		}
+		if size := headerBytes(req.Header); size > g.opts.MaxHeaderBytes {
+			g.refuse(w, req, nil, result.New(result.HeadersTooLarge, "the headers have %d bytes, more than %d", size, g.opts.MaxHeaderBytes))
+			return
+		}
 		defer g.inFlight.Add(-1)
 		if g.inFlight.Add(1) > int64(g.opts.MaxInFlight) {
-			g.refuse(w, nil, result.New(result.QueueFull, "this node has %d requests in progress", g.opts.MaxInFlight).
+			g.refuse(w, req, nil, result.New(result.QueueFull, "this node has %d requests in progress", g.opts.MaxInFlight).
 				WithRetryAfter(time.Second))
 			return
 		}
@@ -112,6 +123,16 @@
 	}
 }
 
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // call is one caller's request in progress.
 type call struct {
 	id          string
@@ -190,9 +211,11 @@
 	return nil
 }
 
-func (g *Gateway) refuse(w http.ResponseWriter, c *call, err *result.Error) {
+func (g *Gateway) refuse(w http.ResponseWriter, req *http.Request, c *call, err *result.Error) {
 	g.finish(c, err.Code, "")
 	g.opts.Metrics.Refusal(err.Code)
+	g.allowWrite(w)
+	abandonBody(w, req)
 	result.Write(w, err)
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -38,15 +38,16 @@
 	name := chi.URLParam(req, "pool")
 	c, release, err := g.accept(req, "pool/"+name)
 	if err != nil {
-		g.refuse(w, c, err)
+		g.refuse(w, req, c, err)
 		return
 	}
 	defer release()
-	stream, err := g.prepareGenerate(w, req, c, name)
+	stream, done, err := g.prepareGenerate(w, req, c, name)
 	if err != nil {
-		g.refuse(w, c, err)
+		g.refuse(w, req, c, err)
 		return
 	}
+	defer done()
 	g.opts.Budget.Request(c.destination)
 	if stream {
 		g.answerStream(w, req, c)
@@ -55,28 +56,37 @@
 	g.answerJSON(w, req, c)
 }
 
-func (g *Gateway) prepareGenerate(w http.ResponseWriter, req *http.Request, c *call, name string) (stream bool, err *result.Error) {
+func (g *Gateway) prepareGenerate(w http.ResponseWriter, req *http.Request, c *call, name string) (stream bool, done func(), err *result.Error) {
 	pool, ok := c.rules.Pools[name]
 	if !ok {
-		return false, result.New(result.UnknownPool, "pool %.100q does not exist", name)
+		return false, nil, result.New(result.UnknownPool, "pool %.100q does not exist", name)
 	}
 	if err := c.setDeadline(pool.Deadline, req); err != nil {
-		return false, err
+		return false, nil, err
 	}
-	data, err := g.readBody(w, req)
+	data, done, err := g.readBody(w, req)
 	if err != nil {
-		return false, err
+		return false, nil, err
 	}
+	if err := parseGenerate(c, data, &stream); err != nil {
+		done()
+		return false, nil, err
+	}
+	return stream || strings.Contains(req.Header.Get("Accept"), "text/event-stream"), done, nil
+}
+
+// parseGenerate fills in the engine's request from the caller's body.
+func parseGenerate(c *call, data []byte, stream *bool) *result.Error {
 	var body generateBody
 	if jsonErr := json.Unmarshal(data, &body); jsonErr != nil {
-		return false, result.New(result.BadRequest, "the body is not valid JSON: %v", jsonErr)
+		return result.New(result.BadRequest, "the body is not valid JSON: %v", jsonErr)
 	}
 	if body.Prompt == "" || body.MaxTokens < 1 || body.MaxTokens > maxTokensLimit {
-		return false, result.New(result.BadRequest, "prompt must not be empty and max_tokens must be from 1 to %d", maxTokensLimit)
+		return result.New(result.BadRequest, "prompt must not be empty and max_tokens must be from 1 to %d", maxTokensLimit)
 	}
 	engine, jsonErr := json.Marshal(engineBody{Prompt: body.Prompt, MaxTokens: body.MaxTokens})
 	if jsonErr != nil {
-		return false, result.New(result.Internal, "encoding the engine's request: %v", jsonErr)
+		return result.New(result.Internal, "encoding the engine's request: %v", jsonErr)
 	}
 	c.request.Body = engine
 	c.request.Path = "/v1/generate"
@@ -85,7 +95,8 @@
 	c.request.PrefixHash = xxhash.Sum64String(body.Prompt[:min(prefixBytes, len(body.Prompt))])
 	c.request.Fingerprint = crash.Fingerprint(c.account.Name, c.destination, engine)
 	c.affinity = c.request.PrefixHash
-	return body.Stream || strings.Contains(req.Header.Get("Accept"), "text/event-stream"), nil
+	*stream = body.Stream
+	return nil
 }
 
 // generateAnswer is the JSON answer to a generate request.
@@ -99,9 +110,10 @@
 	out := &tokenCollector{limit: g.opts.MaxAnswerBytes}
 	end := g.run(req.Context(), c, out)
 	if end.Code != int32(result.OK) {
-		g.refuse(w, c, errorOf(end))
+		g.refuse(w, req, c, errorOf(end))
 		return
 	}
+	g.allowWrite(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Request-Id", c.id)
 	// An encoding error means that the caller has gone.
@@ -140,7 +152,7 @@
 }
 
 func (g *Gateway) answerStream(w http.ResponseWriter, req *http.Request, c *call) {
-	out := &eventStream{w: w, id: c.id, flush: http.NewResponseController(w).Flush}
+	out := &eventStream{w: w, id: c.id, flush: http.NewResponseController(w).Flush, allow: func() { g.allowWrite(w) }}
 	end := g.run(req.Context(), c, out)
 	if end.Code == int32(result.OK) {
 		if err := out.event("end", streamEnd{RequestID: c.id, Tokens: out.next}); err != nil {
@@ -152,7 +164,7 @@
 	}
 	failure := errorOf(end)
 	if !out.started() {
-		g.refuse(w, c, failure)
+		g.refuse(w, req, c, failure)
 		return
 	}
 	// The status line has gone out, so the failure is an event of its own; the stream has no end event.
@@ -178,6 +190,7 @@
 	w     http.ResponseWriter
 	id    string
 	flush func() error
+	allow func() // Extends the time limit for the caller to take the next event.
 	next  uint64
 	begun bool
 }
@@ -210,6 +223,7 @@
 	if err != nil {
 		return err
 	}
+	s.allow()
 	if name != "" {
 		name = "event: " + name + "\n"
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -28,32 +28,35 @@
 	name := chi.URLParam(req, "service")
 	c, release, err := g.accept(req, "service/"+name)
 	if err != nil {
-		g.refuse(w, c, err)
+		g.refuse(w, req, c, err)
 		return
 	}
 	defer release()
-	if err := g.prepareService(w, req, c, name); err != nil {
-		g.refuse(w, c, err)
+	done, err := g.prepareService(w, req, c, name)
+	if err != nil {
+		g.refuse(w, req, c, err)
 		return
 	}
+	defer done()
 	g.opts.Budget.Request(c.destination)
 	out := &bufferedAnswer{limit: g.opts.MaxAnswerBytes}
 	end := g.run(req.Context(), c, out)
 	if end.Code != int32(result.OK) {
-		g.refuse(w, c, errorOf(end))
+		g.refuse(w, req, c, errorOf(end))
 		return
 	}
+	g.allowWrite(w)
 	out.write(w, c.id)
 	g.finish(c, result.OK, end.Target)
 }
 
-func (g *Gateway) prepareService(w http.ResponseWriter, req *http.Request, c *call, name string) *result.Error {
+func (g *Gateway) prepareService(w http.ResponseWriter, req *http.Request, c *call, name string) (done func(), err *result.Error) {
 	service, ok := c.rules.Services[name]
 	if !ok {
-		return result.New(result.UnknownService, "service %.100q does not exist", name)
+		return nil, result.New(result.UnknownService, "service %.100q does not exist", name)
 	}
 	if err := c.setDeadline(service.Deadline, req); err != nil {
-		return err
+		return nil, err
 	}
 	path := cmp.Or(strings.TrimPrefix(req.URL.EscapedPath(), "/v1/services/"+name), "/")
 	// Routes match the decoded path, so that an escaped spelling of a path can't evade its rule.
@@ -66,14 +69,14 @@
 	c.request.IdempotencyKey = req.Header.Get("Idempotency-Key")
 	if !c.request.Repeatable {
 		if err := claims.CheckKey(c.request.IdempotencyKey, time.Now()); err != nil {
-			return err
+			return nil, err
 		}
 		// Repeats prefer the node that ran the request, which can answer them without reading the platform.
 		c.affinity = xxhash.Sum64String(c.request.IdempotencyKey)
 	}
-	body, err := g.readBody(w, req)
+	body, done, err := g.readBody(w, req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c.request.Path = path
 	if req.URL.RawQuery != "" {
@@ -82,7 +85,7 @@
 	c.request.Body = body
 	c.request.Headers = forwardHeaders(req.Header)
 	c.request.Fingerprint = crash.Fingerprint(c.account.Name, req.Method+" "+c.destination+c.request.Path, body)
-	return nil
+	return done, nil
 }
 
 func forwardHeaders(h http.Header) []*schema.Header {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	writeTimeout      = 30 * time.Second
+	// maxBufferedBytes leaves most of a node's 256 MB to answers, streams and control.
+	maxBufferedBytes = 64 << 20
 )
 
 // Node is one daemon.
@@ -232,8 +235,9 @@
 		Node: n.self.Name, Admission: n.admission, Router: n.router, Execute: n.execute, Crashes: n.crashes, Budget: n.budget,
 		Rules:    func() (*rules.Rules, uint64) { c, r := n.config.Current(); return r, c.GetRevision() },
 		MayServe: n.mayAccept, Addresses: n.addresses, Metrics: n.metrics, Log: n.log,
-		MaxBodyBytes: limits.MaxBodyBytes, MaxAnswerBytes: int(limits.MaxAnswerBytes), MaxInFlight: int(limits.MaxInFlight),
-		BodyReadTimeout: limits.BodyReadTimeout,
+		MaxHeaderBytes: int(limits.MaxHeaderBytes), MaxBodyBytes: limits.MaxBodyBytes, MaxBufferedBytes: maxBufferedBytes,
+		MaxAnswerBytes: int(limits.MaxAnswerBytes), MaxInFlight: int(limits.MaxInFlight),
+		BodyReadTimeout: limits.BodyReadTimeout, WriteTimeout: writeTimeout,
 	})
 }
 
@@ -305,7 +309,10 @@
 		Handler:           n.gateway.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(n.settings.Limits.MaxHeaderBytes),
+		// The gateway sets the write deadline anew before each part of an answer; this one resets it between requests.
+		WriteTimeout: writeTimeout,
+		// The gateway refuses large headers with a result code; only far larger ones are left to net/http.
+		MaxHeaderBytes: 4 * int(n.settings.Limits.MaxHeaderBytes),
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -151,8 +151,8 @@
 	wg.Wait()
 }
 
-// addresses answers GET /v1/addresses. Draining nodes and nodes without room come last or not at all; the seed spreads
-// callers over the others.
+// addresses answers GET /v1/addresses. Draining nodes are left out and overloaded ones come last; the seed spreads callers
+// over the others.
 func (n *Node) addresses(seed string) gateway.Addresses {
 	answer := gateway.Addresses{Addresses: []gateway.Address{}, KeepSeconds: n.settings.Timing.AddressKeep.Seconds()}
 	var names []string
@@ -164,12 +164,32 @@
 		names = append(names, info.Record.Name)
 		byName[info.Record.Name] = gateway.Address{Address: info.Record.CallerAddress, FailureDomain: info.Record.FailureDomain}
 	}
+	var overloaded []gateway.Address
 	for _, name := range orderBySeed(names, seed) {
+		if n.overloaded(name) {
+			overloaded = append(overloaded, byName[name])
+			continue
+		}
 		answer.Addresses = append(answer.Addresses, byName[name])
 	}
+	answer.Addresses = append(answer.Addresses, overloaded...)
 	return answer
 }
 
+// overloaded tells whether requests queue at every pool and service of a node.
+func (n *Node) overloaded(name string) bool {
+	pools := n.statuses.get(name).status.GetPools()
+	if name == n.self.Name {
+		pools = n.targets.Summary()
+	}
+	for _, p := range pools {
+		if p.FreeSlots > 0 || p.Queued == 0 {
+			return false
+		}
+	}
+	return len(pools) > 0
+}
+
 func (n *Node) usableByCallers(name string) bool {
 	if name == n.self.Name {
 		n.mu.Lock()
