--- a/test/measure/drain_test.go
+++ b/test/measure/drain_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"cassiadeal.example/cassiadeal/test/cluster"
 	"cassiadeal.example/cassiadeal/test/harness"
@@ -55,6 +56,7 @@
 	if err := os.WriteFile(file, []byte(experiment), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	_, out := c.CLI("load", file)
-	t.Log(out)
+	p := harness.Start(t, "cassiadeal", "load", file)
+	p.WaitExit(90 * time.Second)
+	t.Log(p.Output())
 }
--- /dev/null
+++ b/test/measure/holder_test.go
@@ -0,0 +1,160 @@
+//go:build measure
+
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/dispatch"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/standin/service"
+	"cassiadeal.example/cassiadeal/internal/target"
+)
+
+const (
+	entryNodes  = 7
+	backEnds    = 8
+	fullLimit   = 14
+	runTime     = 50 * time.Millisecond
+	hop         = 2 * time.Millisecond // One way between nodes.
+	ratePerSec  = 900.0                // 40% of 8 x 14 slots at 50 ms.
+	phase       = 8 * time.Second
+	skewedShare = 0.5 // Of the requests arrive at one node.
+)
+
+// TestHolderAgainstEveryNodeSends compares one holder per target with every node sending under a divided limit. Half of the
+// requests arrive at one node. In the middle of the run one target restarts cold without warning.
+func TestHolderAgainstEveryNodeSends(t *testing.T) {
+	for _, cold := range []int{2, 7} {
+		for _, divided := range []bool{false, true} {
+			t.Run(fmt.Sprintf("cold=%d,divided=%t", cold, divided), func(t *testing.T) { compare(t, cold, divided) })
+		}
+	}
+}
+
+func compare(t *testing.T, coldLimit int, divided bool) {
+	var servers []*service.Server
+	for i := range backEnds {
+		s := service.New(service.Options{Name: fmt.Sprint(i), BearsCold: coldLimit, BearsWarm: fullLimit})
+		if err := s.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		delay := runTime.Milliseconds()
+		if err := s.SetFaults(service.Faults{DelayMS: &delay}); err != nil {
+			t.Fatal(err)
+		}
+		servers = append(servers, s)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tables := startTables(ctx, servers, coldLimit, divided)
+	var wg sync.WaitGroup
+	var refused, served atomic.Int64
+	latency := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(7, 7))
+	runner := dispatch.New(dispatch.Options{})
+	start := time.Now()
+	restarted := false
+	for at := time.Duration(0); at < 2*phase; at += time.Duration(random.ExpFloat64() / ratePerSec * float64(time.Second)) {
+		time.Sleep(time.Until(start.Add(at)))
+		if at > phase && !restarted {
+			restarted = true
+			go func() { _ = servers[0].SetFaults(service.Faults{Restart: true}) }()
+		}
+		entry := random.IntN(entryNodes)
+		if random.Float64() < skewedShare {
+			entry = 0
+		}
+		due := start.Add(at)
+		wg.Go(func() {
+			end := send(ctx, tables, entry, divided, runner)
+			if end != result.OK {
+				refused.Add(1)
+				return
+			}
+			served.Add(1)
+			mu.Lock()
+			defer mu.Unlock()
+			_ = latency.RecordValue(time.Since(due).Microseconds()) // Above 60 s is out of range, and refused before.
+		})
+	}
+	wg.Wait()
+	overloads, peakCold := 0, 0
+	for _, s := range servers {
+		r := s.Record()
+		overloads += len(r.Overloads)
+		peakCold = max(peakCold, r.InFlight.Cold)
+	}
+	t.Logf("cold limit=%d divided=%t served=%d refused=%d p50=%.1fms p99=%.1fms overloads=%d peak in flight while cold=%d (bears %d)", coldLimit, divided, served.Load(),
+		refused.Load(), float64(latency.ValueAtQuantile(50))/1000, float64(latency.ValueAtQuantile(99))/1000, overloads, peakCold, coldLimit)
+}
+
+func startTables(ctx context.Context, servers []*service.Server, coldLimit int, divided bool) []*target.Table {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	limits := rules.Limits{Cold: coldLimit, Full: fullLimit}
+	if divided {
+		limits = rules.Limits{Cold: max(1, coldLimit/entryNodes), Full: max(1, fullLimit/entryNodes)}
+	}
+	var tables []*target.Table
+	for n := range entryNodes {
+		table := target.New(target.Options{Prober: target.NewHTTPProber(), Log: log})
+		var specs []target.Spec
+		for i, s := range servers {
+			if divided || i%entryNodes == n {
+				specs = append(specs, target.Spec{ID: fmt.Sprint(i), Destination: "service/s", Address: s.Addr(), Limits: limits, MaxQueue: 64})
+			}
+		}
+		table.SetSpecs(specs)
+		go table.Run(ctx)
+		tables = append(tables, table)
+	}
+	time.Sleep(time.Second) // The first probes.
+	return tables
+}
+
+// send runs one request as the entry node would: at its own table, or at the node with the most free slots.
+func send(ctx context.Context, tables []*target.Table, entry int, divided bool, runner *dispatch.Runner) result.Code {
+	at := entry
+	if !divided {
+		if at = mostFree(tables); at != entry {
+			time.Sleep(hop)
+			defer time.Sleep(hop)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	slot, err := tables[at].Acquire(ctx, target.Want{Destination: "service/s"})
+	if err != nil {
+		return result.From(err).Code
+	}
+	end := runner.Run(ctx, slot, &schema.DispatchRequest{RequestId: fmt.Sprint(rand.Uint64()), Method: "GET", Path: "/x", Repeatable: true},
+		func(*schema.DispatchChunk) error { return nil })
+	return result.Code(end.Code)
+}
+
+func mostFree(tables []*target.Table) int {
+	best, most := 0, -1
+	for i, table := range tables {
+		for _, p := range table.Summary() {
+			if free := int(p.FreeSlots) - int(p.Queued); free > most {
+				best, most = i, free
+			}
+		}
+	}
+	return best
+}
