--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,12 +73,11 @@
 func (n *node) on(method string, nth int, f fault) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	count, next := 0, n.plan
+	var count atomic.Int64
+	next := n.plan
 	n.plan = func(m, name string) fault {
-		if m == method {
-			if count++; count == nth {
-				return f
-			}
+		if m == method && count.Add(1) == int64(nth) {
+			return f
 		}
 		if next != nil {
 			return next(m, name)
--- a/internal/claims/fake_test.go
+++ b/internal/claims/fake_test.go
@@ -105,7 +105,7 @@
 		if wait <= 0 {
 			return
 		}
-		time.Sleep(wait)
+		time.Sleep(min(wait, time.Second)) // The pause can be ended early.
 	}
 }
 
@@ -134,11 +134,12 @@
 	n.store.calls[method]++
 	n.store.mu.Unlock()
 	n.mu.Lock()
+	plan := n.plan
+	n.mu.Unlock()
 	var f fault
-	if n.plan != nil {
-		f = n.plan(method, name)
+	if plan != nil {
+		f = plan(method, name) // Without the lock: it may sleep.
 	}
-	n.mu.Unlock()
 	if f.untilCancel {
 		<-ctx.Done()
 		return f, fmt.Errorf("%s %s: %w", method, name, platform.ErrOutcomeUnknown)
@@ -232,3 +233,9 @@
 	}
 	return n.m.Status(claim.Nonce), true
 }
+
+func (n *node) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead, n.pausedUntil = true, time.Time{}
+}
