Delete claims whose keys are too old for every node

A claim is kept under the kind of its key's minute and one of 32 buckets, so that old claims are found with bounded lists and without a record of their own: one kind for all claims would have a list of 216,000 objects at 300 claims a second, above the 64 MiB that the platform client accepts. Each second a node looks at one bucket of the minute that has just become older than Window + MaxSkew, and of three older minutes for what was left behind; rendezvous over the live nodes chooses who lists and deletes.

Ruled out: deletion by the node that wrote a claim, as it leaves the claims of ended nodes; one list of all claims, as above.

The model test now checks that no node's clock accepts the key of a deleted claim. TestSweep: 200 claims of two nodes, one ended, are kept for 11 minutes, then deleted with 200 deletes.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -25,8 +25,6 @@
 )
 
 const (
-	kind = "claims"
-
 	// Window is the age up to which an Idempotency-Key is accepted.
 	Window = 10 * time.Minute
 	// MaxSkew bounds the difference between two clocks, of callers and of nodes.
@@ -48,6 +46,8 @@
 	Get(ctx context.Context, kind, name string) (*platform.Object, error)
 	Create(ctx context.Context, kind, name string, data []byte) (version uint64, err error)
 	Update(ctx context.Context, kind, name string, version uint64, data []byte) (newVersion uint64, err error)
+	Delete(ctx context.Context, kind, name string, version uint64) error
+	List(ctx context.Context, kind string) (objects []platform.Object, version uint64, err error)
 }
 
 // Owners reaches the node that wrote a claim.
@@ -63,8 +63,10 @@
 	Incarnation string
 	Store       Store
 	Owners      Owners
-	Now         func() time.Time
-	Log         logrus.FieldLogger
+	// Nodes returns the names of the live nodes, which share the deletion of old claims. Nil means this node alone.
+	Nodes func() []string
+	Now   func() time.Time
+	Log   logrus.FieldLogger
 }
 
 // Manager claims requests for one node. Run must be running.
@@ -190,9 +192,9 @@
 	a := m.begin(content, base)
 	var version uint64
 	if base == 0 {
-		version, err = m.opts.Store.Create(ctx, kind, req.Key, data)
+		version, err = m.opts.Store.Create(ctx, kindOf(req.Key), req.Key, data)
 	} else {
-		version, err = m.opts.Store.Update(ctx, kind, req.Key, base, data)
+		version, err = m.opts.Store.Update(ctx, kindOf(req.Key), req.Key, base, data)
 	}
 	switch {
 	case err == nil:
@@ -313,7 +315,7 @@
 	changed.Nonce = uuid.NewString()
 	data, err := platform.Encode(changed)
 	if err == nil {
-		_, err = m.opts.Store.Update(ctx, kind, stored.Key, version, data)
+		_, err = m.opts.Store.Update(ctx, kindOf(stored.Key), stored.Key, version, data)
 	}
 	switch {
 	case err == nil:
@@ -327,7 +329,7 @@
 }
 
 func (m *Manager) read(ctx context.Context, key string) (version uint64, stored *schema.Claim, err error) {
-	obj, err := m.opts.Store.Get(ctx, kind, key)
+	obj, err := m.opts.Store.Get(ctx, kindOf(key), key)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -103,10 +103,18 @@
 	return len(n.m.mine)
 }
 
-func (s *fakeStore) reads() int {
+func (s *fakeStore) reads() int { return s.count("get") }
+
+func (s *fakeStore) count(method string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[method]
+}
+
+func (s *fakeStore) size() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls["get"]
+	return len(s.objects)
 }
 
 var ctx = context.Background()
@@ -257,3 +265,24 @@
 		f.Check(f.cluster.store.reads() <= 100, qt.IsTrue, qt.Commentf("%d reads", f.cluster.store.reads()))
 	})
 }
+
+// Guards against a claim that is deleted while its key is accepted or never, and against nodes that do the same work.
+func TestSweep(t *testing.T) {
+	run(t, func(f *fixture) {
+		time.Sleep(time.Hour) // Passes over empty minutes.
+		const claims = 200
+		begin, lists := time.Now(), f.cluster.store.count("list")
+		for i := range claims {
+			f.key = newKey(i)
+			f.claim([]*node{f.a, f.b}[i%2]) // Stays unsettled.
+		}
+		time.Sleep(time.Until(begin.Add(Window + MaxSkew)))
+		f.Check(f.cluster.store.size(), qt.Equals, claims)
+		f.a.end() // The other node does all of it.
+		time.Sleep(3 * time.Minute)
+		f.Check(f.cluster.store.size(), qt.Equals, 0)
+		f.Check(f.cluster.store.count("delete"), qt.Equals, claims)
+		minutes := time.Since(begin).Minutes() + 1
+		f.Check(float64(f.cluster.store.count("list")-lists) <= minutes*buckets*float64(len(passes)), qt.IsTrue)
+	})
+}
--- a/internal/claims/fake_test.go
+++ b/internal/claims/fake_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"runtime"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,7 +56,7 @@
 }
 
 // put performs a write whose condition is the given version; 0 is a create. A nil value deletes.
-func (s *fakeStore) put(name string, version uint64, data []byte) (uint64, error) {
+func (s *fakeStore) put(kind, name string, version uint64, data []byte) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(data) > maxFakeObject {
@@ -75,7 +77,7 @@
 	if data == nil {
 		delete(s.objects, name)
 	} else {
-		s.objects[name] = platform.Object{Name: name, Version: s.version, Data: data}
+		s.objects[name] = platform.Object{Kind: kind, Name: name, Version: s.version, Data: data}
 	}
 	return s.version, nil
 }
@@ -157,29 +159,45 @@
 	return o, err
 }
 
-func (n *node) Create(ctx context.Context, _, name string, data []byte) (uint64, error) {
-	return n.write(ctx, "create", name, 0, data)
+func (n *node) Create(ctx context.Context, kind, name string, data []byte) (uint64, error) {
+	return n.write(ctx, "create", kind, name, 0, data)
 }
 
-func (n *node) Update(ctx context.Context, _, name string, version uint64, data []byte) (uint64, error) {
-	return n.write(ctx, "update", name, version, data)
+func (n *node) Update(ctx context.Context, kind, name string, version uint64, data []byte) (uint64, error) {
+	return n.write(ctx, "update", kind, name, version, data)
 }
 
-func (n *node) Delete(ctx context.Context, _, name string, version uint64) error {
-	_, err := n.write(ctx, "delete", name, version, nil)
+func (n *node) Delete(ctx context.Context, kind, name string, version uint64) error {
+	_, err := n.write(ctx, "delete", kind, name, version, nil)
 	return err
 }
 
-func (n *node) write(ctx context.Context, method, name string, version uint64, data []byte) (uint64, error) {
+func (n *node) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	if _, err := n.call(ctx, "list", kind); err != nil {
+		return nil, 0, err
+	}
+	n.store.mu.Lock()
+	defer n.store.mu.Unlock()
+	var list []platform.Object
+	for _, o := range n.store.objects {
+		if o.Kind == kind {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	return list, n.store.version, nil
+}
+
+func (n *node) write(ctx context.Context, method, kind, name string, version uint64, data []byte) (uint64, error) {
 	f, err := n.call(ctx, method, name)
 	if err != nil {
 		return 0, err
 	}
 	if f.late > 0 {
-		time.AfterFunc(f.late, func() { _, _ = n.store.put(name, version, data) })
+		time.AfterFunc(f.late, func() { _, _ = n.store.put(kind, name, version, data) })
 		return 0, platform.ErrOutcomeUnknown
 	}
-	v, err := n.store.put(name, version, data)
+	v, err := n.store.put(kind, name, version, data)
 	n.gate()
 	if f.after != nil {
 		return 0, f.after
@@ -209,7 +227,7 @@
 
 func (c *cluster) start(name, incarnation string) *node {
 	n := &node{name: name, incarnation: incarnation, store: c.store}
-	opts := Options{Node: name, Incarnation: incarnation, Store: n, Owners: c, Log: discard()}
+	opts := Options{Node: name, Incarnation: incarnation, Store: n, Owners: c, Nodes: c.names, Log: discard()}
 	if c.now != nil {
 		opts.Now = func() time.Time { return c.now(name) }
 	}
@@ -220,6 +238,18 @@
 	return n
 }
 
+func (c *cluster) names() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for _, n := range c.nodes {
+		if !n.leaseEnded(c.term) && !slices.Contains(names, n.name) {
+			names = append(names, n.name)
+		}
+	}
+	return names
+}
+
 // ClaimStatus implements Owners.
 func (c *cluster) ClaimStatus(_ context.Context, claim *schema.Claim) (*schema.ClaimStatusResponse, bool) {
 	c.mu.Lock()
--- a/internal/claims/model_test.go
+++ b/internal/claims/model_test.go
@@ -184,6 +184,13 @@
 
 // written checks that only the allowed changes of a claim's state are written, and that a key that ran is never released.
 func (m *model) written(name string, before, after []byte) {
+	if before != nil && after == nil {
+		for node, offset := range m.offset {
+			if err := CheckKey(name, time.Now().Add(offset)); err == nil || err.Code != result.KeyTooOld {
+				m.violation("claim %s: deleted while node %s accepts the key", name, node)
+			}
+		}
+	}
 	if before == nil || after == nil {
 		return
 	}
@@ -280,7 +287,7 @@
 			claim.Answer(context.Background(), Answer{Status: 1})
 		}
 	}
-	time.Sleep(keepUnsettled + 35*time.Minute)
+	time.Sleep(keepUnsettled + 2*time.Minute)
 	for _, n := range m.live {
 		if left := n.attempts(); left > 0 {
 			m.violation("node %s keeps %d attempts", n.name, left)
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -185,8 +186,12 @@
 	close(a.stored)
 }
 
-// Run settles the claims that could not be settled at once, until ctx is done. Then it tries each of them once more.
+// Run settles the claims that could not be settled at once and deletes old claims, until ctx is done. Then it tries
+// each unsettled claim once more.
 func (m *Manager) Run(ctx context.Context) {
+	var sweeping sync.WaitGroup
+	sweeping.Go(func() { m.sweepUntil(ctx) })
+	defer sweeping.Wait()
 	ticker := time.NewTicker(passInterval)
 	defer ticker.Stop()
 	for {
@@ -256,6 +261,6 @@
 		m.opts.Log.WithError(err).WithField("key", a.key).Error("claim can't be encoded")
 		return false
 	}
-	_, err = m.opts.Store.Update(ctx, kind, a.key, a.base, data)
+	_, err = m.opts.Store.Update(ctx, kindOf(a.key), a.key, a.base, data)
 	return err == nil || errors.Is(err, platform.ErrConflict)
 }
