Forget a claim write that lost against another at once

Every repeat creates, gets a conflict and is abandoned, because a conflict can be reported for a write in force. Run resolved these at 32 a second, so that more repeats filled the list of waiting claims and the node refused all claims. The read that a repeat makes anyway now resolves its own create.

TestManyRepeats failed before: the 1025th repeat in a row was refused with platform_unavailable. It passes now, with one read for each repeat.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -150,7 +150,7 @@
 	case err == nil:
 		return m.confirm(ctx, a)
 	case errors.Is(err, platform.ErrConflict):
-		return m.existing(ctx, req)
+		return m.existing(ctx, req, a)
 	default:
 		return nil, nil, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 	}
@@ -182,7 +182,7 @@
 
 // claim writes a claim: a create if base is 0, or else an update that is conditional on the version base. Unless the
 // write certainly took no effect, the attempt is abandoned on an error. This includes a conflict, because a stale read-back
-// makes the platform client report one for a write that is in force.
+// makes the platform client report one for a write that is in force. The abandoned attempt is returned with the error.
 func (m *Manager) claim(ctx context.Context, req Request, base uint64) (*attempt, error) {
 	content := m.newContent(req)
 	data, err := platform.Encode(content)
@@ -202,10 +202,10 @@
 		return a, nil
 	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown):
 		m.forget(a)
-	default:
-		m.abandon(a)
+		return nil, err
 	}
-	return nil, err
+	m.abandon(a)
+	return a, err
 }
 
 // confirm checks the key's age again after the claim was written. Without it, a node that was paused before the write
@@ -221,7 +221,9 @@
 
 // existing decides what an earlier claim with the same key means for this request. It waits while the owner of the claim
 // is still running the request. Its refusals don't say "not run" before the earlier claim is known, as that one may have run.
-func (m *Manager) existing(ctx context.Context, req Request) (*Claim, *schema.Claim, *result.Error) {
+// own is the attempt whose create met the earlier claim. Once another claim is seen, a create is not and will not be in
+// force.
+func (m *Manager) existing(ctx context.Context, req Request, own *attempt) (*Claim, *schema.Claim, *result.Error) {
 	failed := 0
 	for wait := pollMin; ; wait = min(2*wait, pollMax) {
 		version, stored, err := m.read(ctx, req.Key)
@@ -231,9 +233,13 @@
 				return nil, nil, result.New(result.RequestInProgress, "an earlier claim of this key could not be read").WithCause(err)
 			}
 		case !sameRequest(stored, req):
+			m.forget(own)
 			return nil, nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
 		default:
 			failed = 0
+			if stored.Nonce != own.nonce {
+				m.forget(own)
+			}
 			claim, answer, again, failure := m.decide(ctx, req, version, stored)
 			if !again {
 				return claim, answer, failure
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -256,6 +256,20 @@
 	})
 }
 
+// Guards against repeats that fill the list of claims which wait for the platform: each one's create ends in a conflict.
+func TestManyRepeats(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.claim(f.a).Answer(ctx, Answer{Status: 200})
+		for range 2 * maxPending {
+			_, stored, err := f.acquire(f.b, time.Second)
+			f.Assert(err, qt.Equals, (*result.Error)(nil))
+			f.Assert(stored.GetStatus(), qt.Equals, uint32(200))
+		}
+		f.Check(f.b.attempts(), qt.Equals, 0)
+		f.Check(f.cluster.store.reads(), qt.Equals, 2*maxPending)
+	})
+}
+
 // Guards against repeats that load the platform while they wait for a long request.
 func TestWaitingRepeatReadsLittle(t *testing.T) {
 	run(t, func(f *fixture) {
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -179,6 +179,9 @@
 func (m *Manager) forget(a *attempt) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.mine[a.nonce] != a {
+		return // Run and a waiting repeat can both find out that nothing is left to do.
+	}
 	delete(m.mine, a.nonce)
 	if a.pending {
 		m.pending--
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -57,7 +57,7 @@
 		case <-ticker.C:
 		}
 		now := m.opts.Now().Unix()
-		for done = max(done, now-maxCatchUp); done < now && ctx.Err() == nil; {
+		for done = min(max(done, now-maxCatchUp), now); done < now && ctx.Err() == nil; {
 			done++
 			m.sweepSecond(ctx, limit, done)
 		}
