Measure the storage forms of claims and keep one object per claim

One object per claim stays. Grouping without routing was ruled out: only requests at one node share a write, and all nodes compete for the segment.

The trial forms exist only in measure_test.go, behind the build tag measure.

--- /dev/null
+++ b/internal/claims/measure_test.go
@@ -0,0 +1,298 @@
+//go:build measure
+
+// Compares the storage forms of claims. docs/decisions/claims.md has the command and the figures.
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"cassiadeal.example/cassiadeal/internal/platform"
+	standin "cassiadeal.example/cassiadeal/internal/standin/platform"
+)
+
+const (
+	measureTime     = 12 * time.Second
+	measureManagers = 3
+	measureWrites   = 300 // Accepted by the platform per second.
+	measureDelayMS  = 3
+)
+
+// grouped keeps many claims in one object, a segment. It is a trial of the write path only: Get and deletion are missing.
+type grouped struct {
+	Store
+	segment func(key string) string
+	mu      sync.Mutex
+	open    map[string]*segment
+}
+
+type segment struct {
+	name    string
+	version uint64
+	queue   []*op // Guarded by grouped.mu, as is running.
+	running bool
+	claims  map[string]entry
+}
+
+type entry struct {
+	Version uint64          `json:"version"`
+	Data    json.RawMessage `json:"data"`
+}
+
+type op struct {
+	key     string
+	base    uint64
+	data    []byte
+	begin   time.Time
+	outcome chan error
+}
+
+func (g *grouped) Create(_ context.Context, _, key string, data []byte) (uint64, error) {
+	return g.put(key, 0, data)
+}
+
+func (g *grouped) Update(_ context.Context, _, key string, base uint64, data []byte) (uint64, error) {
+	return g.put(key, base, data)
+}
+
+func (g *grouped) put(key string, base uint64, data []byte) (uint64, error) {
+	o := &op{key: key, base: base, data: data, begin: time.Now(), outcome: make(chan error, 1)}
+	name := g.segment(key)
+	g.mu.Lock()
+	s := g.open[name]
+	if s == nil {
+		s = &segment{name: name, claims: map[string]entry{}}
+		g.open[name] = s
+	}
+	s.queue = append(s.queue, o)
+	if !s.running {
+		s.running = true
+		go g.commit(s)
+	}
+	g.mu.Unlock()
+	return base + 1, <-o.outcome
+}
+
+// commit writes the segment until its queue is empty. Requests that arrive meanwhile share the next write.
+func (g *grouped) commit(s *segment) {
+	var batch []*op
+	for {
+		g.mu.Lock()
+		batch = append(batch, s.queue...)
+		s.queue = nil
+		if len(batch) == 0 {
+			s.running = false
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+		batch = g.write(s, batch)
+	}
+}
+
+// write tries one write and returns the ops that have to be tried again.
+func (g *grouped) write(s *segment, batch []*op) (again []*op) {
+	for _, o := range batch {
+		s.claims[o.key] = entry{o.base + 1, o.data}
+	}
+	data, err := json.Marshal(map[string]any{"nonce": uuid.NewString(), "claims": s.claims})
+	if err == nil {
+		if s.version == 0 {
+			s.version, err = g.Store.Create(context.Background(), "claims", s.name, data)
+		} else if v, e := g.Store.Update(context.Background(), "claims", s.name, s.version, data); e == nil {
+			s.version = v
+		} else {
+			err = e
+		}
+	}
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return g.reload(s, batch)
+	case errors.Is(err, platform.ErrUnavailable):
+		time.Sleep(time.Duration(10+rand.IntN(20)) * time.Millisecond)
+		for _, o := range batch {
+			if time.Since(o.begin) < time.Second {
+				again = append(again, o)
+			} else {
+				o.outcome <- err
+			}
+		}
+		return again
+	}
+	for _, o := range batch {
+		o.outcome <- err
+	}
+	return nil
+}
+
+// reload reads the segment after a conflict and ends the ops whose condition no longer holds.
+func (g *grouped) reload(s *segment, batch []*op) (again []*op) {
+	object, err := g.Store.Get(context.Background(), "claims", s.name)
+	if err != nil {
+		return batch
+	}
+	var content struct{ Claims map[string]entry }
+	if err := json.Unmarshal(object.Data, &content); err != nil {
+		return batch
+	}
+	s.version, s.claims = object.Version, content.Claims
+	for _, o := range batch {
+		switch current := s.claims[o.key]; {
+		case current.Version == o.base:
+			again = append(again, o)
+		case string(current.Data) == string(o.data):
+			o.outcome <- nil
+		default:
+			o.outcome <- platform.ErrConflict
+		}
+	}
+	return again
+}
+
+// counted counts the bytes of the writes.
+type counted struct {
+	*platform.Client
+	mu    sync.Mutex
+	bytes int64
+}
+
+func (c *counted) Create(ctx context.Context, kind, name string, data []byte) (uint64, error) {
+	c.add(len(data))
+	return c.Client.Create(ctx, kind, name, data)
+}
+
+func (c *counted) Update(ctx context.Context, kind, name string, version uint64, data []byte) (uint64, error) {
+	c.add(len(data))
+	return c.Client.Update(ctx, kind, name, version, data)
+}
+
+func (c *counted) add(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bytes += int64(n)
+}
+
+func TestMeasure(t *testing.T) {
+	minute := func(key string) string {
+		return strings.Replace(kindOf(key), "claims-", "s", 1) // 32 buckets of a minute.
+	}
+	second := func(key string) string {
+		id, _ := uuid.Parse(key)
+		return fmt.Sprint(keyTime(id).Unix())
+	}
+	owned := func(key string) string { return fmt.Sprint(second(key), "-", owner(key)) }
+	for _, form := range []struct {
+		name    string
+		segment func(string) string
+		routed  bool
+	}{
+		{"one object per claim", nil, false},
+		{"32 buckets x minute", minute, false},
+		{"1 bucket x second", second, false},
+		{"1 bucket per node x second, routed", owned, true},
+	} {
+		for _, rps := range []int{1, 50, 300} {
+			t.Run(fmt.Sprintf("%s/%d", form.name, rps), func(t *testing.T) { measure(t, form.segment, form.routed, rps) })
+		}
+	}
+}
+
+// owner is the manager that a request with this key is routed to.
+func owner(key string) int { return int(xxhash.Sum64String(key) % measureManagers) }
+
+// measure sends requests at a mean rate. If routed, the key chooses the manager, so that a segment has one writer.
+func measure(t *testing.T, segmentOf func(string) string, routed bool, rps int) {
+	server := standin.New(standin.Options{WritesPerSec: measureWrites, HistoryLimit: 1, RecordLimit: 1})
+	address, err := server.Start("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer server.Close()
+	qt.Assert(t, server.SetFaults(standin.Faults{Mode: standin.ModeSlow, DelayMS: measureDelayMS}), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var managers []*Manager
+	var clients []*counted
+	for i := range measureManagers {
+		c := &counted{Client: platform.New(platform.Options{BaseURL: "http://" + address, Client: fmt.Sprint(i)})}
+		defer c.Close()
+		clients = append(clients, c)
+		var store Store = c
+		if segmentOf != nil {
+			store = &grouped{Store: c, segment: segmentOf, open: map[string]*segment{}}
+		}
+		m := New(Options{Node: fmt.Sprint(i), Incarnation: uuid.NewString(), Store: store})
+		go m.Run(ctx)
+		managers = append(managers, m)
+	}
+
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var answered, refused, late int
+	latency := hdr.New(1, 60_000_000, 3) // Microseconds.
+	rng := rand.New(rand.NewPCG(1, uint64(rps)))
+	begin := time.Now()
+	next := begin
+	for i := 0; next.Before(begin.Add(measureTime)); i++ {
+		time.Sleep(time.Until(next))
+		due, key, at := next, newKey(i), rng.IntN(measureManagers)
+		if routed {
+			at = owner(key)
+		}
+		m := managers[at]
+		run := time.Duration(rng.ExpFloat64() * float64(50*time.Millisecond))
+		next = next.Add(time.Duration(rng.ExpFloat64() * float64(time.Second) / float64(rps)))
+		wg.Go(func() {
+			claim, _, refusal := m.Acquire(ctx, Request{Key: key, Account: "account-7", Fingerprint: Fingerprint("s", "POST", "/orders", nil)})
+			added := time.Since(due)
+			if refusal != nil {
+				mu.Lock()
+				refused++
+				mu.Unlock()
+				return
+			}
+			time.Sleep(run)
+			settle := time.Now()
+			claim.Answer(ctx, Answer{Status: 200, Headers: map[string]string{"Content-Type": "application/json"}, Body: make([]byte, 300)})
+			took := time.Since(settle)
+			mu.Lock()
+			defer mu.Unlock()
+			answered++
+			if took >= storeWait {
+				late++
+			}
+			_ = latency.RecordValue((added + took).Microseconds())
+		})
+	}
+	wg.Wait()
+	calls, conflicts, limited, bytes := uint64(0), uint64(0), uint64(0), int64(0)
+	for _, c := range clients {
+		for k, n := range c.Stats() {
+			if k.Method == "create" || k.Method == "update" {
+				calls += n
+				switch k.Result {
+				case "412":
+					conflicts += n
+				case "429":
+					limited += n
+				}
+			}
+		}
+		bytes += c.bytes
+	}
+	total := float64(answered + refused)
+	t.Logf("requests %d, answered %d, refused %d, stored late %d; per request: %.2f writes sent, %.2f accepted, %.2f conflicts, %.2f over the limit, %.1f kB; added latency p50 %.1f ms, p99 %.1f ms",
+		answered+refused, answered, refused, late, float64(calls)/total, float64(calls-conflicts-limited)/total,
+		float64(conflicts)/total, float64(limited)/total, float64(bytes)/total/1000,
+		float64(latency.ValueAtQuantile(50))/1000, float64(latency.ValueAtQuantile(99))/1000)
+}
