--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -25,8 +25,6 @@
 )
 
 const (
-	kind = "claims"
-
 	// Window is the age up to which an Idempotency-Key is accepted.
 	Window = 10 * time.Minute
 	// MaxSkew bounds the difference between two clocks, of callers and of nodes.
@@ -48,6 +46,8 @@
 	Get(ctx context.Context, kind, name string) (*platform.Object, error)
 	Create(ctx context.Context, kind, name string, data []byte) (version uint64, err error)
 	Update(ctx context.Context, kind, name string, version uint64, data []byte) (newVersion uint64, err error)
+	Delete(ctx context.Context, kind, name string, version uint64) error
+	List(ctx context.Context, kind string) (objects []platform.Object, version uint64, err error)
 }
 
 // Owners reaches the node that wrote a claim.
@@ -63,8 +63,10 @@
 	Incarnation string
 	Store       Store
 	Owners      Owners
-	Now         func() time.Time
-	Log         logrus.FieldLogger
+	// Nodes returns the names of the live nodes, which share the deletion of old claims. Nil means this node alone.
+	Nodes func() []string
+	Now   func() time.Time
+	Log   logrus.FieldLogger
 }
 
 // Manager claims requests for one node. Run must be running.
@@ -148,7 +150,7 @@
 	case err == nil:
 		return m.confirm(ctx, a)
 	case errors.Is(err, platform.ErrConflict):
-		return m.existing(ctx, req)
+		return m.existing(ctx, req, a)
 	default:
 		return nil, nil, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 	}
@@ -180,7 +182,7 @@
 
 // claim writes a claim: a create if base is 0, or else an update that is conditional on the version base. Unless the
 // write certainly took no effect, the attempt is abandoned on an error. This includes a conflict, because a stale read-back
-// makes the platform client report one for a write that is in force.
+// makes the platform client report one for a write that is in force. The abandoned attempt is returned with the error.
 func (m *Manager) claim(ctx context.Context, req Request, base uint64) (*attempt, error) {
 	content := m.newContent(req)
 	data, err := platform.Encode(content)
@@ -190,9 +192,9 @@
 	a := m.begin(content, base)
 	var version uint64
 	if base == 0 {
-		version, err = m.opts.Store.Create(ctx, kind, req.Key, data)
+		version, err = m.opts.Store.Create(ctx, kindOf(req.Key), req.Key, data)
 	} else {
-		version, err = m.opts.Store.Update(ctx, kind, req.Key, base, data)
+		version, err = m.opts.Store.Update(ctx, kindOf(req.Key), req.Key, base, data)
 	}
 	switch {
 	case err == nil:
@@ -200,10 +202,10 @@
 		return a, nil
 	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown):
 		m.forget(a)
-	default:
-		m.abandon(a)
+		return nil, err
 	}
-	return nil, err
+	m.abandon(a)
+	return a, err
 }
 
 // confirm checks the key's age again after the claim was written. Without it, a node that was paused before the write
@@ -219,7 +221,9 @@
 
 // existing decides what an earlier claim with the same key means for this request. It waits while the owner of the claim
 // is still running the request. Its refusals don't say "not run" before the earlier claim is known, as that one may have run.
-func (m *Manager) existing(ctx context.Context, req Request) (*Claim, *schema.Claim, *result.Error) {
+// own is the attempt whose create met the earlier claim. Once another claim is seen, a create is not and will not be in
+// force.
+func (m *Manager) existing(ctx context.Context, req Request, own *attempt) (*Claim, *schema.Claim, *result.Error) {
 	failed := 0
 	for wait := pollMin; ; wait = min(2*wait, pollMax) {
 		version, stored, err := m.read(ctx, req.Key)
@@ -229,9 +233,13 @@
 				return nil, nil, result.New(result.RequestInProgress, "an earlier claim of this key could not be read").WithCause(err)
 			}
 		case !sameRequest(stored, req):
+			m.forget(own)
 			return nil, nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
 		default:
 			failed = 0
+			if stored.Nonce != own.nonce {
+				m.forget(own)
+			}
 			claim, answer, again, failure := m.decide(ctx, req, version, stored)
 			if !again {
 				return claim, answer, failure
@@ -313,7 +321,7 @@
 	changed.Nonce = uuid.NewString()
 	data, err := platform.Encode(changed)
 	if err == nil {
-		_, err = m.opts.Store.Update(ctx, kind, stored.Key, version, data)
+		_, err = m.opts.Store.Update(ctx, kindOf(stored.Key), stored.Key, version, data)
 	}
 	switch {
 	case err == nil:
@@ -327,7 +335,7 @@
 }
 
 func (m *Manager) read(ctx context.Context, key string) (version uint64, stored *schema.Claim, err error) {
-	obj, err := m.opts.Store.Get(ctx, kind, key)
+	obj, err := m.opts.Store.Get(ctx, kindOf(key), key)
 	if err != nil {
 		return 0, nil, err
 	}
