Tell what is known of an earlier run before refusing a repeat, and free its slot while it waits

Cause: a repeat for which there was no target was refused as not run although its first attempt could have run, and a repeat that waited for the first run kept a slot at a target, at a cold limit of 1 the only one. A kept answer lost all but one value of a repeated header. Ruled out: reading the claim before every request, which costs a platform read each. The executor has no unit test; the integration tests of requests cover it. Conclusion: a refusal as not run speaks of the attempt and is given for a key only if no earlier claim is known.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -99,6 +99,8 @@
 	Key         string
 	Account     string
 	Fingerprint string // Hash of method, path and body.
+	// OnWait, if set, is called once before Acquire waits for the end of an earlier run.
+	OnWait func()
 }
 
 // Claim is the right to dispatch a request once.
@@ -120,7 +122,7 @@
 	created := keyTime(id)
 	switch {
 	case created.Before(now.Add(-Window)):
-		return result.New(result.KeyTooOld, "Idempotency-Key was made at %s, more than %s ago", created.Format(time.RFC3339), Window)
+		return result.New(result.KeyTooOld, "Idempotency-Key was made at %s, more than %s ago; an earlier attempt with it may have run", created.Format(time.RFC3339), Window)
 	case created.After(now.Add(MaxSkew)):
 		return result.New(result.KeyInFuture, "Idempotency-Key was made at %s, in the future", created.Format(time.RFC3339))
 	}
@@ -156,16 +158,29 @@
 	}
 }
 
-// Lookup returns the stored answer of an earlier run, if there is one.
-func (m *Manager) Lookup(ctx context.Context, req Request) *schema.Claim {
+// Earlier tells what is known of an earlier run of the request without claiming it: its stored answer, or an error if it
+// may have run, or neither if there is no claim that says so.
+func (m *Manager) Earlier(ctx context.Context, req Request) (*schema.Claim, *result.Error) {
 	if CheckKey(req.Key, m.opts.Now()) != nil {
-		return nil
+		return nil, nil
 	}
 	_, stored, err := m.read(ctx, req.Key)
-	if err != nil || stored.State != schema.ClaimState_CLAIM_STATE_ANSWERED || !sameRequest(stored, req) {
-		return nil
+	switch {
+	case err != nil:
+		// Not found, or unreadable: unlike after a conflicting create, nothing suggests that there is an earlier claim.
+		return nil, nil
+	case !sameRequest(stored, req):
+		return nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
+	}
+	switch stored.State {
+	case schema.ClaimState_CLAIM_STATE_ANSWERED:
+		return stored, nil
+	case schema.ClaimState_CLAIM_STATE_CLAIMED:
+		return nil, result.New(result.RequestInProgress, "an earlier request with this key is still running")
+	case schema.ClaimState_CLAIM_STATE_UNKNOWN:
+		return nil, unknownOutcome(req.Key)
 	}
-	return stored
+	return nil, nil
 }
 
 func (m *Manager) newContent(req Request) *schema.Claim {
@@ -245,6 +260,10 @@
 				return claim, answer, failure
 			}
 		}
+		if req.OnWait != nil {
+			req.OnWait()
+			req.OnWait = nil
+		}
 		select {
 		case <-ctx.Done():
 			return nil, nil, result.New(result.RequestInProgress, "an earlier request with this key is still running")
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -159,8 +159,8 @@
 // Guards against answers that the platform cannot hold: the claim stayed open until its owner ended.
 func TestAnswersThatCannotBeKept(t *testing.T) {
 	for name, answer := range map[string]Answer{
-		"header not UTF-8":  {Status: 200, Headers: map[string]string{"X-Name": "\xff"}},
-		"headers too large": {Status: 200, Headers: map[string]string{"X-Large": strings.Repeat("x", 2<<20)}},
+		"header not UTF-8":  {Status: 200, Headers: []*schema.Header{{Name: "X-Name", Value: "\xff"}}},
+		"headers too large": {Status: 200, Headers: []*schema.Header{{Name: "X-Large", Value: strings.Repeat("x", 2<<20)}}},
 		"body too large":    {Status: 200, Body: make([]byte, MaxKeptAnswer+1)},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/claims/measure_test.go
+++ b/internal/claims/measure_test.go
@@ -263,7 +263,7 @@
 			}
 			time.Sleep(run)
 			settle := time.Now()
-			claim.Answer(ctx, Answer{Status: 200, Headers: map[string]string{"Content-Type": "application/json"}, Body: make([]byte, 300)})
+			claim.Answer(ctx, Answer{Status: 200, Headers: []*schema.Header{{Name: "Content-Type", Value: "application/json"}}, Body: make([]byte, 300)})
 			took := time.Since(settle)
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -57,7 +57,7 @@
 // Answer is the answer of a target to a claimed request.
 type Answer struct {
 	Status  uint32
-	Headers map[string]string
+	Headers []*schema.Header
 	Body    []byte
 }
 
@@ -65,8 +65,8 @@
 // object.
 func (a Answer) size() int {
 	n := len(a.Body)
-	for name, value := range a.Headers {
-		n += len(name) + len(value)
+	for _, h := range a.Headers {
+		n += len(h.Name) + len(h.Value)
 	}
 	return n
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +19,9 @@
 // settleLimit bounds the time after a request's deadline in which its claim is settled.
 const settleLimit = 5 * time.Second
 
+// lookupLimit bounds the read of an earlier claim when a request is refused.
+const lookupLimit = time.Second
+
 // Sink takes the parts of an answer, without its end.
 type Sink func(*schema.DispatchChunk) error
 
@@ -87,13 +89,21 @@
 	})
 }
 
-// withoutSlot answers a request for which there is no target. A repeat of a non-idempotent request needs none if its
-// answer is kept.
+// withoutSlot answers a request for which there is no target. A repeat of a non-idempotent request needs none if its answer
+// is kept, and must not be refused as not run if an earlier attempt may have run.
 func (e *Executor) withoutSlot(ctx context.Context, req *schema.DispatchRequest, refusal *result.Error, sink Sink) *schema.DispatchEnd {
-	if !req.Repeatable {
-		if stored := e.opts.Claims.Lookup(ctx, claimRequest(req)); stored != nil {
-			return replay(stored, sink)
-		}
+	if req.Repeatable {
+		return endOf(refusal)
+	}
+	// The wait for a slot may have used up ctx.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupLimit)
+	defer cancel()
+	stored, earlier := e.opts.Claims.Earlier(ctx, claimRequest(req))
+	switch {
+	case stored != nil:
+		return replay(stored, sink)
+	case earlier != nil:
+		return endOf(earlier)
 	}
 	return endOf(refusal)
 }
@@ -114,7 +124,14 @@
 // runOnce claims a non-idempotent request, dispatches it once and keeps the answer with the claim. The exchange goes on
 // when the caller goes away, since its answer is needed for a repeat.
 func (e *Executor) runOnce(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) *schema.DispatchEnd {
-	claim, stored, refusal := e.opts.Claims.Acquire(ctx, claimRequest(req))
+	claiming := claimRequest(req)
+	// A repeat that waits for an earlier run must not keep a slot from others meanwhile.
+	waited := false
+	claiming.OnWait = func() {
+		waited = true
+		slot.Release(target.Outcome{NotRun: true})
+	}
+	claim, stored, refusal := e.opts.Claims.Acquire(ctx, claiming)
 	if claim == nil {
 		slot.Release(target.Outcome{NotRun: true})
 		if stored != nil {
@@ -124,12 +141,16 @@
 	}
 	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(req.DeadlineMs)*time.Millisecond+settleLimit)
 	defer cancel()
-	if err := e.opts.MayServe(); err != nil || ctx.Err() != nil {
+	if waited {
+		var err error
+		if slot, err = e.acquire(ctx, req); err != nil {
+			claim.Release(settle)
+			return endOf(result.From(err))
+		}
+	}
+	if err := e.beforeDispatch(ctx); err != nil {
 		slot.Release(target.Outcome{NotRun: true})
 		claim.Release(settle)
-		if err == nil {
-			err = result.New(result.DeadlineUnreachable, "the deadline passed before the request was sent")
-		}
 		return endOf(err)
 	}
 
@@ -150,6 +171,14 @@
 	return end
 }
 
+// beforeDispatch checks what may have changed while the claim was written.
+func (e *Executor) beforeDispatch(ctx context.Context) *result.Error {
+	if ctx.Err() != nil {
+		return result.New(result.DeadlineUnreachable, "the deadline passed before the request was sent")
+	}
+	return e.opts.MayServe()
+}
+
 // withoutCallerCancel keeps the deadline of ctx and drops its cancellation.
 func withoutCallerCancel(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
@@ -180,13 +209,10 @@
 
 func (c *collector) answer() claims.Answer {
 	var a claims.Answer
-	a.Headers = make(map[string]string)
 	for _, chunk := range c.chunks {
 		if head := chunk.GetHead(); head != nil {
 			a.Status = head.Status
-			for _, h := range head.Headers {
-				a.Headers[http.CanonicalHeaderKey(h.Name)] = h.Value
-			}
+			a.Headers = head.Headers
 		}
 		a.Body = append(a.Body, chunk.GetData()...)
 	}
@@ -207,10 +233,7 @@
 	if stored.AnswerDropped {
 		return endOf(result.New(result.AnswerNotKept, "the request ran and was answered; its answer was too large to keep"))
 	}
-	head := &schema.DispatchHead{Status: stored.Status}
-	for name, value := range stored.Headers {
-		head.Headers = append(head.Headers, &schema.Header{Name: name, Value: value})
-	}
+	head := &schema.DispatchHead{Status: stored.Status, Headers: stored.Headers}
 	chunks := []*schema.DispatchChunk{
 		{Part: &schema.DispatchChunk_Head{Head: head}},
 		{Part: &schema.DispatchChunk_Data{Data: stored.Answer}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,7 +226,7 @@
 	n.budget = retry.New(retry.Options{Now: n.now, Log: n.log, Meter: meter})
 	n.admission = admission.New(n.self.Name, nil)
 	n.claims = claims.New(claims.Options{
-		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Log: n.log,
+		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Nodes: n.liveNodes, Log: n.log,
 	})
 	n.executor = executor.New(executor.Options{
 		Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash, Clock: n.now, Log: n.log,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -96,6 +96,17 @@
 	n.admission.SetPeers(demand)
 }
 
+// liveNodes names this node and the peers that it hears.
+func (n *Node) liveNodes() []string {
+	names := []string{n.self.Name}
+	for _, info := range n.membership.Nodes() {
+		if info.Live && info.Record.Name != n.self.Name {
+			names = append(names, info.Record.Name)
+		}
+	}
+	return names
+}
+
 // routableNodes lists the live nodes that run requests.
 func (n *Node) routableNodes() []router.Node {
 	nodes := []router.Node{{
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -51,7 +51,7 @@
 	Mode        string   `json:"mode"`
 	DelayMS     int64    `json:"delay_ms,omitempty"`    // for ModeSlow
 	Probability float64  `json:"probability,omitempty"` // 0 means always
-	Kinds       []string `json:"kinds,omitempty"`       // empty means all; the VM list is kind "vms"
+	Kinds       []string `json:"kinds,omitempty"`       // empty means all; "x*" means all that begin with x; the VM list is kind "vms"
 	Clients     []string `json:"clients,omitempty"`     // empty means all
 }
 
@@ -275,7 +275,11 @@
 
 func (s *Server) faultsFor(c call) Faults {
 	f := s.faults
-	applies := (len(f.Kinds) == 0 || slices.Contains(f.Kinds, c.kind)) &&
+	ofKind := func(pattern string) bool {
+		prefix, below := strings.CutSuffix(pattern, "*")
+		return pattern == c.kind || below && strings.HasPrefix(c.kind, prefix)
+	}
+	applies := (len(f.Kinds) == 0 || slices.ContainsFunc(f.Kinds, ofKind)) &&
 		(len(f.Clients) == 0 || slices.Contains(f.Clients, c.client))
 	if !applies || f.Probability > 0 && s.rng.Float64() >= f.Probability {
 		return Faults{Mode: ModeOK}
