--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -25,8 +25,6 @@
 )
 
 const (
-	kind = "claims"
-
 	// Window is the age up to which an Idempotency-Key is accepted.
 	Window = 10 * time.Minute
 	// MaxSkew bounds the difference between two clocks, of callers and of nodes.
@@ -48,6 +46,8 @@
 	Get(ctx context.Context, kind, name string) (*platform.Object, error)
 	Create(ctx context.Context, kind, name string, data []byte) (version uint64, err error)
 	Update(ctx context.Context, kind, name string, version uint64, data []byte) (newVersion uint64, err error)
+	Delete(ctx context.Context, kind, name string, version uint64) error
+	List(ctx context.Context, kind string) (objects []platform.Object, version uint64, err error)
 }
 
 // Owners reaches the node that wrote a claim.
@@ -63,8 +63,10 @@
 	Incarnation string
 	Store       Store
 	Owners      Owners
-	Now         func() time.Time
-	Log         logrus.FieldLogger
+	// Nodes returns the names of the live nodes, which share the deletion of old claims. Nil means this node alone.
+	Nodes func() []string
+	Now   func() time.Time
+	Log   logrus.FieldLogger
 }
 
 // Manager claims requests for one node. Run must be running.
@@ -97,6 +99,8 @@
 	Key         string
 	Account     string
 	Fingerprint string // Hash of method, path and body.
+	// OnWait, if set, is called once before Acquire waits for the end of an earlier run.
+	OnWait func()
 }
 
 // Claim is the right to dispatch a request once.
@@ -118,7 +122,7 @@
 	created := keyTime(id)
 	switch {
 	case created.Before(now.Add(-Window)):
-		return result.New(result.KeyTooOld, "Idempotency-Key was made at %s, more than %s ago", created.Format(time.RFC3339), Window)
+		return result.New(result.KeyTooOld, "Idempotency-Key was made at %s, more than %s ago; an earlier attempt with it may have run", created.Format(time.RFC3339), Window)
 	case created.After(now.Add(MaxSkew)):
 		return result.New(result.KeyInFuture, "Idempotency-Key was made at %s, in the future", created.Format(time.RFC3339))
 	}
@@ -148,22 +152,35 @@
 	case err == nil:
 		return m.confirm(ctx, a)
 	case errors.Is(err, platform.ErrConflict):
-		return m.existing(ctx, req)
+		return m.existing(ctx, req, a)
 	default:
 		return nil, nil, result.New(result.PlatformUnavailable, "the claim could not be written").WithCause(err)
 	}
 }
 
-// Lookup returns the stored answer of an earlier run, if there is one.
-func (m *Manager) Lookup(ctx context.Context, req Request) *schema.Claim {
+// Earlier tells what is known of an earlier run of the request without claiming it: its stored answer, or an error if it
+// may have run, or neither if there is no claim that says so.
+func (m *Manager) Earlier(ctx context.Context, req Request) (*schema.Claim, *result.Error) {
 	if CheckKey(req.Key, m.opts.Now()) != nil {
-		return nil
+		return nil, nil
 	}
 	_, stored, err := m.read(ctx, req.Key)
-	if err != nil || stored.State != schema.ClaimState_CLAIM_STATE_ANSWERED || !sameRequest(stored, req) {
-		return nil
+	switch {
+	case err != nil:
+		// Not found, or unreadable: unlike after a conflicting create, nothing suggests that there is an earlier claim.
+		return nil, nil
+	case !sameRequest(stored, req):
+		return nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
+	}
+	switch stored.State {
+	case schema.ClaimState_CLAIM_STATE_ANSWERED:
+		return stored, nil
+	case schema.ClaimState_CLAIM_STATE_CLAIMED:
+		return nil, result.New(result.RequestInProgress, "an earlier request with this key is still running")
+	case schema.ClaimState_CLAIM_STATE_UNKNOWN:
+		return nil, unknownOutcome(req.Key)
 	}
-	return stored
+	return nil, nil
 }
 
 func (m *Manager) newContent(req Request) *schema.Claim {
@@ -180,7 +197,7 @@
 
 // claim writes a claim: a create if base is 0, or else an update that is conditional on the version base. Unless the
 // write certainly took no effect, the attempt is abandoned on an error. This includes a conflict, because a stale read-back
-// makes the platform client report one for a write that is in force.
+// makes the platform client report one for a write that is in force. The abandoned attempt is returned with the error.
 func (m *Manager) claim(ctx context.Context, req Request, base uint64) (*attempt, error) {
 	content := m.newContent(req)
 	data, err := platform.Encode(content)
@@ -190,9 +207,9 @@
 	a := m.begin(content, base)
 	var version uint64
 	if base == 0 {
-		version, err = m.opts.Store.Create(ctx, kind, req.Key, data)
+		version, err = m.opts.Store.Create(ctx, kindOf(req.Key), req.Key, data)
 	} else {
-		version, err = m.opts.Store.Update(ctx, kind, req.Key, base, data)
+		version, err = m.opts.Store.Update(ctx, kindOf(req.Key), req.Key, base, data)
 	}
 	switch {
 	case err == nil:
@@ -200,10 +217,10 @@
 		return a, nil
 	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown):
 		m.forget(a)
-	default:
-		m.abandon(a)
+		return nil, err
 	}
-	return nil, err
+	m.abandon(a)
+	return a, err
 }
 
 // confirm checks the key's age again after the claim was written. Without it, a node that was paused before the write
@@ -219,7 +236,9 @@
 
 // existing decides what an earlier claim with the same key means for this request. It waits while the owner of the claim
 // is still running the request. Its refusals don't say "not run" before the earlier claim is known, as that one may have run.
-func (m *Manager) existing(ctx context.Context, req Request) (*Claim, *schema.Claim, *result.Error) {
+// own is the attempt whose create met the earlier claim. Once another claim is seen, a create is not and will not be in
+// force.
+func (m *Manager) existing(ctx context.Context, req Request, own *attempt) (*Claim, *schema.Claim, *result.Error) {
 	failed := 0
 	for wait := pollMin; ; wait = min(2*wait, pollMax) {
 		version, stored, err := m.read(ctx, req.Key)
@@ -229,14 +248,22 @@
 				return nil, nil, result.New(result.RequestInProgress, "an earlier claim of this key could not be read").WithCause(err)
 			}
 		case !sameRequest(stored, req):
+			m.forget(own)
 			return nil, nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
 		default:
 			failed = 0
+			if stored.Nonce != own.nonce {
+				m.forget(own)
+			}
 			claim, answer, again, failure := m.decide(ctx, req, version, stored)
 			if !again {
 				return claim, answer, failure
 			}
 		}
+		if req.OnWait != nil {
+			req.OnWait()
+			req.OnWait = nil
+		}
 		select {
 		case <-ctx.Done():
 			return nil, nil, result.New(result.RequestInProgress, "an earlier request with this key is still running")
@@ -313,7 +340,7 @@
 	changed.Nonce = uuid.NewString()
 	data, err := platform.Encode(changed)
 	if err == nil {
-		_, err = m.opts.Store.Update(ctx, kind, stored.Key, version, data)
+		_, err = m.opts.Store.Update(ctx, kindOf(stored.Key), stored.Key, version, data)
 	}
 	switch {
 	case err == nil:
@@ -327,7 +354,7 @@
 }
 
 func (m *Manager) read(ctx context.Context, key string) (version uint64, stored *schema.Claim, err error) {
-	obj, err := m.opts.Store.Get(ctx, kind, key)
+	obj, err := m.opts.Store.Get(ctx, kindOf(key), key)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,12 +73,11 @@
 func (n *node) on(method string, nth int, f fault) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	count, next := 0, n.plan
+	var count atomic.Int64
+	next := n.plan
 	n.plan = func(m, name string) fault {
-		if m == method {
-			if count++; count == nth {
-				return f
-			}
+		if m == method && count.Add(1) == int64(nth) {
+			return f
 		}
 		if next != nil {
 			return next(m, name)
@@ -103,10 +103,18 @@
 	return len(n.m.mine)
 }
 
-func (s *fakeStore) reads() int {
+func (s *fakeStore) reads() int { return s.count("get") }
+
+func (s *fakeStore) count(method string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls["get"]
+	return s.calls[method]
+}
+
+func (s *fakeStore) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects)
 }
 
 var ctx = context.Background()
@@ -151,8 +159,8 @@
 // Guards against answers that the platform cannot hold: the claim stayed open until its owner ended.
 func TestAnswersThatCannotBeKept(t *testing.T) {
 	for name, answer := range map[string]Answer{
-		"header not UTF-8":  {Status: 200, Headers: map[string]string{"X-Name": "\xff"}},
-		"headers too large": {Status: 200, Headers: map[string]string{"X-Large": strings.Repeat("x", 2<<20)}},
+		"header not UTF-8":  {Status: 200, Headers: []*schema.Header{{Name: "X-Name", Value: "\xff"}}},
+		"headers too large": {Status: 200, Headers: []*schema.Header{{Name: "X-Large", Value: strings.Repeat("x", 2<<20)}}},
 		"body too large":    {Status: 200, Body: make([]byte, MaxKeptAnswer+1)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -248,6 +256,20 @@
 	})
 }
 
+// Guards against repeats that fill the list of claims which wait for the platform: each one's create ends in a conflict.
+func TestManyRepeats(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.claim(f.a).Answer(ctx, Answer{Status: 200})
+		for range 2 * maxPending {
+			_, stored, err := f.acquire(f.b, time.Second)
+			f.Assert(err, qt.Equals, (*result.Error)(nil))
+			f.Assert(stored.GetStatus(), qt.Equals, uint32(200))
+		}
+		f.Check(f.b.attempts(), qt.Equals, 0)
+		f.Check(f.cluster.store.reads(), qt.Equals, 2*maxPending)
+	})
+}
+
 // Guards against repeats that load the platform while they wait for a long request.
 func TestWaitingRepeatReadsLittle(t *testing.T) {
 	run(t, func(f *fixture) {
@@ -257,3 +279,24 @@
 		f.Check(f.cluster.store.reads() <= 100, qt.IsTrue, qt.Commentf("%d reads", f.cluster.store.reads()))
 	})
 }
+
+// Guards against a claim that is deleted while its key is accepted or never, and against nodes that do the same work.
+func TestSweep(t *testing.T) {
+	run(t, func(f *fixture) {
+		time.Sleep(time.Hour) // Passes over empty minutes.
+		const claims = 200
+		begin, lists := time.Now(), f.cluster.store.count("list")
+		for i := range claims {
+			f.key = newKey(i)
+			f.claim([]*node{f.a, f.b}[i%2]) // Stays unsettled.
+		}
+		time.Sleep(time.Until(begin.Add(Window + MaxSkew)))
+		f.Check(f.cluster.store.size(), qt.Equals, claims)
+		f.a.end() // The other node does all of it.
+		time.Sleep(3 * time.Minute)
+		f.Check(f.cluster.store.size(), qt.Equals, 0)
+		f.Check(f.cluster.store.count("delete"), qt.Equals, claims)
+		minutes := time.Since(begin).Minutes() + 1
+		f.Check(float64(f.cluster.store.count("list")-lists) <= minutes*buckets*float64(len(passes)), qt.IsTrue)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 
 	vms      vmList
 	statuses peerStatuses
+	drains   drains
 
 	mu sync.Mutex
 	// draining is set at the start of a graceful shutdown.
@@ -205,7 +206,8 @@
 		Now: n.now, Log: n.log, Meter: meter, BeforeRelease: n.beforeRelease,
 	})
 	engines := orders.New(orders.Options{Timeout: t.OrderDelivery})
-	n.reports = newVMReports(engines, n.now, n.vms.address, t.Probe, t.Freshness)
+	// Two reads within the freshness bound tolerate one that is late.
+	n.reports = newVMReports(engines, n.now, n.vms.address, t.Freshness/2, t.Freshness)
 	n.groups = groups.New(groups.Options{
 		Self: self, Platform: api, Members: holderMembers{n.membership}, Orders: engines, VMs: n.plannedVMs, Report: n.reports.get,
 		Rules: func() *rules.Rules { _, r := n.config.Current(); return r }, Now: n.now,
@@ -224,7 +226,7 @@
 	n.budget = retry.New(retry.Options{Now: n.now, Log: n.log, Meter: meter})
 	n.admission = admission.New(n.self.Name, nil)
 	n.claims = claims.New(claims.Options{
-		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Log: n.log,
+		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Nodes: n.liveNodes, Log: n.log,
 	})
 	n.executor = executor.New(executor.Options{
 		Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash, Clock: n.now, Log: n.log,
