--- /dev/null
+++ b/test/cluster/control.go
@@ -0,0 +1,193 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/standin/engine"
+	"cassiadeal.example/cassiadeal/internal/standin/platform"
+	"cassiadeal.example/cassiadeal/test/faultproxy"
+)
+
+// CutPeers drops what a node sends to its peers (out) and what they send to it (in).
+func (c *Cluster) CutPeers(d *Daemon, out, in bool) {
+	for _, other := range c.Nodes {
+		if other == d {
+			continue
+		}
+		if out { // Requests to the others, and answers to theirs.
+			other.PeerProxy.CutSource(d.IP, faultproxy.ToUpstream)
+			d.PeerProxy.CutSource(other.IP, faultproxy.ToClient)
+		}
+		if in {
+			other.PeerProxy.CutSource(d.IP, faultproxy.ToClient)
+			d.PeerProxy.CutSource(other.IP, faultproxy.ToUpstream)
+		}
+	}
+}
+
+// CutPlatform drops what a node sends to the platform (out) and what the platform sends to it (in).
+func (c *Cluster) CutPlatform(d *Daemon, out, in bool) {
+	if out {
+		d.PlatformProxy.Cut(faultproxy.ToUpstream)
+	}
+	if in {
+		d.PlatformProxy.Cut(faultproxy.ToClient)
+	}
+}
+
+// Restore ends all cuts.
+func (c *Cluster) Restore() {
+	for _, d := range c.Nodes {
+		for _, p := range []*faultproxy.Proxy{d.PeerProxy, d.PlatformProxy} {
+			if err := p.Restore(); err != nil {
+				c.T.Error(err)
+			}
+		}
+	}
+}
+
+// ConfigWrites returns the writes of the configuration that the platform accepted.
+func (c *Cluster) ConfigWrites() (writes []platform.Write) {
+	for _, w := range c.Platform.Record().Writes {
+		if w.Kind == "config" {
+			writes = append(writes, w)
+		}
+	}
+	return writes
+}
+
+// Receipt is one request that a stand-in received. End is zero and Outcome empty where the record has none.
+type Receipt struct {
+	Target, Domain, Outcome string
+	Time, End               time.Time
+}
+
+// Receipts returns the requests that engines and services have received, run or not.
+func (c *Cluster) Receipts() (list []Receipt) {
+	for domain, e := range c.Engines {
+		for vm, record := range e.Record() {
+			for _, g := range record.Generates {
+				r := Receipt{Target: vm, Domain: domain, Outcome: g.Outcome, Time: time.UnixMilli(g.TimeUnixMS)}
+				if g.EndUnixMS > 0 {
+					r.End = time.UnixMilli(g.EndUnixMS)
+				}
+				list = append(list, r)
+			}
+		}
+	}
+	for i, s := range c.Services {
+		for _, ms := range s.Record().Arrivals {
+			list = append(list, Receipt{Target: fmt.Sprintf("service-%d", i), Domain: c.Options.Domains[i%len(c.Options.Domains)], Time: time.UnixMilli(ms)})
+		}
+	}
+	return list
+}
+
+// Overloads lists the falls of cold engines and services under more requests than they bear.
+func (c *Cluster) Overloads() (list []string) {
+	for _, e := range c.Engines {
+		for vm, record := range e.Record() {
+			for _, o := range record.Overloads {
+				list = append(list, fmt.Sprintf("%s: %+v", vm, o))
+			}
+		}
+	}
+	for i, s := range c.Services {
+		for _, o := range s.Record().Overloads {
+			list = append(list, fmt.Sprintf("service-%d: %+v", i, o))
+		}
+	}
+	return list
+}
+
+// Sent is a request of a Load and what its caller got.
+type Sent struct {
+	Node       *Daemon
+	Begin, End time.Time
+	Answer     Answer
+	Whole      bool // The answer has status 200 and is complete.
+}
+
+// Load is a closed loop of callers.
+type Load struct {
+	stop chan struct{}
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	sent []Sent
+}
+
+// LoadOptions describes a load. Every LongEvery-th generate request of a caller has LongTokens instead of Tokens.
+type LoadOptions struct {
+	Generate, Service             int // Callers per node.
+	Tokens, LongTokens, LongEvery int
+	Pause                         time.Duration // Between an answer and the next request of a caller.
+}
+
+// StartLoad starts callers at every node. They stop at Stop or at the end of the test.
+func (c *Cluster) StartLoad(o LoadOptions) *Load {
+	l := &Load{stop: make(chan struct{})}
+	for _, d := range c.Nodes {
+		for i := range o.Generate {
+			l.caller(c, d, o.Pause, func(n int) (Answer, string) {
+				tokens := o.Tokens
+				if o.LongEvery > 0 && n%o.LongEvery == 0 {
+					tokens = o.LongTokens
+				}
+				prompt := fmt.Sprintf("%s caller %d request %d", d.NodeName, i, n)
+				return c.Generate(d, prompt, tokens), strings.Join(engine.Text(Model, prompt, tokens), "")
+			})
+		}
+		for i := range o.Service {
+			l.caller(c, d, o.Pause, func(n int) (Answer, string) {
+				// Different paths, because a request that is lost with two targets is refused from then on.
+				return c.Send(d, http.MethodGet, fmt.Sprintf("/v1/services/bookings/stock/%s-%d-%d", d.NodeName, i, n), "", ""), ""
+			})
+		}
+	}
+	c.T.Cleanup(l.Stop)
+	return l
+}
+
+func (l *Load) caller(c *Cluster, d *Daemon, pause time.Duration, send func(n int) (Answer, string)) {
+	l.wg.Go(func() {
+		tick := time.NewTicker(pause)
+		defer tick.Stop()
+		for n := 1; ; n++ {
+			select {
+			case <-l.stop:
+				return
+			case <-tick.C:
+			}
+			s := Sent{Node: d, Begin: time.Now()}
+			var want string
+			s.Answer, want = send(n)
+			s.End = time.Now()
+			s.Whole = s.Answer.Status == http.StatusOK && s.Answer.Err == nil && json.Valid([]byte(s.Answer.Body)) && strings.Contains(s.Answer.Body, want)
+			l.mu.Lock()
+			l.sent = append(l.sent, s)
+			l.mu.Unlock()
+		}
+	})
+}
+
+// Sent returns the requests that have ended.
+func (l *Load) Sent() []Sent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Sent{}, l.sent...)
+}
+
+// Stop ends the load and waits for the requests in flight.
+func (l *Load) Stop() {
+	select {
+	case <-l.stop:
+	default:
+		close(l.stop)
+	}
+	l.wg.Wait()
+}
