Take targets over from a node that is cut from the platform

Cause: the holder of a target was chosen among all nodes that are heard. A node that is cut from the platform only is still heard, so for targets of its failure domain it remained the preferred one, and nobody took them: path P was never taken, and new targets found no holder. After a restart of engines its controller gave the groups new numbers in the platform, which the cut holder can't read.

Ruled out: a load of equal requests, which is refused as crashing after two restarts, hid this at first; with different requests it remained.

The takeover is in doubt as before, because the cut node still serves by its majority.

--- a/internal/holder/decide.go
+++ b/internal/holder/decide.go
@@ -150,17 +150,27 @@
 		if !ok {
 			continue
 		}
-		if order := Prefer(t, in.Nodes); len(order) > 0 && order[0] == in.Self.Name {
+		if order := Prefer(t, candidates(in)); len(order) > 0 && order[0] == in.Self.Name {
 			take.Target, take.From = t, e
 			d.Take = append(d.Take, take)
 		}
 	}
 	if in.RightToServe && in.PlatformReachable && in.MaxMoves > 0 {
+		in.Nodes = candidates(in)
 		d.HandOver = balance(in, nodes)
 	}
 	return d
 }
 
+// candidates returns the nodes that may be given targets. A node whose lease has lapsed can't write itself as a holder or
+// read that it is one, even if its peers still hear it.
+func candidates(in Input) []Node {
+	if !in.PlatformReachable {
+		return in.Nodes
+	}
+	return slices.DeleteFunc(slices.Clone(in.Nodes), func(n Node) bool { return n.LeaseLapsed })
+}
+
 // mayTake tells whether the holder e of a target has provably lost it, or could only be sending in doubt.
 func mayTake(in Input, nodes map[string]Node, e Entry, held bool) (Take, bool) {
 	if !held {
--- a/internal/holder/decide_test.go
+++ b/internal/holder/decide_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// Guards against a target that nobody takes because the preferred node is heard but cut from the platform.
+func TestDecidePassesOverNodeCutFromPlatform(t *testing.T) {
+	c := qt.New(t)
+	cut := node("b", "1", "z")
+	cut.LeaseLapsed = true
+	in := Input{
+		Self: Identity{"a", "1"}, Nodes: []Node{node("a", "1", "y"), cut}, Targets: []Target{{"held", "z"}, {"free", "z"}},
+		Entries: map[string]Entry{"held": {cut.Identity, 1}}, RightToServe: true, PlatformReachable: true, MaxMoves: 2,
+	}
+	d := Decide(in)
+	c.Assert(d.Take, qt.HasLen, 2)
+	c.Check([]bool{d.Take[0].InDoubt, d.Take[1].InDoubt}, qt.DeepEquals, []bool{true, false})
+	in.Entries = map[string]Entry{"held": {in.Self, 1}, "free": {in.Self, 1}}
+	c.Check(Decide(in).HandOver, qt.HasLen, 0)
+}
+
 // Guards against oscillation: moves stop once no node is more than a quarter above the mean.
 func TestDecideBalances(t *testing.T) {
 	c := qt.New(t)
