Prove that a request that may not be repeated runs at most once

The new package test/requests sends confirmations at 50 keys/s through three nodes, each key again at the same node, at another or at two at once, under 16 faults of services, nodes and the platform. The services' own records decide: executions per key, no run before the first attempt that was not refused as not run, and answers equal to what the service produced. At least 90% of the keys must end answered under one fault; all must be refused as not run while the platform is down. Ruled out: judging "not run" by the outcome of all repeats together; a later repeat that runs would hide a false "not run".

--- /dev/null
+++ b/test/requests/once_test.go
@@ -0,0 +1,386 @@
+package requests
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cassiadeal.example/cassiadeal/internal/operator"
+	"cassiadeal.example/cassiadeal/internal/result"
+	"cassiadeal.example/cassiadeal/internal/standin/platform"
+	"cassiadeal.example/cassiadeal/internal/standin/service"
+	"cassiadeal.example/cassiadeal/test/cluster"
+	"cassiadeal.example/cassiadeal/test/harness"
+)
+
+const (
+	onceSeed     = 7
+	keysPerFault = 100
+	keyInterval  = 20 * time.Millisecond
+	keyDeadline  = 25 * time.Second // Of one key with all its repeats.
+	callLimit    = "3000"           // Header X-Timeout-Ms of one call.
+	repeatAfter  = 100 * time.Millisecond
+	// unknownTries is the number of answers "outcome unknown" after which a caller takes the outcome for final. The first
+	// can come from a lost connection between nodes, after which a repeat still gets the stored answer.
+	unknownTries  = 4
+	leastAnswered = 0.9 // Share of keys that must end answered under one fault.
+)
+
+// confirmation is one key with all that its callers were told.
+type confirmation struct {
+	key, body string
+	answers   []cluster.Answer
+	// possible is when the first attempt began that was not wholly refused as not run. No run may come before it.
+	possible time.Time
+}
+
+func (k *confirmation) count(is func(cluster.Answer) bool) (n int) {
+	for _, a := range k.answers {
+		if is(a) {
+			n++
+		}
+	}
+	return n
+}
+
+func answered(a cluster.Answer) bool { return a.Status == http.StatusOK && a.Err == nil }
+func unknown(a cluster.Answer) bool  { return a.Code == int(result.OutcomeUnknown) }
+func notRun(a cluster.Answer) bool   { return a.Err == nil && a.Status != http.StatusOK && a.NotRun }
+
+func confirm(c *cluster.Cluster, d *cluster.Daemon, key, body string) cluster.Answer {
+	return c.SendHeader(d, http.MethodPost, "/v1/services/bookings/confirm", body,
+		http.Header{"Idempotency-Key": {key}, "X-Timeout-Ms": {callLimit}})
+}
+
+// send sends a key once, by its number to one node, or to two at once.
+func (k *confirmation) send(c *cluster.Cluster, number, try int) {
+	nodes := []*cluster.Daemon{c.Nodes[number%len(c.Nodes)]} // Kind 0: the same node, until it fails.
+	switch {
+	case number/len(c.Nodes)%3 == 1 || try > 3:
+		nodes[0] = c.Nodes[(number+try)%len(c.Nodes)]
+	case number/len(c.Nodes)%3 == 2:
+		nodes = append(nodes, c.Nodes[(number+1+try%2)%len(c.Nodes)])
+	}
+	answers := make([]cluster.Answer, len(nodes))
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i, d := range nodes {
+		wg.Go(func() { answers[i] = confirm(c, d, k.key, k.body) })
+	}
+	wg.Wait()
+	k.answers = append(k.answers, answers...)
+	if k.possible.IsZero() && k.count(notRun) < len(k.answers) {
+		k.possible = began
+	}
+}
+
+// settle sends a key until it was answered twice, is given up as unknown or the deadline has passed.
+func (k *confirmation) settle(c *cluster.Cluster, number int) {
+	pause := time.NewTicker(repeatAfter)
+	defer pause.Stop()
+	for end, try := time.Now().Add(keyDeadline), 0; time.Now().Before(end); try++ {
+		k.send(c, number, try)
+		if k.count(answered) > 1 || k.count(unknown) >= unknownTries {
+			return
+		}
+		<-pause.C
+	}
+}
+
+// load sends keys at a rate through all nodes, each until it is settled. inject runs beside it from the given key on.
+func load(c *cluster.Cluster, from int, inject func()) []*confirmation {
+	keys := make([]*confirmation, keysPerFault)
+	begin := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		tick := time.NewTicker(keyInterval)
+		defer tick.Stop()
+		for i := range keys {
+			k := &confirmation{key: uuid.Must(uuid.NewV7()).String(), body: fmt.Sprintf(`{"booking":%d}`, i)}
+			keys[i] = k
+			wg.Go(func() { k.settle(c, i) })
+			if i == from {
+				close(begin)
+			}
+			<-tick.C
+		}
+	})
+	<-begin
+	inject()
+	wg.Wait()
+	return keys
+}
+
+// judge compares what callers were told with what the services did, and returns the share of answered keys.
+func judge(t *testing.T, c *cluster.Cluster, keys []*confirmation) float64 {
+	t.Helper()
+	executions, runs := map[string]int{}, map[string]service.Execution{}
+	for _, s := range c.Services {
+		rec := s.Record()
+		if rec.Dropped > 0 {
+			t.Fatalf("the record lacks %d executions", rec.Dropped)
+		}
+		for _, e := range rec.Executions {
+			if executions[e.Key]++; executions[e.Key] == 1 || e.TimeUnixMS < runs[e.Key].TimeUnixMS {
+				runs[e.Key] = e
+			}
+		}
+	}
+	done, codes := 0, map[string]int{}
+	for _, k := range keys {
+		n := executions[k.key]
+		if n > 1 {
+			t.Errorf("key %s ran %d times: %v", k.key, n, k.answers)
+		}
+		if n > 0 && (k.possible.IsZero() || runs[k.key].TimeUnixMS < k.possible.UnixMilli()) {
+			t.Errorf("key %s was refused as not run and ran: %v", k.key, k.answers)
+		}
+		var first *cluster.Answer
+		for _, a := range k.answers {
+			codes[fmt.Sprintf("%d/%d/%t", a.Status, a.Code, a.Err != nil)]++
+			if !answered(a) {
+				continue
+			}
+			if first == nil {
+				first = &a
+				done++
+				checkAnswer(t, k, a, runs[k.key])
+			} else if a.Body != first.Body {
+				t.Errorf("key %s has two answers: %s and %s", k.key, first.Body, a.Body)
+			}
+		}
+	}
+	share := float64(done) / float64(len(keys))
+	t.Logf("%d of %d keys answered; answers by status/code/broken: %v", done, len(keys), codes)
+	return share
+}
+
+// checkAnswer compares an answer with the execution that the service recorded for the key.
+func checkAnswer(t *testing.T, k *confirmation, a cluster.Answer, run service.Execution) {
+	t.Helper()
+	sum := sha256.Sum256([]byte(k.body))
+	want, err := json.Marshal(service.Answer{
+		Service: "bookings", Execution: run.Execution, Key: k.key, Method: http.MethodPost, Path: "/confirm", RequestID: run.RequestID,
+		BodySHA256: hex.EncodeToString(sum[:]),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Body != string(want) {
+		t.Errorf("key %s was answered %s; the service produced %s", k.key, a.Body, want)
+	}
+}
+
+// runFaults runs the load under each fault. Each fault ends whole: the cluster serves again.
+func runFaults(t *testing.T, c *cluster.Cluster, faults []onceFault) {
+	rng := rand.New(rand.NewPCG(onceSeed, 0))
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			setServices(c, service.Faults{DelayMS: new(f.delayMS)})
+			keys := load(c, 10+rng.IntN(keysPerFault/2), func() { f.inject(t, c, rng) })
+			c.Platform.Faults(platform.Faults{Mode: platform.ModeOK})
+			for _, d := range c.Nodes {
+				if err := d.PlatformProxy.Restore(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c.WaitMembers()
+			c.WaitServing(0)
+			if share := judge(t, c, keys); share < leastAnswered {
+				t.Errorf("only %.0f%% of the keys were answered under one fault", 100*share)
+			}
+		})
+	}
+}
+
+type onceFault struct {
+	name    string
+	delayMS int64 // Of each execution.
+	inject  func(t *testing.T, c *cluster.Cluster, rng *rand.Rand)
+}
+
+func setServices(c *cluster.Cluster, f service.Faults) {
+	for _, s := range c.Services {
+		s.Faults(f)
+	}
+}
+
+// perService is the number of requests per back end that lose their answer: the outcome of as many keys can't be known.
+const perService = 3
+
+// Guards against a second run after a lost, late, cut or crossed answer of a service, and against answers that the
+// service did not give.
+func TestInvariantAtMostOnceServiceFaults(t *testing.T) {
+	parallel(t)
+	c := serviceCluster(t)
+	switches := func(f service.Faults) func(*testing.T, *cluster.Cluster, *rand.Rand) {
+		return func(_ *testing.T, c *cluster.Cluster, _ *rand.Rand) { setServices(c, f) }
+	}
+	runFaults(t, c, []onceFault{
+		{"reply dropped", 10, switches(service.Faults{DropReply: new(perService)})},
+		{"closed before the run", 10, switches(service.Faults{CloseBeforeRun: new(perService)})},
+		{"reply truncated", 10, switches(service.Faults{TruncateReply: new(perService)})},
+		{"reply late", 10, switches(service.Faults{ReplyDelayOnceMS: new(int64(4000))})},
+		{"wrong request number", 10, switches(service.Faults{WrongRequestID: new(perService)})},
+		{"restarted", 20, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			c.Services[0].Faults(service.Faults{Restart: true})
+		}},
+		{"down and up", 20, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			c.Services[1].Faults(service.Faults{Down: new(true)})
+			harness.Eventually(t, keyDeadline, func() error {
+				for _, d := range c.Nodes {
+					s, err := c.Status(d)
+					if err == nil && slices.ContainsFunc(s.Targets, func(target operator.TargetStatus) bool { return target.State == "lost" }) {
+						return nil
+					}
+				}
+				return errors.New("no node has noticed the loss")
+			})
+			c.Services[1].Faults(service.Faults{Down: new(false)})
+		}},
+		{"connections go silent", 50, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			for _, p := range c.ServiceProxy {
+				p.FreezeExisting()
+			}
+		}},
+	})
+}
+
+// Guards against a second run or a false "not run" when nodes die or pause or their connections go silent.
+func TestInvariantAtMostOnceNodeFaults(t *testing.T) {
+	parallel(t)
+	c := serviceCluster(t)
+	kill := func(d *cluster.Daemon) {
+		d.Kill()
+		relaunch(c, d)
+	}
+	runFaults(t, c, []onceFault{
+		{"entry node killed", 60, func(t *testing.T, c *cluster.Cluster, rng *rand.Rand) { kill(c.Nodes[rng.IntN(len(c.Nodes))]) }},
+		{"holder killed", 60, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) { kill(holderOf(c, "service")) }},
+		{"holder frozen past its lease", 60, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			frozen := holderOf(c, "service")
+			watch := c.Nodes[0]
+			if watch == frozen {
+				watch = c.Nodes[1]
+			}
+			frozen.Freeze()
+			harness.Eventually(t, keyDeadline, func() error {
+				held := holders(c, watch, "service")
+				for _, name := range held {
+					if name == frozen.NodeName || name == "" {
+						return fmt.Errorf("not taken over: %v", held)
+					}
+				}
+				return nil
+			})
+			frozen.Thaw()
+		}},
+		{"peer connections go silent", 50, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			for _, d := range c.Nodes {
+				d.PeerProxy.FreezeExisting()
+			}
+		}},
+	})
+}
+
+// Guards against a run whose claim is not in force, and against "not run" for a claim that is.
+func TestInvariantAtMostOncePlatformFaults(t *testing.T) {
+	parallel(t)
+	c := serviceCluster(t)
+	claims := []string{"claims"}
+	runFaults(t, c, []onceFault{
+		{"slow", 10, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			c.Platform.Faults(platform.Faults{Mode: platform.ModeSlow, DelayMS: 300})
+		}},
+		{"replies lost after the write", 10, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			c.Platform.Faults(platform.Faults{Mode: platform.ModeLoseReplies, Probability: 0.3, Kinds: claims})
+		}},
+		{"delayed and reset at the holder", 10, func(t *testing.T, c *cluster.Cluster, _ *rand.Rand) {
+			d := holderOf(c, "service")
+			d.PlatformProxy.SetDelay(100*time.Millisecond, 100*time.Millisecond)
+			d.PlatformProxy.ResetAll()
+		}},
+	})
+	t.Run("down", func(t *testing.T) { platformOutage(t, c) })
+	t.Run("refused keys", func(t *testing.T) { refusedKeys(t, c) })
+}
+
+// platformOutage sends each key once while the platform is down, when all must be refused as not run, and then until it
+// is settled.
+func platformOutage(t *testing.T, c *cluster.Cluster) {
+	c.Platform.Faults(platform.Faults{Mode: platform.ModeDown})
+	keys := make([]*confirmation, 30)
+	var wg sync.WaitGroup
+	for i := range keys {
+		keys[i] = &confirmation{key: uuid.Must(uuid.NewV7()).String(), body: fmt.Sprint(i)}
+		wg.Go(func() { keys[i].send(c, i, 0) })
+	}
+	wg.Wait()
+	for _, k := range keys {
+		if k.count(notRun) != len(k.answers) {
+			t.Errorf("key %s during an outage: %v", k.key, k.answers)
+		}
+	}
+	judge(t, c, keys)
+	c.Platform.Faults(platform.Faults{Mode: platform.ModeOK})
+	for i, k := range keys {
+		wg.Go(func() { k.settle(c, i) })
+	}
+	wg.Wait()
+	if share := judge(t, c, keys); share < leastAnswered {
+		t.Errorf("only %.0f%% of the keys were answered after the outage", 100*share)
+	}
+}
+
+// refusedKeys sends keys that must be refused without a run.
+func refusedKeys(t *testing.T, c *cluster.Cluster) {
+	total := func() (n int) {
+		for _, s := range c.Services {
+			n += len(s.Record().Executions)
+		}
+		return n
+	}
+	used := &confirmation{key: uuid.Must(uuid.NewV7()).String(), body: "first"}
+	used.settle(c, 0)
+	before := total()
+	for _, tc := range []struct {
+		name, key string
+		code      result.Code
+	}{
+		{"missing", "", result.KeyMissing},
+		{"malformed", "booking-17", result.KeyMalformed},
+		{"not time-ordered", "9b2d7f0e-5a53-4c43-8f0a-0d2ac9d9a3b1", result.KeyMalformed},
+		{"old", keyAt(time.Now().Add(-11 * time.Minute)), result.KeyTooOld},
+		{"from the future", keyAt(time.Now().Add(2 * time.Minute)), result.KeyInFuture},
+		{"other content", used.key, result.KeyReused},
+	} {
+		for _, d := range c.Nodes {
+			if a := confirm(c, d, tc.key, "second"); a.Code != int(tc.code) || !a.NotRun {
+				t.Errorf("%s key at %s: %v; want code %d", tc.name, d.NodeName, a, tc.code)
+			}
+		}
+	}
+	if after := total(); after != before {
+		t.Errorf("%d refused requests ran", after-before)
+	}
+}
+
+// keyAt returns a UUIDv7 of a time.
+func keyAt(at time.Time) string {
+	id := uuid.Must(uuid.NewV7())
+	ms := at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	return id.String()
+}
