--- a/test/faultproxy/faultproxy.go
+++ b/test/faultproxy/faultproxy.go
@@ -47,6 +47,22 @@
 	cutSources    map[string][2]bool // By IP of the client.
 	delay, jitter time.Duration
 	limiter       *toxiproxy.Proxy // nil without a bandwidth limit
+	traffic       Traffic
+}
+
+// Traffic counts what clients and upstream sent through a proxy, including data that a cut dropped. Indexes are
+// ToUpstream and ToClient.
+type Traffic struct {
+	Conns int64    // Connections accepted so far.
+	Bytes [2]int64 // TCP payload.
+	Reads [2]int64 // Reads that returned data: messages, where each is written at once and answered before the next.
+}
+
+// Traffic returns the counts since the start.
+func (p *Proxy) Traffic() Traffic {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.traffic
 }
 
 // New returns a proxy on a free loopback port with seed 1.
@@ -260,6 +276,7 @@
 	c.source = client.RemoteAddr().(*net.TCPAddr).IP.String()
 	p.mu.Lock()
 	closed := p.closed
+	p.traffic.Conns++
 	p.conns[c] = struct{}{}
 	p.mu.Unlock()
 	if closed {
@@ -298,7 +315,7 @@
 // pump passes the data of one direction on, each chunk at its due time.
 func (c *conn) pump(d Direction, from, to *net.TCPConn) {
 	queue := make(chan chunk, queuedChunks)
-	go c.read(from, queue)
+	go c.read(d, from, queue)
 	for {
 		select {
 		case <-c.done:
@@ -359,12 +376,12 @@
 	}
 }
 
-func (c *conn) read(from *net.TCPConn, queue chan<- chunk) {
+func (c *conn) read(d Direction, from *net.TCPConn, queue chan<- chunk) {
 	var last time.Time
 	for {
 		buf := make([]byte, chunkBytes)
 		n, err := from.Read(buf)
-		due := time.Now().Add(c.p.nextDelay())
+		due := time.Now().Add(c.p.received(d, n))
 		if due.Before(last) {
 			due = last
 		}
@@ -389,9 +406,14 @@
 	}
 }
 
-func (p *Proxy) nextDelay() time.Duration {
+// received counts a read and returns the delay of its data.
+func (p *Proxy) received(dir Direction, n int) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if n > 0 {
+		p.traffic.Bytes[dir] += int64(n)
+		p.traffic.Reads[dir]++
+	}
 	d := p.delay
 	if p.jitter > 0 {
 		d += time.Duration(p.rng.Int64N(int64(2*p.jitter)+1)) - p.jitter
--- a/test/faultproxy/faultproxy_test.go
+++ b/test/faultproxy/faultproxy_test.go
@@ -139,3 +139,15 @@
 		c.Assert(time.Now().Before(end), qt.IsTrue)
 	}
 }
+
+// Guards against figures in docs/CAPACITY.md that miss a direction or count a client's data as the server's.
+func TestTraffic(t *testing.T) {
+	c, p, _ := start(t)
+	conn := dial(c, p)
+	c.Assert(echo(conn, "hello", soon), qt.IsNil)
+	c.Assert(echo(conn, "hi", soon), qt.IsNil)
+	got := p.Traffic()
+	c.Check(got.Conns, qt.Equals, int64(1))
+	c.Check(got.Bytes, qt.Equals, [2]int64{7, 7})
+	c.Check(got.Reads, qt.Equals, [2]int64{2, 2})
+}
