End requests with an error event at the shutdown limit and keep the address open

Cause: two faults that the new shutdown tests showed. At the shutdown limit the listener was closed under the remaining requests: 3 of 3 streams, 3 of 3 JSON requests and 2 of 2 confirmations through the leaving node ended with a broken connection. And the address was kept open only for keep_seconds after the node itself last named it; a caller who had it from another node got "connection refused" 192 ms before its keep_seconds were over. Fix: at the limit the contexts of all requests end with code 3006, callers are told, and the listener closes up to 3 s later. A confirmation in flight ends as outcome unknown and its claim is marked so. Generate requests that another node forwarded and that have passed nothing on are tried elsewhere. The address stays open for a lease term plus keep_seconds, as other nodes name a node until they learn of the draining or have not heard it for a term. Ruled out: counting what other nodes name, which needs a message to each and fails when one can't be reached. Measured: TestInvariantShutdownLimit fails before with "ended without the error event: 195 tokens, ended false, error event 0 ... unexpected EOF" and passes after, with 9 of 9 streams ended by an event with code 3006.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -150,14 +151,28 @@
 	return end
 }
 
-// withoutCallerCancel keeps the deadline of ctx and drops its cancellation.
+// withoutCallerCancel keeps the deadline of ctx and drops its cancellation, unless this node ends the request itself.
 func withoutCallerCancel(ctx context.Context) (context.Context, context.CancelFunc) {
+	exchange, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stopWatch := context.AfterFunc(ctx, func() {
+		var ended *result.Error
+		if errors.As(context.Cause(ctx), &ended) {
+			cancel()
+		}
+	})
+	stop := func() {
+		stopWatch()
+		cancel()
+	}
 	deadline, ok := ctx.Deadline()
-	ctx = context.WithoutCancel(ctx)
 	if !ok {
-		return context.WithCancel(ctx)
+		return exchange, stop
+	}
+	limited, cancelLimit := context.WithDeadline(exchange, deadline)
+	return limited, func() {
+		cancelLimit()
+		stop()
 	}
-	return context.WithDeadline(ctx, deadline)
 }
 
 func claimRequest(req *schema.DispatchRequest) claims.Request {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -140,7 +140,7 @@
 	case result.QueueFull, result.DeadlineUnreachable, result.NoTarget, result.NodeStopping, result.NoRightToServe,
 		result.TargetUnreachable, result.NodeUnreachable:
 		return notRun
-	case result.StreamIncomplete, result.TargetFailed, result.AnswerMismatch:
+	case result.StreamIncomplete, result.TargetFailed, result.AnswerMismatch, result.ShutdownLimit:
 		return true
 	}
 	return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,12 +78,13 @@
 	announced bool
 	// stopped is set at its end, when no new request is taken any more.
 	stopped bool
-	// lastNamed is when this node's address was last given to a caller. It is valid while draining is false.
-	lastNamed time.Time
 
 	// running counts the requests that other nodes forwarded to this one.
 	running   atomic.Int64
 	listeners listeners
+	// requests is the parent of the contexts of all requests. cutOff ends them at the shutdown limit.
+	requests context.Context
+	cutOff   context.CancelCauseFunc
 }
 
 // listeners are the bound sockets of a node.
@@ -98,6 +99,7 @@
 		return nil, eris.Wrap(err, "setting up metrics")
 	}
 	n := &Node{settings: s, log: log, metrics: metrics, clock: clock.Boottime()}
+	n.requests, n.cutOff = context.WithCancelCause(context.Background())
 	if n.listeners, err = bind(&s.Listen); err != nil {
 		return nil, err
 	}
@@ -306,6 +308,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    int(n.settings.Limits.MaxHeaderBytes),
+		BaseContext:       func(net.Listener) context.Context { return n.requests },
 	}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -126,9 +126,9 @@
 // execute runs a request here or at another node.
 func (n *Node) execute(ctx context.Context, node router.Node, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
 	if node.Self {
-		return n.executor.Execute(ctx, req, sink)
+		return endCutOff(ctx, req, n.executor.Execute(ctx, req, sink))
 	}
-	return n.peers.Dispatch(ctx, node.PeerAddress, req, sink)
+	return endCutOff(ctx, req, n.peers.Dispatch(ctx, node.PeerAddress, req, sink))
 }
 
 // reportCrash counts a crash and tells the live peers before the request is tried again.
@@ -177,7 +177,6 @@
 		if n.draining || !n.announced {
 			return false
 		}
-		n.lastNamed = time.Now()
 		return n.membership.Right().Serve
 	}
 	for _, info := range n.membership.Nodes() {
@@ -219,7 +218,11 @@
 func (h handler) Execute(ctx context.Context, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
 	h.n.running.Add(1)
 	defer h.n.running.Add(-1)
-	return h.n.executor.Execute(ctx, req, sink)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(h.n.requests, func() { cancel(context.Cause(h.n.requests)) })
+	defer stop()
+	return endCutOff(ctx, req, h.n.executor.Execute(ctx, req, sink))
 }
 
 func (h handler) CrashReported(r *schema.CrashReport) {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
@@ -15,6 +18,9 @@
 	handoverLimit = 2 * time.Second
 	idlePoll      = 20 * time.Millisecond
 	leaveTimeout  = 2 * time.Second
+	// cutOffTime is how long requests have to pass on their end after the shutdown limit. It covers the cancel call to an
+	// engine (0.5 s) and the write of a claim whose outcome is unknown (2 s).
+	cutOffTime = 3 * time.Second
 )
 
 // shutdown stops the node without cutting off requests in flight. It first stops naming its address, gives its targets
@@ -23,8 +29,9 @@
 	started := time.Now()
 	n.mu.Lock()
 	n.draining = true
-	answerUntil := n.lastNamed.Add(n.settings.Timing.AddressKeep)
 	n.mu.Unlock()
+	// Other nodes name this one until they learn that it drains, or have not heard it for a term.
+	answerUntil := started.Add(n.settings.Timing.Term + n.settings.Timing.AddressKeep)
 	n.log.Info("graceful shutdown started")
 	ctx, cancel := context.WithDeadline(ctx, started.Add(n.settings.Timing.ShutdownLimit))
 	defer cancel()
@@ -38,6 +45,9 @@
 	n.mu.Unlock()
 	err := caller.Shutdown(ctx)
 	n.waitIdle(ctx)
+	if ctx.Err() != nil {
+		n.cutOffRequests(ctx, caller)
+	}
 	leave, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancelLeave()
 	n.membership.Leave(leave)
@@ -45,6 +55,28 @@
 	return err
 }
 
+// cutOffRequests ends the requests that are still in flight at the shutdown limit and waits until their callers were told.
+func (n *Node) cutOffRequests(ctx context.Context, caller *http.Server) {
+	n.log.WithFields(logrus.Fields{"callers": n.gateway.InFlight(), "forwarded": n.running.Load()}).Warn("requests are cut off at the shutdown limit")
+	n.cutOff(result.New(result.ShutdownLimit, "this node stopped before the request ended"))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutOffTime)
+	defer cancel()
+	// Its error was returned by the first call already.
+	_ = caller.Shutdown(ctx)
+	n.waitIdle(ctx)
+}
+
+// endCutOff gives a request that was cut off at the shutdown limit its code. One that may not be repeated keeps the code
+// outcome_unknown, which says more.
+func endCutOff(ctx context.Context, req *schema.DispatchRequest, end *schema.DispatchEnd) *schema.DispatchEnd {
+	var limit *result.Error
+	if end.Code == int32(result.OK) || end.NotRun || !req.Repeatable || !errors.As(context.Cause(ctx), &limit) {
+		return end
+	}
+	end.Code, end.Message = int32(limit.Code), limit.Message
+	return end
+}
+
 func sleepUntil(ctx context.Context, t time.Time) {
 	timer := time.NewTimer(time.Until(t))
 	defer timer.Stop()
