--- a/test/control/domain_test.go
+++ b/test/control/domain_test.go
@@ -156,9 +156,9 @@
 		ended   func(*run) // When the apply has ended.
 		heal    func(*run) // healAt after the write; faultTime if zero.
 		healAt  time.Duration
-		codes   []int      // Exit codes that the apply may have; 0 if empty.
-		ignores bool       // The node can't learn of the configuration before heal.
-		broken  bool       // Requests may end without their answer.
+		codes   []int // Exit codes that the apply may have; 0 if empty.
+		ignores bool  // The node can't learn of the configuration before heal.
+		broken  bool  // Requests may end without their answer.
 	}{
 		{name: "plain"},
 		{name: "killed", during: func(r *run) { r.node.Kill() }, broken: true},
