Give fabric domains to nodes that can reach the platform

A controller cut from the platform is still heard and stayed the preferred one, so nobody renumbered its groups after a restart of engines: TestInvariantHolders gave again "after 30s: cut from the platform, targets restarted, 1 of 3 targets of fd-b get requests" (one run of two; the other had another controller).

Conclusion: Prefer itself passes over nodes whose lease has lapsed, in place of its callers. Ruled out that this hurts during an outage: a lease is only seen to lapse while the list of nodes is proved to be current. Tests of internal/holder and internal/groups pass.

--- a/internal/holder/decide.go
+++ b/internal/holder/decide.go
@@ -48,8 +48,12 @@
 	return d.Sum64()
 }
 
-// Prefer returns the names of the live, serving nodes in order of preference: those of the target's failure domain
-// first, then the others, each by rendezvous hashing.
+// usable tells whether a node may be given targets. A node whose lease has lapsed can't write itself as a holder or read
+// that it is one, even if its peers still hear it. Without the platform, no lease is seen to lapse.
+func (n Node) usable() bool { return n.Live && n.Serving && !n.LeaseLapsed }
+
+// Prefer returns the names of the usable nodes in order of preference: those of the target's failure domain first, then
+// the others, each by rendezvous hashing.
 func Prefer(t Target, nodes []Node) []string {
 	type ranked struct {
 		name  string
@@ -58,7 +62,7 @@
 	}
 	var order []ranked
 	for _, n := range nodes {
-		if !n.Live || !n.Serving {
+		if !n.usable() {
 			continue
 		}
 		r := ranked{name: n.Name, score: Score(t.ID, n.Name)}
@@ -150,27 +154,17 @@
 		if !ok {
 			continue
 		}
-		if order := Prefer(t, candidates(in)); len(order) > 0 && order[0] == in.Self.Name {
+		if order := Prefer(t, in.Nodes); len(order) > 0 && order[0] == in.Self.Name {
 			take.Target, take.From = t, e
 			d.Take = append(d.Take, take)
 		}
 	}
 	if in.RightToServe && in.PlatformReachable && in.MaxMoves > 0 {
-		in.Nodes = candidates(in)
 		d.HandOver = balance(in, nodes)
 	}
 	return d
 }
 
-// candidates returns the nodes that may be given targets. A node whose lease has lapsed can't write itself as a holder or
-// read that it is one, even if its peers still hear it.
-func candidates(in Input) []Node {
-	if !in.PlatformReachable {
-		return in.Nodes
-	}
-	return slices.DeleteFunc(slices.Clone(in.Nodes), func(n Node) bool { return n.LeaseLapsed })
-}
-
 // mayTake tells whether the holder e of a target has provably lost it, or could only be sending in doubt.
 func mayTake(in Input, nodes map[string]Node, e Entry, held bool) (Take, bool) {
 	if !held {
@@ -215,7 +209,7 @@
 func eligible(nodes []Node, domain string) map[string]bool {
 	near, all := map[string]bool{}, map[string]bool{}
 	for _, n := range nodes {
-		if !n.Live || !n.Serving {
+		if !n.usable() {
 			continue
 		}
 		all[n.Name] = true
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -851,7 +851,7 @@
 			continue // The next holder could not know of the doubt.
 		}
 		for _, name := range Prefer(h.targets[id], nodes) {
-			if name != h.o.Self.Name && !byName[name].LeaseLapsed {
+			if name != h.o.Self.Name {
 				moves = append(moves, Move{h.targets[id], byName[name].Identity})
 				break
 			}
