Keep a target's work in flight and a new holder's within one limit, and ramp only where rules are learned in time

Fix: a handover waits until the work in flight leaves room for the cold limit, else the target stays; a node that drains goes on trying until its shutdown limit. The ramp takes 2 s and only a node that had the right to serve for 5 s without a gap uses it. A holder in doubt subtracts the work that the engine reports beyond its own. Ruled out: handing over the count of requests in flight with the table entry, which is stale as soon as it is written. The model test of holders calls one round of the handover, as its calls did before; the loop with its wait has no end in a model without real time.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -59,9 +59,9 @@
 	Now   func() time.Duration
 	Log   logrus.FieldLogger
 	Meter metric.Meter
-	// BeforeRelease waits until the work in flight at a target is done or its time limit has passed. The target is no
-	// longer held while it runs.
-	BeforeRelease func(ctx context.Context, target string)
+	// BeforeRelease waits until the work in flight at a target leaves room for that of a new holder, and returns false if
+	// its time limit passes first. The target is no longer held while it runs.
+	BeforeRelease func(ctx context.Context, target string) bool
 }
 
 // Held is the state of a target that this node holds.
@@ -782,7 +782,7 @@
 		h.releasing[m.Target.ID] = true
 	}
 	h.mu.Unlock()
-	h.waitReleased(ctx, moves)
+	moves = h.waitReleased(ctx, moves)
 	byDomain := map[string][]Move{}
 	for _, m := range moves {
 		byDomain[m.Target.FailureDomain] = append(byDomain[m.Target.FailureDomain], m)
@@ -824,30 +824,68 @@
 	}
 }
 
-func (h *Holders) waitReleased(ctx context.Context, moves []Move) {
+// waitReleased returns the moves whose targets have room for a new holder. The others stay with this node: the new holder
+// does not know of their work in flight and would send too much on top. A node that drains doesn't send to them again.
+func (h *Holders) waitReleased(ctx context.Context, moves []Move) []Move {
 	if h.o.BeforeRelease == nil {
-		return
+		return moves
 	}
+	ready := make([]bool, len(moves))
 	var wg sync.WaitGroup
-	for _, m := range moves {
-		wg.Go(func() { h.o.BeforeRelease(ctx, m.Target.ID) })
+	for i, m := range moves {
+		wg.Go(func() { ready[i] = h.o.BeforeRelease(ctx, m.Target.ID) })
 	}
 	wg.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var released []Move
+	for i, m := range moves {
+		switch {
+		case ready[i]:
+			released = append(released, m)
+		case !h.draining:
+			delete(h.releasing, m.Target.ID)
+		}
+	}
+	return released
 }
 
 // HandOver gives every held target to the next node in preference and takes no more. Targets for which there is no
-// other node stay in the table and lapse with the lease.
+// other node, or whose work in flight leaves no room for a new holder until ctx ends, stay in the table and lapse with the
+// lease.
 func (h *Holders) HandOver(ctx context.Context) {
+	for ctx.Err() == nil && !h.handOverRound(ctx) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(h.o.Interval):
+		}
+	}
+}
+
+// handOverRound tries to give away all targets once and returns true if there was none left to try.
+func (h *Holders) handOverRound(ctx context.Context) bool {
+	h.mu.Lock()
+	h.draining = true
+	h.mu.Unlock()
+	moves := h.departures()
+	if len(moves) > 0 {
+		h.move(ctx, moves)
+	}
+	return len(moves) == 0
+}
+
+// departures lists the targets that this node still has to give away, with their next holders.
+func (h *Holders) departures() []Move {
 	nodes := h.o.Members.Nodes()
 	byName := map[string]Node{}
 	for _, n := range nodes {
 		byName[n.Name] = n
 	}
 	h.mu.Lock()
-	h.draining = true
+	defer h.mu.Unlock()
 	var moves []Move
 	for _, id := range slices.Sorted(maps.Keys(h.targets)) {
-		if s, ok := h.heldLocked(id); !ok || s.InDoubt {
+		if s, ok := h.heldLocked(id); (!ok || s.InDoubt) && !h.leavingLocked(id) {
 			continue // The next holder could not know of the doubt.
 		}
 		for _, name := range Prefer(h.targets[id], nodes) {
@@ -857,8 +895,11 @@
 			}
 		}
 	}
-	h.mu.Unlock()
-	if len(moves) > 0 {
-		h.move(ctx, moves)
-	}
+	return moves
+}
+
+// leavingLocked tells whether a target was to be handed over before and is still this node's.
+func (h *Holders) leavingLocked(id string) bool {
+	e, ok := h.effectiveLocked(id)
+	return ok && h.releasing[id] && e.Identity == h.o.Self
 }
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -250,7 +250,7 @@
 			"hand over": func(t *rapid.T) {
 				i := node(t)
 				w.nodes[i].draining = true
-				w.nodes[i].HandOver(context.Background())
+				w.nodes[i].handOverRound(context.Background())
 				w.check()
 			},
 			"write fault": func(t *rapid.T) { w.fault = writeFault(rapid.IntRange(1, 3).Draw(t, "fault")) },
--- a/internal/node/drains.go
+++ b/internal/node/drains.go
@@ -8,22 +8,35 @@
 )
 
 // drainRamp is the time in which the share of a failure domain that is taken out falls to nothing. Requests move to other
-// domains while this one still carries a part, so that their targets warm up under a growing load. Every node starts its
-// ramp before the rules count as accepted, which leaves 2 s of the bound of 5 s.
-const drainRamp = 3 * time.Second
+// domains while this one still carries a part, so that their targets warm up under a growing load. Every node that ramps
+// starts before the rules count as accepted, which leaves 3 s of the bound of 5 s.
+const drainRamp = 2 * time.Second
+
+const (
+	// steadyTime is how long a node must have had the right to serve, without a gap, to know of new rules in time. A node
+	// that returns after a cut or a pause may learn of them late, and gives the domain nothing more.
+	steadyTime = 5 * time.Second
+	// pauseGap between two updates shows that the process was paused.
+	pauseGap = time.Second
+)
 
 // drains remembers since when failure domains are out.
 type drains struct {
-	mu    sync.Mutex
-	known bool
-	since map[string]time.Duration
+	mu      sync.Mutex
+	updated time.Duration // Time of the last update.
+	steady  time.Duration // Since when updates come without a gap and with the right to serve.
+	since   map[string]time.Duration
 }
 
-// update notes which failure domains are out. A node that starts with a domain out has nothing to take away from it.
-func (d *drains) update(domains map[string]rules.FailureDomain, now time.Duration) {
+// update notes which failure domains are out.
+func (d *drains) update(domains map[string]rules.FailureDomain, mayServe bool, now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.known {
+	if !mayServe || now-d.updated > pauseGap {
+		d.steady = now
+	}
+	d.updated = now
+	if now-d.steady < steadyTime {
 		now -= drainRamp
 	}
 	since := make(map[string]time.Duration)
@@ -36,7 +49,7 @@
 			since[name] = at
 		}
 	}
-	d.since, d.known = since, true
+	d.since = since
 }
 
 // left returns the share of its limit that a domain still has, from 1 to 0.
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -110,18 +110,18 @@
 	if n.config.Ready() {
 		n.announceServing()
 	}
-	n.drains.update(current.FailureDomains, n.now())
+	right := n.membership.Right()
+	n.drains.update(current.FailureDomains, right.Serve, n.now())
 	all := n.allSpecs(current)
 	ids := make([]holder.Target, 0, len(all))
 	for _, s := range all {
 		ids = append(ids, holder.Target{ID: s.ID, FailureDomain: s.FailureDomain})
 	}
 	n.holders.SetTargets(ids)
-	inDoubt := n.membership.Right().InDoubt
 	var held []target.Spec
 	for _, s := range all {
 		if h, ok := n.holders.Holds(s.ID); ok {
-			s.InDoubt = h.InDoubt || inDoubt
+			s.InDoubt = h.InDoubt || right.InDoubt
 			held = append(held, s)
 		}
 	}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// handoverLimit bounds the wait for the work in flight at a target before another node becomes its holder. Work that
-	// takes longer goes on at this node.
+	// handoverLimit bounds the wait for the work in flight at a target before another node becomes its holder, for which
+	// the target gets no new work.
 	handoverLimit = 2 * time.Second
 	idlePoll      = 20 * time.Millisecond
 	leaveTimeout  = 2 * time.Second
@@ -37,14 +37,19 @@
 	defer cancel()
 
 	n.membership.SetState(schema.NodeState_NODE_STATE_DRAINING)
-	n.groups.Release(ctx)
-	n.holders.HandOver(ctx)
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		n.groups.Release(ctx)
+		n.holders.HandOver(ctx)
+	}()
 	sleepUntil(ctx, answerUntil)
 	n.mu.Lock()
 	n.stopped = true
 	n.mu.Unlock()
 	err := caller.Shutdown(ctx)
 	n.waitIdle(ctx)
+	<-handedOver // Ends with ctx at the latest.
 	if ctx.Err() != nil {
 		n.cutOffRequests(ctx, caller)
 	}
@@ -99,12 +104,11 @@
 	}
 }
 
-// beforeRelease waits for the work in flight at a target before its holder changes.
-func (n *Node) beforeRelease(ctx context.Context, id string) {
+// beforeRelease waits until a new holder of the target can send to it on top of the work in flight.
+func (n *Node) beforeRelease(ctx context.Context, id string) bool {
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
-	// The time limit is not an error: the new holder starts at the cold limit.
-	_ = n.targets.WaitIdle(ctx, id)
+	return n.targets.WaitRoom(ctx, id) == nil
 }
 
 // mayAccept tells whether this node takes new requests from callers.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -252,7 +252,7 @@
 func (g *target) effectiveLimit() int {
 	limit := g.limit
 	if g.spec.InDoubt && !g.warm {
-		limit = g.spec.Limits.Cold / 2
+		limit = max(0, min(g.spec.Limits.Cold/2, g.spec.Limits.Cold-g.foreign()))
 	}
 	if g.spec.InFlightCap > 0 {
 		limit = min(limit, g.spec.InFlightCap)
@@ -260,6 +260,16 @@
 	return limit
 }
 
+// foreign returns the requests at the target that this node has not sent, as far as the last report tells. After a takeover
+// in doubt they are those of a holder that was paused with work in flight.
+func (g *target) foreign() int {
+	if len(g.members) == 0 {
+		return 0
+	}
+	r := g.members[0].report
+	return max(0, r.Running+r.Waiting-g.inFlight)
+}
+
 // unusable returns why no request may be sent to the target, or "".
 func (t *Table) unusable(g *target, now time.Duration) string {
 	switch {
@@ -340,13 +350,24 @@
 	return 0
 }
 
+// WaitRoom returns when a new holder, which starts at the cold limit, can send to the target on top of the work in flight,
+// or with the error of ctx. The caller removes the target first; otherwise new work can start meanwhile.
+func (t *Table) WaitRoom(ctx context.Context, id string) error {
+	return t.waitInFlight(ctx, id, func(g *target) int { return max(0, g.limit-g.spec.Limits.Cold) })
+}
+
 // WaitIdle returns when no request is in flight at the target, or with the error of ctx. The caller sets Draining or
 // removes the target first; otherwise new work can start meanwhile.
 func (t *Table) WaitIdle(ctx context.Context, id string) error {
+	return t.waitInFlight(ctx, id, func(*target) int { return 0 })
+}
+
+// waitInFlight waits until no more than atMost requests are in flight. atMost is called with the table locked.
+func (t *Table) waitInFlight(ctx context.Context, id string, atMost func(*target) int) error {
 	for {
 		t.mu.Lock()
 		g := t.targets[id]
-		if g == nil || g.inFlight == 0 {
+		if g == nil || g.inFlight <= atMost(g) {
 			t.mu.Unlock()
 			return nil
 		}
