--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -351,9 +351,16 @@
 }
 
 // WaitRoom returns when a new holder, which starts at the cold limit, can send to the target on top of the work in flight,
-// or with the error of ctx. The caller removes the target first; otherwise new work can start meanwhile.
+// or with the error of ctx. A target that is not warm has no room before it is idle: the new holder's limit grows with fewer
+// completions than what the target bears, so the sum could exceed it later. The caller removes the target first; otherwise
+// new work can start meanwhile.
 func (t *Table) WaitRoom(ctx context.Context, id string) error {
-	return t.waitInFlight(ctx, id, func(g *target) int { return max(0, g.limit-g.spec.Limits.Cold) })
+	return t.waitInFlight(ctx, id, func(g *target) int {
+		if !g.warm {
+			return 0
+		}
+		return max(0, g.limit-g.spec.Limits.Cold)
+	})
 }
 
 // WaitIdle returns when no request is in flight at the target, or with the error of ctx. The caller sets Draining or
