Look for a lapsed lease at the moment when it lapses

Cause: a lease is proved to have lapsed by a renewal sent after term and margin.

Change: the next cycle is due when the next lease of a silent node lapses, if that is before the regular one. Live nodes cause no extra call.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -203,12 +203,29 @@
 		if by := m.replacedBy(); by != "" {
 			return fmt.Errorf("%w: %s", ErrReplaced, by)
 		}
-		if err := m.pause(ctx, m.opts.Renew-m.clk.Now().Sub(started)); err != nil {
+		if err := m.pause(ctx, m.untilCycle(started)); err != nil {
 			return err
 		}
 	}
 }
 
+// untilCycle returns the time until the next cycle: a renew interval after the start of the last one, or when the next
+// lease of a silent node lapses. Only a renewal sent after the lapse proves it, so a regular cycle would find it up to a
+// renew interval later.
+func (m *Membership) untilCycle(started clock.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clk.Now()
+	wait := m.opts.Renew - now.Sub(started)
+	for name, r := range m.listed {
+		lapse := max(r.changedAt, m.provedSince).Add(m.termOf(r) + m.opts.Margin)
+		if name != m.opts.Self.GetName() && lapse > now {
+			wait = min(wait, lapse.Sub(now))
+		}
+	}
+	return wait
+}
+
 // pause waits for the next renewal or for a change of state.
 func (m *Membership) pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
