Let a group warm up whose other members stay cold

A group of several VMs never got more than its cold limit. Any member that reports cold held it there, and only rank 0 completes requests, so the reports of the other ranks never change. With 48 callers, 4 groups of 2 VMs and limits 2 to 8, rank 0 had 2 requests in flight at most and served 26 requests/s although it reported warm from the 27th on.

Ruled out: the load (42 requests queued) and the stand-in (rank 0 bears 8).

Now only cold reports of the member that requests are sent to hold the limit. A change of any other member from warm to cold still resets the group. TestColdMemberWithoutRequests fails without the change (limit 1, want 4); the other tests of the package pass unchanged.

--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -178,7 +178,7 @@
 	switch {
 	case m.report.Incarnation != "" && m.report.Incarnation != report.Incarnation:
 		t.resetLocked(g, "incarnation")
-	case report.Cold:
+	case report.Cold && (m.Address == g.spec.Address || !m.report.Cold):
 		t.resetLocked(g, "cold_report")
 	case m.reported && sent-m.sentAt >= t.opt.Freshness: // Probes are missing, for example because this node was paused.
 		t.resetLocked(g, "missed_probe")
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -307,8 +307,10 @@
 	g.warm = g.limit == g.spec.Limits.Full
 }
 
+// reportsCold tells whether the member that requests are sent to says that it is cold. The others complete no requests, so
+// they may report cold for as long as they run; only a change to cold counts for them.
 func (g *target) reportsCold() bool {
-	return slices.ContainsFunc(g.members, func(m *member) bool { return m.report.Cold })
+	return slices.ContainsFunc(g.members, func(m *member) bool { return m.Address == g.spec.Address && m.report.Cold })
 }
 
 // ofLocked returns the targets of a destination, sorted by ID.
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -177,6 +177,19 @@
 	qt.Assert(t, w.limit("t1"), qt.Equals, 4)
 }
 
+// Guards against a group that never warms up because a member that gets no requests stays cold.
+func TestColdMemberWithoutRequests(t *testing.T) {
+	cold := ready
+	cold.Cold = true
+	w := newWorld(t, nil, pool("t1", 1, 4))
+	w.report("t1", 0, ready, 0, nil)
+	for range 3 {
+		w.report("t1", 1, cold, 0, nil)
+		w.complete(2)
+	}
+	qt.Assert(t, w.limit("t1"), qt.Equals, 4)
+}
+
 // Guards against a warm limit for a target that may have restarted, and against forgetting what is in flight there.
 func TestResetToCold(t *testing.T) {
 	cold, restarted := ready, ready
