Test that cold targets get no more than they bear

Engines and services bear 2 requests in flight when cold and 8 when warm, under a load that keeps every slot taken; each fault waits until every target had 8 in flight. Faults: a restart of one engine and one service, of all targets of a failure domain at once, the same with the node killed that holds them, all targets turned cold between two loads, and one target turned cold under load. The stand-ins' records decide: no overload, and never more in flight than borne.

AfterRestart doesn't depend on resetLocked for groups, because a group with a new number is a new entry of the table.

The load gives every service call its own path: with one path for all, the crash table refused the request for 10 min after its target was lost twice, and the test measured an idle service.

--- /dev/null
+++ b/test/groups/cold_test.go
@@ -0,0 +1,222 @@
+package groups
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/standin/engine"
+	"cassiadeal.example/cassiadeal/internal/standin/service"
+	"cassiadeal.example/cassiadeal/test/cluster"
+	"cassiadeal.example/cassiadeal/test/harness"
+)
+
+// coldOptions describes engines and services that bear two requests in flight when cold, and eight when warm.
+func coldOptions() cluster.Options {
+	o := cluster.Defaults()
+	o.EngineArgs = append(o.EngineArgs, "--bears-cold=2", "--slots-warm=8")
+	o.ServiceArgs = []string{"--bears-cold=2", "--bears-warm=8"}
+	o.ColdLimit, o.FullLimit = 2, 8
+	return o
+}
+
+// fullLoad keeps every slot of the pool and of the service taken.
+func fullLoad(c *cluster.Cluster) (stop func()) {
+	for _, s := range c.Services {
+		s.Faults(service.Faults{DelayMS: new(int64(40))})
+	}
+	groups := generateLoad(c, 48, 30)
+	// Paths differ, because a request whose target is lost twice is refused from then on.
+	calls := c.StartLoad(24, func(d *cluster.Daemon, n int64) cluster.Answer {
+		return c.Send(d, http.MethodGet, fmt.Sprintf("/v1/services/bookings/stock/%d", n), "", "")
+	})
+	return func() {
+		groups.Stop()
+		calls.Stop()
+	}
+}
+
+// waitWarm waits until every group and service instance has its full limit in flight by its own record.
+func waitWarm(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	c.WaitServing(c.Options.Replicas)
+	full := c.Options.FullLimit
+	harness.Eventually(t, repairLimit, func() error {
+		records := c.Records()
+		for _, plan := range current(c) {
+			for vm, a := range plan.Assignments {
+				if a.Rank != 0 || plan.Groups[a.Group].State != schema.GroupState_GROUP_STATE_READY {
+					continue
+				}
+				isFull := func(g engine.GenerateRecord) bool {
+					return g.InFlight >= full && g.Bears >= full && g.TimeUnixMS > nowMS()-1000 &&
+						g.Group == a.Group && g.Number == plan.Groups[a.Group].Number
+				}
+				if !slices.ContainsFunc(records[vm].Generates, isFull) {
+					return errNotFull(vm)
+				}
+			}
+		}
+		for i, s := range c.Services {
+			isFull := func(e service.Execution) bool {
+				return e.InFlight >= full && e.Bears >= full && e.TimeUnixMS > nowMS()-1000
+			}
+			if !slices.ContainsFunc(s.Record().Executions, isFull) {
+				return errNotFull(c.ServiceProxy[i].Addr())
+			}
+		}
+		return nil
+	})
+}
+
+type errNotFull string
+
+func (e errNotFull) Error() string {
+	return string(e) + " did not have its full limit in flight within the last second"
+}
+
+// checkCold checks that no target ever had more requests in flight than it bore, and that none fell over.
+func checkCold(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	peak, cold, warm, wrong := 0, 0, 0, 0
+	complain := func(format string, args ...any) {
+		if wrong++; wrong <= maxPrinted {
+			t.Errorf(format, args...)
+		}
+	}
+	for vm, record := range c.Records() {
+		for _, o := range record.Overloads {
+			complain("%s fell over at %d: %d in flight, it bears %d", vm, o.TimeUnixMS, o.InFlight, o.Bears)
+		}
+		for _, g := range record.Generates {
+			if g.Bears == 0 || g.Bears >= c.Options.FullLimit { // Refused, or warm.
+				warm = max(warm, g.InFlight)
+				continue
+			}
+			cold, peak = cold+1, max(peak, g.InFlight)
+			if g.InFlight > g.Bears {
+				complain("%s had %d in flight at %d and bears %d", vm, g.InFlight, g.TimeUnixMS, g.Bears)
+			}
+		}
+	}
+	for i, s := range c.Services {
+		record := s.Record()
+		for _, o := range record.Overloads {
+			complain("service %d fell over at %d: %d in flight, it bears %d", i, o.TimeUnixMS, o.InFlight, o.Bears)
+		}
+		for _, e := range record.Executions {
+			if e.Bears < c.Options.FullLimit {
+				cold, peak = cold+1, max(peak, e.InFlight)
+			} else {
+				warm = max(warm, e.InFlight)
+			}
+		}
+	}
+	if wrong > maxPrinted {
+		t.Errorf("%d violations in all", wrong)
+	}
+	if cold == 0 {
+		t.Error("no target was cold under load")
+	}
+	if warm < c.Options.FullLimit {
+		t.Errorf("the load took at most %d of %d slots of a warm target", warm, c.Options.FullLimit)
+	}
+	t.Logf("%d requests reached cold targets; highest in flight there %d, at warm ones %d", cold, peak, warm)
+}
+
+// inDomain returns the VMs of a failure domain.
+func inDomain(c *cluster.Cluster, domain string) (names []string) {
+	for name, vm := range c.VMs {
+		if vm.FailureDomain == domain {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// restartDomain restarts all engines and services of a failure domain at once.
+func restartDomain(c *cluster.Cluster, domain string) {
+	var wg sync.WaitGroup
+	for _, vm := range inDomain(c, domain) {
+		wg.Go(func() { c.VMFaults(vm, engine.Faults{Restart: true}) })
+	}
+	for i, s := range c.Services {
+		if c.Options.Domains[i%len(c.Options.Domains)] == domain {
+			wg.Go(func() { s.Faults(service.Faults{Restart: true}) })
+		}
+	}
+	wg.Wait()
+}
+
+// Guards against more work for a target that has just started than its cold limit.
+func TestInvariantColdLimitAfterRestart(t *testing.T) {
+	parallel(t)
+	c := cluster.Start(t, coldOptions())
+	stop := fullLoad(c)
+	defer checkCold(t, c) // Also if a target that falls over again and again never becomes warm.
+	defer stop()
+	waitWarm(t, c)
+	_, vms := servingGroup(t, c, "fabric-fd-a")
+	c.VMFaults(vms[0], engine.Faults{Restart: true})
+	c.Services[0].Faults(service.Faults{Restart: true})
+	waitWarm(t, c)
+	restartDomain(c, "fd-b")
+	waitWarm(t, c)
+	// Node 0 is one of the two nodes of the domain that hold its targets.
+	var wg sync.WaitGroup
+	wg.Go(func() { restartDomain(c, "fd-a") })
+	wg.Go(c.Nodes[0].Kill)
+	wg.Wait()
+	c.Launch(c.Nodes[0])
+	c.WaitMembers()
+	waitWarm(t, c)
+}
+
+func turnAllCold(c *cluster.Cluster) {
+	for name := range c.VMs {
+		c.VMFaults(name, engine.Faults{TurnCold: true})
+	}
+	for _, s := range c.Services {
+		s.Faults(service.Faults{TurnCold: true})
+	}
+}
+
+// Guards against more work than the cold limit for a target that has reported that it turned cold without a restart.
+func TestInvariantColdLimitAfterColdReport(t *testing.T) {
+	parallel(t)
+	c := cluster.Start(t, coldOptions())
+	stop := fullLoad(c)
+	waitWarm(t, c)
+	stop()
+	turnAllCold(c)
+	reported := nowMS() + freshness.Milliseconds() // Each target has been probed by then, or gets no work.
+	harness.Eventually(t, repairLimit, func() error {
+		if left := reported - nowMS(); left > 0 {
+			return fmt.Errorf("%d ms are left until every target has reported", left)
+		}
+		return nil
+	})
+	stop = fullLoad(c)
+	defer checkCold(t, c)
+	defer stop()
+	waitWarm(t, c)
+}
+
+// Guards against more work than the cold limit for a target that turns cold without a restart under full load. Requests in
+// flight at that moment don't count; those that arrive before the next report can reach the holder do.
+func TestInvariantTurnedColdUnderLoad(t *testing.T) {
+	parallel(t)
+	c := cluster.Start(t, coldOptions())
+	stop := fullLoad(c)
+	waitWarm(t, c)
+	_, vms := servingGroup(t, c, "fabric-fd-a")
+	defer checkCold(t, c)
+	defer stop()
+	t.Logf("turned cold from %d on", nowMS())
+	c.VMFaults(vms[0], engine.Faults{TurnCold: true})
+	c.Services[0].Faults(service.Faults{TurnCold: true})
+	waitWarm(t, c)
+}
--- a/test/groups/judge_test.go
+++ b/test/groups/judge_test.go
@@ -18,6 +18,7 @@
 	// dispatchTime is allowed between the check before a dispatch and the receipt at the engine behind its proxy.
 	dispatchTime = 250 * time.Millisecond
 	absentBound  = freshness + dispatchTime
+	maxPrinted   = 10               // Violations printed one by one.
 	repairLimit  = 30 * time.Second // Covers a repair on a busy machine; no promise of the system.
 )
 
@@ -112,7 +113,7 @@
 	records, ready := c.Records(), readyGroups(t, c.Plans())
 	bound, wrong, total := absentBound.Milliseconds(), 0, 0
 	complain := func(format string, args ...any) {
-		if wrong++; wrong <= 10 {
+		if wrong++; wrong <= maxPrinted {
 			t.Errorf(format, args...)
 		}
 	}
@@ -141,7 +142,7 @@
 			}
 		}
 	}
-	if wrong > 10 {
+	if wrong > maxPrinted {
 		t.Errorf("%d violations in all", wrong)
 	}
 	t.Logf("%d generates; the latest came %d ms after a member was gone (bound %d ms)", total, worst, bound)
