Serve with a leaving VM's group until its replacement is ready

A group took no more work 8 ms after the VM list showed that a member leaves, and its replacement became ready 676 ms later, so it was break before make. The holder drained every group with a leaving member at once.

Now the holder drains it when the controller retires it, which follows the replacement, or 3 s after the list may first have shown it, whichever comes first. 2 s of the promised 5 s are left for reading the list and one dispatch. A node counts from its last successful read if reads failed since, and drains at once if its first list shows the VM as leaving.

TestInvariantLeavingVM, before and after: the group's last generate came 8 ms and 734 ms after the list showed it; without a fitting spare group 2913 ms after. No request was refused in either run.

Open: a watch whose connection is silent is noticed after its wait of 20 s only, and the list is late at that node.

--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,13 +17,19 @@
 	reconcileInterval = 50 * time.Millisecond
 	vmWatchWait       = 20 * time.Second
 	vmRetryInterval   = 500 * time.Millisecond
+	// leavingGrace is how long the group of a leaving VM keeps taking work while its replacement is built. The rest of the
+	// 5 s after which a leaving target takes no new work covers the reading of the list and one dispatch.
+	leavingGrace = 3 * time.Second
 )
 
 // vmList is the last VM list that was read.
 type vmList struct {
-	mu    sync.Mutex
-	vms   []*schema.VM
-	known bool
+	mu      sync.Mutex
+	vms     []*schema.VM
+	known   bool
+	readAt  time.Duration            // Last successful read.
+	failed  bool                     // A read has failed since.
+	leaving map[string]time.Duration // By VM: the earliest time at which the list may have shown that it leaves.
 }
 
 func (v *vmList) get() []*schema.VM {
@@ -38,10 +45,46 @@
 	return v.vms, v.known
 }
 
-func (v *vmList) set(vms []*schema.VM) {
+// set takes in an answer of the platform; vms is nil if the list has not changed.
+func (v *vmList) set(vms []*schema.VM, now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.vms, v.known = vms, true
+	since := now
+	if v.failed {
+		since = v.readAt
+	}
+	v.readAt, v.failed = now, false
+	if vms == nil {
+		return
+	}
+	if !v.known {
+		since = now - leavingGrace // The list may have shown it long before this node started.
+	}
+	leaving := map[string]time.Duration{}
+	for _, vm := range vms {
+		if vm.State != schema.VMState_VM_STATE_LEAVING {
+			continue
+		}
+		leaving[vm.Name] = since
+		if earlier, ok := v.leaving[vm.Name]; ok {
+			leaving[vm.Name] = earlier
+		}
+	}
+	v.vms, v.known, v.leaving = vms, true, leaving
+}
+
+func (v *vmList) setFailed() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failed = true
+}
+
+// graceOver tells whether a leaving VM's group takes no new work any more, whether or not a replacement is ready.
+func (v *vmList) graceOver(vm string, now time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	since, leaving := v.leaving[vm]
+	return leaving && now-since >= leavingGrace
 }
 
 // address returns the engine address of a VM.
@@ -76,13 +119,12 @@
 		vms, version, err := n.platform.WatchVMs(ctx, since, vmWatchWait)
 		if err != nil {
 			n.log.WithError(err).Debug("VM list could not be read")
+			n.vms.setFailed()
 			sleepFor(ctx, vmRetryInterval)
 			continue
 		}
 		since = version
-		if vms != nil {
-			n.vms.set(vms)
-		}
+		n.vms.set(vms, n.now())
 	}
 }
 
@@ -144,6 +186,7 @@
 	var specs []target.Spec
 	for _, g := range n.groups.Groups() {
 		if spec, ok := groupSpec(current, g); ok {
+			spec.Draining = spec.Draining || n.leavesNow(g)
 			specs = append(specs, spec)
 		}
 	}
@@ -171,11 +214,17 @@
 	}
 	for _, m := range g.Members {
 		spec.Members = append(spec.Members, target.Member{VM: m.VM, Address: m.Address, Incarnation: m.Incarnation})
-		spec.Draining = spec.Draining || m.Leaving
 	}
 	return spec, true
 }
 
+// leavesNow tells whether a group has to stop because of a leaving member. Until then it serves while its replacement is
+// built; the controller retires it when that is ready.
+func (n *Node) leavesNow(g groups.View) bool {
+	now := n.now()
+	return slices.ContainsFunc(g.Members, func(m groups.Member) bool { return n.vms.graceOver(m.VM, now) })
+}
+
 // onRules applies new rules to the parts that are not reconciled.
 func (n *Node) onRules(r *rules.Rules, revision uint64) {
 	n.admission.SetAccounts(r.Accounts)
