Test that leaving VMs get no new work and are replaced first

Under load with long answers, a member leaves by a VM list that lags 1 s: once where a spare group fits, once where none does. By the engines' records the group gets nothing more than 5 s after the list shows it, all that it got ends as done, and where a spare group fits the platform accepts its plan as ready before the old group's last generate. Every answer is compared with the text that it has to be.

--- a/test/cluster/groups.go
+++ b/test/cluster/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -112,6 +113,9 @@
 	return plans
 }
 
+// Share counts the requests that ended in a second.
+type Share struct{ Served, Failed int }
+
 // Load calls a function from concurrent workers until it is stopped.
 type Load struct {
 	stop    chan struct{}
@@ -120,7 +124,7 @@
 	Failed  atomic.Int64
 
 	mu      sync.Mutex
-	seconds map[int64]int // Answers with status 200 by Unix second.
+	seconds map[int64]Share // By Unix second.
 }
 
 // refusedPause keeps a worker whose request was refused from using up the machine.
@@ -128,7 +132,7 @@
 
 // StartLoad starts the workers, which spread their requests over the nodes. The end of the test stops them.
 func (c *Cluster) StartLoad(workers int, request func(d *Daemon, n int64) Answer) *Load {
-	l := &Load{stop: make(chan struct{}), seconds: map[int64]int{}}
+	l := &Load{stop: make(chan struct{}), seconds: map[int64]Share{}}
 	var next atomic.Int64
 	for range workers {
 		l.workers.Go(func() {
@@ -139,14 +143,10 @@
 				default:
 				}
 				n := next.Add(1)
-				if a := request(c.Nodes[n%int64(len(c.Nodes))], n); a.Status == http.StatusOK && a.Err == nil {
-					l.Served.Add(1)
-					l.mu.Lock()
-					l.seconds[time.Now().Unix()]++
-					l.mu.Unlock()
+				a := request(c.Nodes[n%int64(len(c.Nodes))], n)
+				if l.count(a.Status == http.StatusOK && a.Err == nil) {
 					continue
 				}
-				l.Failed.Add(1)
 				select {
 				case <-l.stop:
 					return
@@ -171,13 +171,35 @@
 	l.workers.Wait()
 }
 
-// PerSecond returns the answers with status 200 by Unix second.
-func (l *Load) PerSecond() map[int64]int {
+func (l *Load) count(served bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	second := time.Now().Unix()
+	share := l.seconds[second]
+	if served {
+		l.Served.Add(1)
+		share.Served++
+	} else {
+		l.Failed.Add(1)
+		share.Failed++
+	}
+	l.seconds[second] = share
+	return served
+}
+
+// PerSecond returns what ended by Unix second.
+func (l *Load) PerSecond() map[int64]Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	seconds := make(map[int64]int, len(l.seconds))
-	for s, n := range l.seconds {
-		seconds[s] = n
+	return maps.Clone(l.seconds)
+}
+
+// SetVMsLate writes the VM list, which callers see after the lag. It returns when they do, in Unix ms.
+func (c *Cluster) SetVMsLate(lag time.Duration) (shownUnixMS int64) {
+	var list []*schema.VM
+	for _, vm := range c.VMs {
+		list = append(list, vm)
 	}
-	return seconds
+	c.Platform.SetVMs(lag, list...)
+	return time.Now().Add(lag).UnixMilli()
 }
