--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -15,8 +15,9 @@
 
 const (
 	reconcileInterval = 100 * time.Millisecond
-	vmWatchWait       = 20 * time.Second
-	vmRetryInterval   = 500 * time.Millisecond
+	// vmWatchWait bounds how late the list is when the watch's connection went silent.
+	vmWatchWait     = time.Second
+	vmRetryInterval = 500 * time.Millisecond
 	// leavingGrace is how long the group of a leaving VM keeps taking work while its replacement is built. The rest of the
 	// 5 s after which a leaving target takes no new work covers the reading of the list and one dispatch.
 	leavingGrace = 3 * time.Second
@@ -184,7 +185,7 @@
 
 // allSpecs lists the targets of all nodes.
 func (n *Node) allSpecs(current *rules.Rules) []target.Spec {
-	specs := specsOf(current, n.groups.Groups())
+	specs := n.plannedSpecs(current)
 	for i := range specs {
 		s := &specs[i]
 		if !current.FailureDomains[s.FailureDomain].Out {
@@ -197,9 +198,10 @@
 	return specs
 }
 
-func specsOf(current *rules.Rules, all []groups.View) []target.Spec {
+// plannedSpecs lists the targets without regard to failure domains that are out.
+func (n *Node) plannedSpecs(current *rules.Rules) []target.Spec {
 	var specs []target.Spec
-	for _, g := range all {
+	for _, g := range n.groups.Groups() {
 		if spec, ok := groupSpec(current, g); ok {
 			spec.Draining = spec.Draining || n.leavesNow(g)
 			specs = append(specs, spec)
--- a/test/cluster/groups.go
+++ b/test/cluster/groups.go
@@ -116,8 +116,8 @@
 // Share counts the requests that ended in a second.
 type Share struct{ Served, Failed int }
 
-// Load calls a function from concurrent workers until it is stopped.
-type Load struct {
+// Workers calls a function from concurrent workers until it is stopped.
+type Workers struct {
 	stop    chan struct{}
 	workers sync.WaitGroup
 	Served  atomic.Int64
@@ -130,9 +130,9 @@
 // refusedPause keeps a worker whose request was refused from using up the machine.
 const refusedPause = 10 * time.Millisecond
 
-// StartLoad starts the workers, which spread their requests over the nodes. The end of the test stops them.
-func (c *Cluster) StartLoad(workers int, request func(d *Daemon, n int64) Answer) *Load {
-	l := &Load{stop: make(chan struct{}), seconds: map[int64]Share{}}
+// StartWorkers starts the workers, which spread their requests over the nodes. The end of the test stops them.
+func (c *Cluster) StartWorkers(workers int, request func(d *Daemon, n int64) Answer) *Workers {
+	l := &Workers{stop: make(chan struct{}), seconds: map[int64]Share{}}
 	var next atomic.Int64
 	for range workers {
 		l.workers.Go(func() {
@@ -160,7 +160,7 @@
 }
 
 // Stop ends the load after the requests under way.
-func (l *Load) Stop() {
+func (l *Workers) Stop() {
 	l.mu.Lock()
 	select {
 	case <-l.stop:
@@ -171,7 +171,7 @@
 	l.workers.Wait()
 }
 
-func (l *Load) count(served bool) bool {
+func (l *Workers) count(served bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	second := time.Now().Unix()
@@ -188,7 +188,7 @@
 }
 
 // PerSecond returns what ended by Unix second.
-func (l *Load) PerSecond() map[int64]Share {
+func (l *Workers) PerSecond() map[int64]Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return maps.Clone(l.seconds)
--- a/test/groups/cold_test.go
+++ b/test/groups/cold_test.go
@@ -30,7 +30,7 @@
 	}
 	groups := generateLoad(c, 48, 30)
 	// Paths differ, because a request whose target is lost twice is refused from then on.
-	calls := c.StartLoad(24, func(d *cluster.Daemon, n int64) cluster.Answer {
+	calls := c.StartWorkers(24, func(d *cluster.Daemon, n int64) cluster.Answer {
 		return c.Send(d, http.MethodGet, fmt.Sprintf("/v1/services/bookings/stock/%d", n), "", "")
 	})
 	return func() {
--- a/test/groups/judge_test.go
+++ b/test/groups/judge_test.go
@@ -197,8 +197,8 @@
 	})
 }
 
-func generateLoad(c *cluster.Cluster, workers, tokens int) *cluster.Load {
-	return c.StartLoad(workers, func(d *cluster.Daemon, n int64) cluster.Answer {
+func generateLoad(c *cluster.Cluster, workers, tokens int) *cluster.Workers {
+	return c.StartWorkers(workers, func(d *cluster.Daemon, n int64) cluster.Answer {
 		return c.Generate(d, fmt.Sprintf("prompt %d", n), tokens)
 	})
 }
--- a/test/groups/leaving_test.go
+++ b/test/groups/leaving_test.go
@@ -20,8 +20,8 @@
 )
 
 // wholeAnswers is a load with some long answers, each of which has to be whole.
-func wholeAnswers(t *testing.T, c *cluster.Cluster) *cluster.Load {
-	return c.StartLoad(8, func(d *cluster.Daemon, n int64) cluster.Answer {
+func wholeAnswers(t *testing.T, c *cluster.Cluster) *cluster.Workers {
+	return c.StartWorkers(8, func(d *cluster.Daemon, n int64) cluster.Answer {
 		prompt, tokens := fmt.Sprintf("prompt %d", n), 10
 		if n%50 == 0 {
 			tokens = longAnswer
