Give each listener of a test node a port of its own

Cause: a test cluster closes a free port before it asks for the next one, so two listeners of a node could get the same: "[listen] caller and peer are both 127.0.107.3:36293", and the cluster's start timed out after 40 s (once in about 60 starts). Addresses that were handed out are now remembered, as in harness.FreeAddr. The failure is rare, so that its absence is not shown by a run.

--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -176,13 +177,21 @@
 	d.Process = harness.Start(c.T, "cassiadeald", "--config", d.Settings)
 }
 
+// handedOut holds the addresses that freeAddr returned. The kernel may give the same port again before it is used.
+var handedOut sync.Map
+
 func (c *Cluster) freeAddr(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		c.T.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			c.T.Fatal(err)
+		}
+		addr := l.Addr().String()
+		_ = l.Close() // Nothing was accepted.
+		if _, taken := handedOut.LoadOrStore(addr, true); !taken {
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // Rules returns the rules file. out names the failure domains that are out.
