--- a/internal/claims/measure_test.go
+++ b/internal/claims/measure_test.go
@@ -20,6 +20,7 @@
 	"github.com/google/uuid"
 
 	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/schema"
 	standin "cassiadeal.example/cassiadeal/internal/standin/platform"
 )
 
