Send peer ages in heartbeats only where they confirm silence

Cause: every heartbeat listed the age of every peer, 22.5 bytes per node and exchange, of which only ages of at least a lease term and the margin are ever read. By the measured slope that is what makes heartbeats grow with the square of the number of nodes. Ruled out: leaving them out of requests only; the answer is as large. Conclusion: a missing age means 'heard since, or unknown', which confirms nothing, as before.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -277,8 +277,10 @@
 	if m.lease.Term > 0 {
 		s.PlatformAgeMs = now.Sub(m.lease.Start).Milliseconds()
 	}
+	// Only ages that confirm silence are ever read. Leaving out the others keeps a heartbeat small while all is well.
+	limit := m.opts.Term + m.opts.Margin
 	for name := range m.listed {
-		if age, known := m.silentFor(name, now); known && name != s.Name {
+		if age, known := m.silentFor(name, now); known && age >= limit && name != s.Name {
 			s.Peers = append(s.Peers, &schema.PeerAge{Name: name, AgeMs: age.Milliseconds()})
 		}
 	}
