Split the holder table and the group controller into files by job

Conclusion: tables.go reads and writes tables, handover.go gives targets away; follow.go reads plans, send.go sends orders.

--- /dev/null
+++ b/internal/groups/follow.go
@@ -0,0 +1,136 @@
+package groups
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+func (c *Controllers) follow(ctx context.Context) {
+	since := uint64(0)
+	for ctx.Err() == nil {
+		var err error
+		if since == 0 {
+			since, err = c.reread(ctx)
+		} else {
+			since, err = c.watch(ctx, since)
+		}
+		if err == nil {
+			continue
+		}
+		since = 0
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.o.Interval + rand.N(c.o.Interval)):
+		}
+	}
+}
+
+func (c *Controllers) reread(ctx context.Context) (uint64, error) {
+	objects, v, err := c.o.Platform.List(ctx, Kind)
+	if err != nil {
+		return 0, eris.Wrapf(err, "list %s", Kind)
+	}
+	for _, o := range objects {
+		if err := c.adopt(o); err != nil {
+			return 0, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = true
+	return v, nil
+}
+
+func (c *Controllers) watch(ctx context.Context, since uint64) (uint64, error) {
+	events, v, err := c.o.Platform.Watch(ctx, Kind, since, watchWait)
+	if err != nil {
+		return 0, eris.Wrapf(err, "watch %s since %d", Kind, since)
+	}
+	for _, e := range events {
+		if e.Deleted {
+			c.forget(e.Object)
+		} else if err := c.adopt(e.Object); err != nil {
+			return 0, err
+		}
+	}
+	return max(v, since), nil
+}
+
+func decode(o Object) (*schema.FabricDomain, error) {
+	d := &schema.FabricDomain{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(o.Data, d); err != nil {
+		return nil, eris.Wrapf(err, "plan of fabric domain %q version %d", o.Name, o.Version)
+	}
+	return d, nil
+}
+
+// adopt takes over a plan unless a later version is known.
+func (c *Controllers) adopt(o Object) error {
+	d, err := decode(o)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	if o.Version <= c.domains[o.Name].version {
+		c.mu.Unlock()
+		return nil
+	}
+	c.domains[o.Name] = domain{o.Version, d}
+	changed := slices.Clone(c.onChange)
+	c.mu.Unlock()
+	for _, f := range changed {
+		f()
+	}
+	return nil
+}
+
+func (c *Controllers) forget(o Object) {
+	c.mu.Lock()
+	delete(c.domains, o.Name)
+	changed := slices.Clone(c.onChange)
+	c.mu.Unlock()
+	for _, f := range changed {
+		f()
+	}
+}
+
+// Groups returns all groups of all fabric domains, ordered by ID.
+func (c *Controllers) Groups() []View {
+	list, _ := c.o.VMs()
+	vms := make(map[string]VM, len(list))
+	for _, vm := range list {
+		vms[vm.Name] = vm
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var views []View
+	for name, d := range c.domains {
+		for _, g := range d.plan.Groups {
+			v := View{
+				ID: g.Id, Pool: g.Pool, Model: g.Model, Number: g.Number, Size: int(g.Size), State: g.State,
+				FailureDomain: d.plan.FailureDomain, FabricDomain: name,
+			}
+			for _, vm := range members(d.plan, g) {
+				v.Members = append(v.Members, Member{
+					VM: vm, Address: vms[vm].Address, Incarnation: d.plan.Assignments[vm].GetIncarnation(),
+					Leaving: vms[vm].Leaving,
+				})
+			}
+			views = append(views, v)
+		}
+	}
+	slices.SortFunc(views, func(a, b View) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return views
+}
