--- /dev/null
+++ b/test/measure/latency_test.go
@@ -0,0 +1,45 @@
+//go:build measure
+
+package measure
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiadeal.example/cassiadeal/test/cluster"
+	"cassiadeal.example/cassiadeal/test/harness"
+)
+
+// TestLatencyThroughTheSystem sends the same kind of request through the nodes and straight to one engine in one run, so that
+// the system's own share of the latency is seen.
+func TestLatencyThroughTheSystem(t *testing.T) {
+	o := cluster.Defaults()
+	o.Services = 0
+	o.EngineArgs = []string{"--token-delay=20ms", "--load-time=200ms", "--prefill-per-token=1ms"}
+	c := cluster.Start(t, o)
+	var engineAddress string
+	for vm, record := range c.Engines["fd-a"].Record() {
+		if last := record.States[len(record.States)-1]; last.Ready && last.Rank == 0 {
+			engineAddress = c.Engines["fd-a"].VMs[vm]
+		}
+	}
+	var callers []string
+	for _, d := range c.Nodes {
+		callers = append(callers, d.Caller)
+	}
+	common := "kind = generate\nprompt_words = 80-120\nmax_tokens = 30\nstream = yes\ntimeout = 10s\n"
+	experiment := fmt.Sprintf("[experiment]\nseed = 3\nduration = 20s\nwarm_up = 5s\n[entry]\naddresses = %s\n[traffic system]\nrate = 8\npool = drafts\n"+
+		"token = %s\nmodel = %s\n%s[traffic direct]\nmode = direct\nengine = %s\nrate = 2\n%s", strings.Join(callers, ","), cluster.Token, cluster.Model,
+		common, engineAddress, common)
+	file := filepath.Join(c.Dir, "load.ini")
+	if err := os.WriteFile(file, []byte(experiment), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := harness.Start(t, "cassiadeal", "load", file)
+	p.WaitExit(60 * time.Second)
+	t.Log(p.Output())
+}
