--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
@@ -59,9 +52,9 @@
 	Now   func() time.Duration
 	Log   logrus.FieldLogger
 	Meter metric.Meter
-	// BeforeRelease waits until the work in flight at a target is done or its time limit has passed. The target is no
-	// longer held while it runs.
-	BeforeRelease func(ctx context.Context, target string)
+	// BeforeRelease waits until the work in flight at a target leaves room for that of a new holder, and returns false if
+	// its time limit passes first. The target is no longer held while it runs.
+	BeforeRelease func(ctx context.Context, target string) bool
 }
 
 // Held is the state of a target that this node holds.
@@ -186,141 +179,6 @@
 	}
 }
 
-// follow keeps the tables current by one watch.
-func (h *Holders) follow(ctx context.Context) {
-	since := uint64(0)
-	for ctx.Err() == nil {
-		err := h.followOnce(ctx, &since)
-		if err == nil {
-			continue
-		}
-		since = 0
-		select {
-		case <-ctx.Done():
-		case <-time.After(h.o.Interval + rand.N(h.o.Interval)):
-		}
-	}
-}
-
-func (h *Holders) followOnce(ctx context.Context, since *uint64) error {
-	if *since == 0 {
-		if err := h.Reread(ctx); err != nil {
-			return err
-		}
-		h.mu.Lock()
-		*since = h.readVer
-		h.mu.Unlock()
-	}
-	events, v, err := h.o.Platform.Watch(ctx, Kind, *since, watchWait)
-	if err != nil {
-		return eris.Wrapf(err, "watch %s since %d", Kind, *since)
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, e := range events {
-		if e.Deleted {
-			h.applyLocked(e.Object.Name, table{version: e.Object.Version})
-		} else if err := h.applyObjectLocked(e.Object); err != nil {
-			return err
-		}
-	}
-	*since = max(v, *since)
-	return nil
-}
-
-// Reread reads all tables and drops what this node has lost. It fails on a read that is older than an earlier one.
-func (h *Holders) Reread(ctx context.Context) error {
-	// Only versions known before the read prove it stale: a write of this node may finish while it is under way.
-	known := h.knownVersion()
-	objects, v, err := h.o.Platform.List(ctx, Kind)
-	if err != nil {
-		return eris.Wrapf(err, "list %s", Kind)
-	}
-	if v < known {
-		return eris.Errorf("list of %s is stale: version %d after %d", Kind, v, known)
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, o := range objects {
-		if err := h.applyObjectLocked(o); err != nil {
-			return err
-		}
-	}
-	h.readVer, h.stale, h.rightAt = max(v, h.readVer), false, h.o.Now()
-	return nil
-}
-
-func (h *Holders) knownVersion() uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	v := h.readVer
-	for _, t := range h.tables {
-		v = max(v, t.version)
-	}
-	return v
-}
-
-func decode(o Object) (*schema.HolderTable, error) {
-	t := &schema.HolderTable{}
-	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(o.Data, t); err != nil {
-		return nil, eris.Wrapf(err, "holder table %q version %d", o.Name, o.Version)
-	}
-	return t, nil
-}
-
-func (h *Holders) applyObjectLocked(o Object) error {
-	t, err := decode(o)
-	if err != nil {
-		return err
-	}
-	next := table{version: o.Version, entries: make(map[string]Entry, len(t.Holders))}
-	for id, e := range t.Holders {
-		next.entries[id] = Entry{Identity{e.Node, e.Incarnation}, e.Epoch}
-	}
-	h.applyLocked(o.Name, next)
-	return nil
-}
-
-// applyLocked adopts a table unless a later version is known.
-func (h *Holders) applyLocked(domain string, next table) {
-	old := h.tables[domain]
-	if next.version <= old.version {
-		return
-	}
-	now := h.o.Now()
-	for id := range old.entries {
-		if _, ok := next.entries[id]; !ok {
-			delete(h.byTarget, id)
-			delete(h.changed, id)
-		}
-	}
-	for id, e := range next.entries {
-		if h.byTarget[id] != e {
-			h.changed[id] = now
-		}
-		h.byTarget[id] = e
-	}
-	h.tables[domain] = next
-	for id, t := range h.takeovers {
-		if t.Target.FailureDomain == domain && next.entries[id].Epoch > t.TableEpoch {
-			delete(h.takeovers, id)
-		}
-	}
-	for id, d := range h.doubts {
-		e, ok := next.entries[id]
-		if !ok {
-			continue
-		}
-		switch {
-		case e.Epoch > d.epoch || e.Epoch == d.epoch && e.Identity != h.o.Self:
-			delete(h.doubts, id) // Another node got the target first.
-		case e.Epoch == d.epoch && d.until == 0:
-			d.until = now + h.o.Term + h.o.Margin
-			h.doubts[id] = d
-		}
-	}
-}
-
 // effectiveLocked returns the current holder of a target, including takeovers that are not in the table yet.
 func (h *Holders) effectiveLocked(id string) (Entry, bool) {
 	e, ok := h.byTarget[id]
@@ -540,27 +398,6 @@
 	return now < h.cutOffUntil || now-h.changed[id] < h.o.Term+h.o.Margin
 }
 
-// settleHandovers rewrites the tables in which a handover has an unknown outcome. A conditional write that is still
-// under way cannot succeed after that, so this node may send again to what it still holds.
-func (h *Holders) settleHandovers(ctx context.Context) {
-	h.mu.Lock()
-	unsettled := maps.Clone(h.unsettled)
-	h.mu.Unlock()
-	for _, domain := range slices.Sorted(maps.Keys(unsettled)) {
-		err := h.change(ctx, domain, func(*schema.HolderTable) bool { return true })
-		if err != nil {
-			h.o.Log.WithError(err).WithField("failure_domain", domain).Warn("outcome of a handover is still unknown")
-			continue
-		}
-		h.mu.Lock()
-		delete(h.unsettled, domain)
-		for _, id := range unsettled[domain] {
-			delete(h.releasing, id)
-		}
-		h.mu.Unlock()
-	}
-}
-
 // prune removes entries of this node whose targets have not existed for forgetAfter. Entries of other nodes stay: their
 // holder may know a target that this node has not learned of.
 func (h *Holders) prune(ctx context.Context) {
@@ -671,194 +508,3 @@
 	defer h.mu.Unlock()
 	h.doubts[id] = doubt{epoch: epoch}
 }
-
-func entryOf(e *schema.Holder) Entry {
-	return Entry{Identity{e.GetNode(), e.GetIncarnation()}, e.GetEpoch()}
-}
-
-// change applies mutate to the current table of a failure domain by conditional writes. mutate returns false if there
-// is nothing to write; it is called again after a conflict.
-func (h *Holders) change(ctx context.Context, domain string, mutate func(*schema.HolderTable) bool) error {
-	h.write.Lock()
-	defer h.write.Unlock()
-	var last error
-	for attempt := range maxAttempts {
-		if attempt > 0 {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-time.After(rand.N(maxRetryJitter)):
-			}
-		}
-		done, err := h.changeOnce(ctx, domain, mutate)
-		if done {
-			return err
-		}
-		last = err
-	}
-	return eris.Wrapf(last, "holder table %q: %d attempts", domain, maxAttempts)
-}
-
-// changeOnce makes one attempt; done is false if another one is worthwhile.
-func (h *Holders) changeOnce(ctx context.Context, domain string, mutate func(*schema.HolderTable) bool) (bool, error) {
-	o, err := h.o.Platform.Get(ctx, Kind, domain)
-	missing := errors.Is(err, ErrNotFound)
-	if err != nil && !missing {
-		return true, eris.Wrapf(err, "read holder table %q", domain)
-	}
-	t := &schema.HolderTable{FailureDomain: domain}
-	if !missing {
-		if t, err = decode(o); err != nil {
-			return true, err
-		}
-		h.adopt(o)
-	}
-	if t.Holders == nil {
-		t.Holders = map[string]*schema.Holder{}
-	}
-	if !mutate(t) {
-		return true, nil
-	}
-	t.Nonce = uuid.NewString()
-	if o.Data, err = protojson.Marshal(t); err != nil {
-		return true, eris.Wrapf(err, "encode holder table %q", domain)
-	}
-	if !h.o.Members.RightToServe() {
-		return true, fmt.Errorf("holder table %q: no right to serve", domain)
-	}
-	var written Object
-	if missing {
-		written, err = h.o.Platform.Create(ctx, Kind, domain, o.Data)
-	} else {
-		o.Kind, o.Name = Kind, domain
-		written, err = h.o.Platform.Update(ctx, o)
-	}
-	if errors.Is(err, ErrOutcomeUnknown) {
-		written, err = h.settle(ctx, domain, t)
-	}
-	switch {
-	case err == nil:
-		written.Name, written.Data = domain, o.Data
-		h.adopt(written)
-		return true, nil
-	case errors.Is(err, ErrConflict):
-		return false, err
-	}
-	return true, eris.Wrapf(err, "write holder table %q", domain)
-}
-
-// settle reads a table back after a lost reply and compares the nonce.
-func (h *Holders) settle(ctx context.Context, domain string, t *schema.HolderTable) (Object, error) {
-	o, err := h.o.Platform.Get(ctx, Kind, domain)
-	if errors.Is(err, ErrNotFound) {
-		return o, ErrConflict
-	}
-	if err != nil {
-		return o, err
-	}
-	now, err := decode(o)
-	if err != nil {
-		return o, err
-	}
-	h.adopt(o)
-	if now.Nonce != t.Nonce || !proto.Equal(now, t) {
-		return o, ErrConflict
-	}
-	return o, nil
-}
-
-func (h *Holders) adopt(o Object) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err := h.applyObjectLocked(o); err != nil {
-		h.o.Log.WithError(err).Error("holder table is not readable")
-	}
-}
-
-// move stops sending to targets, waits for their work in flight and writes the new holders, one write per failure domain.
-func (h *Holders) move(ctx context.Context, moves []Move) {
-	h.mu.Lock()
-	for _, m := range moves {
-		h.releasing[m.Target.ID] = true
-	}
-	h.mu.Unlock()
-	h.waitReleased(ctx, moves)
-	byDomain := map[string][]Move{}
-	for _, m := range moves {
-		byDomain[m.Target.FailureDomain] = append(byDomain[m.Target.FailureDomain], m)
-	}
-	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		given := 0
-		err := h.change(ctx, domain, func(t *schema.HolderTable) bool {
-			given = 0
-			for _, m := range byDomain[domain] {
-				e := t.Holders[m.Target.ID]
-				if entryOf(e).Identity != h.o.Self {
-					continue
-				}
-				t.Holders[m.Target.ID] = &schema.Holder{
-					Node: m.To.Name, Incarnation: m.To.Incarnation, Epoch: e.Epoch + 1,
-				}
-				given++
-			}
-			return given > 0
-		})
-		if err != nil {
-			h.o.Log.WithError(err).WithField("failure_domain", domain).Warn("targets were not handed over")
-		} else {
-			h.count(ctx, "handover", given)
-		}
-		h.endMove(domain, byDomain[domain], err)
-	}
-}
-
-func (h *Holders) endMove(domain string, moves []Move, err error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, m := range moves {
-		if err != nil {
-			h.unsettled[domain] = append(h.unsettled[domain], m.Target.ID)
-		} else {
-			delete(h.releasing, m.Target.ID)
-		}
-	}
-}
-
-func (h *Holders) waitReleased(ctx context.Context, moves []Move) {
-	if h.o.BeforeRelease == nil {
-		return
-	}
-	var wg sync.WaitGroup
-	for _, m := range moves {
-		wg.Go(func() { h.o.BeforeRelease(ctx, m.Target.ID) })
-	}
-	wg.Wait()
-}
-
-// HandOver gives every held target to the next node in preference and takes no more. Targets for which there is no
-// other node stay in the table and lapse with the lease.
-func (h *Holders) HandOver(ctx context.Context) {
-	nodes := h.o.Members.Nodes()
-	byName := map[string]Node{}
-	for _, n := range nodes {
-		byName[n.Name] = n
-	}
-	h.mu.Lock()
-	h.draining = true
-	var moves []Move
-	for _, id := range slices.Sorted(maps.Keys(h.targets)) {
-		if s, ok := h.heldLocked(id); !ok || s.InDoubt {
-			continue // The next holder could not know of the doubt.
-		}
-		for _, name := range Prefer(h.targets[id], nodes) {
-			if name != h.o.Self.Name {
-				moves = append(moves, Move{h.targets[id], byName[name].Identity})
-				break
-			}
-		}
-	}
-	h.mu.Unlock()
-	if len(moves) > 0 {
-		h.move(ctx, moves)
-	}
-}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -203,12 +203,29 @@
 		if by := m.replacedBy(); by != "" {
 			return fmt.Errorf("%w: %s", ErrReplaced, by)
 		}
-		if err := m.pause(ctx, m.opts.Renew-m.clk.Now().Sub(started)); err != nil {
+		if err := m.pause(ctx, m.untilCycle(started)); err != nil {
 			return err
 		}
 	}
 }
 
+// untilCycle returns the time until the next cycle: a renew interval after the start of the last one, or when the next
+// lease of a silent node lapses. Only a renewal sent after the lapse proves it, so a regular cycle would find it up to a
+// renew interval later.
+func (m *Membership) untilCycle(started clock.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clk.Now()
+	wait := m.opts.Renew - now.Sub(started)
+	for name, r := range m.listed {
+		lapse := max(r.changedAt, m.provedSince).Add(m.termOf(r) + m.opts.Margin)
+		if name != m.opts.Self.GetName() && lapse > now {
+			wait = min(wait, lapse.Sub(now))
+		}
+	}
+	return wait
+}
+
 // pause waits for the next renewal or for a change of state.
 func (m *Membership) pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
@@ -260,8 +277,10 @@
 	if m.lease.Term > 0 {
 		s.PlatformAgeMs = now.Sub(m.lease.Start).Milliseconds()
 	}
+	// Only ages that confirm silence are ever read. Leaving out the others keeps a heartbeat small while all is well.
+	limit := m.opts.Term + m.opts.Margin
 	for name := range m.listed {
-		if age, known := m.silentFor(name, now); known && name != s.Name {
+		if age, known := m.silentFor(name, now); known && age >= limit && name != s.Name {
 			s.Peers = append(s.Peers, &schema.PeerAge{Name: name, AgeMs: age.Milliseconds()})
 		}
 	}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -2,19 +2,25 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
 const (
-	// handoverLimit bounds the wait for the work in flight at a target before another node becomes its holder. Work that
-	// takes longer goes on at this node.
+	// handoverLimit bounds the wait for the work in flight at a target before another node becomes its holder, for which
+	// the target gets no new work.
 	handoverLimit = 2 * time.Second
 	idlePoll      = 20 * time.Millisecond
 	leaveTimeout  = 2 * time.Second
+	// cutOffTime is how long requests have to pass on their end after the shutdown limit. It covers the cancel call to an
+	// engine (0.5 s) and the write of a claim whose outcome is unknown (2 s).
+	cutOffTime = 3 * time.Second
 )
 
 // shutdown stops the node without cutting off requests in flight. It first stops naming its address, gives its targets
@@ -23,21 +29,30 @@
 	started := time.Now()
 	n.mu.Lock()
 	n.draining = true
-	answerUntil := n.lastNamed.Add(n.settings.Timing.AddressKeep)
 	n.mu.Unlock()
+	// Other nodes name this one until they learn that it drains, or have not heard it for a term.
+	answerUntil := started.Add(n.settings.Timing.Term + n.settings.Timing.AddressKeep)
 	n.log.Info("graceful shutdown started")
 	ctx, cancel := context.WithDeadline(ctx, started.Add(n.settings.Timing.ShutdownLimit))
 	defer cancel()
 
 	n.membership.SetState(schema.NodeState_NODE_STATE_DRAINING)
-	n.groups.Release(ctx)
-	n.holders.HandOver(ctx)
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		n.groups.Release(ctx)
+		n.holders.HandOver(ctx)
+	}()
 	sleepUntil(ctx, answerUntil)
 	n.mu.Lock()
 	n.stopped = true
 	n.mu.Unlock()
 	err := caller.Shutdown(ctx)
 	n.waitIdle(ctx)
+	<-handedOver // Ends with ctx at the latest.
+	if ctx.Err() != nil {
+		n.cutOffRequests(ctx, caller)
+	}
 	leave, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancelLeave()
 	n.membership.Leave(leave)
@@ -45,6 +60,28 @@
 	return err
 }
 
+// cutOffRequests ends the requests that are still in flight at the shutdown limit and waits until their callers were told.
+func (n *Node) cutOffRequests(ctx context.Context, caller *http.Server) {
+	n.log.WithFields(logrus.Fields{"callers": n.gateway.InFlight(), "forwarded": n.running.Load()}).Warn("requests are cut off at the shutdown limit")
+	n.cutOff(result.New(result.ShutdownLimit, "this node stopped before the request ended"))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutOffTime)
+	defer cancel()
+	// Its error was returned by the first call already.
+	_ = caller.Shutdown(ctx)
+	n.waitIdle(ctx)
+}
+
+// endCutOff gives a request that was cut off at the shutdown limit its code. One that may not be repeated keeps the code
+// outcome_unknown, which says more.
+func endCutOff(ctx context.Context, req *schema.DispatchRequest, end *schema.DispatchEnd) *schema.DispatchEnd {
+	var limit *result.Error
+	if end.Code == int32(result.OK) || end.NotRun || !req.Repeatable || !errors.As(context.Cause(ctx), &limit) {
+		return end
+	}
+	end.Code, end.Message = int32(limit.Code), limit.Message
+	return end
+}
+
 func sleepUntil(ctx context.Context, t time.Time) {
 	timer := time.NewTimer(time.Until(t))
 	defer timer.Stop()
@@ -67,12 +104,11 @@
 	}
 }
 
-// beforeRelease waits for the work in flight at a target before its holder changes.
-func (n *Node) beforeRelease(ctx context.Context, id string) {
+// beforeRelease waits until a new holder of the target can send to it on top of the work in flight.
+func (n *Node) beforeRelease(ctx context.Context, id string) bool {
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
-	// The time limit is not an error: the new holder starts at the cold limit.
-	_ = n.targets.WaitIdle(ctx, id)
+	return n.targets.WaitRoom(ctx, id) == nil
 }
 
 // mayAccept tells whether this node takes new requests from callers.
