Refuse requests that waited and can't finish in time

Under overload, requests that had waited got a slot with less time left than an answer takes, ended at their deadline, and counted as no completion; limits grow with completions only, so cold targets stayed cold. Conclusion: the early refusal counts the time of the answer as well as the wait.

--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -189,13 +189,24 @@
 		wait := max(q.expectedWait(len(q.waiters), capacity), minRetryAfter)
 		return result.New(result.QueueFull, "%d requests already wait for %s", len(q.waiters)-1, q.destination).WithRetryAfter(wait)
 	}
-	if wait := q.expectedWait(ahead+1, capacity); left > 0 && wait > left {
-		return result.New(result.DeadlineUnreachable, "the expected wait for %s is %v and %v are left", q.destination,
-			wait.Round(time.Millisecond), left.Round(time.Millisecond)).WithRetryAfter(wait)
+	if wait := q.expectedWait(ahead+1, capacity); left > 0 && wait+q.serviceTime > left {
+		return q.unreachable(wait, left)
 	}
 	return nil
 }
 
+func (q *queue) unreachable(wait, left time.Duration) *result.Error {
+	return result.New(result.DeadlineUnreachable, "the expected wait for %s is %v, a request takes %v and %v are left", q.destination,
+		wait.Round(time.Millisecond), q.serviceTime.Round(time.Millisecond), left.Round(time.Millisecond)).WithRetryAfter(max(wait, minRetryAfter))
+}
+
+// tooLate tells whether a request that had to wait has less time left than requests take. Running it would occupy a slot
+// without a completion. Under overload every request would run like that: nothing would be answered, and since limits
+// grow with completions, cold targets would never warm up.
+func (q *queue) tooLate(w *waiter, now time.Duration) bool {
+	return w.want.Deadline > 0 && now > w.at && w.want.Deadline-now < q.serviceTime
+}
+
 // expectedWait is the time until the given number of slots became free, or 0 if that can't be told.
 func (q *queue) expectedWait(slots, capacity int) time.Duration {
 	if capacity <= 0 {
@@ -238,7 +249,9 @@
 	}
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
-		if g := t.chooseLocked(w.want, usable); g != nil {
+		if q.tooLate(w, now) {
+			w.refused <- q.unreachable(0, max(w.want.Deadline-now, 0))
+		} else if g := t.chooseLocked(w.want, usable); g != nil {
 			w.granted <- t.newSlotLocked(g, now)
 		} else if !slices.ContainsFunc(awaitable, w.want.accepts) {
 			w.refused <- result.New(result.NoTarget, "no target of %s is serving", q.destination)
