--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -50,3 +50,30 @@
 }
 
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+const (
+	// spareTime is the part of the target latency that a prediction must leave, since loads are a little old.
+	spareTime = 0.1
+	// quietDelay is the part of the target latency up to which the delay by other requests counts as light: a request that is
+	// late anyway takes little from others there.
+	quietDelay = 0.25
+	// minRetryAfter and maxRetryAfter bound what a refused client is told.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// Admission tells whether a request should be refused, because its first event would come too late for full worth and its work
+// would make others late, and when its client may return. Waited is what the client has waited so far, delay the part of the
+// predicted time that is due to other requests, and usual the time that a request of the usual size takes alone. The size of
+// this request doesn't count: otherwise the largest requests would be refused first under load, and never served.
+func Admission(target, waited, delay, usual time.Duration) (retryAfter time.Duration, refuse bool) {
+	if target <= 0 {
+		return 0, false
+	}
+	allowed := time.Duration(float64(target)*(1-spareTime)) - usual - waited
+	quiet := time.Duration(float64(target) * quietDelay)
+	if delay <= max(allowed, quiet) {
+		return 0, false
+	}
+	return min(max(delay-quiet, minRetryAfter), maxRetryAfter), true
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -261,6 +261,7 @@
 	Key     Key
 	Load    Load
 	First   time.Duration // Predicted time to the first event.
+	Delay   time.Duration // The part of First that is due to other requests.
 }
 
 // HeadQuery asks for a head.
@@ -310,7 +311,8 @@
 		// Nodes choose at the same time from loads that are a little old. The noise keeps them from all choosing one head.
 		noisy := float64(cost) * (1 + 0.1*rand.Float64())
 		if best == nil || noisy < bestCost {
-			best, bestCost = &Head{Replica: r, Key: k, Load: load, First: first}, noisy
+			alone := FirstEvent(q.Service.Engine, q.Model.Pace, Load{}, q.Prompt)
+			best, bestCost = &Head{Replica: r, Key: k, Load: load, First: first, Delay: first - alone}, noisy
 		}
 	}
 	return best
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -25,14 +25,6 @@
 	// resumeWait is the longest wait for another target after a stream broke. Clients leave after about two seconds of silence.
 	resumeWait = 1200 * time.Millisecond
 	resumePoll = 50 * time.Millisecond
-	// spareTime is the part of the target latency that a prediction must leave, since loads are a little old.
-	spareTime = 0.1
-	// quietLoad is the part of the target latency below which a target counts as lightly loaded: a request that is late
-	// anyway takes nothing from others there.
-	quietLoad = 0.6
-	// minRetryAfter and maxRetryAfter bound what a client of a loaded model is told.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
 )
 
 // streamEnd tells how one send of a stream ended.
@@ -52,6 +44,7 @@
 	header bool // The head of the answer was written.
 	lastID string
 	events int
+	first  time.Duration // From the arrival of the request to its first event.
 }
 
 // stream serves a request whose answer is passed on event by event.
@@ -73,7 +66,8 @@
 		switch end := c.relay(head, p); end {
 		case streamComplete:
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
-			c.log("answered", "the stream is complete", logrus.Fields{"events": p.events})
+			c.log("answered", "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.First.Milliseconds(),
+				"first_ms": p.first.Milliseconds()})
 			return
 		case streamPassed:
 			return
@@ -116,28 +110,14 @@
 	if head == nil {
 		return nil, result.New(result.NoTarget, "no group of model %q serves", c.q.Model).WithRetryAfter(retryUnready)
 	}
-	if wait, late := Admission(c.route.Target, c.waited+time.Since(c.start), head.First); late {
-		return nil, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, after %v of waiting, with %d requests and %d unread tokens at the best target",
-			c.q.Model, head.First.Round(time.Millisecond), c.waited, head.Load.Running, head.Load.Unread).WithRetryAfter(wait)
+	usual := balance.FirstEvent(c.service.Engine, c.model.Pace, balance.Load{}, c.service.Engine.UsualPrompt)
+	if wait, late := balance.Admission(c.route.Target, c.waited+time.Since(c.start), head.Delay, usual); late {
+		return nil, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the best target",
+			c.q.Model, head.First.Round(time.Millisecond), head.Delay.Round(time.Millisecond), head.Load.Running, head.Load.Unread).WithRetryAfter(wait)
 	}
 	return head, nil
 }
 
-// Admission tells whether a request should be refused, because its first event would come too late for full worth and its
-// work would make others late, and when it may come back. Waited is what its client has waited so far, first the predicted
-// time to the first event. Where the target is lightly loaded, a late answer takes nothing from others and is given.
-func Admission(target, waited, first time.Duration) (retryAfter time.Duration, refuse bool) {
-	if target <= 0 {
-		return 0, false
-	}
-	inTime := time.Duration(float64(target)*(1-spareTime)) - waited
-	quiet := time.Duration(float64(target) * quietLoad)
-	if first <= inTime || first <= quiet {
-		return 0, false
-	}
-	return min(max(first-quiet, minRetryAfter), maxRetryAfter), true
-}
-
 // endStream ends a stream that can't be completed.
 func (c *call) endStream(p *progress, refusal *result.Error) {
 	switch {
@@ -251,7 +231,7 @@
 			c.w.Header().Set("Connection", "close")
 		}
 		c.w.WriteHeader(e.reply.resp.StatusCode)
-		p.header = true
+		p.header, p.first = true, time.Since(c.start)
 	}
 	if _, err := c.w.Write(e.data); err != nil {
 		return clientGone
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,7 +95,7 @@
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 }})
 	n.planner = planner.New(planner.Options{Lease: planner.NewLease(n.store, c, log, s.Node, n.incarnation), Registry: n.registry,
-		Table: n.table, Replicas: platform.NewReplicas(), Clock: c, Log: log, LoadWindow: s.Bounds.CeilingWindow,
+		Table: n.table, Replicas: platform.NewReplicas(), Clock: c, Log: log, LoadWindow: s.Bounds.CeilingWindow, StallAfter: s.Bounds.StallAfter,
 		Candidate: n.candidate, Fresh: n.fresh})
 	return n, nil
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -72,6 +72,7 @@
 	Keeps       int     // Models that a host keeps staged.
 	LoadsPerS   float64 // Weight loads that may start in a second.
 	LoadsAtOnce int     // Weight loads that run side by side without slowing each other.
+	UsualPrompt int     // Mean prompt tokens of a request.
 	UsualAnswer float64 // Mean output tokens of a request.
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,8 @@
 	joinTries = 3
 	// deadFor is the time for which a replica that didn't answer is taken for dead, if its entry stays as it was.
 	deadFor = 8 * time.Second
+	// stallMargin is waited beyond the time after which a group with a lost member is broken.
+	stallMargin = time.Second
 	// loadSlack is how much longer than stated a load may take before the replica is asked again.
 	loadSlack = 3
 )
@@ -68,8 +70,22 @@
 	Fresh bool
 	// LoadWindow is the time over which weight loads are metered.
 	LoadWindow time.Duration
+	// StallAfter is the time after which a group whose member is gone is broken.
+	StallAfter time.Duration
 }
 
+// Outcome is what became of an order.
+type Outcome int
+
+// Outcomes.
+const (
+	Unknown  Outcome = iota // No answer: the order may be carried out later.
+	Accepted                // Begun or done.
+	Refused                 // It doesn't fit the replica's state, or another replica has the address.
+	Outdated                // A higher epoch was seen.
+	NoOne                   // Nothing listens at the address.
+)
+
 // member is one VM of a group.
 type member struct {
 	life  fleet.Life
@@ -89,8 +105,12 @@
 	opened     clock.Time
 	wasOpen    bool
 	closing    clock.Time // When the head was asked to finish its requests; 0 if it wasn't.
-	dissolving clock.Time // When the head was last asked to leave; 0 if the group stands.
-	lost       clock.Time // When the loss of a member was seen; 0 if the group is whole.
+	leaving    clock.Time // When the head was last asked to leave; 0 if it wasn't.
+	dissolving string     // Why the group is dissolved; empty if it stands.
+	// head is the last known entry of the head. A head whose entry is gone may still serve.
+	head     *fleet.Replica
+	released bool       // The head has stated that it doesn't serve this epoch, or nothing listens at its address.
+	dark     clock.Time // When the head was first asked to leave without its entry; 0 if it wasn't.
 }
 
 type staging struct {
@@ -136,27 +156,38 @@
 // Lives notes that a replica has answered.
 func (p *Plan) Lives(l fleet.Life) { delete(p.dead, l) }
 
-// Answered notes the reply to an order: whether the replica has accepted it, and whether it refused it as outdated.
-func (p *Plan) Answered(o Order, accepted, outdated bool) {
-	g := p.groups[o.Group]
+// Answered notes what became of an order.
+func (p *Plan) Answered(o Order, out Outcome) {
 	if o.Action == Stage {
-		if !accepted {
+		if out != Accepted {
 			delete(p.staging, o.To.Life())
 		}
 		return
 	}
-	if g == nil || g.epoch != o.Epoch || o.Action != Join {
+	g := p.groups[o.Group]
+	if g == nil || g.epoch != o.Epoch {
 		return
 	}
+	switch o.Action {
+	case Leave:
+		g.released = g.released || out != Unknown
+	case Join:
+		p.joined(g, o.To.Life(), out)
+	}
+}
+
+func (p *Plan) joined(g *group, l fleet.Life, out Outcome) {
 	for i := range g.members {
-		if m := &g.members[i]; m.life == o.To.Life() {
-			m.acked = m.acked || accepted
-			if outdated {
-				// Another planner has used a higher epoch; the group is planned anew above it.
-				g.epoch = p.nextEpoch()
-				g.restart()
-				return
-			}
+		m := &g.members[i]
+		if m.life != l {
+			continue
+		}
+		m.acked = m.acked || out == Accepted
+		if out == Outdated {
+			// Another planner has used a higher epoch; the group is planned anew above it.
+			g.epoch = p.nextEpoch()
+			g.restart()
+			return
 		}
 	}
 }
@@ -165,7 +196,7 @@
 	for i := range g.members {
 		g.members[i].acked, g.members[i].asked, g.members[i].tries = false, 0, 0
 	}
-	g.opened, g.wasOpen, g.closing, g.lost = 0, false, 0, 0
+	g.opened, g.wasOpen, g.closing, g.leaving, g.dark, g.released = 0, false, 0, 0, 0, false
 }
 
 // Groups returns the members of each planned group by name, for probes and logs.
@@ -263,8 +294,11 @@
 				g.members[r.Group.Rank] = member{life: r.Life(), acked: true, asked: s.Now}
 				g.fabric = r.Fabric
 			}
-			g.wasOpen = g.wasOpen || r.Head()
+			if r.Group.Rank == 0 {
+				g.head = r
+			}
 		}
+		g.wasOpen = true // An earlier planner may have opened it.
 		s.groups[key.name] = g
 	}
 }
@@ -283,19 +317,18 @@
 
 // tend brings one group forward.
 func (s *step) tend(g *group) {
-	if g.dissolving != 0 {
-		s.dissolve(g, "dissolving")
+	if g.dissolving != "" {
+		s.dissolve(g, g.dissolving)
 		return
 	}
 	head := s.find(g.members[0].life)
+	if head != nil {
+		g.head = head
+	}
 	if reason := s.broken(g, head); reason != "" {
-		if g.lost == 0 {
-			g.lost = s.Now
-		}
 		s.repair(g, head, reason)
 		return
 	}
-	g.lost = 0
 	switch {
 	case head.Group != nil && head.Group.Epoch == g.epoch && head.Group.State == fleet.GroupOpen:
 		g.wasOpen = true
@@ -420,10 +453,8 @@
 		s.dissolve(g, reason)
 		return
 	}
-	headStays := head != nil && !head.Draining && len(stay) > 0 && stay[0].ID == head.ID
-	if head != nil && !headStays && head.Group != nil && head.Group.Name == g.name && head.Group.State != fleet.GroupBroken {
-		// The head goes, but still answers: the group must stop serving before its members are taken.
-		s.dissolve(g, reason)
+	headStays := head != nil && !head.Draining && stay[0].ID == head.ID
+	if !headStays && !s.release(g, reason) {
 		return
 	}
 	for _, m := range g.members {
@@ -445,15 +476,38 @@
 	}
 }
 
-// dissolve frees the members of a group. A head that answers is asked to leave first.
-func (s *step) dissolve(g *group, reason string) {
-	head := s.find(g.members[0].life)
-	reports := head != nil && head.Group != nil && head.Group.Name == g.name && head.Group.Epoch == g.epoch
-	if reports {
-		if g.dissolving == 0 || s.Now.Sub(g.dissolving) > reportWait {
-			g.dissolving = s.Now
-			s.order(head, Leave, g, reason)
+// release tells whether the members of a group may be taken: its head doesn't serve this epoch any more. A head that may
+// still serve is asked to leave first. One that doesn't answer is waited for until its group must be broken.
+func (s *step) release(g *group, reason string) bool {
+	head := s.Replicas[g.members[0].life.ID]
+	_, dead := s.dead[g.members[0].life]
+	if head != nil && !dead {
+		if head.Born != g.members[0].life.Born || head.Group == nil || head.Group.Name != g.name || head.Group.Epoch != g.epoch ||
+			head.Group.State == fleet.GroupBroken {
+			return true
 		}
+		g.head = head
+	}
+	if g.released || g.head == nil || !g.wasOpen && g.opened == 0 {
+		return true
+	}
+	if (head == nil || dead) && g.dark == 0 {
+		g.dark = s.Now
+	}
+	if g.dark != 0 && s.Now.Sub(g.dark) > s.StallAfter+stallMargin {
+		return true
+	}
+	if g.leaving == 0 || s.Now.Sub(g.leaving) > reportWait {
+		g.leaving = s.Now
+		s.order(g.head, Leave, g, reason)
+	}
+	return false
+}
+
+// dissolve frees the members of a group.
+func (s *step) dissolve(g *group, reason string) {
+	g.dissolving = reason
+	if !s.release(g, reason) {
 		return
 	}
 	s.dissolved[groupEpoch{g.name, g.epoch}] = true
@@ -562,12 +616,16 @@
 }
 
 // freshMembers returns the replicas of a domain that may form a group of the model at the first start: those that the domain's
-// share leaves for the model, without weights or with the right ones.
+// share leaves for the model, without weights, or with the right ones staged or being staged.
 func (s *step) freshMembers(fabric string, m *fleet.Model) []*fleet.Replica {
-	quota := s.quota(fabric)[m.Name] - s.assigned(fabric)[m.Name]
+	lack := s.quota(fabric)[m.Name] - s.assigned(fabric)[m.Name]
 	var list []*fleet.Replica
 	for _, r := range s.free(fabric) {
-		if len(list) < quota && s.assignment(r) == "" {
+		switch model := s.assignment(r); {
+		case model == m.Name:
+			list = append(list, r)
+		case model == "" && lack > 0:
+			lack--
 			list = append(list, r)
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,6 +36,7 @@
 	Clock      clock.Clock
 	Log        logrus.FieldLogger
 	LoadWindow time.Duration
+	StallAfter time.Duration
 	// Candidate tells whether this node should try to become the planner now.
 	Candidate func() bool
 	// Fresh tells whether no client has sent a request yet since the first start of the system.
@@ -120,7 +123,7 @@
 		return
 	}
 	orders := p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
-		Need: p.need(service.Engine), Fresh: p.opt.Fresh(), LoadWindow: p.opt.LoadWindow})
+		Need: p.need(service.Engine), Fresh: p.opt.Fresh(), LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter})
 	probes := p.suspects(replicas, now)
 	p.mu.Unlock()
 	for _, o := range orders {
@@ -229,5 +232,20 @@
 	entry.Info("order: " + o.Reason)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.plan.Answered(o, reply == platform.ReplyBegun || reply == platform.ReplyDone, reply == platform.ReplyOutdated)
+	p.plan.Answered(o, outcome(reply, err))
+}
+
+// outcome translates the answer to an order.
+func outcome(reply platform.Reply, err error) placement.Outcome {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return placement.NoOne
+	case err != nil:
+		return placement.Unknown
+	case reply == platform.ReplyBegun || reply == platform.ReplyDone:
+		return placement.Accepted
+	case reply == platform.ReplyOutdated:
+		return placement.Outdated
+	}
+	return placement.Refused
 }
