--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,8 +28,14 @@
 
 const (
 	nodesKind = "cassiadeal-nodes"
-	// replicaPace is the least time between two watches of the replicas' entries.
-	replicaPace = 150 * time.Millisecond
+	// replicaPace is the least time between two watches of the replicas' entries, and plannerPace that of the node that plans
+	// groups, which waits for the members' reports.
+	replicaPace = 300 * time.Millisecond
+	plannerPace = 100 * time.Millisecond
+	// nodesWait is the longest wait of a watch of the nodes' records, which change only when a node starts.
+	nodesWait = 4 * time.Second
+	// relistPause is the time in which followers that find the store's history gone make the others list only once.
+	relistPause = time.Second
 	sweepEvery  = 100 * time.Millisecond
 	// plannerSilence is the time without a planner after which a node tries to become one.
 	plannerSilence = time.Second
@@ -58,6 +64,7 @@
 	edge     *edge.Server
 	planner  *planner.Planner
 
+	followers   []*follower // Not changed after New.
 	incarnation int64
 	draining    atomic.Bool
 	replicas    atomic.Bool // The replicas were listed.
@@ -66,9 +73,8 @@
 	mu          sync.Mutex
 	answered    clock.Time // Last answer of the store.
 	failed      bool       // The last call to the store got no answer.
+	relisted    clock.Time // When a follower last made the others list anew.
 	plannerSeen clock.Time
-	demand      map[string]float64 // Milliseconds a second, of this node.
-	demandAt    clock.Time
 }
 
 // New makes a node and binds its addresses.
@@ -79,7 +85,7 @@
 	}
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
-		table: balance.NewTable(c), incarnation: time.Now().UnixNano(), answered: c.Now(), plannerSeen: c.Now(), demandAt: c.Now()}
+		table: balance.NewTable(c), incarnation: time.Now().UnixNano(), answered: c.Now(), plannerSeen: c.Now()}
 	if n.calls, err = newCalls(metrics.Meter()); err != nil {
 		return nil, err
 	}
@@ -97,6 +103,7 @@
 	n.planner = planner.New(planner.Options{Lease: planner.NewLease(n.store, c, log, s.Node, n.incarnation), Registry: n.registry,
 		Table: n.table, Replicas: platform.NewReplicas(), Clock: c, Log: log, LoadWindow: s.Bounds.CeilingWindow, StallAfter: s.Bounds.StallAfter,
 		Candidate: n.candidate, Fresh: n.fresh})
+	n.followers = n.newFollowers()
 	return n, nil
 }
 
@@ -110,7 +117,7 @@
 	defer stop()
 	planning, stopPlanning := context.WithCancel(background)
 	defer stopPlanning()
-	for _, f := range n.followers() {
+	for _, f := range n.followers {
 		go f.run(background)
 	}
 	go n.mesh.Run(background)
@@ -125,13 +132,39 @@
 	return nil
 }
 
-func (n *Node) followers() []*follower {
+func (n *Node) newFollowers() []*follower {
+	bounds := n.settings.Bounds
 	return []*follower{
-		{node: n, kind: platform.KindReplicas, pace: replicaPace, replace: n.replaceReplicas, apply: n.applyReplicas},
-		{node: n, kind: platform.KindConfig, replace: n.takeConfig, apply: n.takeConfig},
-		{node: n, kind: platform.KindEvacuations, replace: func(list []platform.Object) { n.takeEvacuations(list, true) },
-			apply: func(list []platform.Object) { n.takeEvacuations(list, false) }},
-		{node: n, kind: nodesKind, replace: n.takeNodes, apply: n.takeNodes},
+		{node: n, kind: platform.KindReplicas, wait: bounds.Drain / 2, pace: n.replicaPace, replace: n.replaceReplicas, apply: n.applyReplicas},
+		{node: n, kind: platform.KindConfig, wait: bounds.ConfigApply / 2, replace: n.takeConfig, apply: n.takeConfig},
+		{node: n, kind: platform.KindEvacuations, wait: bounds.Evacuate / 2,
+			replace: func(list []platform.Object) { n.takeEvacuations(list, true) },
+			apply:   func(list []platform.Object) { n.takeEvacuations(list, false) }},
+		{node: n, kind: nodesKind, wait: nodesWait, replace: n.takeNodes, apply: n.takeNodes},
+	}
+}
+
+func (n *Node) replicaPace() time.Duration {
+	if n.planner.Holds() {
+		return plannerPace
+	}
+	return replicaPace
+}
+
+// relistOthers lets all other followers list anew.
+func (n *Node) relistOthers(but *follower) {
+	n.mu.Lock()
+	now := n.clock.Now()
+	recent := n.relisted != 0 && now.Sub(n.relisted) < relistPause
+	n.relisted = now
+	n.mu.Unlock()
+	if recent {
+		return
+	}
+	for _, f := range n.followers {
+		if f != but {
+			f.relist()
+		}
 	}
 }
 
