--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -23,6 +23,9 @@
 	peerLoadLasts = 2 * time.Second
 	// failureWeight is the weight of the newest outcome in a replica's share of failures.
 	failureWeight = 0.1
+	// baseWeight is the weight of the newest first event in the measured base, and maxSurprise bounds what it says.
+	baseWeight  = 0.02
+	maxSurprise = 300 * time.Millisecond
 )
 
 // Key identifies a target: a group of one epoch under its head, or one life of a plain replica.
@@ -47,9 +50,15 @@
 }
 
 type peerLoad struct {
-	at      clock.Time
-	loads   map[Key]Load
-	suspect map[Key]bool
+	at clock.Time
+	PeerState
+}
+
+// PeerState is what another node tells of its targets.
+type PeerState struct {
+	Loads   map[Key]Load
+	Heard   map[Key]time.Duration // Time since the last event, for targets with a load.
+	Suspect map[Key]bool
 }
 
 // Table holds the loads of all targets, of this node and as told by the others. It may be used concurrently. Its only lock is
@@ -62,6 +71,8 @@
 	peers   map[string]peerLoad
 	swept   clock.Time
 	cold    map[string][]clock.Time // Sends to cold replicas within the last second, by ID.
+	// base is the measured time that first events take beyond the prediction: ways, and what the engine doesn't publish.
+	base time.Duration
 }
 
 // NewTable returns an empty table.
@@ -78,6 +89,8 @@
 	started bool
 	ended   bool
 	sent    clock.Time
+	// expected is the predicted time to the first event, 0 if there is no prediction.
+	expected time.Duration
 }
 
 func (t *Table) state(k Key) *targetState {
@@ -100,9 +113,9 @@
 	}
 	s.load = s.load.Add(Load{1, 1, prompt})
 	s.expected = expected
-	k2 := &Ticket{table: t, key: k, prompt: prompt, sent: now}
-	s.tickets[k2] = struct{}{}
-	return k2
+	ticket := &Ticket{table: t, key: k, prompt: prompt, sent: now, expected: expected}
+	s.tickets[ticket] = struct{}{}
+	return ticket
 }
 
 // Event notes an event of the request's answer.
@@ -116,12 +129,21 @@
 
 func (k *Ticket) startLocked(s *targetState) {
 	if !k.started && !k.ended {
+		if k.prompt > 0 && k.expected > 0 {
+			k.table.learnLocked(k.table.clock.Now().Sub(k.sent) - k.expected)
+		}
 		k.started = true
 		s.load.Waiting--
 		s.load.Unread -= k.prompt
 	}
 }
 
+// learnLocked takes the difference of one first event to its prediction. Single stalls weigh no more than maxSurprise.
+func (t *Table) learnLocked(off time.Duration) {
+	off = min(max(off, -maxSurprise), maxSurprise)
+	t.base = max(0, t.base+time.Duration(float64(off)*baseWeight))
+}
+
 // End counts the request out. It may be called more than once.
 func (k *Ticket) End() {
 	k.table.mu.Lock()
@@ -130,7 +152,11 @@
 		return
 	}
 	s := k.table.state(k.key)
-	k.startLocked(s)
+	if !k.started {
+		k.started = true // It ended without an event, from which nothing is learned.
+		s.load.Waiting--
+		s.load.Unread -= k.prompt
+	}
 	k.ended = true
 	s.load.Running--
 	delete(s.tickets, k)
@@ -195,27 +221,62 @@
 }
 
 // SetPeer takes the loads and suspicions that another node told.
-func (t *Table) SetPeer(node string, loads map[Key]Load, suspect map[Key]bool) {
+func (t *Table) SetPeer(node string, state PeerState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[node] = peerLoad{t.clock.Now(), loads, suspect}
+	t.peers[node] = peerLoad{t.clock.Now(), state}
 }
 
-// Own returns this node's loads and suspicions, for the other nodes.
-func (t *Table) Own() (map[Key]Load, []Key) {
+// Own returns the state of this node's targets, for the other nodes.
+func (t *Table) Own() PeerState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	loads, suspects := map[Key]Load{}, []Key(nil)
+	own := PeerState{map[Key]Load{}, map[Key]time.Duration{}, map[Key]bool{}}
 	for k, s := range t.targets {
 		if s.load.Running > 0 {
-			loads[k] = s.load
+			own.Loads[k], own.Heard[k] = s.load, now.Sub(s.heard)
 		}
 		if now < s.suspect {
-			suspects = append(suspects, k)
+			own.Suspect[k] = true
+		}
+	}
+	return own
+}
+
+// HeardAge returns the time since any node got an event from the target. Without any knowledge it is 0.
+func (t *Table) HeardAge(k Key) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	age, known := time.Duration(0), false
+	note := func(a time.Duration) {
+		if !known || a < age {
+			age, known = a, true
+		}
+	}
+	if s := t.targets[k]; s != nil && s.heard != 0 {
+		note(now.Sub(s.heard))
+	}
+	for _, p := range t.peers {
+		if heard, ok := p.Heard[k]; ok {
+			note(heard + now.Sub(p.at))
+		}
+	}
+	return age
+}
+
+// Quiet returns the targets with started requests that have been silent for the time.
+func (t *Table) Quiet(silence time.Duration) map[Key]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, quiet := t.clock.Now(), map[Key]bool{}
+	for k, s := range t.targets {
+		if s.load.Running > s.load.Waiting && now.Sub(s.heard) > silence {
+			quiet[k] = true
 		}
 	}
-	return loads, suspects
+	return quiet
 }
 
 // Suspected tells whether this node or another suspects the target to stand still.
@@ -234,7 +295,7 @@
 		return false // Events arrive here, whatever others see.
 	}
 	for _, p := range t.peers {
-		if p.suspect[k] && now.Sub(p.at) < peerLoadLasts {
+		if p.Suspect[k] && now.Sub(p.at) < peerLoadLasts {
 			return true
 		}
 	}
@@ -249,7 +310,7 @@
 	}
 	for _, p := range t.peers {
 		if now.Sub(p.at) < peerLoadLasts {
-			l = l.Add(p.loads[k])
+			l = l.Add(p.Loads[k])
 		}
 	}
 	return l
@@ -297,7 +358,7 @@
 		}
 		s := t.targets[k]
 		load := t.loadLocked(k, now)
-		first := FirstEvent(q.Service.Engine, q.Model.Pace, load, q.Prompt)
+		first := t.base + FirstEvent(q.Service.Engine, q.Model.Pace, load, q.Prompt)
 		cost := first
 		if r.Zone != q.Zone {
 			cost += zoneCost
@@ -311,7 +372,7 @@
 		// Nodes choose at the same time from loads that are a little old. The noise keeps them from all choosing one head.
 		noisy := float64(cost) * (1 + 0.1*rand.Float64())
 		if best == nil || noisy < bestCost {
-			alone := FirstEvent(q.Service.Engine, q.Model.Pace, Load{}, q.Prompt)
+			alone := t.base + FirstEvent(q.Service.Engine, q.Model.Pace, Load{}, q.Prompt)
 			best, bestCost = &Head{Replica: r, Key: k, Load: load, First: first, Delay: first - alone}, noisy
 		}
 	}
@@ -382,6 +443,13 @@
 	t.cold[r.ID] = append(t.recentLocked(r.ID, now), now)
 }
 
+// Usual returns the time to the first event that a request of the usual size takes alone.
+func (t *Table) Usual(e *fleet.Engine, m *fleet.Model) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.base + FirstEvent(e, m.Pace, Load{}, e.UsualPrompt)
+}
+
 // Load returns the load of all nodes on a target.
 func (t *Table) Load(k Key) Load {
 	t.mu.Lock()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -45,6 +45,8 @@
 	lastID string
 	events int
 	first  time.Duration // From the arrival of the request to its first event.
+	last   time.Time     // Of the newest event.
+	gap    time.Duration // The longest between two events.
 }
 
 // stream serves a request whose answer is passed on event by event.
@@ -67,7 +69,8 @@
 		case streamComplete:
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 			c.log("answered", "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.First.Milliseconds(),
-				"first_ms": p.first.Milliseconds()})
+				"first_ms": p.first.Milliseconds(), "gap_ms": p.gap.Milliseconds(), "prompt": c.q.PromptTokens,
+				"delay_ms": head.Delay.Milliseconds(), "load": head.Load.Running, "unread": head.Load.Unread, "model": c.q.Model})
 			return
 		case streamPassed:
 			return
@@ -110,7 +113,7 @@
 	if head == nil {
 		return nil, result.New(result.NoTarget, "no group of model %q serves", c.q.Model).WithRetryAfter(retryUnready)
 	}
-	usual := balance.FirstEvent(c.service.Engine, c.model.Pace, balance.Load{}, c.service.Engine.UsualPrompt)
+	usual := c.opt.Table.Usual(c.service.Engine, c.model)
 	if wait, late := balance.Admission(c.route.Target, c.waited+time.Since(c.start), head.Delay, usual); late {
 		return nil, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the best target",
 			c.q.Model, head.First.Round(time.Millisecond), head.Delay.Round(time.Millisecond), head.Load.Running, head.Load.Unread).WithRetryAfter(wait)
@@ -231,8 +234,9 @@
 			c.w.Header().Set("Connection", "close")
 		}
 		c.w.WriteHeader(e.reply.resp.StatusCode)
-		p.header, p.first = true, time.Since(c.start)
+		p.header, p.first, p.last = true, time.Since(c.start), time.Now()
 	}
+	p.gap, p.last = max(p.gap, time.Since(p.last)), time.Now()
 	if _, err := c.w.Write(e.data); err != nil {
 		return clientGone
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -365,15 +365,15 @@
 
 // tell returns what the other nodes are told.
 func (n *Node) tell() *schema.NodeGossip {
-	loads, suspects := n.table.Own()
+	own := n.table.Own()
 	msg := &schema.NodeGossip{Node: n.settings.Node, Incarnation: n.incarnation, Zone: n.settings.Zone, FrontAddress: n.settings.Front,
 		PeerAddress: n.settings.Peer, Draining: n.draining.Load(), Ready: n.ready(), Planner: n.planner.Holds(),
 		StoreAgeMs: n.storeAge().Milliseconds()}
-	for k, l := range loads {
+	for k, l := range own.Loads {
 		msg.Loads = append(msg.Loads, &schema.TargetLoad{Target: string(k), Running: uint32(l.Running), Waiting: uint32(l.Waiting),
-			UnreadTokens: uint32(l.Unread)})
+			UnreadTokens: uint32(l.Unread), HeardMs: uint32(own.Heard[k].Milliseconds())})
 	}
-	for _, k := range suspects {
+	for k := range own.Suspect {
 		msg.Suspects = append(msg.Suspects, string(k))
 	}
 	return msg
@@ -381,14 +381,16 @@
 
 // heard takes what another node tells.
 func (n *Node) heard(msg *schema.NodeGossip) {
-	loads, suspects := map[balance.Key]balance.Load{}, map[balance.Key]bool{}
+	state := balance.PeerState{Loads: map[balance.Key]balance.Load{}, Heard: map[balance.Key]time.Duration{}, Suspect: map[balance.Key]bool{}}
 	for _, l := range msg.Loads {
-		loads[balance.Key(l.Target)] = balance.Load{Running: int(l.Running), Waiting: int(l.Waiting), Unread: int(l.UnreadTokens)}
+		k := balance.Key(l.Target)
+		state.Loads[k] = balance.Load{Running: int(l.Running), Waiting: int(l.Waiting), Unread: int(l.UnreadTokens)}
+		state.Heard[k] = time.Duration(l.HeardMs) * time.Millisecond
 	}
 	for _, k := range msg.Suspects {
-		suspects[balance.Key(k)] = true
+		state.Suspect[balance.Key(k)] = true
 	}
-	n.table.SetPeer(msg.Node, loads, suspects)
+	n.table.SetPeer(msg.Node, state)
 }
 
 // listen binds the addresses of the node.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/clock"
@@ -27,6 +28,12 @@
 	deadFor = 8 * time.Second
 	// stallMargin is waited beyond the time after which a group with a lost member is broken.
 	stallMargin = time.Second
+	// darkAtLeast is the least time for which a head must not have answered before its silence at all nodes counts as its death.
+	darkAtLeast = 500 * time.Millisecond
+	// standbyPrefix begins the names of groups that spares join alone, so that they hold the weights ready. They never open.
+	standbyPrefix = "standby-"
+	// standbyWait is the time after which a spare that doesn't report its standby group is asked again.
+	standbyWait = 3 * time.Second
 	// loadSlack is how much longer than stated a load may take before the replica is asked again.
 	loadSlack = 3
 )
@@ -72,6 +79,8 @@
 	LoadWindow time.Duration
 	// StallAfter is the time after which a group whose member is gone is broken.
 	StallAfter time.Duration
+	// Silent tells whether no node has heard from a head lately, though nodes have sent it requests. Nil: not known.
+	Silent func(*fleet.Replica) bool
 }
 
 // Outcome is what became of an order.
@@ -133,7 +142,7 @@
 	staging   map[fleet.Life]staging
 	loads     []clock.Time // Starts of weight loads within the window.
 	dead      map[fleet.Life]clock.Time
-	epochs    map[fleet.Life]int64 // Highest epoch seen in a refusal.
+	standbys  map[fleet.Life]clock.Time // When a spare was last asked to hold its weights ready.
 }
 
 // epochsPerTerm leaves each planner a range of epochs above all of its predecessors.
@@ -142,7 +151,7 @@
 // New returns an empty plan. The term must be higher than that of every earlier planner.
 func New(term int64) *Plan {
 	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupEpoch]bool{}, staging: map[fleet.Life]staging{},
-		dead: map[fleet.Life]clock.Time{}, epochs: map[fleet.Life]int64{}}
+		dead: map[fleet.Life]clock.Time{}, standbys: map[fleet.Life]clock.Time{}}
 }
 
 func (p *Plan) nextEpoch() int64 {
@@ -234,6 +243,7 @@
 	}
 	s.form()
 	s.stage()
+	s.standby()
 	return s.orders
 }
 
@@ -274,7 +284,7 @@
 	found := map[groupEpoch][]*fleet.Replica{}
 	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
 		r := s.Replicas[id]
-		if r.Group == nil {
+		if r.Group == nil || strings.HasPrefix(r.Group.Name, standbyPrefix) {
 			continue
 		}
 		key := groupEpoch{r.Group.Name, r.Group.Epoch}
@@ -494,7 +504,7 @@
 	if (head == nil || dead) && g.dark == 0 {
 		g.dark = s.Now
 	}
-	if g.dark != 0 && s.Now.Sub(g.dark) > s.StallAfter+stallMargin {
+	if dark := s.Now.Sub(g.dark); g.dark != 0 && (dark > s.StallAfter+stallMargin || dark > darkAtLeast && s.Silent != nil && s.Silent(g.head)) {
 		return true
 	}
 	if g.leaving == 0 || s.Now.Sub(g.leaving) > reportWait {
@@ -525,7 +535,7 @@
 		if r.Fabric != fabric || s.used[id] || r.Draining || s.find(r.Life()) == nil {
 			continue
 		}
-		if r.Group != nil && !s.dissolved[groupEpoch{r.Group.Name, r.Group.Epoch}] && s.foreign(r) {
+		if r.Group != nil && !strings.HasPrefix(r.Group.Name, standbyPrefix) && !s.dissolved[groupEpoch{r.Group.Name, r.Group.Epoch}] && s.foreign(r) {
 			continue
 		}
 		list = append(list, r)
@@ -716,6 +726,34 @@
 	}
 }
 
+// standby lets spares join a group of their own, which never opens: a member whose last group had the same model joins the next
+// one much sooner than one that has only staged the weights.
+func (s *step) standby() {
+	for l := range s.standbys {
+		if s.find(l) == nil {
+			delete(s.standbys, l)
+		}
+	}
+	for _, fabric := range s.fabrics() {
+		for _, r := range s.free(fabric) {
+			model := s.Engine.Model(s.assignment(r))
+			if model == nil || !r.HasStaged(model.Name) || r.Group != nil || slices.Contains(r.Models, model.Name) {
+				continue
+			}
+			if at, asked := s.standbys[r.Life()]; asked && s.Now.Sub(at) < standbyWait {
+				continue
+			}
+			s.standbys[r.Life()] = s.Now
+			members := []string{r.ID}
+			for i := 1; i < model.Size; i++ {
+				members = append(members, fmt.Sprintf("%s-none-%d", r.ID, i))
+			}
+			s.orders = append(s.orders, Order{To: r, Action: Join, Group: standbyPrefix + r.ID, Epoch: s.nextEpoch(), Model: model.Name,
+				Members: members, Reason: "a spare holds its weights ready"})
+		}
+	}
+}
+
 // mayLoad tells whether another weight load may start within the stated rate and number.
 func (s *step) mayLoad() bool {
 	if s.Fresh {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
@@ -17,10 +18,16 @@
 )
 
 const (
-	tick = 100 * time.Millisecond
+	tick = 50 * time.Millisecond
 	// orderCall and probeCall bound one order and one report. Both take some milliseconds at a sound replica.
 	orderCall = 700 * time.Millisecond
-	probeCall = 400 * time.Millisecond
+	probeCall = 250 * time.Millisecond
+	// probeTwin is the delay after which a report is asked for a second time, as an opening packet may be lost.
+	probeTwin = 60 * time.Millisecond
+	// probeSilence is the silence of a head after which the members of its group are probed: some gaps between events.
+	probeSilence = 250 * time.Millisecond
+	// deadSilence is the time without an event at any node after which a head that doesn't answer the planner is taken for dead.
+	deadSilence = time.Second
 	// probeAgain is the time between two probes of the members of a group that seems to stand still.
 	probeAgain = 700 * time.Millisecond
 	// settle is the time that a new planner listens before its first plan, so that the orders of its predecessor show.
@@ -123,14 +130,15 @@
 		return
 	}
 	orders := p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
-		Need: p.need(service.Engine), Fresh: p.opt.Fresh(), LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter})
+		Need: p.need(service.Engine), Fresh: p.opt.Fresh(), LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
+		Silent: func(r *fleet.Replica) bool { return p.opt.Table.HeardAge(balance.KeyOf(r)) > deadSilence }})
 	probes := p.suspects(replicas, now)
 	p.mu.Unlock()
 	for _, o := range orders {
 		go p.send(ctx, o)
 	}
-	for _, r := range probes {
-		go p.probe(ctx, r)
+	for _, m := range probes {
+		go p.probe(ctx, m.head, m.replica)
 	}
 }
 
@@ -147,16 +155,21 @@
 	return need
 }
 
+// probe is a member of a group that seems to stand still, with the head of the group.
+type probe struct{ head, replica *fleet.Replica }
+
 // suspects returns the members of groups that seem to stand still and weren't probed lately. The lock is held.
-func (p *Planner) suspects(replicas map[string]*fleet.Replica, now clock.Time) []*fleet.Replica {
-	var list []*fleet.Replica
+func (p *Planner) suspects(replicas map[string]*fleet.Replica, now clock.Time) []probe {
+	var list []probe
+	quiet := p.opt.Table.Quiet(probeSilence)
 	for name, members := range p.plan.Groups() {
 		head := replicas[members[0].ID]
 		if head == nil || head.Group == nil {
 			continue
 		}
 		broken := head.Group.State == fleet.GroupBroken
-		if !broken && !(head.Head() && p.opt.Table.Suspected(balance.KeyOf(head))) {
+		key := balance.KeyOf(head)
+		if !broken && !(head.Head() && (quiet[key] || p.opt.Table.Suspected(key))) {
 			continue
 		}
 		if at, probed := p.probed[name]; probed && now.Sub(at) < probeAgain {
@@ -165,27 +178,42 @@
 		p.probed[name] = now
 		for _, m := range members {
 			if r := replicas[m.ID]; r != nil && r.Born == m.Born {
-				list = append(list, r)
+				list = append(list, probe{head, r})
 			}
 		}
 	}
 	return list
 }
 
-// probe asks a replica for its report and notes whether it answers.
-func (p *Planner) probe(ctx context.Context, r *fleet.Replica) {
+// probe asks a replica for its report and notes whether it answers. A group with a member that doesn't answer stands still.
+func (p *Planner) probe(ctx context.Context, head, r *fleet.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, probeCall)
 	defer cancel()
-	report, err := p.opt.Replicas.Report(ctx, r.ID, r.Address)
+	answers := make(chan error, 2)
+	ask := func() {
+		report, err := p.opt.Replicas.Report(ctx, r.ID, r.Address)
+		if err == nil && report.Born != 0 && report.Born != r.Born {
+			err = eris.Errorf("replica %s was born at %d, not at %d", r.ID, report.Born, r.Born)
+		}
+		answers <- err
+	}
+	go ask()
+	twin := time.AfterFunc(probeTwin, ask)
+	err := <-answers
+	if err != nil && !twin.Stop() {
+		err = <-answers
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err != nil || report.Born != r.Born && report.Born != 0 {
-		p.plan.Dead(r.Life(), p.opt.Clock.Now())
-		p.opt.Log.WithError(err).WithFields(logrus.Fields{"replica": r.ID, "group": r.Group}).Warning("a member of a group that stands still doesn't answer")
+	log := p.opt.Log.WithFields(logrus.Fields{"replica": r.ID, "group": r.Group})
+	if err == nil {
+		p.plan.Lives(r.Life())
+		log.Info("a member of a silent group answers")
 		return
 	}
-	p.plan.Lives(r.Life())
-	p.opt.Log.WithFields(logrus.Fields{"replica": r.ID, "group": r.Group, "pace": report.Pace}).Info("a member of a group that stands still answers")
+	p.plan.Dead(r.Life(), p.opt.Clock.Now())
+	p.opt.Table.Suspect(balance.KeyOf(head))
+	log.WithError(err).Warning("a member of a silent group doesn't answer")
 }
 
 // queue returns the lock that keeps orders to one replica in sequence.
