--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -53,10 +53,10 @@
 
 const (
 	// spareTime is the part of the target latency that a prediction must leave, since loads are a little old.
-	spareTime = 0.1
+	spareTime = 0.0
 	// quietDelay is the part of the target latency up to which the delay by other requests counts as light: a request that is
 	// late anyway takes little from others there.
-	quietDelay = 0.25
+	quietDelay = 0.55
 	// minRetryAfter and maxRetryAfter bound what a refused client is told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -267,7 +267,7 @@
 		need[model.Name] = model.Share
 	}
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: m.listed(), Need: need, Fresh: m.fresh,
-		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second}) {
+		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, Silent: func(r *fleet.Replica) bool { return m.vms[r.ID].silentFrom != 0 }}) {
 		if m.drop != nil && m.drop(o) {
 			p.Answered(o, Unknown)
 			m.late = append(m.late, lateOrder{m.clock.Now().Add(4 * time.Second), o})
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -698,26 +698,25 @@
 	return quota
 }
 
-// stage lets free replicas without weights load those that their domain lacks most.
+// stage lets free replicas load the weights that their domain lacks most: those without weights, and those that hold weights of
+// which the domain has more than its share. A spare that waits for a second loss of one model is worth less than the first
+// spare of another.
 func (s *step) stage() {
 	for _, fabric := range s.fabrics() {
 		quota, assigned := s.quota(fabric), s.assigned(fabric)
 		for _, r := range s.free(fabric) {
-			if s.assignment(r) != "" || !s.mayLoad() {
+			has := s.assignment(r)
+			if _, loading := s.staging[r.Life()]; loading || !s.mayLoad() {
 				continue
 			}
-			var best *fleet.Model
-			lack := 0
-			for i := range s.Engine.Models {
-				m := &s.Engine.Models[i]
-				if d := quota[m.Name] - assigned[m.Name]; best == nil || d > lack {
-					best, lack = m, d
-				}
-			}
-			if best == nil {
+			best, lack := s.mostLacked(quota, assigned)
+			if best == nil || best.Name == has || has != "" && (lack < 1 || assigned[has] <= quota[has]) {
 				continue
 			}
 			assigned[best.Name]++
+			if has != "" {
+				assigned[has]--
+			}
 			s.staging[r.Life()] = staging{best.Name, s.Now}
 			s.loads = append(s.loads, s.Now)
 			s.orders = append(s.orders, Order{To: r, Action: Stage, Model: best.Name,
@@ -726,6 +725,17 @@
 	}
 }
 
+// mostLacked returns the model of which a domain has least for its quota, and how much it lacks.
+func (s *step) mostLacked(quota, assigned map[string]int) (best *fleet.Model, lack int) {
+	for i := range s.Engine.Models {
+		m := &s.Engine.Models[i]
+		if d := quota[m.Name] - assigned[m.Name]; best == nil || d > lack {
+			best, lack = m, d
+		}
+	}
+	return best, lack
+}
+
 // standby lets spares join a group of their own, which never opens: a member whose last group had the same model joins the next
 // one much sooner than one that has only staged the weights.
 func (s *step) standby() {
