--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -52,11 +52,12 @@
 func millis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 
 const (
-	// spareTime is the part of the target latency that a prediction must leave, since loads are a little old.
-	spareTime = 0.0
-	// quietDelay is the part of the target latency up to which the delay by other requests counts as light: a request that is
-	// late anyway takes little from others there.
-	quietDelay = 0.55
+	// lateTolerance is the part of the target latency by which a prediction may exceed it: predictions are too high for half of
+	// the requests, and a request that is refused comes back late.
+	lateTolerance = 0.15
+	// quietDelay is the part of the target latency up to which requests that are late anyway are admitted. It is below what
+	// fresh requests may wait for, so that those go first when both press.
+	quietDelay = 0.8
 	// minRetryAfter and maxRetryAfter bound what a refused client is told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -70,7 +71,7 @@
 	if target <= 0 {
 		return 0, false
 	}
-	allowed := time.Duration(float64(target)*(1-spareTime)) - usual - waited
+	allowed := time.Duration(float64(target)*(1+lateTolerance)) - usual - waited
 	quiet := time.Duration(float64(target) * quietDelay)
 	if delay <= max(allowed, quiet) {
 		return 0, false
