--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"cassiadeal.example/cassiadeal/internal/edge"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/gossip"
+	"cassiadeal.example/cassiadeal/internal/mirror"
 	"cassiadeal.example/cassiadeal/internal/planner"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/schema"
@@ -75,6 +76,8 @@
 	failed      bool       // The last call to the store got no answer.
 	relisted    clock.Time // When a follower last made the others list anew.
 	plannerSeen clock.Time
+	avoided     map[string]clock.Time      // Mirrors that could not be read, until the time.
+	mirrors     map[string]*platform.Store // By address.
 }
 
 // New makes a node and binds its addresses.
@@ -85,7 +88,8 @@
 	}
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
-		table: balance.NewTable(c), incarnation: time.Now().UnixNano(), answered: c.Now(), plannerSeen: c.Now()}
+		table: balance.NewTable(c), incarnation: time.Now().UnixNano(), answered: c.Now(),
+		avoided: map[string]clock.Time{}, mirrors: map[string]*platform.Store{}, plannerSeen: c.Now()}
 	if n.calls, err = newCalls(metrics.Meter()); err != nil {
 		return nil, err
 	}
@@ -135,12 +139,12 @@
 func (n *Node) newFollowers() []*follower {
 	bounds := n.settings.Bounds
 	return []*follower{
-		{node: n, kind: platform.KindReplicas, wait: bounds.Drain / 2, pace: n.replicaPace, replace: n.replaceReplicas, apply: n.applyReplicas},
-		{node: n, kind: platform.KindConfig, wait: bounds.ConfigApply / 2, replace: n.takeConfig, apply: n.takeConfig},
-		{node: n, kind: platform.KindEvacuations, wait: bounds.Evacuate / 2,
+		{node: n, copy: mirror.New(), kind: platform.KindReplicas, wait: bounds.Drain / 2, pace: n.replicaPace, replace: n.replaceReplicas, apply: n.applyReplicas},
+		{node: n, copy: mirror.New(), kind: platform.KindConfig, wait: bounds.ConfigApply / 2, replace: n.takeConfig, apply: n.takeConfig},
+		{node: n, copy: mirror.New(), kind: platform.KindEvacuations, wait: bounds.Evacuate / 2,
 			replace: func(list []platform.Object) { n.takeEvacuations(list, true) },
 			apply:   func(list []platform.Object) { n.takeEvacuations(list, false) }},
-		{node: n, kind: nodesKind, wait: nodesWait, replace: n.takeNodes, apply: n.takeNodes},
+		{node: n, copy: mirror.New(), kind: nodesKind, wait: nodesWait, replace: n.takeNodes, apply: n.takeNodes},
 	}
 }
 
@@ -367,7 +371,7 @@
 func (n *Node) tell() *schema.NodeGossip {
 	own := n.table.Own()
 	msg := &schema.NodeGossip{Node: n.settings.Node, Incarnation: n.incarnation, Zone: n.settings.Zone, FrontAddress: n.settings.Front,
-		PeerAddress: n.settings.Peer, Draining: n.draining.Load(), Ready: n.ready(), Planner: n.planner.Holds(),
+		PeerAddress: n.settings.Peer, Draining: n.draining.Load(), Ready: n.ready(), Planner: n.planner.Holds(), MirrorAddress: n.mirrorAddress(),
 		StoreAgeMs: n.storeAge().Milliseconds()}
 	for k, l := range own.Loads {
 		msg.Loads = append(msg.Loads, &schema.TargetLoad{Target: string(k), Running: uint32(l.Running), Waiting: uint32(l.Waiting),
@@ -402,6 +406,7 @@
 	}{
 		{"front", n.settings.Front, n.edge}, {"readiness", n.settings.Readiness, n.readiness()},
 		{"directory", n.settings.Directory, n.directory()}, {"metrics", n.settings.Metrics, n.observability()},
+		{"mirror", n.settings.Mirror, n.mirror()},
 	} {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cassiadeal.example/cassiadeal/internal/mirror"
 	"cassiadeal.example/cassiadeal/platform"
 )
 
@@ -31,6 +32,10 @@
 	pace    func() time.Duration // Least time between two watches, as each call is priced; nil for none.
 	replace func([]platform.Object)
 	apply   func([]platform.Object)
+	copy    *mirror.Kind // What other nodes read through this one.
+
+	source  string // Mirror that is read; empty for the store itself.
+	highest int64  // Highest revision seen. A mirror that is behind it isn't read.
 
 	mu      sync.Mutex
 	listed  bool // The copy is as of the revision to watch from.
@@ -73,6 +78,7 @@
 	revision, lost, wait := int64(0), false, retryStore
 	log := f.node.log.WithField("kind", f.kind)
 	for ctx.Err() == nil {
+		f.choose()
 		call, cancel, watch := f.begin(ctx)
 		next, err := f.once(call, revision, watch)
 		interrupted := errors.Is(call.Err(), context.Canceled)
@@ -83,19 +89,28 @@
 				log.Info("the store answers again")
 			}
 			revision, lost, wait = next, false, retryStore
+			f.highest = max(f.highest, next)
 			f.node.storeAnswered()
-			if f.pace != nil {
+			if f.pace != nil && f.source == "" {
 				sleep(ctx, f.pace())
 			}
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
-			log.Info("the store's history is gone; listing anew")
+			log.WithField("mirror", f.source).Info("the history is gone; listing anew")
 			f.setListed(false)
-			f.node.relistOthers(f)
+			if f.source == "" {
+				f.node.relistOthers(f)
+			}
 			continue
 		case ctx.Err() != nil || interrupted:
 			continue
+		case f.source != "":
+			// The store itself is asked next, at once.
+			log.WithError(err).WithField("mirror", f.source).Info("a mirror can't be read")
+			f.node.avoidMirror(f.source)
+			continue
 		}
+		f.copy.Stale()
 		f.node.storeFailed()
 		if !lost {
 			log.WithError(err).Warning("the store doesn't answer")
@@ -106,20 +121,57 @@
 	}
 }
 
+// choose sets the source of the next call. A change of the source makes the follower list anew.
+func (f *follower) choose() {
+	source := f.node.mirrorSource()
+	if source == f.source {
+		return
+	}
+	f.source = source
+	if source != "" {
+		f.copy.Stale()
+	}
+	f.setListed(false)
+}
+
+// client returns the client of the current source.
+func (f *follower) client() *platform.Store {
+	if f.source == "" {
+		return f.node.store
+	}
+	return f.node.mirrorClient(f.source)
+}
+
+// errBehind: a mirror is behind what this node has seen.
+var errBehind = errors.New("the mirror is behind")
+
 func (f *follower) once(ctx context.Context, revision int64, watch bool) (int64, error) {
 	if !watch {
-		items, next, err := f.node.store.List(ctx, f.kind)
-		if err == nil {
-			f.replace(items)
-			f.setListed(true)
+		items, next, err := f.client().List(ctx, f.kind)
+		if err == nil && next < f.highest {
+			err = errBehind
+		}
+		if err != nil {
+			return 0, err
 		}
-		return next, err
+		f.replace(items)
+		f.setListed(true)
+		if f.source == "" {
+			f.copy.Replace(items, next)
+		}
+		return next, nil
+	}
+	events, next, err := f.client().Watch(ctx, f.kind, revision, f.wait)
+	if err != nil {
+		return 0, err
 	}
-	events, next, err := f.node.store.Watch(ctx, f.kind, revision, f.wait)
-	if err == nil && len(events) > 0 {
+	if len(events) > 0 {
 		f.apply(events)
 	}
-	return next, err
+	if f.source == "" {
+		f.copy.Apply(events, next)
+	}
+	return next, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -138,3 +190,63 @@
 func (n *Node) unreadable(o platform.Object, err error) {
 	n.log.WithError(err).WithFields(logrus.Fields{"object": o.Name, "revision": o.Revision}).Warning("an object of the store can't be used")
 }
+
+const (
+	// avoidMirrorFor is the time for which a mirror that could not be read isn't tried again.
+	avoidMirrorFor = 3 * time.Second
+	// mirrorSettle is the time after its start from which a node reads mirrors: until then it doesn't know the other nodes.
+	mirrorSettle = time.Second
+)
+
+// mirrorSource returns the address at which this node reads the store: that of the first node of its failure domain by name
+// that follows the store itself, or "" for the store. The planner always asks the store, since its repairs wait for the news.
+func (n *Node) mirrorSource() string {
+	if n.planner.Holds() || n.mesh.Uptime() < mirrorSettle {
+		return ""
+	}
+	for _, p := range n.mesh.Alive() {
+		if p.Node > n.settings.Node {
+			return ""
+		}
+		if p.Zone == n.settings.Zone && p.MirrorAddress != "" && !p.Draining && !n.mirrorAvoided(p.MirrorAddress) {
+			return p.MirrorAddress
+		}
+	}
+	return ""
+}
+
+func (n *Node) avoidMirror(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.avoided[address] = n.clock.Now().Add(avoidMirrorFor)
+}
+
+func (n *Node) mirrorAvoided(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.clock.Now() < n.avoided[address]
+}
+
+func (n *Node) mirrorClient(address string) *platform.Store {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	client := n.mirrors[address]
+	if client == nil {
+		client = platform.NewStore(address)
+		n.mirrors[address] = client
+	}
+	return client
+}
+
+// mirrorAddress returns the address at which others can read the store through this node, or "".
+func (n *Node) mirrorAddress() string {
+	if n.draining.Load() {
+		return ""
+	}
+	for _, f := range n.followers {
+		if !f.copy.Fresh() {
+			return ""
+		}
+	}
+	return n.settings.Mirror
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -85,6 +85,15 @@
 	return all
 }
 
+// mirror serves this node's copies of the store to other nodes.
+func (n *Node) mirror() http.Handler {
+	sources := map[string]platform.Source{}
+	for _, f := range n.followers {
+		sources[f.kind] = f.copy
+	}
+	return platform.MirrorHandler(sources)
+}
+
 // observability serves metrics.
 func (n *Node) observability() http.Handler {
 	r := chi.NewRouter()
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,80 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/platform"
+)
+
+func object(name string, revision int64) platform.Object {
+	return platform.Object{Name: name, Revision: revision, Spec: []byte(`{"v":1}`)}
+}
+
+// Guards against a reader that misses or repeats a change when it reads through another node.
+func TestReadersFollowTheCopyOverHTTP(t *testing.T) {
+	c := quicktest.New(t)
+	k := New()
+	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": k}))
+	defer server.Close()
+	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	ctx := context.Background()
+
+	_, _, err := store.List(ctx, "things")
+	c.Assert(err, quicktest.IsNotNil) // Not fresh yet: the reader must ask the store itself.
+
+	k.Replace([]platform.Object{object("a", 3)}, 5)
+	list, revision, err := store.List(ctx, "things")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(list, quicktest.HasLen, 1)
+	c.Assert(revision, quicktest.Equals, int64(5))
+
+	time.AfterFunc(50*time.Millisecond, func() { k.Apply([]platform.Object{object("b", 7)}, 7) })
+	events, revision, err := store.Watch(ctx, "things", revision, 5*time.Second)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(events, quicktest.HasLen, 1)
+	c.Assert(events[0].Name, quicktest.Equals, "b")
+	c.Assert(string(events[0].Spec), quicktest.Equals, `{"v":1}`)
+
+	gone := object("a", 9)
+	gone.Deleted = true
+	k.Apply([]platform.Object{gone}, 9)
+	events, revision, err = store.Watch(ctx, "things", revision, 5*time.Second)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(events[0].Deleted, quicktest.IsTrue)
+	c.Assert(revision, quicktest.Equals, int64(9))
+
+	_, _, err = store.Watch(ctx, "things", 6, time.Second)
+	c.Assert(errors.Is(err, platform.ErrHistoryGone), quicktest.IsTrue)
+}
+
+// Guards against readers that wait on a copy whose node has lost the store.
+func TestStaleCopyWakesItsReaders(t *testing.T) {
+	c := quicktest.New(t)
+	k := New()
+	k.Replace(nil, 5)
+	time.AfterFunc(50*time.Millisecond, k.Stale)
+	start := time.Now()
+	_, _, err := k.Watch(context.Background(), 5, 10*time.Second)
+	c.Assert(errors.Is(err, ErrNotFresh), quicktest.IsTrue)
+	c.Assert(time.Since(start) < 5*time.Second, quicktest.IsTrue)
+}
+
+// Guards against unbounded memory: a reader that is too far behind lists anew.
+func TestOldChangesAreForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	k := New()
+	k.Replace(nil, 1)
+	for r := int64(2); r < 2+2*keepBatches; r++ {
+		k.Apply([]platform.Object{object("a", r)}, r)
+	}
+	_, _, err := k.Watch(context.Background(), 1, time.Second)
+	c.Assert(errors.Is(err, platform.ErrHistoryGone), quicktest.IsTrue)
+	c.Assert(len(k.batches), quicktest.Equals, keepBatches)
+}
