--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -19,6 +19,10 @@
 	suspicionLasts = 5 * time.Second
 	// AvoidFor is the time for which a replica that couldn't be reached is used only if there is no other.
 	AvoidFor = 2 * time.Second
+	// fullFor is the time for which a target that refused a request as full gets no other: some events, in which places free.
+	fullFor = 300 * time.Millisecond
+	// ageCost is the part of the age of other failure domains' loads that is added to predictions of their targets.
+	ageCost = 0.25
 	// peerLoadLasts is the age up to which a load that another node told counts.
 	peerLoadLasts = 2 * time.Second
 	// failureWeight is the weight of the newest outcome in a replica's share of failures.
@@ -45,6 +49,7 @@
 	heard    clock.Time // Last event, or the first send after idleness.
 	suspect  clock.Time // Until when the target is suspected to stand still.
 	avoid    clock.Time // Until when the target is avoided.
+	full     clock.Time // Until when the target is taken for full.
 	failures float64    // Share of failed exchanges, weighted towards the newest.
 	expected time.Duration
 }
@@ -180,6 +185,13 @@
 	t.state(k).avoid = t.clock.Now().Add(AvoidFor)
 }
 
+// Full notes that the target has refused a request because it is full. Others fill it too, unseen by this node.
+func (t *Table) Full(k Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state(k).full = t.clock.Now().Add(fullFor)
+}
+
 // Suspect notes that the target seems to stand still.
 func (t *Table) Suspect(k Key) {
 	t.mu.Lock()
@@ -335,6 +347,9 @@
 	Exclude map[Key]bool
 	// ColdShare is the part of a cold replica's bearable rate that this node may use.
 	ColdShare float64
+	// LoadAge is how old the loads may be that nodes of other failure domains tell. The loads of their targets are known as
+	// badly.
+	LoadAge time.Duration
 }
 
 // zoneCost is added to the prediction of heads in other failure domains, whose links are priced and slower.
@@ -357,11 +372,14 @@
 			continue
 		}
 		s := t.targets[k]
+		if s != nil && now < s.full {
+			continue
+		}
 		load := t.loadLocked(k, now)
 		first := t.base + FirstEvent(q.Service.Engine, q.Model.Pace, load, q.Prompt)
 		cost := first
 		if r.Zone != q.Zone {
-			cost += zoneCost
+			cost += zoneCost + time.Duration(ageCost*float64(q.LoadAge))
 		}
 		if s != nil && now < s.avoid {
 			cost += AvoidFor
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,8 @@
 	StoreAge func() time.Duration
 	// Nodes returns the number of nodes that serve, this one included.
 	Nodes func() int
+	// LoadAge returns how old the loads may be that nodes of other failure domains tell.
+	LoadAge func() time.Duration
 }
 
 // Server serves clients. It may be used concurrently.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -205,6 +205,8 @@
 		if fault := e.reply.answer.Fault; fault != "" {
 			c.tries.reason += ", fault of " + fault
 			c.opt.Table.Suspect(head.Key)
+		} else {
+			c.opt.Table.Full(head.Key)
 		}
 		c.opt.Log.WithFields(logrus.Fields{"request_id": c.q.ID, "target": string(head.Key)}).Info(c.tries.reason)
 		return streamRefused
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,9 @@
 	// plannerSilence is the time without a planner after which a node tries to become one.
 	plannerSilence = time.Second
 	callTimeout    = 1500 * time.Millisecond
+	// budgetPart is the part of the stated retry budget that is used: nodes count the same request at different times, and may
+	// not hear of each other for a while.
+	budgetPart = 0.6
 )
 
 // nodeRecord is what the store keeps of a node, so that others find it.
@@ -94,16 +97,15 @@
 		return nil, err
 	}
 	n.store.Called = n.calls.store
-	// Half of the stated slack is left for requests that nodes count at different times.
-	perNode := s.Bounds.RetrySlack / 2 / float64(max(2*len(s.Zones), 1))
-	n.budget = retry.New(retry.Options{Share: s.Bounds.RetryRatio / 2, Burst: max(perNode, 1),
-		FloorPerSecond: perNode / s.Bounds.RetryWindow.Seconds(), Log: log, Meter: metrics.Meter()})
-	n.mesh, err = gossip.New(gossip.Options{Address: s.Peer, Clock: c, Log: log, Self: n.tell, Heard: n.heard})
+	n.budget = retry.New(retry.Options{Share: s.Bounds.RetryRatio * budgetPart, BurstNow: n.retrySlack,
+		FloorPerSecond: -1, Log: log, Meter: metrics.Meter()})
+	n.mesh, err = gossip.New(gossip.Options{Address: s.Peer, Zone: s.Zone, Clock: c, Log: log, Self: n.tell, Heard: n.heard})
 	if err != nil {
 		return nil, err
 	}
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Clock: c, Log: log,
-		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 }})
+		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
+		LoadAge: n.mesh.Age})
 	n.planner = planner.New(planner.Options{Lease: planner.NewLease(n.store, c, log, s.Node, n.incarnation), Registry: n.registry,
 		Table: n.table, Replicas: platform.NewReplicas(), Clock: c, Log: log, LoadWindow: s.Bounds.CeilingWindow, StallAfter: s.Bounds.StallAfter,
 		Candidate: n.candidate, Fresh: n.fresh})
@@ -297,6 +299,11 @@
 	n.failed = true
 }
 
+// retrySlack returns this node's part of the repeats that a service may get beyond the share of its requests.
+func (n *Node) retrySlack() float64 {
+	return n.settings.Bounds.RetrySlack * budgetPart / float64(len(n.mesh.Alive())+1)
+}
+
 // storeAge returns 0 while the store answers, and the time since its last answer otherwise.
 func (n *Node) storeAge() time.Duration {
 	n.mu.Lock()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/platform"
 )
 
@@ -109,7 +110,7 @@
 	n.edge.CloseConnections()
 	n.log.WithField("in_flight", n.edge.InFlight()).Info("draining")
 	limit := n.settings.Bounds.Grace - exitReserve
-	time.Sleep(min(keptLonger*n.ttl()+n.mesh.Interval(), limit/2))
+	time.Sleep(min(keptLonger*n.ttl()+gossip.Interval, limit/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
 	defer cancel()
 	front := servers[0]
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,12 +19,13 @@
 
 const (
 	// Interval is the time between two datagrams to a peer among few nodes. Beyond nodesAtInterval nodes it grows with their
-	// number, so that the datagrams that a node receives in a second stay constant.
+	// number, so that the datagrams that a node receives in a second stay constant. Nodes of the own failure domain, with whom
+	// targets are shared most, are told more often than all others.
 	Interval        = 100 * time.Millisecond
 	nodesAtInterval = 10
 	// aliveIntervals is the number of intervals without a datagram after which a node counts as gone, and minAlive the
-	// shortest such time: three datagrams in a row may be lost.
-	aliveIntervals = 8
+	// shortest such time: some datagrams in a row may be lost.
+	aliveIntervals = 5
 	minAlive       = 1200 * time.Millisecond
 	// contactFor is the time for which a silent node is still sent datagrams.
 	contactFor = 2 * time.Minute
@@ -41,6 +42,7 @@
 // Options configures a Mesh.
 type Options struct {
 	Address string // host:port to bind; also what others send to.
+	Zone    string // Failure domain of this node.
 	Clock   clock.Clock
 	Log     logrus.FieldLogger
 	// Self returns what to tell. It is called once an interval.
@@ -56,10 +58,17 @@
 
 	mu       sync.Mutex
 	peers    map[string]Peer
-	contacts map[string]clock.Time // Addresses to send to, until the time.
+	contacts map[string]*contact // By address.
 	started  clock.Time
 }
 
+// contact is an address to send to.
+type contact struct {
+	zone  string // Empty until the node was heard.
+	until clock.Time
+	sent  clock.Time
+}
+
 // New binds the address.
 func New(opt Options) (*Mesh, error) {
 	addr, err := net.ResolveUDPAddr("udp4", opt.Address)
@@ -70,36 +79,56 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "gossip address %q", opt.Address)
 	}
-	return &Mesh{opt: opt, conn: conn, peers: map[string]Peer{}, contacts: map[string]clock.Time{}, started: opt.Clock.Now()}, nil
+	return &Mesh{opt: opt, conn: conn, peers: map[string]Peer{}, contacts: map[string]*contact{}, started: opt.Clock.Now()}, nil
 }
 
 // Run sends and receives until the context is done.
 func (m *Mesh) Run(ctx context.Context) {
 	go m.receive()
-	timer := time.NewTimer(Interval)
-	defer timer.Stop()
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
 	defer m.conn.Close()
 	for {
 		select {
 		case <-ctx.Done():
-			m.send() // The last one tells that the node drains.
 			return
-		case <-timer.C:
+		case <-ticker.C:
 			m.send()
-			timer.Reset(m.Interval())
 		}
 	}
 }
 
-// Interval returns the time between two datagrams to one peer.
-func (m *Mesh) Interval() time.Duration {
+// intervals returns the time between two datagrams to a node of this failure domain, and to any other. The lock is held.
+func (m *Mesh) intervals() (near, far time.Duration) {
+	inZone := 0
+	for _, p := range m.peers {
+		if p.Zone == m.opt.Zone {
+			inZone++
+		}
+	}
+	return stretched(inZone), stretched(len(m.peers))
+}
+
+func stretched(nodes int) time.Duration {
+	return Interval * time.Duration(max(1, (nodes+nodesAtInterval-1)/nodesAtInterval))
+}
+
+// Age returns how old the word of a node in another failure domain may be.
+func (m *Mesh) Age() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Interval * time.Duration(max(1, (len(m.peers)+nodesAtInterval)/nodesAtInterval))
+	_, far := m.intervals()
+	return far
 }
 
-// aliveFor returns the silence after which a node counts as gone.
-func (m *Mesh) aliveFor() time.Duration { return max(minAlive, aliveIntervals*m.Interval()) }
+// aliveFor returns the silence after which a node counts as gone. The lock is held.
+func (m *Mesh) aliveFor(zone string) time.Duration {
+	near, far := m.intervals()
+	if zone == m.opt.Zone {
+		return max(minAlive, aliveIntervals*near)
+	}
+	return max(minAlive, aliveIntervals*far)
+}
 
 // Contact adds addresses of nodes to talk to, as the store lists them.
 func (m *Mesh) Contact(addresses ...string) {
@@ -107,18 +136,34 @@
 	defer m.mu.Unlock()
 	for _, a := range addresses {
 		if a != m.opt.Address {
-			m.contacts[a] = m.opt.Clock.Now().Add(contactFor)
+			m.contactLocked(a, "")
 		}
 	}
 }
 
+func (m *Mesh) contactLocked(address, zone string) {
+	c := m.contacts[address]
+	if c == nil {
+		c = &contact{}
+		m.contacts[address] = c
+	}
+	if zone != "" {
+		c.zone = zone
+	}
+	c.until = m.opt.Clock.Now().Add(contactFor)
+}
+
 func (m *Mesh) send() {
+	addresses := m.due()
+	if len(addresses) == 0 {
+		return
+	}
 	data, err := proto.Marshal(m.opt.Self())
 	if err != nil || len(data) > maxDatagram {
 		m.opt.Log.WithField("bytes", len(data)).WithError(err).Error("cannot send gossip")
 		return
 	}
-	for _, address := range m.addresses() {
+	for _, address := range addresses {
 		addr, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			m.opt.Log.WithField("peer_address", address).WithError(err).Warning("a node has an unusable gossip address")
@@ -129,17 +174,27 @@
 	}
 }
 
-func (m *Mesh) addresses() []string {
+// due returns the addresses whose interval is over.
+func (m *Mesh) due() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opt.Clock.Now()
-	list := make([]string, 0, len(m.contacts))
-	for a, until := range m.contacts {
-		if now > until {
+	near, far := m.intervals()
+	var list []string
+	for a, c := range m.contacts {
+		if now > c.until {
 			delete(m.contacts, a)
 			continue
 		}
-		list = append(list, a)
+		interval := far
+		if c.zone == m.opt.Zone {
+			interval = near
+		}
+		// Half a tick early rather than half a tick late.
+		if now.Sub(c.sent) >= interval-Interval/2 {
+			c.sent = now
+			list = append(list, a)
+		}
 	}
 	return list
 }
@@ -176,18 +231,22 @@
 		return false
 	}
 	m.peers[msg.Node] = Peer{msg, now}
-	m.contacts[msg.PeerAddress] = now.Add(contactFor)
+	m.contactLocked(msg.PeerAddress, msg.Zone)
 	return true
 }
 
 // Alive returns the nodes that were heard lately, in order of name.
 func (m *Mesh) Alive() []Peer {
-	limit := m.aliveFor()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opt.Clock.Now()
+	near, far := m.aliveFor(m.opt.Zone), m.aliveFor("")
 	var list []Peer
 	for name, p := range m.peers {
+		limit := far
+		if p.Zone == m.opt.Zone {
+			limit = near
+		}
 		if age := now.Sub(p.Heard); age <= limit {
 			list = append(list, p)
 		} else if age > contactFor {
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -20,6 +20,7 @@
 	vms        map[string]*vm
 	broken     []string
 	loads      []clock.Time
+	loadedBy   map[string]int             // Weight loads by VM.
 	readyOnce  map[string]map[string]bool // Members that were ready, by group and epoch.
 	reportLag  time.Duration
 	lapseAfter time.Duration
@@ -61,7 +62,7 @@
 }
 
 func newEmulator(t testing.TB, domains, size int, e *fleet.Engine) *emulator {
-	m := &emulator{t: t, clock: clock.NewManual(time.Hour), engine: e, vms: map[string]*vm{}, readyOnce: map[string]map[string]bool{},
+	m := &emulator{t: t, clock: clock.NewManual(time.Hour), engine: e, vms: map[string]*vm{}, readyOnce: map[string]map[string]bool{}, loadedBy: map[string]int{},
 		reportLag: 200 * time.Millisecond, lapseAfter: 3600 * time.Millisecond, fresh: true}
 	for d := range domains {
 		for i := range size {
@@ -151,6 +152,7 @@
 	case Stage:
 		v.staging, v.stagedAt = o.Model, now.Add(m.loadTime(o.Model))
 		m.loads = append(m.loads, now)
+		m.loadedBy[v.id]++
 		return Accepted
 	case Join:
 		return m.join(v, o)
@@ -203,6 +205,7 @@
 		ready = m.loadTime(o.Model)
 		v.staged = []string{o.Model}
 		m.loads = append(m.loads, now)
+		m.loadedBy[v.id]++
 	}
 	v.group, v.epoch, v.seenEpoch, v.model = o.Group, o.Epoch, o.Epoch, o.Model
 	v.members, v.rank, v.state, v.readyAt, v.openAt = slices.Clone(o.Members), slices.Index(o.Members, v.id), fleet.GroupJoining, now.Add(ready), 0
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -45,14 +46,16 @@
 func TestLostMemberIsReplacedBySpare(t *testing.T) {
 	c := quicktest.New(t)
 	m, p := started(t, 6, 8)
-	before, loads := m.serving(), len(m.loads)
+	before, loaded := m.serving(), maps.Clone(m.loadedBy)
 	head := m.heads("large")[0]
 	victim := head.members[2]
 	m.kill(victim)
 	p.Dead(fleet.Life{ID: victim, Born: m.vms[victim].born}, m.clock.Now())
 	m.run(p, 3*time.Second, nil)
 	c.Assert(m.serving(), quicktest.DeepEquals, before)
-	c.Assert(len(m.loads), quicktest.Equals, loads)
+	for _, id := range head.members {
+		c.Assert(m.loadedBy[id], quicktest.Equals, loaded[id], quicktest.Commentf("member %s", id))
+	}
 	m.noneBroken()
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -39,12 +39,14 @@
 	Share          float64              // Retries per request.
 	FloorPerSecond float64              // Retries per second that are allowed whatever the number of requests.
 	Burst          float64              // Most retries that can be saved up.
+	BurstNow       func() float64       // Replaces Burst where it changes with the number of nodes. May be nil.
 	Now            func() time.Duration // Monotonic clock. Default: time since New.
 	Log            logrus.FieldLogger
 	Meter          metric.Meter
 }
 
-// Budget holds a token bucket per destination. It may be used concurrently. Its only lock is held by no call to others.
+// Budget holds a token bucket per destination. It may be used concurrently. Its only lock is held
+// by no call to others but BurstNow.
 type Budget struct {
 	opt     Options
 	retries metric.Int64Counter
@@ -86,6 +88,9 @@
 		opt.Log.WithError(err).Error("cannot create the retry counter")
 		counter, _ = noop.NewMeterProvider().Meter("retry").Int64Counter("cassiadeal_retries_total")
 	}
+	if opt.BurstNow == nil {
+		opt.BurstNow = func() float64 { return opt.Burst }
+	}
 	return &Budget{opt: opt, retries: counter, buckets: map[string]*bucket{}}
 }
 
@@ -94,7 +99,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucketLocked(destination)
-	k.tokens = min(b.opt.Burst, k.tokens+max(b.opt.Share, 0))
+	k.tokens = min(b.opt.BurstNow(), k.tokens+max(b.opt.Share, 0))
 }
 
 // Allow takes one retry from the budget of the destination and tells whether there was one. It doesn't judge the reason,
@@ -116,11 +121,11 @@
 	now := b.opt.Now()
 	k := b.buckets[destination]
 	if k == nil {
-		k = &bucket{tokens: b.opt.Burst, filled: now}
+		k = &bucket{tokens: b.opt.BurstNow(), filled: now}
 		b.buckets[destination] = k
 	}
 	earned := (now - k.filled).Seconds() * max(b.opt.FloorPerSecond, 0)
-	k.tokens = min(b.opt.Burst, k.tokens+earned)
+	k.tokens = min(b.opt.BurstNow(), k.tokens+earned)
 	k.filled = now
 	return k
 }
