--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,8 +33,10 @@
 	// groups, which waits for the members' reports.
 	replicaPace = 300 * time.Millisecond
 	plannerPace = 100 * time.Millisecond
-	// nodesWait is the longest wait of a watch of the nodes' records, which change only when a node starts.
+	// nodesWait is the longest wait of a watch of the nodes' records, which change only when a node starts, and nodesPace the
+	// least time between two watches: when all nodes start at once, each would be woken by each.
 	nodesWait = 4 * time.Second
+	nodesPace = time.Second
 	// relistPause is the time in which followers that find the store's history gone make the others list only once.
 	relistPause = time.Second
 	sweepEvery  = 100 * time.Millisecond
@@ -146,7 +148,7 @@
 		{node: n, copy: mirror.New(), kind: platform.KindEvacuations, wait: bounds.Evacuate / 2,
 			replace: func(list []platform.Object) { n.takeEvacuations(list, true) },
 			apply:   func(list []platform.Object) { n.takeEvacuations(list, false) }},
-		{node: n, copy: mirror.New(), kind: nodesKind, wait: nodesWait, replace: n.takeNodes, apply: n.takeNodes},
+		{node: n, copy: mirror.New(), kind: nodesKind, wait: nodesWait, pace: func() time.Duration { return nodesPace }, replace: n.takeNodes, apply: n.takeNodes},
 	}
 }
 
