Compare mirrors by object revisions, and let nodes try to plan in turn

Cause: the store's revision counts all kinds, so mirrors seemed to be behind (some thousand relists at 65 nodes), and all nodes polled the planner's lease (2,000 calls).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,9 +40,14 @@
 	// relistPause is the time in which followers that find the store's history gone make the others list only once.
 	relistPause = time.Second
 	sweepEvery  = 100 * time.Millisecond
+	// summaryEvery is the time between two log lines that sum up what the node did.
+	summaryEvery = 10 * time.Second
 	// plannerSilence is the time without a planner after which a node tries to become one.
 	plannerSilence = time.Second
-	callTimeout    = 1500 * time.Millisecond
+	// plannerTurn is the time that each node by name has before the next one tries too, up to plannerTurns.
+	plannerTurn  = 300 * time.Millisecond
+	plannerTurns = 3 * time.Second
+	callTimeout  = 1500 * time.Millisecond
 	// budgetPart is the part of the stated retry budget that is used: nodes count the same request at different times, and may
 	// not hear of each other for a while.
 	budgetPart = 0.6
@@ -81,6 +86,7 @@
 	failed      bool       // The last call to the store got no answer.
 	relisted    clock.Time // When a follower last made the others list anew.
 	plannerSeen clock.Time
+	tried       bool                       // This node has tried to plan at the first start of the system.
 	avoided     map[string]clock.Time      // Mirrors that could not be read, until the time.
 	mirrors     map[string]*platform.Store // By address.
 }
@@ -324,34 +330,47 @@
 // fresh tells whether the whole system has just started for the first time and no client has come yet.
 func (n *Node) fresh() bool { return n.settings.FirstRun && !n.edge.Requested() }
 
-// candidate tells whether this node should try to plan: no other node is heard to.
+// candidate tells whether this node should try to plan: no other node is heard to, and those before it by name had their time
+// to try.
 func (n *Node) candidate() bool {
-	now := n.clock.Now()
-	planned := false
+	now, rank, planned := n.clock.Now(), 0, false
 	for _, p := range n.mesh.Alive() {
 		planned = planned || p.Planner
+		if p.Ready && !p.Draining && p.Node < n.settings.Node {
+			rank++
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if planned {
 		n.plannerSeen = now
 	}
-	if n.draining.Load() || n.registry.View().Config == nil {
+	if planned || n.draining.Load() || n.registry.View().Config == nil {
 		return false
 	}
-	return n.fresh() || now.Sub(n.plannerSeen) > plannerSilence
+	if n.fresh() && !n.tried {
+		n.tried = true
+		return true
+	}
+	return now.Sub(n.plannerSeen) > plannerSilence+min(time.Duration(rank)*plannerTurn, plannerTurns)
 }
 
 // sweep looks for targets that stand still.
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
+	told := n.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if now := n.clock.Now(); now.Sub(told) >= summaryEvery {
+			told = now
+			n.log.WithFields(logrus.Fields{"store_calls": n.calls.summary(), "mirror": n.mirrorSource(), "planner": n.planner.Holds(),
+				"nodes": len(n.mesh.Alive()) + 1, "in_flight": n.edge.InFlight()}).Info("summary")
+		}
 		n.registry.Expire()
 		view := n.registry.View()
 		for _, k := range n.table.Sweep(sweepEvery, func(balance.Key, balance.Load) time.Duration { return n.gap(view) }) {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -35,7 +35,7 @@
 	copy    *mirror.Kind // What other nodes read through this one.
 
 	source  string // Mirror that is read; empty for the store itself.
-	highest int64  // Highest revision seen. A mirror that is behind it isn't read.
+	highest int64  // Highest revision of an object of this kind. A mirror that is behind it isn't read.
 
 	mu      sync.Mutex
 	listed  bool // The copy is as of the revision to watch from.
@@ -89,7 +89,6 @@
 				log.Info("the store answers again")
 			}
 			revision, lost, wait = next, false, retryStore
-			f.highest = max(f.highest, next)
 			f.node.storeAnswered()
 			if f.pace != nil && f.source == "" {
 				sleep(ctx, f.pace())
@@ -154,6 +153,7 @@
 		if err != nil {
 			return 0, err
 		}
+		f.note(items, next)
 		f.replace(items)
 		f.setListed(true)
 		if f.source == "" {
@@ -166,6 +166,7 @@
 		return 0, err
 	}
 	if len(events) > 0 {
+		f.note(events, next)
 		f.apply(events)
 	}
 	if f.source == "" {
@@ -174,6 +175,19 @@
 	return next, nil
 }
 
+// note raises the highest revision by objects that were read up to the store's revision at. The revision counts the changes of
+// all kinds, so a mirror that has seen all changes of this kind may still state a lower one. A removal has no revision of its
+// own, and at stands for it.
+func (f *follower) note(objects []platform.Object, at int64) {
+	for _, o := range objects {
+		if o.Deleted {
+			f.highest = max(f.highest, at)
+		} else {
+			f.highest = max(f.highest, o.Revision)
+		}
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -125,16 +126,33 @@
 }
 
 // calls counts the calls to the store.
-type calls struct{ counter metric.Int64Counter }
+type calls struct {
+	counter metric.Int64Counter
+
+	mu     sync.Mutex
+	recent map[string]int // By method and kind, since the last summary.
+}
 
 func newCalls(m metric.Meter) (*calls, error) {
 	counter, err := m.Int64Counter("cassiadeal_store_calls", metric.WithDescription("Calls to the platform's store by method, kind and status; 0 is no answer."))
-	return &calls{counter}, eris.Wrap(err, "store call counter")
+	return &calls{counter: counter, recent: map[string]int{}}, eris.Wrap(err, "store call counter")
 }
 
 func (c *calls) store(method, kind string, status int) {
 	c.counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("method", method), attribute.String("kind", kind),
 		attribute.Int("status", status)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent[method+" "+kind]++
+}
+
+// summary returns the calls since the last summary.
+func (c *calls) summary() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recent := c.recent
+	c.recent = map[string]int{}
+	return recent
 }
 
 // Reload reads the settings file again. Addresses can't change while the process runs; a file that can't be read changes
