--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,200 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+func testEngine() *fleet.Engine {
+	return &fleet.Engine{Slots: 26, Stride: 5, Chunk: 2048, Step: 6.07, StepPerSeq: 0.241, ReadPerMs: 46, PairsPerM: 0.7,
+		UsualPrompt: 1076, UsualAnswer: 116, Models: []fleet.Model{{Name: "m", Size: 4, Pace: 1}}}
+}
+
+// fleetOf returns a view with n open heads of the model, all in failure domain "a", and the query for them.
+func fleetOf(c clock.Clock, n int) HeadQuery {
+	r := fleet.NewRegistry(c)
+	service := &fleet.Service{Name: "pool", Engine: testEngine(), ColdPerSecond: 20}
+	r.SetConfig(&fleet.Config{Version: 1, Services: map[string]*fleet.Service{"pool": service}})
+	var list []*fleet.Replica
+	for i := range n {
+		id := fmt.Sprintf("head-%d", i)
+		list = append(list, &fleet.Replica{ID: id, Service: "pool", Zone: "a", Models: []string{"m"},
+			Group: &fleet.Membership{Name: id, Epoch: 1, State: fleet.GroupOpen}})
+	}
+	r.Replace(list)
+	return HeadQuery{View: r.View(), Service: service, Model: &service.Engine.Models[0], Prompt: 1000, Zone: "a", ColdShare: 1}
+}
+
+// Many users at once: requests spread over the heads in proportion, so that no head reads much more than another.
+func TestRushSpreadsOverHeads(t *testing.T) {
+	c := clock.NewManual(time.Hour)
+	q, table := fleetOf(c, 6), NewTable(c)
+	for range 60 {
+		head := table.PickHead(q)
+		table.Begin(head.Key, q.Prompt, head.First)
+	}
+	for _, r := range q.View.ByService["pool"] {
+		if n := table.Load(KeyOf(r)).Running; n < 7 || n > 13 {
+			t.Errorf("%s got %d of 60 requests, want about 10", r.ID, n)
+		}
+	}
+}
+
+// A rush beyond what the heads can read in time: fresh requests are refused once the first event would come too late, and
+// those that are admitted are predicted in time.
+func TestRushBeyondCapacityIsRefusedEarly(t *testing.T) {
+	c := clock.NewManual(time.Hour)
+	q, table := fleetOf(c, 4), NewTable(c)
+	const target = 500 * time.Millisecond
+	usual := table.Usual(q.Service.Engine, q.Model)
+	admitted := 0
+	for range 200 {
+		head := table.PickHead(q)
+		wait, refuse := Admission(target, 0, head.Delay, usual)
+		if refuse {
+			if wait <= 0 || wait > maxRetryAfter {
+				t.Fatalf("the client is told to wait %v", wait)
+			}
+			continue
+		}
+		admitted++
+		table.Begin(head.Key, q.Prompt, head.First)
+		if limit := time.Duration(float64(target) * (1 + lateTolerance)); head.First > limit+50*time.Millisecond {
+			t.Fatalf("request %d was admitted with its first event predicted in %v", admitted, head.First)
+		}
+	}
+	if admitted < 4*5 || admitted > 4*20 {
+		t.Fatalf("%d of 200 requests were admitted at 4 heads", admitted)
+	}
+}
+
+// Mixed sizes: under load the largest requests are refused no sooner than the small ones (seen on all standard days of the
+// first score: the largest tenth was served less than half as often).
+func TestLargePromptsAreNotRefusedFirst(t *testing.T) {
+	c := clock.NewManual(time.Hour)
+	q, table := fleetOf(c, 1), NewTable(c)
+	usual := table.Usual(q.Service.Engine, q.Model)
+	for range 5 {
+		head := table.PickHead(q)
+		table.Begin(head.Key, q.Prompt, head.First)
+	}
+	refused := func(prompt int) bool {
+		q.Prompt = prompt
+		_, refuse := Admission(500*time.Millisecond, 0, table.PickHead(q).Delay, usual)
+		return refuse
+	}
+	quicktest.Assert(t, refused(6000), quicktest.Equals, refused(100))
+}
+
+// Clients that come back after a refusal are admitted before the queue is as long as for fresh requests, and not after.
+func TestReturningRequestsYieldToFreshOnes(t *testing.T) {
+	c := quicktest.New(t)
+	const target, usual = 500 * time.Millisecond, 150 * time.Millisecond
+	_, refuse := Admission(target, time.Second, 350*time.Millisecond, usual)
+	c.Assert(refuse, quicktest.IsFalse)
+	_, refuse = Admission(target, time.Second, 410*time.Millisecond, usual)
+	c.Assert(refuse, quicktest.IsTrue)
+	_, refuse = Admission(target, 0, 410*time.Millisecond, usual)
+	c.Assert(refuse, quicktest.IsFalse)
+}
+
+// Cold replicas: all nodes together send no more in a second than a cold replica bears.
+func TestColdReplicaGetsItsShareOnly(t *testing.T) {
+	c := clock.NewManual(time.Hour)
+	r := fleet.NewRegistry(c)
+	service := &fleet.Service{Name: "desk", ColdPerSecond: 20}
+	r.Replace([]*fleet.Replica{{ID: "cold", Service: "desk", Zone: "a", Slots: 6, ColdFor: 3 * time.Second}})
+	const nodes = 4
+	sent := 0
+	for range nodes {
+		table := NewTable(c)
+		q := HeadQuery{View: r.View(), Service: service, Zone: "a", ColdShare: 1.0 / nodes}
+		for range 50 {
+			if p := table.PickPlain(q); p != nil {
+				table.CountSend(p, q.View)
+				sent++
+			}
+		}
+	}
+	quicktest.Assert(t, sent, quicktest.Equals, 20)
+}
+
+// A head that stands still is suspected after some silent gaps, and by the other nodes once they are told; one event clears it.
+func TestSilentHeadIsSuspected(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	q, table := fleetOf(now, 2), NewTable(now)
+	gap := func(Key, Load) time.Duration { return 60 * time.Millisecond }
+	head := table.PickHead(q)
+	ticket := table.Begin(head.Key, q.Prompt, head.First)
+	ticket.Event()
+	var found []Key
+	for range 6 {
+		now.Advance(100 * time.Millisecond)
+		found = append(found, table.Sweep(100*time.Millisecond, gap)...)
+	}
+	c.Assert(found, quicktest.DeepEquals, []Key{head.Key})
+	c.Assert(table.PickHead(q).Key, quicktest.Not(quicktest.Equals), head.Key)
+
+	other := NewTable(now)
+	other.SetPeer("node-1", table.Own())
+	c.Assert(other.Suspected(head.Key), quicktest.IsTrue)
+	c.Assert(other.HeardAge(head.Key), quicktest.Equals, 600*time.Millisecond)
+
+	ticket.Event()
+	c.Assert(table.Suspected(head.Key), quicktest.IsFalse)
+}
+
+// A process that was frozen finds all heads silent, which says nothing about them.
+func TestNoSuspicionAfterOwnPause(t *testing.T) {
+	now := clock.NewManual(time.Hour)
+	q, table := fleetOf(now, 2), NewTable(now)
+	head := table.PickHead(q)
+	table.Begin(head.Key, q.Prompt, head.First).Event()
+	now.Advance(4 * time.Second)
+	found := table.Sweep(100*time.Millisecond, func(Key, Load) time.Duration { return 60 * time.Millisecond })
+	quicktest.Assert(t, found, quicktest.HasLen, 0)
+	quicktest.Assert(t, table.Suspected(head.Key), quicktest.IsFalse)
+}
+
+// What first events take beyond the published arithmetic is measured.
+func TestBaseIsMeasured(t *testing.T) {
+	now := clock.NewManual(time.Hour)
+	q, table := fleetOf(now, 1), NewTable(now)
+	var predicted time.Duration
+	for range 300 {
+		head := table.PickHead(q)
+		predicted = head.First
+		ticket := table.Begin(head.Key, q.Prompt, head.First)
+		now.Advance(FirstEvent(q.Service.Engine, 1, Load{}, q.Prompt) + 105*time.Millisecond)
+		ticket.Event()
+		ticket.End()
+	}
+	want := FirstEvent(q.Service.Engine, 1, Load{}, q.Prompt) + 105*time.Millisecond
+	if off := predicted - want; off < -5*time.Millisecond || off > 5*time.Millisecond {
+		t.Fatalf("predicted %v, want about %v", predicted, want)
+	}
+}
+
+// The counts of a target return to nothing whatever the order of events and ends.
+func TestTicketsBalance(t *testing.T) {
+	now := clock.NewManual(time.Hour)
+	table := NewTable(now)
+	for i := range 20 {
+		ticket := table.Begin("k", 100, time.Second)
+		if i%2 == 0 {
+			ticket.Event()
+			ticket.Event()
+		}
+		ticket.End()
+		ticket.End()
+		ticket.Event()
+	}
+	quicktest.Assert(t, table.Load("k"), quicktest.Equals, Load{})
+}
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,278 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/retry"
+	"cassiadeal.example/cassiadeal/platform"
+)
+
+// replica answers each request with fixed bytes and then closes the connection.
+type replica struct {
+	address string
+	answer  func(*http.Request) string
+	reset   bool // Its first answer ends with a reset instead of an orderly close.
+
+	mu   sync.Mutex
+	runs []*http.Request
+}
+
+func newReplica(t testing.TB, reset bool, answer func(*http.Request) string) *replica {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { l.Close() })
+	r := &replica{address: l.Addr().String(), answer: answer, reset: reset}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return r
+}
+
+func (r *replica) serve(conn *net.TCPConn) {
+	defer conn.Close()
+	q, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.runs = append(r.runs, q)
+	first := len(r.runs) == 1
+	r.mu.Unlock()
+	_, _ = conn.Write([]byte(r.answer(q)))
+	if r.reset && first {
+		time.Sleep(20 * time.Millisecond) // The reset would overtake what was written.
+		_ = conn.SetLinger(0)
+	}
+}
+
+func (r *replica) received() []*http.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*http.Request(nil), r.runs...)
+}
+
+const sealed = "X-Cassiadeal-Response-Seal: s\r\n"
+
+func whole(status, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+// newServer serves the replicas: heads of groups of one model if the kind is a stream, plain ones otherwise.
+func newServer(t testing.TB, kind fleet.Repeat, replicas ...*replica) http.Handler {
+	c := clock.Boottime()
+	registry := fleet.NewRegistry(c)
+	service := &fleet.Service{Name: "s"}
+	route := fleet.Route{Name: "r", Host: "x.example", Prefix: "/a/", Repeat: kind, Timeout: 3 * time.Second, MaxAttempts: 2,
+		Resumable: true, Backends: []fleet.Backend{{Service: "s", Weight: 1}}}
+	if kind == fleet.RepeatStream {
+		service.Engine = &fleet.Engine{Slots: 8, Stride: 1, Chunk: 2048, Step: 1, ReadPerMs: 100, UsualAnswer: 10,
+			Models: []fleet.Model{{Name: "m", Size: 1, Pace: 1}}}
+	}
+	registry.SetConfig(&fleet.Config{Version: 1, Routes: []fleet.Route{route}, Services: map[string]*fleet.Service{"s": service},
+		Tenants: map[string]fleet.Tenant{"key": {Name: "hule"}}})
+	var list []*fleet.Replica
+	for i, r := range replicas {
+		p := &fleet.Replica{ID: fmt.Sprintf("i-%d", i), Service: "s", Address: r.address, Zone: "z", Slots: 4}
+		if service.Engine != nil {
+			p.Models = []string{"m"}
+			p.Group = &fleet.Membership{Name: p.ID, Epoch: 1, State: fleet.GroupOpen}
+		}
+		list = append(list, p)
+	}
+	registry.Replace(list)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{Codec: platform.Codec{}, Registry: registry, Table: balance.NewTable(c), Budget: retry.New(retry.Options{Burst: 100}),
+		Clock: c, Log: log, Zone: "z", StoreAge: func() time.Duration { return 0 }, Nodes: func() int { return 1 },
+		LoadAge: func() time.Duration { return 0 }})
+}
+
+// ask sends one request through a real listener.
+func ask(t testing.TB, h http.Handler, method string, more ...string) (*http.Response, string, error) {
+	server := httptest.NewServer(h)
+	defer server.Close()
+	req, err := http.NewRequest(method, server.URL+"/a/1", strings.NewReader("order"))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	req.Host = "x.example"
+	for name, value := range map[string]string{"X-Cassiadeal-Request-Id": "q1", "X-Cassiadeal-Deadline-Ms": "2000", "X-Api-Key": "key",
+		"X-Cassiadeal-Model": "m", "X-Cassiadeal-Token-Usage": "100,20"} {
+		req.Header.Set(name, value)
+	}
+	for i := 0; i+1 < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	resp, err := (&http.Transport{DisableCompression: true}).RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// promises tells whether the status states that the request has not run.
+func promises(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+// Guards against a request that may not repeat and runs twice, or is called not run though it may have run: the replica takes
+// it and its answer is cut at every byte, or is one that must not be passed on.
+func TestUnsafeRequestRunsOnceWhateverTheAnswer(t *testing.T) {
+	full := whole("200 OK", sealed+"X-Cassiadeal-Request-Id: q1\r\n", "done")
+	answers := []string{"garbage\r\n\r\n", whole("200 OK", "", "no seal"), whole("503 Service Unavailable", "", "who knows"),
+		whole("429 Too Many Requests", "", ""), whole("408 Request Timeout", "", ""), whole("200 OK", sealed+"X-Cassiadeal-Request-Id: q2\r\n", "other")}
+	for i := range len(full) {
+		answers = append(answers, full[:i])
+	}
+	for _, answer := range answers {
+		for _, reset := range []bool{false, true} {
+			if reset && len(answer)%5 != 0 {
+				continue // Each reset takes a while; a fifth of the cuts is enough.
+			}
+			a := newReplica(t, reset, func(*http.Request) string { return answer })
+			b := newReplica(t, reset, func(*http.Request) string { return answer })
+			resp, _, err := ask(t, newServer(t, fleet.RepeatNever, a, b), http.MethodPost)
+			if n := len(a.received()) + len(b.received()); n != 1 {
+				t.Fatalf("answer %q: %d runs, want 1", answer, n)
+			}
+			if err == nil && (promises(resp.StatusCode) || resp.StatusCode < 300) {
+				t.Fatalf("answer %q: the client got %d", answer, resp.StatusCode)
+			}
+		}
+	}
+}
+
+// Guards against giving up, or breaking the promise, where replicas state that they have not run the request.
+func TestRefusedRequestIsTriedElsewhere(t *testing.T) {
+	c := quicktest.New(t)
+	refused := whole("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\n", "")
+	a := newReplica(t, false, func(*http.Request) string { return refused })
+	b := newReplica(t, false, func(*http.Request) string { return whole("200 OK", sealed, "done") })
+	for range 8 {
+		resp, body, err := ask(t, newServer(t, fleet.RepeatNever, a, b), http.MethodPost)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(resp.StatusCode, quicktest.Equals, 200)
+		c.Assert(body, quicktest.Equals, "done")
+	}
+	resp, _, err := ask(t, newServer(t, fleet.RepeatNever, a), http.MethodPost)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(resp.StatusCode, quicktest.Equals, 503)
+	c.Assert(resp.Header.Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealed + "\r\n"
+
+// Guards against events that are missing, come twice or are cut when a head dies in the middle of an event: the stream goes on
+// at another head within one answer.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	all := events(1, 4)
+	for cut := range len(all) {
+		answer := func(q *http.Request) string {
+			from := 1
+			if last := q.Header.Get("Last-Event-Id"); last != "" {
+				_, _ = fmt.Sscan(last, &from)
+				from++
+				return streamHead + events(from, 4)
+			}
+			return ""
+		}
+		var once sync.Once
+		first := func(q *http.Request) string {
+			out := ""
+			once.Do(func() { out = streamHead + all[:cut] })
+			if out != "" {
+				return out
+			}
+			if out = answer(q); out == "" {
+				out = streamHead + all // Nothing was passed on before the cut.
+			}
+			return out
+		}
+		reset := cut%7 == 0
+		// The replica that is chosen second must close in order.
+		a := newReplica(t, reset, first)
+		b := newReplica(t, false, answerWhole(answer, all))
+		_, body, err := ask(t, newServer(t, fleet.RepeatStream, a, b), http.MethodPost)
+		atBoundary := strings.HasSuffix(all[:cut], "\n\n")
+		if len(a.received()) > 0 && (reset || !atBoundary && cut > 0) {
+			if err != nil || body != all {
+				t.Fatalf("cut at %d (reset %v): got %q and %v, want all events", cut, reset, body, err)
+			}
+		} else if err == nil && body != all && body != all[:cut] {
+			t.Fatalf("cut at %d: got %q", cut, body)
+		}
+	}
+}
+
+// answerWhole answers with all events where no part was passed on before.
+func answerWhole(resumed func(*http.Request) string, all string) func(*http.Request) string {
+	return func(q *http.Request) string {
+		if out := resumed(q); out != "" {
+			return out
+		}
+		return streamHead + all
+	}
+}
+
+// Guards against a stream that may not be resumed and is sent twice.
+func TestStreamThatMayNotBeResumedRunsOnce(t *testing.T) {
+	a := newReplica(t, true, func(*http.Request) string { return streamHead + "id: 1\nda" })
+	b := newReplica(t, true, func(*http.Request) string { return streamHead + "id: 1\nda" })
+	h := newServer(t, fleet.RepeatStream, a, b)
+	route := &h.(*Server).opt.Registry.View().Config.Routes[0]
+	route.Resumable = false
+	resp, _, err := ask(t, h, http.MethodPost)
+	if n := len(a.received()) + len(b.received()); n != 1 {
+		t.Fatalf("%d runs, want 1", n)
+	}
+	if err == nil && (promises(resp.StatusCode) || resp.StatusCode < 300) {
+		t.Fatalf("the client got %d", resp.StatusCode)
+	}
+}
+
+func TestUnknownRouteAndKey(t *testing.T) {
+	c := quicktest.New(t)
+	a := newReplica(t, false, func(*http.Request) string { return whole("200 OK", sealed, "done") })
+	h := newServer(t, fleet.RepeatSafe, a)
+	resp, _, err := ask(t, h, http.MethodGet, "X-Api-Key", "wrong")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(resp.StatusCode, quicktest.Equals, 401)
+	// A node that has lost the store may not know the newest keys: it refuses for now.
+	h.(*Server).opt.StoreAge = func() time.Duration { return time.Minute }
+	resp, _, err = ask(t, h, http.MethodGet, "X-Api-Key", "wrong")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(resp.StatusCode, quicktest.Equals, 503)
+	c.Assert(a.received(), quicktest.HasLen, 0)
+}
