--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,8 +42,6 @@
 	sweepEvery  = 100 * time.Millisecond
 	// summaryEvery is the time between two log lines that sum up what the node did.
 	summaryEvery = 10 * time.Second
-	// plannerSilence is the time without a planner after which a node tries to become one.
-	plannerSilence = time.Second
 	// plannerTurn is the time that each node by name has before the next one tries too, up to plannerTurns.
 	plannerTurn  = 300 * time.Millisecond
 	plannerTurns = 3 * time.Second
@@ -73,6 +71,7 @@
 	budget   *retry.Budget
 	mesh     *gossip.Mesh
 	edge     *edge.Server
+	lease    *planner.Lease
 	planner  *planner.Planner
 
 	followers   []*follower // Not changed after New.
@@ -114,7 +113,8 @@
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.mesh.Age})
-	n.planner = planner.New(planner.Options{Lease: planner.NewLease(n.store, c, log, s.Node, n.incarnation), Registry: n.registry,
+	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
+	n.planner = planner.New(planner.Options{Lease: n.lease, OthersReach: n.othersReach, Registry: n.registry,
 		Table: n.table, Replicas: platform.NewReplicas(), Clock: c, Log: log, LoadWindow: s.Bounds.CeilingWindow, StallAfter: s.Bounds.StallAfter,
 		Candidate: n.candidate, Fresh: n.fresh})
 	n.followers = n.newFollowers()
@@ -345,14 +345,14 @@
 	if planned {
 		n.plannerSeen = now
 	}
-	if planned || n.draining.Load() || n.registry.View().Config == nil {
+	if planned || n.failed || n.draining.Load() || n.registry.View().Config == nil {
 		return false
 	}
 	if n.fresh() && !n.tried {
 		n.tried = true
 		return true
 	}
-	return now.Sub(n.plannerSeen) > plannerSilence+min(time.Duration(rank)*plannerTurn, plannerTurns)
+	return now.Sub(n.plannerSeen) > min(time.Duration(rank)*plannerTurn, plannerTurns)
 }
 
 // sweep looks for targets that stand still.
@@ -401,6 +401,7 @@
 	msg := &schema.NodeGossip{Node: n.settings.Node, Incarnation: n.incarnation, Zone: n.settings.Zone, FrontAddress: n.settings.Front,
 		PeerAddress: n.settings.Peer, Draining: n.draining.Load(), Ready: n.ready(), Planner: n.planner.Holds(), MirrorAddress: n.mirrorAddress(),
 		StoreAgeMs: n.storeAge().Milliseconds()}
+	msg.LeaseRevision, msg.Resigned = n.lease.Told()
 	for k, l := range own.Loads {
 		msg.Loads = append(msg.Loads, &schema.TargetLoad{Target: string(k), Running: uint32(l.Running), Waiting: uint32(l.Waiting),
 			UnreadTokens: uint32(l.Unread), HeardMs: uint32(own.Heard[k].Milliseconds())})
@@ -423,6 +424,19 @@
 		state.Suspect[balance.Key(k)] = true
 	}
 	n.table.SetPeer(msg.Node, state)
+	if msg.LeaseRevision != 0 {
+		n.lease.Hear(msg.LeaseRevision, msg.Resigned)
+	}
+}
+
+// othersReach tells whether the store answers another node.
+func (n *Node) othersReach() bool {
+	for _, p := range n.mesh.Alive() {
+		if p.Ready && !p.Draining && p.StoreAgeMs == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // listen binds the addresses of the node.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -192,6 +192,9 @@
 			continue
 		}
 		m.acked = m.acked || out == Accepted
+		if out == Unknown {
+			m.asked = 0 // It is asked again at once: the same join twice does no harm.
+		}
 		if out == Outdated {
 			// Another planner has used a higher epoch; the group is planned anew above it.
 			g.epoch = p.nextEpoch()
@@ -219,6 +222,46 @@
 	return all
 }
 
+// Summary counts what the plan holds, by model.
+type Summary struct {
+	Open    map[string]int // Groups whose head reports to serve.
+	Forming map[string]int // Groups that are joining, opening or being repaired.
+	Spares  map[string]int // Replicas outside groups that hold the weights.
+	Loading map[string]int // Replicas that are staging weights.
+	Idle    int            // Replicas without weights.
+}
+
+// Summarize counts the plan's groups and spares among the replicas.
+func (p *Plan) Summarize(replicas map[string]*fleet.Replica) Summary {
+	sum := Summary{map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, 0}
+	used := map[string]bool{}
+	for _, g := range p.groups {
+		head := replicas[g.members[0].life.ID]
+		if head != nil && head.Head() && head.Group.Epoch == g.epoch {
+			sum.Open[g.model]++
+		} else {
+			sum.Forming[g.model]++
+		}
+		for _, m := range g.members {
+			used[m.life.ID] = true
+		}
+	}
+	for _, st := range p.staging {
+		sum.Loading[st.model]++
+	}
+	for id, r := range replicas {
+		_, loading := p.staging[r.Life()]
+		switch {
+		case used[id] || loading || r.Draining:
+		case len(r.Staged) > 0:
+			sum.Spares[r.Staged[len(r.Staged)-1]]++
+		default:
+			sum.Idle++
+		}
+	}
+	return sum
+}
+
 // step holds what one call of Step works on.
 type step struct {
 	*Plan
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,10 +17,14 @@
 const (
 	// LeaseTerm is the time for which a node plans after the sending of its last renewal, and leaseMargin what another node
 	// waits beyond it. The time of one renewal call and its lost answer fit into the term.
-	LeaseTerm   = 2 * time.Second
-	leaseMargin = 500 * time.Millisecond
-	renewEvery  = 700 * time.Millisecond
-	leaseCall   = 600 * time.Millisecond
+	LeaseTerm   = 1600 * time.Millisecond
+	leaseMargin = 400 * time.Millisecond
+	renewEvery  = 500 * time.Millisecond
+	leaseCall   = 400 * time.Millisecond
+	// resignAfter is the time without a renewal after which the holder gives the lease up to a node that reaches the store.
+	resignAfter = 800 * time.Millisecond
+	// resignedFor is the time for which a node tells that it has given the lease up.
+	resignedFor = 5 * time.Second
 	// askEvery is the time between two looks at a lease whose holder isn't heard.
 	askEvery = 400 * time.Millisecond
 
@@ -34,20 +39,27 @@
 	Renewals    int64  `json:"renewals"` // Makes each renewal a change.
 }
 
-// Lease is one node's part in the choice of the planner. It is used by one goroutine.
+// Lease is one node's part in the choice of the planner. Tend and Resign are called by one goroutine; the others may be called
+// by any.
 type Lease struct {
-	store      *platform.Store
-	clock      clock.Clock
-	log        logrus.FieldLogger
-	self       leaseRecord
+	store *platform.Store
+	clock clock.Clock
+	log   logrus.FieldLogger
+
+	self    leaseRecord
+	sent    clock.Time // Last renewal, whether it was answered or not.
+	renewed clock.Time // Sending of the last renewal that was answered.
+	asked   clock.Time // Last look at another node's lease.
+
+	mu         sync.Mutex // Guards all below. No call to the store is made under it.
 	held       bool
 	term       int64 // Revision at which the lease was taken.
 	revision   int64
 	validUntil clock.Time
-	sent       clock.Time // Last renewal.
-	seen       int64      // Revision of another node's lease, and when it was first seen.
+	resignedAt clock.Time // When this node gave the lease up; 0 if it didn't.
+	seen       int64      // Revision of another node's lease, and when it was first known here.
 	seenAt     clock.Time
-	asked      clock.Time
+	free       bool // The holder of the seen revision has given it up.
 }
 
 // NewLease returns a lease that isn't held.
@@ -55,34 +67,104 @@
 	return &Lease{store: store, clock: c, log: log, self: leaseRecord{Node: node, Incarnation: incarnation}}
 }
 
+// Hear notes what the holder of the lease tells: its revision, and whether it has given it up.
+func (l *Lease) Hear(revision int64, resigned bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision > l.seen {
+		l.seen, l.seenAt, l.free = revision, l.clock.Now(), false
+	}
+	l.free = l.free || resigned && revision == l.seen
+}
+
+// Told returns the revision that this node holds or has lately given up, for the other nodes; 0 for none.
+func (l *Lease) Told() (revision int64, resigned bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held {
+		return l.revision, false
+	}
+	if l.resignedAt != 0 && l.clock.Now().Sub(l.resignedAt) < resignedFor {
+		return l.revision, true
+	}
+	return 0, false
+}
+
+// Resign gives the lease up, so that another node may take it at once. No order is sent afterwards.
+func (l *Lease) Resign(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.held {
+		return
+	}
+	l.held, l.resignedAt = false, l.clock.Now()
+	l.log.WithField("term", l.term).Warning("this node gives up planning groups: " + reason)
+}
+
 // Valid tells whether this node may plan now.
-func (l *Lease) Valid() bool { return l.held && l.clock.Now() < l.validUntil }
+func (l *Lease) Valid() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held && l.clock.Now() < l.validUntil
+}
 
 // Term returns a number above that of every earlier holder.
-func (l *Lease) Term() int64 { return l.term }
+func (l *Lease) Term() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
+func (l *Lease) holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
 
-// Tend renews the lease or, if candidate is true, tries to take it. It returns true if this node has just become the planner.
-func (l *Lease) Tend(ctx context.Context, candidate bool) bool {
+// Tend renews the lease or, if candidate is true, tries to take it. OthersReach tells whether another node reaches the store.
+// It returns true if this node has just become the planner.
+func (l *Lease) Tend(ctx context.Context, candidate, othersReach bool) bool {
 	now := l.clock.Now()
-	if l.held {
+	if l.holds() {
 		if now.Sub(l.sent) >= renewEvery {
 			l.renew(ctx, now)
 		}
-		if l.held && l.clock.Now() > l.validUntil {
+		switch silent := l.clock.Now().Sub(l.renewed); {
+		case silent > LeaseTerm:
 			l.drop("the lease ran out without a renewal")
+		case silent > resignAfter && othersReach:
+			l.Resign("the store doesn't answer this node, but others")
 		}
 		return false
 	}
-	if !candidate || l.asked != 0 && now.Sub(l.asked) < askEvery {
+	if !candidate {
+		return false
+	}
+	if revision := l.due(); revision != 0 {
+		return l.takeAt(ctx, revision)
+	}
+	if l.asked != 0 && now.Sub(l.asked) < askEvery {
 		return false
 	}
 	l.asked = now
 	return l.take(ctx)
 }
 
+// due returns the seen revision if its holder must have stopped: it said so, or a term and the margin have passed since the
+// revision was first known here, which is after its renewal was sent.
+func (l *Lease) due() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen != 0 && (l.free || l.clock.Now().Sub(l.seenAt) > LeaseTerm+leaseMargin) {
+		return l.seen
+	}
+	return 0
+}
+
 func (l *Lease) drop(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.held = false
-	l.seen = 0
 	l.log.WithField("term", l.term).Warning("this node no longer plans groups: " + reason)
 }
 
@@ -91,14 +173,20 @@
 	ctx, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
 	l.self.Renewals++
-	o, err := l.store.Update(ctx, leaseKind, leaseName, l.revision, l.self)
+	l.mu.Lock()
+	revision := l.revision
+	l.mu.Unlock()
+	o, err := l.store.Update(ctx, leaseKind, leaseName, revision, l.self)
 	switch {
 	case err == nil:
+		l.renewed = now
+		l.mu.Lock()
 		l.revision, l.validUntil = o.Revision, now.Add(LeaseTerm)
+		l.mu.Unlock()
 	case errors.Is(err, platform.ErrConflict):
 		l.reread(ctx)
 	default:
-		l.log.WithError(err).WithField("valid_ms", l.validUntil.Sub(now).Milliseconds()).Warning("the planner's lease could not be renewed")
+		l.log.WithError(err).WithField("renewed_ms_ago", now.Sub(l.renewed).Milliseconds()).Warning("the planner's lease could not be renewed")
 	}
 }
 
@@ -113,7 +201,9 @@
 		l.drop("node " + record.Node + " holds the lease")
 		return
 	}
+	l.mu.Lock()
 	l.revision = o.Revision
+	l.mu.Unlock()
 	l.sent = 0 // Renewed again at the next call; the term isn't longer for it.
 }
 
@@ -126,33 +216,48 @@
 	return o, record, json.Unmarshal(o.Spec, &record)
 }
 
-// take takes the lease if nobody holds it, if an earlier process of this node held it, or if it has not been renewed for a
-// term and the margin.
+// take looks at the lease, and takes it if nobody holds it or if an earlier process of this node did.
 func (l *Lease) take(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, 2*leaseCall)
+	call, cancel := context.WithTimeout(ctx, leaseCall)
 	defer cancel()
-	o, record, err := l.read(ctx)
-	sent := l.clock.Now()
-	l.self.Renewals++
+	o, record, err := l.read(call)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		o, err = l.store.Create(ctx, leaseKind, leaseName, l.self)
+		sent := l.clock.Now()
+		l.self.Renewals++
+		o, err = l.store.Create(call, leaseKind, leaseName, l.self)
+		return l.taken(o, err, sent)
 	case err != nil:
 		l.log.WithError(err).Info("the planner's lease could not be read")
 		return false
-	case record.Node == l.self.Node, o.Revision == l.seen && sent.Sub(l.seenAt) > LeaseTerm+leaseMargin:
-		o, err = l.store.Update(ctx, leaseKind, leaseName, o.Revision, l.self)
-	default:
-		if o.Revision != l.seen {
-			l.seen, l.seenAt = o.Revision, sent
-		}
-		return false
+	case record.Node == l.self.Node:
+		return l.takeAt(ctx, o.Revision)
 	}
+	l.Hear(o.Revision, false)
+	return false
+}
+
+// takeAt takes the lease if it still has the revision.
+func (l *Lease) takeAt(ctx context.Context, revision int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaseCall)
+	defer cancel()
+	sent := l.clock.Now()
+	l.self.Renewals++
+	o, err := l.store.Update(ctx, leaseKind, leaseName, revision, l.self)
+	return l.taken(o, err, sent)
+}
+
+func (l *Lease) taken(o platform.Object, err error, sent clock.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
+		// The lease is looked at anew: it has changed, or this write may yet be carried out.
+		l.seen, l.seenAt, l.free = 0, 0, false
 		l.log.WithError(err).Info("the planner's lease could not be taken")
 		return false
 	}
-	l.held, l.term, l.revision, l.sent, l.validUntil = true, o.Revision, o.Revision, sent, sent.Add(LeaseTerm)
-	l.log.WithFields(logrus.Fields{"term": l.term, "earlier": record.Node}).Info("this node plans groups")
+	l.held, l.term, l.revision, l.validUntil, l.resignedAt = true, o.Revision, o.Revision, sent.Add(LeaseTerm), 0
+	l.sent, l.renewed = sent, sent
+	l.log.WithField("term", l.term).Info("this node plans groups")
 	return true
 }
--- /dev/null
+++ b/internal/planner/lease_test.go
@@ -0,0 +1,165 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/platform"
+)
+
+// leaseStore plays the store for one object. It can turn clients away, and lose answers of writes that it carries out.
+type leaseStore struct {
+	mu       sync.Mutex
+	revision int64
+	spec     json.RawMessage
+	down     map[string]bool // By client.
+	lose     bool
+}
+
+func (s *leaseStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	client, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if s.down[client] {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.Method == http.MethodGet {
+		s.answer(w)
+		return
+	}
+	var in struct {
+		Metadata struct {
+			Revision int64 `json:"revision"`
+		} `json:"metadata"`
+		Spec json.RawMessage `json:"spec"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || r.Method == http.MethodPost && s.revision != 0 ||
+		r.Method == http.MethodPut && in.Metadata.Revision != s.revision {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.revision += 3
+	s.spec = in.Spec
+	if s.lose {
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w)
+}
+
+func (s *leaseStore) answer(w http.ResponseWriter) {
+	if s.revision == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"metadata": map[string]any{"name": leaseName, "revision": s.revision}, "spec": s.spec})
+}
+
+func (s *leaseStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// newLeases returns the leases of two nodes on one store.
+func newLeases(t *testing.T) (*leaseStore, *clock.Manual, *Lease, *Lease) {
+	store := &leaseStore{down: map[string]bool{}}
+	c := clock.NewManual(time.Hour)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	lease := func(name string) *Lease {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.URL.Path = "/" + name + r.URL.Path
+			store.ServeHTTP(w, r)
+		}))
+		t.Cleanup(server.Close)
+		return NewLease(platform.NewStore(strings.TrimPrefix(server.URL, "http://")), c, log, name, 1)
+	}
+	return store, c, lease("a"), lease("b")
+}
+
+// run tends both leases for the time and fails if both may plan at once.
+func run(t *testing.T, c *clock.Manual, d time.Duration, a, b *Lease, gossip bool) {
+	t.Helper()
+	ctx := context.Background()
+	for range int(d / (100 * time.Millisecond)) {
+		a.Tend(ctx, !b.Valid(), true)
+		b.Tend(ctx, !a.Valid(), true)
+		if a.Valid() && b.Valid() {
+			t.Fatal("two nodes plan at once")
+		}
+		if gossip {
+			if revision, resigned := a.Told(); revision != 0 {
+				b.Hear(revision, resigned)
+			}
+		}
+		c.Advance(100 * time.Millisecond)
+	}
+}
+
+// Guards against a planner that is followed by nobody, and against two planners, when its store access is refused.
+func TestLeasePassesWhenItsHolderLosesTheStore(t *testing.T) {
+	c := quicktest.New(t)
+	store, clk, a, b := newLeases(t)
+	run(t, clk, time.Second, a, b, true)
+	c.Assert(a.Valid(), quicktest.IsTrue)
+	term := a.Term()
+	store.set(func() { store.down["a"] = true })
+	run(t, clk, resignAfter+renewEvery+500*time.Millisecond, a, b, true)
+	c.Assert(b.Valid(), quicktest.IsTrue)
+	c.Assert(b.Term() > term, quicktest.IsTrue)
+}
+
+// Guards against a takeover before the term of a holder that isn't heard has passed.
+func TestLeaseOfAnUnheardHolderIsWaitedFor(t *testing.T) {
+	c := quicktest.New(t)
+	store, clk, a, b := newLeases(t)
+	run(t, clk, time.Second, a, b, false)
+	store.set(func() { store.down["a"] = true })
+	dead := clk.Now()
+	ctx := context.Background()
+	for !b.Valid() && clk.Now().Sub(dead) < 10*time.Second {
+		b.Tend(ctx, true, true)
+		if b.Valid() && a.Valid() {
+			t.Fatal("two nodes plan at once")
+		}
+		clk.Advance(100 * time.Millisecond)
+	}
+	c.Assert(b.Valid(), quicktest.IsTrue)
+	c.Assert(clk.Now().Sub(dead) < LeaseTerm+leaseMargin+time.Second, quicktest.IsTrue)
+}
+
+// Guards against a holder that takes its own renewal, whose answer was lost, for another node's.
+func TestLostAnswerOfARenewalKeepsTheLease(t *testing.T) {
+	c := quicktest.New(t)
+	store, clk, a, b := newLeases(t)
+	run(t, clk, time.Second, a, b, true)
+	store.set(func() { store.lose = true })
+	run(t, clk, 500*time.Millisecond, a, b, true)
+	store.set(func() { store.lose = false })
+	run(t, clk, 3*time.Second, a, b, true)
+	c.Assert(a.Valid(), quicktest.IsTrue)
+}
+
+// Guards against a stopping node that keeps the lease for a term.
+func TestResignedLeaseIsTakenAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	_, clk, a, b := newLeases(t)
+	run(t, clk, time.Second, a, b, true)
+	a.Resign("it stops")
+	c.Assert(a.Valid(), quicktest.IsFalse)
+	b.Hear(a.Told())
+	c.Assert(b.Tend(context.Background(), true, true), quicktest.IsTrue)
+	c.Assert(clk.Now() > 0, quicktest.IsTrue)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -20,7 +20,7 @@
 const (
 	tick = 50 * time.Millisecond
 	// orderCall and probeCall bound one order and one report. Both take some milliseconds at a sound replica.
-	orderCall = 700 * time.Millisecond
+	orderCall = 400 * time.Millisecond
 	probeCall = 250 * time.Millisecond
 	// probeTwin is the delay after which a report is asked for a second time, as an opening packet may be lost.
 	probeTwin = 60 * time.Millisecond
@@ -30,6 +30,8 @@
 	deadSilence = time.Second
 	// probeAgain is the time between two probes of the members of a group that seems to stand still.
 	probeAgain = 700 * time.Millisecond
+	// summaryEvery is the time between two log lines that sum up the groups.
+	summaryEvery = 2 * time.Second
 	// settle is the time that a new planner listens before its first plan, so that the orders of its predecessor show.
 	settle = 400 * time.Millisecond
 )
@@ -46,6 +48,8 @@
 	StallAfter time.Duration
 	// Candidate tells whether this node should try to become the planner now.
 	Candidate func() bool
+	// OthersReach tells whether the store answers another node.
+	OthersReach func() bool
 	// Fresh tells whether no client has sent a request yet since the first start of the system.
 	Fresh func() bool
 	// Demand returns the group time that clients ask for, by model, over all nodes; empty if not known.
@@ -62,6 +66,7 @@
 	probed  map[string]clock.Time // By group.
 	sending map[string]*sync.Mutex
 	held    bool
+	told    clock.Time // Last summary in the log.
 }
 
 // New returns a Planner.
@@ -83,10 +88,14 @@
 	for {
 		select {
 		case <-ctx.Done():
+			p.opt.Lease.Resign("it stops")
+			p.mu.Lock()
+			p.held = false
+			p.mu.Unlock()
 			return
 		case <-ticker.C:
 		}
-		if p.opt.Lease.Tend(ctx, p.opt.Candidate()) {
+		if p.opt.Lease.Tend(ctx, p.opt.Candidate(), p.opt.OthersReach()) {
 			p.begin()
 		}
 		valid := p.opt.Lease.Valid()
@@ -133,6 +142,12 @@
 		Need: p.need(service.Engine), Fresh: p.opt.Fresh(), LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
 		Silent: func(r *fleet.Replica) bool { return p.opt.Table.HeardAge(balance.KeyOf(r)) > deadSilence }})
 	probes := p.suspects(replicas, now)
+	if now.Sub(p.told) >= summaryEvery {
+		p.told = now
+		sum := p.plan.Summarize(replicas)
+		p.opt.Log.WithFields(logrus.Fields{"open": sum.Open, "forming": sum.Forming, "spares": sum.Spares, "loading": sum.Loading,
+			"idle": sum.Idle, "replicas": len(replicas), "failure_domains_out": view.Evacuated}).Info("groups")
+	}
 	p.mu.Unlock()
 	for _, o := range orders {
 		go p.send(ctx, o)
