--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,13 +70,12 @@
 	mu sync.Mutex
 	// firstWait is the longest time that clients of each route were ready to wait: that of first attempts.
 	firstWait map[string]time.Duration
-	demand    map[string]float64 // Milliseconds of group time asked for since the last TakeDemand, by model.
-	requests  bool               // A client has sent a request.
+	requests  bool // A client has sent a request.
 }
 
 // New returns a Server.
 func New(opt Options) *Server {
-	return &Server{opt: opt, firstWait: map[string]time.Duration{}, demand: map[string]float64{}}
+	return &Server{opt: opt, firstWait: map[string]time.Duration{}}
 }
 
 // InFlight returns the number of requests that are being served.
@@ -92,15 +91,6 @@
 	return s.requests
 }
 
-// TakeDemand returns the group time in milliseconds that requests for each model have asked for since the last call.
-func (s *Server) TakeDemand() map[string]float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d := s.demand
-	s.demand = map[string]float64{}
-	return d
-}
-
 // call is one request of a client on its way through the server.
 type call struct {
 	*Server
@@ -206,7 +196,6 @@
 		if c.model = e.Model(c.q.Model); c.model == nil {
 			return result.New(result.BadRequest, "service %q has no model %q", c.service.Name, c.q.Model)
 		}
-		c.noteDemand(e)
 	}
 	return nil
 }
@@ -231,19 +220,6 @@
 	return c.firstWait[c.route.Name] - wait
 }
 
-// noteDemand counts the group time that the request needs in a half-full batch.
-func (c *call) noteDemand(e *fleet.Engine) {
-	answer := float64(c.q.LengthHint)
-	if answer <= 0 {
-		answer = e.UsualAnswer
-	}
-	writers := float64(max(e.Slots/2, 1))
-	busy := float64(c.q.PromptTokens)/max(e.ReadPerMs, 1e-9) + answer*(e.Step+e.StepPerSeq*writers)/writers
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.demand[c.model.Name] += busy * c.model.Pace
-}
-
 // backend draws a service by the route's weights.
 func (c *call) backend() string {
 	list := c.route.Backends
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -30,7 +30,6 @@
 	MaxAttempts int           // Replicas on which one attempt of a client may run.
 	Public      bool          // No key is asked for.
 	Resumable   bool
-	Affinity    bool
 	Backends    []Backend
 }
 
@@ -59,17 +58,13 @@
 type Engine struct {
 	Models      []Model
 	Slots       int     // Requests that a group runs at once.
-	KVTokens    int     // Memory of a group in tokens.
 	Stride      int     // Token steps of a pass.
 	Chunk       int     // Prompt tokens that a pass reads at most.
 	Step        float64 // Milliseconds of a token step.
 	StepPerSeq  float64 // Milliseconds that each running request adds to a step.
-	StepPerKTok float64 // Milliseconds that 1,000 tokens of context add to a step.
 	ReadPerMs   float64 // Prompt tokens read in a millisecond.
 	PairsPerM   float64 // Milliseconds for a million pairs of a token and an earlier one.
 	Form        time.Duration
-	FarFactor   float64 // Factor on all times of a group that spans fabric domains.
-	Keeps       int     // Models that a host keeps staged.
 	LoadsPerS   float64 // Weight loads that may start in a second.
 	LoadsAtOnce int     // Weight loads that run side by side without slowing each other.
 	UsualPrompt int     // Mean prompt tokens of a request.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -15,7 +15,7 @@
 
 func testEngine() *fleet.Engine {
 	return &fleet.Engine{Slots: 26, Stride: 5, Chunk: 2048, Step: 6, StepPerSeq: 0.24, ReadPerMs: 46, Form: 300 * time.Millisecond,
-		Keeps: 1, LoadsPerS: 4, LoadsAtOnce: 6, Models: []fleet.Model{
+		LoadsPerS: 4, LoadsAtOnce: 6, Models: []fleet.Model{
 			{Name: "large", Size: 4, Share: 0.67, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
 			{Name: "small", Size: 2, Share: 0.33, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond}}}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -59,8 +59,6 @@
 	OthersReach func() bool
 	// Fresh tells whether no client has sent a request yet since the first start of the system.
 	Fresh func() bool
-	// Demand returns the group time that clients ask for, by model, over all nodes; empty if not known.
-	Demand func() map[string]float64
 }
 
 // Planner plans the groups of the engine service while this node holds the lease.
