--- /dev/null
+++ b/internal/entry/follow_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/mirror"
+	"cassiadeal.example/cassiadeal/internal/telemetry"
+	"cassiadeal.example/cassiadeal/platform"
+)
+
+// hangingStore lists one object. Its first watch is never answered, as after a compaction that forgot it; a later one is told
+// that the history is gone. From then on the list shows a change.
+type hangingStore struct{ watches atomic.Int32 }
+
+func (s *hangingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("watch") != "" {
+		if s.watches.Add(1) == 1 {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	revision := int64(5)
+	if s.watches.Load() > 0 {
+		revision = 9
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": []any{map[string]any{
+		"metadata": map[string]any{"name": "main", "revision": revision}, "spec": map[string]any{}}}, "has_more": false, "store_revision": revision})
+}
+
+// Guards against a configuration that is learned too late because the store never answers a watch (CONFIG on scale-2 of both
+// sites: 4.7 s).
+func TestHungWatchIsGivenUpWithinTheBound(t *testing.T) {
+	c := quicktest.New(t)
+	server := httptest.NewServer(&hangingStore{})
+	defer server.Close()
+	s, err := platform.ParseSettings([]byte(strings.Replace(testSettings, "10.200.1.7:8223", strings.TrimPrefix(server.URL, "http://"), 1)))
+	c.Assert(err, quicktest.IsNil)
+	log, err := telemetry.NewLogger(discard{}, "n", "error")
+	c.Assert(err, quicktest.IsNil)
+	n, err := New(s, log)
+	c.Assert(err, quicktest.IsNil)
+	seen := make(chan int64, 10)
+	take := func(list []platform.Object) {
+		for _, o := range list {
+			seen <- o.Revision
+		}
+	}
+	f := &follower{node: n, copy: mirror.New(), kind: "config", wait: s.Bounds.ConfigApply / 2, replace: take, apply: take}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.run(ctx)
+	c.Assert(<-seen, quicktest.Equals, int64(5))
+	start := time.Now()
+	for revision := range seen {
+		if revision == 9 {
+			break
+		}
+	}
+	if took := time.Since(start); took > s.Bounds.ConfigApply {
+		t.Fatalf("the change was learned after %v, want %v at most", took, s.Bounds.ConfigApply)
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+const testSettings = `{"node_name":"n","ip":"127.0.0.1","zone":"z","bind":{"front":"127.0.0.1:0","readiness":"127.0.0.1:0",
+	"directory":"127.0.0.1:0"},"internal_ports":[0,9],"bounds":{"drain_ms":2000,"grace_s":8,"config_apply_ms":2000,
+	"retry_budget_ratio":0.2,"budget_window_s":10,"retry_budget_slack":132,"evacuate_ms":5000,"stall_ms":4000,"ceiling_window_s":5,
+	"ttl_max_s":5},"provider":{"address":"10.200.1.7:8223"}}`
--- /dev/null
+++ b/internal/fleet/registry_test.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+)
+
+func plain(id, zone string) *Replica {
+	return &Replica{ID: id, Service: "desk", Zone: zone, Address: id + ":1"}
+}
+
+// Guards against replicas that are given up because their entries lapsed while the store was away.
+func TestMissingEntriesWaitAfterAnOutage(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	r := NewRegistry(now)
+	r.Replace([]*Replica{plain("a", "z"), plain("b", "z")})
+	now.Advance(time.Minute)
+
+	// Without an outage a removed entry is gone at once, and remembered as lapsed.
+	r.Apply([]Change{{ID: "a"}})
+	c.Assert(r.View().Replicas["a"], quicktest.IsNil)
+	c.Assert(r.View().Lapsed["a"], quicktest.IsNotNil)
+
+	r.StoreFailed()
+	now.Advance(time.Second)
+	c.Assert(r.Complete(), quicktest.IsFalse)
+	r.Replace(nil)
+	r.Expire()
+	c.Assert(r.View().Replicas["b"], quicktest.IsNotNil)
+	r.Replace([]*Replica{plain("b", "z")}) // It is back in time.
+	now.Advance(ReturnGrace)
+	r.Expire()
+	c.Assert(r.View().Replicas["b"], quicktest.IsNotNil)
+
+	r.StoreFailed()
+	r.Apply([]Change{{ID: "b"}})
+	now.Advance(ReturnGrace)
+	r.Expire()
+	c.Assert(r.View().Replicas["b"], quicktest.IsNil)
+}
+
+// Guards against requests to replicas that leave or whose failure domain is out.
+func TestEvacuatedAndDrainingReplicasAreLeftOut(t *testing.T) {
+	c := quicktest.New(t)
+	r := NewRegistry(clock.NewManual(time.Hour))
+	leaving := plain("c", "z")
+	leaving.Draining = true
+	r.Replace([]*Replica{plain("a", "z"), plain("b", "out"), leaving})
+	r.SetEvacuated(map[string]bool{"out": true})
+	c.Assert(r.View().ByService["desk"], quicktest.HasLen, 1)
+	c.Assert(r.View().ByService["desk"][0].ID, quicktest.Equals, "a")
+	r.SetEvacuated(nil)
+	c.Assert(r.View().ByService["desk"], quicktest.HasLen, 2)
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestLowerVersionsAreNotAdopted(t *testing.T) {
+	c := quicktest.New(t)
+	r := NewRegistry(clock.NewManual(time.Hour))
+	c.Assert(r.SetConfig(&Config{Version: 7}), quicktest.IsTrue)
+	c.Assert(r.SetConfig(&Config{Version: 6}), quicktest.IsFalse)
+	c.Assert(r.SetConfig(&Config{Version: 7}), quicktest.IsFalse)
+	c.Assert(r.View().Config.Version, quicktest.Equals, int64(7))
+}
+
+// Guards against a cold replica that counts as warm: the time is counted from the entry's change.
+func TestColdTimeIsCountedFromTheEntry(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	r := NewRegistry(now)
+	cold := plain("a", "z")
+	cold.ColdFor = 3 * time.Second
+	r.Replace([]*Replica{cold})
+	c.Assert(r.View().ColdUntil["a"], quicktest.Equals, now.Now().Add(3*time.Second))
+	r.Apply([]Change{{ID: "a", Replica: plain("a", "z")}})
+	_, stillCold := r.View().ColdUntil["a"]
+	c.Assert(stillCold, quicktest.IsFalse)
+}
