Let the planner plan on while the store answers nobody

Change: a holder whose renewals fail plans on while most known nodes are heard and none has been answered since; another node takes the lease only after the store has answered it for a term and the margin. Members are read from the replicas themselves, and the other nodes are told in datagrams. After an outage or a change of the planner a replica is joined only when it was asked itself (TestNewPlannerAsksReplicasAfterAnOutage fails without).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,10 +79,9 @@
 	draining    atomic.Bool
 	replicas    atomic.Bool // The replicas were listed.
 	calls       *calls
+	contact     *contact
 
 	mu          sync.Mutex
-	answered    clock.Time // Last answer of the store.
-	failed      bool       // The last call to the store got no answer.
 	relisted    clock.Time // When a follower last made the others list anew.
 	plannerSeen clock.Time
 	tried       bool                       // This node has tried to plan at the first start of the system.
@@ -98,7 +97,7 @@
 	}
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
-		table: balance.NewTable(c), incarnation: time.Now().UnixNano(), answered: c.Now(),
+		table: balance.NewTable(c), incarnation: time.Now().UnixNano(), contact: newContact(c),
 		avoided: map[string]clock.Time{}, mirrors: map[string]*platform.Store{}, plannerSeen: c.Now()}
 	if n.calls, err = newCalls(metrics.Meter()); err != nil {
 		return nil, err
@@ -111,11 +110,11 @@
 		return nil, err
 	}
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Clock: c, Log: log,
-		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
+		Metrics: metrics, Zone: s.Zone, StoreAge: n.contact.age, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.mesh.Age})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
-	n.planner = planner.New(planner.Options{Lease: n.lease, OthersReach: n.othersReach, Registry: n.registry,
-		Table: n.table, Replicas: platform.NewReplicas(), Clock: c, Log: log, LoadWindow: s.Bounds.CeilingWindow, StallAfter: s.Bounds.StallAfter,
+	n.planner = planner.New(planner.Options{Lease: n.lease, Witness: n.witness, StoreAway: n.contact.failing, Registry: n.registry,
+		Table: n.table, Replicas: platform.NewReplicas(), Clock: c, Log: log, LoadWindow: s.Bounds.CeilingWindow, StallAfter: s.Bounds.StallAfter, Lapse: s.Bounds.Lapse,
 		Candidate: n.candidate, Fresh: n.fresh})
 	n.followers = n.newFollowers()
 	return n, nil
@@ -294,17 +293,14 @@
 	return err
 }
 
-func (n *Node) storeAnswered() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.answered, n.failed = n.clock.Now(), false
+func (n *Node) storeAnswered(direct bool) {
+	n.registry.StoreAnswered()
+	n.contact.success(direct)
 }
 
 func (n *Node) storeFailed() {
 	n.registry.StoreFailed()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.failed = true
+	n.contact.failure()
 }
 
 // retrySlack returns this node's part of the repeats that a service may get beyond the share of its requests.
@@ -312,22 +308,6 @@
 	return n.settings.Bounds.RetrySlack * budgetPart / float64(len(n.mesh.Alive())+1)
 }
 
-func (n *Node) storeFailing() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.failed
-}
-
-// storeAge returns 0 while the store answers, and the time since its last answer otherwise.
-func (n *Node) storeAge() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.failed {
-		return 0
-	}
-	return n.clock.Now().Sub(n.answered)
-}
-
 // ready tells whether this node can serve clients.
 func (n *Node) ready() bool {
 	return !n.draining.Load() && n.registry.View().Config != nil && n.replicas.Load()
@@ -360,7 +340,7 @@
 	if planned {
 		n.plannerSeen = now
 	}
-	if planned || n.failed || n.draining.Load() || n.registry.View().Config == nil {
+	if planned || n.contact.failing() || n.draining.Load() || n.registry.View().Config == nil {
 		return false
 	}
 	if n.fresh() && !n.tried {
@@ -415,7 +395,10 @@
 	own := n.table.Own()
 	msg := &schema.NodeGossip{Node: n.settings.Node, Incarnation: n.incarnation, Zone: n.settings.Zone, FrontAddress: n.settings.Front,
 		PeerAddress: n.settings.Peer, Draining: n.draining.Load(), Ready: n.ready(), Planner: n.planner.Holds(), Capacity: uint32(n.settings.Capacity), MirrorAddress: n.mirrorAddress(),
-		StoreAgeMs: n.storeAge().Milliseconds()}
+		StoreContactMs: n.contact.directAge().Milliseconds()}
+	if msg.Planner && n.contact.failing() {
+		msg.Observed = encodeObservations(n.registry.Observations())
+	}
 	msg.LeaseRevision, msg.Resigned = n.lease.Told()
 	for k, l := range own.Loads {
 		msg.Loads = append(msg.Loads, &schema.TargetLoad{Target: string(k), Running: uint32(l.Running), Waiting: uint32(l.Waiting),
@@ -439,21 +422,14 @@
 		state.Suspect[balance.Key(k)] = true
 	}
 	n.table.SetPeer(msg.Node, state)
+	if msg.Planner && len(msg.Observed) > 0 {
+		n.registry.Observe(decodeObservations(msg.Observed))
+	}
 	if msg.LeaseRevision != 0 {
 		n.lease.Hear(msg.LeaseRevision, msg.Resigned)
 	}
 }
 
-// othersReach tells whether the store answers another node.
-func (n *Node) othersReach() bool {
-	for _, p := range n.mesh.Alive() {
-		if p.Ready && !p.Draining && p.StoreAgeMs == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // listen binds the addresses of the node.
 func (n *Node) listen() ([]*http.Server, error) {
 	var servers []*http.Server
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -95,7 +95,7 @@
 				log.Info("the store answers again")
 			}
 			revision, lost, wait = next, false, retryStore
-			f.node.storeAnswered()
+			f.node.storeAnswered(f.source == "")
 			if f.pace != nil && f.source == "" {
 				sleep(ctx, f.pace())
 			}
@@ -135,7 +135,7 @@
 	}
 	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end) && f.node.mirrorSource() == f.source; {
 		sleep(ctx, min(backOffStep, time.Until(end)))
-		if !tries && !f.node.storeFailing() {
+		if !tries && !f.node.contact.failing() {
 			return
 		}
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -37,10 +37,12 @@
 	config    *Config
 	// missing holds entries that were removed shortly after a store outage, with the time at which they are dropped.
 	missing map[string]clock.Time
-	trouble clock.Time // Last failed call to the store.
-	failed  bool       // A call has failed at all.
+	away    bool       // The last call to the store failed.
+	trouble clock.Time // When the store was last found away; 0 if it never was.
 	listed  clock.Time // First list of the replicas; 0 before it.
 	lapsed  map[string]lapsedEntry
+	// observed holds what replicas said themselves while the store was away, by ID.
+	observed map[string]*observed
 }
 
 type lapsedEntry struct {
@@ -55,7 +57,7 @@
 func NewRegistry(c clock.Clock) *Registry {
 	r := &Registry{clock: c, replicas: map[string]*Replica{}, coldUntil: map[string]clock.Time{},
 		evacuated: map[string]bool{}, missing: map[string]clock.Time{},
-		lapsed: map[string]lapsedEntry{}}
+		lapsed: map[string]lapsedEntry{}, observed: map[string]*observed{}}
 	r.view.Store(&View{})
 	return r
 }
@@ -67,7 +69,21 @@
 func (r *Registry) StoreFailed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trouble, r.failed = r.clock.Now(), true
+	r.trouble, r.away = r.clock.Now(), true
+}
+
+// StoreAnswered notes that the store could be reached.
+func (r *Registry) StoreAnswered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.away {
+		r.trouble, r.away = r.clock.Now(), false
+	}
+}
+
+// afterOutage tells whether entries that lapsed in an outage of the store may yet come back. The lock is held.
+func (r *Registry) afterOutage() bool {
+	return r.away || r.trouble != 0 && r.clock.Now().Sub(r.trouble) < ReturnGrace
 }
 
 // Complete tells whether replicas that aren't listed are gone: some time has passed since the first list and since the store
@@ -75,8 +91,7 @@
 func (r *Registry) Complete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
-	return r.listed != 0 && now.Sub(r.listed) > ReturnGrace && (!r.failed || now.Sub(r.trouble) > ReturnGrace)
+	return r.listed != 0 && r.clock.Now().Sub(r.listed) > ReturnGrace && !r.afterOutage()
 }
 
 // SetConfig adopts a configuration if its version is higher than the one in force, and tells whether it did.
@@ -144,6 +159,7 @@
 	now := r.clock.Now()
 	delete(r.missing, p.ID)
 	delete(r.lapsed, p.ID)
+	r.settle(p)
 	r.replicas[p.ID] = p
 	if p.ColdFor > 0 {
 		r.coldUntil[p.ID] = now.Add(p.ColdFor)
@@ -156,10 +172,9 @@
 	if _, known := r.replicas[id]; !known {
 		return
 	}
-	now := r.clock.Now()
-	if r.failed && now.Sub(r.trouble) < ReturnGrace {
+	if r.afterOutage() {
 		if _, waiting := r.missing[id]; !waiting {
-			r.missing[id] = now.Add(ReturnGrace)
+			r.missing[id] = r.clock.Now().Add(ReturnGrace)
 		}
 		return
 	}
@@ -167,8 +182,9 @@
 }
 
 func (r *Registry) drop(id string) {
-	r.lapsed[id] = lapsedEntry{r.replicas[id], r.clock.Now()}
+	r.lapsed[id] = lapsedEntry{r.current(r.replicas[id]), r.clock.Now()}
 	delete(r.replicas, id)
+	delete(r.observed, id)
 	delete(r.coldUntil, id)
 	delete(r.missing, id)
 }
@@ -177,7 +193,8 @@
 func (r *Registry) Expire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, dropped := r.clock.Now(), false
+	now := r.clock.Now()
+	dropped := r.expireObserved(now)
 	for id, l := range r.lapsed {
 		if now.Sub(l.at) > lapsedFor {
 			delete(r.lapsed, id)
@@ -196,12 +213,14 @@
 
 // publish makes a new snapshot. The lock is held.
 func (r *Registry) publish() {
-	v := &View{Replicas: maps.Clone(r.replicas), ColdUntil: maps.Clone(r.coldUntil), Evacuated: r.evacuated,
+	v := &View{Replicas: make(map[string]*Replica, len(r.replicas)), ColdUntil: maps.Clone(r.coldUntil), Evacuated: r.evacuated,
 		ByService: map[string][]*Replica{}, Config: r.config, Lapsed: map[string]*Replica{}}
 	for id, l := range r.lapsed {
 		v.Lapsed[id] = l.replica
 	}
-	for _, p := range r.replicas {
+	for id, entry := range r.replicas {
+		p := r.current(entry)
+		v.Replicas[id] = p
 		if !p.Draining && !r.evacuated[p.Zone] {
 			v.ByService[p.Service] = append(v.ByService[p.Service], p)
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -259,3 +259,16 @@
 
 // Uptime returns the time since the mesh was made.
 func (m *Mesh) Uptime() time.Duration { return m.opt.Clock.Now().Sub(m.started) }
+
+// Known returns the number of nodes that were heard within contactFor and that aren't stopping.
+func (m *Mesh) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := 0
+	for _, p := range m.peers {
+		if !p.Draining && m.opt.Clock.Now().Sub(p.Heard) <= contactFor {
+			known++
+		}
+	}
+	return known
+}
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -30,7 +30,10 @@
 	late       []lateOrder
 	seen       map[string]*fleet.Replica // Newest listed entries.
 	incomplete bool
-	cuts       []string // Orders that cut running requests off.
+	cuts       []string                      // Orders that cut running requests off.
+	frozen     map[string]*fleet.Replica     // What the store lists, if it has learned of no change since.
+	unsure     bool                          // The planner may not trust the list.
+	asked      map[fleet.Life]*fleet.Replica // What replicas said when an unsure planner asked them.
 }
 
 type snapshot struct {
@@ -139,6 +142,15 @@
 
 // listed returns the entries as the planner sees them.
 func (m *emulator) listed() map[string]*fleet.Replica {
+	if m.frozen != nil {
+		list := maps.Clone(m.frozen)
+		for l, r := range m.asked {
+			if list[l.ID] != nil {
+				list[l.ID] = r
+			}
+		}
+		return list
+	}
 	now := m.clock.Now()
 	for i := len(m.history) - 1; i >= 0; i-- {
 		if now.Sub(m.history[i].at) >= m.reportLag {
@@ -283,7 +295,7 @@
 	listed := m.listed()
 	m.probe(p, listed)
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: listed, Need: need, Fresh: m.fresh,
-		Lapsed: m.lapsed(listed), Incomplete: m.incomplete,
+		Lapsed: m.lapsed(listed), Incomplete: m.incomplete, Unsure: m.unsure, Confirmed: m.confirmed(),
 		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, Silent: func(r *fleet.Replica) bool { return m.vms[r.ID].silentFrom != 0 }}) {
 		if m.drop != nil && m.drop(o) {
 			p.Answered(o, Unknown)
@@ -294,6 +306,24 @@
 	}
 }
 
+// confirmed returns the replicas that answered an unsure planner, and asks all for its next step.
+func (m *emulator) confirmed() map[fleet.Life]bool {
+	if !m.unsure {
+		return nil
+	}
+	yes := map[fleet.Life]bool{}
+	for l := range m.asked {
+		yes[l] = true
+	}
+	m.asked = map[fleet.Life]*fleet.Replica{}
+	for id, r := range m.entries() {
+		if m.vms[id].silentFrom == 0 {
+			m.asked[r.Life()] = r
+		}
+	}
+	return yes
+}
+
 // lapsed returns the last entries of replicas that were listed before.
 func (m *emulator) lapsed(listed map[string]*fleet.Replica) map[string]*fleet.Replica {
 	gone := map[string]*fleet.Replica{}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -219,6 +219,12 @@
 			m.acked = m.acked || r != nil
 			continue
 		}
+		if !s.known(r) {
+			if i == 0 && g.headFirst {
+				return
+			}
+			continue
+		}
 		if m.asked == 0 || s.Now.Sub(m.asked) > reportWait && !m.acked {
 			m.asked = s.Now
 			m.tries++
@@ -242,6 +248,9 @@
 			stay = append(stay, r)
 		}
 	}
+	if slices.ContainsFunc(stay, func(r *fleet.Replica) bool { return !s.known(r) }) {
+		return
+	}
 	model := s.Engine.Model(g.model)
 	if model == nil {
 		s.dissolve(g, "the model is no longer configured")
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -89,6 +89,10 @@
 	Lapsed map[string]*fleet.Replica
 	// Incomplete is true while replicas that aren't listed may yet come back, after an outage of the store or a start.
 	Incomplete bool
+	// Unsure is true while entries may be older than orders that a replica has carried out since: after an outage of the store,
+	// and after a change of the planner. Only replicas in Confirmed, which were asked directly, are then joined to groups.
+	Unsure    bool
+	Confirmed map[fleet.Life]bool
 	// Silent tells whether no node has heard from a head lately, though nodes have sent it requests. Nil: not known.
 	Silent func(*fleet.Replica) bool
 }
@@ -359,6 +363,9 @@
 	return r
 }
 
+// known tells whether the replica's entry shows its state.
+func (s *step) known(r *fleet.Replica) bool { return !s.Unsure || s.Confirmed[r.Life()] }
+
 // order adds an order about a group.
 func (s *step) order(to *fleet.Replica, a Action, g *group, reason string) {
 	o := Order{To: to, Action: a, Group: g.name, Epoch: g.epoch, Model: g.model, Reason: reason}
@@ -367,3 +374,26 @@
 	}
 	s.orders = append(s.orders, o)
 }
+
+// Awaited returns the replicas whose reports the plan waits for: those that should change soon, and those that load weights.
+func (p *Plan) Awaited(replicas map[string]*fleet.Replica) (soon, later []fleet.Life) {
+	for _, g := range p.groups {
+		head := replicas[g.members[0].life.ID]
+		serves := head != nil && head.Head() && head.Group.Name == g.name && head.Group.Epoch == g.epoch
+		if serves && g.closing == 0 && g.dissolving == "" {
+			continue
+		}
+		for _, m := range g.members {
+			soon = append(soon, m.life)
+		}
+	}
+	for l := range p.staging {
+		later = append(later, l)
+	}
+	for l := range p.standbys {
+		if r := replicas[l.ID]; r != nil && len(r.Models) == 0 {
+			later = append(later, l)
+		}
+	}
+	return soon, later
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -135,6 +135,34 @@
 	c.Assert(m.serving(), quicktest.DeepEquals, before)
 }
 
+// Guards against members that a new planner takes from groups which its predecessor repaired while the store was away: the store
+// still lists one of them as a spare, and another spare has been found (TWO, three times on fresh-a89e of ryddeutlan).
+func TestNewPlannerAsksReplicasAfterAnOutage(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := started(t, 6, 8)
+	stale := m.listed()
+	m.reportLag = 0 // The planner asks the replicas themselves.
+	head := m.heads("small")[0]
+	victim := head.members[1]
+	m.kill(victim)
+	p.Dead(fleet.Life{ID: victim, Born: m.vms[victim].born}, m.clock.Now())
+	m.run(p, 2*time.Second, nil)
+	before := m.serving()
+	taken := head.members[1]
+	c.Assert(taken, quicktest.Not(quicktest.Equals), victim)
+
+	m.add("found", head.fabric).staged = []string{"small"}
+	m.frozen, m.unsure, m.incomplete = m.entries(), true, true
+	m.frozen[taken] = stale[taken]
+	delete(m.frozen, victim)
+	next := New(2)
+	m.run(next, time.Second, nil)
+	m.frozen, m.unsure, m.incomplete = nil, false, false
+	m.run(next, 5*time.Second, nil)
+	m.noneBroken()
+	c.Assert(m.serving(), quicktest.DeepEquals, before)
+}
+
 // Guards against members that wait for ever for a head that is gone: nobody answers at its address.
 func TestDarkHeadIsReplacedAfterStall(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -15,7 +15,7 @@
 	var list []*fleet.Replica
 	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
 		r := s.Replicas[id]
-		if r.Fabric != fabric || s.used[id] || r.Draining || s.find(r.Life()) == nil {
+		if r.Fabric != fabric || s.used[id] || r.Draining || s.find(r.Life()) == nil || !s.known(r) {
 			continue
 		}
 		if r.Group != nil && !strings.HasPrefix(r.Group.Name, standbyPrefix) && !s.dissolved[groupEpoch{r.Group.Name, r.Group.Epoch}] && s.foreign(r) {
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -27,6 +27,14 @@
 	resignedFor = 5 * time.Second
 	// askEvery is the time between two looks at a lease whose holder isn't heard.
 	askEvery = 400 * time.Millisecond
+	// extension is the time for which one look at the other nodes lets the holder plan on in an outage of the store. It spans a
+	// call to the store that gets no answer.
+	extension = leaseCall + 200*time.Millisecond
+	// contactSlack is how much later than a failed renewal another node must have been answered to show that the store answers
+	// it: datagrams take some milliseconds.
+	contactSlack = 200 * time.Millisecond
+	// pauseAtMost is the longest time between two looks after which the datagrams that waited here aren't taken for new.
+	pauseAtMost = extension
 
 	leaseKind = "cassiadeal-planner"
 	leaseName = "lease"
@@ -39,6 +47,14 @@
 	Renewals    int64  `json:"renewals"` // Makes each renewal a change.
 }
 
+// Witness is what a node can tell about the store's answers to itself and to the other nodes.
+type Witness struct {
+	Answering clock.Time    // Since when the store has answered this node without a failure; 0 while it doesn't.
+	Contact   clock.Time    // Newest answer of the store to another node, as told by that node; 0 if none is known.
+	Delay     time.Duration // A node that the store answers is known to be answered after this time.
+	Quorum    bool          // Most of the known nodes are heard.
+}
+
 // Lease is one node's part in the choice of the planner. Tend and Resign are called by one goroutine; the others may be called
 // by any.
 type Lease struct {
@@ -49,6 +65,10 @@
 	self    leaseRecord
 	sent    clock.Time // Last renewal, whether it was answered or not.
 	renewed clock.Time // Sending of the last renewal that was answered.
+	failing clock.Time // Sending of the first renewal without an answer since; 0 if there is none.
+	reached clock.Time // When another node was found to be answered meanwhile; 0 if none was.
+	tended  clock.Time // Last call of Tend.
+	paused  clock.Time // When this node was last found to have stood still.
 	asked   clock.Time // Last look at another node's lease.
 
 	mu         sync.Mutex // Guards all below. No call to the store is made under it.
@@ -56,10 +76,12 @@
 	term       int64 // Revision at which the lease was taken.
 	revision   int64
 	validUntil clock.Time
-	resignedAt clock.Time // When this node gave the lease up; 0 if it didn't.
-	seen       int64      // Revision of another node's lease, and when it was first known here.
-	seenAt     clock.Time
-	free       bool // The holder of the seen revision has given it up.
+	// extendedUntil is the end of the holder's right to plan on in an outage of the store.
+	extendedUntil clock.Time
+	resignedAt    clock.Time // When this node gave the lease up; 0 if it didn't.
+	seen          int64      // Revision of another node's lease, and when it was first known here.
+	seenAt        clock.Time
+	free          bool // The holder of the seen revision has given it up.
 }
 
 // NewLease returns a lease that isn't held.
@@ -97,7 +119,7 @@
 	if !l.held {
 		return
 	}
-	l.held, l.resignedAt = false, l.clock.Now()
+	l.held, l.resignedAt, l.extendedUntil = false, l.clock.Now(), 0
 	l.log.WithField("term", l.term).Warning("this node gives up planning groups: " + reason)
 }
 
@@ -105,7 +127,7 @@
 func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.held && l.clock.Now() < l.validUntil
+	return l.held && l.clock.Now() < max(l.validUntil, l.extendedUntil)
 }
 
 // Term returns a number above that of every earlier holder.
@@ -121,26 +143,24 @@
 	return l.held
 }
 
-// Tend renews the lease or, if candidate is true, tries to take it. OthersReach tells whether another node reaches the store.
-// It returns true if this node has just become the planner.
-func (l *Lease) Tend(ctx context.Context, candidate, othersReach bool) bool {
+// Tend renews the lease or, if candidate is true, tries to take it. It returns true if this node has just become the planner.
+func (l *Lease) Tend(ctx context.Context, candidate bool, w Witness) bool {
 	now := l.clock.Now()
+	if l.tended != 0 && now.Sub(l.tended) > pauseAtMost {
+		l.paused = now
+	}
+	l.tended = now
 	if l.holds() {
 		if now.Sub(l.sent) >= renewEvery {
 			l.renew(ctx, now)
 		}
-		switch silent := l.clock.Now().Sub(l.renewed); {
-		case silent > LeaseTerm:
-			l.drop("the lease ran out without a renewal")
-		case silent > resignAfter && othersReach:
-			l.Resign("the store doesn't answer this node, but others")
-		}
+		l.outlast(w)
 		return false
 	}
 	if !candidate {
 		return false
 	}
-	if revision := l.due(); revision != 0 {
+	if revision := l.due(w); revision != 0 {
 		return l.takeAt(ctx, revision)
 	}
 	if l.asked != 0 && now.Sub(l.asked) < askEvery {
@@ -150,12 +170,50 @@
 	return l.take(ctx)
 }
 
+// outlast decides what becomes of a lease whose renewals fail. If the store answers another node, this one tries once more and
+// then resigns, as that node may plan. If it answers nobody, no node can take the lease, and this one plans on: another node
+// waits for a term and the margin after the store's return, and is heard to be answered long before.
+func (l *Lease) outlast(w Witness) {
+	now := l.clock.Now()
+	switch {
+	case l.failing == 0:
+	case w.Contact.Sub(l.failing) > contactSlack && l.reached == 0:
+		l.reached, l.sent = now, 0
+		l.stopExtension()
+	case l.reached != 0:
+		if l.sent > l.reached && now.Sub(l.renewed) > resignAfter {
+			l.Resign("the store doesn't answer this node, but others")
+		}
+	case now.Sub(l.failing) > w.Delay && w.Quorum && (l.paused == 0 || now.Sub(l.paused) > w.Delay):
+		l.extend(now)
+	}
+}
+
+func (l *Lease) stopExtension() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.extendedUntil = 0
+}
+
+func (l *Lease) extend(now clock.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now > max(l.validUntil, l.extendedUntil) {
+		l.log.WithFields(logrus.Fields{"term": l.term, "renewed_ms_ago": now.Sub(l.renewed).Milliseconds()}).
+			Info("this node plans on, as the store answers no node")
+	}
+	l.extendedUntil = now.Add(extension)
+}
+
 // due returns the seen revision if its holder must have stopped: it said so, or a term and the margin have passed since the
-// revision was first known here, which is after its renewal was sent.
-func (l *Lease) due() int64 {
+// revision was first known here, which is after its renewal was sent, and since the store last failed this node.
+func (l *Lease) due(w Witness) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.seen != 0 && (l.free || l.clock.Now().Sub(l.seenAt) > LeaseTerm+leaseMargin) {
+	if l.seen == 0 {
+		return 0
+	}
+	if l.free || w.Answering != 0 && l.clock.Now().Sub(max(l.seenAt, w.Answering)) > LeaseTerm+leaseMargin {
 		return l.seen
 	}
 	return 0
@@ -164,7 +222,7 @@
 func (l *Lease) drop(reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.held = false
+	l.held, l.extendedUntil = false, 0
 	l.log.WithField("term", l.term).Warning("this node no longer plans groups: " + reason)
 }
 
@@ -179,13 +237,20 @@
 	o, err := l.store.Update(ctx, leaseKind, leaseName, revision, l.self)
 	switch {
 	case err == nil:
-		l.renewed = now
+		if l.failing != 0 {
+			l.log.WithField("renewed_ms_ago", now.Sub(l.renewed).Milliseconds()).Info("the planner's lease is renewed again")
+		}
+		l.renewed, l.failing, l.reached = now, 0, 0
 		l.mu.Lock()
 		l.revision, l.validUntil = o.Revision, now.Add(LeaseTerm)
 		l.mu.Unlock()
 	case errors.Is(err, platform.ErrConflict):
 		l.reread(ctx)
 	default:
+		if l.failing != 0 {
+			return // Only the first failure is logged: an outage may be long.
+		}
+		l.failing = now
 		l.log.WithError(err).WithField("renewed_ms_ago", now.Sub(l.renewed).Milliseconds()).Warning("the planner's lease could not be renewed")
 	}
 }
@@ -257,7 +322,7 @@
 		return false
 	}
 	l.held, l.term, l.revision, l.validUntil, l.resignedAt = true, o.Revision, o.Revision, sent.Add(LeaseTerm), 0
-	l.sent, l.renewed = sent, sent
+	l.sent, l.renewed, l.failing, l.reached = sent, sent, 0, 0
 	l.log.WithField("term", l.term).Info("this node plans groups")
 	return true
 }
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -89,13 +89,21 @@
 	return store, c, lease("a"), lease("b")
 }
 
+// reached is a witness of a store that answers both nodes.
+func reached(c *clock.Manual) Witness {
+	return Witness{Answering: 1, Contact: c.Now(), Delay: testDelay, Quorum: true}
+}
+
+// testDelay is the time after which a node that the store answers is known to be answered.
+const testDelay = 1500 * time.Millisecond
+
 // run tends both leases for the time and fails if both may plan at once.
 func run(t *testing.T, c *clock.Manual, d time.Duration, a, b *Lease, gossip bool) {
 	t.Helper()
 	ctx := context.Background()
 	for range int(d / (100 * time.Millisecond)) {
-		a.Tend(ctx, !b.Valid(), true)
-		b.Tend(ctx, !a.Valid(), true)
+		a.Tend(ctx, !b.Valid(), reached(c))
+		b.Tend(ctx, !a.Valid(), reached(c))
 		if a.Valid() && b.Valid() {
 			t.Fatal("two nodes plan at once")
 		}
@@ -130,7 +138,7 @@
 	dead := clk.Now()
 	ctx := context.Background()
 	for !b.Valid() && clk.Now().Sub(dead) < 10*time.Second {
-		b.Tend(ctx, true, true)
+		b.Tend(ctx, true, reached(clk))
 		if b.Valid() && a.Valid() {
 			t.Fatal("two nodes plan at once")
 		}
@@ -160,6 +168,114 @@
 	a.Resign("it stops")
 	c.Assert(a.Valid(), quicktest.IsFalse)
 	b.Hear(a.Told())
-	c.Assert(b.Tend(context.Background(), true, true), quicktest.IsTrue)
+	c.Assert(b.Tend(context.Background(), true, reached(clk)), quicktest.IsTrue)
 	c.Assert(clk.Now() > 0, quicktest.IsTrue)
 }
+
+// outage plays a store that is away for both nodes, and what each is told of the other's contact with it.
+type outage struct {
+	t       *testing.T
+	store   *leaseStore
+	clock   *clock.Manual
+	a, b    *Lease
+	down    map[string]bool
+	contact map[string]clock.Time // Newest answer by node.
+	since   map[string]clock.Time // Start of the unbroken answers by node.
+	quorum  bool
+}
+
+func newOutage(t *testing.T) *outage {
+	store, clk, a, b := newLeases(t)
+	run(t, clk, time.Second, a, b, true)
+	now := clk.Now()
+	o := &outage{t, store, clk, a, b, map[string]bool{}, map[string]clock.Time{"a": now, "b": now}, map[string]clock.Time{"a": now, "b": now}, true}
+	o.set("a", true)
+	o.set("b", true)
+	return o
+}
+
+func (o *outage) set(node string, down bool) {
+	o.down[node] = down
+	o.store.set(func() { o.store.down[node] = down })
+	o.since[node] = 0
+	if !down {
+		o.since[node] = o.clock.Now()
+	}
+}
+
+// run plays the time. Contacts are told with the given delay.
+func (o *outage) run(d, delay time.Duration) {
+	o.t.Helper()
+	const step = 50 * time.Millisecond
+	told := map[string][]clock.Time{}
+	for range int(d / step) {
+		for _, node := range []string{"a", "b"} {
+			if !o.down[node] {
+				o.contact[node] = o.clock.Now()
+			}
+			told[node] = append(told[node], o.contact[node])
+		}
+		lag := int(delay / step)
+		heard := func(node string) clock.Time { return told[node][max(0, len(told[node])-1-lag)] }
+		o.a.Tend(context.Background(), !o.b.Valid(), Witness{o.since["a"], heard("b"), testDelay, o.quorum})
+		o.b.Tend(context.Background(), !o.a.Valid() && o.since["b"] != 0, Witness{o.since["b"], heard("a"), testDelay, o.quorum})
+		if o.a.Valid() && o.b.Valid() {
+			o.t.Fatal("two nodes plan at once")
+		}
+		o.clock.Advance(step)
+	}
+}
+
+// Guards against groups that nobody repairs while the store is away (trouble-3 of ryddeutlan: eight seconds at peak).
+func TestHolderPlansOnWhileTheStoreAnswersNobody(t *testing.T) {
+	c := quicktest.New(t)
+	o := newOutage(t)
+	term := o.a.Term()
+	o.run(LeaseTerm+testDelay, 300*time.Millisecond)
+	c.Assert(o.a.Valid(), quicktest.IsTrue)
+	o.run(20*time.Second, 300*time.Millisecond)
+	c.Assert(o.a.Valid(), quicktest.IsTrue)
+	o.set("a", false)
+	o.set("b", false)
+	o.run(3*time.Second, 300*time.Millisecond)
+	c.Assert(o.a.Valid(), quicktest.IsTrue)
+	c.Assert(o.a.Term(), quicktest.Equals, term)
+}
+
+// Guards against two planners after an outage that ends for the other node first.
+func TestHolderStopsBeforeAnotherNodeThatIsAnsweredAgain(t *testing.T) {
+	c := quicktest.New(t)
+	for _, delay := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond} {
+		o := newOutage(t)
+		o.run(8*time.Second, delay)
+		c.Assert(o.a.Valid(), quicktest.IsTrue)
+		o.set("b", false)
+		o.run(5*time.Second, delay)
+		c.Assert(o.a.Valid(), quicktest.IsFalse)
+		c.Assert(o.b.Valid(), quicktest.IsTrue)
+	}
+}
+
+// Guards against a planner that is cut off from the store together with few others, while the rest goes on.
+func TestHolderWithoutMostNodesStops(t *testing.T) {
+	c := quicktest.New(t)
+	o := newOutage(t)
+	o.quorum = false
+	o.run(LeaseTerm+100*time.Millisecond, 0)
+	c.Assert(o.a.Valid(), quicktest.IsFalse)
+	o.run(20*time.Second, 0)
+	c.Assert(o.a.Valid(), quicktest.IsFalse)
+}
+
+// Guards against a planner that wakes up in an outage and takes datagrams that waited for it for new.
+func TestHolderThatStoodStillWaits(t *testing.T) {
+	c := quicktest.New(t)
+	o := newOutage(t)
+	o.run(8*time.Second, 0)
+	o.clock.Advance(5 * time.Second)
+	c.Assert(o.a.Valid(), quicktest.IsFalse)
+	o.run(testDelay, 0)
+	c.Assert(o.a.Valid(), quicktest.IsFalse)
+	o.run(testDelay, 0)
+	c.Assert(o.a.Valid(), quicktest.IsTrue)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -53,10 +53,13 @@
 	Log        logrus.FieldLogger
 	LoadWindow time.Duration
 	StallAfter time.Duration
+	// Lapse is the time after which the entry of a replica that can't reach the store is removed.
+	Lapse time.Duration
 	// Candidate tells whether this node should try to become the planner now.
 	Candidate func() bool
-	// OthersReach tells whether the store answers another node.
-	OthersReach func() bool
+	// Witness returns what is known of the store's answers, and StoreAway whether it doesn't answer this node.
+	Witness   func() Witness
+	StoreAway func() bool
 	// Fresh tells whether no client has sent a request yet since the first start of the system.
 	Fresh func() bool
 }
@@ -65,18 +68,22 @@
 type Planner struct {
 	opt Options
 
-	mu      sync.Mutex // Guards all below; no call is made under it but to plan.
-	plan    *placement.Plan
-	since   clock.Time
-	probed  map[string]clock.Time // When a group may be probed again.
-	sending map[string]*sync.Mutex
-	held    bool
-	told    clock.Time // Last summary in the log.
+	mu   sync.Mutex // Guards all below; no call is made under it but to plan.
+	plan *placement.Plan
+	term int64 // Of the plan.
+	// confirmed holds the replicas that were asked directly since their entries became doubtful.
+	confirmed map[fleet.Life]bool
+	asked     map[fleet.Life]clock.Time // When a replica was last asked for its report in place of its entry.
+	since     clock.Time
+	probed    map[string]clock.Time // When a group may be probed again.
+	sending   map[string]*sync.Mutex
+	held      bool
+	told      clock.Time // Last summary in the log.
 }
 
 // New returns a Planner.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, probed: map[string]clock.Time{}, sending: map[string]*sync.Mutex{}}
+	return &Planner{opt: opt, probed: map[string]clock.Time{}, asked: map[fleet.Life]clock.Time{}, confirmed: map[fleet.Life]bool{}, sending: map[string]*sync.Mutex{}}
 }
 
 // Holds tells whether this node plans, as of the last tick.
@@ -88,48 +95,86 @@
 
 // Run plans until the context is done.
 func (p *Planner) Run(ctx context.Context) {
+	go p.keepLease(ctx)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			p.opt.Lease.Resign("it stops")
-			p.mu.Lock()
-			p.held = false
-			p.mu.Unlock()
+			p.setHeld(false)
 			return
 		case <-ticker.C:
 		}
-		if p.opt.Lease.Tend(ctx, p.opt.Candidate(), p.opt.OthersReach()) {
-			p.begin()
-		}
 		valid := p.opt.Lease.Valid()
-		p.mu.Lock()
-		p.held = valid
-		p.mu.Unlock()
+		p.setHeld(valid)
 		if valid {
 			p.step(ctx)
 		}
 	}
 }
 
+// keepLease tends the lease until the context is done. Its calls to the store must not hold up plans.
+func (p *Planner) keepLease(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.opt.Lease.Resign("it stops")
+			return
+		case <-ticker.C:
+		}
+		if p.opt.Lease.Tend(ctx, p.opt.Candidate(), p.opt.Witness()) {
+			p.begin()
+		}
+	}
+}
+
+func (p *Planner) setHeld(valid bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held != valid {
+		p.opt.Log.WithField("plans", valid).Info("the right to plan groups has changed")
+	}
+	p.held = valid
+}
+
+// begin forgets what an earlier term of this node knew.
 func (p *Planner) begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.plan = placement.New(p.opt.Lease.Term())
+	p.term = p.opt.Lease.Term()
+	p.plan = placement.New(p.term)
 	p.since = p.opt.Clock.Now()
 	clear(p.probed)
+	clear(p.asked)
+	clear(p.confirmed)
 }
 
 // step makes one plan and sends its orders.
 func (p *Planner) step(ctx context.Context) {
+	orders, probes, ask := p.decide()
+	p.observeAll(ctx, ask)
+	for _, o := range orders {
+		go p.send(ctx, o)
+	}
+	for _, m := range probes {
+		go p.probe(ctx, m)
+	}
+}
+
+// decide returns the orders to send, the members to probe and the replicas to ask for their state.
+func (p *Planner) decide() (orders []placement.Order, probes []probe, ask []*fleet.Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The view is read under the lock: it has to show what the replicas in confirmed have said.
 	view := p.opt.Registry.View()
-	if view.Config == nil {
-		return
+	if view.Config == nil || p.plan == nil || p.term != p.opt.Lease.Term() {
+		return nil, nil, nil
 	}
 	service := view.Config.EngineService()
 	if service == nil {
-		return
+		return nil, nil, nil
 	}
 	replicas := map[string]*fleet.Replica{}
 	for id, r := range view.Replicas {
@@ -137,30 +182,35 @@
 			replicas[id] = r
 		}
 	}
-	p.mu.Lock()
-	now := p.opt.Clock.Now()
-	if !p.opt.Fresh() && now.Sub(p.since) < settle {
-		p.mu.Unlock()
-		return
-	}
-	orders := p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
-		Need: p.need(service.Engine), Fresh: p.opt.Fresh(), LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
-		Lapsed: view.Lapsed, Incomplete: !p.opt.Fresh() && !p.opt.Registry.Complete(),
-		Silent: func(r *fleet.Replica) bool { return p.opt.Table.HeardAge(balance.KeyOf(r)) > deadSilence }})
-	probes := p.suspects(replicas, now)
-	if now.Sub(p.told) >= summaryEvery {
-		p.told = now
-		sum := p.plan.Summarize(replicas)
-		p.opt.Log.WithFields(logrus.Fields{"open": sum.Open, "forming": sum.Forming, "spares": sum.Spares, "loading": sum.Loading,
-			"idle": sum.Idle, "replicas": len(replicas), "failure_domains_out": view.Evacuated}).Info("groups")
+	now, fresh := p.opt.Clock.Now(), p.opt.Fresh()
+	complete := fresh || p.opt.Registry.Complete()
+	unsure := !fresh && (!complete || now.Sub(p.since) < p.opt.Lapse+settle)
+	if !unsure {
+		clear(p.asked)
+		clear(p.confirmed)
 	}
-	p.mu.Unlock()
-	for _, o := range orders {
-		go p.send(ctx, o)
+	ask = p.unread(replicas, unsure, now)
+	if !fresh && now.Sub(p.since) < settle {
+		return nil, nil, ask
 	}
-	for _, m := range probes {
-		go p.probe(ctx, m)
+	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
+		Need: p.need(service.Engine), Fresh: fresh, LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
+		Lapsed: view.Lapsed, Incomplete: !complete, Unsure: unsure, Confirmed: p.confirmed,
+		Silent: func(r *fleet.Replica) bool { return p.opt.Table.HeardAge(balance.KeyOf(r)) > deadSilence }})
+	probes = p.suspects(replicas, now)
+	p.summarize(view, replicas, now)
+	return orders, probes, ask
+}
+
+// summarize logs what the plan holds, once in a while. The lock is held.
+func (p *Planner) summarize(view *fleet.View, replicas map[string]*fleet.Replica, now clock.Time) {
+	if now.Sub(p.told) < summaryEvery {
+		return
 	}
+	p.told = now
+	sum := p.plan.Summarize(replicas)
+	p.opt.Log.WithFields(logrus.Fields{"open": sum.Open, "forming": sum.Forming, "spares": sum.Spares, "loading": sum.Loading,
+		"idle": sum.Idle, "replicas": len(replicas), "failure_domains_out": view.Evacuated}).Info("groups")
 }
 
 // need returns the part of the replicas that each model should have.
