Avoid targets that are slower than others of their model, and replace slow members by spares

Cause: a slow replica was told from a sound one only by silence. A group works at the pace of its slowest member, so streams of such groups were late for as long as the replica was slow. Change: each node measures the time between events against the prediction and, relative to the median of the model, tells slow targets to the others; predictions of slow targets are multiplied by it. The planner reads the pace of the members of such groups and gives the places of slow members to spares once the head has finished its requests. The base of predictions is measured by model.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -171,7 +171,7 @@
 	for range 300 {
 		head := table.PickHead(q)
 		predicted = head.First
-		ticket := table.Begin(head.Key, q.Prompt, head.First)
+		ticket := table.BeginHead(head, q.Prompt)
 		now.Advance(FirstEvent(q.Service.Engine, 1, Load{}, q.Prompt) + 105*time.Millisecond)
 		ticket.Event()
 		ticket.End()
@@ -198,3 +198,64 @@
 	}
 	quicktest.Assert(t, table.Load("k"), quicktest.Equals, Load{})
 }
+
+// Slow replicas: of six heads one works four times as slow. It gets few requests, by the nodes that measure it and by one that is
+// only told, and is used again when it has recovered (trouble-2 of all sites: three or more seconds at four times the time).
+func TestSlowHeadIsAvoided(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	q, table, other := fleetOf(now, 6), NewTable(now), NewTable(now)
+	slowest := KeyOf(q.View.ByService["pool"][2])
+	play := func(factor float64, d time.Duration) int {
+		n := 0
+		type run struct {
+			ticket *Ticket
+			key    Key
+			next   clock.Time
+			events int
+		}
+		var running []*run
+		for end := now.Now().Add(d); now.Now() < end; now.Advance(10 * time.Millisecond) {
+			for _, r := range running {
+				if r.events < 27 && now.Now() >= r.next {
+					r.ticket.Event()
+					r.events++
+					gap := Gap(q.Service.Engine, 1, table.Load(r.key))
+					if r.key == slowest {
+						gap = time.Duration(factor * float64(gap))
+					}
+					r.next = now.Now().Add(gap)
+					if r.events == 27 {
+						r.ticket.End()
+					}
+				}
+			}
+			if now.Now()%clock.Time(30*time.Millisecond) != 0 {
+				continue
+			}
+			head := table.PickHead(q)
+			running = append(running, &run{table.BeginHead(head, q.Prompt), head.Key, now.Now().Add(200 * time.Millisecond), 0})
+			if head.Key == slowest {
+				n++
+			}
+		}
+		other.SetPeer("node-1", table.Own())
+		for _, r := range running {
+			r.ticket.End()
+		}
+		return n
+	}
+	play(4, 2*time.Second)
+	c.Assert(play(4, 2*time.Second) <= 4, quicktest.IsTrue) // Of 66; an even share is 11.
+	told := 0
+	for range 60 {
+		if head := other.PickHead(q); head.Key == slowest {
+			told++
+		}
+	}
+	c.Assert(told <= 6, quicktest.IsTrue, quicktest.Commentf("%d of 60", told))
+	now.Advance(speedLasts)
+	play(1, 3*time.Second)
+	n := play(1, 2*time.Second)
+	c.Assert(n >= 5, quicktest.IsTrue, quicktest.Commentf("%d of 66", n))
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -27,7 +27,8 @@
 	peerLoadLasts = 2 * time.Second
 	// failureWeight is the weight of the newest outcome in a replica's share of failures.
 	failureWeight = 0.1
-	// baseWeight is the weight of the newest first event in the measured base, and maxSurprise bounds what it says.
+	// baseWeight is the least weight of the newest first event in the measured base; the first ones weigh as in a mean.
+	// maxSurprise bounds what one of them says.
 	baseWeight  = 0.02
 	maxSurprise = 300 * time.Millisecond
 )
@@ -52,6 +53,14 @@
 	full     clock.Time // Until when the target is taken for full.
 	failures float64    // Share of failed exchanges, weighted towards the newest.
 	expected time.Duration
+	model    string // Empty for plain replicas.
+	speed    speed
+}
+
+// base is the measured time that first events of a model take beyond the prediction: ways, and what the engine doesn't publish.
+type base struct {
+	value time.Duration
+	n     int
 }
 
 type peerLoad struct {
@@ -64,6 +73,7 @@
 	Loads   map[Key]Load
 	Heard   map[Key]time.Duration // Time since the last event, for targets with a load.
 	Suspect map[Key]bool
+	Slow    map[Key]float64 // How many times slower than others of its model a target works; absent for those that aren't.
 }
 
 // Table holds the loads of all targets, of this node and as told by the others. It may be used concurrently. Its only lock is
@@ -76,14 +86,14 @@
 	peers   map[string]peerLoad
 	swept   clock.Time
 	cold    map[string][]clock.Time // Sends to cold replicas within the last second, by ID.
-	// base is the measured time that first events take beyond the prediction: ways, and what the engine doesn't publish.
-	base time.Duration
+	bases   map[string]*base        // By model.
+	medians map[string]median       // Of the measured speeds, by model.
 }
 
 // NewTable returns an empty table.
 func NewTable(c clock.Clock) *Table {
 	return &Table{clock: c, targets: map[Key]*targetState{}, peers: map[string]peerLoad{}, swept: c.Now(),
-		cold: map[string][]clock.Time{}}
+		cold: map[string][]clock.Time{}, bases: map[string]*base{}, medians: map[string]median{}}
 }
 
 // Ticket is one request at a target, from its sending to its end.
@@ -96,6 +106,10 @@
 	sent    clock.Time
 	// expected is the predicted time to the first event, 0 if there is no prediction.
 	expected time.Duration
+	// engine and pace predict the time between events; nil for plain replicas.
+	engine *fleet.Engine
+	pace   float64
+	last   clock.Time // Newest event; 0 before the first.
 }
 
 func (t *Table) state(k Key) *targetState {
@@ -123,19 +137,34 @@
 	return ticket
 }
 
+// BeginHead counts a request that is about to be sent to a head.
+func (t *Table) BeginHead(h *Head, prompt int) *Ticket {
+	ticket := t.Begin(h.Key, prompt, h.First)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ticket.engine, ticket.pace = h.engine, h.pace
+	t.state(h.Key).model = h.model
+	return ticket
+}
+
 // Event notes an event of the request's answer.
 func (k *Ticket) Event() {
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
-	s := k.table.state(k.key)
-	s.heard, s.suspect = k.table.clock.Now(), 0
+	s, now := k.table.state(k.key), k.table.clock.Now()
+	s.heard, s.suspect = now, 0
 	k.startLocked(s)
+	if k.last != 0 && k.engine != nil {
+		expected := k.pace * pass(k.engine, k.table.loadLocked(k.key, now).Running)
+		s.speed.note(float64(now.Sub(k.last))/float64(time.Millisecond)/max(expected, 1), now)
+	}
+	k.last = now
 }
 
 func (k *Ticket) startLocked(s *targetState) {
 	if !k.started && !k.ended {
-		if k.prompt > 0 && k.expected > 0 {
-			k.table.learnLocked(k.table.clock.Now().Sub(k.sent) - k.expected)
+		if now := k.table.clock.Now(); k.prompt > 0 && k.expected > 0 && k.table.slowLocked(k.key, now) == 1 {
+			k.table.learnLocked(s.model, now.Sub(k.sent)-k.expected)
 		}
 		k.started = true
 		s.load.Waiting--
@@ -144,9 +173,22 @@
 }
 
 // learnLocked takes the difference of one first event to its prediction. Single stalls weigh no more than maxSurprise.
-func (t *Table) learnLocked(off time.Duration) {
+func (t *Table) learnLocked(model string, off time.Duration) {
+	b := t.bases[model]
+	if b == nil {
+		b = &base{}
+		t.bases[model] = b
+	}
+	b.n++
 	off = min(max(off, -maxSurprise), maxSurprise)
-	t.base = max(0, t.base+time.Duration(float64(off)*baseWeight))
+	b.value = max(0, b.value+time.Duration(float64(off)*max(baseWeight, 1/float64(b.n))))
+}
+
+func (t *Table) baseLocked(model string) time.Duration {
+	if b := t.bases[model]; b != nil {
+		return b.value
+	}
+	return 0
 }
 
 // End counts the request out. It may be called more than once.
@@ -220,7 +262,7 @@
 			s.heard = now
 			continue
 		}
-		limit := max(minSilence, silentGaps*gap(k, s.load))
+		limit := max(minSilence, time.Duration(silentGaps*t.slowLocked(k, now)*float64(gap(k, s.load))))
 		if s.load.Running == s.load.Waiting {
 			limit = max(limit, s.expected+minSilence)
 		}
@@ -244,7 +286,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	own := PeerState{map[Key]Load{}, map[Key]time.Duration{}, map[Key]bool{}}
+	own := PeerState{map[Key]Load{}, map[Key]time.Duration{}, map[Key]bool{}, map[Key]float64{}}
 	for k, s := range t.targets {
 		if s.load.Running > 0 {
 			own.Loads[k], own.Heard[k] = s.load, now.Sub(s.heard)
@@ -252,6 +294,9 @@
 		if now < s.suspect {
 			own.Suspect[k] = true
 		}
+		if slow := t.ownSlowLocked(s, now); slow > 1 {
+			own.Slow[k] = slow
+		}
 	}
 	return own
 }
@@ -335,6 +380,11 @@
 	Load    Load
 	First   time.Duration // Predicted time to the first event.
 	Delay   time.Duration // The part of First that is due to other requests.
+	Slow    float64       // How many times slower than others of its model the target works; 1 if it isn't.
+
+	engine *fleet.Engine
+	model  string
+	pace   float64
 }
 
 // HeadQuery asks for a head.
@@ -350,6 +400,8 @@
 	// LoadAge is how old the loads may be that nodes of other failure domains tell. The loads of their targets are known as
 	// badly.
 	LoadAge time.Duration
+	// GapTarget is the longest time between two events of an answer that is on time; 0 for none.
+	GapTarget time.Duration
 }
 
 // zoneCost is added to the prediction of heads in other failure domains, whose links are priced and slower.
@@ -375,9 +427,16 @@
 		if s != nil && now < s.full {
 			continue
 		}
-		load := t.loadLocked(k, now)
-		first := t.base + FirstEvent(q.Service.Engine, q.Model.Pace, load, q.Prompt)
+		load, slow := t.loadLocked(k, now), t.slowLocked(k, now)
+		predict := func(l Load) time.Duration {
+			alone := t.baseLocked(q.Model.Name) + FirstEvent(q.Service.Engine, q.Model.Pace, l, q.Prompt)
+			return time.Duration(slow * float64(alone))
+		}
+		first := predict(load)
 		cost := first
+		if gap := Gap(q.Service.Engine, slow*q.Model.Pace, load); slow > 1 && q.GapTarget > 0 && gap > q.GapTarget {
+			cost += gap // The answer would be late whenever it begins.
+		}
 		if r.Zone != q.Zone {
 			cost += zoneCost + time.Duration(ageCost*float64(q.LoadAge))
 		}
@@ -390,8 +449,8 @@
 		// Nodes choose at the same time from loads that are a little old. The noise keeps them from all choosing one head.
 		noisy := float64(cost) * (1 + 0.1*rand.Float64())
 		if best == nil || noisy < bestCost {
-			alone := t.base + FirstEvent(q.Service.Engine, q.Model.Pace, Load{}, q.Prompt)
-			best, bestCost = &Head{Replica: r, Key: k, Load: load, First: first, Delay: first - alone}, noisy
+			best, bestCost = &Head{Replica: r, Key: k, Load: load, First: first, Delay: first - predict(Load{}), Slow: slow,
+				engine: q.Service.Engine, model: q.Model.Name, pace: q.Model.Pace}, noisy
 		}
 	}
 	return best
@@ -465,7 +524,7 @@
 func (t *Table) Usual(e *fleet.Engine, m *fleet.Model) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.base + FirstEvent(e, m.Pace, Load{}, e.UsualPrompt)
+	return t.baseLocked(m.Name) + FirstEvent(e, m.Pace, Load{}, e.UsualPrompt)
 }
 
 // Load returns the load of all nodes on a target.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -98,7 +98,8 @@
 func (c *call) query(exclude map[balance.Key]bool) balance.HeadQuery {
 	c.view = c.opt.Registry.View()
 	return balance.HeadQuery{View: c.view, Service: c.service, Model: c.model, Prompt: c.q.PromptTokens, Zone: c.opt.Zone,
-		Exclude: exclude, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge()}
+		Exclude: exclude, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
+		GapTarget: c.route.GapTarget}
 }
 
 // exchange serves a request whose answer is held until it is complete, so that an incomplete one can be replaced.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -70,7 +70,7 @@
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 			c.log("answered", "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.First.Milliseconds(),
 				"first_ms": p.first.Milliseconds(), "gap_ms": p.gap.Milliseconds(), "prompt": c.q.PromptTokens,
-				"delay_ms": head.Delay.Milliseconds(), "load": head.Load.Running, "unread": head.Load.Unread, "model": c.q.Model})
+				"delay_ms": head.Delay.Milliseconds(), "load": head.Load.Running, "unread": head.Load.Unread, "model": c.q.Model, "slow": head.Slow})
 			return
 		case streamPassed:
 			return
@@ -141,7 +141,7 @@
 	defer cancel()
 	c.tries.sends++
 	c.tries.last = string(head.Key)
-	ticket := c.opt.Table.Begin(head.Key, c.q.PromptTokens, head.First)
+	ticket := c.opt.Table.BeginHead(head, c.q.PromptTokens)
 	defer ticket.End()
 	c.opt.Table.CountSend(head.Replica, c.view)
 	events := make(chan event, 1)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -407,12 +407,15 @@
 	for k := range own.Suspect {
 		msg.Suspects = append(msg.Suspects, string(k))
 	}
+	for k, slow := range own.Slow {
+		msg.Slow = append(msg.Slow, &schema.SlowTarget{Target: string(k), Permille: uint32(slow * 1000)})
+	}
 	return msg
 }
 
 // heard takes what another node tells.
 func (n *Node) heard(msg *schema.NodeGossip) {
-	state := balance.PeerState{Loads: map[balance.Key]balance.Load{}, Heard: map[balance.Key]time.Duration{}, Suspect: map[balance.Key]bool{}}
+	state := balance.PeerState{Loads: map[balance.Key]balance.Load{}, Heard: map[balance.Key]time.Duration{}, Suspect: map[balance.Key]bool{}, Slow: map[balance.Key]float64{}}
 	for _, l := range msg.Loads {
 		k := balance.Key(l.Target)
 		state.Loads[k] = balance.Load{Running: int(l.Running), Waiting: int(l.Waiting), Unread: int(l.UnreadTokens)}
@@ -421,6 +424,9 @@
 	for _, k := range msg.Suspects {
 		state.Suspect[balance.Key(k)] = true
 	}
+	for _, t := range msg.Slow {
+		state.Slow[balance.Key(t.Target)] = float64(t.Permille) / 1000
+	}
 	n.table.SetPeer(msg.Node, state)
 	if msg.Planner && len(msg.Observed) > 0 {
 		n.registry.Observe(decodeObservations(msg.Observed))
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -86,16 +86,19 @@
 		return
 	}
 	leaving := s.leaving(g)
+	if leaving == "" {
+		leaving = s.slowMember(g)
+	}
 	switch {
 	case head == nil:
 		// The list may be incomplete; the group is looked at again when it is whole.
 	case s.serving(g, head):
 		g.wasOpen = true
-		if leaving {
-			s.finish(g, head)
+		if leaving != "" {
+			s.finish(g, head, leaving)
 		}
-	case leaving:
-		s.repair(g, head, "a member leaves")
+	case leaving != "":
+		s.repair(g, head, leaving)
 	case s.allReady(g):
 		if s.Now.Sub(g.opened) > openWait || g.opened == 0 {
 			g.opened = s.Now
@@ -112,29 +115,44 @@
 		(head.Group.State == fleet.GroupOpen || head.Group.State == fleet.GroupClosing)
 }
 
-// leaving tells whether a member of the group drains.
-func (s *step) leaving(g *group) bool {
-	for _, m := range g.members {
+// leaving tells which member of the group drains, or returns "".
+func (s *step) leaving(g *group) string {
+	for i, m := range g.members {
 		if r := s.find(m.life); r != nil && r.Draining {
-			return true
+			return fmt.Sprintf("member %d (%s) leaves", i, r.ID)
 		}
 	}
-	return false
+	return ""
+}
+
+// slowMember tells which member of the group is slow and can be replaced, or returns "".
+func (s *step) slowMember(g *group) string {
+	slow, found := 0, ""
+	for i, m := range g.members {
+		if s.isSlow(m.life) {
+			slow++
+			found = fmt.Sprintf("member %d (%s) is slow", i, m.life.ID)
+		}
+	}
+	if slow == 0 || slow == len(g.members) || slow > len(s.spares(g.fabric, g.model)) {
+		return ""
+	}
+	return found
 }
 
-// finish lets the head of a group with a leaving member finish its requests before members are replaced. Nothing that runs is
-// cut off for planned work: the member stays while the head has work.
-func (s *step) finish(g *group, head *fleet.Replica) {
+// finish lets the head of a group with a leaving or slow member finish its requests before members are replaced. Nothing that
+// runs is cut off for planned work: the member stays while the head has work.
+func (s *step) finish(g *group, head *fleet.Replica, reason string) {
 	if g.closing == 0 {
 		g.closing = s.Now
 	}
 	if s.Now.Sub(g.closing) > closeWait {
-		s.repair(g, head, "a member leaves, and the head has not finished")
+		s.repair(g, head, reason+", and the head has not finished")
 		return
 	}
 	if head.Group.State == fleet.GroupOpen && (g.closeAsked == 0 || s.Now.Sub(g.closeAsked) > reportWait) {
 		g.closeAsked = s.Now
-		s.order(head, CloseGroup, g, "a member leaves")
+		s.order(head, CloseGroup, g, reason)
 	}
 }
 
@@ -257,8 +275,11 @@
 		return
 	}
 	spares := s.spares(g.fabric, g.model)
+	if quick := s.quick(stay); len(quick) > 0 && model.Size-len(quick) <= len(spares) {
+		stay = quick
+	}
 	missing := model.Size - len(stay)
-	if missing > len(spares) && s.mayReturn(g) && !s.leaving(g) {
+	if missing > len(spares) && s.mayReturn(g) && s.leaving(g) == "" {
 		return
 	}
 	if missing > len(spares) || len(stay) == 0 {
@@ -288,6 +309,11 @@
 	}
 }
 
+// quick returns the replicas that aren't slow.
+func (s *step) quick(list []*fleet.Replica) []*fleet.Replica {
+	return slices.DeleteFunc(slices.Clone(list), func(r *fleet.Replica) bool { return s.isSlow(r.Life()) })
+}
+
 // release tells whether the members of a group may be taken: its head doesn't serve this epoch any more. A head that may
 // still serve is asked to leave first. One that doesn't answer is waited for until its group must be broken.
 func (s *step) release(g *group, reason string) bool {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,6 +40,10 @@
 	missingWait = 700 * time.Millisecond
 	// returnWait is the longest wait for an unlisted member that answers, where no spare could replace it.
 	returnWait = 12 * time.Second
+	// slowPace is how many times slower than usual a member must report to be before a spare takes its place, and slowFor the time
+	// for which the report counts. A group works at the pace of its slowest member.
+	slowPace = 2
+	slowFor  = 6 * time.Second
 	// loadSlack is how much longer than stated a load may take before the replica is asked again.
 	loadSlack = 3
 )
@@ -161,6 +165,7 @@
 	loads     []clock.Time // Starts of weight loads within the window.
 	dead      map[fleet.Life]death
 	present   map[fleet.Life]clock.Time // Replicas that have answered, whether they are listed or not.
+	slow      map[fleet.Life]clock.Time // Until when a replica counts as slow.
 	standbys  map[fleet.Life]clock.Time // When a spare was last asked to hold its weights ready.
 }
 
@@ -170,7 +175,7 @@
 // New returns an empty plan. The term must be higher than that of every earlier planner.
 func New(term int64) *Plan {
 	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupEpoch]bool{}, staging: map[fleet.Life]staging{},
-		dead: map[fleet.Life]death{}, present: map[fleet.Life]clock.Time{}, standbys: map[fleet.Life]clock.Time{}}
+		dead: map[fleet.Life]death{}, present: map[fleet.Life]clock.Time{}, slow: map[fleet.Life]clock.Time{}, standbys: map[fleet.Life]clock.Time{}}
 }
 
 func (p *Plan) nextEpoch() int64 {
@@ -195,6 +200,15 @@
 	p.present[l] = now
 }
 
+// Pace notes how many times slower than usual a replica says it works; 0 if it doesn't say.
+func (p *Plan) Pace(l fleet.Life, pace float64, now clock.Time) {
+	if pace >= slowPace {
+		p.slow[l] = now.Add(slowFor)
+	} else {
+		delete(p.slow, l)
+	}
+}
+
 // Answered notes what became of an order.
 func (p *Plan) Answered(o Order, out Outcome) {
 	if o.Action == Stage {
@@ -338,6 +352,11 @@
 			delete(s.present, l)
 		}
 	}
+	for l, until := range s.slow {
+		if s.Now > until {
+			delete(s.slow, l)
+		}
+	}
 	for l, st := range s.staging {
 		r := s.Replicas[l.ID]
 		limit := 10 * time.Second
@@ -363,6 +382,12 @@
 	return r
 }
 
+// isSlow tells whether the replica has lately said that it is slow.
+func (s *step) isSlow(l fleet.Life) bool {
+	_, slow := s.slow[l]
+	return slow
+}
+
 // known tells whether the replica's entry shows its state.
 func (s *step) known(r *fleet.Replica) bool { return !s.Unsure || s.Confirmed[r.Life()] }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -225,6 +225,42 @@
 	m.noneBroken()
 }
 
+// Guards against groups that work at the pace of one slow member while a spare lies idle (trouble-2 of ryddeutlan: five replicas at
+// twelve times the time for nine seconds). Requests that run are finished first, and a slow spare takes nobody's place.
+func TestSlowMemberIsReplaced(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := started(t, 6, 8)
+	before := m.serving()
+	heads := m.heads("large")
+	first, second := heads[0], heads[1]
+	slow := []string{first.members[2], second.members[0]}
+	for _, v := range m.vms {
+		v.busyUntil = m.clock.Now().Add(time.Second)
+		if v.fabric == heads[2].fabric && v.group == "standby-"+v.id {
+			slow = append(slow, v.id)
+		}
+	}
+	slow = append(slow, heads[2].members[1])
+	say := func() {
+		for _, id := range slow {
+			p.Pace(fleet.Life{ID: id, Born: m.vms[id].born}, 12, m.clock.Now())
+		}
+	}
+	m.run(p, 4*time.Second, say)
+	c.Assert(m.serving(), quicktest.DeepEquals, before)
+	c.Assert(m.cuts, quicktest.HasLen, 0)
+	for _, head := range m.heads("large") {
+		if head.fabric == heads[2].fabric {
+			c.Assert(head.epoch, quicktest.Equals, heads[2].epoch, quicktest.Commentf("no sound spare"))
+			continue
+		}
+		for _, id := range slow {
+			c.Assert(slices.Contains(head.members, id), quicktest.IsFalse, quicktest.Commentf("%s in %s", id, head.group))
+		}
+	}
+	m.noneBroken()
+}
+
 // Guards against more weight loads than the weight store's stated rate while empty VMs arrive.
 func TestLoadsStayUnderTheRate(t *testing.T) {
 	m, p := started(t, 6, 8)
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -32,9 +32,9 @@
 	return g == nil || r.Group.Epoch > g.epoch
 }
 
-// spares returns the free replicas of the fabric domain that hold the model's weights.
+// spares returns the free replicas of the fabric domain that hold the model's weights and aren't slow.
 func (s *step) spares(fabric, model string) []*fleet.Replica {
-	return slices.DeleteFunc(s.free(fabric), func(r *fleet.Replica) bool { return !r.HasStaged(model) })
+	return slices.DeleteFunc(s.free(fabric), func(r *fleet.Replica) bool { return !r.HasStaged(model) || s.isSlow(r.Life()) })
 }
 
 func (s *step) fabrics() []string {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -265,7 +266,7 @@
 		return false
 	}
 	key := balance.KeyOf(head)
-	return head.Group.State == fleet.GroupBroken || head.Head() && (quiet[key] || p.opt.Table.Suspected(key))
+	return head.Group.State == fleet.GroupBroken || head.Head() && (quiet[key] || p.opt.Table.Suspected(key) || p.opt.Table.Slow(key))
 }
 
 // probe asks a replica for its report and notes whether it answers. A group with a member that doesn't answer stands still.
@@ -274,8 +275,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeCall)
 	defer cancel()
 	answers := make(chan error, 2)
+	var pace atomic.Value
 	ask := func() {
 		report, err := p.opt.Replicas.Report(ctx, r.ID, r.Address)
+		if err == nil {
+			pace.Store(report.Pace)
+		}
 		if err == nil && report.Born != 0 && report.Born != r.Born {
 			err = eris.Errorf("replica %s was born at %d, not at %d", r.ID, report.Born, r.Born)
 		}
@@ -291,8 +296,10 @@
 	defer p.mu.Unlock()
 	log := p.opt.Log.WithFields(logrus.Fields{"replica": r.ID, "group": r.Group})
 	if err == nil {
-		p.plan.Lives(r.Life(), p.opt.Clock.Now())
-		log.Info("a member of a silent group answers")
+		now, value := p.opt.Clock.Now(), pace.Load().(float64)
+		p.plan.Lives(r.Life(), now)
+		p.plan.Pace(r.Life(), value, now)
+		log.WithField("pace", value).Info("a member of a silent or slow group answers")
 		return
 	}
 	if late := time.Since(started) - probeCall; late > probeLate {
