Wait before a refused order to stage weights is sent again, and prune the planner's memory

Dissolved groups and the locks of replicas that are gone were never forgotten. TestRefusedStagingIsNotRepeatedAtOnce fails without.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -27,6 +27,7 @@
 	history    []snapshot
 	fresh      bool
 	drop       func(Order) bool // Tells whether the answer to an order is lost and the order carried out late.
+	refuse     func(Order) bool // Tells whether the replica refuses an order.
 	late       []lateOrder
 	seen       map[string]*fleet.Replica // Newest listed entries.
 	incomplete bool
@@ -297,6 +298,10 @@
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: listed, Need: need, Fresh: m.fresh,
 		Lapsed: m.lapsed(listed), Incomplete: m.incomplete, Unsure: m.unsure, Confirmed: m.confirmed(),
 		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, Silent: func(r *fleet.Replica) bool { return m.vms[r.ID].silentFrom != 0 }}) {
+		if m.refuse != nil && m.refuse(o) {
+			p.Answered(o, Refused)
+			continue
+		}
 		if m.drop != nil && m.drop(o) {
 			p.Answered(o, Unknown)
 			m.late = append(m.late, lateOrder{m.clock.Now().Add(4 * time.Second), o})
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -23,7 +23,7 @@
 		if g != nil && g.epoch == key.epoch {
 			g.fill(r, s.Now)
 		}
-		if s.dissolved[key] || g != nil && g.epoch >= key.epoch {
+		if s.isDissolved(key) || g != nil && g.epoch >= key.epoch {
 			continue
 		}
 		found[key] = append(found[key], r)
@@ -47,6 +47,11 @@
 	}
 }
 
+func (s *step) isDissolved(g groupEpoch) bool {
+	_, dissolved := s.dissolved[g]
+	return dissolved
+}
+
 // fill enters a member that reports the group and that wasn't known.
 func (g *group) fill(r *fleet.Replica, now clock.Time) {
 	if r.Group.Rank >= len(g.members) || g.members[r.Group.Rank].life.ID != "" {
@@ -355,7 +360,7 @@
 	if !s.release(g, reason) {
 		return
 	}
-	s.dissolved[groupEpoch{g.name, g.epoch}] = true
+	s.dissolved[groupEpoch{g.name, g.epoch}] = s.Now
 	delete(s.groups, g.name)
 	for _, m := range g.members {
 		delete(s.used, m.life.ID)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,6 +34,11 @@
 	standbyWait = 3 * time.Second
 	// headTries is the number of probes in a row that a listed head must miss before its group is ended.
 	headTries = 2
+	// stageAgain is the time after which an order to stage weights that was refused or not answered is sent again. A replica
+	// refuses it while it carries out another order.
+	stageAgain = time.Second
+	// dissolvedFor is the time for which a dissolved group is remembered. Orders are carried out some seconds late at most.
+	dissolvedFor = 2 * time.Minute
 	// presentFor is the time for which an answer shows that a replica lives, and missingWait what an unlisted member is given to
 	// answer.
 	presentFor  = 2 * time.Second
@@ -145,8 +150,9 @@
 }
 
 type staging struct {
-	model string
-	at    clock.Time
+	model  string
+	at     clock.Time
+	failed bool // The order was refused or not answered; it is sent again after stageAgain.
 }
 
 type groupEpoch struct {
@@ -160,7 +166,7 @@
 	counter int64
 
 	groups    map[string]*group
-	dissolved map[groupEpoch]bool
+	dissolved map[groupEpoch]clock.Time // Groups that were dissolved, and when.
 	staging   map[fleet.Life]staging
 	loads     []clock.Time // Starts of weight loads within the window.
 	dead      map[fleet.Life]death
@@ -174,7 +180,7 @@
 
 // New returns an empty plan. The term must be higher than that of every earlier planner.
 func New(term int64) *Plan {
-	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupEpoch]bool{}, staging: map[fleet.Life]staging{},
+	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupEpoch]clock.Time{}, staging: map[fleet.Life]staging{},
 		dead: map[fleet.Life]death{}, present: map[fleet.Life]clock.Time{}, slow: map[fleet.Life]clock.Time{}, standbys: map[fleet.Life]clock.Time{}}
 }
 
@@ -212,8 +218,9 @@
 // Answered notes what became of an order.
 func (p *Plan) Answered(o Order, out Outcome) {
 	if o.Action == Stage {
-		if out != Accepted {
-			delete(p.staging, o.To.Life())
+		if st, known := p.staging[o.To.Life()]; known && out != Accepted {
+			st.failed = true
+			p.staging[o.To.Life()] = st
 		}
 		return
 	}
@@ -352,6 +359,11 @@
 			delete(s.present, l)
 		}
 	}
+	for g, at := range s.dissolved {
+		if s.Now.Sub(at) > dissolvedFor {
+			delete(s.dissolved, g)
+		}
+	}
 	for l, until := range s.slow {
 		if s.Now > until {
 			delete(s.slow, l)
@@ -363,6 +375,9 @@
 		if m := s.Engine.Model(st.model); m != nil {
 			limit += loadSlack * m.Load
 		}
+		if st.failed {
+			limit = stageAgain
+		}
 		if r == nil || r.Born != l.Born || r.HasStaged(st.model) || s.Now.Sub(st.at) > limit {
 			delete(s.staging, l)
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -261,6 +261,24 @@
 	m.noneBroken()
 }
 
+// Guards against an order to stage weights that is sent in every step while the replica refuses it (trouble-3 of ryddeutlan: 14 times
+// in half a second, each counted as a load).
+func TestRefusedStagingIsNotRepeatedAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := started(t, 6, 8)
+	m.add("busy", "domain-0")
+	asked := 0
+	m.refuse = func(o Order) bool {
+		if o.Action == Stage && o.To.ID == "busy" {
+			asked++
+			return true
+		}
+		return false
+	}
+	m.run(p, 3*time.Second, nil)
+	c.Assert(asked > 1 && asked <= 4, quicktest.IsTrue, quicktest.Commentf("asked %d times", asked))
+}
+
 // Guards against more weight loads than the weight store's stated rate while empty VMs arrive.
 func TestLoadsStayUnderTheRate(t *testing.T) {
 	m, p := started(t, 6, 8)
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -18,7 +18,7 @@
 		if r.Fabric != fabric || s.used[id] || r.Draining || s.find(r.Life()) == nil || !s.known(r) {
 			continue
 		}
-		if r.Group != nil && !strings.HasPrefix(r.Group.Name, standbyPrefix) && !s.dissolved[groupEpoch{r.Group.Name, r.Group.Epoch}] && s.foreign(r) {
+		if r.Group != nil && !strings.HasPrefix(r.Group.Name, standbyPrefix) && !s.isDissolved(groupEpoch{r.Group.Name, r.Group.Epoch}) && s.foreign(r) {
 			continue
 		}
 		list = append(list, r)
@@ -200,7 +200,7 @@
 			if has != "" {
 				assigned[has]--
 			}
-			s.staging[r.Life()] = staging{best.Name, s.Now}
+			s.staging[r.Life()] = staging{model: best.Name, at: s.Now}
 			s.loads = append(s.loads, s.Now)
 			s.orders = append(s.orders, Order{To: r, Action: Stage, Model: best.Name,
 				Reason: fmt.Sprintf("domain %s lacks %d of %s", fabric, lack, best.Name)})
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -209,6 +209,13 @@
 		return
 	}
 	p.told = now
+	for id, q := range p.sending {
+		// A lock that is held belongs to an order on its way.
+		if replicas[id] == nil && q.TryLock() {
+			delete(p.sending, id)
+			q.Unlock()
+		}
+	}
 	sum := p.plan.Summarize(replicas)
 	p.opt.Log.WithFields(logrus.Fields{"open": sum.Open, "forming": sum.Forming, "spares": sum.Spares, "loading": sum.Loading,
 		"idle": sum.Idle, "replicas": len(replicas), "failure_domains_out": view.Evacuated}).Info("groups")
