Draw heads as the arrivals within the age of their loads would fill them

Cause: at 65 and 76 nodes loads of other failure domains are up to 0.8 s old, and all nodes chose the head that seemed best: heads with 49 requests for 34 slots beside others with 17, first events late although predicted in time. Change: the requests that all nodes send within half of the age of the loads are thought of as filling the heads to a common cost, and a head is drawn as often as it would take of them; with few arrivals the best head is drawn as before. TestNodesWithOldLoadsSpread: without the change all requests go to one head.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -104,6 +104,53 @@
 	c.Assert(refuse, quicktest.IsFalse)
 }
 
+// Many nodes with old loads: they choose at the same time, and a head that seems a little less loaded must not get most of their
+// requests (trouble-3 of the grown ryddeutlan: heads with 49 requests for 34 slots beside others with 17). Within the age of the
+// loads 65 nodes send ten requests for each of nine heads; the head that is three requests behind should get thirteen of ninety.
+func TestNodesWithOldLoadsSpread(t *testing.T) {
+	c := clock.NewManual(time.Hour)
+	q := fleetOf(c, 9)
+	const nodes = 65
+	q.LoadAge, q.ColdShare = 1400*time.Millisecond, 1.0/nodes
+	told := PeerState{Loads: map[Key]Load{}}
+	lowest := KeyOf(q.View.ByService["pool"][4])
+	for _, r := range q.View.ByService["pool"] {
+		told.Loads[KeyOf(r)] = Load{Running: 14, Waiting: 2, Unread: 1500}
+	}
+	told.Loads[lowest] = Load{Running: 11, Waiting: 1, Unread: 0}
+	const plays = 1000
+	n := 0
+	for range plays {
+		table := NewTable(c)
+		table.SetPeer("other", told)
+		table.BeginHead(table.PickHead(q), q.Prompt).End() // From now on the node knows its rate.
+		if table.PickHead(q).Key == lowest {
+			n++
+		}
+	}
+	if n < plays/9 || n > plays/3 {
+		t.Fatalf("%d of %d requests went to the head that seemed least loaded", n, plays)
+	}
+}
+
+// Few arrivals: the best head gets the request. Many: heads fill up to a common cost.
+func TestArrivalsFillHeadsToOneLevel(t *testing.T) {
+	c := quicktest.New(t)
+	list := []candidate{{cost: 100, step: 10}, {cost: 120, step: 10}, {cost: 400, step: 20}}
+	c.Assert(fill(list, 1), quicktest.DeepEquals, []float64{1})
+	c.Assert(fill(list, 6), quicktest.DeepEquals, []float64{4.0 / 6, 2.0 / 6})
+	shares := fill(list, 68)
+	c.Assert(shares, quicktest.HasLen, 3)
+	sum := 0.0
+	for i, share := range shares {
+		sum += share
+		if level := float64(list[i].cost) + share*68*float64(list[i].step); level < 439 || level > 441 {
+			t.Errorf("head %d is filled to %.1f, want 440", i, level)
+		}
+	}
+	c.Assert(sum > 0.999 && sum < 1.001, quicktest.IsTrue)
+}
+
 // Cold replicas: all nodes together send no more in a second than a cold replica bears.
 func TestColdReplicaGetsItsShareOnly(t *testing.T) {
 	c := clock.NewManual(time.Hour)
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -87,13 +87,14 @@
 	swept   clock.Time
 	cold    map[string][]clock.Time // Sends to cold replicas within the last second, by ID.
 	bases   map[string]*base        // By model.
+	rates   map[string]*rate        // Of this node's sends, by model.
 	medians map[string]median       // Of the measured speeds, by model.
 }
 
 // NewTable returns an empty table.
 func NewTable(c clock.Clock) *Table {
 	return &Table{clock: c, targets: map[Key]*targetState{}, peers: map[string]peerLoad{}, swept: c.Now(),
-		cold: map[string][]clock.Time{}, bases: map[string]*base{}, medians: map[string]median{}}
+		cold: map[string][]clock.Time{}, bases: map[string]*base{}, medians: map[string]median{}, rates: map[string]*rate{}}
 }
 
 // Ticket is one request at a target, from its sending to its end.
@@ -161,6 +162,12 @@
 	ticket.readBy = ticket.sent.Add(ReadTime(h.engine, h.pace*h.Slow, h.Load, prompt))
 	ticket.engine, ticket.pace = h.engine, h.pace
 	t.state(h.Key).model = h.model
+	r := t.rates[h.model]
+	if r == nil {
+		r = &rate{start: ticket.sent}
+		t.rates[h.model] = r
+	}
+	r.add(ticket.sent)
 	return ticket
 }
 
@@ -410,7 +417,7 @@
 	Prompt  int
 	Zone    string // Failure domain of this node.
 	Exclude map[Key]bool
-	// ColdShare is the part of a cold replica's bearable rate that this node may use.
+	// ColdShare is the part of a cold replica's bearable rate that this node may use: that of one of the serving nodes.
 	ColdShare float64
 	// LoadAge is how old the loads may be that nodes of other failure domains tell. The loads of their targets are known as
 	// badly.
@@ -422,53 +429,60 @@
 // zoneCost is added to the prediction of heads in other failure domains, whose links are priced and slower.
 const zoneCost = 12 * time.Millisecond
 
-// PickHead returns the head with the earliest predicted first event, or nil if no group of the model serves. Suspected heads
-// are never returned.
+// PickHead returns a head with an early predicted first event, or nil if no group of the model serves. Suspected heads are never
+// returned.
 func (t *Table) PickHead(q HeadQuery) *Head {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	var best *Head
-	var bestCost float64
+	var list []candidate
 	for _, r := range q.View.ByService[q.Service.Name] {
 		if !r.Head() || r.Models[0] != q.Model.Name {
 			continue
 		}
 		k := KeyOf(r)
-		if q.Exclude[k] || t.suspectedLocked(k, now) || t.coldFullLocked(r, q, now) {
-			continue
-		}
-		s := t.targets[k]
-		if s != nil && now < s.full {
+		if s := t.targets[k]; q.Exclude[k] || t.suspectedLocked(k, now) || t.coldFullLocked(r, q, now) || s != nil && now < s.full {
 			continue
 		}
-		load, slow := t.loadLocked(k, now), t.slowLocked(k, now)
-		predict := func(l Load) time.Duration {
-			alone := t.baseLocked(q.Model.Name) + FirstEvent(q.Service.Engine, q.Model.Pace, l, q.Prompt)
-			return time.Duration(slow * float64(alone))
-		}
-		first := predict(load)
-		cost := first
-		if gap := Gap(q.Service.Engine, slow*q.Model.Pace, load); slow > 1 && q.GapTarget > 0 && gap > q.GapTarget {
-			cost += gap // The answer would be late whenever it begins.
-		}
-		if r.Zone != q.Zone {
-			cost += zoneCost + time.Duration(ageCost*float64(q.LoadAge))
-		}
-		if s != nil && now < s.avoid {
+		list = append(list, t.candidateLocked(r, k, q, now))
+	}
+	return choose(list, t.arrivalsLocked(q, now))
+}
+
+// arrivalsLocked estimates the requests that other nodes send to the model's heads while the loads age: as many as this node
+// each, for half of the age.
+func (t *Table) arrivalsLocked(q HeadQuery, now clock.Time) float64 {
+	r := t.rates[q.Model.Name]
+	if r == nil || q.ColdShare <= 0 {
+		return 0
+	}
+	return r.perSecond(now) / q.ColdShare * q.LoadAge.Seconds() / 2
+}
+
+// candidateLocked predicts what the request would meet at the head.
+func (t *Table) candidateLocked(r *fleet.Replica, k Key, q HeadQuery, now clock.Time) candidate {
+	load, slow := t.loadLocked(k, now), t.slowLocked(k, now)
+	predict := func(l Load) time.Duration {
+		first := t.baseLocked(q.Model.Name) + FirstEvent(q.Service.Engine, q.Model.Pace, l, q.Prompt)
+		return time.Duration(slow * float64(first))
+	}
+	first := predict(load)
+	cost := first
+	if gap := Gap(q.Service.Engine, slow*q.Model.Pace, load); slow > 1 && q.GapTarget > 0 && gap > q.GapTarget {
+		cost += gap // The answer would be late whenever it begins.
+	}
+	if r.Zone != q.Zone {
+		cost += zoneCost + time.Duration(ageCost*float64(q.LoadAge))
+	}
+	if s := t.targets[k]; s != nil {
+		if now < s.avoid {
 			cost += AvoidFor
 		}
-		if s != nil {
-			cost += time.Duration(s.failures * float64(time.Second))
-		}
-		// Nodes choose at the same time from loads that are a little old. The noise keeps them from all choosing one head.
-		noisy := float64(cost) * (1 + 0.1*rand.Float64())
-		if best == nil || noisy < bestCost {
-			best, bestCost = &Head{Replica: r, Key: k, Load: load, First: first, Delay: first - predict(Load{}), Slow: slow,
-				engine: q.Service.Engine, model: q.Model.Name, pace: q.Model.Pace}, noisy
-		}
+		cost += time.Duration(s.failures * float64(time.Second))
 	}
-	return best
+	more := predict(load.Add(Load{Running: 1, Unread: q.Service.Engine.UsualPrompt})) - first
+	return candidate{&Head{Replica: r, Key: k, Load: load, First: first, Delay: first - predict(Load{}), Slow: slow,
+		engine: q.Service.Engine, model: q.Model.Name, pace: q.Model.Pace}, cost, more}
 }
 
 // PickPlain returns the plain replica with the least load for its slots, in this failure domain first, or nil.
