Test the retry budget, the end of work for clients that left, and repeated events; make three checks stricter

TestNewPlannerWaitsForLapsedEntries now asks that no group is formed anew, TestLargePromptsAreNotRefusedFirst compares the load from which requests are refused, and TestEventsThatTheClientHasAreDropped is new, as the replica of TestBrokenStreamGoesOnElsewhere never repeats an event. No product code is changed.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -77,19 +77,25 @@
 // Mixed sizes: under load the largest requests are refused no sooner than the small ones (seen on all standard days of the
 // first score: the largest tenth was served less than half as often).
 func TestLargePromptsAreNotRefusedFirst(t *testing.T) {
-	c := clock.NewManual(time.Hour)
-	q, table := fleetOf(c, 1), NewTable(c)
-	usual := table.Usual(q.Service.Engine, q.Model)
-	for range 5 {
-		head := table.PickHead(q)
-		table.Begin(head.Key, q.Prompt, head.First)
+	// refusedFrom returns the number of requests at the only head from which on one with the prompt is refused.
+	refusedFrom := func(prompt int) int {
+		q, table := fleetOf(clock.NewManual(time.Hour), 1), NewTable(clock.NewManual(time.Hour))
+		usual := table.Usual(q.Service.Engine, q.Model)
+		for n := range 60 {
+			q.Prompt = prompt
+			if _, refuse := Admission(500*time.Millisecond, 0, table.PickHead(q).Delay, usual); refuse {
+				return n
+			}
+			q.Prompt = q.Service.Engine.UsualPrompt
+			head := table.PickHead(q)
+			table.Begin(head.Key, q.Prompt, head.First)
+		}
+		return 60
 	}
-	refused := func(prompt int) bool {
-		q.Prompt = prompt
-		_, refuse := Admission(500*time.Millisecond, 0, table.PickHead(q).Delay, usual)
-		return refuse
+	small, large := refusedFrom(100), refusedFrom(6000)
+	if small >= 60 || large < small-1 {
+		t.Fatalf("small requests are refused from %d at the head on, large ones from %d", small, large)
 	}
-	quicktest.Assert(t, refused(6000), quicktest.Equals, refused(100))
 }
 
 // Clients that come back after a refusal are admitted before the queue is as long as for fresh requests, and not after.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -85,6 +86,11 @@
 
 // newServer serves the replicas: heads of groups of one model if the kind is a stream, plain ones otherwise.
 func newServer(t testing.TB, kind fleet.Repeat, replicas ...*replica) http.Handler {
+	return newServerWithin(t, 100, kind, replicas...)
+}
+
+// newServerWithin returns a server whose retry budget is the burst.
+func newServerWithin(t testing.TB, burst float64, kind fleet.Repeat, replicas ...*replica) http.Handler {
 	c := clock.Boottime()
 	registry := fleet.NewRegistry(c)
 	service := &fleet.Service{Name: "s"}
@@ -111,7 +117,7 @@
 	registry.Replace(list)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return New(Options{Codec: platform.Codec{}, Registry: registry, Table: balance.NewTable(c), Budget: retry.New(retry.Options{Burst: 100}),
+	return New(Options{Codec: platform.Codec{}, Registry: registry, Table: balance.NewTable(c), Budget: retry.New(retry.Options{Burst: burst, FloorPerSecond: -1}),
 		Clock: c, Log: log, Zone: "z", StoreAge: func() time.Duration { return 0 }, Nodes: func() int { return 1 },
 		LoadAge: func() time.Duration { return 0 }})
 }
@@ -282,6 +288,73 @@
 	c.Assert(a.received(), quicktest.HasLen, 0)
 }
 
+// Guards against events that a client gets twice: the second replica begins the stream anew instead of after the last event.
+func TestEventsThatTheClientHasAreDropped(t *testing.T) {
+	c := quicktest.New(t)
+	all := streamHead + events(1, 6)
+	cut := len(streamHead) + len(events(1, 3))
+	broken := newReplica(t, true, func(*http.Request) string { return all[:cut] })
+	again := newReplica(t, false, func(*http.Request) string { return all })
+	again.far = true
+	_, body, err := ask(t, newServer(t, fleet.RepeatStream, broken, again), http.MethodPost)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(broken.received(), quicktest.HasLen, 1)
+	c.Assert(again.received(), quicktest.HasLen, 1)
+	c.Assert(body, quicktest.Equals, events(1, 6))
+}
+
+// Guards against more repeats than the retry budget allows while all replicas fail (BUDGET).
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	c := quicktest.New(t)
+	const requests, burst = 10, 3
+	cut := func(*http.Request) string { return "" }
+	a, b := newReplica(t, false, cut), newReplica(t, false, cut)
+	h := newServerWithin(t, burst, fleet.RepeatSafe, a, b)
+	for range requests {
+		resp, _, err := ask(t, h, http.MethodGet)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(promises(resp.StatusCode), quicktest.IsFalse)
+	}
+	got := len(a.received()) + len(b.received())
+	c.Assert(got, quicktest.Equals, requests+burst)
+}
+
+// Guards against replicas that work on for a client that has left (GONE: half a second).
+func TestWorkEndsWhenTheClientLeaves(t *testing.T) {
+	c := quicktest.New(t)
+	ended := make(chan struct{})
+	replicas := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		defer close(ended)
+		w.Header().Set("X-Cassiadeal-Request-Id", q.Header.Get("X-Cassiadeal-Request-Id"))
+		w.Header().Set("X-Cassiadeal-Response-Seal", "s")
+		for i := 1; q.Context().Err() == nil; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			w.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}))
+	defer replicas.Close()
+	server := httptest.NewServer(newServer(t, fleet.RepeatStream, &replica{address: strings.TrimPrefix(replicas.URL, "http://")}))
+	defer server.Close()
+	ctx, leave := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/a/1", nil)
+	c.Assert(err, quicktest.IsNil)
+	req.Host = "x.example"
+	for name, value := range map[string]string{"X-Cassiadeal-Request-Id": "q1", "X-Cassiadeal-Deadline-Ms": "3000", "X-Api-Key": "key",
+		"X-Cassiadeal-Model": "m", "X-Cassiadeal-Token-Usage": "100,20"} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	_, err = resp.Body.Read(make([]byte, 4))
+	c.Assert(err, quicktest.IsNil)
+	left := time.Now()
+	leave()
+	<-ended
+	c.Assert(time.Since(left) < 500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", time.Since(left)))
+}
+
 // slowStream is a replica that streams its first request over a second and refuses all others as not run, naming the fault.
 func slowStream(t testing.TB, events int, fault func(address string) string) *replica {
 	r := &replica{}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -114,7 +114,10 @@
 func TestNewPlannerWaitsForLapsedEntries(t *testing.T) {
 	c := quicktest.New(t)
 	m, _ := started(t, 6, 8)
-	before := m.serving()
+	before, epochs := m.serving(), map[string]int64{}
+	for _, v := range m.vms {
+		epochs[v.id] = v.epoch
+	}
 	for i, id := range slices.Sorted(maps.Keys(m.vms)) {
 		if i%2 == 0 {
 			m.vms[id].unlisted = m.clock.Now()
@@ -133,6 +136,9 @@
 	m.run(next, 5*time.Second, nil)
 	m.noneBroken()
 	c.Assert(m.serving(), quicktest.DeepEquals, before)
+	for _, head := range append(m.heads("large"), m.heads("small")...) {
+		c.Assert(head.epoch, quicktest.Equals, epochs[head.id], quicktest.Commentf("%s was formed anew", head.group))
+	}
 }
 
 // Guards against members that a new planner takes from groups which its predecessor repaired while the store was away: the store
