--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -241,6 +242,11 @@
 	return backends[len(backends)-1].Service
 }
 
+// fingerprint identifies the request apart from its ID: all copies of a request have the same one.
+func (c *call) fingerprint() string {
+	return crash.Fingerprint(c.tenant, c.req.Method+" "+c.req.Host+c.req.URI, c.req.Body)
+}
+
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
 // refuse responds with an error that this server generates.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -219,8 +219,8 @@
 		c.opt.Table.Avoid(key)
 	}
 	c.opt.Metrics.Retry("target_failed")
-	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent}).WithError(err).
-		Info("send got no usable response")
+	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.fingerprint()}).
+		WithError(err).Info("send got no usable response")
 }
 
 // giveUp ends a request for which no further send is possible.
