--- /dev/null
+++ b/internal/edge/crash_test.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+// maxCrashes is the number of replicas that copies of one request may crash before all nodes refuse it (docs/design.md, section 8).
+const maxCrashes = 2
+
+// crashReplicas returns replicas that end without a response, and listen no longer, when they run a request that crashes selects.
+// Other requests get the response. ended counts the replicas that have ended.
+func crashReplicas(t testing.TB, count int, response string, crashes func(q *http.Request, body string) bool) (replicas []*replica, ended *atomic.Int32) {
+	ended = &atomic.Int32{}
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		t.Cleanup(func() { l.Close() })
+		replicas = append(replicas, &replica{address: l.Addr().String()})
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					q, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(q.Body)
+					if err != nil {
+						return
+					}
+					if crashes(q, string(body)) {
+						if l.Close() == nil {
+							ended.Add(1)
+						}
+						return
+					}
+					fmt.Fprint(conn, response)
+				}()
+			}
+		}()
+	}
+	return replicas, ended
+}
+
+// sendBody sends a request with the ID and body and returns the status of the response.
+func sendBody(t testing.TB, server *httptest.Server, id, body string, headers ...string) int {
+	req, err := http.NewRequest(http.MethodPost, server.URL+"/a/1", strings.NewReader(body))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	req.Host = "x.example"
+	for name, value := range map[string]string{"X-Cassiadeal-Request-Id": id, "X-Cassiadeal-Deadline-Ms": "2000", "X-Api-Key": "key",
+		"X-Cassiadeal-Model": "m", "X-Cassiadeal-Token-Usage": "100,20"} {
+		req.Header.Set(name, value)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := (&http.Transport{DisableCompression: true}).RoundTrip(req)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return resp.StatusCode
+}
+
+// Guards against a request whose copies crash one replica after the other because each copy is sent again (incident inc1 on
+// pst-decals, rule BUDGET), and against refusing other requests of the same client account for it.
+func TestCopiesOfACrashingRequestAreRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		repeat   fleet.Repeat
+		response string
+	}{
+		"safe":   {fleet.RepeatSafe, httpResponse("200 OK", sealHeader, "done")},
+		"unsafe": {fleet.RepeatNever, httpResponse("200 OK", sealHeader, "done")},
+		"stream": {fleet.RepeatStream, streamHead + events(1, 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			replicas, ended := crashReplicas(t, 12, test.response, func(_ *http.Request, body string) bool { return body == "crash" })
+			server := httptest.NewServer(newServer(t, test.repeat, replicas...))
+			defer server.Close()
+			for i := range 10 {
+				status := sendBody(t, server, fmt.Sprint("copy", i), "crash")
+				c.Check(status >= 500, quicktest.IsTrue, quicktest.Commentf("copy %d: status %d", i, status))
+			}
+			c.Check(sendBody(t, server, "other", "sound"), quicktest.Equals, http.StatusOK)
+			c.Check(int(ended.Load()) <= maxCrashes, quicktest.IsTrue, quicktest.Commentf("%d replicas crashed, want %d at most", ended.Load(), maxCrashes))
+		})
+	}
+}
