Refuse requests that crash replicas on the users' platform too

Cause: only the product's own front end counted the crashes of a request. The front end for the users' platform was built with dispatch of its own, and package crash wasn't wired there, so each copy at any node was sent, and a safe one twice. Change: both front ends use one table of crashes. After a broken exchange the node connects to the replica once more; if nothing listens, the crash is recorded under the request's fingerprint, and nodes tell each other with their datagrams. A copy is refused before each send, as not run if this attempt was not sent. There it gets 503, which states that; 422 states nothing on that platform. Why it works: the second crash of a fingerprint, wherever it happens, is known to all nodes within some 100 ms, well before the bound of 3 s.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -126,11 +126,17 @@
 }
 
 // Blocked reports whether requests with the fingerprint must be refused.
-func (t *Table) Blocked(fingerprint string) bool {
+func (t *Table) Blocked(fingerprint string) bool { return t.BlockedFor(fingerprint) > 0 }
+
+// BlockedFor returns the time for which requests with the fingerprint must still be refused, or 0.
+func (t *Table) BlockedFor(fingerprint string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	times := t.crashes[fingerprint]
-	return len(times) >= t.options.CrashThreshold && t.options.Now()-times.newest() < t.options.BlockFor
+	if len(times) < t.options.CrashThreshold {
+		return 0
+	}
+	return max(0, times.newest()+t.options.BlockFor-t.options.Now())
 }
 
 // Reports returns the most recent crashes, up to Options.MaxReports, for a heartbeat. The newest comes first.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,6 +39,8 @@
 	DecodeRequest(*http.Request) *fleet.Request
 	EncodeHeader(*fleet.Request, fleet.SendOptions) http.Header
 	DecodeAnswer(*http.Response) fleet.Answer
+	// RefusalStatus returns the status of a response with the code that this server generates.
+	RefusalStatus(result.Code) int
 	// CopyHeaders copies the headers of a replica's response to that for the client, except the hop-by-hop headers.
 	CopyHeaders(from, to http.Header)
 }
@@ -49,6 +51,7 @@
 	Registry *fleet.Registry
 	Table    *balance.Table
 	Budget   *retry.Budget
+	Crashes  *crash.Table
 	Clock    clock.Clock
 	Log      logrus.FieldLogger
 	Metrics  *telemetry.Metrics
@@ -96,18 +99,20 @@
 // call is the state of one client request.
 type call struct {
 	*Server
-	w        http.ResponseWriter
-	ctx      context.Context
-	req      *fleet.Request
-	view     *fleet.View
-	route    *fleet.Route
-	service  *fleet.Service
-	model    *fleet.Model // Nil for plain services.
-	tenant   string
-	start    time.Time
-	deadline time.Time     // The final response is due by then.
-	waited   time.Duration // Estimated time that the client spent on earlier attempts.
-	attempts attempts
+	w       http.ResponseWriter
+	ctx     context.Context
+	req     *fleet.Request
+	view    *fleet.View
+	route   *fleet.Route
+	service *fleet.Service
+	model   *fleet.Model // Nil for plain services.
+	tenant  string
+	// fingerprint identifies the request apart from its ID: all copies of a request have the same one.
+	fingerprint string
+	start       time.Time
+	deadline    time.Time     // The final response is due by then.
+	waited      time.Duration // Estimated time that the client spent on earlier attempts.
+	attempts    attempts
 }
 
 // attempts counts the sends of one request.
@@ -183,6 +188,7 @@
 		}
 		c.tenant = account.Name
 	}
+	c.fingerprint = crash.Fingerprint(c.tenant, c.req.Method+" "+c.req.Host+c.req.URI, c.req.Body)
 	wait := c.req.Deadline
 	if wait <= 0 {
 		wait = defaultDeadline
@@ -242,21 +248,17 @@
 	return backends[len(backends)-1].Service
 }
 
-// fingerprint identifies the request apart from its ID: all copies of a request have the same one.
-func (c *call) fingerprint() string {
-	return crash.Fingerprint(c.tenant, c.req.Method+" "+c.req.Host+c.req.URI, c.req.Body)
-}
-
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
 // refuse responds with an error that this server generates.
 func (c *call) refuse(e *result.Error) {
-	c.logOutcome(e.Code.String(), e.Message, logrus.Fields{"retry_after_ms": e.RetryAfter.Milliseconds(), "status": e.Code.HTTPStatus()})
+	status := c.opt.Codec.RefusalStatus(e.Code)
+	c.logOutcome(e.Code.String(), e.Message, logrus.Fields{"retry_after_ms": e.RetryAfter.Milliseconds(), "status": status})
 	c.opt.Metrics.Refusal(e.Code)
 	if e.RetryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	result.WriteBody(c.w, e)
+	result.WriteBody(c.w, status, e)
 }
 
 // refuseUnanswered ends a request that was sent and got no usable response. The error never states that the request has not
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -108,6 +108,14 @@
 	exclude := map[balance.Key]bool{}
 	c.opt.Budget.RecordRequest(c.service.Name)
 	for {
+		if refusal := c.crashRefusal(); refusal != nil {
+			if c.attempts.mayHaveRun() {
+				c.giveUp()
+			} else {
+				c.refuse(refusal)
+			}
+			return
+		}
 		replica := c.chooseReplica(exclude)
 		if replica == nil {
 			c.giveUp()
@@ -160,7 +168,7 @@
 	r, sent, err := c.send(ctx, replica, "")
 	defer r.close()
 	if err != nil {
-		c.recordFailure(key, sent, err)
+		c.recordFailure(replica, sent, err)
 		return false, !sent || c.route.Idempotent()
 	}
 	if r.header.NotRun {
@@ -170,11 +178,11 @@
 	body := c.newBuffer(maxResponseBytes)
 	defer body.release()
 	if err := body.readAll(r.resp.Body); err != nil {
-		c.recordFailure(key, true, err)
+		c.recordFailure(replica, true, err)
 		return false, c.route.Idempotent()
 	}
 	if problem := c.unusableReason(r); problem != "" {
-		c.recordFailure(key, true, errors.New(problem))
+		c.recordFailure(replica, true, errors.New(problem))
 		return false, c.route.Idempotent()
 	}
 	c.opt.Table.RecordOutcome(key, r.resp.StatusCode >= 500)
@@ -206,7 +214,8 @@
 }
 
 // recordFailure records a send without a usable response.
-func (c *call) recordFailure(key balance.Key, sent bool, err error) {
+func (c *call) recordFailure(replica *fleet.Replica, sent bool, err error) {
+	key := balance.KeyOf(replica)
 	c.attempts.lastFailure = err.Error()
 	if sent {
 		c.attempts.maybeRun++
@@ -218,8 +227,13 @@
 	if !sent {
 		c.opt.Table.Avoid(key)
 	}
-	c.opt.Metrics.Retry("target_failed")
-	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.fingerprint()}).
+	crashed := sent && c.recordCrash(replica)
+	reason := "target_failed"
+	if crashed {
+		reason = "target_crashed"
+	}
+	c.opt.Metrics.Retry(reason)
+	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.fingerprint, "crashed": crashed}).
 		WithError(err).Info("send got no usable response")
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -54,6 +54,10 @@
 	p := &progress{lastEventID: c.req.LastEventID}
 	c.opt.Budget.RecordRequest(c.service.Name)
 	for {
+		if refusal := c.crashRefusal(); refusal != nil {
+			c.failStream(p, refusal)
+			return
+		}
 		head, refusal := c.admit(exclude, p)
 		if head == nil {
 			c.failStream(p, refusal)
@@ -204,12 +208,12 @@
 	case errors.Is(step.err, io.EOF):
 		c.opt.Table.RecordOutcome(head.Key, false)
 		if !p.headerWritten {
-			c.recordFailure(head.Key, true, errors.New("the stream ended without an event"))
+			c.recordFailure(head.Replica, true, errors.New("the stream ended without an event"))
 			return streamBroken
 		}
 		return streamComplete
 	case step.err != nil:
-		c.recordFailure(head.Key, step.sent, step.err)
+		c.recordFailure(head.Replica, step.sent, step.err)
 		if !step.sent {
 			return streamRefused
 		}
@@ -228,7 +232,7 @@
 		return streamRefused
 	case step.response != nil && step.data == nil:
 		if p.headerWritten {
-			c.recordFailure(head.Key, true, errors.New("response is not a stream, status "+strconv.Itoa(step.response.resp.StatusCode)))
+			c.recordFailure(head.Replica, true, errors.New("response is not a stream, status "+strconv.Itoa(step.response.resp.StatusCode)))
 			return streamBroken
 		}
 		c.attempts.maybeRun++
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/edge"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/gossip"
@@ -73,6 +74,7 @@
 	registry *fleet.Registry
 	table    *balance.Table
 	budget   *retry.Budget
+	crashes  *crash.Table
 	mesh     *gossip.Mesh
 	edge     *edge.Server
 	lease    *planner.Lease
@@ -104,7 +106,7 @@
 	}
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
-		table: balance.NewTable(c), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c),
+		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c),
 		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
@@ -116,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Clock: c, Log: log,
+	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
@@ -425,6 +427,7 @@
 		msg.Observed = encodeObservations(n.registry.Observations())
 	}
 	msg.LeaseRevision, msg.Resigned = n.lease.Announcement()
+	msg.Crashes = n.crashes.Reports()
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
 	for k := range own.Suspected {
 		msg.Suspects = append(msg.Suspects, string(k))
@@ -438,6 +441,7 @@
 // applyPeerGossip applies the state of another node.
 func (n *Node) applyPeerGossip(msg *schema.NodeGossip) {
 	n.applyZoneLoads(msg)
+	n.crashes.Merge(msg.Crashes)
 	state := balance.PeerState{Suspected: map[balance.Key]bool{}, SlowFactors: map[balance.Key]float64{}}
 	if msg.Zone == n.settings.Zone || !n.table.KnowsZone(msg.Zone) {
 		state.Loads, state.EventAges = decodeLoads(msg.Loads)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -210,12 +210,12 @@
 		seconds := int((e.RetryAfter + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
-	WriteBody(w, e)
+	WriteBody(w, e.Code.HTTPStatus(), e)
 }
 
-// WriteBody sends the status and body of the error as the HTTP response, for callers that set Retry-After themselves.
-func WriteBody(w http.ResponseWriter, e *Error) {
+// WriteBody sends the error as the HTTP response with the status, for callers that set Retry-After and the status themselves.
+func WriteBody(w http.ResponseWriter, status int, e *Error) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(e.Code.HTTPStatus())
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(e.Body()) // The client has disconnected, so the error can't be reported to it.
 }
