Count answers against the suspicion that a request crashes targets

Callers would see: a request that many clients of one account send, such as one stock lookup, is refused for 10 min because it was running at two targets that ended for another reason, though its copies are answered. Both front ends had this fault. Cause: the table of crashes knew only what spoke against a request. Change: an answer clears the crashes before it. Nodes report the last answers of the requests among their crashes.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/result"
 )
@@ -15,6 +16,9 @@
 // refuses it after one round trip.
 const crashCheckTimeout = 200 * time.Millisecond
 
+// recordAnswer records that a replica has answered this request.
+func (c *call) recordAnswer() { c.opt.Crashes.RecordAnswer(c.fingerprint) }
+
 // recordCrash records this request with the replica that it was sent to, if the replica has ended, and reports whether it has.
 // A replica that still listens broke off only this exchange. One that doesn't respond at all may be cut off from this node.
 func (c *call) recordCrash(replica *fleet.Replica) bool {
@@ -26,7 +30,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
-	c.opt.Crashes.Record(c.fingerprint, replica.ID, strconv.FormatInt(replica.StartedUnixMs, 10), 0)
+	c.opt.Crashes.Record(crash.Crash{Fingerprint: c.fingerprint, Target: replica.ID, Incarnation: strconv.FormatInt(replica.StartedUnixMs, 10), Began: c.attempts.began})
 	return true
 }
 
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -103,3 +103,18 @@
 		})
 	}
 }
+
+// Guards against refusing a request for minutes because it was running at replicas that ended for another reason, though copies of
+// it are answered: a stock lookup that many clients of one account send is running whenever a replica ends.
+func TestAnsweredRequestsAreNotRefusedForOtherCrashes(t *testing.T) {
+	c := quicktest.New(t)
+	var failing atomic.Bool
+	replicas, _ := crashReplicas(t, 8, httpResponse("200 OK", sealHeader, "done"), func(*http.Request, string) bool { return failing.Load() })
+	server := httptest.NewServer(newServer(t, fleet.RepeatSafe, replicas...))
+	defer server.Close()
+	c.Assert(sendBody(t, server, "first", "lookup"), quicktest.Equals, http.StatusOK)
+	failing.Store(true)
+	c.Assert(sendBody(t, server, "unlucky", "lookup"), quicktest.Equals, http.StatusBadGateway)
+	failing.Store(false)
+	c.Assert(sendBody(t, server, "last", "lookup"), quicktest.Equals, http.StatusOK)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,10 +121,18 @@
 	maybeRun    int // Sends that may have run.
 	lastTarget  string
 	lastFailure string // Why the last send got no usable response.
+	// began is set if the target of the last send has sent a part of its response.
+	began bool
 	// retryGranted is set if the retry budget has already granted the next send.
 	retryGranted bool
 }
 
+// startSend counts a send to the target.
+func (a *attempts) startSend(key balance.Key) {
+	a.sends++
+	a.lastTarget, a.began = string(key), false
+}
+
 // mayHaveRun tells whether any send may have run or may still run. Only if not may the request be refused as not run.
 func (a *attempts) mayHaveRun() bool { return a.maybeRun > 0 }
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -160,8 +160,7 @@
 		ctx, cancel = context.WithTimeout(c.ctx, c.timeLeft()/2)
 	}
 	defer cancel()
-	c.attempts.sends++
-	c.attempts.lastTarget = string(key)
+	c.attempts.startSend(key)
 	ticket := c.opt.Table.Begin(key, c.req.PromptTokens, c.route.LatencyTarget)
 	defer ticket.End()
 	c.opt.Table.CountColdSend(replica, c.view)
@@ -175,6 +174,7 @@
 		c.attempts.lastFailure = "not run, status " + strconv.Itoa(r.resp.StatusCode)
 		return false, true
 	}
+	c.attempts.began = true
 	body := c.newBuffer(maxResponseBytes)
 	defer body.release()
 	if err := body.readAll(r.resp.Body); err != nil {
@@ -185,6 +185,7 @@
 		c.recordFailure(replica, true, errors.New(problem))
 		return false, c.route.Idempotent()
 	}
+	c.recordAnswer()
 	c.opt.Table.RecordOutcome(key, r.resp.StatusCode >= 500)
 	c.attempts.maybeRun++
 	if r.resp.StatusCode >= 500 && c.route.Idempotent() && c.attempts.maybeRun < c.route.MaxAttempts && c.timeLeft() > c.route.LatencyTarget {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -157,8 +157,7 @@
 func (c *call) relay(head *balance.Selection, exclude map[balance.Key]bool, p *progress) streamEnd {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	c.attempts.sends++
-	c.attempts.lastTarget = string(head.Key)
+	c.attempts.startSend(head.Key)
 	ticket := c.opt.Table.BeginHead(head, c.req.PromptTokens)
 	defer ticket.End()
 	c.opt.Table.CountColdSend(head.Replica, c.view)
@@ -211,6 +210,7 @@
 			c.recordFailure(head.Replica, true, errors.New("the stream ended without an event"))
 			return streamBroken
 		}
+		c.recordAnswer()
 		return streamComplete
 	case step.err != nil:
 		c.recordFailure(head.Replica, step.sent, step.err)
@@ -236,10 +236,12 @@
 			return streamBroken
 		}
 		c.attempts.maybeRun++
+		c.recordAnswer()
 		c.writeResponse(step.response, step.body)
 		return responseForwarded
 	case step.data != nil:
 		ticket.RecordEvent()
+		c.attempts.began = true
 		return c.writeEvent(step, p)
 	}
 	return 0
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -427,7 +427,7 @@
 		msg.Observed = encodeObservations(n.registry.Observations())
 	}
 	msg.LeaseRevision, msg.Resigned = n.lease.Announcement()
-	msg.Crashes = n.crashes.Reports()
+	msg.Crashes, msg.Answers = n.crashes.Reports()
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
 	for k := range own.Suspected {
 		msg.Suspects = append(msg.Suspects, string(k))
@@ -441,7 +441,7 @@
 // applyPeerGossip applies the state of another node.
 func (n *Node) applyPeerGossip(msg *schema.NodeGossip) {
 	n.applyZoneLoads(msg)
-	n.crashes.Merge(msg.Crashes)
+	n.crashes.Merge(msg.Crashes, msg.Answers)
 	state := balance.PeerState{Suspected: map[balance.Key]bool{}, SlowFactors: map[balance.Key]float64{}}
 	if msg.Zone == n.settings.Zone || !n.table.KnowsZone(msg.Zone) {
 		state.Loads, state.EventAges = decodeLoads(msg.Loads)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -121,14 +121,22 @@
 	return errorEnd(refusal)
 }
 
-// run dispatches a request and calls OnCrash if the target crashed.
+// run dispatches a request, records its answer, and calls OnCrash if the target crashed.
 func (e *Executor) run(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) *schema.DispatchEnd {
-	end := e.opts.Runner.Run(ctx, slot, req, sink)
+	began := false
+	end := e.opts.Runner.Run(ctx, slot, req, func(chunk *schema.DispatchChunk) error {
+		began = true
+		return sink(chunk)
+	})
+	if end.Code == int32(result.OK) {
+		e.opts.Crashes.RecordAnswer(req.Fingerprint)
+	}
 	if end.Crashed {
 		e.opts.OnCrash(context.WithoutCancel(ctx), &schema.CrashReport{
 			Fingerprint: req.Fingerprint,
 			Target:      end.Target,
 			Incarnation: slot.Incarnation,
+			Began:       began,
 		})
 	}
 	return end
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/gateway"
 	"cassiadeal.example/cassiadeal/internal/holder"
 	"cassiadeal.example/cassiadeal/internal/router"
@@ -52,7 +53,7 @@
 func (n *Node) fillStatus(status *schema.NodeStatus) {
 	status.ConfigRevision = n.config.Revision()
 	status.Pools = n.targets.Summary()
-	status.Crashes = n.crashes.Reports()
+	status.Crashes, status.Answers = n.crashes.Reports()
 	status.Accounts = n.admission.Demand()
 	for _, takeover := range n.holders.Takeovers() {
 		status.Takeovers = append(status.Takeovers, &schema.Takeover{
@@ -65,7 +66,7 @@
 // onPeerStatus stores the status of a peer and passes its contents to the components concerned.
 func (n *Node) onPeerStatus(status *schema.NodeStatus) {
 	n.statuses.set(status)
-	n.crashes.Merge(status.Crashes)
+	n.crashes.Merge(status.Crashes, status.Answers)
 	n.holders.NoteTakeovers(status.Name, reportedTakeovers(status))
 	if address, ok := n.membership.PeerAddress(status.Name); ok {
 		n.config.NoteRevision(context.Background(), status.Name, address, status.ConfigRevision)
@@ -140,7 +141,7 @@
 
 // reportCrash records a crash and reports it to the live peers before the request is retried.
 func (n *Node) reportCrash(ctx context.Context, report *schema.CrashReport) {
-	n.crashes.Record(report.Fingerprint, report.Target, report.Incarnation, 0)
+	n.crashes.Record(crash.CrashOf(report))
 	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -253,7 +254,7 @@
 }
 
 func (h handler) RecordCrash(r *schema.CrashReport) {
-	h.node.crashes.Record(r.Fingerprint, r.Target, r.Incarnation, time.Duration(r.AgeMs)*time.Millisecond)
+	h.node.crashes.Record(crash.CrashOf(r))
 }
 
 func (h handler) ClaimStatus(_ context.Context, req *schema.ClaimStatusRequest) *schema.ClaimStatusResponse {
