--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -118,3 +118,43 @@
 	failing.Store(false)
 	c.Assert(sendBody(t, server, "last", "lookup"), quicktest.Equals, http.StatusOK)
 }
+
+// maxCrashesOfPart is the number of replicas that requests with one part of a prompt may crash before all nodes refuse them.
+const maxCrashesOfPart = 3
+
+// Guards against a part of prompts that crashes one replica after the other in requests of which no two are alike, and against
+// refusing sound requests that share the other parts.
+func TestPromptPartThatCrashesReplicasIsRefused(t *testing.T) {
+	prefix := func(parts ...string) string { return strings.Join(parts, ":100,") + ":100" }
+	for name, test := range map[string]struct {
+		first    func(i int) string // First part of the i-th request with the crashing part.
+		answered bool               // The first part was in an answered request before.
+	}{
+		"one first part":                 {func(int) string { return "f0" }, true},
+		"one first part, never answered": {func(int) string { return "f0" }, false},
+		"many first parts":               {func(i int) string { return fmt.Sprint("f", i) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			replicas, ended := crashReplicas(t, 16, streamHead+events(1, 2), func(q *http.Request, _ string) bool {
+				return strings.Contains(q.Header.Get("X-Cassiadeal-Prompt-Prefix"), "deadly")
+			})
+			server := httptest.NewServer(newServer(t, fleet.RepeatStream, replicas...))
+			defer server.Close()
+			if test.answered {
+				c.Assert(sendBody(t, server, "before", "before", "X-Cassiadeal-Prompt-Prefix", prefix("f0", "l")), quicktest.Equals, http.StatusOK)
+			}
+			for i := range 6 {
+				id := fmt.Sprint("deadly", i)
+				status := sendBody(t, server, id, id, "X-Cassiadeal-Prompt-Prefix", prefix(test.first(i), "deadly", id))
+				c.Check(status >= 500, quicktest.IsTrue, quicktest.Commentf("%s: status %d", id, status))
+			}
+			for i := range 3 {
+				id := fmt.Sprint("sound", i)
+				status := sendBody(t, server, id, id, "X-Cassiadeal-Prompt-Prefix", prefix(test.first(i), id))
+				c.Check(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", id))
+			}
+			c.Check(int(ended.Load()) <= maxCrashesOfPart, quicktest.IsTrue, quicktest.Commentf("%d replicas crashed, want %d at most", ended.Load(), maxCrashesOfPart))
+		})
+	}
+}
