Refuse requests with a part of their prompts that crashes replicas

Cause: crashes were counted by whole requests, and no two of these requests are alike. Change: a crash is evidence against the request and against each part of its prompt, except the last. A part blocks a request only if that holds everything that was running at each crash of the part and isn't cleared, so that sound requests with the same first part pass. A begun response clears parts, a complete one the request. Crashes that never answered parts explain don't count against parts that were answered. Why it works: the part is in all of these crashes and never in an answer; the others are answered in sound requests.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -4,13 +4,11 @@
 package crash
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
-	"maps"
-	"slices"
+	"math"
 	"sync"
 	"time"
 )
@@ -36,6 +34,8 @@
 	// response. fullWeight is that of one crash in CrashThreshold.
 	beganWeight, runningWeight = 1, 2
 	fullWeight                 = runningWeight
+	// expiryInterval is the time between two searches for requests whose last crash has expired.
+	expiryInterval = time.Second
 )
 
 // Options configures a Table. Zero values are replaced by the defaults.
@@ -48,9 +48,20 @@
 	Now            func() time.Duration // Monotonic clock. Default: time since New.
 }
 
+// Request identifies a request by what may crash targets.
+type Request struct {
+	// Fingerprint is that of the whole request.
+	Fingerprint string
+	// Parts holds the fingerprints of the parts of its prompt that other requests may share.
+	Parts []string
+}
+
+// fingerprints returns the fingerprints of the request and of its parts.
+func (r Request) fingerprints() []string { return append([]string{r.Fingerprint}, r.Parts...) }
+
 // Crash is the end of a target while it ran a request.
 type Crash struct {
-	Fingerprint string
+	Request
 	Target      string
 	Incarnation string        // Of the target. One incarnation ends only once.
 	Began       bool          // The target had sent a part of its response.
@@ -60,42 +71,40 @@
 // crashID identifies the end of one target incarnation.
 type crashID struct{ target, incarnation string }
 
-// record is a recorded Crash.
+// record is a recorded Crash of a request.
 type record struct {
 	began bool
 	at    time.Duration // On the clock Options.Now.
+	parts []string
 }
 
-// weight returns how much the crash counts against the request.
-func (r record) weight() int {
-	if r.began {
-		return beganWeight
-	}
-	return runningWeight
-}
-
-// records maps each crash of a fingerprint to its record.
+// records maps each crash of a request to its record.
 type records map[crashID]record
 
 // newest returns the time of the most recent crash.
 func (rs records) newest() time.Duration {
-	return slices.MaxFunc(slices.Collect(maps.Values(rs)), func(a, b record) int { return cmp.Compare(a.at, b.at) }).at
-}
-
-// oldest returns the earliest crash.
-func (rs records) oldest() crashID {
-	return slices.MinFunc(slices.Collect(maps.Keys(rs)), func(a, b crashID) int { return cmp.Compare(rs[a].at, rs[b].at) })
+	newest := time.Duration(math.MinInt64)
+	for _, r := range rs {
+		newest = max(newest, r.at)
+	}
+	return newest
 }
 
-// Table records crashes and answers by request fingerprint. It is safe for concurrent use. While its lock is held, the only
-// function of a caller that it calls is Options.Now, which must not call the Table.
+// Table records crashes and answers by request. It is safe for concurrent use. While its lock is held, the only function of a
+// caller that it calls is Options.Now, which must not call the Table.
 type Table struct {
 	options Options
 
 	mu      sync.Mutex
-	crashes map[string]records // Keyed by fingerprint; no value is empty.
-	total   int                // Number of crashes in all values of crashes.
+	crashes map[string]records         // Keyed by the fingerprint of the request; no value is empty.
+	byPart  map[string]map[string]bool // Fingerprints of the requests in crashes, by the fingerprint of a part.
+	total   int                        // Number of crashes in all values of crashes.
 	answers answerTimes
+
+	expiryCheckedAt time.Duration
+	// blocking is the result of blockingLocked at blockingAt. It is nil if a crash was recorded since.
+	blocking   map[string]bool
+	blockingAt time.Duration
 }
 
 // New returns an empty table.
@@ -119,9 +128,12 @@
 		start := time.Now()
 		options.Now = func() time.Duration { return time.Since(start) }
 	}
-	return &Table{options: options, crashes: map[string]records{}, answers: newAnswerTimes()}
+	return &Table{options: options, crashes: map[string]records{}, byPart: map[string]map[string]bool{}, answers: newAnswerTimes()}
 }
 
+// PartFingerprint identifies a part of prompts by its ID. It differs from the fingerprints of requests.
+func PartFingerprint(id string) string { return "part:" + id }
+
 // Fingerprint identifies a request by account, path and body. Equal requests have equal fingerprints on every node.
 func Fingerprint(account, path string, body []byte) string {
 	h := sha256.New()
@@ -139,118 +151,105 @@
 	h.Write(part)
 }
 
-// Record adds a crash and reports whether it was not recorded yet. Repeated reports of the same fingerprint and target
-// incarnation count as one crash. A crash with an age of twice BlockFor or more is ignored.
+// Record adds a crash and reports whether it was not recorded yet. Repeated reports of the same request and target incarnation
+// count as one crash. A crash with an age of twice BlockFor or more is ignored.
 func (t *Table) Record(c Crash) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	// Crashes older than BlockFor are accepted: with the default threshold of two, the first crash of a blocked fingerprint
-	// can be up to twice BlockFor old while the second one still blocks it, and a peer reports both.
+	// Crashes older than BlockFor are accepted: with the default threshold of two, the first crash of a blocked request can be
+	// up to twice BlockFor old while the second one still blocks it, and a peer reports both.
 	if c.Fingerprint == "" || c.Age >= 2*t.options.BlockFor {
 		return false
 	}
-	t.removeExpiredLocked()
 	id := crashID{c.Target, c.Incarnation}
-	if known, ok := t.crashes[c.Fingerprint][id]; ok {
-		if known.began && !c.Began { // Two copies of the request were running there.
-			t.crashes[c.Fingerprint][id] = record{began: false, at: known.at}
-		}
+	known, recorded := t.crashes[c.Fingerprint][id]
+	if recorded && (c.Began || !known.began) {
+		return false
+	}
+	if recorded { // Two copies of the request were running there; this one had no response yet.
+		known.began = false
+		t.crashes[c.Fingerprint][id], t.blocking = known, nil
 		return false
 	}
+	t.removeExpiredLocked()
+	t.removeIfExpiredLocked(c.Fingerprint)
 	if t.total >= t.options.MaxCrashes {
 		t.removeOldestLocked()
 	}
 	if t.crashes[c.Fingerprint] == nil {
 		t.crashes[c.Fingerprint] = records{}
 	}
-	t.crashes[c.Fingerprint][id] = record{began: c.Began, at: t.options.Now() - max(c.Age, 0)}
+	t.crashes[c.Fingerprint][id] = record{began: c.Began, at: t.options.Now() - max(c.Age, 0), parts: c.Parts}
 	t.total++
+	t.blocking = nil
+	for _, part := range c.Parts {
+		if t.byPart[part] == nil {
+			t.byPart[part] = map[string]bool{}
+		}
+		t.byPart[part][c.Fingerprint] = true
+	}
 	return true
 }
 
-// RecordAnswer records that a target has answered a request with the fingerprint. Crashes before it no longer count.
-func (t *Table) RecordAnswer(fingerprint string) {
+// RecordAnswer records that a target has answered a request with the fingerprint, or has begun to answer one with a part that
+// has it. Crashes before it no longer count.
+func (t *Table) RecordAnswer(fingerprints ...string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Now()
-	t.answers.set(fingerprint, now, now, t.options.AnsweredFor)
-}
-
-// Blocked reports whether requests with the fingerprint must be refused.
-func (t *Table) Blocked(fingerprint string) bool { return t.BlockedFor(fingerprint) > 0 }
-
-// BlockedFor returns the time for which requests with the fingerprint must still be refused, or 0.
-func (t *Table) BlockedFor(fingerprint string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	counted := t.countedLocked(fingerprint)
-	if counted == nil {
-		return 0
+	for _, f := range fingerprints {
+		t.answers.set(f, now, now, t.options.AnsweredFor)
 	}
-	return max(0, counted.newest()+t.options.BlockFor-t.options.Now())
 }
 
-// countedLocked returns the crashes of the fingerprint after its last answer if they are enough to block it, or nil.
-func (t *Table) countedLocked(fingerprint string) records {
-	all := t.crashes[fingerprint]
-	if len(all) == 0 {
-		return nil
-	}
-	answeredAt, answered := t.answers.get(fingerprint)
-	counted := records{}
-	for id, r := range all {
-		if !answered || r.at > answeredAt {
-			counted[id] = r
-		}
-	}
-	if len(counted) == 0 {
-		return nil
-	}
-	window, needed := time.Duration(0), t.options.CrashThreshold*fullWeight
-	if answered && counted.newest()-answeredAt < t.options.AnsweredFor {
-		window, needed = commonCauseWindow, needed*answeredFactor
+// removeExpiredLocked drops the requests whose last crash is at least BlockFor old, at most once an expiryInterval.
+func (t *Table) removeExpiredLocked() {
+	now := t.options.Now()
+	if now-t.expiryCheckedAt < expiryInterval {
+		return
 	}
-	if counted.weight(window) < needed {
-		return nil
+	t.expiryCheckedAt = now
+	for fingerprint := range t.crashes {
+		t.removeIfExpiredLocked(fingerprint)
 	}
-	return counted
 }
 
-// weight returns the sum of the weights of the crashes. Of those that follow each other within the window, the heaviest counts.
-func (rs records) weight(window time.Duration) int {
-	list := slices.SortedFunc(maps.Values(rs), func(a, b record) int { return cmp.Compare(a.at, b.at) })
-	sum, heaviest := 0, 0
-	for i, r := range list {
-		if i > 0 && r.at-list[i-1].at >= window {
-			sum, heaviest = sum+heaviest, 0
-		}
-		heaviest = max(heaviest, r.weight())
+// removeIfExpiredLocked drops all crashes of the request if the last one is at least BlockFor old.
+func (t *Table) removeIfExpiredLocked(fingerprint string) {
+	rs := t.crashes[fingerprint]
+	if len(rs) == 0 || t.options.Now()-rs.newest() < t.options.BlockFor {
+		return
 	}
-	return sum + heaviest
-}
-
-// removeExpiredLocked drops the fingerprints whose last crash is at least BlockFor old, with all their crashes.
-func (t *Table) removeExpiredLocked() {
-	now := t.options.Now()
-	for fingerprint, rs := range t.crashes {
-		if now-rs.newest() >= t.options.BlockFor {
-			t.total -= len(rs)
-			delete(t.crashes, fingerprint)
-		}
+	for id := range rs {
+		t.removeLocked(fingerprint, id)
 	}
 }
 
-// removeOldestLocked drops the earliest crash of all fingerprints.
+// removeOldestLocked drops the earliest crash of all requests.
 func (t *Table) removeOldestLocked() {
 	var fingerprint string
 	var oldest crashID
 	for f, rs := range t.crashes {
-		if id := rs.oldest(); fingerprint == "" || rs[id].at < t.crashes[fingerprint][oldest].at {
-			fingerprint, oldest = f, id
+		for id, r := range rs {
+			if fingerprint == "" || r.at < t.crashes[fingerprint][oldest].at {
+				fingerprint, oldest = f, id
+			}
 		}
 	}
+	t.removeLocked(fingerprint, oldest)
+}
+
+// removeLocked drops one crash of a request.
+func (t *Table) removeLocked(fingerprint string, id crashID) {
+	parts := t.crashes[fingerprint][id].parts
 	t.total--
-	if delete(t.crashes[fingerprint], oldest); len(t.crashes[fingerprint]) == 0 {
-		delete(t.crashes, fingerprint)
+	if delete(t.crashes[fingerprint], id); len(t.crashes[fingerprint]) > 0 {
+		return // All crashes of a request have the same parts.
+	}
+	delete(t.crashes, fingerprint)
+	for _, part := range parts {
+		if delete(t.byPart[part], fingerprint); len(t.byPart[part]) == 0 {
+			delete(t.byPart, part)
+		}
 	}
 }
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -15,27 +15,27 @@
 	clock := func() time.Duration { return now }
 	a, b := New(Options{Now: clock}), New(Options{Now: clock})
 	f := Fingerprint("acc", "/p", []byte("body"))
-	qt.Assert(t, a.Record(Crash{Fingerprint: f, Target: "t1", Incarnation: "i1"}), qt.IsTrue)
-	qt.Assert(t, a.Record(Crash{Fingerprint: f, Target: "t1", Incarnation: "i1", Age: time.Second}), qt.IsFalse)
-	b.Merge(a.Reports())
-	a.Merge(b.Reports())
-	qt.Assert(t, a.Blocked(f), qt.IsFalse)
-	qt.Assert(t, a.Record(Crash{Fingerprint: Fingerprint("acc", "/p", []byte("other")), Target: "t2", Incarnation: "i1"}), qt.IsTrue)
+	qt.Assert(t, a.Record(Crash{Request: Request{Fingerprint: f}, Target: "t1", Incarnation: "i1"}), qt.IsTrue)
+	qt.Assert(t, a.Record(Crash{Request: Request{Fingerprint: f}, Target: "t1", Incarnation: "i1", Age: time.Second}), qt.IsFalse)
+	b.Merge(a.Reports(time.Minute))
+	a.Merge(b.Reports(time.Minute))
+	qt.Assert(t, a.Blocked(Request{Fingerprint: f}), qt.IsFalse)
+	qt.Assert(t, a.Record(Crash{Request: Request{Fingerprint: Fingerprint("acc", "/p", []byte("other"))}, Target: "t2", Incarnation: "i1"}), qt.IsTrue)
 	now += 6 * time.Minute
-	qt.Assert(t, a.Record(Crash{Fingerprint: f, Target: "t1", Incarnation: "i2"}), qt.IsTrue) // Another incarnation of the same target.
-	qt.Assert(t, a.Blocked(f), qt.IsTrue)
-	b.Merge(a.Reports())
-	qt.Assert(t, b.Blocked(f), qt.IsTrue)
+	qt.Assert(t, a.Record(Crash{Request: Request{Fingerprint: f}, Target: "t1", Incarnation: "i2"}), qt.IsTrue) // Another incarnation of the same target.
+	qt.Assert(t, a.Blocked(Request{Fingerprint: f}), qt.IsTrue)
+	b.Merge(a.Reports(time.Minute))
+	qt.Assert(t, b.Blocked(Request{Fingerprint: f}), qt.IsTrue)
 	now += 10*time.Minute - time.Millisecond
 	c := New(Options{Now: func() time.Duration { return 0 }}) // A node that has just started: its clock is below the age of the reports.
-	c.Merge(a.Reports())
-	qt.Assert(t, a.Blocked(f) && b.Blocked(f) && c.Blocked(f), qt.IsTrue)
+	c.Merge(a.Reports(time.Minute))
+	qt.Assert(t, a.Blocked(Request{Fingerprint: f}) && b.Blocked(Request{Fingerprint: f}) && c.Blocked(Request{Fingerprint: f}), qt.IsTrue)
 	now += time.Millisecond
-	qt.Assert(t, a.Blocked(f) || b.Blocked(f), qt.IsFalse)
-	reports, _ := a.Reports()
+	qt.Assert(t, a.Blocked(Request{Fingerprint: f}) || b.Blocked(Request{Fingerprint: f}), qt.IsFalse)
+	reports, _ := a.Reports(time.Minute)
 	qt.Assert(t, reports, qt.HasLen, 0)
-	qt.Assert(t, a.Record(Crash{Fingerprint: f, Target: "t1", Incarnation: "i3"}), qt.IsTrue) // The expired crashes no longer count.
-	qt.Assert(t, a.Blocked(f), qt.IsFalse)
+	qt.Assert(t, a.Record(Crash{Request: Request{Fingerprint: f}, Target: "t1", Incarnation: "i3"}), qt.IsTrue) // The expired crashes no longer count.
+	qt.Assert(t, a.Blocked(Request{Fingerprint: f}), qt.IsFalse)
 	qt.Assert(t, a.Record(Crash{Target: "t1", Incarnation: "i1"}), qt.IsFalse)
 }
 
@@ -45,15 +45,15 @@
 	table := New(Options{MaxCrashes: 4, MaxReports: 2, Now: func() time.Duration { return now }})
 	for i := range 6 {
 		now += time.Second
-		table.Record(Crash{Fingerprint: fmt.Sprint("f", i/2), Target: "t", Incarnation: fmt.Sprint("i", i)})
+		table.Record(Crash{Request: Request{Fingerprint: fmt.Sprint("f", i/2)}, Target: "t", Incarnation: fmt.Sprint("i", i)})
 	}
-	reports, _ := table.Reports()
+	reports, _ := table.Reports(time.Minute)
 	qt.Assert(t, reports, qt.HasLen, 2)
 	qt.Assert(t, reports[0].GetIncarnation(), qt.Equals, "i5")
 	qt.Assert(t, reports[1].GetAgeMs(), qt.Equals, int64(1000))
 	qt.Assert(t, table.total, qt.Equals, 4)
 	for i, blocked := range []bool{false, true, true} {
-		qt.Assert(t, table.Blocked(fmt.Sprint("f", i)), qt.Equals, blocked)
+		qt.Assert(t, table.Blocked(Request{Fingerprint: fmt.Sprint("f", i)}), qt.Equals, blocked)
 	}
 }
 
@@ -102,12 +102,12 @@
 				if s.target == answer {
 					table.RecordAnswer("f")
 				} else {
-					table.Record(Crash{Fingerprint: "f", Target: fmt.Sprint("t", s.target), Began: s.began})
+					table.Record(Crash{Request: Request{Fingerprint: "f"}, Target: fmt.Sprint("t", s.target), Began: s.began})
 				}
-				peer.Merge(table.Reports())
+				peer.Merge(table.Reports(time.Minute))
 			}
-			qt.Check(t, table.Blocked("f"), qt.Equals, test.blocked)
-			qt.Check(t, peer.Blocked("f"), qt.Equals, test.blocked)
+			qt.Check(t, table.Blocked(Request{Fingerprint: "f"}), qt.Equals, test.blocked)
+			qt.Check(t, peer.Blocked(Request{Fingerprint: "f"}), qt.Equals, test.blocked)
 		})
 	}
 }
@@ -129,3 +129,74 @@
 	_, known = table.answers.get(fmt.Sprint(3*maxAnswers - 1))
 	qt.Check(t, known, qt.IsFalse)
 }
+
+// Guards against blocking sound requests that share a part with crashing ones, and against letting crashing ones through because
+// no two of them are alike or because other requests were running at the same targets.
+func TestPartsOfPrompts(t *testing.T) {
+	type crashed struct {
+		target  int
+		request Request
+	}
+	poison := func(i int, first string) Request { return Request{fmt.Sprint("poison", i), []string{first, "deadly"}} }
+	sound := func(i int, first string) Request { return Request{fmt.Sprint("sound", i), []string{first}} }
+	for name, test := range map[string]struct {
+		answered []string // Answered shortly before the crashes.
+		crashes  []crashed
+		blocked  []Request
+		allowed  []Request
+	}{
+		"one request": {nil, []crashed{{1, poison(1, "f1")}, {2, poison(1, "f1")}},
+			[]Request{poison(1, "f1")}, []Request{poison(2, "f1"), sound(1, "f1")}},
+		"two requests, one first part": {nil, []crashed{{1, poison(1, "f1")}, {2, poison(2, "f1")}},
+			[]Request{poison(3, "f1")}, []Request{sound(1, "f1"), {"other", []string{"f2", "deadly"}}}},
+		"two requests, one answered first part": {[]string{"f1"}, []crashed{{1, poison(1, "f1")}, {2, poison(2, "f1")}},
+			[]Request{poison(3, "f1"), poison(3, "f2")}, []Request{sound(1, "f1")}},
+		"two first parts": {nil, []crashed{{1, poison(1, "f1")}, {2, poison(2, "f2")}},
+			[]Request{poison(3, "f3")}, []Request{sound(1, "f1"), sound(2, "f2")}},
+		"others at the same targets": {nil, []crashed{{1, poison(1, "f1")}, {1, sound(1, "f1")}, {2, sound(2, "f1")}, {2, poison(2, "f1")}, {2, sound(3, "f2")}},
+			[]Request{poison(3, "f1")}, []Request{sound(4, "f1"), sound(5, "f2")}},
+		"two parts at once": {[]string{"f1"}, []crashed{{1, poison(1, "f1")}, {2, Request{"p2", []string{"f1", "deadly2"}}}, {3, poison(3, "f1")}, {4, Request{"p4", []string{"f1", "deadly2"}}}},
+			[]Request{poison(5, "f1"), {"p6", []string{"f1", "deadly2"}}}, []Request{sound(1, "f1")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			table, peer := New(Options{Now: func() time.Duration { return now }}), New(Options{Now: func() time.Duration { return now }})
+			table.RecordAnswer(test.answered...)
+			for _, c := range test.crashes {
+				now += time.Second
+				table.Record(Crash{Request: c.request, Target: fmt.Sprint("t", c.target)})
+			}
+			peer.Merge(table.Reports(time.Minute))
+			for _, at := range []*Table{table, peer} {
+				for _, r := range test.blocked {
+					qt.Check(t, at.Blocked(r), qt.IsTrue, qt.Commentf("%v", r))
+				}
+				for _, r := range test.allowed {
+					qt.Check(t, at.Blocked(r), qt.IsFalse, qt.Commentf("%v", r))
+				}
+			}
+			for _, r := range test.blocked {
+				table.RecordAnswer(r.fingerprints()...)
+				qt.Check(t, table.Blocked(r), qt.IsFalse, qt.Commentf("answered: %v", r))
+			}
+		})
+	}
+}
+
+// Guards against reports that crowd the crashes that block requests out of a datagram, for nodes that start later.
+func TestBlockingCrashesAreReportedFirst(t *testing.T) {
+	now := time.Hour
+	table, started := New(Options{MaxReports: 4, Now: func() time.Duration { return now }}), New(Options{Now: func() time.Duration { return now }})
+	for i := range 2 {
+		table.Record(Crash{Request: Request{Fingerprint: "blocked"}, Target: fmt.Sprint("t", i)})
+	}
+	now += time.Minute
+	for i := range 20 {
+		table.Record(Crash{Request: Request{Fingerprint: fmt.Sprint("f", i)}, Target: "t9"})
+	}
+	crashes, _ := table.Reports(time.Second)
+	qt.Check(t, crashes, qt.HasLen, 4)
+	started.Merge(crashes, nil)
+	qt.Check(t, started.Blocked(Request{Fingerprint: "blocked"}), qt.IsTrue)
+	qt.Check(t, table.BlockingReports(), qt.HasLen, 2)
+}
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,8 +18,28 @@
 // refuses it after one round trip.
 const crashCheckTimeout = 200 * time.Millisecond
 
+// suspectOf returns what identifies a request of the client account, and the parts of its prompt that other requests may share.
+func suspectOf(account string, q *fleet.Request) crash.Request {
+	path := strings.Join(append([]string{q.Method, q.Host, q.URI}, q.PromptParts...), " ")
+	r := crash.Request{Fingerprint: crash.Fingerprint(account, path, q.Body)}
+	for i := 0; i+1 < len(q.PromptParts); i++ {
+		if part := crash.PartFingerprint(q.PromptParts[i]); !slices.Contains(r.Parts, part) {
+			r.Parts = append(r.Parts, part)
+		}
+	}
+	return r
+}
+
 // recordAnswer records that a replica has answered this request.
-func (c *call) recordAnswer() { c.opt.Crashes.RecordAnswer(c.fingerprint) }
+func (c *call) recordAnswer() { c.opt.Crashes.RecordAnswer(c.suspect.Fingerprint) }
+
+// recordBegin records that a replica has begun to answer this request.
+func (c *call) recordBegin() {
+	if !c.attempts.began {
+		c.opt.Crashes.RecordAnswer(c.suspect.Parts...)
+	}
+	c.attempts.began = true
+}
 
 // recordCrash records this request with the replica that it was sent to, if the replica has ended, and reports whether it has.
 // A replica that still listens broke off only this exchange. One that doesn't respond at all may be cut off from this node.
@@ -30,15 +52,16 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
-	c.opt.Crashes.Record(crash.Crash{Fingerprint: c.fingerprint, Target: replica.ID, Incarnation: strconv.FormatInt(replica.StartedUnixMs, 10), Began: c.attempts.began})
+	c.opt.Crashes.Record(crash.Crash{Request: c.suspect, Target: replica.ID, Incarnation: strconv.FormatInt(replica.StartedUnixMs, 10), Began: c.attempts.began})
 	return true
 }
 
 // crashRefusal returns the refusal of a request whose copies have crashed replicas, or nil.
 func (c *call) crashRefusal() *result.Error {
-	wait := c.opt.Crashes.BlockedFor(c.fingerprint)
+	wait := c.opt.Crashes.BlockedFor(c.suspect)
 	if wait <= 0 {
 		return nil
 	}
-	return result.New(result.CrashingRequest, "copies of this request (fingerprint %s) crashed replicas", c.fingerprint).WithRetryAfter(wait)
+	return result.New(result.CrashingRequest, "copies of this request, or others with the same parts, crashed replicas (fingerprint %s, parts %v)",
+		c.suspect.Fingerprint, c.suspect.Parts).WithRetryAfter(wait)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,12 +107,12 @@
 	service *fleet.Service
 	model   *fleet.Model // Nil for plain services.
 	tenant  string
-	// fingerprint identifies the request apart from its ID: all copies of a request have the same one.
-	fingerprint string
-	start       time.Time
-	deadline    time.Time     // The final response is due by then.
-	waited      time.Duration // Estimated time that the client spent on earlier attempts.
-	attempts    attempts
+	// suspect identifies the request apart from its ID: all copies of a request have the same fingerprint.
+	suspect  crash.Request
+	start    time.Time
+	deadline time.Time     // The final response is due by then.
+	waited   time.Duration // Estimated time that the client spent on earlier attempts.
+	attempts attempts
 }
 
 // attempts counts the sends of one request.
@@ -196,7 +196,7 @@
 		}
 		c.tenant = account.Name
 	}
-	c.fingerprint = crash.Fingerprint(c.tenant, c.req.Method+" "+c.req.Host+c.req.URI, c.req.Body)
+	c.suspect = suspectOf(c.tenant, c.req)
 	wait := c.req.Deadline
 	if wait <= 0 {
 		wait = defaultDeadline
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -234,7 +234,7 @@
 		reason = "target_crashed"
 	}
 	c.opt.Metrics.Retry(reason)
-	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.fingerprint, "crashed": crashed}).
+	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.suspect.Fingerprint, "prompt_parts": c.suspect.Parts, "crashed": crashed}).
 		WithError(err).Info("send got no usable response")
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -241,7 +241,7 @@
 		return responseForwarded
 	case step.data != nil:
 		ticket.RecordEvent()
-		c.attempts.began = true
+		c.recordBegin()
 		return c.writeEvent(step, p)
 	}
 	return 0
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -14,11 +14,12 @@
 func TestNodesTellEachOtherOfCrashes(t *testing.T) {
 	c := quicktest.New(t)
 	a, b, started := newNode(c, testSettings), newNode(c, testSettings), newNode(c, testSettings)
-	a.crashes.Record(crash.Crash{Fingerprint: "f", Target: "i-1", Incarnation: "1"})
-	b.crashes.Record(crash.Crash{Fingerprint: "f", Target: "i-2", Incarnation: "1", Age: time.Second})
+	f := crash.Request{Fingerprint: "f"}
+	a.crashes.Record(crash.Crash{Request: f, Target: "i-1", Incarnation: "1"})
+	b.crashes.Record(crash.Crash{Request: f, Target: "i-2", Incarnation: "1", Age: time.Second})
 	b.applyPeerGossip(a.localGossip())
-	c.Check(b.crashes.Blocked("f"), quicktest.IsTrue)
-	c.Check(a.crashes.Blocked("f"), quicktest.IsFalse)
+	c.Check(b.crashes.Blocked(f), quicktest.IsTrue)
+	c.Check(a.crashes.Blocked(f), quicktest.IsFalse)
 	started.applyPeerGossip(b.localGossip())
-	c.Check(started.crashes.Blocked("f"), quicktest.IsTrue)
+	c.Check(started.crashes.Blocked(f), quicktest.IsTrue)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,10 @@
 	maxPlannerDelay  = 3 * time.Second
 	// registerTimeout bounds one attempt to write this node's record.
 	registerTimeout = 1500 * time.Millisecond
+	// minCrashReportFor is the shortest time for which datagrams report each crash. crashReportIntervals is the number of datagrams
+	// to a node of another failure domain that this time spans, since some are lost.
+	minCrashReportFor    = 1500 * time.Millisecond
+	crashReportIntervals = 4
 	// retryBudgetFraction is the fraction of the platform's retry budget that is used. The rest is kept in reserve because
 	// nodes count the same request at different times and may temporarily receive no gossip from each other.
 	retryBudgetFraction = 0.6
@@ -427,7 +431,7 @@
 		msg.Observed = encodeObservations(n.registry.Observations())
 	}
 	msg.LeaseRevision, msg.Resigned = n.lease.Announcement()
-	msg.Crashes, msg.Answers = n.crashes.Reports()
+	msg.Crashes, msg.Answers = n.crashes.Reports(max(minCrashReportFor, crashReportIntervals*n.mesh.OtherZoneInterval()))
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
 	for k := range own.Suspected {
 		msg.Suspects = append(msg.Suspects, string(k))
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -76,7 +76,7 @@
 	if err := e.opts.MayServe(); err != nil {
 		return err
 	}
-	if e.opts.Crashes.Blocked(req.Fingerprint) {
+	if e.opts.Crashes.Blocked(crash.Request{Fingerprint: req.Fingerprint}) {
 		return result.New(result.CrashingRequest, "this request crashed targets before and is refused")
 	}
 	return nil
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -18,9 +18,11 @@
 	Deadline     time.Duration // Time for which the client waits; 0 if it stated none.
 	Model        string
 	PromptTokens int
-	MaxOutput    int // Limit of the output tokens.
-	LengthHint   int // The client's estimate of the output tokens; 0 if it gave none.
-	LastEventID  string
+	// PromptParts holds the IDs of the parts of the prompt in order. Requests share parts, except the last one.
+	PromptParts []string
+	MaxOutput   int // Limit of the output tokens.
+	LengthHint  int // The client's estimate of the output tokens; 0 if it gave none.
+	LastEventID string
 }
 
 // SendOptions holds what is added to the request when it is sent to a replica.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/router"
@@ -125,7 +126,7 @@
 		return false
 	}
 	if !end.NotRun {
-		if !c.dispatch.Repeatable || g.opts.Crashes.Blocked(c.dispatch.Fingerprint) ||
+		if !c.dispatch.Repeatable || g.opts.Crashes.Blocked(crash.Request{Fingerprint: c.dispatch.Fingerprint}) ||
 			!g.opts.Budget.Allow(c.destination, retry.Reason(code.String())) {
 			return false
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -19,6 +19,8 @@
 const (
 	// crashReportTimeout bounds how long a request waits for its crash report to reach the other nodes before it is retried.
 	crashReportTimeout = 500 * time.Millisecond
+	// crashReportFor is the time for which heartbeats report each crash; it spans many heartbeats.
+	crashReportFor = 10 * time.Second
 )
 
 // peerStatuses holds the last status of each peer.
@@ -53,7 +55,7 @@
 func (n *Node) fillStatus(status *schema.NodeStatus) {
 	status.ConfigRevision = n.config.Revision()
 	status.Pools = n.targets.Summary()
-	status.Crashes, status.Answers = n.crashes.Reports()
+	status.Crashes, status.Answers = n.crashes.Reports(crashReportFor)
 	status.Accounts = n.admission.Demand()
 	for _, takeover := range n.holders.Takeovers() {
 		status.Takeovers = append(status.Takeovers, &schema.Takeover{
