Tell other nodes at once when a request is blocked

Change: a node that records a crash after which the request is refused sends its state to all destinations at once. Test: TestSendNowReachesNodesBeforeTheirInterval.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -53,6 +53,9 @@
 		return false
 	}
 	c.opt.Crashes.Record(crash.Crash{Request: c.suspect, Target: replica.ID, Incarnation: strconv.FormatInt(replica.StartedUnixMs, 10), Began: c.attempts.began})
+	if c.opt.Crashes.Blocked(c.suspect) {
+		c.opt.OnBlocked()
+	}
 	return true
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,10 +52,12 @@
 	Table    *balance.Table
 	Budget   *retry.Budget
 	Crashes  *crash.Table
-	Clock    clock.Clock
-	Log      logrus.FieldLogger
-	Metrics  *telemetry.Metrics
-	Zone     string
+	// OnBlocked is called when a crash has been recorded after which requests are refused. It must not block.
+	OnBlocked func()
+	Clock     clock.Clock
+	Log       logrus.FieldLogger
+	Metrics   *telemetry.Metrics
+	Zone      string
 	// StoreAge returns the time since the store last answered this node.
 	StoreAge func() time.Duration
 	// Nodes returns the number of serving nodes, including this one.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Clock: c, Log: log,
+	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, OnBlocked: n.mesh.SendNow, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,6 +58,8 @@
 type Mesh struct {
 	opt  Options
 	conn *net.UDPConn
+	// urgent holds a value while the state must be sent to all destinations at once.
+	urgent chan struct{}
 
 	mu           sync.Mutex
 	peers        map[string]Peer
@@ -86,7 +88,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "bind gossip address %q", opt.Address)
 	}
-	return &Mesh{opt: opt, conn: conn, peers: map[string]Peer{}, destinations: map[string]*destination{}, started: opt.Clock.Now()}, nil
+	return &Mesh{opt: opt, conn: conn, urgent: make(chan struct{}, 1), peers: map[string]Peer{}, destinations: map[string]*destination{}, started: opt.Clock.Now()}, nil
 }
 
 // Run sends and receives until the context is done.
@@ -99,12 +101,35 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-m.urgent:
+			m.send(m.allAddresses())
 		case <-ticker.C:
-			m.sendDue()
+			m.send(m.dueAddresses())
 		}
 	}
 }
 
+// SendNow makes Run send the state to all destinations at once. It doesn't block.
+func (m *Mesh) SendNow() {
+	select {
+	case m.urgent <- struct{}{}:
+	default: // A value that wasn't taken yet covers this call too, because the state is read after it is taken.
+	}
+}
+
+// allAddresses returns the addresses of all destinations, and marks them as sent to.
+func (m *Mesh) allAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.opt.Clock.Now()
+	list := make([]string, 0, len(m.destinations))
+	for a, d := range m.destinations {
+		d.lastSent = now
+		list = append(list, a)
+	}
+	return list
+}
+
 // intervals returns the time between two datagrams to a node of this failure domain, and to any other. The lock is held.
 func (m *Mesh) intervals() (sameZone, otherZone time.Duration) {
 	zonePeers := 0
@@ -181,8 +206,7 @@
 	d.expires = m.opt.Clock.Now().Add(destinationTTL)
 }
 
-func (m *Mesh) sendDue() {
-	addresses := m.dueAddresses()
+func (m *Mesh) send(addresses []string) {
 	if len(addresses) == 0 {
 		return
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -87,3 +87,23 @@
 	perSecond := 20/sameZone.Seconds() + 280/otherZone.Seconds()
 	c.Assert(perSecond < 200, quicktest.IsTrue, quicktest.Commentf("%.0f datagrams per second", perSecond))
 }
+
+// Pattern: many nodes, to which datagrams go seconds apart. Guards against a state that other nodes must know at once, but learn of
+// with the next datagram only.
+func TestSendNowReachesNodesBeforeTheirInterval(t *testing.T) {
+	m, _ := startMesh(t, "a", freeAddress(t), 1)
+	receiver, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer receiver.Close()
+	for i := range 20 * nodesPerInterval {
+		m.accept(&schema.NodeGossip{Node: fmt.Sprint("n", i), Incarnation: 1, Zone: "far", PeerAddress: receiver.LocalAddr().String()})
+	}
+	receive := func(limit time.Duration) error {
+		quicktest.Assert(t, receiver.SetReadDeadline(time.Now().Add(limit)), quicktest.IsNil)
+		_, _, err := receiver.ReadFrom(make([]byte, maxDatagram))
+		return err
+	}
+	quicktest.Assert(t, receive(m.OtherZoneInterval()), quicktest.IsNil) // The first datagram to a new destination.
+	m.SendNow()
+	quicktest.Check(t, receive(m.OtherZoneInterval()/2), quicktest.IsNil)
+}
