End requests that wait at a replica when they are blocked

Cause: a request with a crashing part that was sent before the part was known crashes its replica when that has read the prompt, up to a second later. Change: a stream without an event whose request has become blocked is ended; the replica drops it. The client is told that it may have run. Test: TestWaitingRequestsWithACrashingPartAreEnded failed before (ended after 2.0 s with the deadline).

--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -10,9 +10,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
@@ -158,3 +160,30 @@
 		})
 	}
 }
+
+// Guards against requests with a crashing part that reach a replica before the part is known and crash it later, when the replica
+// has read their prompts.
+func TestWaitingRequestsWithACrashingPartAreEnded(t *testing.T) {
+	c := quicktest.New(t)
+	arrived, ended := make(chan struct{}), make(chan struct{})
+	waiting := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body) // Only then does the server notice that the connection closes.
+		close(arrived)
+		<-q.Context().Done()
+		close(ended)
+	}))
+	defer waiting.Close()
+	h := newServer(t, fleet.RepeatStream, &replica{address: strings.TrimPrefix(waiting.URL, "http://")})
+	server := httptest.NewServer(h)
+	defer server.Close()
+	status := make(chan int, 1)
+	go func() { status <- sendBody(t, server, "q1", "q1", "X-Cassiadeal-Prompt-Prefix", "f:40,deadly:100,l:1") }()
+	<-arrived
+	sent := time.Now()
+	for i := range 2 {
+		h.(*Server).opt.Crashes.Record(crash.Crash{Request: crash.Request{Fingerprint: fmt.Sprint("other", i), Parts: []string{crash.PartFingerprint("deadly")}}, Target: fmt.Sprint(i)})
+	}
+	<-ended
+	c.Check(time.Since(sent) < time.Second, quicktest.IsTrue, quicktest.Commentf("ended after %v; its deadline is 2 s", time.Since(sent)))
+	c.Check(<-status, quicktest.Equals, http.StatusBadGateway) // It may have run.
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -36,6 +36,7 @@
 	responseForwarded           // A complete response other than a stream was forwarded.
 	clientGone
 	streamTimeout
+	streamBlocked // The request was found to crash replicas while it waited for its first event.
 )
 
 // progress is what the client has received of its stream.
@@ -81,7 +82,7 @@
 		case clientGone:
 			c.logOutcome("client_gone", "the client closed its connection", logrus.Fields{"events": p.events})
 			return
-		case streamTimeout:
+		case streamTimeout, streamBlocked:
 			c.failStream(p, nil)
 			return
 		case streamBroken:
@@ -175,6 +176,12 @@
 			}
 			return clientGone
 		case <-stallTicker.C:
+			if !c.attempts.began && c.crashRefusal() != nil {
+				// The replica drops the request when the connection closes, and so doesn't begin to answer it.
+				c.attempts.maybeRun++
+				c.attempts.lastFailure = "the request was blocked while it waited: it has a part that crashes replicas"
+				return streamBlocked
+			}
 			if c.mayMoveStream(head, exclude) {
 				c.attempts.maybeRun++
 				c.attempts.lastFailure = "the target has stalled"
