Keep the crashes that block requests in the nodes' records

Cause: what nodes know of crashing requests was in memory only. When all nodes end at once, each such request crashes replicas anew. Change: a node that records a crash after which requests are refused writes the crashes that block requests to its record in the store, at most once a second. All nodes read the records when they start, and a restarted node keeps those of its own. No other call to the store is made. Test: TestBlockedRequestsStayBlockedWhenAllNodesRestart; without the crashes in the record it fails (not blocked within 5 s).

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,3 +26,30 @@
 	started.applyPeerGossip(b.localGossip())
 	c.Check(started.crashes.Blocked(f), quicktest.IsTrue)
 }
+
+// Guards against requests that crash replicas again after all nodes have ended at once: no other node can tell them.
+func TestBlockedRequestsStayBlockedWhenAllNodesRestart(t *testing.T) {
+	c := quicktest.New(t)
+	store := &recordStore{objects: map[string][]map[string]any{}, changed: make(chan struct{})}
+	nodes, stop := startZone(c, store, 2, true)
+	for i := range 2 {
+		nodes[0].crashes.Record(crash.Crash{Request: crash.Request{Fingerprint: fmt.Sprint("f", i), Parts: []string{"part"}}, Target: fmt.Sprint(i)})
+	}
+	nodes[0].announceBlocked()
+	waitFor(c, 5*time.Second, func() bool {
+		records, _, _ := store.since(nodesKind, 0)
+		return strings.Contains(fmt.Sprint(records), "crashed_unix_ms")
+	})
+	for _, s := range stop {
+		s()
+	}
+	restarted, _ := startZone(c, store, 2, false)
+	for _, n := range restarted {
+		waitFor(c, 5*time.Second, func() bool { return n.crashes.Blocked(crash.Request{Fingerprint: "f9", Parts: []string{"part"}}) })
+	}
+	// The crashes outlast the next restart too.
+	waitFor(c, 5*time.Second, func() bool {
+		record, err := restarted[0].store.Get(context.Background(), nodesKind, restarted[0].settings.Node)
+		return err == nil && strings.Contains(string(record.Spec), restarted[0].settings.Peer) && strings.Contains(string(record.Spec), "crashed_unix_ms")
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -29,7 +28,6 @@
 )
 
 const (
-	nodesKind = "cassiadeal-nodes"
 	// replicaWatchInterval is the minimum time between two watches of the replicas' entries. plannerReplicaWatchInterval
 	// applies on the node that plans groups instead, because it waits for the members' reports.
 	replicaWatchInterval        = 300 * time.Millisecond
@@ -49,8 +47,6 @@
 	// tries to become the planner. maxPlannerDelay is the longest such time.
 	plannerRankDelay = 300 * time.Millisecond
 	maxPlannerDelay  = 3 * time.Second
-	// registerTimeout bounds one attempt to write this node's record.
-	registerTimeout = 1500 * time.Millisecond
 	// minCrashReportFor is the shortest time for which datagrams report each crash. crashReportIntervals is the number of datagrams
 	// to a node of another failure domain that this time spans, since some are lost.
 	minCrashReportFor    = 1500 * time.Millisecond
@@ -60,14 +56,6 @@
 	retryBudgetFraction = 0.6
 )
 
-// nodeRecord is a node's record in the store, through which other nodes find it.
-type nodeRecord struct {
-	Zone        string `json:"zone"`
-	Front       string `json:"front"`
-	Peer        string `json:"peer"`
-	Incarnation int64  `json:"incarnation"`
-}
-
 // Node is one process of the system on the users' platform.
 type Node struct {
 	settings *platform.Settings
@@ -88,6 +76,7 @@
 	incarnation    int64
 	draining       atomic.Bool
 	replicasListed atomic.Bool   // The replicas have been listed at least once.
+	blocked        chan struct{} // Holds a value while the crashes in this node's record must be written anew.
 	registered     chan struct{} // Closed when this node's record was written, or the first attempt to write it has failed.
 	storeCalls     *callCounter
 	storeContact   *storeContact
@@ -111,7 +100,7 @@
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
 		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c),
-		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
+		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), blocked: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
 	}
@@ -122,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, OnBlocked: n.mesh.SendNow, Clock: c, Log: log,
+	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
@@ -148,7 +137,7 @@
 	}
 	go n.mesh.Run(background)
 	go n.planner.Run(planning)
-	go n.register(background)
+	go n.maintainRecord(background)
 	go n.sweepTargets(background)
 	n.log.WithFields(logrus.Fields{"front": n.settings.Front, "zone": n.settings.Zone, "first_run": n.settings.FirstRun}).Info("started")
 	<-ctx.Done()
@@ -258,56 +247,6 @@
 	n.registry.SetEvacuated(zones)
 }
 
-func (n *Node) applyNodes(list []platform.Object) {
-	for _, o := range list {
-		var record nodeRecord
-		if o.Deleted {
-			continue
-		}
-		if err := json.Unmarshal(o.Spec, &record); err != nil || record.Peer == "" {
-			n.logUnreadable(o, err)
-			continue
-		}
-		n.mesh.AddDestinations(record.Peer)
-	}
-}
-
-// register writes this node's record to the store, so that other nodes find it.
-func (n *Node) register(ctx context.Context) {
-	record := nodeRecord{Zone: n.settings.Zone, Front: n.settings.Front, Peer: n.settings.Peer, Incarnation: n.incarnation}
-	attempted := sync.OnceFunc(func() { close(n.registered) })
-	for ctx.Err() == nil {
-		err := n.registerOnce(ctx, record)
-		attempted()
-		if err == nil {
-			return
-		}
-		n.log.WithError(err).Info("could not write this node's record to the store; retrying")
-		sleep(ctx, fraction(n.settings.Bounds.ConfigApply, retryDelayFraction))
-	}
-}
-
-func (n *Node) registerOnce(ctx context.Context, record nodeRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	if n.settings.FirstRun {
-		_, err := n.store.Create(ctx, nodesKind, n.settings.Node, record)
-		if !errors.Is(err, platform.ErrConflict) {
-			return err
-		}
-	}
-	old, err := n.store.Get(ctx, nodesKind, n.settings.Node)
-	if errors.Is(err, platform.ErrNotFound) {
-		_, err = n.store.Create(ctx, nodesKind, n.settings.Node, record)
-		return err
-	}
-	if err != nil {
-		return err
-	}
-	_, err = n.store.Update(ctx, nodesKind, n.settings.Node, old.Revision, record)
-	return err
-}
-
 // recordStoreAnswer records an answer, from the store itself if direct is true, and returns whether calls failed until then.
 func (n *Node) recordStoreAnswer(direct bool) bool {
 	n.registry.StoreAnswered()
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,10 @@
 
 func (s *recordStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind := strings.Split(strings.TrimPrefix(r.URL.Path, "/cassiadeal/objects/"), "/")[0]
+	if _, name, single := strings.Cut(strings.TrimPrefix(r.URL.Path, "/cassiadeal/objects/"), "/"); single {
+		s.serveObject(w, r, kind, name)
+		return
+	}
 	if r.Method == http.MethodPost {
 		var o map[string]any
 		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
@@ -67,6 +72,37 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"store_revision": watch})
 }
 
+// serveObject answers a read, or an update under the condition of a revision, of one object.
+func (s *recordStore) serveObject(w http.ResponseWriter, r *http.Request, kind, name string) {
+	items, _, _ := s.since(kind, 0)
+	i := slices.IndexFunc(items, func(o map[string]any) bool { return o["metadata"].(map[string]any)["name"] == name })
+	if i < 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if r.Method == http.MethodPut {
+		var o map[string]any
+		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if o["metadata"].(map[string]any)["revision"] != float64(items[i]["metadata"].(map[string]any)["revision"].(int64)) {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		s.remove(kind, name)
+		s.create(kind, o)
+		items[i] = o
+	}
+	_ = json.NewEncoder(w).Encode(items[i])
+}
+
+func (s *recordStore) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[kind] = slices.DeleteFunc(slices.Clone(s.objects[kind]), func(o map[string]any) bool { return o["metadata"].(map[string]any)["name"] == name })
+}
+
 func (s *recordStore) create(kind string, o map[string]any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,8 +125,9 @@
 	return items, s.revision, s.changed
 }
 
-// startZone starts nodes of one failure domain in this process. Each has an address of its own.
-func startZone(c *quicktest.C, store *recordStore, count int) (nodes []*Node, stop []context.CancelFunc) {
+// startZone starts nodes of one failure domain in this process, for the first time if firstRun is true. Each has an address of its
+// own.
+func startZone(c *quicktest.C, store *recordStore, count int, firstRun bool) (nodes []*Node, stop []context.CancelFunc) {
 	server := httptest.NewServer(store)
 	c.Cleanup(server.Close)
 	probe, err := net.Listen("tcp", "127.0.90.1:0")
@@ -101,7 +138,7 @@
 	c.Cleanup(running.Wait)
 	for i := range count {
 		ip := fmt.Sprintf("127.0.90.%d", i+1)
-		text := strings.NewReplacer("10.200.1.7:8223", strings.TrimPrefix(server.URL, "http://"), `"node_name":"n"`, fmt.Sprintf(`"bootstrap":true,"node_name":"n%d"`, i),
+		text := strings.NewReplacer("10.200.1.7:8223", strings.TrimPrefix(server.URL, "http://"), `"node_name":"n"`, fmt.Sprintf(`"bootstrap":%v,"node_name":"n%d"`, firstRun, i),
 			"127.0.0.1:0", ip+":0", `"ip":"127.0.0.1"`, fmt.Sprintf(`"ip":%q`, ip), `[0,9]`, fmt.Sprintf("[%d,%d]", port, port+9)).Replace(testSettings)
 		n := newNode(c, text)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -127,7 +164,7 @@
 func TestOneNodeReadsTheStoreForItsFailureDomain(t *testing.T) {
 	c := quicktest.New(t)
 	store := &recordStore{objects: map[string][]map[string]any{}, changed: make(chan struct{})}
-	nodes, stop := startZone(c, store, 6)
+	nodes, stop := startZone(c, store, 6, true)
 	allListed := func() bool {
 		for _, n := range nodes {
 			if !n.replicasListed.Load() {
