Bound the reports of crashes, and check for crashes only after a lost connection

Cause: clients choose the IDs and the number of the parts of their prompts. With 40 crashed requests of 63 long parts a report had 3.8 MB, so that no datagram would have been sent at all. And after an exchange that timed out, the check of a replica that doesn't respond delayed the retry by 0.2 s. Change: long IDs are hashed, a report has 256 fingerprints at most; only lost connections are checked. Older crashes of a part that was answered since are skipped. A line in the log tells when requests begin to be refused. Test: TestReportsFitIntoADatagram failed before (3,848,548 bytes).

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -34,6 +34,8 @@
 	// response. fullWeight is that of one crash in CrashThreshold.
 	beganWeight, runningWeight = 1, 2
 	fullWeight                 = runningWeight
+	// maxPartIDBytes is the length up to which fingerprints of parts hold the ID itself, for the log.
+	maxPartIDBytes = 24
 	// expiryInterval is the time between two searches for requests whose last crash has expired.
 	expiryInterval = time.Second
 )
@@ -131,8 +133,14 @@
 	return &Table{options: options, crashes: map[string]records{}, byPart: map[string]map[string]bool{}, answers: newAnswerTimes()}
 }
 
-// PartFingerprint identifies a part of prompts by its ID. It differs from the fingerprints of requests.
-func PartFingerprint(id string) string { return "part:" + id }
+// PartFingerprint identifies a part of prompts by its ID, which clients choose. It differs from the fingerprints of requests.
+func PartFingerprint(id string) string {
+	if len(id) <= maxPartIDBytes {
+		return "part:" + id
+	}
+	hash := sha256.Sum256([]byte(id))
+	return "part:sha256:" + hex.EncodeToString(hash[:8])
+}
 
 // Fingerprint identifies a request by account, path and body. Equal requests have equal fingerprints on every node.
 func Fingerprint(account, path string, body []byte) string {
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
 // Guards against a request that crashes one target after another, and against blocking a request after a single crash that
@@ -200,3 +204,21 @@
 	qt.Check(t, started.Blocked(Request{Fingerprint: "blocked"}), qt.IsTrue)
 	qt.Check(t, table.BlockingReports(), qt.HasLen, 2)
 }
+
+// Guards against a report that is larger than a datagram because clients list many or long parts.
+func TestReportsFitIntoADatagram(t *testing.T) {
+	const datagramBytes = 60 << 10
+	table := New(Options{})
+	for i := range 40 {
+		r := Request{Fingerprint: Fingerprint("account", "/path", []byte{byte(i)})}
+		for part := range 63 {
+			r.Parts = append(r.Parts, PartFingerprint(strings.Repeat(fmt.Sprint(part), 1000)))
+		}
+		table.RecordAnswer(r.fingerprints()...)
+		table.Record(Crash{Request: r, Target: fmt.Sprintf("i-%016d", i), Incarnation: "1792178440449"})
+	}
+	crashes, answers := table.Reports(time.Minute)
+	qt.Check(t, len(crashes) > 0 && len(answers) > 0, qt.IsTrue)
+	size := proto.Size(&schema.NodeGossip{Crashes: crashes, Answers: answers})
+	qt.Check(t, size < datagramBytes/2, qt.IsTrue, qt.Commentf("%d bytes", size))
+}
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -88,8 +88,11 @@
 // incriminatedLocked returns the crashes of the fingerprint after its last answer if they are enough to block it, or nil.
 func (t *Table) incriminatedLocked(fingerprint string) evidence {
 	answeredAt, answered := t.answers.get(fingerprint)
-	e := t.evidenceLocked(fingerprint)
-	maps.DeleteFunc(e, func(_ crashID, s suspicion) bool { return answered && s.at <= answeredAt })
+	after := time.Duration(math.MinInt64)
+	if answered {
+		after = answeredAt
+	}
+	e := t.evidenceLocked(fingerprint, after)
 	if len(e) == 0 {
 		return nil
 	}
@@ -111,18 +114,21 @@
 		if _, answered := t.answers.get(other); answered || other == fingerprint || t.byPart[other] == nil {
 			continue
 		}
-		if t.evidenceLocked(other).weight(0) >= t.options.CrashThreshold*fullWeight {
+		if t.evidenceLocked(other, math.MinInt64).weight(0) >= t.options.CrashThreshold*fullWeight {
 			return true
 		}
 	}
 	return false
 }
 
-// evidenceLocked returns all crashes of the request or part with the fingerprint. A part is suspected only of the crashes of
-// requests without a response, because it crashes a target that begins to write one.
-func (t *Table) evidenceLocked(fingerprint string) evidence {
+// evidenceLocked returns the crashes after a time of the request or part with the fingerprint. A part is suspected only of the
+// crashes of requests without a response, because it crashes a target that begins to write one.
+func (t *Table) evidenceLocked(fingerprint string, after time.Duration) evidence {
 	e := evidence{}
 	for id, r := range t.crashes[fingerprint] {
+		if r.at <= after {
+			continue
+		}
 		weight := runningWeight
 		if r.began {
 			weight = beganWeight
@@ -131,7 +137,7 @@
 	}
 	for request := range t.byPart[fingerprint] {
 		for id, r := range t.crashes[request] {
-			if r.began {
+			if r.began || r.at <= after {
 				continue
 			}
 			s, ok := e[id]
--- a/internal/crash/reports.go
+++ b/internal/crash/reports.go
@@ -11,6 +11,10 @@
 // blockingInterval is the time between two searches for crashes that block requests, if none was recorded in between.
 const blockingInterval = time.Second
 
+// maxReportedFingerprints limits the fingerprints in all crashes of a report, and those of its answers, each about 40 bytes: a
+// client may list many parts, and a datagram must hold the report.
+const maxReportedFingerprints = 256
+
 // Reports returns crashes for a heartbeat, up to Options.MaxReports, and the last answers of their requests and parts: those that
 // block requests, so that nodes that start later learn of them, and those that are at most reportFor old. Crashes that block
 // requests come first, then those of requests without a response, then the newest.
@@ -48,10 +52,22 @@
 	slices.SortFunc(crashes, func(a, b *schema.CrashReport) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.GetAgeMs(), b.GetAgeMs()))
 	})
-	crashes = crashes[:min(len(crashes), t.options.MaxReports)]
+	crashes = truncate(crashes, t.options.MaxReports)
 	return crashes, t.answerReportsLocked(crashes, now)
 }
 
+// truncate returns the first crashes, up to a number, that have maxReportedFingerprints at most.
+func truncate(crashes []*schema.CrashReport, limit int) []*schema.CrashReport {
+	fingerprints := 0
+	for i, c := range crashes {
+		fingerprints += 1 + len(c.GetPartFingerprints())
+		if i == limit || fingerprints > maxReportedFingerprints {
+			return crashes[:i]
+		}
+	}
+	return crashes
+}
+
 // BlockingReports returns the crashes that block requests, up to Options.MaxReports. The newest comes first.
 func (t *Table) BlockingReports() []*schema.CrashReport {
 	crashes, _ := t.Reports(0)
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -9,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/result"
@@ -41,6 +44,12 @@
 	c.attempts.began = true
 }
 
+// connectionLost reports whether the error of an exchange may come from the end of the replica. A response that is wrong or late
+// shows that it runs, or says nothing.
+func connectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // recordCrash records this request with the replica that it was sent to, if the replica has ended, and reports whether it has.
 // A replica that still listens broke off only this exchange. One that doesn't respond at all may be cut off from this node.
 func (c *call) recordCrash(replica *fleet.Replica) bool {
@@ -53,7 +62,9 @@
 		return false
 	}
 	c.opt.Crashes.Record(crash.Crash{Request: c.suspect, Target: replica.ID, Incarnation: strconv.FormatInt(replica.StartedUnixMs, 10), Began: c.attempts.began})
-	if c.opt.Crashes.Blocked(c.suspect) {
+	if wait := c.opt.Crashes.BlockedFor(c.suspect); wait > 0 {
+		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": replica.ID, "fingerprint": c.suspect.Fingerprint,
+			"prompt_parts": c.suspect.Parts, "blocked_ms": wait.Milliseconds()}).Warning("requests like this one crash replicas and are refused")
 		c.opt.OnBlocked()
 	}
 	return true
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -228,7 +228,7 @@
 	if !sent {
 		c.opt.Table.Avoid(key)
 	}
-	crashed := sent && c.recordCrash(replica)
+	crashed := sent && connectionLost(err) && c.recordCrash(replica)
 	reason := "target_failed"
 	if crashed {
 		reason = "target_crashed"
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -214,7 +215,7 @@
 	case errors.Is(step.err, io.EOF):
 		c.opt.Table.RecordOutcome(head.Key, false)
 		if !p.headerWritten {
-			c.recordFailure(head.Replica, true, errors.New("the stream ended without an event"))
+			c.recordFailure(head.Replica, true, fmt.Errorf("the stream ended without an event: %w", io.ErrUnexpectedEOF))
 			return streamBroken
 		}
 		c.recordAnswer()
