Blame a part rather than one of the requests that hold it

Cause: if the repeat of one request reaches a replica that runs another with the same part, that request was at both crashes, and the part wasn't blamed before a third crash. Change: if different requests with a part were running at its crashes, a request among them isn't taken as the likelier cause. Test: TestPartsOfPrompts, 'two requests, one repeated beside the other', failed before.

--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -159,6 +159,8 @@
 			[]Request{poison(3, "f3")}, []Request{sound(1, "f1"), sound(2, "f2")}},
 		"others at the same targets": {nil, []crashed{{1, poison(1, "f1")}, {1, sound(1, "f1")}, {2, sound(2, "f1")}, {2, poison(2, "f1")}, {2, sound(3, "f2")}},
 			[]Request{poison(3, "f1")}, []Request{sound(4, "f1"), sound(5, "f2")}},
+		"two requests, one repeated beside the other": {[]string{"f1"}, []crashed{{1, poison(1, "f1")}, {2, poison(1, "f1")}, {2, poison(2, "f1")}},
+			[]Request{poison(1, "f1"), poison(3, "f1")}, []Request{sound(1, "f1"), sound(2, "f2")}},
 		"two parts at once": {[]string{"f1"}, []crashed{{1, poison(1, "f1")}, {2, Request{"p2", []string{"f1", "deadly2"}}}, {3, poison(3, "f1")}, {4, Request{"p4", []string{"f1", "deadly2"}}}},
 			[]Request{poison(5, "f1"), {"p6", []string{"f1", "deadly2"}}}, []Request{sound(1, "f1")}},
 	} {
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -75,9 +75,7 @@
 	remaining := time.Duration(0)
 	for _, f := range held {
 		e := t.incriminatedLocked(f)
-		if e == nil || slices.ContainsFunc(e.common(), func(other string) bool {
-			return !slices.Contains(held, other) && t.incriminatedLocked(other) != nil
-		}) {
+		if e == nil || slices.ContainsFunc(t.commonCausesLocked(f, e), func(other string) bool { return !slices.Contains(held, other) }) {
 			continue
 		}
 		remaining = max(remaining, e.newest()+t.options.BlockFor-t.options.Now())
@@ -85,6 +83,22 @@
 	return remaining
 }
 
+// commonCausesLocked returns what, beside the part or request with the fingerprint, may be the cause of all of its crashes. If
+// different requests with a part were running, one of them that was there each time is not the likelier cause.
+func (t *Table) commonCausesLocked(fingerprint string, e evidence) []string {
+	requests := map[string]bool{}
+	for _, s := range e {
+		for other := range s.others {
+			if t.byPart[fingerprint][other] {
+				requests[other] = true
+			}
+		}
+	}
+	return slices.DeleteFunc(e.common(), func(other string) bool {
+		return len(requests) > 1 && requests[other] || t.incriminatedLocked(other) == nil
+	})
+}
+
 // incriminatedLocked returns the crashes of the fingerprint after its last answer if they are enough to block it, or nil.
 func (t *Table) incriminatedLocked(fingerprint string) evidence {
 	answeredAt, answered := t.answers.get(fingerprint)
