Let long answers end before the test of leaving VMs checks how they ended

The long answers, 2 s on an idle machine, took 4.7 to 5.9 s in the failed run, all answers were complete, and no call was cut off. The check took a call that still runs for one that didn't end normally. The test now waits for the calls to end, 20 s at most, which is the deadline of their requests, and then requires that each has ended as done: a call that is cut off, abandoned or never ends still fails it.

--- a/test/groups/leaving_test.go
+++ b/test/groups/leaving_test.go
@@ -17,7 +17,8 @@
 const (
 	leavingBound     = 5 * time.Second // From the change of the VM list to the last new request for a group with a leaving VM.
 	listLag          = time.Second
-	longAnswerTokens = 1000 // About 2 s at 2 ms for each token.
+	longAnswerTokens = 1000             // About 2 s at 2 ms for each token.
+	answerLimit      = 20 * time.Second // Deadline of requests to the pool: by then each answer has ended.
 	// idleLimit is the longest time without a new request at a group that serves. The load sends the next request right after
 	// an answer, most answers have 10 tokens, and this is the time of five of them.
 	idleLimit = 5 * 10 * 2 * time.Millisecond
@@ -63,6 +64,17 @@
 	return shownMS
 }
 
+// endedGeneratesFor waits until no generate call for a group is running, or until answerLimit has passed, and returns all calls.
+func endedGeneratesFor(c *cluster.Cluster, group string) (generates []engine.GenerateRecord) {
+	for end := time.Now().Add(answerLimit); ; time.Sleep(20 * time.Millisecond) {
+		generates = generatesFor(c, group)
+		running := slices.ContainsFunc(generates, func(g engine.GenerateRecord) bool { return g.Outcome == "running" })
+		if !running || time.Now().After(end) {
+			return generates
+		}
+	}
+}
+
 // generatesFor returns the generate calls that VMs received for a group, by time.
 func generatesFor(c *cluster.Cluster, group string) (generates []engine.GenerateRecord) {
 	for _, record := range c.Records() {
@@ -133,7 +145,7 @@
 	load := startCheckedLoad(t, c)
 	key, vms := servingGroup(t, c, "fabric-fd-a")
 	shownMS := markLeaving(c, vms[1])
-	lastMS := checkStopped(t, generatesFor(c, key.group), shownMS)
+	lastMS := checkStopped(t, endedGeneratesFor(c, key.group), shownMS)
 	replacedMS := int64(0)
 	for _, w := range c.Plans() {
 		if replacedMS == 0 && w.Plan.Name == "fabric-fd-a" && w.TimeUnixMS >= shownMS-listLag.Milliseconds() && readyGroupsWithout(w.Plan, vms[1]) == 2 {
@@ -157,7 +169,7 @@
 	// No VMs are left for a replacement of the second group. It stops anyway, and is repaired when the leaving VMs are deleted.
 	key, secondVMs := servingGroup(t, c, "fabric-fd-a")
 	shownMS = markLeaving(c, secondVMs[0])
-	checkStopped(t, generatesFor(c, key.group), shownMS)
+	checkStopped(t, endedGeneratesFor(c, key.group), shownMS)
 	delete(c.VMs, vms[1])
 	delete(c.VMs, secondVMs[0])
 	c.SetVMsWithLag(listLag)
