--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -180,7 +180,7 @@
 			if !c.attempts.began && c.crashRefusal() != nil {
 				// The replica drops the request when the connection closes, and so doesn't begin to answer it.
 				c.attempts.maybeRun++
-				c.attempts.lastFailure = "the request was blocked while it waited: it has a part that crashes replicas"
+				c.attempts.lastFailure = "the request was blocked while it waited: it, or a part of its prompt, crashes replicas"
 				return streamBlocked
 			}
 			if c.mayMoveStream(head, exclude) {
