Handle signals in the stand-ins before they listen

Cause: the stand-in listened and printed that it is ready before it handled SIGTERM. The test stops and continues the process right after; the HTTP server could answer before main came to the handler, and SIGTERM then ended the process. Shown: with a pause of 0.4 s before the handler on a scratch copy TestSignals fails in the same way; with the handler first and the same pause after it, it passes. The test is unchanged.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -60,6 +60,9 @@
 func main() {
 	var a arguments
 	parser := arg.MustParse(&a)
+	// Before anything listens: a caller that has an answer may send the signal.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	var ready map[string]any
 	var err error
 	switch {
@@ -80,8 +83,6 @@
 		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
 		os.Exit(1)
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	<-stop
 }
 
