Log and count what targets state about themselves

Answers were decoded without the statement that a replica is leaving, so logs and metrics couldn't tell whether late sends follow a statement at the same node, belong to requests that arrived before it, come from another node, or concern another start. Now the first such statement of each start is logged and counted (cassiadeal_target_statements), and each send to a target that has stated it is logged with the statement's and the request's age. No decision depends on it yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
+	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/internal/telemetry"
 )
 
@@ -52,6 +53,8 @@
 	Table    *balance.Table
 	Budget   *retry.Budget
 	Crashes  *crash.Table
+	// Statements holds what replicas state about themselves in their responses.
+	Statements *statement.Table
 	// OnBlocked is called when a crash has been recorded after which requests are refused. It must not block.
 	OnBlocked func()
 	Clock     clock.Clock
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -22,6 +22,7 @@
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/retry"
+	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/platform"
 )
 
@@ -120,7 +121,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Options{Codec: platform.Codec{}, Registry: registry, Table: balance.NewTable(c), Budget: retry.New(retry.Options{Burst: burst, FloorPerSecond: -1}),
-		Crashes: crash.New(crash.Options{}), OnBlocked: func() {},
+		Crashes: crash.New(crash.Options{}), Statements: statement.New(statement.Options{}), OnBlocked: func() {},
 		Clock: c, Log: log, Zone: "z", StoreAge: func() time.Duration { return 0 }, Nodes: func() int { return 1 },
 		LoadAge: func() time.Duration { return 0 }})
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -53,6 +53,10 @@
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
 func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string) (r *replicaResponse, sent bool, err error) {
+	if age, leaving := c.opt.Statements.LeavingFor(replica.Incarnation().Target()); leaving {
+		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": replica.ID, "leaving_ms": age.Milliseconds(),
+			"arrived_ms": time.Since(c.start).Milliseconds()}).Warning("sending a request to a target that has stated that it is leaving")
+	}
 	dialer := net.Dialer{Timeout: min(dialTimeout, max(c.timeLeft()/2, time.Millisecond))}
 	conn, err := dialer.DialContext(ctx, "tcp", replica.Address)
 	if err != nil {
@@ -77,9 +81,18 @@
 	if header.RequestID != "" && header.RequestID != c.req.ID {
 		return fail(true, errRequestIDMismatch)
 	}
+	c.recordStatement(replica, resp.StatusCode, header)
 	return &replicaResponse{resp, header, conn}, true, nil
 }
 
+// recordStatement records what a response states about the replica. A response with status 421 may come from another replica that
+// now has the address, unless it names this one.
+func (c *call) recordStatement(replica *fleet.Replica, status int, a fleet.Answer) {
+	if status != http.StatusMisdirectedRequest || a.FaultyReplica == replica.ID {
+		c.opt.Statements.Record(replica.Incarnation().Target(), a.Statement)
+	}
+}
+
 // encodeRequest returns the HTTP/1.1 request for the replica.
 func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string) []byte {
 	var b bytes.Buffer
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"cassiadeal.example/cassiadeal/internal/planner"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/internal/telemetry"
 	"cassiadeal.example/cassiadeal/platform"
 )
@@ -58,19 +59,20 @@
 
 // Node is one process of the system on the users' platform.
 type Node struct {
-	settings *platform.Settings
-	log      logrus.FieldLogger
-	clock    clock.Clock
-	metrics  *telemetry.Metrics
-	store    *platform.Store
-	registry *fleet.Registry
-	table    *balance.Table
-	budget   *retry.Budget
-	crashes  *crash.Table
-	mesh     *gossip.Mesh
-	edge     *edge.Server
-	lease    *planner.Lease
-	planner  *planner.Planner
+	settings   *platform.Settings
+	log        logrus.FieldLogger
+	clock      clock.Clock
+	metrics    *telemetry.Metrics
+	store      *platform.Store
+	registry   *fleet.Registry
+	table      *balance.Table
+	budget     *retry.Budget
+	crashes    *crash.Table
+	statements *statement.Table
+	mesh       *gossip.Mesh
+	edge       *edge.Server
+	lease      *planner.Lease
+	planner    *planner.Planner
 
 	followers      []*follower // Not modified after New.
 	incarnation    int64
@@ -111,7 +113,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, OnBlocked: n.announceBlocked, Clock: c, Log: log,
+	n.statements = statement.New(statement.Options{Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
+	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -2,7 +2,12 @@
 // memberships and the configuration in force. It is independent of wire formats.
 package fleet
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/statement"
+)
 
 // GroupState is the state of a group as one of its members reports it.
 type GroupState string
@@ -65,3 +70,8 @@
 
 // Incarnation returns the identity of this start of the replica.
 func (r *Replica) Incarnation() Incarnation { return Incarnation{r.ID, r.StartedUnixMs} }
+
+// Target returns the identity under which the statements of this start of the replica are kept.
+func (i Incarnation) Target() statement.Target {
+	return statement.Target{ID: i.ID, Incarnation: strconv.FormatInt(i.StartedUnixMs, 10)}
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 // Request is one attempt of a client, as it was received.
@@ -41,4 +43,6 @@
 	FaultyReplica string // Address or ID of the replica that caused a status 421 or 503; empty if none is stated.
 	// ColdFor is the time for which the replica states that it stays cold.
 	ColdFor time.Duration
+	// Statement is what the replica that sent the answer states about itself.
+	Statement statement.Statement
 }
