Send nothing new to replicas that state they are leaving

What callers saw: requests to a replica that had said it was leaving, some of them cut off when it ended. Cause: on the users' platform only the store's entry marked a replica as draining, so a statement in an answer was lost while the store was silent or stale, or the replica was cut off from it. Statements are now kept in one table by start of the target (internal/statement).

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -120,8 +120,10 @@
 	registry.Replace(list)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	statements := statement.New(statement.Options{})
+	registry.FollowStatements(statements)
 	return New(Options{Codec: platform.Codec{}, Registry: registry, Table: balance.NewTable(c), Budget: retry.New(retry.Options{Burst: burst, FloorPerSecond: -1}),
-		Crashes: crash.New(crash.Options{}), Statements: statement.New(statement.Options{}), OnBlocked: func() {},
+		Crashes: crash.New(crash.Options{}), Statements: statements, OnBlocked: func() {},
 		Clock: c, Log: log, Zone: "z", StoreAge: func() time.Duration { return 0 }, Nodes: func() int { return 1 },
 		LoadAge: func() time.Duration { return 0 }})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,6 +114,7 @@
 		return nil, err
 	}
 	n.statements = statement.New(statement.Options{Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
+	n.registry.FollowStatements(n.statements)
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 // ReturnGrace is the time for which an entry that is removed during or shortly after a store outage is kept. Replicas whose
@@ -44,6 +45,7 @@
 	lapsed       map[string]lapsedEntry
 	// observations holds the state that replicas reported directly, by ID.
 	observations map[string]*activeObservation
+	statements   *statement.Table // What replicas have stated in responses; nil if there is none.
 }
 
 type lapsedEntry struct {
@@ -63,6 +65,19 @@
 	return r
 }
 
+// FollowStatements makes replicas that state in a response that they are leaving count as draining, whatever the store says of them.
+// It is called before the registry is used.
+func (r *Registry) FollowStatements(t *statement.Table) {
+	r.mu.Lock()
+	r.statements = t
+	r.mu.Unlock()
+	t.OnLeaving(func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.publish()
+	})
+}
+
 // View returns the current snapshot.
 func (r *Registry) View() *View { return r.view.Load() }
 
@@ -215,6 +230,16 @@
 	}
 }
 
+// withStatement returns the entry, marked as draining if the replica has stated that it is leaving. The lock is held.
+func (r *Registry) withStatement(entry *Replica) *Replica {
+	if entry.Draining || r.statements == nil || !r.statements.Leaving(entry.Incarnation().Target()) {
+		return entry
+	}
+	merged := *entry
+	merged.Draining = true
+	return &merged
+}
+
 // publish replaces the snapshot that View returns. The lock is held.
 func (r *Registry) publish() {
 	v := &View{Replicas: make(map[string]*Replica, len(r.replicas)), ColdUntil: maps.Clone(r.coldUntil), Evacuated: r.evacuated,
@@ -223,7 +248,7 @@
 		v.Lapsed[id] = l.replica
 	}
 	for id, entry := range r.replicas {
-		replica := r.withObservation(entry)
+		replica := r.withStatement(r.withObservation(entry))
 		v.Replicas[id] = replica
 		if !replica.Draining && !r.evacuated[replica.Zone] {
 			v.ByService[replica.Service] = append(v.ByService[replica.Service], replica)
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -7,6 +7,7 @@
 	"github.com/frankban/quicktest"
 
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 func plainReplica(id, zone string) *Replica {
@@ -81,3 +82,22 @@
 	_, stillCold := r.View().ColdUntil["a"]
 	c.Assert(stillCold, quicktest.IsFalse)
 }
+
+// Guards against requests to a replica that states that it is leaving while the store lists it as ready, and against leaving out
+// the replica's next start.
+func TestReplicasThatStateTheyLeaveCountAsDraining(t *testing.T) {
+	c := quicktest.New(t)
+	r := NewRegistry(clock.NewManual(time.Hour))
+	statements := statement.New(statement.Options{})
+	r.FollowStatements(statements)
+	r.Replace([]*Replica{plainReplica("a", "z"), plainReplica("b", "z")})
+	statements.Record(plainReplica("a", "z").Incarnation().Target(), statement.Statement{Leaving: true})
+	c.Assert(r.View().Replicas["a"].Draining, quicktest.IsTrue)
+	c.Assert(r.View().ByService["desk"], quicktest.HasLen, 1)
+	r.Apply([]Change{{ID: "a", Replica: plainReplica("a", "z")}}) // The store still says that it is ready.
+	c.Assert(r.View().ByService["desk"], quicktest.HasLen, 1)
+	restarted := plainReplica("a", "z")
+	restarted.StartedUnixMs = 5
+	r.Apply([]Change{{ID: "a", Replica: restarted}})
+	c.Assert(r.View().ByService["desk"], quicktest.HasLen, 2)
+}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -14,6 +14,16 @@
 	"go.opentelemetry.io/otel/metric/noop"
 )
 
+const (
+	// retention is the time after which a statement that no response has repeated is dropped. A target that leaves is gone by
+	// then: it finishes its requests, but gets no new ones.
+	retention = 5 * time.Minute
+	// expiryInterval is the time between two searches for statements to drop.
+	expiryInterval = time.Second
+	// maxTargets bounds the memory used, about 300 bytes for each target. The target that was heard longest ago is dropped first.
+	maxTargets = 4096
+)
+
 // Target identifies one start of a target.
 type Target struct {
 	ID          string
@@ -33,17 +43,20 @@
 }
 
 // Table holds the newest statements of all targets. It is safe for concurrent use. Its lock is the last one in every lock order:
-// while it is held, only Options.Now and metric counters are called.
+// while it is held, only Options.Now is called.
 type Table struct {
 	options      Options
 	heardCounter metric.Int64Counter
 
-	mu      sync.Mutex
-	targets map[Target]*state
+	mu        sync.Mutex
+	targets   map[Target]*state
+	onLeaving []func()
+	expiredAt time.Duration // When statements were last searched for those to drop.
 }
 
 // state is what a target has stated. Times are readings of Options.Now.
 type state struct {
+	heardAt   time.Duration // When a response last stated something.
 	leaving   bool
 	leavingAt time.Duration // When the target was first heard to be leaving.
 }
@@ -76,33 +89,95 @@
 	return c
 }
 
-// Now returns the reading of the table's clock.
-func (t *Table) Now() time.Duration { return t.options.Now() }
+// OnLeaving registers a function that is called after a target was first heard to be leaving. It must not block.
+func (t *Table) OnLeaving(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onLeaving = append(t.onLeaving, f)
+}
 
 // Record records what a response of the target states.
 func (t *Table) Record(target Target, s Statement) {
-	if t.record(target, s) {
-		t.heardCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "leaving")))
-		t.options.Log.WithFields(logrus.Fields{"target": target.ID, "incarnation": target.Incarnation}).Info("target states that it is leaving")
+	t.mu.Lock()
+	firstLeaving := t.recordLocked(target, s, t.options.Now())
+	t.mu.Unlock()
+	if firstLeaving {
+		t.announceLeaving(target, "response")
 	}
 }
 
-// record reports whether the target states for the first time that it is leaving.
-func (t *Table) record(target Target, s Statement) bool {
+// announceLeaving logs that a target is leaving, as heard from a source, and calls the registered functions.
+func (t *Table) announceLeaving(target Target, source string) {
+	t.heardCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "leaving"), attribute.String("source", source)))
+	t.options.Log.WithFields(logrus.Fields{"target": target.ID, "incarnation": target.Incarnation, "source": source}).Info("target states that it is leaving")
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.targets[target]
-	if !s.Leaving || known != nil && known.leaving {
+	listeners := t.onLeaving
+	t.mu.Unlock()
+	for _, f := range listeners {
+		f()
+	}
+}
+
+// recordLocked records a statement that was heard at the given time. It reports whether the target states for the first time that
+// it is leaving.
+func (t *Table) recordLocked(target Target, s Statement, at time.Duration) (firstLeaving bool) {
+	if !s.Leaving {
 		return false
 	}
-	if known == nil {
-		known = &state{}
-		t.targets[target] = known
+	known := t.stateLocked(target)
+	known.heardAt = max(known.heardAt, at)
+	if known.leaving {
+		return false
 	}
-	known.leaving, known.leavingAt = true, t.options.Now()
+	known.leaving, known.leavingAt = true, at
 	return true
 }
 
+// stateLocked returns the state of the target, which it adds if it is new.
+func (t *Table) stateLocked(target Target) *state {
+	known := t.targets[target]
+	if known != nil {
+		return known
+	}
+	t.expireLocked()
+	if len(t.targets) >= maxTargets {
+		t.dropOldestLocked()
+	}
+	known = &state{}
+	t.targets[target] = known
+	return known
+}
+
+func (t *Table) expireLocked() {
+	now := t.options.Now()
+	if now-t.expiredAt < expiryInterval {
+		return
+	}
+	t.expiredAt = now
+	for target, s := range t.targets {
+		if now-s.heardAt > retention {
+			delete(t.targets, target)
+		}
+	}
+}
+
+func (t *Table) dropOldestLocked() {
+	var oldest Target
+	first := true
+	for target, s := range t.targets {
+		if first || s.heardAt < t.targets[oldest].heardAt {
+			oldest, first = target, false
+		}
+	}
+	delete(t.targets, oldest)
+}
+
+// Leaving reports whether the target has stated that it is leaving.
+func (t *Table) Leaving(target Target) bool {
+	_, leaving := t.LeavingFor(target)
+	return leaving
+}
+
 // LeavingFor returns the time since the target was first heard to be leaving, and whether it was.
 func (t *Table) LeavingFor(target Target) (time.Duration, bool) {
 	t.mu.Lock()
