Hear from answers to orders and queries that a replica is leaving

Members other than the head answer no requests, only the planner's orders and queries, whose headers were dropped, so a leaving member was replaced only after the store showed it. Every answer of a replica to the planner is now heard, whatever its status and body; the start is that which a report names. An answer 421 counts only if it names the replica, as another one may have the address.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -81,16 +81,10 @@
 	if header.RequestID != "" && header.RequestID != c.req.ID {
 		return fail(true, errRequestIDMismatch)
 	}
-	c.recordStatement(replica, resp.StatusCode, header)
-	return &replicaResponse{resp, header, conn}, true, nil
-}
-
-// recordStatement records what a response states about the replica. A response with status 421 may come from another replica that
-// now has the address, unless it names this one.
-func (c *call) recordStatement(replica *fleet.Replica, status int, a fleet.Answer) {
-	if status != http.StatusMisdirectedRequest || a.FaultyReplica == replica.ID {
-		c.opt.Statements.Record(replica.Incarnation().Target(), a.Statement)
+	if header.IsFrom(replica.ID, resp.StatusCode) {
+		c.opt.Statements.Record(replica.Incarnation().Target(), header.Statement)
 	}
+	return &replicaResponse{resp, header, conn}, true, nil
 }
 
 // encodeRequest returns the HTTP/1.1 request for the replica.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,7 +120,7 @@
 		LoadAge: n.loadAge})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
 	n.planner = planner.New(planner.Options{Lease: n.lease, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
-		Table: n.table, Replicas: platform.NewReplicaClient(), Clock: c, Log: log, LoadWindow: s.Bounds.LoadWindow, StallAfter: s.Bounds.StallAfter, EntryTTL: s.Bounds.EntryTTL,
+		Table: n.table, Replicas: platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) }), Clock: c, Log: log, LoadWindow: s.Bounds.LoadWindow, StallAfter: s.Bounds.StallAfter, EntryTTL: s.Bounds.EntryTTL,
 		Candidate: n.isPlannerCandidate, BeforeFirstRequest: n.firstRunWithoutRequests})
 	n.followers = n.newFollowers()
 	return n, nil
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -46,3 +46,9 @@
 	// Statement is what the replica that sent the answer states about itself.
 	Statement statement.Statement
 }
+
+// IsFrom reports whether the answer to a request that was sent to the replica with the ID comes from that replica. An address may be
+// in use by another replica, which answers with status 421; so does the replica itself if it isn't the head of its group.
+func (a Answer) IsFrom(id string, status int) bool {
+	return status != http.StatusMisdirectedRequest || a.FaultyReplica == id
+}
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -63,7 +63,7 @@
 func (p *Planner) queryReport(ctx context.Context, r *fleet.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	report, err := p.opt.Replicas.Report(ctx, r.ID, r.Address)
+	report, err := p.opt.Replicas.Report(ctx, r.Incarnation(), r.Address)
 	if err != nil {
 		p.opt.Log.WithField("replica", r.ID).WithError(err).Debug("a replica's report could not be read")
 		return
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -294,7 +294,7 @@
 	answers := make(chan error, 2)
 	var reportedSlowdown atomic.Value
 	sendProbe := func() {
-		report, err := p.opt.Replicas.Report(ctx, replica.ID, replica.Address)
+		report, err := p.opt.Replicas.Report(ctx, replica.Incarnation(), replica.Address)
 		if err == nil {
 			reportedSlowdown.Store(report.Slowdown)
 		}
@@ -367,7 +367,7 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	reply, err := p.opt.Replicas.Order(ctx, o.To.ID, o.To.Address, message)
+	reply, err := p.opt.Replicas.Order(ctx, o.To.Incarnation(), o.To.Address, message)
 	logEntry := p.opt.Log.WithFields(logrus.Fields{"order": o.Action.String(), "replica": o.To.ID, "group": o.Group, "epoch": o.Epoch,
 		"model": o.Model, "members": o.Members, "reply": int(reply), "took_ms": time.Since(started).Milliseconds()})
 	if err != nil {
