Send nothing new to targets of the own interface that state they are leaving

Targets now state it in all responses (X-Leaving, with X-Incarnation), and responses to requests, resumes, cancels, probes, orders and state reads are heard, whatever their status. A target whose receiver leaves is unusable, also for requests that hold a slot and haven't been sent; a group with another leaving member is replaced like one with a VM that the list shows as leaving. TestInvariantVMThatStatesItIsLeaving and TestInvariantServiceThatStatesItIsLeaving (processes, platform silent) fail if the header isn't read: no replacement within 30 s, requests 5.0 s after the statement. In the latter a request was refused as not run right after the platform went down, as its target changed its holder; the test counts only other failures, since that refusal is true.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/internal/target"
 )
 
@@ -30,9 +31,8 @@
 )
 
 const (
-	headerRequestID   = "X-Request-Id"
-	headerCold        = "X-Cold" // "true" in responses of a cold service; not forwarded.
-	headerIncarnation = "X-Incarnation"
+	headerRequestID = "X-Request-Id"
+	headerCold      = "X-Cold" // "true" in responses of a cold service; not forwarded.
 
 	// bodyChunkSize is the number of bytes of a response body that are read and forwarded at a time.
 	bodyChunkSize = 32 << 10
@@ -171,8 +171,10 @@
 		e.outcome.ConnectionLost = true
 		return e
 	}
+	slot.RecordStatement(resp)
 	cold := resp.Header.Get(headerCold) == "true"
 	resp.Header.Del(headerCold)
+	statement.RemoveHeaders(resp.Header)
 	if err := r.forwardResponse(resp, req.GetMethod(), sink); err != nil {
 		return r.incompleteEnd(ctx, slot, req, err)
 	}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -12,6 +12,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/internal/target"
 )
 
@@ -123,6 +124,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if got := resp.Header.Get(headerRequestID); got == "" || got == s.req.GetRequestId() {
+		s.slot.RecordStatement(resp)
+	}
 	if err := s.checkResponseHead(path, resp); err != nil {
 		return err
 	}
@@ -143,7 +147,7 @@
 	if got := resp.Header.Get(headerRequestID); got != s.req.GetRequestId() {
 		return &streamError{code: result.AnswerMismatch, targetLost: true, message: fmt.Sprintf("response to request %q instead of %q", got, s.req.GetRequestId())}
 	}
-	if got := resp.Header.Get(headerIncarnation); got != s.slot.Incarnation {
+	if got := resp.Header.Get(statement.HeaderIncarnation); got != s.slot.Incarnation {
 		return &streamError{code: result.TargetFailed, targetLost: true, message: fmt.Sprintf("incarnation %q instead of %q", got, s.slot.Incarnation)}
 	}
 	return nil
@@ -256,5 +260,6 @@
 		s.runner.options.Log.WithError(err).WithField("target", s.slot.ID).Debug("cannot cancel a request at the engine")
 		return
 	}
+	s.slot.RecordStatement(resp)
 	resp.Body.Close()
 }
--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -399,6 +399,7 @@
 	now := c.options.Now()
 	for _, vm := range vms {
 		if vm.FabricDomain == fabric {
+			vm.Leaving = vm.Leaving || c.options.Report(vm.Name).Leaving
 			in.VMs = append(in.VMs, vm)
 			in.Reports[vm.Name] = c.reportSince(vm.Name, now, state.activeFrom)
 		}
--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -39,6 +39,8 @@
 	Age time.Duration
 	// Seen is false if no report has arrived yet.
 	Seen bool
+	// Leaving is set if the engine has stated that it is leaving, whether or not the VM list shows it.
+	Leaving bool
 }
 
 // Share is a pool and the number of its replicas that this fabric domain should hold.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/internal/settings"
+	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/internal/target"
 	"cassiadeal.example/cassiadeal/internal/telemetry"
 )
@@ -67,6 +68,7 @@
 	targets    *target.Table
 	claims     *claims.Manager
 	crashes    *crash.Table
+	statements *statement.Table
 	budget     *retry.Budget
 	admission  *admission.Controller
 	router     *router.Router
@@ -213,9 +215,12 @@
 		Now: n.now, Log: n.log, Meter: meter, BeforeRelease: n.beforeRelease,
 		OnTakeover: n.membership.SendHeartbeats,
 	})
-	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery})
+	n.statements = statement.New(statement.Options{Now: n.now, Log: n.log, Meter: meter})
+	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery, Heard: func(address string, resp *http.Response) {
+		n.statements.RecordResponse(address, "", resp)
+	}})
 	// Two reads within the freshness bound tolerate one late read.
-	n.reports = newVMReports(orderClient, n.now, n.vms.address, timing.Freshness/2, timing.Freshness)
+	n.reports = newVMReports(orderClient, n.statements, n.now, n.vms.address, timing.Freshness/2, timing.Freshness)
 	n.groups = groups.New(groups.Options{
 		Self: self, Platform: api, Members: holderMembers{n.membership}, Orders: orderClient, VMs: n.plannedVMs, Report: n.reports.get,
 		Rules: func() *rules.Rules { _, r := n.config.Current(); return r }, Now: n.now,
@@ -228,7 +233,7 @@
 	limits := n.settings.Limits
 	meter := n.metrics.Meter()
 	n.targets = target.New(target.Options{
-		ProbeInterval: timing.Probe, Freshness: timing.Freshness, Prober: target.NewHTTPProber(), Now: n.now, Log: n.log, Meter: meter,
+		ProbeInterval: timing.Probe, Freshness: timing.Freshness, Prober: target.NewHTTPProber(), Statements: n.statements, Now: n.now, Log: n.log, Meter: meter,
 	})
 	n.crashes = crash.New(crash.Options{Now: n.now})
 	n.budget = retry.New(retry.Options{Now: n.now, Log: n.log, Meter: meter})
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -10,6 +10,7 @@
 	"cassiadeal.example/cassiadeal/internal/holder"
 	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/internal/target"
 )
 
@@ -237,11 +238,15 @@
 	return spec, true
 }
 
-// mustStopForLeaving reports whether a group must take no more new work because a member has been leaving for leavingGrace.
-// Until then it serves while its replacement is built; the controller retires it when the replacement is ready.
+// mustStopForLeaving reports whether a group must take no more new work because a member has been leaving for leavingGrace, by the
+// VM list or as it has stated itself. Until then it serves while its replacement is built; the controller retires it when the
+// replacement is ready.
 func (n *Node) mustStopForLeaving(g groups.View) bool {
 	now := n.now()
-	return slices.ContainsFunc(g.Members, func(m groups.Member) bool { return n.vms.leavingGraceOver(m.VM, now) })
+	return slices.ContainsFunc(g.Members, func(m groups.Member) bool {
+		age, stated := n.statements.LeavingFor(statement.Target{ID: m.Address, Incarnation: m.Incarnation})
+		return stated && age >= leavingGrace || n.vms.leavingGraceOver(m.VM, now)
+	})
 }
 
 // onRules applies new rules to the components that the reconcile loop doesn't update.
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -7,6 +7,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/groups"
 	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 const (
@@ -22,6 +23,7 @@
 // state.
 type vmReports struct {
 	client       *orders.Client
+	statements   *statement.Table
 	now          func() time.Duration
 	address      func(vm string) (string, bool)
 	readInterval time.Duration
@@ -42,9 +44,9 @@
 	nextRead       time.Duration // Earliest start of the next read.
 }
 
-func newVMReports(client *orders.Client, now func() time.Duration, address func(string) (string, bool), interval, timeout time.Duration) *vmReports {
+func newVMReports(client *orders.Client, statements *statement.Table, now func() time.Duration, address func(string) (string, bool), interval, timeout time.Duration) *vmReports {
 	return &vmReports{
-		client: client, now: now, address: address, readInterval: interval, readTimeout: timeout,
+		client: client, statements: statements, now: now, address: address, readInterval: interval, readTimeout: timeout,
 		readQueue: make(chan string, reportQueueSize), vms: make(map[string]*vmReport),
 	}
 }
@@ -62,7 +64,9 @@
 	if !report.hasState {
 		return groups.Report{Age: v.now() - report.firstRequested}
 	}
+	address, _ := v.address(vm)
 	return groups.Report{
+		Leaving:     v.statements.Leaving(statement.Target{ID: address, Incarnation: report.state.Incarnation}),
 		Incarnation: report.state.Incarnation, Group: report.state.Group, Number: report.state.Number,
 		Rank: report.state.Rank, Size: report.state.Size,
 		Model: report.state.Model, Loading: report.state.Loading, Ready: report.state.Ready, Weights: report.state.Weights,
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -83,12 +83,15 @@
 // Options configures a Client.
 type Options struct {
 	Timeout time.Duration // Limit for one call, including connecting; 2 s if zero.
+	// Heard is called with each response of the engine at an address, whatever its status, before its body is read; nil for none.
+	Heard func(address string, resp *http.Response)
 }
 
 // Client calls engines over HTTP. Every call has its own connection, because http.Transport may send a request again if a
 // reused connection turns out to be closed.
 type Client struct {
-	http *http.Client
+	http  *http.Client
+	heard func(address string, resp *http.Response)
 }
 
 // New returns a Client.
@@ -96,7 +99,10 @@
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
 	}
-	return &Client{http: &http.Client{
+	if o.Heard == nil {
+		o.Heard = func(string, *http.Response) {}
+	}
+	return &Client{heard: o.Heard, http: &http.Client{
 		Timeout: o.Timeout,
 		Transport: &http.Transport{
 			DisableKeepAlives: true,
@@ -132,6 +138,7 @@
 		return fmt.Errorf("%w: engine %s: %w", ErrOutcomeUnknown, address, err)
 	}
 	defer resp.Body.Close()
+	c.heard(address, resp)
 	var result struct {
 		Accepted bool   `json:"accepted"`
 		Fence    uint64 `json:"fence"`
@@ -160,6 +167,7 @@
 		return s, eris.Wrapf(err, "get state of engine %s", address)
 	}
 	defer resp.Body.Close()
+	c.heard(address, resp)
 	if resp.StatusCode != http.StatusOK {
 		return s, eris.Errorf("get state of engine %s: status %d", address, resp.StatusCode)
 	}
--- a/internal/standin/engine/machine.go
+++ b/internal/standin/engine/machine.go
@@ -83,6 +83,7 @@
 	cancel      context.CancelFunc
 	inFlight    *standin.InFlightTracker
 	cache       *prefixCache
+	statements  standin.Statements
 	failed      bool // by an overload or a crash; generate requests get no answer until the process is replaced
 
 	maxFence          uint64
@@ -190,6 +191,9 @@
 	if f.TurnCold && m.proc != nil {
 		m.proc.inFlight.TurnCold()
 	}
+	if m.proc != nil {
+		setIfPresent(&m.proc.statements.Leaving, f.Leaving)
+	}
 	m.mu.Unlock()
 	if f.Down != nil {
 		if err := m.setDown(*f.Down); err != nil {
@@ -268,7 +272,11 @@
 		if p == nil || !p.waitPause(r.Context()) {
 			panic(http.ErrAbortHandler)
 		}
-		h(w, r, p)
+		standin.WithStatements(p.incarnation, func() standin.Statements {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return p.statements
+		}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h(w, r, p) })).ServeHTTP(w, r)
 	}
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -44,6 +44,7 @@
 	Silent           *int    `json:"silent,omitempty"`              // N executions whose connection stays open without a reply
 	ReplyDelayOnceMS *int64  `json:"reply_delay_once_ms,omitempty"` // delay of the next reply, after its execution
 	TurnCold         bool    `json:"turn_cold,omitempty"`
+	Leaving          *bool   `json:"leaving,omitempty"` // the current incarnation states in all responses that it is leaving
 }
 
 // Answer is the body of an answer.
@@ -104,6 +105,7 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	inFlight    *standin.InFlightTracker
+	statements  standin.Statements // guarded by Server.mu
 }
 
 // Server is the stand-in.
@@ -193,7 +195,11 @@
 		standin.WriteJSON(w, http.StatusOK, map[string]any{"incarnation": p.incarnation, "cold": p.inFlight.IsCold()})
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { s.handleRequest(w, r, p) })
-	return s.listener.Open(mux)
+	return s.listener.Open(standin.WithStatements(p.incarnation, func() standin.Statements {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return p.statements
+	}, mux))
 }
 
 // stopProcess ends the incarnation, if one runs, and closes all connections. The caller holds lifecycle.
@@ -262,6 +268,9 @@
 	if f.TurnCold && p != nil {
 		p.inFlight.TurnCold()
 	}
+	if p != nil {
+		setIfPresent(&p.statements.Leaving, f.Leaving)
+	}
 	s.mu.Unlock()
 	if f.Down != nil {
 		if err := s.setDown(*f.Down); err != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -49,6 +49,23 @@
 // UnixMS returns t in Unix milliseconds, the unit of time in all records.
 func UnixMS(t time.Time) int64 { return t.UnixMilli() }
 
+// Statements is what a simulated target states about itself in the headers of all responses.
+type Statements struct {
+	Leaving bool
+}
+
+// WithStatements returns a handler that adds the headers of what statements returns, and the incarnation, to each response of h.
+func WithStatements(incarnation string, statements func() Statements, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := statements()
+		w.Header().Set("X-Incarnation", incarnation)
+		if s.Leaving {
+			w.Header().Set("X-Leaving", "true")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Listener is an HTTP server on one address that can be closed with all its connections and opened again.
 type Listener struct {
 	mu       sync.Mutex
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 const (
@@ -31,6 +33,9 @@
 	Cold        bool   `json:"cold"`
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
+	// Statement is what the headers of the response state. It is also set if Probe returns an error but there was a response, and
+	// Incarnation then is that which the headers name.
+	Statement statement.Statement `json:"-"`
 }
 
 // Prober fetches the state of one member. Probe returns an error if no valid response arrives before ctx ends.
@@ -71,16 +76,17 @@
 		return Report{}, fmt.Errorf("probe %s: %w", address, err)
 	}
 	defer resp.Body.Close()
+	headers := Report{Incarnation: resp.Header.Get(statement.HeaderIncarnation), Statement: statement.FromHeader(resp.Header)}
 	if resp.StatusCode != http.StatusOK {
-		return Report{}, fmt.Errorf("probe %s: status %d", address, resp.StatusCode)
+		return headers, fmt.Errorf("probe %s: status %d", address, resp.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeResponse))
 	if err != nil {
-		return Report{}, fmt.Errorf("probe %s: %w", address, err)
+		return headers, fmt.Errorf("probe %s: %w", address, err)
 	}
-	var r Report
+	r := Report{Statement: headers.Statement}
 	if err := json.Unmarshal(body, &r); err != nil {
-		return Report{}, fmt.Errorf("probe %s: %w", address, err)
+		return headers, fmt.Errorf("probe %s: %w", address, err)
 	}
 	if r.Incarnation == "" {
 		return Report{}, fmt.Errorf("probe %s: the response has no incarnation", address)
@@ -155,6 +161,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if report.Incarnation != "" {
+		t.options.Statements.Record(statement.Target{ID: m.Address, Incarnation: report.Incarnation}, report.Statement)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ctx.Err() != nil { // The member was replaced or Run ended while the probe ran.
--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -247,7 +248,7 @@
 		if isUsable {
 			usable = append(usable, tgt)
 		}
-		if tgt.worthWaiting(isUsable, now, t.options.Freshness) {
+		if !t.isLeaving(tgt) && tgt.worthWaiting(isUsable, now, t.options.Freshness) {
 			worthWaiting = append(worthWaiting, tgt)
 		}
 	}
@@ -333,6 +334,11 @@
 	return nil
 }
 
+// RecordStatement records what a response of the target states about it.
+func (s *Slot) RecordStatement(resp *http.Response) {
+	s.table.options.Statements.RecordResponse(s.Address, s.Incarnation, resp)
+}
+
 // restartedLocked reports whether the incarnation of a member has changed since the slot was granted.
 func (s *Slot) restartedLocked() bool {
 	for i, m := range s.members {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -3,7 +3,7 @@
 //
 // Table.mu is the only lock of the package. It is never held while probing or waiting. The Policy and the clock are
 // called and metric counters are incremented with it held; they must not block or call the table. Code that holds another
-// lock may call the table, so mu comes last in every lock order.
+// lock may call the table, so only the lock of the table of statements comes after mu.
 package target
 
 import (
@@ -21,6 +21,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 // Defaults of Options.
@@ -69,6 +70,7 @@
 	Freshness     time.Duration // A report is valid while its age, counted from the sending of the probe, is below this.
 	Prober        Prober
 	Policy        Policy               // Default: Affinity.
+	Statements    *statement.Table     // What targets state about themselves in responses. Default: an empty table.
 	Now           func() time.Duration // Monotonic clock. Default: time since New.
 	Log           logrus.FieldLogger
 	Meter         metric.Meter
@@ -138,6 +140,9 @@
 		discard.SetOutput(io.Discard)
 		opt.Log = discard
 	}
+	if opt.Statements == nil {
+		opt.Statements = statement.New(statement.Options{Now: opt.Now})
+	}
 	if opt.Meter == nil {
 		opt.Meter = noop.NewMeterProvider().Meter("target")
 	}
@@ -301,9 +306,29 @@
 			return "member " + m.Address + ": " + reason
 		}
 	}
+	if t.isLeaving(tgt) {
+		return "it has stated that it is leaving"
+	}
 	return ""
 }
 
+// isLeaving reports whether the process that requests are sent to has stated that it is leaving. If another member of a group
+// leaves, the group's controller replaces it.
+func (t *Table) isLeaving(tgt *target) bool {
+	receiver, known := tgt.receiver()
+	return known && t.options.Statements.Leaving(receiver)
+}
+
+// receiver identifies the process that the target's requests are sent to, if it has reported its incarnation.
+func (tgt *target) receiver() (receiver statement.Target, known bool) {
+	for _, m := range tgt.members {
+		if m.Address == tgt.spec.Address {
+			return statement.Target{ID: m.Address, Incarnation: m.report.Incarnation}, m.report.Incarnation != ""
+		}
+	}
+	return statement.Target{}, false
+}
+
 func (m *member) unusableReason(s Spec, now, freshness time.Duration) string {
 	r := m.report
 	switch {
