--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -17,6 +17,7 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 const (
@@ -68,6 +69,7 @@
 		conn.Close()
 		return nil, sent, err
 	}
+	sentAt := c.opt.Statements.Now()
 	if _, err := conn.Write(c.encodeRequest(replica, lastEventID)); err != nil {
 		return fail(true, err)
 	}
@@ -82,11 +84,21 @@
 		return fail(true, errRequestIDMismatch)
 	}
 	if header.IsFrom(replica.ID, resp.StatusCode) {
-		c.opt.Statements.Record(replica.Incarnation().Target(), header.Statement)
+		c.recordStatement(replica, resp.StatusCode, header.Statement, sentAt)
 	}
 	return &replicaResponse{resp, header, conn}, true, nil
 }
 
+// recordStatement records what a response to a request that was sent at the given time states about the replica.
+func (c *call) recordStatement(replica *fleet.Replica, status int, s statement.Statement, sentAt time.Duration) {
+	target := replica.Incarnation().Target()
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		c.opt.Statements.RecordSuccess(target, s, sentAt)
+	} else {
+		c.opt.Statements.Record(target, s)
+	}
+}
+
 // encodeRequest returns the HTTP/1.1 request for the replica.
 func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string) []byte {
 	var b bytes.Buffer
--- a/internal/statement/report.go
+++ b/internal/statement/report.go
@@ -39,21 +39,15 @@
 
 // Merge records the statements that another node reported.
 func (t *Table) Merge(reports []*schema.TargetStatement) {
-	var leaving []Target
-	t.mu.Lock()
-	now := t.options.Now()
 	for _, r := range reports {
 		target := Target{r.GetTarget(), r.GetIncarnation()}
 		age := time.Duration(max(r.GetAgeMs(), 0)) * time.Millisecond
 		if target.ID == "" || age > retention {
 			continue
 		}
-		if t.recordLocked(target, Statement{Leaving: r.GetLeaving()}, now-age) {
-			leaving = append(leaving, target)
-		}
-	}
-	t.mu.Unlock()
-	for _, target := range leaving {
-		t.announceLeaving(target, "node")
+		t.mu.Lock()
+		news := t.recordLocked(target, Statement{Leaving: r.GetLeaving()}, t.options.Now()-age)
+		t.mu.Unlock()
+		t.announce(target, news, "node")
 	}
 }
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -5,6 +5,9 @@
 import (
 	"context"
 	"io"
+	"math"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +36,31 @@
 // Statement is what one response states about the target that sent it.
 type Statement struct {
 	Leaving bool // The target is about to stop and takes no new requests.
+	// Limit is how many requests the target takes, as long as its responses state so.
+	Limit Limit
+}
+
+// Limit is a limit on the rate of requests, from all nodes together.
+type Limit struct {
+	Stated    bool
+	PerSecond float64
+	// Unreadable is set if the response states a limit that can't be read. An earlier limit then stays.
+	Unreadable bool
+}
+
+// maxLimit is the rate from which on a stated limit has no effect. It keeps calculations with limits finite.
+const maxLimit = 1e6
+
+// ParseLimit returns the limit that a header with the text states. Without the header the text is empty.
+func ParseLimit(text string) Limit {
+	if text == "" {
+		return Limit{}
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(perSecond) || perSecond < 0 {
+		return Limit{Unreadable: true}
+	}
+	return Limit{Stated: true, PerSecond: min(perSecond, maxLimit)}
 }
 
 // Options configures a Table. Zero values are replaced by defaults.
@@ -57,6 +85,8 @@
 // state is what a target has stated. Times are readings of Options.Now.
 type state struct {
 	heardAt   time.Duration // When a response last stated something.
+	limit     Limit
+	limitAt   time.Duration // When a response last stated the limit, or showed that there is none any more; 0 for never.
 	leaving   bool
 	leavingAt time.Duration // When the target was first heard to be leaving.
 }
@@ -89,6 +119,9 @@
 	return c
 }
 
+// Now returns the reading of the table's clock.
+func (t *Table) Now() time.Duration { return t.options.Now() }
+
 // OnLeaving registers a function that is called after a target was first heard to be leaving. It must not block.
 func (t *Table) OnLeaving(f func()) {
 	t.mu.Lock()
@@ -96,20 +129,54 @@
 	t.onLeaving = append(t.onLeaving, f)
 }
 
-// Record records what a response of the target states.
+// Record records what a response of the target states. A limit that the response doesn't state stays in force.
 func (t *Table) Record(target Target, s Statement) {
 	t.mu.Lock()
-	firstLeaving := t.recordLocked(target, s, t.options.Now())
+	news := t.recordLocked(target, s, t.options.Now())
 	t.mu.Unlock()
-	if firstLeaving {
-		t.announceLeaving(target, "response")
+	t.announce(target, news, "response")
+}
+
+// RecordSuccess records what a successful response of the target to a request that was sent at the given time states. If it states
+// no limit, an earlier limit is lifted, unless it was heard after the request was sent: responses may overtake each other.
+func (t *Table) RecordSuccess(target Target, s Statement, sentAt time.Duration) {
+	t.mu.Lock()
+	news := t.recordLocked(target, s, t.options.Now())
+	if known := t.targets[target]; known != nil && known.limit.Stated && !s.Limit.Stated && !s.Limit.Unreadable && sentAt > known.limitAt {
+		known.setLimit(Limit{}, t.options.Now())
+		news.limit = &known.limit
 	}
+	t.mu.Unlock()
+	t.announce(target, news, "response")
 }
 
-// announceLeaving logs that a target is leaving, as heard from a source, and calls the registered functions.
-func (t *Table) announceLeaving(target Target, source string) {
-	t.heardCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "leaving"), attribute.String("source", source)))
-	t.options.Log.WithFields(logrus.Fields{"target": target.ID, "incarnation": target.Incarnation, "source": source}).Info("target states that it is leaving")
+// news is what changed by a statement.
+type news struct {
+	leaving    bool   // The target states for the first time that it is leaving.
+	limit      *Limit // The new limit, or one that isn't stated if it was lifted; nil if it hasn't changed.
+	unreadable bool
+}
+
+// announce logs and counts what changed, as heard from a source, and calls the functions registered with OnLeaving.
+func (t *Table) announce(target Target, n news, source string) {
+	log := t.options.Log.WithFields(logrus.Fields{"target": target.ID, "incarnation": target.Incarnation, "source": source})
+	if n.unreadable {
+		t.count("unreadable", source)
+		log.Warning("target states a limit that can't be read")
+	}
+	if n.limit != nil {
+		kind := "limit"
+		if !n.limit.Stated {
+			kind = "limit_lifted"
+		}
+		t.count(kind, source)
+		log.WithFields(logrus.Fields{"limited": n.limit.Stated, "requests_per_second": n.limit.PerSecond}).Info("the limit that a target states has changed")
+	}
+	if !n.leaving {
+		return
+	}
+	t.count("leaving", source)
+	log.Info("target states that it is leaving")
 	t.mu.Lock()
 	listeners := t.onLeaving
 	t.mu.Unlock()
@@ -118,19 +185,32 @@
 	}
 }
 
-// recordLocked records a statement that was heard at the given time. It reports whether the target states for the first time that
-// it is leaving.
-func (t *Table) recordLocked(target Target, s Statement, at time.Duration) (firstLeaving bool) {
-	if !s.Leaving {
-		return false
+func (t *Table) count(kind, source string) {
+	t.heardCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("source", source)))
+}
+
+// recordLocked records a statement that was heard at the given time.
+func (t *Table) recordLocked(target Target, s Statement, at time.Duration) (n news) {
+	n.unreadable = s.Limit.Unreadable
+	if !s.Leaving && !s.Limit.Stated {
+		return n
 	}
 	known := t.stateLocked(target)
 	known.heardAt = max(known.heardAt, at)
-	if known.leaving {
-		return false
+	if s.Leaving && !known.leaving {
+		known.leaving, known.leavingAt, n.leaving = true, at, true
+	}
+	if s.Limit.Stated && at >= known.limitAt {
+		if changed := known.limit != s.Limit; changed {
+			n.limit = &s.Limit
+		}
+		known.setLimit(s.Limit, at)
 	}
-	known.leaving, known.leavingAt = true, at
-	return true
+	return n
+}
+
+func (s *state) setLimit(l Limit, at time.Duration) {
+	s.limit, s.limitAt, s.heardAt = l, at, max(s.heardAt, at)
 }
 
 // stateLocked returns the state of the target, which it adds if it is new.
