--- a/internal/dispatch/statement_test.go
+++ b/internal/dispatch/statement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,34 @@
 	"cassiadeal.example/cassiadeal/internal/target"
 )
 
+// startTable returns a running table with a target of one process at each address, whose probes report nothing special.
+func startTable(t *testing.T, addresses ...string) *target.Table {
+	prober := &fakeProber{}
+	prober.incarnation.Store("i1")
+	table := target.New(target.Options{ProbeInterval: 5 * time.Millisecond, Freshness: testTimeout, Prober: prober})
+	var specs []target.Spec
+	for _, address := range addresses {
+		specs = append(specs, target.Spec{ID: address, Destination: "pool/p", Address: address, Group: "g", Number: 7, MaxQueue: 100,
+			Members: []target.Member{{Address: address, Incarnation: "i1"}}, Limits: rules.Limits{Cold: 2, Full: 4}})
+	}
+	table.SetSpecs(specs)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); table.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return table
+}
+
+// countRequests returns the number of requests that the server received, without calls that cancel one.
+func countRequests(s *rawServer) (n int) {
+	for _, request := range s.received() {
+		if request != "POST /v1/cancel" {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against requests to a target that has stated in a response that it is leaving, while neither probes nor the platform show it.
 func TestLeavingTargetGetsNoNewRequests(t *testing.T) {
 	const leaving = "X-Request-Id: r1\r\nX-Incarnation: i1\r\nX-Leaving: true\r\n"
@@ -36,36 +65,58 @@
 				}
 			}
 			first, second := newRawServer(t, nil, answer), newRawServer(t, nil, answer)
-			prober := &fakeProber{}
-			prober.incarnation.Store("i1")
-			table := target.New(target.Options{ProbeInterval: 5 * time.Millisecond, Freshness: testTimeout, Prober: prober})
-			var specs []target.Spec
-			for _, address := range []string{first.address, second.address} {
-				specs = append(specs, target.Spec{ID: address, Destination: "pool/p", Address: address, Group: "g", Number: 7, MaxQueue: 1,
-					Members: []target.Member{{Address: address, Incarnation: "i1"}}, Limits: rules.Limits{Cold: 2, Full: 4}})
-			}
-			table.SetSpecs(specs)
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() { defer close(done); table.Run(ctx) }()
-			defer func() { cancel(); <-done }()
+			table := startTable(t, first.address, second.address)
 			for range 6 {
-				slot, err := table.Acquire(ctx, target.SlotRequest{Destination: "pool/p"})
+				slot, err := table.Acquire(t.Context(), target.SlotRequest{Destination: "pool/p"})
 				if err != nil {
 					continue // Both targets have stated that they are leaving.
 				}
-				New(Options{}).Run(ctx, slot, &schema.DispatchRequest{RequestId: "r1", Method: "POST", Path: "/", Generate: test.generate,
+				New(Options{}).Run(t.Context(), slot, &schema.DispatchRequest{RequestId: "r1", Method: "POST", Path: "/", Generate: test.generate,
 					Body: []byte("{}"), Repeatable: true}, (&receivedAnswer{}).sink)
 			}
-			for _, server := range []*rawServer{first, second} {
-				sent := 0
-				for _, request := range server.received() {
-					if request == "POST /" || request == "POST /v1/generate" {
-						sent++
-					}
-				}
-				c.Check(sent, qt.Equals, 1)
+			c.Check(countRequests(first), qt.Equals, 1)
+			c.Check(countRequests(second), qt.Equals, 1)
+		})
+	}
+}
+
+const (
+	// limitPerSecond is the limit that the target names. limitBound is what it may get in limitWindow: one and a half times what the
+	// limit allows, and five requests.
+	limitPerSecond = 2
+	limitWindow    = 4 * time.Second
+	limitBound     = 1.5*limitPerSecond*4 + 5
+)
+
+// Guards against more requests to a target than the limit that it names in its responses allows.
+func TestTargetThatNamesALimit(t *testing.T) {
+	const limit = "X-Request-Id: r1\r\nX-Incarnation: i1\r\nX-Rate-Limit: 2\r\n"
+	for _, test := range []struct {
+		name, answer string
+		generate     bool
+	}{
+		{"success", "HTTP/1.1 200 OK\r\n" + limit + "Content-Length: 5\r\n\r\nhello", false},
+		{"failure", "HTTP/1.1 500 No\r\n" + limit + "Content-Length: 1\r\n\r\nx", false},
+		{"stream", "HTTP/1.1 200 OK\r\n" + limit + "\r\n" + `data: {"request_id":"r1","end":true,"tokens":0}` + "\n\n", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			limited := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, _ string) { _, _ = conn.Write([]byte(test.answer)) })
+			other := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, _ string) {
+				_, _ = conn.Write([]byte(strings.ReplaceAll(test.answer, "X-Rate-Limit: 2\r\n", "")))
+			})
+			table := startTable(t, limited.address, other.address)
+			sent := 0
+			for end := time.Now().Add(limitWindow); time.Now().Before(end); sent++ {
+				slot, err := table.Acquire(t.Context(), target.SlotRequest{Destination: "pool/p"})
+				c.Assert(err, qt.IsNil)
+				New(Options{}).Run(t.Context(), slot, &schema.DispatchRequest{RequestId: "r1", Method: "POST", Path: "/", Generate: test.generate,
+					Body: []byte("{}"), Repeatable: true}, (&receivedAnswer{}).sink)
+				time.Sleep(20 * time.Millisecond)
 			}
+			c.Check(countRequests(limited) <= limitBound, qt.IsTrue, qt.Commentf("%d of %d requests", countRequests(limited), sent))
+			c.Check(countRequests(limited) >= limitPerSecond*3, qt.IsTrue, qt.Commentf("%d requests", countRequests(limited)))
 		})
 	}
 }
--- a/internal/edge/statement_test.go
+++ b/internal/edge/statement_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -51,3 +53,43 @@
 		})
 	}
 }
+
+const (
+	// limitPerSecond is the limit that replicas name in these tests. limitBound is what they may get in limitWindow: one and a half
+	// times what the limit allows, and five requests.
+	limitPerSecond = 2
+	limitWindow    = 4 * time.Second
+	limitBound     = 1.5*limitPerSecond*4 + 5
+)
+
+// Guards against more requests to a replica than the limit that it names allows: first sends, retries and resumed streams count.
+func TestReplicaThatNamesALimit(t *testing.T) {
+	limit := fmt.Sprintf("Server-Limit: %d\r\n", limitPerSecond)
+	for _, test := range []struct {
+		name   string
+		repeat fleet.Repeat
+		answer string
+		other  string // Answers of the other replica, which names no limit.
+	}{
+		{"success", fleet.RepeatSafe, httpResponse("200 OK", sealHeader+limit, "done"), httpResponse("200 OK", sealHeader, "done")},
+		{"refusal", fleet.RepeatNever, httpResponse("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\n"+limit, ""), httpResponse("200 OK", sealHeader, "done")},
+		{"stream", fleet.RepeatStream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealHeader + limit + "\r\n" + events(1, 4), streamHead + events(1, 4)},
+		{"streams that the other one breaks off", fleet.RepeatStream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealHeader + limit + "\r\n" + events(1, 4), streamHead + events(1, 2) + "id: 3\nda"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			limited := newReplica(t, false, func(*http.Request) string { return test.answer })
+			other := newReplica(t, false, func(*http.Request) string { return test.other })
+			other.otherZone = true
+			h := newServer(t, test.repeat, limited, other)
+			sent := 0
+			for end := time.Now().Add(limitWindow); time.Now().Before(end); sent++ {
+				_, _, _ = sendRequest(t, h, http.MethodPost) // Only what the replicas receive counts.
+				time.Sleep(20 * time.Millisecond)
+			}
+			c.Check(len(limited.received()) <= limitBound, quicktest.IsTrue, quicktest.Commentf("%d of %d requests", len(limited.received()), sent))
+			c.Check(len(limited.received()) >= limitPerSecond*3, quicktest.IsTrue, quicktest.Commentf("%d requests", len(limited.received())))
+		})
+	}
+}
