Keep to the limits that targets name, all nodes together

What callers saw: targets that named a limit were overrun and slow, others were idle. A node now has a part of each limit. On the users' platform a limit is divided among the first few nodes by rendezvous, as the limits are far below one request per second and node; the own interface has one holder per target, which uses all of it. Sends take a token, also retries, resumed streams and requests that waited; targets without one are left out of the choice. Where nothing else is left, requests are refused at once as targets_limited, with a Retry-After that spaces callers out.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -408,6 +408,8 @@
 	PromptTokens int
 	Zone         string // Failure domain of this node.
 	Exclude      map[Key]bool
+	// Refused reports whether what a replica has stated in responses keeps the request from it; nil for never.
+	Refused func(*fleet.Replica) bool
 	// ColdShare is the part of a cold replica's request rate that this node may use: one over the number of serving nodes.
 	ColdShare float64
 	// LoadAge is how old the loads reported by nodes of other failure domains may be. It also serves as the age of the loads of
@@ -417,6 +419,8 @@
 	GapTarget time.Duration
 }
 
+func (q *Query) refuses(r *fleet.Replica) bool { return q.Refused != nil && q.Refused(r) }
+
 // remoteZoneCost is added to the cost of heads in other failure domains, to which links are slower and charged for.
 const remoteZoneCost = 12 * time.Millisecond
 
@@ -432,7 +436,7 @@
 			continue
 		}
 		k := KeyOf(r)
-		if s := t.targets[k]; q.Exclude[k] || t.suspectedLocked(k, now) || t.coldLimitReachedLocked(r, q, now) || s != nil && now < s.fullUntil {
+		if s := t.targets[k]; q.Exclude[k] || q.refuses(r) || t.suspectedLocked(k, now) || t.coldLimitReachedLocked(r, q, now) || s != nil && now < s.fullUntil {
 			continue
 		}
 		candidates = append(candidates, t.candidateLocked(r, k, q, now))
@@ -485,7 +489,7 @@
 	var selectedCost float64
 	for _, r := range q.View.ByService[q.Service.Name] {
 		k := KeyOf(r)
-		if q.Exclude[k] || t.coldLimitReachedLocked(r, q, now) {
+		if q.Exclude[k] || q.refuses(r) || t.coldLimitReachedLocked(r, q, now) {
 			continue
 		}
 		// Another failure domain costs as much as half of the slots in use.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -84,19 +84,19 @@
 		return fail(true, errRequestIDMismatch)
 	}
 	if header.IsFrom(replica.ID, resp.StatusCode) {
-		c.recordStatement(replica, resp.StatusCode, header.Statement, sentAt)
+		c.opt.Statements.RecordAnswer(replica.Incarnation().Target(), header.Statement, resp.StatusCode, sentAt)
 	}
 	return &replicaResponse{resp, header, conn}, true, nil
 }
 
-// recordStatement records what a response to a request that was sent at the given time states about the replica.
-func (c *call) recordStatement(replica *fleet.Replica, status int, s statement.Statement, sentAt time.Duration) {
-	target := replica.Incarnation().Target()
-	if status >= http.StatusOK && status < http.StatusMultipleChoices {
-		c.opt.Statements.RecordSuccess(target, s, sentAt)
-	} else {
-		c.opt.Statements.Record(target, s)
-	}
+// refusedByStatement reports whether the replica gets no request now because of what it has stated.
+func (c *call) refusedByStatement(r *fleet.Replica) bool {
+	return c.opt.Statements.Check(r.Incarnation().Target(), 1) != statement.NotRefused
+}
+
+// admittedByStatement reports whether a request may be sent to the replica now, and counts it if so.
+func (c *call) admittedByStatement(r *fleet.Replica) bool {
+	return c.opt.Statements.Admit(r.Incarnation().Target(), 1) == statement.NotRefused
 }
 
 // encodeRequest returns the HTTP/1.1 request for the replica.
@@ -118,7 +118,7 @@
 func (c *call) balanceQuery(exclude map[balance.Key]bool) balance.Query {
 	c.view = c.opt.Registry.View()
 	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
-		Exclude: exclude, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
+		Exclude: exclude, Refused: c.refusedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
 		GapTarget: c.route.GapTarget}
 }
 
@@ -157,8 +157,17 @@
 	}
 }
 
-// chooseReplica returns the replica for the next send, or nil.
+// chooseReplica returns the replica for the next send, which counts towards what the replica has stated, or nil.
 func (c *call) chooseReplica(exclude map[balance.Key]bool) *fleet.Replica {
+	for {
+		if r := c.availableReplica(exclude); r == nil || c.admittedByStatement(r) {
+			return r
+		}
+	}
+}
+
+// availableReplica returns a replica that another send may go to, or nil.
+func (c *call) availableReplica(exclude map[balance.Key]bool) *fleet.Replica {
 	if c.attempts.sends >= maxSends || c.attempts.maybeRun >= c.route.MaxAttempts {
 		return nil
 	}
@@ -209,7 +218,7 @@
 	c.attempts.maybeRun++
 	if r.resp.StatusCode >= 500 && c.route.Idempotent() && c.attempts.maybeRun < c.route.MaxAttempts && c.timeLeft() > c.route.LatencyTarget {
 		c.attempts.lastFailure = "status " + strconv.Itoa(r.resp.StatusCode)
-		if next := c.chooseReplica(map[balance.Key]bool{key: true}); next != nil {
+		if next := c.availableReplica(map[balance.Key]bool{key: true}); next != nil {
 			return false, true
 		}
 	}
@@ -267,8 +276,25 @@
 	case c.attempts.sends > 0:
 		c.refuse(result.New(result.QueueFull, "no replica of %q accepted the request: %s", c.service.Name, c.attempts.lastFailure).WithRetryAfter(retryAfterFull))
 	default:
-		c.refuse(result.New(result.NoTarget, "no replica of %q is available", c.service.Name).WithRetryAfter(retryAfterUnready))
+		c.refuse(c.unavailable())
+	}
+}
+
+// unavailable returns the refusal of a request for which there is no target now.
+func (c *call) unavailable() *result.Error {
+	var targets []statement.Target
+	for _, r := range c.view.ByService[c.service.Name] {
+		if c.model == nil || r.Head() && r.Models[0] == c.model.Name {
+			targets = append(targets, r.Incarnation().Target())
+		}
+	}
+	if wait, ok := c.opt.Statements.Promise(targets); ok {
+		return result.New(result.TargetsLimited, "the limits that targets of %q have stated are used up", c.service.Name).WithRetryAfter(max(wait, retryAfterFull))
+	}
+	if c.model != nil {
+		return result.New(result.NoTarget, "no group that serves model %q is available", c.req.Model).WithRetryAfter(retryAfterUnready)
 	}
+	return result.New(result.NoTarget, "no replica of %q is available", c.service.Name).WithRetryAfter(retryAfterUnready)
 }
 
 // writeResponse writes a complete response to the client.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -102,12 +102,22 @@
 		return nil, nil
 	}
 	if c.model == nil {
-		r := c.opt.Table.PickPlain(c.balanceQuery(exclude))
+		r := c.chooseReplica(exclude)
 		if r == nil {
-			return nil, result.New(result.NoTarget, "no replica of %q is available", c.service.Name).WithRetryAfter(retryAfterUnready)
+			return nil, c.unavailable()
 		}
 		return &balance.Selection{Replica: r, Key: balance.KeyOf(r)}, nil
 	}
+	for {
+		head, refusal := c.selectHead(exclude)
+		if head == nil || c.admittedByStatement(head.Replica) {
+			return head, refusal
+		}
+	}
+}
+
+// selectHead selects the head of a group for admit.
+func (c *call) selectHead(exclude map[balance.Key]bool) (*balance.Selection, *result.Error) {
 	head := c.opt.Table.PickHead(c.balanceQuery(exclude))
 	if c.attempts.mayHaveRun() {
 		// The client already waits for this stream, so any available target may resume it, without an admission check.
@@ -118,7 +128,7 @@
 		return head, nil
 	}
 	if head == nil {
-		return nil, result.New(result.NoTarget, "no group that serves model %q is available", c.req.Model).WithRetryAfter(retryAfterUnready)
+		return nil, c.unavailable()
 	}
 	unloaded := c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)
 	if wait, late := balance.Admission(c.route.LatencyTarget, c.waited+time.Since(c.start), head.QueueDelay, unloaded); late {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,7 @@
 	followers      []*follower // Not modified after New.
 	incarnation    int64
 	draining       atomic.Bool
+	nodesListed    atomic.Bool   // The records of the nodes have been listed at least once.
 	replicasListed atomic.Bool   // The replicas have been listed at least once.
 	blocked        chan struct{} // Holds a value while the crashes in this node's record must be written anew.
 	registered     chan struct{} // Closed when this node's record was written, or the first attempt to write it has failed.
@@ -113,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.statements = statement.New(statement.Options{Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
+	n.statements = statement.New(statement.Options{Divided: true, Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
 	n.registry.FollowStatements(n.statements)
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
@@ -339,6 +340,9 @@
 				"nodes": len(n.mesh.Alive()) + 1, "in_flight": n.edge.InFlight()}).Info("summary")
 		}
 		n.mesh.SetFrequent(n.frequentPeers(n.mesh.Alive()), relayInterval)
+		if n.nodesListed.Load() {
+			n.statements.DivideAmong(n.settings.Peer, n.mesh.Destinations())
+		}
 		n.registry.Expire()
 		view := n.registry.View()
 		for _, k := range n.table.Sweep(sweepInterval, func(balance.Key, balance.Load) time.Duration { return n.longestEventGap(view) }) {
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -74,6 +74,7 @@
 		}
 		n.applyRecord(record)
 	}
+	n.nodesListed.Store(true)
 }
 
 // announceBlocked tells the other nodes, and nodes that start later, of a crash after which requests are refused. It doesn't
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -162,6 +162,21 @@
 	return sameZone
 }
 
+// Destinations returns the addresses of the other nodes that the store has listed, or that have sent a datagram, within
+// destinationTTL. They may run even if this node hasn't heard them lately.
+func (m *Mesh) Destinations() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.opt.Clock.Now()
+	var list []string
+	for a, d := range m.destinations {
+		if now <= d.expires {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // PeerCount returns the number of other nodes that have sent a datagram within destinationTTL.
 func (m *Mesh) PeerCount() int {
 	m.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,7 +217,7 @@
 	})
 	n.statements = statement.New(statement.Options{Now: n.now, Log: n.log, Meter: meter})
 	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery, Heard: func(address string, resp *http.Response) {
-		n.statements.RecordResponse(address, "", resp)
+		n.statements.RecordResponse(address, "", resp, 0)
 	}})
 	// Two reads within the freshness bound tolerate one late read.
 	n.reports = newVMReports(orderClient, n.statements, n.now, n.vms.address, timing.Freshness/2, timing.Freshness)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -44,6 +44,7 @@
 	PlatformUnavailable Code = 2009
 	TargetUnreachable   Code = 2010
 	NodeUnreachable     Code = 2011
+	TargetsLimited      Code = 2012
 
 	OutcomeUnknown    Code = 3001
 	AnswerNotKept     Code = 3002
@@ -97,6 +98,7 @@
 	PlatformUnavailable: {"platform_unavailable", http.StatusServiceUnavailable, true},
 	TargetUnreachable:   {"target_unreachable", http.StatusBadGateway, true},
 	NodeUnreachable:     {"node_unreachable", http.StatusBadGateway, true},
+	TargetsLimited:      {"targets_limited", http.StatusServiceUnavailable, true},
 
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, false},
 	AnswerNotKept:    {"answer_not_kept", http.StatusConflict, false},
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -88,7 +88,9 @@
 	NoEndMarker     *bool   `json:"no_end_marker,omitempty"`    // streams end without their last event
 	DuplicateTokens *bool   `json:"duplicate_tokens,omitempty"` // streams send each token twice
 	SlowStateMS     *int64  `json:"slow_state_ms,omitempty"`    // delay of each answer to GET /v1/state
-	Leaving         *bool   `json:"leaving,omitempty"`          // the current incarnation states in all responses that it is leaving
+	// What the current incarnation states in all responses.
+	Leaving        *bool    `json:"leaving,omitempty"`
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"` // 0 for none
 }
 
 // Server is the stand-in.
--- a/internal/standin/engine/machine.go
+++ b/internal/standin/engine/machine.go
@@ -193,6 +193,7 @@
 	}
 	if m.proc != nil {
 		setIfPresent(&m.proc.statements.Leaving, f.Leaving)
+		setIfPresent(&m.proc.statements.LimitPerSecond, f.LimitPerSecond)
 	}
 	m.mu.Unlock()
 	if f.Down != nil {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -44,7 +44,9 @@
 	Silent           *int    `json:"silent,omitempty"`              // N executions whose connection stays open without a reply
 	ReplyDelayOnceMS *int64  `json:"reply_delay_once_ms,omitempty"` // delay of the next reply, after its execution
 	TurnCold         bool    `json:"turn_cold,omitempty"`
-	Leaving          *bool   `json:"leaving,omitempty"` // the current incarnation states in all responses that it is leaving
+	// What the current incarnation states in all responses.
+	Leaving        *bool    `json:"leaving,omitempty"`
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"` // 0 for none
 }
 
 // Answer is the body of an answer.
@@ -270,6 +272,7 @@
 	}
 	if p != nil {
 		setIfPresent(&p.statements.Leaving, f.Leaving)
+		setIfPresent(&p.statements.LimitPerSecond, f.LimitPerSecond)
 	}
 	s.mu.Unlock()
 	if f.Down != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -51,7 +52,8 @@
 
 // Statements is what a simulated target states about itself in the headers of all responses.
 type Statements struct {
-	Leaving bool
+	Leaving        bool
+	LimitPerSecond float64 // 0 for none.
 }
 
 // WithStatements returns a handler that adds the headers of what statements returns, and the incarnation, to each response of h.
@@ -62,6 +64,9 @@
 		if s.Leaving {
 			w.Header().Set("X-Leaving", "true")
 		}
+		if s.LimitPerSecond > 0 {
+			w.Header().Set("X-Rate-Limit", strconv.FormatFloat(s.LimitPerSecond, 'f', -1, 64))
+		}
 		h.ServeHTTP(w, r)
 	})
 }
--- a/internal/statement/report.go
+++ b/internal/statement/report.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
@@ -27,8 +30,8 @@
 	now := t.options.Now()
 	var list []*schema.TargetStatement
 	for target, s := range t.targets {
-		if age := now - s.heardAt; age <= reportFor {
-			list = append(list, &schema.TargetStatement{Target: target.ID, Incarnation: target.Incarnation, AgeMs: age.Milliseconds(), Leaving: s.leaving})
+		if now-s.heardAt <= reportFor {
+			list = append(list, s.report(target, now))
 		}
 	}
 	slices.SortFunc(list, func(a, b *schema.TargetStatement) int {
@@ -37,17 +40,58 @@
 	return list[:min(len(list), maxReports)]
 }
 
+func (s *state) report(target Target, now time.Duration) *schema.TargetStatement {
+	r := &schema.TargetStatement{Target: target.ID, Incarnation: target.Incarnation, AgeMs: (now - s.heardAt).Milliseconds(), Leaving: s.leaving}
+	if s.limitAt != 0 {
+		r.LimitAgeMs = proto.Int64((now - s.limitAt).Milliseconds())
+	}
+	if s.limit.Stated {
+		r.LimitPerSecond = proto.Float64(s.limit.PerSecond)
+	}
+	return r
+}
+
 // Merge records the statements that another node reported.
 func (t *Table) Merge(reports []*schema.TargetStatement) {
 	for _, r := range reports {
 		target := Target{r.GetTarget(), r.GetIncarnation()}
-		age := time.Duration(max(r.GetAgeMs(), 0)) * time.Millisecond
-		if target.ID == "" || age > retention {
+		if target.ID == "" {
 			continue
 		}
 		t.mu.Lock()
-		news := t.recordLocked(target, Statement{Leaving: r.GetLeaving()}, t.options.Now()-age)
+		news := t.mergeLocked(target, r)
 		t.mu.Unlock()
 		t.announce(target, news, "node")
 	}
 }
+
+// mergeLocked records the statement that another node reported. Of two nodes that have heard different limits, the one that heard last
+// is right, up to the time that a message takes.
+func (t *Table) mergeLocked(target Target, r *schema.TargetStatement) (n news) {
+	now := t.options.Now()
+	if age := milliseconds(r.GetAgeMs()); age <= retention && r.GetLeaving() {
+		n = t.recordLocked(target, Statement{Leaving: true}, now-age)
+	}
+	age := milliseconds(r.GetLimitAgeMs())
+	if r.LimitAgeMs == nil || age > retention {
+		return n
+	}
+	var limit Limit
+	if r.LimitPerSecond != nil && r.GetLimitPerSecond() >= 0 {
+		limit = Limit{Stated: true, PerSecond: min(r.GetLimitPerSecond(), maxLimit)}
+	}
+	known := t.targets[target]
+	switch {
+	case known == nil && !limit.Stated, known != nil && now-age <= known.limitAt:
+		return n
+	case known == nil || known.limit != limit:
+		n.limit = &limit
+	}
+	t.stateLocked(target).setLimit(limit, now-age)
+	return n
+}
+
+// milliseconds returns a duration that a message states, or 0 if it is negative.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
+}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,19 +66,23 @@
 
 // Options configures a Table. Zero values are replaced by defaults.
 type Options struct {
-	Now   func() time.Duration // Monotonic clock. Default: time since New.
-	Log   logrus.FieldLogger
-	Meter metric.Meter
+	Now func() time.Duration // Monotonic clock. Default: time since New.
+	// Divided is set if several nodes send to the same targets. This node's part of each limit is then 0 until DivideAmong is called.
+	Divided bool
+	Log     logrus.FieldLogger
+	Meter   metric.Meter
 }
 
 // Table holds the newest statements of all targets. It is safe for concurrent use. Its lock is the last one in every lock order:
 // while it is held, only Options.Now is called.
 type Table struct {
-	options      Options
-	heardCounter metric.Int64Counter
+	options        Options
+	heardCounter   metric.Int64Counter
+	refusalCounter metric.Int64Counter
 
 	mu        sync.Mutex
 	targets   map[Target]*state
+	nodes     *nodeSet // Nil as long as limits aren't divided.
 	onLeaving []func()
 	expiredAt time.Duration // When statements were last searched for those to drop.
 }
@@ -89,6 +94,11 @@
 	limitAt   time.Duration // When a response last stated the limit, or showed that there is none any more; 0 for never.
 	leaving   bool
 	leavingAt time.Duration // When the target was first heard to be leaving.
+
+	bucket bucket // Of this node's sends while there is a limit.
+	share  share
+	// promisedUntil is the time up to which this node's rate has been promised to callers that were refused.
+	promisedUntil time.Duration
 }
 
 // New returns an empty table.
@@ -107,6 +117,7 @@
 	}
 	t := &Table{options: options, targets: map[Target]*state{}}
 	t.heardCounter = t.newCounter("cassiadeal_target_statements", "New statements of targets about themselves, by kind.")
+	t.refusalCounter = t.newCounter("cassiadeal_target_statement_refusals", "Sends withheld because of what a target has stated, by reason.")
 	return t
 }
 
@@ -150,6 +161,15 @@
 	t.announce(target, news, "response")
 }
 
+// RecordAnswer is RecordSuccess or Record, depending on the status of the response.
+func (t *Table) RecordAnswer(target Target, s Statement, status int, sentAt time.Duration) {
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		t.RecordSuccess(target, s, sentAt)
+	} else {
+		t.Record(target, s)
+	}
+}
+
 // news is what changed by a statement.
 type news struct {
 	leaving    bool   // The target states for the first time that it is leaving.
@@ -209,7 +229,12 @@
 	return n
 }
 
+// setLimit records a limit that was heard at the given time. A target that had none before starts with an empty bucket, as this node
+// doesn't know how much others have just sent.
 func (s *state) setLimit(l Limit, at time.Duration) {
+	if !s.limit.Stated {
+		s.bucket, s.promisedUntil = bucket{refilledAt: at}, at
+	}
 	s.limit, s.limitAt, s.heardAt = l, at, max(s.heardAt, at)
 }
 
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -162,6 +162,7 @@
 		return
 	}
 	if report.Incarnation != "" {
+		// A limit is lifted only by responses to requests.
 		t.options.Statements.Record(statement.Target{ID: m.Address, Incarnation: report.Incarnation}, report.Statement)
 	}
 	t.mu.Lock()
--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -9,6 +9,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 const (
@@ -181,19 +182,17 @@
 }
 
 func (t *Table) earlyRefusalLocked(q *queue, w *waiter, timeLeft, now time.Duration) *result.Error {
-	maxQueue, capacity := 0, 0
+	maxQueue := 0
 	for _, tgt := range t.targetsLocked(q.destination) {
 		maxQueue = max(maxQueue, tgt.spec.MaxQueue)
-		if t.unusableReason(tgt, now) == "" {
-			capacity += tgt.effectiveLimit()
-		}
 	}
+	perSecond := t.throughputLocked(q, now)
 	ahead := slices.Index(q.waiters, w)
 	if len(q.waiters) > maxQueue {
-		wait := max(q.expectedWait(len(q.waiters), capacity), minRetryAfter)
+		wait := max(expectedWait(len(q.waiters), perSecond), minRetryAfter)
 		return result.New(result.QueueFull, "%d requests already wait for %s", len(q.waiters)-1, q.destination).WithRetryAfter(wait)
 	}
-	if wait := q.expectedWait(ahead+1, capacity); timeLeft > 0 && wait+q.serviceTime > timeLeft {
+	if wait := expectedWait(ahead+1, perSecond); timeLeft > 0 && wait+q.serviceTime > timeLeft {
 		return q.deadlineRefusal(wait, timeLeft)
 	}
 	return nil
@@ -211,13 +210,32 @@
 	return w.request.Deadline > 0 && now > w.arrivedAt && w.request.Deadline-now < q.serviceTime
 }
 
-// expectedWait estimates the time until the given number of slots become free. It returns 0 if there is no usable capacity
-// or the service time is unknown.
-func (q *queue) expectedWait(slots, capacity int) time.Duration {
-	if capacity <= 0 {
+// throughputLocked estimates how many requests per second the usable targets of a queue take. It returns 0 if there are none, or if
+// the service time of one that has stated no limit is unknown.
+func (t *Table) throughputLocked(q *queue, now time.Duration) float64 {
+	total := 0.0
+	for _, tgt := range t.targetsLocked(q.destination) {
+		if t.unusableReason(tgt, now) != "" {
+			continue
+		}
+		perSecond, known := float64(tgt.effectiveLimit())/q.serviceTime.Seconds(), q.serviceTime > 0
+		if limit, limited := t.statedRate(tgt); limited && (!known || limit < perSecond) {
+			perSecond, known = limit, true
+		}
+		if !known {
+			return 0
+		}
+		total += perSecond
+	}
+	return total
+}
+
+// expectedWait estimates the time until the given number of slots become free, at a rate of 0 if it isn't known.
+func expectedWait(slots int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
 		return 0
 	}
-	return time.Duration(slots) * q.serviceTime / time.Duration(capacity)
+	return time.Duration(float64(slots) / perSecond * float64(time.Second))
 }
 
 // leaveQueue takes the waiter out of the queue. A slot that was granted in the meantime is released.
@@ -271,14 +289,14 @@
 func (w SlotRequest) allows(tgt *target) bool { return !slices.Contains(w.Exclude, tgt.spec.ID) }
 
 func (t *Table) chooseTargetLocked(request SlotRequest, usable []*target) *target {
-	hasFree := func(tgt *target) bool { return tgt.inFlight < tgt.effectiveLimit() && request.allows(tgt) }
+	hasFree := func(tgt *target) bool { return t.hasFreeSlotLocked(tgt) && request.allows(tgt) }
 	if !slices.ContainsFunc(usable, hasFree) {
 		return nil
 	}
 	var allowed []*target
 	var candidates []Candidate
 	for _, tgt := range usable {
-		if request.allows(tgt) {
+		if request.allows(tgt) && t.refusalByStatement(tgt) == statement.NotRefused {
 			allowed = append(allowed, tgt)
 			candidates = append(candidates, Candidate{ID: tgt.spec.ID, InFlight: tgt.inFlight, Limit: tgt.effectiveLimit()})
 		}
@@ -287,9 +305,17 @@
 	if index < 0 || !candidates[index].hasFreeSlot() {
 		return nil
 	}
+	if receiver, known := allowed[index].receiver(); known &&
+		t.options.Statements.Admit(receiver, allowed[index].limitPart()) != statement.NotRefused {
+		return nil
+	}
 	return allowed[index]
 }
 
+func (t *Table) hasFreeSlotLocked(tgt *target) bool {
+	return tgt.inFlight < tgt.effectiveLimit() && t.refusalByStatement(tgt) == statement.NotRefused
+}
+
 // worthWaiting reports whether the target may serve a waiting request: it isn't draining, its limit is above zero, and it
 // is usable or was so within the freshness bound. The latter covers a target that was just added or is being probed again
 // after a lost connection.
@@ -336,7 +362,7 @@
 
 // RecordStatement records what a response of the target states about it.
 func (s *Slot) RecordStatement(resp *http.Response) {
-	s.table.options.Statements.RecordResponse(s.Address, s.Incarnation, resp)
+	s.table.options.Statements.RecordResponse(s.Address, s.Incarnation, resp, s.grantedAt)
 }
 
 // restartedLocked reports whether the incarnation of a member has changed since the slot was granted.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -312,6 +312,33 @@
 	return ""
 }
 
+// refusalByStatement returns why the target gets no request now because of what the process that requests are sent to has stated.
+func (t *Table) refusalByStatement(tgt *target) statement.Refusal {
+	receiver, known := tgt.receiver()
+	if !known {
+		return statement.NotRefused
+	}
+	return t.options.Statements.Check(receiver, tgt.limitPart())
+}
+
+// statedRate returns the requests per second that this node may send to the target, if the target has stated a limit.
+func (t *Table) statedRate(tgt *target) (perSecond float64, limited bool) {
+	receiver, known := tgt.receiver()
+	if !known {
+		return 0, false
+	}
+	return t.options.Statements.Rate(receiver, tgt.limitPart())
+}
+
+// limitPart returns the part of a stated limit that this node may use: its holder uses all of it, but two nodes may hold a target in
+// doubt.
+func (tgt *target) limitPart() float64 {
+	if tgt.spec.InDoubt {
+		return 0.5
+	}
+	return 1
+}
+
 // isLeaving reports whether the process that requests are sent to has stated that it is leaving. If another member of a group
 // leaves, the group's controller replaces it.
 func (t *Table) isLeaving(tgt *target) bool {
@@ -455,7 +482,7 @@
 		}
 		if t.unusableReason(tgt, now) == "" {
 			p.TotalSlots += uint32(max(tgt.effectiveLimit(), 0))
-			p.FreeSlots += uint32(max(tgt.effectiveLimit()-tgt.inFlight, 0))
+			p.FreeSlots += uint32(t.freeSlotsLocked(tgt))
 		}
 	}
 	list := make([]*schema.PoolSummary, 0, len(byKey))
@@ -468,6 +495,18 @@
 	return list
 }
 
+// freeSlotsLocked returns the number of requests that the target can take now.
+func (t *Table) freeSlotsLocked(tgt *target) int {
+	free := max(tgt.effectiveLimit()-tgt.inFlight, 0)
+	if _, limited := t.statedRate(tgt); limited {
+		free = min(free, 1) // The next one has to wait for its share of the limit.
+	}
+	if t.refusalByStatement(tgt) != statement.NotRefused {
+		return 0
+	}
+	return free
+}
+
 // Status describes one target for operators.
 type Status struct {
 	Spec
