Believe a refusal only if it carries the request's ID

A report of other operators: a faulty replica wrote an earlier refusal once more, and callers were told that a request has not run that had, or it ran at a second replica. Here each exchange has a connection of its own, so a refusal behind an answer is never read. TestRefusedRequestIsTriedElsewhere lacked the ID in its replica's refusal, which replicas echo by the platform's page; it has it now and checks the same.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -186,7 +186,7 @@
 // Guards against giving up, or reporting a wrong status, when replicas state that they have not run the request.
 func TestRefusedRequestIsTriedElsewhere(t *testing.T) {
 	c := quicktest.New(t)
-	refused := httpResponse("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\n", "")
+	refused := httpResponse("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\nX-Cassiadeal-Request-Id: q1\r\n", "")
 	a := newReplica(t, false, func(*http.Request) string { return refused })
 	b := newReplica(t, false, func(*http.Request) string { return httpResponse("200 OK", sealHeader, "done") })
 	for range 8 {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -48,8 +48,12 @@
 	}
 }
 
-// errRequestIDMismatch means that the response belongs to another request.
-var errRequestIDMismatch = errors.New("the response carries the ID of another request")
+var (
+	// errRequestIDMismatch means that the response belongs to another request.
+	errRequestIDMismatch = errors.New("the response carries the ID of another request")
+	// errUnidentifiedRefusal means that a refusal may be one of an earlier request, which a faulty replica has sent again.
+	errUnidentifiedRefusal = errors.New("the response states that the request has not run, but doesn't carry its ID")
+)
 
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
@@ -83,6 +87,9 @@
 	if header.RequestID != "" && header.RequestID != c.req.ID {
 		return fail(true, errRequestIDMismatch)
 	}
+	if header.NotRun && header.RequestID != c.req.ID {
+		return fail(true, errUnidentifiedRefusal)
+	}
 	if header.IsFrom(replica.ID, resp.StatusCode) {
 		c.opt.Statements.RecordAnswer(replica.Incarnation().Target(), header.Statement, resp.StatusCode, sentAt)
 	}
--- a/internal/edge/statement_test.go
+++ b/internal/edge/statement_test.go
@@ -14,7 +14,11 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
-const leavingHeader = "Server-Leaving: 1\r\n"
+const (
+	leavingHeader = "Server-Leaving: 1\r\n"
+	// notRunHeaders are those of a refusal of the request that sendRequest sends.
+	notRunHeaders = "X-Cassiadeal-Not-Executed: 1\r\nX-Cassiadeal-Request-Id: q1\r\n"
+)
 
 // leavingAnswers are responses of a replica that is leaving.
 var leavingAnswers = []struct {
@@ -27,10 +31,10 @@
 	{"failure", fleet.RepeatNever, httpResponse("500 Internal Server Error", sealHeader+leavingHeader, "failed")},
 	{"unusable success", fleet.RepeatSafe, httpResponse("200 OK", leavingHeader, "no seal")},
 	{"cut response", fleet.RepeatSafe, "HTTP/1.1 200 OK\r\n" + sealHeader + leavingHeader + "Content-Length: 5\r\n\r\ndo"},
-	{"refusal", fleet.RepeatNever, httpResponse("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\n"+leavingHeader, "")},
+	{"refusal", fleet.RepeatNever, httpResponse("503 Service Unavailable", notRunHeaders+leavingHeader, "")},
 	{"stream", fleet.RepeatStream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealHeader + leavingHeader + "\r\n" + events(1, 4)},
 	{"stream that breaks off", fleet.RepeatStream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealHeader + leavingHeader + "\r\n" + events(1, 2) + "id: 3\nda"},
-	{"refused stream", fleet.RepeatStream, httpResponse("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\n"+leavingHeader, "")},
+	{"refused stream", fleet.RepeatStream, httpResponse("503 Service Unavailable", notRunHeaders+leavingHeader, "")},
 	{"failed stream", fleet.RepeatStream, httpResponse("500 Internal Server Error", sealHeader+leavingHeader, "failed")},
 }
 
@@ -75,7 +79,7 @@
 		other  string // Answers of the other replica, which names no limit.
 	}{
 		{"success", fleet.RepeatSafe, httpResponse("200 OK", sealHeader+limit, "done"), httpResponse("200 OK", sealHeader, "done")},
-		{"refusal", fleet.RepeatNever, httpResponse("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\n"+limit, ""), httpResponse("200 OK", sealHeader, "done")},
+		{"refusal", fleet.RepeatNever, httpResponse("503 Service Unavailable", notRunHeaders+limit, ""), httpResponse("200 OK", sealHeader, "done")},
 		{"stream", fleet.RepeatStream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealHeader + limit + "\r\n" + events(1, 4), streamHead + events(1, 4)},
 		{"streams that the other one breaks off", fleet.RepeatStream, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + sealHeader + limit + "\r\n" + events(1, 4), streamHead + events(1, 2) + "id: 3\nda"},
 	} {
@@ -110,7 +114,7 @@
 		}
 		after = append(after, time.Since(firstAt))
 		left := max(0, pause-time.Since(firstAt))
-		return httpResponse("503 Service Unavailable", fmt.Sprintf("X-Cassiadeal-Not-Executed: 1\r\nRetry-After: %.3f\r\n", left.Seconds()), "")
+		return httpResponse("503 Service Unavailable", fmt.Sprintf(notRunHeaders+"Retry-After: %.3f\r\n", left.Seconds()), "")
 	})
 	return r, func() []time.Duration {
 		mu.Lock()
