End a resumed stream at anything but numbered events

A report of other operators: a stream had begun and broke off, the next replica answered with an error, and clients found its text or head among their events, or a stream that ended as if it were complete. A resumed response must now be a stream of events by its type, and each of its events must have an ID. A stream whose events have none isn't resumed, since no replica can go on after its last one (TestStreamWithoutIDsIsNotResumed).

--- a/internal/dispatch/faulty_test.go
+++ b/internal/dispatch/faulty_test.go
@@ -114,4 +114,3 @@
 		})
 	}
 }
-
--- a/internal/edge/faulty_test.go
+++ b/internal/edge/faulty_test.go
@@ -41,6 +41,38 @@
 	}
 }
 
+// Guards against bytes of an error in the middle of a stream, and against a stream that ends as if it were complete: it has begun and
+// broken off, and the next replica answers with an error.
+func TestStreamThatResumesAtAnError(t *testing.T) {
+	const eventStream = "Content-Type: text/event-stream\r\n"
+	for _, test := range []struct{ name, answer string }{
+		{"failure", httpResponse("500 Internal Server Error", sealHeader, "failed\n\n")},
+		{"failure as events", httpResponse("500 Internal Server Error", sealHeader+eventStream, "id: 9\ndata: failed\n\n")},
+		{"failure without a body", httpResponse("500 Internal Server Error", sealHeader, "")},
+		{"refusal", httpResponse("503 Service Unavailable", "X-Cassiadeal-Not-Executed: 1\r\nX-Cassiadeal-Request-Id: q1\r\n", "full\n\n")},
+		{"success that is no stream", httpResponse("200 OK", sealHeader+"Content-Type: application/json\r\n", "{\"error\":\"failed\"}\n\n")},
+		{"success without a type", httpResponse("200 OK", sealHeader, "failed\n\n")},
+		{"empty success that is no stream", httpResponse("200 OK", sealHeader+"Content-Type: application/json\r\n", "")},
+		{"no content", "HTTP/1.1 204 No Content\r\n" + sealHeader + "\r\n"},
+		{"partial content", httpResponse("206 Partial Content", sealHeader+eventStream, "id: 9\ndata: x\n\n")},
+		{"head among the events", httpResponse("200 OK", sealHeader+eventStream, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed")},
+		{"events without IDs", httpResponse("200 OK", sealHeader+eventStream, "event: error\ndata: failed\n\n")},
+		{"events without a seal", httpResponse("200 OK", eventStream, "id: 9\ndata: failed\n\n")},
+		{"bytes that are no answer", "failed\r\n\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			broken := newReplica(t, true, func(*http.Request) string { return streamHead + events(1, 3) + "id: 4\nda" })
+			next := newReplica(t, false, func(*http.Request) string { return test.answer })
+			next.otherZone = true
+			_, body, err := sendRequest(t, newServer(t, fleet.RepeatStream, broken, next), http.MethodPost)
+			c.Assert(next.received(), quicktest.HasLen, 1)
+			c.Check(err, quicktest.IsNotNil, quicktest.Commentf("the stream ended as if it were complete"))
+			c.Check(strings.HasPrefix(events(1, 3), body), quicktest.IsTrue, quicktest.Commentf("%q", body))
+		})
+	}
+}
+
 // Guards against a success with an empty or short body for an answer whose head was cut at any byte.
 func TestAnswerCutInItsHead(t *testing.T) {
 	const length = "Content-Length: 14\r\n"
@@ -69,3 +101,16 @@
 		})
 	}
 }
+
+// Guards against repeated events: a stream whose events have no IDs breaks off, and no replica can go on after the last one.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	c := quicktest.New(t)
+	const events = "data: 1\n\ndata: 2\n\n"
+	broken := newReplica(t, true, func(*http.Request) string { return streamHead + ": comment\n\n" + events + "da" })
+	next := newReplica(t, false, func(*http.Request) string { return streamHead + events })
+	next.otherZone = true
+	_, body, err := sendRequest(t, newServer(t, fleet.RepeatStream, broken, next), http.MethodPost)
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(body, quicktest.Equals, ": comment\n\n"+events)
+	c.Check(next.received(), quicktest.HasLen, 0)
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -47,6 +49,7 @@
 	events          int
 	firstEventAfter time.Duration // From the arrival of the request to its first event.
 	lastEventAt     time.Time     // Of the newest event.
+	unnumbered      bool          // An event without an ID was forwarded, so that another target can't go on after it.
 	longestGap      time.Duration // The longest between two events.
 }
 
@@ -87,7 +90,7 @@
 			c.failStream(p, nil)
 			return
 		case streamBroken:
-			if !c.route.Idempotent() {
+			if !c.route.Idempotent() || p.unnumbered {
 				c.failStream(p, nil)
 				return
 			}
@@ -174,7 +177,7 @@
 	defer ticket.End()
 	c.opt.Table.CountColdSend(head.Replica, c.view)
 	steps := make(chan streamStep)
-	go c.receive(ctx, head, p.lastEventID, steps)
+	go c.receive(ctx, head, p, steps)
 	stallTicker := time.NewTicker(stallCheckInterval)
 	defer stallTicker.Stop()
 	for {
@@ -193,7 +196,7 @@
 				c.attempts.lastFailure = "the request was blocked while it waited: it, or a part of its prompt, crashes replicas"
 				return streamBlocked
 			}
-			if c.mayMoveStream(head, exclude) {
+			if !p.unnumbered && c.mayMoveStream(head, exclude) {
 				c.attempts.maybeRun++
 				c.attempts.lastFailure = "the target has stalled"
 				c.opt.Metrics.Retry("target_stalled")
@@ -288,10 +291,22 @@
 	p.events++
 	if step.eventID != "" {
 		p.lastEventID = step.eventID
+	} else if !isComment(step.data) {
+		p.unnumbered = true
 	}
 	return 0
 }
 
+// isComment reports whether the bytes up to a blank line hold only comments, for example to keep a connection open.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // isNewerEventID tells whether an event ID comes after the last one. IDs are increasing numbers; other IDs count as newer.
 func isNewerEventID(id, last string) bool {
 	a, err1 := strconv.ParseInt(id, 10, 64)
@@ -299,8 +314,21 @@
 	return err1 != nil || err2 != nil || a > b
 }
 
-// receive sends the request and reads the response into steps, until it ends or the context is done.
-func (c *call) receive(ctx context.Context, head *balance.Selection, lastEventID string, steps chan<- streamStep) {
+var (
+	errNoStream   = errors.New("the response to a resumed stream isn't a stream of events")
+	errUnnumbered = errors.New("an event of a resumed stream has no ID")
+)
+
+// isEventStream reports whether a response is a stream of events by its type.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// receive sends the request and reads the response into steps, until it ends or the context is done. What follows events that the
+// client already has must be numbered events: anything else could be the text of an error.
+func (c *call) receive(ctx context.Context, head *balance.Selection, p *progress, steps chan<- streamStep) {
+	lastEventID, resumed := p.lastEventID, p.headerWritten
 	emit := func(step streamStep) bool {
 		select {
 		case steps <- step:
@@ -335,12 +363,19 @@
 		}
 		return
 	}
+	if resumed && !isEventStream(r.resp.Header) {
+		emit(streamStep{sent: true, err: errNoStream})
+		return
+	}
 	reader := bufio.NewReaderSize(r.resp.Body, 4096)
 	previous := c.newBuffer(maxEventBytes)
 	defer func() { previous.release() }()
 	for {
 		event := c.newBuffer(maxEventBytes)
 		id, err := event.readEvent(reader)
+		if err == nil && resumed && id == "" && !isComment(event.data) {
+			err = errUnnumbered
+		}
 		if err != nil {
 			event.release()
 			emit(streamStep{sent: true, err: err})
