Read the store in time for the shortest of its bounds after a mirror is lost

What callers would see: requests to a replica whose entry says that it is leaving (DRAIN), on a deployment where the bound for leaving replicas is shorter than that for configurations. Cause: a node that has lost its mirror waits for another one for three quarters of the bound for configurations, whatever it reads. The delay between two tries and the limit of a list during an outage depend on the shortest bound as well.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -23,8 +23,8 @@
 	// initialRetryDelay is the delay after the first failed call. It doubles with each further failure, up to
 	// Node.maxRetryDelay.
 	initialRetryDelay = 150 * time.Millisecond
-	// outageListFraction and retryDelayFraction are fractions of Bounds.ConfigApply, the time within which a configuration must
-	// be in force. They bound a list call while the store is unreachable, and the delay after it: a call sent during an outage
+	// outageListFraction and retryDelayFraction are fractions of the time within which a change in the store must be known here.
+	// They bound a list call while the store is unreachable, and the delay after it: a call sent during an outage
 	// may never be answered, and the next one must still be in time if it is sent after the outage. Delays are randomized by
 	// +-50%.
 	outageListFraction = 1.0 / 3
@@ -79,7 +79,7 @@
 	case f.listed:
 		timeout = f.maxWait + watchSlack
 	case f.node.storeContact.failing():
-		timeout = fraction(f.node.settings.Bounds.ConfigApply, outageListFraction)
+		timeout = fraction(f.node.settings.Bounds.ChangeKnown(), outageListFraction)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	f.cancelPending = cancel
@@ -178,7 +178,7 @@
 		}
 	}
 	if preceding < fastRetryNodes {
-		return fraction(n.settings.Bounds.ConfigApply, retryDelayFraction)
+		return fraction(n.settings.Bounds.ChangeKnown(), retryDelayFraction)
 	}
 	return slowRetryDelay
 }
@@ -277,8 +277,8 @@
 	// discoveryTime is the time in which a node that has just started gets datagrams of the other nodes. Until then it doesn't
 	// know whether one precedes it.
 	discoveryTime = 600 * time.Millisecond
-	// mirrorWaitFraction is the fraction of Bounds.ConfigApply, counted from the last answer, for which a node that has lost its
-	// mirror waits for another one before it reads the store itself.
+	// mirrorWaitFraction is the fraction of the time within which a change in the store must be known here, counted from the last
+	// answer, for which a node that has lost its mirror waits for another one before it reads the store itself.
 	mirrorWaitFraction = 0.75
 	// sourceCheckInterval is the time between two checks whether there is a mirror to read.
 	sourceCheckInterval = 25 * time.Millisecond
@@ -308,7 +308,7 @@
 func (n *Node) readsStore(lastAnswer clock.Time) bool {
 	uptime := n.mesh.Uptime()
 	if lastAnswer != 0 {
-		if n.clock.Now().Sub(lastAnswer) >= fraction(n.settings.Bounds.ConfigApply, mirrorWaitFraction) {
+		if n.clock.Now().Sub(lastAnswer) >= fraction(n.settings.Bounds.ChangeKnown(), mirrorWaitFraction) {
 			return true
 		}
 	} else if !n.settings.FirstRun || uptime >= firstRunMirrorWait {
