Tell other nodes of unchanged statements only now and then

A message now holds the statements that have changed within two intervals, and all once in three seconds or six intervals, or right after another node was seen for the first time since it started. The simulation of limits uses the new messages.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -379,7 +380,7 @@
 	}
 	msg.LeaseRevision, msg.Resigned = n.lease.Announcement()
 	msg.Crashes, msg.Answers = n.crashes.Reports(max(minCrashReportFor, crashReportIntervals*n.mesh.OtherZoneInterval()))
-	msg.Statements = n.statements.Reports()
+	msg.Statements = n.statements.Reports(n.mesh.OtherZoneInterval())
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
 	for k := range own.Suspected {
 		msg.Suspects = append(msg.Suspects, string(k))
@@ -394,6 +395,7 @@
 func (n *Node) applyPeerGossip(msg *schema.NodeGossip) {
 	n.applyZoneLoads(msg)
 	n.crashes.Merge(msg.Crashes, msg.Answers)
+	n.statements.NoteNode(msg.Node, strconv.FormatInt(msg.Incarnation, 10))
 	n.statements.Merge(msg.Statements)
 	state := balance.PeerState{Suspected: map[balance.Key]bool{}, SlowFactors: map[balance.Key]float64{}}
 	if msg.Zone == n.settings.Zone || !n.table.KnowsZone(msg.Zone) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -56,7 +56,7 @@
 	status.ConfigRevision = n.config.Revision()
 	status.Pools = n.targets.Summary()
 	status.Crashes, status.Answers = n.crashes.Reports(crashReportFor)
-	status.Statements = n.statements.Reports()
+	status.Statements = n.statements.Reports(n.settings.Timing.Heartbeat)
 	status.Accounts = n.admission.Demand()
 	for _, takeover := range n.holders.Takeovers() {
 		status.Takeovers = append(status.Takeovers, &schema.Takeover{
@@ -70,6 +70,7 @@
 func (n *Node) onPeerStatus(status *schema.NodeStatus) {
 	n.statuses.set(status)
 	n.crashes.Merge(status.Crashes, status.Answers)
+	n.statements.NoteNode(status.Name, status.Incarnation)
 	n.statements.Merge(status.Statements)
 	n.holders.NoteTakeovers(status.Name, reportedTakeovers(status))
 	if address, ok := n.membership.PeerAddress(status.Name); ok {
--- a/internal/statement/limit_test.go
+++ b/internal/statement/limit_test.go
@@ -80,7 +80,7 @@
 	reports := map[int][]*schema.TargetStatement{}
 	for i, t := range f.nodes {
 		if t != nil {
-			reports[i] = t.Reports()
+			reports[i] = t.Reports(gossipSteps * stepTime)
 		}
 	}
 	for i, t := range f.nodes {
@@ -188,14 +188,14 @@
 	c.Assert(limited(), qt.IsTrue)
 	other := newFixture()
 	other.now = f.now
-	other.Merge(f.Reports())
+	other.Merge(f.Reports(time.Second))
 	_, told := other.Rate(first, 1)
 	c.Assert(told, qt.IsTrue)
 	f.now += time.Second
 	other.now = f.now
 	f.RecordSuccess(first, Statement{}, f.now)
 	c.Assert(limited(), qt.IsFalse)
-	other.Merge(f.Reports())
+	other.Merge(f.Reports(time.Second))
 	_, told = other.Rate(first, 1)
 	c.Assert(told, qt.IsFalse)
 }
@@ -248,7 +248,7 @@
 	f, other := newFixture(), newFixture()
 	f.Record(first, Statement{Pause: 2 * time.Second})
 	f.Record(first, Statement{Pause: time.Second}) // The later end counts: responses may overtake each other.
-	other.Merge(f.Reports())
+	other.Merge(f.Reports(time.Second))
 	c.Assert(other.Check(first, 1), qt.Equals, NotRefused)
 	c.Assert(f.Check(second, 1), qt.Equals, NotRefused)
 	f.now += 1900 * time.Millisecond
--- a/internal/statement/report.go
+++ b/internal/statement/report.go
@@ -17,20 +17,27 @@
 	reportFor = 30 * time.Second
 	// maxReports bounds the statements in one message to another node, about 80 bytes each.
 	maxReports = 256
+	// A change is in the messages of spreadIntervals, so that each node gets it even if a message is lost. Afterwards statements are
+	// repeated in the messages of repeatIntervals, once in every minRepeatCycle or repeatCycleIntervals, whichever is longer. An
+	// interval is the longest time between two messages to the same node.
+	spreadIntervals      = 2
+	repeatIntervals      = 1.5
+	repeatCycleIntervals = 6
+	minRepeatCycle       = 3 * time.Second
 )
 
-// Reports returns the statements to tell other nodes, those heard last first. They include statements that other nodes told this
-// one, because some nodes may not reach each other.
-func (t *Table) Reports() []*schema.TargetStatement {
+// Reports returns the statements for a message to other nodes, those heard last first. interval is the longest time between two
+// messages to the same node. Each message holds the statements that have changed lately, and some hold all. They include statements
+// that other nodes told this one, because some nodes may not reach each other.
+func (t *Table) Reports(interval time.Duration) []*schema.TargetStatement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.targets) == 0 {
-		return nil
-	}
 	now := t.options.Now()
+	repeatFor := time.Duration(repeatIntervals * float64(interval))
+	all := now%max(minRepeatCycle, repeatCycleIntervals*interval) < repeatFor || t.nodeStartedAt != 0 && now-t.nodeStartedAt < repeatFor
 	var list []*schema.TargetStatement
 	for target, s := range t.targets {
-		if now-s.heardAt <= reportFor {
+		if now-s.heardAt <= reportFor && (all || now-s.changedAt < spreadIntervals*interval) {
 			list = append(list, s.report(target, now))
 		}
 	}
@@ -40,6 +47,16 @@
 	return list[:min(len(list), maxReports)]
 }
 
+// NoteNode makes the next messages hold all statements if the node hasn't been seen before, or has started since it was last seen.
+// start identifies a start of the node.
+func (t *Table) NoteNode(name, start string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if last, known := t.nodeStarts[name]; !known || start != last {
+		t.nodeStarts[name], t.nodeStartedAt = start, t.options.Now()
+	}
+}
+
 func (s *state) report(target Target, now time.Duration) *schema.TargetStatement {
 	r := &schema.TargetStatement{Target: target.ID, Incarnation: target.Incarnation, AgeMs: (now - s.heardAt).Milliseconds(), Leaving: s.leaving}
 	if s.limitAt != 0 {
@@ -60,6 +77,7 @@
 		}
 		t.mu.Lock()
 		news := t.mergeLocked(target, r)
+		t.noteChangeLocked(target, news)
 		t.mu.Unlock()
 		t.announce(target, news, "node")
 	}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -108,11 +108,15 @@
 	nodes     *nodeSet // Nil as long as limits aren't divided.
 	onLeaving []func()
 	expiredAt time.Duration // When statements were last searched for those to drop.
+
+	nodeStarts    map[string]string // The start of each other node that was seen last, by name.
+	nodeStartedAt time.Duration     // When another node was last seen for the first time since it started; 0 for never.
 }
 
 // state is what a target has stated. Times are readings of Options.Now.
 type state struct {
 	heardAt   time.Duration // When a response last stated something.
+	changedAt time.Duration // When leaving or limit last changed here.
 	limit     Limit
 	limitAt   time.Duration // When a response last stated the limit, or showed that there is none any more; 0 for never.
 	leaving   bool
@@ -140,7 +144,7 @@
 	if options.Meter == nil {
 		options.Meter = noop.NewMeterProvider().Meter("statement")
 	}
-	t := &Table{options: options, targets: map[Target]*state{}}
+	t := &Table{options: options, targets: map[Target]*state{}, nodeStarts: map[string]string{}}
 	t.heardCounter = t.newCounter("cassiadeal_target_statements", "New statements of targets about themselves, by kind.")
 	t.refusalCounter = t.newCounter("cassiadeal_target_statement_refusals", "Sends withheld because of what a target has stated, by reason.")
 	return t
@@ -169,6 +173,7 @@
 func (t *Table) Record(target Target, s Statement) {
 	t.mu.Lock()
 	news := t.recordLocked(target, s, t.options.Now())
+	t.noteChangeLocked(target, news)
 	t.mu.Unlock()
 	t.announce(target, news, "response")
 }
@@ -182,6 +187,7 @@
 		known.setLimit(Limit{}, t.options.Now())
 		news.limit = &known.limit
 	}
+	t.noteChangeLocked(target, news)
 	t.mu.Unlock()
 	t.announce(target, news, "response")
 }
@@ -203,6 +209,13 @@
 	pause      time.Duration
 }
 
+// noteChangeLocked records when what other nodes are told of the target has changed.
+func (t *Table) noteChangeLocked(target Target, n news) {
+	if n.leaving || n.limit != nil {
+		t.targets[target].changedAt = t.options.Now()
+	}
+}
+
 // announce logs and counts what changed, as heard from a source, and calls the functions registered with OnLeaving.
 func (t *Table) announce(target Target, n news, source string) {
 	log := t.options.Log.WithFields(logrus.Fields{"target": target.ID, "incarnation": target.Incarnation, "source": source})
