Fill limited heads first where only few nodes may send to them

Cause: each node drew heads as if all nodes could send to each of them, but a limit is divided among a few nodes. A limited head that would get a share of the arrivals is now taken first by the nodes that have a part of its limit.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -13,18 +13,25 @@
 	head           *Selection
 	cost           time.Duration // Predicted time to the first event, plus penalties.
 	costPerRequest time.Duration // What one more request at the head adds to the cost.
+	limited        bool          // Only a few nodes may send to the head, and few requests.
 }
 
 // choose draws a head at random. All nodes choose concurrently from loads that lag behind, and would all choose the head with
 // the lowest cost. The requests that arrive until the loads are updated are therefore distributed in such a way that the heads
 // that get any reach a common cost, and each head is drawn with the probability of its share. With few arrivals the head with
-// the lowest cost is drawn.
+// the lowest cost is drawn. A limited head that would get any is taken first: the other nodes can't fill it, and what this node may
+// send there would be lost.
 func choose(candidates []candidate, arrivals float64) *Selection {
 	if len(candidates) == 0 {
 		return nil
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return int(a.cost - b.cost) })
 	shares := waterFill(candidates, max(arrivals, 1))
+	for i := range shares {
+		if candidates[i].limited {
+			return candidates[i].head
+		}
+	}
 	draw := rand.Float64()
 	for i, share := range shares {
 		if draw -= share; draw < 0 {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -410,6 +410,9 @@
 	Exclude      map[Key]bool
 	// Refused reports whether what a replica has stated in responses keeps the request from it; nil for never.
 	Refused func(*fleet.Replica) bool
+	// Limited reports whether a replica has stated a limit on its rate of requests, of which only a few nodes have a part; nil for
+	// never.
+	Limited func(*fleet.Replica) bool
 	// ColdShare is the part of a cold replica's request rate that this node may use: one over the number of serving nodes.
 	ColdShare float64
 	// LoadAge is how old the loads reported by nodes of other failure domains may be. It also serves as the age of the loads of
@@ -420,6 +423,7 @@
 }
 
 func (q *Query) refuses(r *fleet.Replica) bool { return q.Refused != nil && q.Refused(r) }
+func (q *Query) limits(r *fleet.Replica) bool  { return q.Limited != nil && q.Limited(r) }
 
 // remoteZoneCost is added to the cost of heads in other failure domains, to which links are slower and charged for.
 const remoteZoneCost = 12 * time.Millisecond
@@ -477,7 +481,7 @@
 	}
 	costPerRequest := time.Duration(slowFactor * float64(delayPerRequest(q.Service.Engine, q.Model.TimeFactor)))
 	return candidate{&Selection{Replica: r, Key: k, Load: load, FirstEvent: first, QueueDelay: first - predict(Load{}), SlowFactor: slowFactor,
-		engine: q.Service.Engine, model: q.Model.Name, timeFactor: q.Model.TimeFactor}, cost, costPerRequest}
+		engine: q.Service.Engine, model: q.Model.Name, timeFactor: q.Model.TimeFactor}, cost, costPerRequest, q.limits(r)}
 }
 
 // PickPlain returns the plain replica with the least load for its slots, preferably in this failure domain, or nil.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -101,6 +101,12 @@
 	return c.opt.Statements.Check(r.Incarnation().Target(), 1) != statement.NotRefused
 }
 
+// limitedByStatement reports whether the replica has stated a limit on its rate of requests.
+func (c *call) limitedByStatement(r *fleet.Replica) bool {
+	_, limited := c.opt.Statements.Rate(r.Incarnation().Target(), 1)
+	return limited
+}
+
 // admittedByStatement reports whether a request may be sent to the replica now, and counts it if so.
 func (c *call) admittedByStatement(r *fleet.Replica) bool {
 	return c.opt.Statements.Admit(r.Incarnation().Target(), 1) == statement.NotRefused
@@ -125,7 +131,7 @@
 func (c *call) balanceQuery(exclude map[balance.Key]bool) balance.Query {
 	c.view = c.opt.Registry.View()
 	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
-		Exclude: exclude, Refused: c.refusedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
+		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
 		GapTarget: c.route.GapTarget}
 }
 
