Show operators what targets state about themselves

A target that had stated that it is leaving was shown as lost, and limits and pauses only in the log. status now shows such a target as draining, and the holder's rate and pause in a column of their own (rate_per_second and paused_ms in JSON). TestStatusShowsWhatTargetsState and two lines of TestCommands; they don't compile without the fields.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -152,6 +152,7 @@
 	const service = domains + "[services]\ns = targets=10.0.0.1:80@fd-a,10.0.0.2:80@fd-b cold_limit=1 full_limit=8 # Ann\n"
 	backend := &fakeBackend{config: operator.Config{Revision: 7, Rules: service, Author: "Ann"}}
 	address := startServer(t, backend, false)
+	stating := startServer(t, &fakeBackend{targets: []operator.TargetStatus{{ID: "t1", State: "warm", RatePerSecond: new(2.5), PausedMS: 1500}}}, false)
 	changed := writeRulesFile(t, strings.Replace(service, "fd-a = state=in # Ann", "fd-a = state=out # Bo", 1))
 	big := writeRulesFile(t, service+"[pools]\np = model=m vms=9 replicas=1 cold_limit=1 full_limit=1 # Cy\n")
 	for _, test := range []struct {
@@ -164,6 +165,8 @@
 		{"status", cli.ExitUsage, "--node is missing"},
 		{"status --node " + unreachableAddress, cli.ExitNoNode, "connection refused"},
 		{"status --node " + address, cli.ExitOK, "right to serve: true"},
+		{"status --node " + stating, cli.ExitOK, "2.5/s, pause 1.5s"},
+		{"status --json --node " + stating, cli.ExitOK, `"rate_per_second": 2.5`},
 		{"apply --help", cli.ExitOK, "--base REVISION"},
 		{"check nowhere.ini", cli.ExitUsage, "no such file"},
 		{"check --node " + address + " " + changed, cli.ExitOK, "fits the VM list"},
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"cassiadeal.example/cassiadeal/internal/operator"
 	"cassiadeal.example/cassiadeal/internal/rules"
@@ -47,14 +48,26 @@
 			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", d.Name, d.Kind, d.Wanted, d.InFlight, d.Limit, d.Queued, serving)
 		}
 	})
-	a.printTable("TARGET\tDESTINATION\tFAILURE DOMAIN\tHOLDER\tIN FLIGHT\tLIMIT\tSTATE", func(w io.Writer) {
+	a.printTable("TARGET\tDESTINATION\tFAILURE DOMAIN\tHOLDER\tIN FLIGHT\tLIMIT\tSTATED\tSTATE", func(w io.Writer) {
 		for _, t := range s.Targets {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", t.ID, t.Destination, t.FailureDomain, t.Holder, t.InFlight, t.Limit, a.colourState(t.State))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", t.ID, t.Destination, t.FailureDomain, t.Holder, t.InFlight, t.Limit, stated(t), a.colourState(t.State))
 		}
 	})
 	fmt.Fprintf(a.Stdout, "stranded VMs: %s\n", orNone(s.StrandedVMs))
 }
 
+// stated returns what a target has stated about the requests that it takes.
+func stated(t operator.TargetStatus) string {
+	var list []string
+	if t.RatePerSecond != nil {
+		list = append(list, fmt.Sprintf("%.3g/s", *t.RatePerSecond))
+	}
+	if t.PausedMS > 0 {
+		list = append(list, "pause "+(time.Duration(t.PausedMS)*time.Millisecond).String())
+	}
+	return orNone(list)
+}
+
 // printTable prints aligned columns. Only the last column may be coloured, because tabwriter counts escape sequences as
 // width.
 func (a *app) printTable(header string, rows func(io.Writer)) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -125,6 +125,10 @@
 		}
 		if local, ok := held[spec.ID]; ok {
 			status.State, status.InFlight, status.Limit, status.InDoubt = targetState(local), local.InFlight, local.Limit, local.InDoubt
+			status.PausedMS = local.PausedFor.Milliseconds()
+			if local.Limited {
+				status.RatePerSecond = &local.PerSecond
+			}
 		} else if spec.Draining {
 			status.State = "draining"
 		}
@@ -136,7 +140,7 @@
 
 func targetState(s target.Status) string {
 	switch {
-	case s.Draining:
+	case s.Draining || s.Leaving:
 		return "draining"
 	case s.UnusableReason != "":
 		return "lost"
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -132,4 +132,7 @@
 	InFlight      int      `json:"in_flight"`
 	Limit         int      `json:"limit"`
 	InDoubt       bool     `json:"in_doubt"` // Another node may still send to the target. Known only to the holder.
+	// What the target has stated about itself in responses. Known only to the holder.
+	RatePerSecond *float64 `json:"rate_per_second,omitempty"` // Requests per second that the holder may send; absent if the target has stated no limit.
+	PausedMS      int64    `json:"paused_ms,omitempty"`       // For how long it still wants no request.
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -523,6 +523,10 @@
 	Limit          int    // Requests that this node may have in flight at the target.
 	Warm           bool
 	InFlight       int
+	Leaving        bool          // The target has stated that it is leaving.
+	Limited        bool          // The target has stated a limit on its rate of requests.
+	PerSecond      float64       // Requests per second that this node may send while the target is limited.
+	PausedFor      time.Duration // For how long the target still wants no request from this node.
 	Reports        []MemberStatus
 }
 
@@ -541,7 +545,9 @@
 	now := t.options.Now()
 	list := make([]Status, 0, len(t.targets))
 	for _, tgt := range t.targets {
-		s := Status{Spec: tgt.spec, UnusableReason: t.unusableReason(tgt, now), Limit: tgt.effectiveLimit(), Warm: tgt.warm, InFlight: tgt.inFlight}
+		s := Status{Spec: tgt.spec, UnusableReason: t.unusableReason(tgt, now), Limit: tgt.effectiveLimit(), Warm: tgt.warm, InFlight: tgt.inFlight,
+			Leaving: t.isLeaving(tgt), PausedFor: t.pausedFor(tgt)}
+		s.PerSecond, s.Limited = t.statedRate(tgt)
 		for _, m := range tgt.members {
 			ms := MemberStatus{Member: m.Member, Report: m.report, Age: -1}
 			if m.reportValid {
