Order heads of groups that are no longer planned to leave before their members are used

Cause: a group that was given up counted as gone. In the test, orders to join and open a head, which weren't answered, were carried out after it had left. A head that reports that it serves a group which isn't planned is now ordered to leave, and its members wait for its answer, or for its entry if it hasn't answered. After the answer its entry may be old for long, so it counts only once it has shown that the head has left. TestHeadThatWasCutOffIsReleasedFirst (one of three cases) and TestHeadThatLateOrdersReopenIsReleasedFirst failed before.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -55,6 +55,7 @@
 	startedAt    int64
 	failedAt     clock.Time // When it stopped answering; 0 while it runs.
 	unlistedAt   clock.Time // When its entry was removed, though it runs; 0 while it is listed.
+	cutOff       bool       // No node reaches it, though it runs, is listed and reaches the other members of its group.
 	draining     bool
 	staged       []string
 	staging      string
@@ -167,7 +168,7 @@
 // execute carries out an order and returns its outcome.
 func (m *emulator) execute(o Order) Outcome {
 	v := m.vms[o.To.ID]
-	if v == nil || v.failedAt != 0 {
+	if v == nil || v.failedAt != 0 || v.cutOff {
 		return Unknown
 	}
 	now := m.clock.Now()
@@ -240,10 +241,11 @@
 	return Accepted
 }
 
-// checkHeadReleased records a violation if a member is joined to another group while the head of its group serves.
+// checkHeadReleased records a violation if a member is joined to another group while the head of its group serves, or if a head that
+// serves is joined to a group with another name.
 func (m *emulator) checkHeadReleased(v *vm, o Order) {
 	head := m.vms[v.members[0]]
-	if head != nil && head != v && head.failedAt == 0 && head.group == v.group && head.epoch == v.epoch &&
+	if head != nil && (head != v || o.Group != v.group) && head.failedAt == 0 && head.group == v.group && head.epoch == v.epoch &&
 		(head.state == fleet.GroupOpen || head.state == fleet.GroupClosing) {
 		m.violations = append(m.violations, fmt.Sprintf("%s was joined to %s while %s of %s was %s", v.id, o.Group, v.group, head.id, head.state))
 	}
@@ -303,7 +305,7 @@
 	m.probe(p, entries)
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.mayBeOutdated, Confirmed: m.queryReplicas(),
-		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadSilent: func(r *fleet.Replica) bool { return m.vms[r.ID].failedAt != 0 }}) {
+		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadSilent: func(r *fleet.Replica) bool { return m.vms[r.ID].failedAt != 0 || m.vms[r.ID].cutOff }}) {
 		if m.refuse != nil && m.refuse(o) {
 			p.RecordOutcome(o, Refused)
 			continue
@@ -348,12 +350,14 @@
 	return lapsed
 }
 
-// probe probes the unlisted members of groups, as the planner does.
+// probe probes the members of groups that are unlisted or cut off, as the planner does.
 func (m *emulator) probe(p *Plan, listed map[string]*fleet.Replica) {
 	for _, members := range p.Groups() {
 		for _, member := range members {
-			if v := m.vms[member.Incarnation.ID]; v == nil || listed[member.Incarnation.ID] != nil {
+			if v := m.vms[member.Incarnation.ID]; v == nil || listed[member.Incarnation.ID] != nil && !v.cutOff {
 				continue
+			} else if v.cutOff {
+				p.RecordProbeFailure(member.Incarnation, m.clock.Now())
 			} else if v.failedAt == 0 && v.startedAt == member.Incarnation.StartedUnixMs {
 				p.RecordProbeAnswer(member.Incarnation, m.clock.Now())
 			} else {
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -53,6 +53,37 @@
 	return dissolved
 }
 
+// releaseFormerHeads orders heads that serve groups which are no longer planned to leave them, and finds the groups whose members can't
+// be joined to others until their heads have left. A head that has left may serve its group again: an order to join or open it that
+// wasn't answered may be carried out later.
+func (s *step) releaseFormerHeads() {
+	serving := map[groupKey]bool{}
+	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
+		r := s.Replicas[id]
+		if s.used[id] || !servesGroup(r) || s.usableReplica(r.Incarnation()) == nil {
+			continue
+		}
+		key := groupKey{r.Group.Name, r.Group.Epoch}
+		serving[key] = true
+		h, ordered := s.formerHeads[key]
+		if h.left || !s.isDissolved(key) && s.inUnknownGroup(r) {
+			continue
+		}
+		s.served[key] = true
+		if !ordered || s.Now.Sub(h.sentAt) > reportTimeout {
+			s.formerHeads[key] = formerHead{sentAt: s.Now}
+			s.orders = append(s.orders, Order{To: r, Action: Leave, Group: key.name, Epoch: key.epoch, Reason: "it serves a group that is no longer planned"})
+		}
+	}
+	// A head whose entry shows that it has left is ordered to leave again if it serves once more.
+	maps.DeleteFunc(s.formerHeads, func(key groupKey, _ formerHead) bool { return !serving[key] })
+}
+
+// servesGroup reports whether the replica is a head that serves, or finishes the requests of, a group.
+func servesGroup(r *fleet.Replica) bool {
+	return r.Group != nil && r.Group.Rank == 0 && (r.Group.State == fleet.GroupOpen || r.Group.State == fleet.GroupClosing)
+}
+
 // addReportedMember sets the member of a rank from the entry of a replica that reports the group, unless it is already set.
 func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) {
 	if r.Group.Rank >= len(g.members) || g.members[r.Group.Rank].incarnation.ID != "" {
@@ -117,8 +148,7 @@
 
 // headServes tells whether the head reports the group's epoch as open, or as closing while it finishes its requests.
 func (s *step) headServes(g *group, head *fleet.Replica) bool {
-	return head.Group != nil && head.Group.Name == g.name && head.Group.Epoch == g.epoch &&
-		(head.Group.State == fleet.GroupOpen || head.Group.State == fleet.GroupClosing)
+	return servesGroup(head) && head.Group.Name == g.name && head.Group.Epoch == g.epoch
 }
 
 // drainingMember describes the first draining member of the group, or returns "".
@@ -305,6 +335,9 @@
 	for _, m := range g.members {
 		delete(s.used, m.incarnation.ID)
 	}
+	if !headStays {
+		s.noteHeadLeft(g)
+	}
 	g.members = g.members[:0]
 	for _, r := range append(remaining, spares[:max(missing, 0)]...)[:model.Size] {
 		g.members = append(g.members, member{incarnation: r.Incarnation(), lastEntry: r})
@@ -362,12 +395,20 @@
 	return false
 }
 
+// noteHeadLeft records that the head of a group that is given up, or gets another head, has answered an order to leave it.
+func (s *step) noteHeadLeft(g *group) {
+	if g.headReleased {
+		s.formerHeads[groupKey{g.name, g.epoch}] = formerHead{sentAt: s.Now, left: true}
+	}
+}
+
 // dissolve removes a group from the plan as soon as its members are released.
 func (s *step) dissolve(g *group, reason string) {
 	g.dissolveReason = reason
 	if !s.releaseMembers(g, reason) {
 		return
 	}
+	s.noteHeadLeft(g)
 	s.dissolved[groupKey{g.name, g.epoch}] = s.Now
 	delete(s.groups, g.name)
 	for _, m := range g.members {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -163,6 +163,13 @@
 	failed bool // The order was refused or not answered; it is sent again after stageRetryDelay.
 }
 
+// formerHead records an order to leave a group that is no longer planned.
+type formerHead struct {
+	sentAt clock.Time // When it was last sent.
+	// left is set if the head has answered. Its entry may be older, or not be updated at all if the head can't reach the store.
+	left bool
+}
+
 // groupKey identifies one epoch of a group.
 type groupKey struct {
 	name  string
@@ -183,6 +190,7 @@
 	slowUntil    map[fleet.Incarnation]clock.Time // Time until which a replica counts as slow.
 	standbyJoins map[fleet.Incarnation]clock.Time // When a spare was last ordered to join its standby group.
 	domains      map[string]domainSize            // By fabric domain.
+	formerHeads  map[groupKey]formerHead          // Heads of groups that are no longer planned, as far as they were ordered to leave.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -193,7 +201,7 @@
 	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupKey]clock.Time{}, staging: map[fleet.Incarnation]staging{},
 		unresponsive: map[fleet.Incarnation]probeFailures{}, probeAnswers: map[fleet.Incarnation]clock.Time{},
 		slowUntil: map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
-		domains: map[string]domainSize{}}
+		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
@@ -237,6 +245,10 @@
 		}
 		return
 	}
+	if h, former := p.formerHeads[groupKey{o.Group, o.Epoch}]; former && o.Action == Leave && outcome != Unknown {
+		h.left = true
+		p.formerHeads[groupKey{o.Group, o.Epoch}] = h
+	}
 	g := p.groups[o.Group]
 	if g != nil && o.Action == Leave && o.Epoch == g.formerEpoch && outcome != Unknown {
 		g.formerEpoch, g.leaveSentAt = 0, 0
@@ -353,13 +365,14 @@
 	Input
 	used   map[string]bool           // Replicas in a planned group.
 	quotas map[string]map[string]int // By fabric domain and model; nil until they are needed.
+	served map[groupKey]bool         // Groups that are no longer planned, but that their heads still serve.
 	orders []Order
 }
 
 // Step compares the plan with the entries of the replicas, changes the plan where it can no longer be carried out, and returns
 // the orders to send now.
 func (p *Plan) Step(in Input) []Order {
-	s := &step{Plan: p, Input: in, used: map[string]bool{}}
+	s := &step{Plan: p, Input: in, used: map[string]bool{}, served: map[groupKey]bool{}}
 	s.expire()
 	s.adoptReportedGroups()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
@@ -367,6 +380,7 @@
 			s.used[m.incarnation.ID] = true
 		}
 	}
+	s.releaseFormerHeads()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		s.advance(p.groups[name])
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -119,6 +119,65 @@
 	}
 }
 
+// Guards against replicas that are joined to another group while the head of their own serves: the head was cut off from the nodes,
+// but not from its members, so that its group was given up while it was open, and it answers again.
+func TestHeadThatWasCutOffIsReleasedFirst(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		spares int // Replicas beyond those in groups.
+		cutOff int // Members that are cut off with the head.
+	}{
+		{"the group is dissolved", 0, 0},
+		{"the group is dissolved, a member is cut off too", 0, 1},
+		{"another replica becomes the head", 2, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 8+test.spares)
+			before := m.openGroups()
+			head := m.openHeads("large")[0]
+			cutOff := append([]*vm{head}, m.vms[head.members[1]])[:1+test.cutOff]
+			for _, v := range cutOff {
+				v.cutOff = true
+			}
+			m.run(p, 6*time.Second, nil)
+			c.Assert(head.state, quicktest.Equals, fleet.GroupOpen)
+			for _, v := range cutOff {
+				v.cutOff = false
+			}
+			m.violations = nil // While the head is cut off, nothing tells it from one that has ended.
+			m.run(p, 16*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(m.openGroups(), quicktest.DeepEquals, before)
+		})
+	}
+}
+
+// Guards against members that are taken from a head that serves a dissolved group again: orders to join and open it, which weren't
+// answered, were carried out after the head had left.
+func TestHeadThatLateOrdersReopenIsReleasedFirst(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 8)
+	head := m.openHeads("large")[0]
+	lost := map[Action]bool{}
+	m.loseAnswer = func(o Order) bool {
+		first := o.To.ID == head.id && (o.Action == Join || o.Action == Open) && !lost[o.Action]
+		lost[o.Action] = lost[o.Action] || first
+		return first
+	}
+	m.vms[head.members[1]].draining = true
+	m.run(p, 3400*time.Millisecond, nil)
+	head.draining = true
+	reopened := false
+	m.run(p, 20*time.Second, func() {
+		g := p.groups[head.group]
+		reopened = reopened || head.state == fleet.GroupOpen && (g == nil || g.epoch != head.epoch)
+	})
+	c.Assert(reopened, quicktest.IsTrue)
+	m.assertNoViolations()
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+}
+
 // Guards against groups that are dissolved because their heads failed one probe: a slow planner missed the answers of eighteen
 // heads at once, and 24 groups of four became 11.
 func TestHeadsThatMissOneProbeStay(t *testing.T) {
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -18,9 +18,11 @@
 		if r.Fabric != fabric || s.used[id] || r.Draining || s.usableReplica(r.Incarnation()) == nil || !s.stateKnown(r) {
 			continue
 		}
-		if r.Group != nil && !strings.HasPrefix(r.Group.Name, standbyPrefix) &&
-			!s.isDissolved(groupKey{r.Group.Name, r.Group.Epoch}) && s.inUnknownGroup(r) {
-			continue
+		if r.Group != nil && !strings.HasPrefix(r.Group.Name, standbyPrefix) {
+			key := groupKey{r.Group.Name, r.Group.Epoch}
+			if s.served[key] || !s.isDissolved(key) && s.inUnknownGroup(r) {
+				continue
+			}
 		}
 		list = append(list, r)
 	}
