Adopt a group again if its head was only cut off from the nodes

A group whose head wasn't heard to have left is now adopted again when that head reports it as open. Members that were joined to other groups meanwhile aren't taken back. TestGroupThatStillServesIsAdoptedAgain failed before (one order interrupted requests).

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -24,12 +24,13 @@
 		if g != nil && g.epoch == key.epoch {
 			g.addReportedMember(r, s.Now)
 		}
-		if s.isDissolved(key) || g != nil && g.epoch >= key.epoch {
+		if s.isDissolved(key) && !s.stillServes(key) || g != nil && g.epoch >= key.epoch || s.plannedElsewhere(r) {
 			continue
 		}
 		reported[key] = append(reported[key], r)
 	}
 	for key, members := range reported {
+		delete(s.dissolved, key)
 		model := reportedModel(members, s.Engine)
 		if model == nil {
 			continue // No member reports loaded weights yet, so the model isn't known; tried again in the next step.
@@ -53,6 +54,20 @@
 	return dissolved
 }
 
+// stillServes reports whether the head of a group that was dissolved because it was unreachable answers again and reports the group as
+// open. Such a group is adopted again.
+func (s *step) stillServes(key groupKey) bool {
+	if !s.dissolved[key].headUnheard {
+		return false
+	}
+	for _, r := range s.Replicas {
+		if servesGroup(r) && (groupKey{r.Group.Name, r.Group.Epoch}) == key {
+			return s.usableReplica(r.Incarnation()) != nil
+		}
+	}
+	return false
+}
+
 // releaseFormerHeads orders heads that serve groups which are no longer planned to leave them, and finds the groups whose members can't
 // be joined to others until their heads have left. A head that has left may serve its group again: an order to join or open it that
 // wasn't answered may be carried out later.
@@ -84,6 +99,16 @@
 	return r.Group != nil && r.Group.Rank == 0 && (r.Group.State == fleet.GroupOpen || r.Group.State == fleet.GroupClosing)
 }
 
+// plannedElsewhere reports whether a planned group other than the one that the replica reports has it as a member.
+func (s *step) plannedElsewhere(r *fleet.Replica) bool {
+	for name, g := range s.groups {
+		if name != r.Group.Name && slices.ContainsFunc(g.members, func(m member) bool { return m.incarnation == r.Incarnation() }) {
+			return true
+		}
+	}
+	return false
+}
+
 // addReportedMember sets the member of a rank from the entry of a replica that reports the group, unless it is already set.
 func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) {
 	if r.Group.Rank >= len(g.members) || g.members[r.Group.Rank].incarnation.ID != "" {
@@ -409,7 +434,7 @@
 		return
 	}
 	s.noteHeadLeft(g)
-	s.dissolved[groupKey{g.name, g.epoch}] = s.Now
+	s.dissolved[groupKey{g.name, g.epoch}] = dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased}
 	delete(s.groups, g.name)
 	for _, m := range g.members {
 		delete(s.used, m.incarnation.ID)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -163,6 +163,14 @@
 	failed bool // The order was refused or not answered; it is sent again after stageRetryDelay.
 }
 
+// dissolution records that a group was dissolved.
+type dissolution struct {
+	at clock.Time
+	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
+	// it.
+	headUnheard bool
+}
+
 // formerHead records an order to leave a group that is no longer planned.
 type formerHead struct {
 	sentAt clock.Time // When it was last sent.
@@ -182,7 +190,7 @@
 	epochCounter int64
 
 	groups       map[string]*group
-	dissolved    map[groupKey]clock.Time // When a group was dissolved.
+	dissolved    map[groupKey]dissolution
 	staging      map[fleet.Incarnation]staging
 	loadStarts   []clock.Time // Starts of weight loads within the window.
 	unresponsive map[fleet.Incarnation]probeFailures
@@ -198,7 +206,7 @@
 
 // New returns an empty plan. The term must be higher than that of every earlier planner, as epochs are derived from it.
 func New(term int64) *Plan {
-	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupKey]clock.Time{}, staging: map[fleet.Incarnation]staging{},
+	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupKey]dissolution{}, staging: map[fleet.Incarnation]staging{},
 		unresponsive: map[fleet.Incarnation]probeFailures{}, probeAnswers: map[fleet.Incarnation]clock.Time{},
 		slowUntil: map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{}}
@@ -403,8 +411,8 @@
 			delete(s.probeAnswers, incarnation)
 		}
 	}
-	for g, at := range s.dissolved {
-		if s.Now.Sub(at) > dissolvedRetention {
+	for g, d := range s.dissolved {
+		if s.Now.Sub(d.at) > dissolvedRetention {
 			delete(s.dissolved, g)
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// Guards against requests that are broken off because a group whose head was only cut off from the nodes is formed anew.
+func TestGroupThatStillServesIsAdoptedAgain(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 8)
+	head := m.openHeads("large")[0]
+	member, epoch := m.vms[head.members[1]], head.epoch
+	head.cutOff, member.cutOff = true, true
+	m.run(p, 6*time.Second, nil)
+	c.Assert(p.groups[head.group], quicktest.IsNil)
+	head.cutOff, member.cutOff = false, false
+	head.busyUntil = m.clock.Now().Add(time.Minute)
+	m.run(p, 16*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(m.interruptions, quicktest.HasLen, 0)
+	c.Assert(head.epoch, quicktest.Equals, epoch)
+	c.Assert(p.groups[head.group], quicktest.IsNotNil)
+}
+
 // Guards against members that are taken from a head that serves a dissolved group again: orders to join and open it, which weren't
 // answered, were carried out after the head had left.
 func TestHeadThatLateOrdersReopenIsReleasedFirst(t *testing.T) {
