Send nothing to a replica that states meanwhile that it takes no requests

The platform's front end checked statements only before it chose a replica, and logged that it sent a request to one that was leaving; the own interface checks once more before the first byte. The former checks again as well now. The request counts as not sent and goes to another replica (retry reason target_barred).

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -53,15 +53,13 @@
 	errRequestIDMismatch = errors.New("the response carries the ID of another request")
 	// errUnidentifiedRefusal means that a refusal may be one of an earlier request, which a faulty replica has sent again.
 	errUnidentifiedRefusal = errors.New("the response states that the request has not run, but doesn't carry its ID")
+	// errBarred means that nothing was sent, because of a statement that was heard while the connection was opened.
+	errBarred = errors.New("the target has stated meanwhile that it takes no requests")
 )
 
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
 func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string) (r *replicaResponse, sent bool, err error) {
-	if age, leaving := c.opt.Statements.LeavingFor(replica.Incarnation().Target()); leaving {
-		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": replica.ID, "leaving_ms": age.Milliseconds(),
-			"arrived_ms": time.Since(c.start).Milliseconds()}).Warning("sending a request to a target that has stated that it is leaving")
-	}
 	dialer := net.Dialer{Timeout: min(dialTimeout, max(c.timeLeft()/2, time.Millisecond))}
 	conn, err := dialer.DialContext(ctx, "tcp", replica.Address)
 	if err != nil {
@@ -73,6 +71,9 @@
 		conn.Close()
 		return nil, sent, err
 	}
+	if c.opt.Statements.Barred(replica.Incarnation().Target()) != statement.NotRefused {
+		return fail(false, errBarred)
+	}
 	sentAt := c.opt.Statements.Now()
 	if _, err := conn.Write(c.encodeRequest(replica, lastEventID)); err != nil {
 		return fail(true, err)
@@ -265,6 +266,11 @@
 	if c.ctx.Err() != nil {
 		return // The client disconnected or its deadline passed, which is no failure of the replica.
 	}
+	if errors.Is(err, errBarred) {
+		c.opt.Metrics.Retry("target_barred")
+		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key)}).Info(err.Error())
+		return
+	}
 	c.opt.Table.RecordOutcome(key, true)
 	if !sent {
 		c.opt.Table.Avoid(key)
--- a/internal/edge/statement_test.go
+++ b/internal/edge/statement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -11,7 +12,9 @@
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
 const (
@@ -61,6 +64,28 @@
 	}
 }
 
+// Guards against a request that is sent although the replica has stated, while the connection was opened, that it takes none. The
+// client's request goes to another replica.
+func TestReplicaThatStatesSomethingMeanwhileGetsNoRequest(t *testing.T) {
+	for name, stated := range map[string]statement.Statement{"leaving": {Leaving: true}, "pause": {Pause: time.Minute}} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			replica := newReplica(t, false, func(*http.Request) string { return httpResponse("200 OK", sealHeader, "done") })
+			server := newServer(t, fleet.RepeatNever, replica).(*Server)
+			view := server.opt.Registry.View()
+			target := view.Replicas["i-0"]
+			call := &call{Server: server, w: httptest.NewRecorder(), ctx: t.Context(), req: &fleet.Request{ID: "q1", Method: http.MethodPost, URI: "/a/1", Header: http.Header{}},
+				view: view, route: &view.Config.Routes[0], service: view.Config.Services["s"], start: time.Now(), deadline: time.Now().Add(time.Minute)}
+			server.opt.Statements.Record(target.Incarnation().Target(), stated)
+			done, retryable := call.trySend(target, balance.KeyOf(target))
+			c.Check(done, quicktest.IsFalse)
+			c.Check(retryable, quicktest.IsTrue)
+			c.Check(call.attempts.mayHaveRun(), quicktest.IsFalse)
+			c.Check(replica.received(), quicktest.HasLen, 0)
+		})
+	}
+}
+
 const (
 	// limitPerSecond is the limit that replicas name in these tests. limitBound is what they may get in limitWindow: one and a half
 	// times what the limit allows, and five requests.
--- a/internal/statement/admit.go
+++ b/internal/statement/admit.go
@@ -56,11 +56,28 @@
 	}
 	t.mu.Unlock()
 	if refusal != NotRefused {
-		t.refusalCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(refusal))))
+		t.countRefusal(refusal)
 	}
 	return refusal
 }
 
+// Barred returns why the target gets no request now, even one that was admitted before: it has stated meanwhile that it is leaving, or
+// has asked for a pause.
+func (t *Table) Barred(target Target) Refusal {
+	t.mu.Lock()
+	refusal := t.checkLocked(target, 1)
+	t.mu.Unlock()
+	if refusal != IsLeaving && refusal != Paused {
+		return NotRefused
+	}
+	t.countRefusal(refusal)
+	return refusal
+}
+
+func (t *Table) countRefusal(r Refusal) {
+	t.refusalCounter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(r))))
+}
+
 func (t *Table) checkLocked(target Target, part float64) Refusal {
 	s := t.targets[target]
 	switch {
--- a/internal/target/statement_test.go
+++ b/internal/target/statement_test.go
@@ -38,3 +38,20 @@
 		})
 	}
 }
+
+// Guards against a request that is sent although the target has stated, since the request got its slot, that it takes none.
+func TestSlotOfTargetThatStatesSomethingMeanwhileIsNotUsed(t *testing.T) {
+	for name, stated := range map[string]statement.Statement{"leaving": {Leaving: true}, "pause": {Pause: time.Minute}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil, poolSpec("t1", 3, 4))
+			f.recordAllReady("t1")
+			slot, code := f.tryAcquire(SlotRequest{})
+			qt.Assert(t, code, qt.Equals, result.OK)
+			qt.Assert(t, slot.Check(), qt.IsNil)
+			receiver, known := f.table.targets["t1"].receiver()
+			qt.Assert(t, known, qt.IsTrue)
+			f.table.options.Statements.Record(receiver, stated)
+			qt.Check(t, result.From(slot.Check()).NotRun, qt.IsTrue)
+		})
+	}
+}
