Make members without a limit the heads of new and repaired groups

What callers would see: a group takes one request a second after a repair. A group that gets a new head now gets the first member without a known limit, on both front ends. Running groups keep their heads: what members that haven't answered lately limit isn't known, so a change of the head could leave less than there was. TestMemberWithALimitDoesNotBecomeTheHead (two cases) and TestPlanGivesRankZeroToVMsWithoutALimit failed without it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -123,6 +123,10 @@
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
 	n.planner = planner.New(planner.Options{Lease: n.lease, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
 		Table: n.table, Replicas: platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) }), Clock: c, Log: log, LoadWindow: s.Bounds.LoadWindow, StallAfter: s.Bounds.StallAfter, EntryTTL: s.Bounds.EntryTTL,
+		Limited: func(r *fleet.Replica) bool {
+			_, limited := n.statements.Rate(r.Incarnation().Target(), 1)
+			return limited
+		},
 		Candidate: n.isPlannerCandidate, BeforeFirstRequest: n.firstRunWithoutRequests})
 	n.followers = n.newFollowers()
 	return n, nil
--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -41,6 +41,8 @@
 	Seen bool
 	// Leaving is set if the engine has stated that it is leaving, whether or not the VM list shows it.
 	Leaving bool
+	// Limited is set if the engine has stated a limit on its rate of requests.
+	Limited bool
 }
 
 // Share is a pool and the number of its replicas that this fabric domain should hold.
@@ -203,7 +205,8 @@
 	return !assigned && !vm.Leaving && fresh && r.Group == ""
 }
 
-// spares returns the VMs that may join a group, those that hold the model's weights first.
+// spares returns the VMs that may join a group, those that hold the model's weights first. Of these, VMs whose engines limit their rate
+// of requests come last: the first may get rank 0, whose limit is that of the whole group.
 func (p *planner) spares(model string) []string {
 	var names []string
 	for _, vm := range p.input.VMs {
@@ -217,7 +220,15 @@
 		}
 		return 1
 	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(loadCost(a), loadCost(b)), cmp.Compare(a, b)) })
+	limited := func(vm string) int {
+		if p.input.Reports[vm].Limited {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(loadCost(a), loadCost(b)), cmp.Compare(limited(a), limited(b)), cmp.Compare(a, b))
+	})
 	return slices.Compact(names)
 }
 
--- a/internal/groups/plan_test.go
+++ b/internal/groups/plan_test.go
@@ -217,6 +217,17 @@
 	qt.Assert(t, s.input.Plan.Assignments["vm09"], qt.IsNotNil)
 }
 
+// Guards against a group that takes few requests because its rank 0 limits its rate of requests, though another member doesn't.
+func TestPlanGivesRankZeroToVMsWithoutALimit(t *testing.T) {
+	s := newPlanSimulation(6, 1, RepairWithSpare)
+	s.engines["vm00"].Limited, s.engines["vm01"].Limited, s.engines["vm03"].Limited = true, true, true
+	s.step()
+	for vm, a := range s.input.Plan.Assignments {
+		qt.Check(t, a.Rank != 0 || !s.engines[vm].Limited, qt.IsTrue, qt.Commentf("%s has rank %d", vm, a.Rank))
+	}
+	qt.Check(t, s.input.Plan.Assignments, qt.HasLen, 4)
+}
+
 // Guards against two incomplete groups that each hold the VMs the other one needs.
 func TestPlanMergesBrokenGroups(t *testing.T) {
 	s := newPlanSimulation(8, 2, RepairWithSpare)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -65,8 +65,10 @@
 		return groups.Report{Age: v.now() - report.firstRequested}
 	}
 	address, _ := v.address(vm)
+	engine := statement.Target{ID: address, Incarnation: report.state.Incarnation}
+	_, limited := v.statements.Rate(engine, 1)
 	return groups.Report{
-		Leaving:     v.statements.Leaving(statement.Target{ID: address, Incarnation: report.state.Incarnation}),
+		Leaving: v.statements.Leaving(engine), Limited: limited,
 		Incarnation: report.state.Incarnation, Group: report.state.Group, Number: report.state.Number,
 		Rank: report.state.Rank, Size: report.state.Size,
 		Model: report.state.Model, Loading: report.state.Loading, Ready: report.state.Ready, Weights: report.state.Weights,
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -35,6 +35,7 @@
 	storedEntries      map[string]*fleet.Replica            // Outdated list of the store; nil if it is up to date.
 	mayBeOutdated      bool                                 // Value of Input.MayBeOutdated.
 	reports            map[fleet.Incarnation]*fleet.Replica // What replicas reported to the planner's direct queries.
+	limited            map[string]bool                      // Replicas that have stated a limit on their rate of requests, by ID.
 }
 
 // snapshot holds the entries of the replicas at one time.
@@ -305,7 +306,8 @@
 	m.probe(p, entries)
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.mayBeOutdated, Confirmed: m.queryReplicas(),
-		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadSilent: func(r *fleet.Replica) bool { return m.vms[r.ID].failedAt != 0 || m.vms[r.ID].cutOff }}) {
+		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadSilent: func(r *fleet.Replica) bool { return m.vms[r.ID].failedAt != 0 || m.vms[r.ID].cutOff },
+		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] }}) {
 		if m.refuse != nil && m.refuse(o) {
 			p.RecordOutcome(o, Refused)
 			continue
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -363,8 +363,12 @@
 	if !headStays {
 		s.noteHeadLeft(g)
 	}
+	members := append(remaining, spares[:max(missing, 0)]...)[:model.Size]
+	if !headStays {
+		s.sortLimitedLast(members)
+	}
 	g.members = g.members[:0]
-	for _, r := range append(remaining, spares[:max(missing, 0)]...)[:model.Size] {
+	for _, r := range members {
 		g.members = append(g.members, member{incarnation: r.Incarnation(), lastEntry: r})
 		s.used[r.ID] = true
 	}
@@ -420,6 +424,21 @@
 	return false
 }
 
+// sortLimitedLast moves replicas that limit their rate of requests to the end of the members of a group that gets a new head: as the
+// head, one would limit the whole group.
+func (s *step) sortLimitedLast(members []*fleet.Replica) {
+	if s.Limited == nil {
+		return
+	}
+	limited := func(r *fleet.Replica) int {
+		if s.Limited(r) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(members, func(a, b *fleet.Replica) int { return limited(a) - limited(b) })
+}
+
 // noteHeadLeft records that the head of a group that is given up, or gets another head, has answered an order to leave it.
 func (s *step) noteHeadLeft(g *group) {
 	if g.headReleased {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -110,6 +110,9 @@
 	Confirmed     map[fleet.Incarnation]bool
 	// HeadSilent tells whether no node has lately received an event from a head to which nodes send requests. Nil if not known.
 	HeadSilent func(*fleet.Replica) bool
+	// Limited tells whether a replica has stated a limit on its rate of requests. The limit of a group is that of its head. Nil if not
+	// known.
+	Limited func(*fleet.Replica) bool
 }
 
 // Outcome is the result of an order.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -290,6 +290,36 @@
 	c.Assert(m.openGroups(), quicktest.DeepEquals, before)
 }
 
+// Guards against a group that takes few requests because a member that limits its rate of requests becomes its head, though another
+// member doesn't.
+func TestMemberWithALimitDoesNotBecomeTheHead(t *testing.T) {
+	t.Run("repaired", func(t *testing.T) {
+		c := quicktest.New(t)
+		m, p := startedSystem(t, 6, 8)
+		before := m.openGroups()
+		head := m.openHeads("large")[0]
+		m.limited = map[string]bool{head.members[1]: true, head.members[2]: true}
+		third := m.vms[head.members[3]]
+		m.kill(head.id)
+		p.RecordProbeFailure(fleet.Incarnation{ID: head.id, StartedUnixMs: head.startedAt}, m.clock.Now())
+		m.run(p, 9*time.Second, nil)
+		m.assertNoViolations()
+		c.Check(m.openGroups(), quicktest.DeepEquals, before)
+		c.Check(third.state, quicktest.Equals, fleet.GroupOpen)
+	})
+	t.Run("formed", func(t *testing.T) {
+		c := quicktest.New(t)
+		m, p := newEmulator(t, 1, 8, testEngine()), New(1)
+		m.limited = map[string]bool{"vm-0-00": true, "vm-0-01": true, "vm-0-04": true}
+		m.run(p, 8*time.Second, nil)
+		c.Check(m.openGroups(), quicktest.DeepEquals, map[string]int{"large": 1, "small": 1})
+		for _, head := range append(m.openHeads("large"), m.openHeads("small")...) {
+			c.Check(m.limited[head.id], quicktest.IsFalse, quicktest.Commentf("%s", head.id))
+		}
+		m.assertNoViolations()
+	})
+}
+
 // Guards against a new planner that dissolves working groups or loads their weights again.
 func TestNewPlannerAdoptsGroups(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -105,7 +105,9 @@
 	}
 	epoch := s.nextEpoch()
 	g := &group{name: fmt.Sprintf("g%d", epoch), epoch: epoch, model: m.Name, fabric: best[0].Fabric}
-	for _, r := range best[:m.Size] {
+	members := best[:m.Size]
+	s.sortLimitedLast(members)
+	for _, r := range members {
 		g.members = append(g.members, member{incarnation: r.Incarnation(), lastEntry: r})
 		s.used[r.ID] = true
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -68,6 +68,8 @@
 	// StoreAccess returns what is known about the store's answers, and StoreFailing whether the last call of this node got none.
 	StoreAccess  func() StoreAccess
 	StoreFailing func() bool
+	// Limited tells whether a replica has stated a limit on its rate of requests.
+	Limited func(*fleet.Replica) bool
 	// BeforeFirstRequest tells whether the system has started for the first time and no client has sent a request yet.
 	BeforeFirstRequest func() bool
 }
@@ -205,7 +207,8 @@
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
 		Need: p.modelShares(service.Engine), BeforeFirstRequest: beforeFirstRequest, LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
 		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: p.confirmed,
-		HeadSilent: func(r *fleet.Replica) bool { return p.opt.Table.EventAge(balance.KeyOf(r)) > headSilenceLimit }})
+		HeadSilent: func(r *fleet.Replica) bool { return p.opt.Table.EventAge(balance.KeyOf(r)) > headSilenceLimit },
+		Limited:    p.opt.Limited})
 	probes = p.dueProbes(replicas, now)
 	p.summarize(view, replicas, now)
 	return orders, probes, queries
