Replace limited heads while many of a model's heads are limited

While more than a quarter of a model's heads are limited, another member now takes the place of one of them after the other: the head finishes its requests first, then the group is joined again with the former head as its last member. Only members count that have just answered without a limit; the planner probes them for that.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -35,7 +35,8 @@
 	storedEntries      map[string]*fleet.Replica            // Outdated list of the store; nil if it is up to date.
 	mayBeOutdated      bool                                 // Value of Input.MayBeOutdated.
 	reports            map[fleet.Incarnation]*fleet.Replica // What replicas reported to the planner's direct queries.
-	limited            map[string]bool                      // Replicas that have stated a limit on their rate of requests, by ID.
+	limited            map[string]bool                      // Replicas that limit their rate of requests, by ID.
+	unheard            map[string]bool                      // Those of them that haven't stated it yet.
 }
 
 // snapshot holds the entries of the replicas at one time.
@@ -307,7 +308,7 @@
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.mayBeOutdated, Confirmed: m.queryReplicas(),
 		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadSilent: func(r *fleet.Replica) bool { return m.vms[r.ID].failedAt != 0 || m.vms[r.ID].cutOff },
-		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] }}) {
+		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }}) {
 		if m.refuse != nil && m.refuse(o) {
 			p.RecordOutcome(o, Refused)
 			continue
@@ -352,11 +353,14 @@
 	return lapsed
 }
 
-// probe probes the members of groups that are unlisted or cut off, as the planner does.
+// probe probes the members of groups that are unlisted or cut off, or whose answers the plan needs, as the planner does.
 func (m *emulator) probe(p *Plan, listed map[string]*fleet.Replica) {
-	for _, members := range p.Groups() {
+	for name, members := range p.Groups() {
 		for _, member := range members {
-			if v := m.vms[member.Incarnation.ID]; v == nil || listed[member.Incarnation.ID] != nil && !v.cutOff {
+			if v := m.vms[member.Incarnation.ID]; v != nil && v.failedAt == 0 && !v.cutOff && p.AwaitsAnswers(name) {
+				delete(m.unheard, v.id)
+				p.RecordProbeAnswer(member.Incarnation, m.clock.Now())
+			} else if v == nil || listed[member.Incarnation.ID] != nil && !v.cutOff {
 				continue
 			} else if v.cutOff {
 				p.RecordProbeFailure(member.Incarnation, m.clock.Now())
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -151,6 +151,9 @@
 	if reason == "" {
 		reason = s.slowMember(g)
 	}
+	if reason == "" {
+		reason = s.limitedHead(g, head)
+	}
 	switch {
 	case head == nil:
 		// The list of replicas may be incomplete; the group is checked again in the next step.
@@ -202,6 +205,55 @@
 	return found
 }
 
+// limitedHead describes the head of a group that limits its rate of requests and should be replaced by another member, or returns "".
+// A change of the head costs the group the time to finish its requests, so it is made only while more than maxLimitedShare of the
+// model's groups are limited, at one group of a model at a time, and not if the limit or the head is new.
+func (s *step) limitedHead(g *group, head *fleet.Replica) string {
+	g.awaitsAnswers = false
+	if head == nil || !s.isLimited(head) {
+		g.limitedSince = 0
+		return ""
+	}
+	if g.limitedSince == 0 {
+		g.limitedSince = s.Now
+	}
+	reason := fmt.Sprintf("the head (%s) limits its rate of requests", head.ID)
+	if g.closingSince != 0 {
+		return reason
+	}
+	if s.Now.Sub(g.limitedSince) < minLimitedFor || s.Now.Sub(g.members[0].joinSentAt) < minHeadTerm || !s.mayReplaceLimitedHead(g.model) {
+		return ""
+	}
+	// What members have stated is known only if they have answered lately, since they get no requests.
+	g.awaitsAnswers = true
+	for _, m := range g.members {
+		r := s.usableReplica(m.incarnation)
+		if _, answered := s.probeAnswers[m.incarnation]; answered && r != nil && r.ID != head.ID && !r.Draining && !s.isSlow(m.incarnation) && !s.isLimited(r) {
+			return reason
+		}
+	}
+	return ""
+}
+
+// mayReplaceLimitedHead reports whether more than maxLimitedShare of the model's groups have limited heads, and all of them serve.
+func (s *step) mayReplaceLimitedHead(model string) bool {
+	groups, limited := 0, 0
+	for _, g := range s.groups {
+		if g.model != model {
+			continue
+		}
+		head := s.usableReplica(g.members[0].incarnation)
+		if head == nil || !s.headServes(g, head) || g.closingSince != 0 {
+			return false
+		}
+		groups++
+		if s.isLimited(head) {
+			limited++
+		}
+	}
+	return float64(limited) > maxLimitedShare*float64(groups)
+}
+
 // closeForRepair lets the head of a group with a draining or slow member finish its requests before the member is replaced, so
 // that planned work interrupts no running request. After closeTimeout the group is repaired even if the head has requests left.
 func (s *step) closeForRepair(g *group, head *fleet.Replica, reason string) {
@@ -345,6 +397,7 @@
 	if fast := s.withoutSlow(remaining); len(fast) > 0 && model.Size-len(fast) <= len(spares) {
 		remaining = fast
 	}
+	s.sortLimitedLast(remaining)
 	missing := model.Size - len(remaining)
 	if missing > len(spares) && s.missingMayReturn(g) && s.drainingMember(g) == "" {
 		return
@@ -427,11 +480,8 @@
 // sortLimitedLast moves replicas that limit their rate of requests to the end of the members of a group that gets a new head: as the
 // head, one would limit the whole group.
 func (s *step) sortLimitedLast(members []*fleet.Replica) {
-	if s.Limited == nil {
-		return
-	}
 	limited := func(r *fleet.Replica) int {
-		if s.Limited(r) {
+		if s.isLimited(r) {
 			return 1
 		}
 		return 0
@@ -439,6 +489,9 @@
 	slices.SortStableFunc(members, func(a, b *fleet.Replica) int { return limited(a) - limited(b) })
 }
 
+// isLimited reports whether the replica is known to limit its rate of requests.
+func (s *step) isLimited(r *fleet.Replica) bool { return s.Limited != nil && s.Limited(r) }
+
 // noteHeadLeft records that the head of a group that is given up, or gets another head, has answered an order to leave it.
 func (s *step) noteHeadLeft(g *group) {
 	if g.headReleased {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -54,6 +54,12 @@
 	// its slowest member. slowReportValidity is the time for which such a report counts.
 	minSlowdown        = 2
 	slowReportValidity = 6 * time.Second
+	// minLimitedFor is the time for which a head must limit its rate of requests before another member takes its place. minHeadTerm is
+	// the time after its join for which a head isn't replaced for that reason. maxLimitedShare is the part of a model's groups whose
+	// heads may be limited without it.
+	minLimitedFor   = 1500 * time.Millisecond
+	minHeadTerm     = 8 * time.Second
+	maxLimitedShare = 0.25
 	// loadTimeFactor is the multiple of the configured load time after which the order to stage weights is sent again.
 	loadTimeFactor = 3
 )
@@ -148,6 +154,8 @@
 	headFirst      bool       // The other members are joined only after the head has accepted this epoch and so left the old one.
 	openSentAt     clock.Time // When the last open order was sent; 0 if none was.
 	wasOpen        bool       // The head was seen to serve this epoch, or an earlier planner may have opened it.
+	limitedSince   clock.Time // When the head was first known to limit its rate of requests; 0 if it doesn't.
+	awaitsAnswers  bool       // The members must be probed, since one of them may become the head.
 	closingSince   clock.Time // When a draining or slow member of the serving group was first found; 0 if none was.
 	closeSentAt    clock.Time // When the last order to finish the running requests was sent; 0 if none was.
 	leaveSentAt    clock.Time // When the last leave order was sent to the head; 0 if none was.
@@ -330,6 +338,12 @@
 	return all
 }
 
+// AwaitsAnswers reports whether the plan needs the members of a group to be probed.
+func (p *Plan) AwaitsAnswers(name string) bool {
+	g := p.groups[name]
+	return g != nil && g.awaitsAnswers
+}
+
 // Summary counts the groups and the replicas outside groups by model.
 type Summary struct {
 	Open    map[string]int // Groups whose head reports that it serves.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -320,6 +320,56 @@
 	})
 }
 
+// Pattern: half of the heads of a model limit their rate of requests. Guards against groups that stay limited by their heads, and against
+// requests that are interrupted, models without most of their groups, loads or changes without end for the sake of it.
+func TestLimitedHeadsAreReplaced(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		heads   int  // Limited heads of the six groups.
+		members bool // The other members limit their rate of requests as well.
+		stay    int  // Limited heads that are left.
+	}{
+		{"half of the heads", 3, false, 1},
+		{"all heads", 6, false, 1},
+		{"one head", 1, false, 1},
+		{"all members of half of the groups", 3, true, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 6, 8)
+			m.run(p, minHeadTerm, nil)
+			loads, epoch := len(m.loads), p.epochCounter
+			m.limited, m.unheard = map[string]bool{}, map[string]bool{}
+			for _, head := range m.openHeads("large")[:test.heads] {
+				m.limited[head.id] = true
+				for _, id := range head.members[1:] {
+					m.limited[id], m.unheard[id] = test.members, test.members
+				}
+			}
+			m.run(p, 40*time.Second, func() {
+				for _, head := range m.openHeads("large") {
+					if head.state == fleet.GroupOpen {
+						head.busyUntil = m.clock.Now().Add(time.Second)
+					}
+				}
+				c.Assert(m.openGroups()["large"] >= 5, quicktest.IsTrue)
+				c.Assert(m.openGroups()["small"], quicktest.Equals, 6)
+			})
+			limited := 0
+			for _, head := range m.openHeads("large") {
+				if m.limited[head.id] {
+					limited++
+				}
+			}
+			c.Check(limited, quicktest.Equals, test.stay)
+			c.Check(p.epochCounter-epoch, quicktest.Equals, int64(test.heads-test.stay))
+			c.Check(m.interruptions, quicktest.HasLen, 0)
+			c.Check(len(m.loads), quicktest.Equals, loads)
+			m.assertNoViolations()
+		})
+	}
+}
+
 // Guards against a new planner that dissolves working groups or loads their weights again.
 func TestNewPlannerAdoptsGroups(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -261,7 +261,7 @@
 			continue
 		}
 		head := replicas[members[0].Incarnation.ID]
-		if !p.needsProbe(head, members, replicas, silent) {
+		if !p.plan.AwaitsAnswers(name) && !p.needsProbe(head, members, replicas, silent) {
 			continue
 		}
 		p.nextProbe[name] = now.Add(probeInterval)
