Let members that return before their head wait for it

Cause: groups of the failure domain are given up, as neither heads nor members can be reached and their entries lapse. Members that were unreachable when their group was given up because its head was, now wait for 2.5 s after their return; the group is adopted again if the head reports it as open.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -414,7 +414,7 @@
 		delete(s.used, m.incarnation.ID)
 	}
 	if !headStays {
-		s.noteHeadLeft(g)
+		s.giveUp(g)
 	}
 	members := append(remaining, spares[:max(missing, 0)]...)[:model.Size]
 	if !headStays {
@@ -492,10 +492,37 @@
 // isLimited reports whether the replica is known to limit its rate of requests.
 func (s *step) isLimited(r *fleet.Replica) bool { return s.Limited != nil && s.Limited(r) }
 
-// noteHeadLeft records that the head of a group that is given up, or gets another head, has answered an order to leave it.
-func (s *step) noteHeadLeft(g *group) {
+// giveUp records that an epoch of a group isn't planned any more, and what is known of its members.
+func (s *step) giveUp(g *group) {
+	key := groupKey{g.name, g.epoch}
 	if g.headReleased {
-		s.formerHeads[groupKey{g.name, g.epoch}] = formerHead{sentAt: s.Now, left: true}
+		s.formerHeads[key] = formerHead{sentAt: s.Now, left: true}
+	}
+	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, returnedAt: map[fleet.Incarnation]clock.Time{}}
+	for _, m := range g.members[1:] {
+		if s.usableReplica(m.incarnation) == nil {
+			d.returnedAt[m.incarnation] = 0
+		}
+	}
+	s.dissolved[key] = d
+}
+
+// awaitsHead reports whether a replica of a group that was given up must wait for its head: both were unreachable, so they were
+// possibly cut off together, and the replica has just returned.
+func (s *step) awaitsHead(r *fleet.Replica) bool {
+	d := s.dissolved[groupKey{r.Group.Name, r.Group.Epoch}]
+	returnedAt, lost := d.returnedAt[r.Incarnation()]
+	return d.headUnheard && lost && (returnedAt == 0 || s.Now.Sub(returnedAt) < headReturnTimeout)
+}
+
+// noteReturns records the members of groups that were given up which are usable again.
+func (s *step) noteReturns() {
+	for _, d := range s.dissolved {
+		for incarnation, at := range d.returnedAt {
+			if at == 0 && s.usableReplica(incarnation) != nil {
+				d.returnedAt[incarnation] = s.Now
+			}
+		}
 	}
 }
 
@@ -505,8 +532,7 @@
 	if !s.releaseMembers(g, reason) {
 		return
 	}
-	s.noteHeadLeft(g)
-	s.dissolved[groupKey{g.name, g.epoch}] = dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased}
+	s.giveUp(g)
 	delete(s.groups, g.name)
 	for _, m := range g.members {
 		delete(s.used, m.incarnation.ID)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,6 +48,9 @@
 	// unlisted member is given to answer a probe.
 	probeAnswerValidity = 2 * time.Second
 	missingTimeout      = 700 * time.Millisecond
+	// headReturnTimeout is the time that the head of a group that was given up has to return after members that were unreachable too.
+	// Entries that have lapsed are back within about two seconds.
+	headReturnTimeout = 2500 * time.Millisecond
 	// returnTimeout is the longest wait for an unlisted member that answers probes, if there are too few spares to replace it.
 	returnTimeout = 12 * time.Second
 	// minSlowdown is the reported slowdown factor from which on a member is replaced by a spare, as a group runs at the speed of
@@ -174,12 +177,14 @@
 	failed bool // The order was refused or not answered; it is sent again after stageRetryDelay.
 }
 
-// dissolution records that a group was dissolved.
+// dissolution records that an epoch of a group was given up.
 type dissolution struct {
 	at clock.Time
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
 	headUnheard bool
+	// returnedAt holds the members that were unreachable too, with the time when they were first usable again; 0 if they weren't.
+	returnedAt map[fleet.Incarnation]clock.Time
 }
 
 // formerHead records an order to leave a group that is no longer planned.
@@ -406,6 +411,7 @@
 		}
 	}
 	s.releaseFormerHeads()
+	s.noteReturns()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		s.advance(p.groups[name])
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -153,6 +153,37 @@
 	}
 }
 
+// Guards against members that are joined to another group while the head of their own serves: a failure domain was cut off, so that
+// its entries lapsed and its groups were given up, and some of the members return before their head.
+func TestMembersThatReturnBeforeTheirHeadWait(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		spares int // Replicas beyond those in groups.
+	}{
+		{"the group is dissolved", 0},
+		{"the group is repaired under another head", 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 8+test.spares)
+			head := m.openHeads("large")[0]
+			member := m.vms[head.members[1]]
+			for _, v := range []*vm{head, member} {
+				v.cutOff, v.unlistedAt = true, m.clock.Now()
+			}
+			m.run(p, 5*time.Second, nil)
+			c.Assert(head.state, quicktest.Equals, fleet.GroupOpen)
+			m.violations = nil // While the head is cut off, nothing tells it from one that has ended.
+			member.cutOff, member.unlistedAt = false, 0
+			m.run(p, time.Second, nil)
+			head.cutOff, head.unlistedAt = false, 0
+			m.run(p, 16*time.Second, nil)
+			m.assertNoViolations()
+			c.Check(m.openGroups()["large"] >= 1, quicktest.IsTrue)
+		})
+	}
+}
+
 // Guards against requests that are broken off because a group whose head was only cut off from the nodes is formed anew.
 func TestGroupThatStillServesIsAdoptedAgain(t *testing.T) {
 	c := quicktest.New(t)
