Probe heads of groups that were given up until they answer or lapse

Cause: heads of groups that were given up weren't probed any more and counted as unresponsive for eight seconds, though their entries showed that they serve, so their groups weren't adopted again; members whose entries had lapsed and come back were used meanwhile. Such heads, and members that were unreachable with them, are now probed until they answer or their entries lapse, and members that were unreachable too wait for eight seconds while the head's entry shows that it serves. TestHeadThatWasCutOffIsNoticedWhenItReturns and one of two new cases of TestMembersThatReturnBeforeTheirHeadWait failed before; the groups' rules hold in 500 random cases.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -305,6 +305,7 @@
 	}
 	entries := m.listed()
 	m.probe(p, entries)
+	m.probeFormerMembers(p, entries)
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.mayBeOutdated, Confirmed: m.queryReplicas(),
 		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadSilent: func(r *fleet.Replica) bool { return m.vms[r.ID].failedAt != 0 || m.vms[r.ID].cutOff },
@@ -373,6 +374,17 @@
 	}
 }
 
+// probeFormerMembers probes the members of groups that were given up, as the planner does.
+func (m *emulator) probeFormerMembers(p *Plan, listed map[string]*fleet.Replica) {
+	for _, former := range p.FormerMembers(listed) {
+		if v := m.vms[former.Replica.ID]; v.failedAt == 0 && !v.cutOff {
+			p.RecordProbeAnswer(former.Replica.Incarnation(), m.clock.Now())
+		} else {
+			p.RecordProbeFailure(former.Replica.Incarnation(), m.clock.Now())
+		}
+	}
+}
+
 // assertNoViolations fails the test if a rule for groups was violated.
 func (m *emulator) assertNoViolations() {
 	m.t.Helper()
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -55,17 +55,18 @@
 }
 
 // stillServes reports whether the head of a group that was dissolved because it was unreachable answers again and reports the group as
-// open. Such a group is adopted again.
+// open, and the members that were unreachable too answer if they are still in the group. Such a group is adopted again.
 func (s *step) stillServes(key groupKey) bool {
-	if !s.dissolved[key].headUnheard {
+	d := s.dissolved[key]
+	if !d.headUnheard || s.usableReplica(d.head) == nil || !d.showsServing(key, s.Replicas) {
 		return false
 	}
-	for _, r := range s.Replicas {
-		if servesGroup(r) && (groupKey{r.Group.Name, r.Group.Epoch}) == key {
-			return s.usableReplica(r.Incarnation()) != nil
+	for incarnation := range d.returnedAt {
+		if key.reportedBy(s.Replicas[incarnation.ID], incarnation) && s.usableReplica(incarnation) == nil {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // releaseFormerHeads orders heads that serve groups which are no longer planned to leave them, and finds the groups whose members can't
@@ -498,7 +499,7 @@
 	if g.headReleased {
 		s.formerHeads[key] = formerHead{sentAt: s.Now, left: true}
 	}
-	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, returnedAt: map[fleet.Incarnation]clock.Time{}}
+	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, head: g.members[0].incarnation, returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for _, m := range g.members[1:] {
 		if s.usableReplica(m.incarnation) == nil {
 			d.returnedAt[m.incarnation] = 0
@@ -510,9 +511,14 @@
 // awaitsHead reports whether a replica of a group that was given up must wait for its head: both were unreachable, so they were
 // possibly cut off together, and the replica has just returned.
 func (s *step) awaitsHead(r *fleet.Replica) bool {
-	d := s.dissolved[groupKey{r.Group.Name, r.Group.Epoch}]
+	key := groupKey{r.Group.Name, r.Group.Epoch}
+	d := s.dissolved[key]
 	returnedAt, lost := d.returnedAt[r.Incarnation()]
-	return d.headUnheard && lost && (returnedAt == 0 || s.Now.Sub(returnedAt) < headReturnTimeout)
+	timeout := headReturnTimeout
+	if d.showsServing(key, s.Replicas) {
+		timeout = listedHeadTimeout
+	}
+	return d.headUnheard && lost && (returnedAt == 0 || s.Now.Sub(returnedAt) < timeout)
 }
 
 // noteReturns records the members of groups that were given up which are usable again.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,8 +49,10 @@
 	probeAnswerValidity = 2 * time.Second
 	missingTimeout      = 700 * time.Millisecond
 	// headReturnTimeout is the time that the head of a group that was given up has to return after members that were unreachable too.
-	// Entries that have lapsed are back within about two seconds.
+	// Entries that have lapsed are back within about two seconds. While the head's entry shows that it serves, they wait for
+	// listedHeadTimeout: the entry of a head that has ended lapses earlier.
 	headReturnTimeout = 2500 * time.Millisecond
+	listedHeadTimeout = 8 * time.Second
 	// returnTimeout is the longest wait for an unlisted member that answers probes, if there are too few spares to replace it.
 	returnTimeout = 12 * time.Second
 	// minSlowdown is the reported slowdown factor from which on a member is replaced by a spare, as a group runs at the speed of
@@ -183,10 +185,17 @@
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
 	headUnheard bool
+	head        fleet.Incarnation
 	// returnedAt holds the members that were unreachable too, with the time when they were first usable again; 0 if they weren't.
 	returnedAt map[fleet.Incarnation]clock.Time
 }
 
+// showsServing reports whether the entry of the group's head shows that it still serves the group.
+func (d dissolution) showsServing(key groupKey, replicas map[string]*fleet.Replica) bool {
+	r := replicas[d.head.ID]
+	return key.reportedBy(r, d.head) && servesGroup(r)
+}
+
 // formerHead records an order to leave a group that is no longer planned.
 type formerHead struct {
 	sentAt clock.Time // When it was last sent.
@@ -200,6 +209,11 @@
 	epoch int64
 }
 
+// reportedBy reports whether an entry is that of the given start of a replica, and shows it in this epoch of the group.
+func (k groupKey) reportedBy(r *fleet.Replica, start fleet.Incarnation) bool {
+	return r != nil && r.Incarnation() == start && r.Group != nil && (groupKey{r.Group.Name, r.Group.Epoch}) == k
+}
+
 // Plan is the planner's state between steps. It is not safe for concurrent use.
 type Plan struct {
 	term         int64
@@ -343,6 +357,28 @@
 	return all
 }
 
+// FormerMember is a member of a group that was given up.
+type FormerMember struct{ Replica, Head *fleet.Replica }
+
+// FormerMembers returns the members to probe of groups that were given up because their heads were unreachable, as long as the heads'
+// entries show that they serve: a group whose head and members answer is adopted again.
+func (p *Plan) FormerMembers(replicas map[string]*fleet.Replica) []FormerMember {
+	var list []FormerMember
+	for key, d := range p.dissolved {
+		if !d.headUnheard || !d.showsServing(key, replicas) {
+			continue
+		}
+		head := replicas[d.head.ID]
+		list = append(list, FormerMember{head, head})
+		for incarnation := range d.returnedAt {
+			if _, unresponsive := p.unresponsive[incarnation]; unresponsive && key.reportedBy(replicas[incarnation.ID], incarnation) {
+				list = append(list, FormerMember{replicas[incarnation.ID], head})
+			}
+		}
+	}
+	return list
+}
+
 // AwaitsAnswers reports whether the plan needs the members of a group to be probed.
 func (p *Plan) AwaitsAnswers(name string) bool {
 	g := p.groups[name]
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -154,28 +154,33 @@
 }
 
 // Guards against members that are joined to another group while the head of their own serves: a failure domain was cut off, so that
-// its entries lapsed and its groups were given up, and some of the members return before their head.
+// its groups were given up, and some of the members return before their head.
 func TestMembersThatReturnBeforeTheirHeadWait(t *testing.T) {
 	for _, test := range []struct {
-		name   string
-		spares int // Replicas beyond those in groups.
+		name       string
+		spares     int           // Replicas beyond those in groups.
+		lapsed     bool          // The head's entry lapses, as that of the member does.
+		headReturn time.Duration // Of the head, after the member.
 	}{
-		{"the group is dissolved", 0},
-		{"the group is repaired under another head", 3},
+		{"the group is dissolved", 0, true, time.Second},
+		{"the group is repaired under another head", 3, true, time.Second},
+		{"the head stays listed", 0, false, 4 * time.Second},
+		{"the head stays listed, another one takes its place", 3, false, 4 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := quicktest.New(t)
 			m, p := startedSystem(t, 1, 8+test.spares)
 			head := m.openHeads("large")[0]
 			member := m.vms[head.members[1]]
-			for _, v := range []*vm{head, member} {
-				v.cutOff, v.unlistedAt = true, m.clock.Now()
+			head.cutOff, member.cutOff, member.unlistedAt = true, true, m.clock.Now()
+			if test.lapsed {
+				head.unlistedAt = m.clock.Now()
 			}
 			m.run(p, 5*time.Second, nil)
 			c.Assert(head.state, quicktest.Equals, fleet.GroupOpen)
 			m.violations = nil // While the head is cut off, nothing tells it from one that has ended.
 			member.cutOff, member.unlistedAt = false, 0
-			m.run(p, time.Second, nil)
+			m.run(p, test.headReturn, nil)
 			head.cutOff, head.unlistedAt = false, 0
 			m.run(p, 16*time.Second, nil)
 			m.assertNoViolations()
@@ -184,6 +189,20 @@
 	}
 }
 
+// Guards against a group that is left out of the plan for seconds after its head, which was cut off, answers again.
+func TestHeadThatWasCutOffIsNoticedWhenItReturns(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 8)
+	head := m.openHeads("large")[0]
+	member := m.vms[head.members[1]]
+	head.cutOff, member.cutOff = true, true
+	m.run(p, 5*time.Second, nil)
+	c.Assert(p.groups[head.group], quicktest.IsNil)
+	head.cutOff, member.cutOff = false, false
+	m.run(p, time.Second, nil)
+	c.Assert(p.groups[head.group], quicktest.IsNotNil)
+}
+
 // Guards against requests that are broken off because a group whose head was only cut off from the nodes is formed anew.
 func TestGroupThatStillServesIsAdoptedAgain(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -246,6 +246,9 @@
 	return shares
 }
 
+// formerMemberPrefix begins the names in nextProbe of members of groups that were given up.
+const formerMemberPrefix = "former-member/"
+
 // probeTask is a member to probe of a group that seems to have stopped, with the head of the group.
 type probeTask struct {
 	group         string
@@ -271,6 +274,12 @@
 			}
 		}
 	}
+	for _, former := range p.plan.FormerMembers(replicas) {
+		if name := formerMemberPrefix + former.Replica.ID; now >= p.nextProbe[name] && len(tasks) < maxProbesPerTick {
+			p.nextProbe[name] = now.Add(probeInterval)
+			tasks = append(tasks, probeTask{name, former.Head, former.Replica})
+		}
+	}
 	return tasks
 }
 
