--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -203,6 +203,7 @@
 		}
 	}
 	n.registry.Replace(replicas)
+	n.logDepartures()
 	n.replicasListed.Store(true)
 }
 
@@ -220,6 +221,20 @@
 		changes = append(changes, change)
 	}
 	n.registry.Apply(changes)
+	n.logDepartures()
+}
+
+// maxLoggedDepartures bounds the IDs in one log line.
+const maxLoggedDepartures = 16
+
+// logDepartures logs which replicas leave by their entries. IDs beyond maxLoggedDepartures are only counted.
+func (n *Node) logDepartures() {
+	d := n.registry.TakeDepartures()
+	for state, ids := range map[string][]string{"draining": d.Draining, "removed, kept for a while": d.Kept, "removed": d.Removed} {
+		if len(ids) > 0 {
+			n.log.WithFields(logrus.Fields{"state": state, "count": len(ids), "replicas": ids[:min(len(ids), maxLoggedDepartures)]}).Info("replicas leave by their entries")
+		}
+	}
 }
 
 func (n *Node) applyConfig(list []platform.Object) {
@@ -349,6 +364,7 @@
 			n.statements.DivideAmong(n.settings.Peer, n.mesh.Destinations())
 		}
 		n.registry.Expire()
+		n.logDepartures()
 		view := n.registry.View()
 		for _, k := range n.table.Sweep(sweepInterval, func(balance.Key, balance.Load) time.Duration { return n.longestEventGap(view) }) {
 			n.log.WithFields(logrus.Fields{"target": string(k), "load": n.table.Load(k)}).Warning("target suspected of a stall: it runs requests but sends no events")
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -46,6 +46,14 @@
 	// observations holds the state that replicas reported directly, by ID.
 	observations map[string]*activeObservation
 	statements   *statement.Table // What replicas have stated in responses; nil if there is none.
+	departures   Departures       // Since they were last taken.
+}
+
+// Departures are replicas whose entries have shown that they leave since the last call of TakeDepartures.
+type Departures struct {
+	Draining []string // The entries show that they drain.
+	Kept     []string // The entries were removed, but are kept for a while, since they may only have lapsed in an outage of the store.
+	Removed  []string // The entries were removed and are no longer used.
 }
 
 type lapsedEntry struct {
@@ -158,6 +166,15 @@
 	Replica *Replica
 }
 
+// TakeDepartures returns the departures since its last call.
+func (r *Registry) TakeDepartures() Departures {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := r.departures
+	r.departures = Departures{}
+	return taken
+}
+
 // Apply applies events of the store in order.
 func (r *Registry) Apply(changes []Change) {
 	r.mu.Lock()
@@ -176,6 +193,9 @@
 	now := r.clock.Now()
 	delete(r.removalDue, entry.ID)
 	delete(r.lapsed, entry.ID)
+	if known := r.replicas[entry.ID]; entry.Draining && known != nil && !known.Draining {
+		r.departures.Draining = append(r.departures.Draining, entry.ID)
+	}
 	r.dropSuperseded(entry)
 	r.replicas[entry.ID] = entry
 	if entry.ColdFor > 0 {
@@ -193,6 +213,7 @@
 	if r.removalsUncertain() {
 		if _, waiting := r.removalDue[id]; !waiting {
 			r.removalDue[id] = r.clock.Now().Add(ReturnGrace)
+			r.departures.Kept = append(r.departures.Kept, id)
 		}
 		return
 	}
@@ -200,6 +221,7 @@
 }
 
 func (r *Registry) removeEntry(id string) {
+	r.departures.Removed = append(r.departures.Removed, id)
 	r.lapsed[id] = lapsedEntry{r.withObservation(r.replicas[id]), r.clock.Now()}
 	delete(r.replicas, id)
 	delete(r.observations, id)
