Order heads that aren't listed to leave before their members are used

Cause: after a failure domain was cut off, a member returned whose head was released at that time: the head serves on without an entry, as replicas that leave do, so it was neither probed nor adopted again, and its member was joined to another group after 2.5 s. A head that isn't listed 1.5 s after a member of its given-up group has returned is now ordered to leave. An answer frees the members at once. A new case of TestMembersThatReturnBeforeTheirHeadWait failed before; the groups' rules hold in 500 random cases.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -81,18 +81,17 @@
 		}
 		key := groupKey{r.Group.Name, r.Group.Epoch}
 		serving[key] = true
-		h, ordered := s.formerHeads[key]
-		if h.left || !s.isDissolved(key) && s.inUnknownGroup(r) {
+		if s.formerHeads[key].left || !s.isDissolved(key) && s.inUnknownGroup(r) {
 			continue
 		}
 		s.served[key] = true
-		if !ordered || s.Now.Sub(h.sentAt) > reportTimeout {
-			s.formerHeads[key] = formerHead{sentAt: s.Now}
-			s.orders = append(s.orders, Order{To: r, Action: Leave, Group: key.name, Epoch: key.epoch, Reason: "it serves a group that is no longer planned"})
-		}
+		s.orderFormerHead(key, r)
 	}
-	// A head whose entry shows that it has left is ordered to leave again if it serves once more.
-	maps.DeleteFunc(s.formerHeads, func(key groupKey, _ formerHead) bool { return !serving[key] })
+	// A head whose entry shows that it has left is ordered to leave again if it serves once more. One that isn't listed may be ordered to
+	// leave as long as its group is remembered.
+	maps.DeleteFunc(s.formerHeads, func(key groupKey, _ formerHead) bool {
+		return !serving[key] && (!s.isDissolved(key) || s.Replicas[s.dissolved[key].head.ID] != nil)
+	})
 }
 
 // servesGroup reports whether the replica is a head that serves, or finishes the requests of, a group.
@@ -499,7 +498,8 @@
 	if g.headReleased {
 		s.formerHeads[key] = formerHead{sentAt: s.Now, left: true}
 	}
-	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, head: g.members[0].incarnation, returnedAt: map[fleet.Incarnation]clock.Time{}}
+	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, head: g.members[0].incarnation,
+		headEntry: g.head, returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for _, m := range g.members[1:] {
 		if s.usableReplica(m.incarnation) == nil {
 			d.returnedAt[m.incarnation] = 0
@@ -518,20 +518,34 @@
 	if d.showsServing(key, s.Replicas) {
 		timeout = listedHeadTimeout
 	}
-	return d.headUnheard && lost && (returnedAt == 0 || s.Now.Sub(returnedAt) < timeout)
+	return d.headUnheard && lost && !s.formerHeads[key].left && (returnedAt == 0 || s.Now.Sub(returnedAt) < timeout)
 }
 
-// noteReturns records the members of groups that were given up which are usable again.
+// noteReturns records the members of groups that were given up which are usable again. If their head doesn't return soon after, it is
+// ordered to leave: it may serve without an entry.
 func (s *step) noteReturns() {
-	for _, d := range s.dissolved {
+	for key, d := range s.dissolved {
 		for incarnation, at := range d.returnedAt {
 			if at == 0 && s.usableReplica(incarnation) != nil {
-				d.returnedAt[incarnation] = s.Now
+				at = s.Now
+				d.returnedAt[incarnation] = at
+			}
+			if r := s.Replicas[incarnation.ID]; at != 0 && s.Now.Sub(at) >= headLeaveAfter && key.reportedBy(r, incarnation) && s.awaitsHead(r) && s.Replicas[d.head.ID] == nil {
+				s.orderFormerHead(key, d.headEntry)
 			}
 		}
 	}
 }
 
+// orderFormerHead orders the head of a group that isn't planned to leave it, unless it has just been ordered to.
+func (s *step) orderFormerHead(key groupKey, head *fleet.Replica) {
+	if h, ordered := s.formerHeads[key]; head == nil || h.left || ordered && s.Now.Sub(h.sentAt) <= reportTimeout {
+		return
+	}
+	s.formerHeads[key] = formerHead{sentAt: s.Now}
+	s.orders = append(s.orders, Order{To: head, Action: Leave, Group: key.name, Epoch: key.epoch, Reason: "it serves, or may serve, a group that is no longer planned"})
+}
+
 // dissolve removes a group from the plan as soon as its members are released.
 func (s *step) dissolve(g *group, reason string) {
 	g.dissolveReason = reason
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,6 +52,9 @@
 	// Entries that have lapsed are back within about two seconds. While the head's entry shows that it serves, they wait for
 	// listedHeadTimeout: the entry of a head that has ended lapses earlier.
 	headReturnTimeout = 2500 * time.Millisecond
+	// headLeaveAfter is the time after the return of a member after which its head, if it isn't listed, is ordered to leave: it may serve
+	// without an entry, because it was released.
+	headLeaveAfter    = 1500 * time.Millisecond
 	listedHeadTimeout = 8 * time.Second
 	// returnTimeout is the longest wait for an unlisted member that answers probes, if there are too few spares to replace it.
 	returnTimeout = 12 * time.Second
@@ -186,6 +189,7 @@
 	// it.
 	headUnheard bool
 	head        fleet.Incarnation
+	headEntry   *fleet.Replica // Last known entry of the head; nil if there was none.
 	// returnedAt holds the members that were unreachable too, with the time when they were first usable again; 0 if they weren't.
 	returnedAt map[fleet.Incarnation]clock.Time
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -161,11 +161,13 @@
 		spares     int           // Replicas beyond those in groups.
 		lapsed     bool          // The head's entry lapses, as that of the member does.
 		headReturn time.Duration // Of the head, after the member.
+		released   bool          // The head is released when it returns, so that it isn't listed again, but serves.
 	}{
-		{"the group is dissolved", 0, true, time.Second},
-		{"the group is repaired under another head", 3, true, time.Second},
-		{"the head stays listed", 0, false, 4 * time.Second},
-		{"the head stays listed, another one takes its place", 3, false, 4 * time.Second},
+		{"the group is dissolved", 0, true, time.Second, false},
+		{"the group is repaired under another head", 3, true, time.Second, false},
+		{"the head stays listed", 0, false, 4 * time.Second, false},
+		{"the head stays listed, another one takes its place", 3, false, 4 * time.Second, false},
+		{"the head isn't listed again", 0, true, time.Second, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -181,7 +183,10 @@
 			m.violations = nil // While the head is cut off, nothing tells it from one that has ended.
 			member.cutOff, member.unlistedAt = false, 0
 			m.run(p, test.headReturn, nil)
-			head.cutOff, head.unlistedAt = false, 0
+			head.cutOff = false
+			if !test.released {
+				head.unlistedAt = 0
+			}
 			m.run(p, 16*time.Second, nil)
 			m.assertNoViolations()
 			c.Check(m.openGroups()["large"] >= 1, quicktest.IsTrue)
