--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -152,7 +152,8 @@
 func (r *Registry) Complete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.firstListAt != 0 && r.clock.Now().Sub(r.firstListAt) > ReturnGrace && r.clock.Now() >= r.removalsUncertainUntil()
+	return r.firstListAt != 0 && r.clock.Now().Sub(r.firstListAt) > ReturnGrace && !r.storeFailing &&
+		(r.lastOutageAt == 0 || r.clock.Now().Sub(r.lastOutageAt) >= ReturnGrace)
 }
 
 // SetConfig puts a configuration into force if its version is higher than that of the current one, and tells whether it did.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -119,6 +119,26 @@
 	c.Check(r.View().Replicas["a"], quicktest.IsNil)
 }
 
+// Guards against a list that counts as complete while it may be old: the store answers other nodes, but hasn't answered this one for long.
+func TestListIsIncompleteAfterAnOutageOfThisNode(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	r := NewRegistry(now)
+	r.Replace([]*Replica{plainReplica("a", "z")})
+	now.Advance(time.Minute)
+	c.Assert(r.Complete(), quicktest.IsTrue)
+	r.StoreFailed()
+	for range 5 {
+		now.Advance(time.Second)
+		r.StoreAnsweredOther(0)
+	}
+	c.Assert(r.Complete(), quicktest.IsFalse)
+	r.StoreAnswered()
+	c.Assert(r.Complete(), quicktest.IsFalse)
+	now.Advance(ReturnGrace)
+	c.Assert(r.Complete(), quicktest.IsTrue)
+}
+
 // Guards against requests to replicas that drain or whose failure domain is evacuated.
 func TestEvacuatedAndDrainingReplicasAreLeftOut(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -50,12 +50,11 @@
 	missingTimeout      = 700 * time.Millisecond
 	// headReturnTimeout is the time that the head of a group that was given up has to return after members that were unreachable too.
 	// Entries that have lapsed are back within about two seconds. While the head's entry shows that it serves, they wait for
-	// listedHeadTimeout: the entry of a head that has ended lapses earlier.
+	// listedHeadTimeout: the entry of a head that has ended lapses earlier. A head that isn't listed is ordered to leave headLeaveAfter
+	// after the return of a member: it may serve without an entry, because it was released.
 	headReturnTimeout = 2500 * time.Millisecond
-	// headLeaveAfter is the time after the return of a member after which its head, if it isn't listed, is ordered to leave: it may serve
-	// without an entry, because it was released.
-	headLeaveAfter    = 1500 * time.Millisecond
 	listedHeadTimeout = 8 * time.Second
+	headLeaveAfter    = 1500 * time.Millisecond
 	// returnTimeout is the longest wait for an unlisted member that answers probes, if there are too few spares to replace it.
 	returnTimeout = 12 * time.Second
 	// minSlowdown is the reported slowdown factor from which on a member is replaced by a spare, as a group runs at the speed of
