Forget that a group was to close once the reason has ended

Found by reading: if a limit ends, or a member isn't slow any more, while the head finishes its requests, the group opens again but kept the time of the decision. Its head would then be replaced at once by the next limit, and no other limited head of the model ever. TestLimitThatEndsWhileItsHeadCloses failed before.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -161,6 +161,8 @@
 		g.wasOpen = true
 		if reason != "" {
 			s.closeForRepair(g, head, reason)
+		} else if head.Group.State == fleet.GroupOpen {
+			g.closingSince, g.closeSentAt = 0, 0 // What the group was to close for has ended.
 		}
 	case reason != "":
 		s.repair(g, head, reason)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -163,7 +163,7 @@
 	wasOpen        bool       // The head was seen to serve this epoch, or an earlier planner may have opened it.
 	limitedSince   clock.Time // When the head was first known to limit its rate of requests; 0 if it doesn't.
 	awaitsAnswers  bool       // The members must be probed, since one of them may become the head.
-	closingSince   clock.Time // When a draining or slow member of the serving group was first found; 0 if none was.
+	closingSince   clock.Time // When a reason to repair the serving group was first found, such as a draining member; 0 if there is none.
 	closeSentAt    clock.Time // When the last order to finish the running requests was sent; 0 if none was.
 	leaveSentAt    clock.Time // When the last leave order was sent to the head; 0 if none was.
 	dissolveReason string     // Why the group is being dissolved; empty if it isn't.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -425,6 +425,47 @@
 	}
 }
 
+// Guards against a model whose limited heads are never replaced again after a limit has ended while its head finished its requests.
+func TestLimitThatEndsWhileItsHeadCloses(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 6, 8)
+	m.run(p, minHeadTerm, nil)
+	m.limited = map[string]bool{}
+	heads := m.openHeads("large")
+	for _, head := range heads {
+		head.busyUntil = m.clock.Now().Add(4 * time.Second)
+		m.limited[head.id] = true
+	}
+	closing := func() int {
+		n := 0
+		for _, head := range heads {
+			if head.state == fleet.GroupClosing {
+				n++
+			}
+		}
+		return n
+	}
+	for end := m.clock.Now().Add(4 * time.Second); closing() == 0 && m.clock.Now() < end; {
+		m.run(p, 100*time.Millisecond, nil)
+	}
+	c.Assert(closing(), quicktest.Equals, 1)
+	clear(m.limited)
+	m.run(p, 8*time.Second, nil)
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 6)
+	for _, head := range heads[1:4] {
+		m.limited[head.id] = true
+	}
+	m.run(p, 20*time.Second, nil)
+	limited := 0
+	for _, head := range m.openHeads("large") {
+		if m.limited[head.id] {
+			limited++
+		}
+	}
+	c.Check(limited, quicktest.Equals, 1)
+	m.assertNoViolations()
+}
+
 // Guards against a new planner that dissolves working groups or loads their weights again.
 func TestNewPlannerAdoptsGroups(t *testing.T) {
 	c := quicktest.New(t)
