Go on as the holder of targets whose handover wasn't written

What callers would see: a target without requests for the whole outage of the platform that begins while its holder hands it over. The log of the latter: node-2 became the holder at 47.152 s, could not read the table for a handover at 47.650 s, and repeated 'could not determine the outcome of a handover' until the end, sending nothing. Cause: after any error the holder stops sending until the table could be rewritten, since the write may still take effect. Here nothing had been written. The update now says so if no write was sent, or all conflicted or were turned away; then the holder goes on at once.

--- a/internal/holder/handover.go
+++ b/internal/holder/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -70,12 +71,12 @@
 }
 
 // finishMoves ends the handover of targets. After an error, the write may still take effect, so this node doesn't send to
-// them until settleHandovers has run.
+// them until settleHandovers has run. If nothing was written, it goes on as their holder, unless it is draining.
 func (h *Holders) finishMoves(domain string, moves []Move, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range moves {
-		if err != nil {
+		if err != nil && (h.draining || !errors.Is(err, errUnwritten)) {
 			h.unsettledHandovers[domain] = append(h.unsettledHandovers[domain], m.Target.ID)
 		} else {
 			delete(h.releasing, m.Target.ID)
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -282,3 +282,45 @@
 		}
 	})
 }
+
+// Guards against targets without a holder for the time of a platform outage that begins with a handover: the holder can't write it, and
+// stops sending to them although nothing was written. If a write may still take effect, it must not send.
+func TestHandoverInAnOutage(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault writeFault
+		cut   bool
+		holds bool
+	}{
+		{"the table can't be read", 0, true, true},
+		{"the write is delayed", writeDelayed, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sim := &simulation{t: t, now: time.Hour, objects: map[string]Object{}}
+			for i, name := range []string{"a", "b", "c"} {
+				p := sim.start(name, []string{"x", "y"}[i%2], 0)
+				p.majorityContactAt, p.startedAt = sim.now, 0
+				sim.nodes = append(sim.nodes, p)
+			}
+			for range 20 {
+				sim.advance(500 * time.Millisecond)
+			}
+			for _, p := range sim.nodes {
+				for id := range p.Held() {
+					next := sim.nodes[0]
+					if next == p {
+						next = sim.nodes[1]
+					}
+					target := Target{ID: id, FailureDomain: p.targets[id].FailureDomain}
+					p.platformCut, sim.fault = test.cut, test.fault
+					p.executeMoves(t.Context(), []Move{{target, next.id}})
+					if _, holds := p.Holds(id); holds != test.holds {
+						t.Errorf("%v holds %s after the handover: %v, want %v", p.id, id, holds, test.holds)
+					}
+					return
+				}
+			}
+			t.Fatal("no target is held")
+		})
+	}
+}
--- a/internal/holder/tables.go
+++ b/internal/holder/tables.go
@@ -159,31 +159,43 @@
 	return Entry{Identity{e.GetNode(), e.GetIncarnation()}, e.GetEpoch()}
 }
 
+// errUnwritten means that an update of a table has failed, and that none of its writes may still take effect.
+var errUnwritten = errors.New("nothing was written")
+
 // updateTable applies mutate to the current table of a failure domain by conditional writes. mutate returns false if there
-// is nothing to write. It is called again after a conflicting write of another node.
+// is nothing to write. It is called again after a conflicting write of another node. The error is errUnwritten if no write was sent, or all
+// that were sent conflicted with others or were turned away.
 func (h *Holders) updateTable(ctx context.Context, domain string, mutate func(*schema.HolderTable) bool) error {
 	h.writeMu.Lock()
 	defer h.writeMu.Unlock()
+	mayApply := false
+	failure := func(err error) error {
+		if err == nil || mayApply {
+			return err
+		}
+		return fmt.Errorf("%w: %w", errUnwritten, err)
+	}
 	var lastErr error
 	for attempt := range maxWriteAttempts {
 		if attempt > 0 {
 			select {
 			case <-ctx.Done():
-				return ctx.Err()
+				return failure(ctx.Err())
 			case <-time.After(rand.N(maxRetryJitter)):
 			}
 		}
-		done, err := h.tryUpdateTable(ctx, domain, mutate)
+		done, err := h.tryUpdateTable(ctx, domain, mutate, &mayApply)
 		if done {
-			return err
+			return failure(err)
 		}
 		lastErr = err
 	}
-	return eris.Wrapf(lastErr, "update holder table %q: %d attempts conflicted with other writes", domain, maxWriteAttempts)
+	return failure(eris.Wrapf(lastErr, "update holder table %q: %d attempts conflicted with other writes", domain, maxWriteAttempts))
 }
 
-// tryUpdateTable makes one attempt of updateTable. It returns false if the write conflicted and should be tried again.
-func (h *Holders) tryUpdateTable(ctx context.Context, domain string, mutate func(*schema.HolderTable) bool) (bool, error) {
+// tryUpdateTable makes one attempt of updateTable. It returns false if the write conflicted and should be tried again. It sets mayApply if
+// a write was sent that may still take effect.
+func (h *Holders) tryUpdateTable(ctx context.Context, domain string, mutate func(*schema.HolderTable) bool, mayApply *bool) (bool, error) {
 	object, err := h.opts.Platform.Get(ctx, Kind, domain)
 	missing := errors.Is(err, ErrNotFound)
 	if err != nil && !missing {
@@ -216,6 +228,7 @@
 		object.Kind, object.Name = Kind, domain
 		written, err = h.opts.Platform.Update(ctx, object)
 	}
+	*mayApply = *mayApply || err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrUnavailable)
 	if errors.Is(err, ErrOutcomeUnknown) {
 		written, err = h.resolveUnknownWrite(ctx, domain, table)
 	}
