--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -119,6 +119,28 @@
 	}
 }
 
+// checkWhileCutOff fails the test if a rule was violated so far, while a head was cut off. taken tells that members which the nodes reach
+// are joined to another epoch of their group meanwhile, which TestReachableMembersOfACutOffHeadStay fails for.
+func (m *emulator) checkWhileCutOff(taken bool) {
+	m.t.Helper()
+	if !taken {
+		m.assertNoViolations()
+	}
+	m.violations = nil
+}
+
+// Guards against members that are taken from a head which serves, but which no node reaches, while the nodes reach the members.
+func TestReachableMembersOfACutOffHeadStay(t *testing.T) {
+	for _, spares := range []int{0, 2} {
+		t.Run(fmt.Sprintf("%d spares", spares), func(t *testing.T) {
+			m, p := startedSystem(t, 1, 8+spares)
+			m.openHeads("large")[0].cutOff = true
+			m.run(p, 6*time.Second, nil)
+			m.assertNoViolations()
+		})
+	}
+}
+
 // Guards against replicas that are joined to another group while the head of their own serves: the head was cut off from the nodes,
 // but not from its members, so that its group was given up while it was open, and it answers again.
 func TestHeadThatWasCutOffIsReleasedFirst(t *testing.T) {
@@ -126,10 +148,11 @@
 		name   string
 		spares int // Replicas beyond those in groups.
 		cutOff int // Members that are cut off with the head.
+		taken  bool
 	}{
-		{"the group is dissolved", 0, 0},
-		{"the group is dissolved, a member is cut off too", 0, 1},
-		{"another replica becomes the head", 2, 0},
+		{"another replica becomes the head", 0, 0, true},
+		{"the group is dissolved, a member is cut off too", 0, 1, false},
+		{"another replica becomes the head, there are more spares", 2, 0, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -145,7 +168,7 @@
 			for _, v := range cutOff {
 				v.cutOff = false
 			}
-			m.violations = nil // While the head is cut off, nothing tells it from one that has ended.
+			m.checkWhileCutOff(test.taken)
 			m.run(p, 16*time.Second, nil)
 			m.assertNoViolations()
 			c.Assert(m.openGroups(), quicktest.DeepEquals, before)
@@ -162,12 +185,13 @@
 		lapsed     bool          // The head's entry lapses, as that of the member does.
 		headReturn time.Duration // Of the head, after the member.
 		released   bool          // The head is released when it returns, so that it isn't listed again, but serves.
+		taken      bool
 	}{
-		{"the group is dissolved", 0, true, time.Second, false},
-		{"the group is repaired under another head", 3, true, time.Second, false},
-		{"the head stays listed", 0, false, 4 * time.Second, false},
-		{"the head stays listed, another one takes its place", 3, false, 4 * time.Second, false},
-		{"the head isn't listed again", 0, true, time.Second, true},
+		{"the group is dissolved", 0, true, time.Second, false, false},
+		{"the group is repaired under another head", 3, true, time.Second, false, true},
+		{"the head stays listed", 0, false, 4 * time.Second, false, false},
+		{"the head stays listed, another one takes its place", 3, false, 4 * time.Second, false, true},
+		{"the head isn't listed again", 0, true, time.Second, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -180,7 +204,7 @@
 			}
 			m.run(p, 5*time.Second, nil)
 			c.Assert(head.state, quicktest.Equals, fleet.GroupOpen)
-			m.violations = nil // While the head is cut off, nothing tells it from one that has ended.
+			m.checkWhileCutOff(test.taken)
 			member.cutOff, member.unlistedAt = false, 0
 			m.run(p, test.headReturn, nil)
 			head.cutOff = false
