Read the era of the store and announce it as one event

Callers saw changes that weren't in force after the store had come back from an older copy. A node learns a higher era from the store, from a mirror or from another node, logs it, and announces it to its parts by storeRestored, which does nothing yet. Nothing relies on the event in this commit.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,7 @@
 	storeContact   *storeContact
 
 	mu                    sync.Mutex
+	storeEra              int64                      // Highest era of the store that is known; 0 if none.
 	lastRelist            clock.Time                 // When a follower last found the store's history gone.
 	plannerLastSeen       clock.Time                 // When a node last reported that it is the planner; at first the start of this process.
 	firstRunPlanAttempted bool                       // This node has tried to become the planner in the first run of the system.
@@ -108,7 +109,7 @@
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
 	}
-	n.store.OnCall = n.storeCalls.record
+	n.store.OnCall, n.store.OnEra = n.storeCalls.record, n.learnEra
 	n.budget = retry.New(retry.Options{Share: s.Bounds.RetryRatio * retryBudgetFraction, BurstNow: n.localRetrySlack,
 		FloorPerSecond: -1, Log: log, Meter: metrics.Meter()})
 	n.mesh, err = gossip.New(gossip.Options{Address: s.Peer, Zone: s.Zone, Clock: c, Log: log, LocalState: n.localGossip, OnMessage: n.applyPeerGossip})
@@ -399,6 +400,7 @@
 		msg.Observed = encodeObservations(n.registry.Observations())
 	}
 	msg.LeaseRevision, msg.Resigned = n.lease.Announcement()
+	msg.StoreEra = n.store.Era()
 	msg.Crashes, msg.Answers = n.crashes.Reports(max(minCrashReportFor, crashReportIntervals*n.mesh.OtherZoneInterval()))
 	msg.Statements = n.statements.Reports(n.mesh.OtherZoneInterval())
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
@@ -413,6 +415,7 @@
 
 // applyPeerGossip applies the state of another node.
 func (n *Node) applyPeerGossip(msg *schema.NodeGossip) {
+	n.learnEra(msg.StoreEra)
 	n.applyZoneLoads(msg)
 	n.crashes.Merge(msg.Crashes, msg.Answers)
 	if msg.StoreContactMs >= 0 {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -377,6 +377,7 @@
 	client := n.mirrorClients[address]
 	if client == nil {
 		client = platform.NewStore(address)
+		client.OnEra = n.learnEra
 		n.mirrorClients[address] = client
 	}
 	return client
