Compare revisions of the store only within one era

Callers got 404 and 401 for changes that had been in force for seconds, and replicas that had left were sent requests, after the store had come back from an older copy. Cause: a follower refused each list below the highest revision that it had ever read, so it was deaf until the restored store's count had passed that. A watch from a revision that the store had given out again isn't refused by the store, so the follower missed what was below it. A position is now an era and a revision. A watch whose answer is of another era than its position, and a list with pages of two eras, return ErrHistoryGone, so neither can be applied. On the event all followers list again; pending watches end, pending lists go on, as their answers tell their era. The clients of mirrors share the known era with that of the store. The fake store of the entry tests can go away and come back from a copy. It replaces the one that could only create objects. Evidence: on the code before, TestNodesFollowAStoreThatCameBackOlder and TestWatchFromARevisionOfAFormerEraIsNotUsed fail (the change isn't in force within the bound); now they pass. TestAnswersOfTwoErasAreNotJoined checks the client.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,15 +31,14 @@
 // Guards against requests that crash replicas again after all nodes have ended at once: no other node can tell them.
 func TestBlockedRequestsStayBlockedWhenAllNodesRestart(t *testing.T) {
 	c := quicktest.New(t)
-	store := &recordStore{objects: map[string][]map[string]any{}, changed: make(chan struct{})}
+	store := newFakeStore()
 	nodes, stop := startZone(c, store, 2, true)
 	for i := range 2 {
 		nodes[0].crashes.Record(crash.Crash{Request: crash.Request{Fingerprint: fmt.Sprint("f", i), Parts: []string{"part"}}, Target: fmt.Sprint(i)})
 	}
 	nodes[0].announceBlocked()
 	waitFor(c, 5*time.Second, func() bool {
-		records, _, _ := store.since(nodesKind, 0)
-		return strings.Contains(fmt.Sprint(records), "crashed_unix_ms")
+		return slices.ContainsFunc(store.list(nodesKind), func(o wireObject) bool { return strings.Contains(string(o.Spec), "crashed_unix_ms") })
 	})
 	for _, s := range stop {
 		s()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -51,29 +51,36 @@
 	apply       func([]platform.Object)
 	mirrorCopy  *mirror.Copy // The copy that other nodes read through this one.
 
-	source          string     // Address of the mirror that is read; empty for the store itself.
-	lastAnswerAt    clock.Time // Last answer of any source; 0 if there was none.
-	highestRevision int64      // Highest revision of an object of this kind that was read. A list with a lower revision isn't used.
+	source       string            // Address of the mirror that is read; empty for the store itself.
+	lastAnswerAt clock.Time        // Last answer of any source; 0 if there was none.
+	position     platform.Position // Where the next watch starts; valid while listed is set.
+	// newest is the position of the newest object of this kind that was read. A list of an earlier position isn't used.
+	newest platform.Position
 
 	mu            sync.Mutex
 	listed        bool // The objects have been listed, so that the next call is a watch.
+	watching      bool // The pending call is a watch.
 	cancelPending context.CancelFunc
 }
 
-// relist cancels the pending call and makes the follower list again, after another follower found the store's history gone.
+// relist cancels a pending watch and makes the follower list again, after the store's history was found gone or the store has come
+// back from an older copy. A pending list goes on: its answer tells whether it can be used.
 func (f *follower) relist() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed = false
-	if f.cancelPending != nil {
+	if f.watching && f.cancelPending != nil {
 		f.cancelPending()
 	}
 }
 
-// startCall returns the context of the next call and whether that call is a watch.
+// startCall returns the context of the next call and whether that call is a watch. It is a list if the position is from a former
+// era of the store.
 func (f *follower) startCall(ctx context.Context) (context.Context, context.CancelFunc, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.listed = f.listed && f.position.Era == f.node.store.Era()
+	f.watching = f.listed
 	timeout := listTimeout
 	switch {
 	case f.listed:
@@ -105,13 +112,13 @@
 
 // run lists and watches until the context is done.
 func (f *follower) run(ctx context.Context) {
-	revision, failing, retryDelay := int64(0), false, initialRetryDelay
+	failing, retryDelay := false, initialRetryDelay
 	log := f.node.log.WithField("kind", f.kind)
 	for ctx.Err() == nil {
 		f.awaitSource(ctx)
 		f.selectSource()
 		callCtx, cancel, watch := f.startCall(ctx)
-		next, err := f.poll(callCtx, revision, watch)
+		next, err := f.poll(callCtx, watch)
 		interrupted := errors.Is(callCtx.Err(), context.Canceled)
 		cancel()
 		switch {
@@ -119,7 +126,7 @@
 			if failing {
 				log.Info("the store is reachable again")
 			}
-			revision, failing, retryDelay = next, false, initialRetryDelay
+			f.position, failing, retryDelay = next, false, initialRetryDelay
 			f.lastAnswerAt = f.node.clock.Now()
 			if f.node.recordStoreAnswer(f.source == "") {
 				f.node.cancelOtherLists(f)
@@ -204,19 +211,19 @@
 	return f.node.mirrorClient(f.source)
 }
 
-// errStaleList means that a list has a lower revision than an object that this node has already read.
+// errStaleList means that a list is older than an object that this node has already read in the same era of the store.
 var errStaleList = errors.New("the list is older than the objects read before")
 
-func (f *follower) poll(ctx context.Context, revision int64, watch bool) (int64, error) {
+func (f *follower) poll(ctx context.Context, watch bool) (platform.Position, error) {
 	if !watch {
 		items, next, err := f.client().List(ctx, f.kind)
-		if err == nil && next < f.highestRevision {
+		if err == nil && next.Before(f.newest) {
 			err = errStaleList
 		}
 		if err != nil {
-			return 0, err
+			return platform.Position{}, err
 		}
-		f.raiseHighestRevision(items, next)
+		f.noteRead(items, next)
 		f.replace(items)
 		f.setListed(true)
 		if f.source == "" {
@@ -224,12 +231,12 @@
 		}
 		return next, nil
 	}
-	events, next, err := f.client().Watch(ctx, f.kind, revision, f.maxWait)
+	events, next, err := f.client().Watch(ctx, f.kind, f.position, f.maxWait)
 	if err != nil {
-		return 0, err
+		return platform.Position{}, err
 	}
 	if len(events) > 0 {
-		f.raiseHighestRevision(events, next)
+		f.noteRead(events, next)
 		f.apply(events)
 	}
 	if f.source == "" {
@@ -238,15 +245,17 @@
 	return next, nil
 }
 
-// raiseHighestRevision raises highestRevision to that of the given objects, which were read at the store's revision at. It
-// doesn't use at for all of them: at counts the changes of all kinds, so a mirror that has all changes of this kind may still
-// state a lower one. A removal has no revision of its own, so at is used for it.
-func (f *follower) raiseHighestRevision(objects []platform.Object, at int64) {
+// noteRead raises newest to the positions of the given objects, which were read at the store's position at. It doesn't use at for all
+// of them: its revision counts the changes of all kinds, so a mirror that has all changes of this kind may still state a lower one. A
+// removal has no revision of its own, so at is used for it.
+func (f *follower) noteRead(objects []platform.Object, at platform.Position) {
 	for _, o := range objects {
+		read := platform.Position{Era: o.Era, Revision: o.Revision}
 		if o.Deleted {
-			f.highestRevision = max(f.highestRevision, at)
-		} else {
-			f.highestRevision = max(f.highestRevision, o.Revision)
+			read = at
+		}
+		if f.newest.Before(read) {
+			f.newest = read
 		}
 	}
 }
@@ -376,8 +385,7 @@
 	defer n.mu.Unlock()
 	client := n.mirrorClients[address]
 	if client == nil {
-		client = platform.NewStore(address)
-		client.OnEra = n.learnEra
+		client = n.store.Mirror(address)
 		n.mirrorClients[address] = client
 	}
 	return client
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -29,7 +29,7 @@
 	mu       sync.Mutex
 	fresh    bool
 	objects  map[string]platform.Object
-	revision int64
+	position platform.Position
 	batches  []batch       // Each starts at the revision where the previous one ends.
 	changed  chan struct{} // Closed and replaced when waiting readers have to check the copy again.
 }
@@ -43,23 +43,23 @@
 }
 
 // Replace replaces the contents with a full list read from the store.
-func (c *Copy) Replace(list []platform.Object, revision int64) {
+func (c *Copy) Replace(list []platform.Object, at platform.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.objects = make(map[string]platform.Object, len(list))
 	for _, o := range list {
 		c.objects[o.Name] = o
 	}
-	c.revision, c.batches, c.fresh = revision, nil, true
+	c.position, c.batches, c.fresh = at, nil, true
 	c.notifyReaders()
 }
 
-// Apply applies the answer to a watch that started at the copy's revision.
-func (c *Copy) Apply(events []platform.Object, revision int64) {
+// Apply applies the answer to a watch that started at the copy's position.
+func (c *Copy) Apply(events []platform.Object, at platform.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fresh = true
-	if revision == c.revision {
+	if at == c.position {
 		return
 	}
 	for _, o := range events {
@@ -69,11 +69,11 @@
 			c.objects[o.Name] = o
 		}
 	}
-	c.batches = append(c.batches, batch{c.revision, revision, events})
+	c.batches = append(c.batches, batch{c.position.Revision, at.Revision, events})
 	if len(c.batches) > maxBatches {
 		c.batches = c.batches[1:]
 	}
-	c.revision = revision
+	c.position = at
 	if len(events) > 0 {
 		c.notifyReaders()
 	}
@@ -97,21 +97,21 @@
 }
 
 // List implements platform.Source.
-func (c *Copy) List() ([]platform.Object, int64, error) {
+func (c *Copy) List() ([]platform.Object, platform.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.fresh {
-		return nil, 0, ErrNotFresh
+		return nil, platform.Position{}, ErrNotFresh
 	}
 	list := make([]platform.Object, 0, len(c.objects))
 	for _, o := range c.objects {
 		list = append(list, o)
 	}
-	return list, c.revision, nil
+	return list, c.position, nil
 }
 
 // Watch implements platform.Source. It waits for a change after the revision, for no longer than wait.
-func (c *Copy) Watch(ctx context.Context, revision int64, wait time.Duration) ([]platform.Object, int64, error) {
+func (c *Copy) Watch(ctx context.Context, revision int64, wait time.Duration) ([]platform.Object, platform.Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -124,20 +124,20 @@
 		case <-timer.C:
 			return nil, current, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, platform.Position{}, ctx.Err()
 		}
 	}
 }
 
 // changesSince returns the changes after a revision that an earlier call returned, and ErrHistoryGone if they are no longer kept.
-func (c *Copy) changesSince(revision int64) ([]platform.Object, int64, <-chan struct{}, error) {
+func (c *Copy) changesSince(revision int64) ([]platform.Object, platform.Position, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.fresh {
-		return nil, 0, nil, ErrNotFresh
+		return nil, platform.Position{}, nil, ErrNotFresh
 	}
-	if revision == c.revision {
-		return nil, c.revision, c.changed, nil
+	if revision == c.position.Revision {
+		return nil, c.position, c.changed, nil
 	}
 	var events []platform.Object
 	found := false
@@ -148,7 +148,7 @@
 		}
 	}
 	if !found {
-		return nil, 0, nil, platform.ErrHistoryGone
+		return nil, platform.Position{}, nil, platform.ErrHistoryGone
 	}
-	return events, c.revision, c.changed, nil
+	return events, c.position, c.changed, nil
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -13,6 +13,8 @@
 	"cassiadeal.example/cassiadeal/platform"
 )
 
+func at(revision int64) platform.Position { return platform.Position{Revision: revision} }
+
 func object(name string, revision int64) platform.Object {
 	return platform.Object{Name: name, Revision: revision, Spec: []byte(`{"v":1}`)}
 }
@@ -29,14 +31,14 @@
 	_, _, err := store.List(ctx, "things")
 	c.Assert(err, quicktest.IsNotNil) // Not fresh yet: the reader must read from the store itself.
 
-	mirrorCopy.Replace([]platform.Object{object("a", 3)}, 5)
-	list, revision, err := store.List(ctx, "things")
+	mirrorCopy.Replace([]platform.Object{object("a", 3)}, at(5))
+	list, position, err := store.List(ctx, "things")
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(list, quicktest.HasLen, 1)
-	c.Assert(revision, quicktest.Equals, int64(5))
+	c.Assert(position, quicktest.Equals, at(5))
 
-	time.AfterFunc(50*time.Millisecond, func() { mirrorCopy.Apply([]platform.Object{object("b", 7)}, 7) })
-	events, revision, err := store.Watch(ctx, "things", revision, 5*time.Second)
+	time.AfterFunc(50*time.Millisecond, func() { mirrorCopy.Apply([]platform.Object{object("b", 7)}, at(7)) })
+	events, position, err := store.Watch(ctx, "things", position, 5*time.Second)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(events, quicktest.HasLen, 1)
 	c.Assert(events[0].Name, quicktest.Equals, "b")
@@ -44,13 +46,13 @@
 
 	deleted := object("a", 9)
 	deleted.Deleted = true
-	mirrorCopy.Apply([]platform.Object{deleted}, 9)
-	events, revision, err = store.Watch(ctx, "things", revision, 5*time.Second)
+	mirrorCopy.Apply([]platform.Object{deleted}, at(9))
+	events, position, err = store.Watch(ctx, "things", position, 5*time.Second)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(events[0].Deleted, quicktest.IsTrue)
-	c.Assert(revision, quicktest.Equals, int64(9))
+	c.Assert(position, quicktest.Equals, at(9))
 
-	_, _, err = store.Watch(ctx, "things", 6, time.Second)
+	_, _, err = store.Watch(ctx, "things", at(6), time.Second)
 	c.Assert(errors.Is(err, platform.ErrHistoryGone), quicktest.IsTrue)
 }
 
@@ -58,7 +60,7 @@
 func TestStaleCopyWakesItsReaders(t *testing.T) {
 	c := quicktest.New(t)
 	mirrorCopy := New()
-	mirrorCopy.Replace(nil, 5)
+	mirrorCopy.Replace(nil, at(5))
 	time.AfterFunc(50*time.Millisecond, mirrorCopy.MarkStale)
 	start := time.Now()
 	_, _, err := mirrorCopy.Watch(context.Background(), 5, 10*time.Second)
@@ -70,9 +72,9 @@
 func TestOldChangesAreDropped(t *testing.T) {
 	c := quicktest.New(t)
 	mirrorCopy := New()
-	mirrorCopy.Replace(nil, 1)
+	mirrorCopy.Replace(nil, at(1))
 	for r := int64(2); r < 2+2*maxBatches; r++ {
-		mirrorCopy.Apply([]platform.Object{object("a", r)}, r)
+		mirrorCopy.Apply([]platform.Object{object("a", r)}, at(r))
 	}
 	_, _, err := mirrorCopy.Watch(context.Background(), 1, time.Second)
 	c.Assert(errors.Is(err, platform.ErrHistoryGone), quicktest.IsTrue)
