Hand on no copies of the store from before it came back older

Callers could get answers by what the store had lost: a mirror handed its copy and its cached answers on without their era, so the client took them as ones of the present era. A mirror's answers now state the era of its copy, which is part of the keys of cached answers too. From the event until it has listed again, a copy isn't handed on: waiting watches are answered 410, and lists wait for the new copy for up to 500 ms, so that readers don't all turn to the store. Readers state the highest era that they know, from which a mirror that has none of its own calls answered learns it.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -94,7 +94,7 @@
 	for _, f := range n.followers {
 		sources[f.kind] = f.mirrorCopy
 	}
-	return platform.MirrorHandler(sources)
+	return platform.MirrorHandler(sources, n.learnEra)
 }
 
 // metricsHandler serves metrics.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,8 +12,13 @@
 	"cassiadeal.example/cassiadeal/platform"
 )
 
-// maxBatches is the number of store answers whose changes are kept. A reader that is further behind has to list again.
-const maxBatches = 256
+const (
+	// maxBatches is the number of store answers whose changes are kept. A reader that is further behind has to list again.
+	maxBatches = 256
+	// relistWait is the time for which a list waits for the copy to be read anew after the store has come back from an older copy. The
+	// readers would otherwise all turn to the store.
+	relistWait = 500 * time.Millisecond
+)
 
 // ErrNotFresh is returned while this node doesn't follow the store itself, or the store doesn't answer it.
 var ErrNotFresh = errors.New("this node has no fresh copy")
@@ -30,6 +35,7 @@
 	fresh    bool
 	objects  map[string]platform.Object
 	position platform.Position
+	era      int64 // Lowest era that the copy may be from.
 	batches  []batch       // Each starts at the revision where the previous one ends.
 	changed  chan struct{} // Closed and replaced when waiting readers have to check the copy again.
 }
@@ -46,6 +52,9 @@
 func (c *Copy) Replace(list []platform.Object, at platform.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if at.Era < c.era {
+		return
+	}
 	c.objects = make(map[string]platform.Object, len(list))
 	for _, o := range list {
 		c.objects[o.Name] = o
@@ -58,6 +67,9 @@
 func (c *Copy) Apply(events []platform.Object, at platform.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if at.Era < c.era {
+		return
+	}
 	c.fresh = true
 	if at == c.position {
 		return
@@ -89,6 +101,21 @@
 	}
 }
 
+// Restored records that the store has come back from an older copy, in the given era. The contents aren't handed on any more until they
+// are replaced by a list of that era or a later one.
+func (c *Copy) Restored(era int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era <= c.era {
+		return
+	}
+	c.era = era
+	if c.position.Era < era {
+		c.fresh = false
+		c.notifyReaders()
+	}
+}
+
 // Fresh tells whether the copy follows the store.
 func (c *Copy) Fresh() bool {
 	c.mu.Lock()
@@ -97,25 +124,50 @@
 }
 
 // List implements platform.Source.
-func (c *Copy) List() ([]platform.Object, platform.Position, error) {
+func (c *Copy) List(ctx context.Context) ([]platform.Object, platform.Position, error) {
+	timer := time.NewTimer(relistWait)
+	defer timer.Stop()
+	for {
+		list, at, changed, err := c.contents()
+		if err == nil || changed == nil {
+			return list, at, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, platform.Position{}, err
+		case <-ctx.Done():
+			return nil, platform.Position{}, ctx.Err()
+		}
+	}
+}
+
+// contents returns all objects. If it fails, the channel tells when to try again; it is nil unless the copy is being read anew.
+func (c *Copy) contents() ([]platform.Object, platform.Position, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.fresh {
-		return nil, platform.Position{}, ErrNotFresh
+		if c.formerEraLocked() {
+			return nil, platform.Position{}, c.changed, ErrNotFresh
+		}
+		return nil, platform.Position{}, nil, ErrNotFresh
 	}
 	list := make([]platform.Object, 0, len(c.objects))
 	for _, o := range c.objects {
 		list = append(list, o)
 	}
-	return list, c.position, nil
+	return list, c.position, nil, nil
 }
 
-// Watch implements platform.Source. It waits for a change after the revision, for no longer than wait.
-func (c *Copy) Watch(ctx context.Context, revision int64, wait time.Duration) ([]platform.Object, platform.Position, error) {
+// formerEraLocked reports whether the copy was read, but in a former era of the store.
+func (c *Copy) formerEraLocked() bool { return c.position != platform.Position{} && c.position.Era < c.era }
+
+// Watch implements platform.Source. It waits for a change after the position, for no longer than wait.
+func (c *Copy) Watch(ctx context.Context, from platform.Position, wait time.Duration) ([]platform.Object, platform.Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		events, current, changed, err := c.changesSince(revision)
+		events, current, changed, err := c.changesSince(from)
 		if err != nil || len(events) > 0 {
 			return events, current, err
 		}
@@ -129,20 +181,26 @@
 	}
 }
 
-// changesSince returns the changes after a revision that an earlier call returned, and ErrHistoryGone if they are no longer kept.
-func (c *Copy) changesSince(revision int64) ([]platform.Object, platform.Position, <-chan struct{}, error) {
+// changesSince returns the changes after a position that an earlier call returned, and ErrHistoryGone if they are no longer kept.
+func (c *Copy) changesSince(from platform.Position) ([]platform.Object, platform.Position, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.formerEraLocked() {
+		return nil, platform.Position{}, nil, platform.ErrHistoryGone
+	}
 	if !c.fresh {
 		return nil, platform.Position{}, nil, ErrNotFresh
 	}
-	if revision == c.position.Revision {
+	if from.Era != 0 && from.Era != c.position.Era { // A reader that states no era knows of none.
+		return nil, platform.Position{}, nil, platform.ErrHistoryGone
+	}
+	if from.Revision == c.position.Revision {
 		return nil, c.position, c.changed, nil
 	}
 	var events []platform.Object
 	found := false
 	for _, b := range c.batches {
-		found = found || b.from == revision
+		found = found || b.from == from.Revision
 		if found {
 			events = append(events, b.events...)
 		}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -23,7 +23,7 @@
 func TestReadersFollowTheCopyOverHTTP(t *testing.T) {
 	c := quicktest.New(t)
 	mirrorCopy := New()
-	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}))
+	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, func(int64) {}))
 	defer server.Close()
 	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	ctx := context.Background()
@@ -63,7 +63,7 @@
 	mirrorCopy.Replace(nil, at(5))
 	time.AfterFunc(50*time.Millisecond, mirrorCopy.MarkStale)
 	start := time.Now()
-	_, _, err := mirrorCopy.Watch(context.Background(), 5, 10*time.Second)
+	_, _, err := mirrorCopy.Watch(context.Background(), at(5), 10*time.Second)
 	c.Assert(errors.Is(err, ErrNotFresh), quicktest.IsTrue)
 	c.Assert(time.Since(start) < 5*time.Second, quicktest.IsTrue)
 }
@@ -76,7 +76,68 @@
 	for r := int64(2); r < 2+2*maxBatches; r++ {
 		mirrorCopy.Apply([]platform.Object{object("a", r)}, at(r))
 	}
-	_, _, err := mirrorCopy.Watch(context.Background(), 1, time.Second)
+	_, _, err := mirrorCopy.Watch(context.Background(), at(1), time.Second)
 	c.Assert(errors.Is(err, platform.ErrHistoryGone), quicktest.IsTrue)
 	c.Assert(len(mirrorCopy.batches), quicktest.Equals, maxBatches)
 }
+
+// Guards against a mirror that hands on what it read before the store came back from an older copy, also from its cache of encoded
+// answers, and against readers that turn to the store meanwhile.
+func TestCopyOfAFormerEraIsNotHandedOn(t *testing.T) {
+	c := quicktest.New(t)
+	mirrorCopy := New()
+	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, mirrorCopy.Restored))
+	defer server.Close()
+	store := platform.NewStore("127.0.0.1:1") // Never called.
+	store.LearnEra(1)
+	reader := store.Mirror(strings.TrimPrefix(server.URL, "http://"))
+	ctx := context.Background()
+	former := platform.Position{Era: 1, Revision: 5}
+	mirrorCopy.Replace([]platform.Object{object("former", 5)}, former)
+	list, position, err := reader.List(ctx, "things")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(position, quicktest.Equals, former)
+	c.Assert(list[0].Era, quicktest.Equals, int64(1))
+
+	// A waiting reader is told at once, and one that knows of the new era tells the mirror.
+	watched := make(chan error, 1)
+	go func() {
+		_, _, err := reader.Watch(ctx, "things", former, 5*time.Second)
+		watched <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	store.LearnEra(2)
+	present := platform.Position{Era: 2, Revision: 5}
+	time.AfterFunc(100*time.Millisecond, func() { mirrorCopy.Replace([]platform.Object{object("present", 5)}, present) })
+	list, position, err = reader.List(ctx, "things")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(position, quicktest.Equals, present)
+	c.Assert(list[0].Name, quicktest.Equals, "present")
+	select {
+	case err := <-watched:
+		c.Assert(errors.Is(err, platform.ErrHistoryGone), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	case <-time.After(time.Second):
+		c.Fatal("the watch of a former era goes on")
+	}
+
+	// What was read before doesn't come back with a call that ends late.
+	mirrorCopy.Replace([]platform.Object{object("former", 9)}, platform.Position{Era: 1, Revision: 9})
+	mirrorCopy.Apply([]platform.Object{object("former", 9)}, platform.Position{Era: 1, Revision: 9})
+	list, _, err = mirrorCopy.List(ctx)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(list, quicktest.HasLen, 1)
+	c.Assert(list[0].Name, quicktest.Equals, "present")
+
+	// A mirror that doesn't take the era over is still told by its answers.
+	deaf := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, func(int64) {}))
+	defer deaf.Close()
+	store.LearnEra(3)
+	_, _, err = store.Mirror(strings.TrimPrefix(deaf.URL, "http://")).List(ctx, "things")
+	c.Assert(errors.Is(err, platform.ErrFormerEra), quicktest.IsTrue, quicktest.Commentf("%v", err))
+
+	mirrorCopy.Restored(3)
+	start := time.Now()
+	_, _, err = mirrorCopy.List(ctx)
+	c.Assert(errors.Is(err, ErrNotFresh), quicktest.IsTrue)
+	c.Assert(time.Since(start) < 2*relistWait, quicktest.IsTrue)
+}
