Let the stand-in platform come back from an older copy of its objects

The own platform's protocol had no word for a store that is restored from a copy, and the stand-in could not play one, so no test showed what nodes do then. POST /admin/restore takes the store away and brings objects and versions back as they were N ms before. Answers state the number of restores in X-Store-Era, and a write may name the era for which it is meant. Nodes don't read the era yet.

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -91,6 +91,7 @@
 	Kind       string          `json:"kind"`
 	Name       string          `json:"name"`
 	Version    uint64          `json:"version"`
+	Era        uint64          `json:"era"`
 	Deleted    bool            `json:"deleted,omitempty"`
 	Data       json.RawMessage `json:"data,omitempty"`
 }
@@ -101,6 +102,7 @@
 	WaitingWatches int         `json:"waiting_watches"`
 	Writes         []Write     `json:"writes"`
 	DroppedWrites  int         `json:"dropped_writes"` // oldest writes, removed because the record was full
+	Era            uint64      `json:"era"`            // number of restores so far
 }
 
 // eventHistory holds the newest events of one kind.
@@ -136,8 +138,12 @@
 	waitingWatches int
 	acceptedWrites []Write
 	droppedWrites  int
-	lastVMPut      uint64 // number of SetVMs calls
-	visibleVMPut   uint64 // number of the SetVMs call whose list is visible
+	era            uint64    // number of restores
+	restoring      bool      // the store is away for a restore
+	changes        []change  // newest writes, at most RecordLimit
+	undoneLimit    time.Time // the oldest time to which changes can be undone
+	lastVMPut      uint64    // number of SetVMs calls
+	visibleVMPut   uint64    // number of the SetVMs call whose list is visible
 }
 
 // New returns a stand-in that does not listen yet.
@@ -160,6 +166,7 @@
 	s.mux.HandleFunc("GET /v1/objects/{kind}", s.api("LIST", s.list))
 	s.mux.HandleFunc("GET /v1/vms", s.api("LIST", s.listVMs))
 	s.mux.HandleFunc("PUT /admin/vms", s.putVMs)
+	s.mux.HandleFunc("POST /admin/restore", s.postRestore)
 	s.mux.HandleFunc("POST /faults", s.postFaults)
 	s.mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
 		standin.WriteJSON(w, http.StatusOK, s.Record())
@@ -229,7 +236,7 @@
 			return
 		}
 		c.body = body
-		faults := s.countCall(c, countedMethod)
+		faults := s.countCall(w, c, countedMethod)
 		if !limit.Allow() {
 			fail(w, http.StatusTooManyRequests, "rate limit")
 			return
@@ -267,16 +274,20 @@
 	standin.WriteJSON(w, status, map[string]string{"error": fmt.Sprintf(format, args...)})
 }
 
-// countCall counts the call and returns the faults that apply to it.
-func (s *Server) countCall(c call, method string) Faults {
+// countCall counts the call, states the era and returns the faults that apply to the call.
+func (s *Server) countCall(w http.ResponseWriter, c call, method string) Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	s.calls[CallCount{Client: c.client, Method: method, Kind: c.kind}]++
 	return s.faultsFor(c)
 }
 
 // faultsFor returns the faults that apply to the call. The caller holds mu.
 func (s *Server) faultsFor(c call) Faults {
+	if s.restoring {
+		return Faults{Mode: ModeDown}
+	}
 	f := s.faults
 	matchesKind := func(pattern string) bool {
 		prefix, isPrefix := strings.CutSuffix(pattern, "*")
@@ -300,6 +311,7 @@
 
 func (s *Server) get(w http.ResponseWriter, _ *http.Request, c call) {
 	s.mu.Lock()
+	s.stateEra(w)
 	item, ok := s.readState(c).objects[c.kind][c.name]
 	s.mu.Unlock()
 	if !ok {
@@ -322,10 +334,12 @@
 		return
 	}
 	s.mu.Lock()
+	s.stateEra(w)
 	old, exists := s.current.objects[c.kind][c.name]
-	if create && exists || !create && (!exists || match != strconv.FormatUint(old.Version, 10)) {
+	if s.eraDiffers(r) || create && exists || !create && (!exists || match != strconv.FormatUint(old.Version, 10)) {
+		era := s.era
 		s.mu.Unlock()
-		fail(w, http.StatusPreconditionFailed, "object %s/%s: exists %t, version %d", c.kind, c.name, exists, old.Version)
+		fail(w, http.StatusPreconditionFailed, "object %s/%s: exists %t, version %d, era %d", c.kind, c.name, exists, old.Version, era)
 		return
 	}
 	version := s.applyWrite(c, Event{Name: c.name, Data: c.body})
@@ -336,15 +350,17 @@
 
 func (s *Server) delete(w http.ResponseWriter, r *http.Request, c call) {
 	s.mu.Lock()
+	s.stateEra(w)
 	old, exists := s.current.objects[c.kind][c.name]
 	if !exists {
 		s.mu.Unlock()
 		fail(w, http.StatusNotFound, "object %s/%s does not exist", c.kind, c.name)
 		return
 	}
-	if r.Header.Get("If-Match") != strconv.FormatUint(old.Version, 10) {
+	if s.eraDiffers(r) || r.Header.Get("If-Match") != strconv.FormatUint(old.Version, 10) {
+		era := s.era
 		s.mu.Unlock()
-		fail(w, http.StatusPreconditionFailed, "object %s/%s has version %d", c.kind, c.name, old.Version)
+		fail(w, http.StatusPreconditionFailed, "object %s/%s has version %d, era %d", c.kind, c.name, old.Version, era)
 		return
 	}
 	s.applyWrite(c, Event{Name: c.name, Deleted: true})
@@ -354,6 +370,7 @@
 
 // applyWrite applies and records an accepted write and returns the new version. The caller holds mu.
 func (s *Server) applyWrite(c call, e Event) uint64 {
+	s.logChange(c.kind, c.name)
 	s.current.version++
 	e.Version = s.current.version
 	if s.current.objects[c.kind] == nil {
@@ -376,7 +393,7 @@
 	}
 	s.acceptedWrites = append(s.acceptedWrites, Write{
 		TimeUnixMS: standin.UnixMS(time.Now()), Client: c.client, Kind: c.kind, Name: c.name,
-		Version: e.Version, Deleted: e.Deleted, Data: e.Data,
+		Version: e.Version, Era: s.era, Deleted: e.Deleted, Data: e.Data,
 	})
 	if len(s.acceptedWrites) > s.opts.RecordLimit {
 		s.acceptedWrites = s.acceptedWrites[1:]
@@ -398,6 +415,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.stateEra(w)
 	st := s.readState(c)
 	version, items := st.version, make([]Item, 0, len(st.objects[c.kind]))
 	for _, item := range st.objects[c.kind] {
@@ -463,6 +481,7 @@
 		s.mu.Unlock()
 	}()
 	for {
+		s.stateEra(w)
 		if s.faultsFor(c).Mode == ModeDown {
 			fail(w, http.StatusServiceUnavailable, "outage")
 			return
@@ -501,6 +520,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.stateEra(w)
 	body, status := poll(0, true)
 	s.mu.Unlock()
 	standin.WriteJSON(w, status, body)
@@ -595,7 +615,7 @@
 func (s *Server) Record() Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rec := Record{WaitingWatches: s.waitingWatches, Writes: slices.Clone(s.acceptedWrites), DroppedWrites: s.droppedWrites, Calls: []CallCount{}}
+	rec := Record{WaitingWatches: s.waitingWatches, Writes: slices.Clone(s.acceptedWrites), DroppedWrites: s.droppedWrites, Calls: []CallCount{}, Era: s.era}
 	for c, n := range s.calls {
 		c.Count = n
 		rec.Calls = append(rec.Calls, c)
--- a/test/harness/standins.go
+++ b/test/harness/standins.go
@@ -129,6 +129,12 @@
 	p.mustCallAdmin("POST", "/faults", f, nil)
 }
 
+// Restore takes the store away and brings it back from a copy. It returns when the store is back.
+func (p *Platform) Restore(age, down time.Duration) {
+	p.t.Helper()
+	p.mustCallAdmin("POST", "/admin/restore", platform.Restore{AgeMS: age.Milliseconds(), DownMS: down.Milliseconds()}, nil)
+}
+
 // SetVMs sets the VM list, which the platform shows after the lag.
 func (p *Platform) SetVMs(lag time.Duration, vms ...*schema.VM) {
 	p.t.Helper()
