Keep versions rising when the platform's store comes back from an older copy

What callers saw: after a restore of the store, lists and watches were refused as stale until the store's count had passed the highest known version, a watch from a version that the store had passed again missed changes, and a conditional write by a version of before the restore could match a version that was given out again. Cause: every part takes it for granted that the store's versions only grow. The client now states versions with the era above them, which restores this for all parts, fencing numbers included. A write names the era for which it is meant, a watch from a former era is too old, and a late answer of a former era is refused. A restore is announced once, with a warning and a counter.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -19,6 +19,7 @@
 	kind, operation                 string // Counter labels.
 	httpMethod, path                string
 	conditionHeader, conditionValue string // Condition header of a write, if any.
+	era                             string // Era for which a write is meant; empty if it has no such condition.
 	body                            []byte
 	timeout                         time.Duration
 }
@@ -26,6 +27,7 @@
 // response is a complete HTTP response.
 type response struct {
 	status  int
+	era     uint64
 	version uint64
 	body    []byte
 }
@@ -82,10 +84,14 @@
 		return nil, c.transportError(ctx, err, true)
 	}
 	resp := &response{status: httpResp.StatusCode, body: body}
+	if resp.era, err = c.readEra(httpResp.Header); err != nil {
+		return nil, &callError{err: err, sent: true}
+	}
 	if v := httpResp.Header.Get("X-Object-Version"); v != "" {
 		if resp.version, err = strconv.ParseUint(v, 10, 64); err != nil {
 			return nil, &callError{err: fmt.Errorf("header X-Object-Version %q: %w", v, err), sent: true}
 		}
+		resp.version = VersionIn(resp.era, resp.version)
 	}
 	return resp, nil
 }
@@ -108,6 +114,9 @@
 	if r.conditionHeader != "" {
 		req.Header.Set(r.conditionHeader, r.conditionValue)
 	}
+	if r.era != "" {
+		req.Header.Set(eraHeader, r.era)
+	}
 	req.Header.Set("X-Client", c.opts.Client)
 	return req, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -48,7 +48,8 @@
 	idleConnTimeout = 20 * time.Second
 )
 
-// Object is a stored object. Data is its JSON value.
+// Object is a stored object. Data is its JSON value. Versions of Client only grow, also when the store gives its own out
+// again after a restore.
 type Object struct {
 	Kind, Name string
 	Version    uint64
@@ -84,8 +85,13 @@
 	transport *http.Transport
 	counter   metric.Int64Counter
 
-	mu         sync.Mutex // Guards callCounts.
+	restoreCounter metric.Int64Counter
+
+	mu         sync.Mutex // Guards the fields below.
 	callCounts map[CallKey]uint64
+	era        uint64 // Highest era that an answer has stated.
+	eraKnown   bool   // An answer has stated era.
+	onRestore  []func()
 }
 
 // New returns a client.
@@ -108,6 +114,12 @@
 		opts.Log.WithError(err).Error("cannot create the counter of platform calls")
 		counter = noop.Int64Counter{}
 	}
+	restores, err := opts.Meter.Int64Counter("cassiadeal.platform.restores",
+		metric.WithDescription("Returns of the platform's store from an older copy that this node has noticed"), metric.WithUnit("{restore}"))
+	if err != nil {
+		opts.Log.WithError(err).Error("cannot create the counter of restores")
+		restores = noop.Int64Counter{}
+	}
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: opts.Timeout}).DialContext,
 		MaxIdleConns:        maxIdleConns,
@@ -120,6 +132,8 @@
 		transport:  transport,
 		counter:    counter,
 		callCounts: map[CallKey]uint64{},
+
+		restoreCounter: restores,
 	}
 }
 
--- a/internal/platform/read.go
+++ b/internal/platform/read.go
@@ -57,38 +57,45 @@
 	}
 	objects := make([]Object, 0, len(parsed.Items))
 	for _, item := range parsed.Items {
-		objects = append(objects, Object{Kind: kind, Name: item.Name, Version: item.Version, Data: item.Data})
+		objects = append(objects, Object{Kind: kind, Name: item.Name, Version: VersionIn(resp.era, item.Version), Data: item.Data})
 	}
-	return objects, parsed.Version, nil
+	return objects, VersionIn(resp.era, parsed.Version), nil
 }
 
 // Watch waits up to wait for changes after the version since and returns them with the version to continue from. It returns
-// no event when nothing changed. After ErrTooOld the caller lists again.
+// no event when nothing changed. After ErrTooOld, also after a restore of the store, the caller lists again.
 func (c *Client) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Event, uint64, error) {
 	operation := fmt.Sprintf("watch %s since %d", kind, since)
+	if EraOf(since) < c.Era() {
+		return nil, 0, fmt.Errorf("%s: %w: the store was restored", operation, ErrTooOld)
+	}
 	resp, err := c.do(ctx, c.watchRequest(kind, "/v1/objects/"+url.PathEscape(kind), since, wait))
 	if err != nil || resp.status != http.StatusOK {
 		return nil, 0, readError(operation, resp, err)
 	}
+	if resp.era != EraOf(since) {
+		// The restored store may have passed the version again, so the changes that it states can be incomplete.
+		return nil, 0, fmt.Errorf("%s: %w: the store was restored", operation, ErrTooOld)
+	}
 	var parsed listResponse
 	if err := json.Unmarshal(resp.body, &parsed); err != nil {
 		return nil, 0, readError(operation, nil, err)
 	}
 	events := make([]Event, 0, len(parsed.Events))
 	for _, item := range parsed.Events {
-		event := Event{Object: Object{Kind: kind, Name: item.Name, Version: item.Version}, Deleted: item.Deleted}
+		event := Event{Object: Object{Kind: kind, Name: item.Name, Version: VersionIn(resp.era, item.Version)}, Deleted: item.Deleted}
 		if !item.Deleted {
 			event.Data = item.Data
 		}
 		events = append(events, event)
 	}
-	return events, parsed.Version, nil
+	return events, VersionIn(resp.era, parsed.Version), nil
 }
 
 func (c *Client) watchRequest(kind, path string, since uint64, wait time.Duration) request {
 	query := url.Values{
 		"watch":      {"1"},
-		"since":      {strconv.FormatUint(since, 10)},
+		"since":      {strconv.FormatUint(storeVersion(since), 10)},
 		"timeout_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	return request{kind: kind, operation: "watch", httpMethod: http.MethodGet, path: path + "?" + query.Encode(),
@@ -102,6 +109,9 @@
 
 // WatchVMs waits up to wait for a version of the VM list after since and returns the whole list.
 func (c *Client) WatchVMs(ctx context.Context, since uint64, wait time.Duration) ([]*schema.VM, uint64, error) {
+	if EraOf(since) < c.Era() {
+		return c.VMs(ctx)
+	}
 	return c.vms(ctx, c.watchRequest("vms", "/v1/vms", since, wait))
 }
 
@@ -122,5 +132,5 @@
 		}
 		vms = append(vms, vm)
 	}
-	return vms, parsed.Version, nil
+	return vms, VersionIn(resp.era, parsed.Version), nil
 }
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -57,7 +57,8 @@
 
 func (c *Client) putOnce(ctx context.Context, w write) (uint64, error) {
 	r := request{kind: w.kind, operation: "update", httpMethod: http.MethodPut, path: objectPath(w.kind, w.name), body: w.data,
-		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(w.version, 10)}
+		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(storeVersion(w.version), 10)}
+	r.era = c.eraCondition(w.version)
 	if w.version == 0 {
 		r.operation, r.conditionHeader, r.conditionValue = "create", "If-None-Match", "*"
 	}
@@ -69,6 +70,8 @@
 		return c.resolveLostReply(ctx, w, err)
 	case resp.status == http.StatusOK && resp.version > 0:
 		return resp.version, nil
+	case resp.status == http.StatusPreconditionFailed && w.version == 0 && r.era != "" && r.era != strconv.FormatUint(resp.era, 10):
+		return 0, fmt.Errorf("%s: %w: the store was restored", w, ErrUnavailable)
 	case resp.status == http.StatusPreconditionFailed:
 		// The object may contain an earlier copy of this write, which the caller sent before.
 		return c.resolveConflict(ctx, w)
@@ -106,8 +109,8 @@
 }
 
 // resolveLostReply determines the outcome of a write whose reply was lost. Equal content proves that it took effect, because of
-// the nonce. A later version with other content proves that it is not in force and never will be: versions only grow, so its
-// condition can't hold again. Everything else leaves the outcome unknown: the platform may still receive the request, and
+// the nonce. A later version with other content proves that it is not in force and never will be: versions only grow, also across
+// restores, since a write names its era, so its condition can't hold again. Everything else leaves the outcome unknown: the platform may still receive the request, and
 // the read may be stale.
 func (c *Client) resolveLostReply(ctx context.Context, w write, cause error) (uint64, error) {
 	found, err := c.readBack(ctx, w)
@@ -143,8 +146,9 @@
 // Delete succeeds if the object no longer exists.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
 	w := write{kind: kind, name: name, version: version}
+	era := c.eraCondition(version)
 	resp, err := c.do(ctx, request{kind: kind, operation: "delete", httpMethod: http.MethodDelete, path: objectPath(kind, name),
-		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(version, 10)})
+		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(storeVersion(version), 10), era: era})
 	switch {
 	case err != nil && !wasSent(err):
 		return fmt.Errorf("delete %s/%s: %w: %w", kind, name, ErrUnavailable, err)
