Keep the time at which an era of the store was first noticed

A process that starts after a restore can't know what was lost: it sees the era, but not since when it lasts. Nothing relies on it yet.

--- a/internal/platform/era_test.go
+++ b/internal/platform/era_test.go
@@ -125,3 +125,28 @@
 	}
 	c.Check(restores, qt.Equals, 1)
 }
+
+// Guards against a start of an era that moves, is later than a node noticed, or that a process which starts later doesn't know.
+func TestEraStartIsKeptForLaterProcesses(t *testing.T) {
+	r, ctx := startRestorable(t), context.Background()
+	start, err := r.client.EraStart(ctx)
+	r.Assert(err, qt.IsNil)
+	r.Check(start, qt.Equals, platform.EraStart{})
+	for era := uint64(1); era <= 2; era++ {
+		r.lose(func() {})
+		_, _, err = r.client.List(ctx, "a")
+		r.Assert(err, qt.IsNil)
+		before := time.Now().Truncate(time.Millisecond)
+		start, err = r.client.EraStart(ctx)
+		r.Assert(err, qt.IsNil)
+		after := time.Now()
+		r.Check(start.Era, qt.Equals, era)
+		r.Check(start.NoticedAt.Before(before) || start.NoticedAt.After(after), qt.IsFalse)
+		time.Sleep(2 * time.Millisecond)
+		later := platform.New(platform.Options{BaseURL: r.url, Client: "node-b"})
+		known, err := later.EraStart(ctx)
+		later.Close()
+		r.Assert(err, qt.IsNil)
+		r.Check(known, qt.Equals, start)
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -92,6 +92,7 @@
 	era        uint64 // Highest era that an answer has stated.
 	eraKnown   bool   // An answer has stated era.
 	onRestore  []func()
+	eraStart   EraStart // Of the era that it names; valid if that is the present one.
 }
 
 // New returns a client.
