Keep what replicas and the operator had written when an older copy of the store lacks it

Callers' requests went to replicas that had left and to evacuated failure domains, and sound replicas weren't used, after the store had come back from an older copy. Cause: a list of the copy was taken as news. What it lacks counted as removed or taken back, and what it still shows as not left. On the event the registry now notes what it knows. Entries that the copy lacks are kept for ReturnGrace, in which running replicas write theirs again. An entry that was removed before isn't used until the store would have removed it again, as replicas that run needn't change their entries; a cold time outlasts the copy. An evacuation that the copy lacks holds until it is listed again, or for twice the bound of evacuations: the operator writes it again within seconds, and one that ended meanwhile leaves no event.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -163,9 +163,7 @@
 	return []*follower{
 		{node: n, mirrorCopy: mirror.New(), kind: platform.KindReplicas, maxWait: bounds.Drain / 2, minInterval: n.replicaWatchInterval, replace: n.replaceReplicas, apply: n.applyReplicas},
 		{node: n, mirrorCopy: mirror.New(), kind: platform.KindConfig, maxWait: bounds.ConfigApply / 2, replace: n.applyConfig, apply: n.applyConfig},
-		{node: n, mirrorCopy: mirror.New(), kind: platform.KindEvacuations, maxWait: bounds.Evacuate / 2,
-			replace: func(list []platform.Object) { n.applyEvacuations(list, true) },
-			apply:   func(list []platform.Object) { n.applyEvacuations(list, false) }},
+		{node: n, mirrorCopy: mirror.New(), kind: platform.KindEvacuations, maxWait: bounds.Evacuate / 2, replace: n.replaceEvacuations, apply: n.applyEvacuations},
 		{node: n, mirrorCopy: mirror.New(), kind: nodesKind, maxWait: nodesWatchWait, minInterval: func() time.Duration { return nodesWatchInterval }, replace: n.applyNodes, apply: n.applyNodes},
 	}
 }
@@ -231,7 +229,7 @@
 // logDepartures logs which replicas leave by their entries. IDs beyond maxLoggedDepartures are only counted.
 func (n *Node) logDepartures() {
 	d := n.registry.TakeDepartures()
-	for state, ids := range map[string][]string{"draining": d.Draining, "removed, kept for a while": d.Kept, "removed": d.Removed} {
+	for state, ids := range map[string][]string{"draining": d.Draining, "removed, kept for a while": d.Kept, "removed": d.Removed, "listed again by an older copy of the store, not used for a while": d.Returned} {
 		if len(ids) > 0 {
 			n.log.WithFields(logrus.Fields{"state": state, "count": len(ids), "replicas": ids[:min(len(ids), maxLoggedDepartures)]}).Info("replicas leave by their entries")
 		}
@@ -255,22 +253,24 @@
 	}
 }
 
-func (n *Node) applyEvacuations(list []platform.Object, full bool) {
+func (n *Node) replaceEvacuations(list []platform.Object) {
 	zones := map[string]bool{}
-	if !full {
-		for zone := range n.registry.View().Evacuated {
-			zones[zone] = true
-		}
-	}
 	for _, o := range list {
-		if o.Deleted {
-			delete(zones, o.Name)
-		} else {
-			zones[o.Name] = true
-		}
+		zones[o.Name] = true
 	}
-	n.log.WithField("failure_domains", zones).Info("evacuated failure domains have changed")
 	n.registry.SetEvacuated(zones)
+	n.logEvacuations()
+}
+
+func (n *Node) applyEvacuations(events []platform.Object) {
+	for _, o := range events {
+		n.registry.ChangeEvacuated(o.Name, !o.Deleted)
+	}
+	n.logEvacuations()
+}
+
+func (n *Node) logEvacuations() {
+	n.log.WithField("failure_domains", n.registry.View().Evacuated).Info("evacuated failure domains have changed")
 }
 
 // recordStoreAnswer records an answer, from the store itself if direct is true, and returns whether calls failed until then.
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -1,6 +1,15 @@
 package entry
 
-import "github.com/sirupsen/logrus"
+import (
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+// evacuationHoldBounds is the number of times the bound for an evacuation to take effect for which an evacuation is kept that an older copy
+// of the store lacks. The operator writes it again within seconds. One that was also ended meanwhile leaves no event, and a failure domain
+// that is left out for longer costs little.
+const evacuationHoldBounds = 2
 
 // learnEra records an era of the store that an answer of the store or of a mirror, or another node, has stated. A higher one than the
 // known one means that the store has come back from an older copy; see platform.Store.Era. It is safe for concurrent use.
@@ -23,6 +32,8 @@
 // storeRestored tells all parts that rely on the store's contents that it has come back from an older copy. What was written after
 // that copy is lost, also what was acknowledged, until its writers write it again; revisions of former eras mean nothing any more.
 func (n *Node) storeRestored(era int64) {
+	bounds := n.settings.Bounds
+	n.registry.Restored(fleet.RestoreBounds{Lapse: bounds.EntryTTL + fleet.ReturnGrace, Evacuations: evacuationHoldBounds * bounds.Evacuate})
 	for _, f := range n.followers {
 		f.mirrorCopy.Restored(era)
 		f.relist()
--- a/internal/entry/restored_test.go
+++ b/internal/entry/restored_test.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/platform"
 )
 
@@ -79,3 +81,41 @@
 	store.restore(older)
 	waitFor(c, nodes[0].settings.Bounds.ConfigApply, func() bool { return nodes[0].configVersion() == 2 })
 }
+
+// Guards against nodes that send to an evacuated failure domain, or to a replica that drains, after the store has come back from a copy
+// that is older than the evacuation or the drain.
+func TestNodesKeepWhatAnOlderCopyLacks(t *testing.T) {
+	c := quicktest.New(t)
+	store := newFakeStore()
+	replica := func(state string) map[string]any {
+		return map[string]any{"service": "s", "address": "127.0.0.1:1", "zone": "z", "state": state, "slots": 1, "born": 7, "sequence": 1}
+	}
+	store.put(platform.KindReplicas, "i-1", replica("ready"))
+	store.put(platform.KindReplicas, "i-2", replica("ready"))
+	nodes, _ := startZone(c, store, 2, true)
+	all := func(condition func(*fleet.View) bool) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(nodes, func(n *Node) bool { return !condition(n.registry.View()) })
+		}
+	}
+	waitFor(c, 5*time.Second, all(func(v *fleet.View) bool { return len(v.ByService["s"]) == 2 }))
+	older := store.copy()
+	store.put(platform.KindReplicas, "i-2", replica("draining"))
+	store.put(platform.KindEvacuations, "zone-b", struct{}{})
+	waitFor(c, 5*time.Second, all(func(v *fleet.View) bool { return v.Evacuated["zone-b"] && len(v.ByService["s"]) == 1 }))
+	store.goAway()
+	store.restore(older)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range nodes {
+			v := n.registry.View()
+			c.Assert(v.Evacuated["zone-b"], quicktest.IsTrue)
+			c.Assert(v.ByService["s"], quicktest.HasLen, 1)
+		}
+	}
+	c.Assert(nodes[0].store.Era(), quicktest.Equals, int64(2))
+	store.put(platform.KindEvacuations, "zone-b", struct{}{})
+	time.Sleep(nodes[0].settings.Bounds.ConfigApply)
+	c.Assert(all(func(v *fleet.View) bool { return v.Evacuated["zone-b"] })(), quicktest.IsTrue)
+	store.remove(platform.KindEvacuations, "zone-b")
+	waitFor(c, nodes[0].settings.Bounds.ConfigApply, all(func(v *fleet.View) bool { return !v.Evacuated["zone-b"] }))
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -51,6 +51,7 @@
 	availableFrom, availableTo clock.Time
 	firstListAt                clock.Time // When the replicas were first listed; 0 before.
 	lapsed                     map[string]lapsedEntry
+	restored                   restoredState
 	// observations holds the state that replicas reported directly, by ID.
 	observations map[string]*activeObservation
 	statements   *statement.Table // What replicas have stated in responses; nil if there is none.
@@ -62,6 +63,8 @@
 	Draining []string // The entries show that they drain.
 	Kept     []string // The entries were removed, but are kept for a while, since they may only have lapsed in an outage of the store.
 	Removed  []string // The entries were removed and are no longer used.
+	// Returned holds replicas whose entries were removed and are listed again by an older copy of the store. They aren't used for a while.
+	Returned []string
 }
 
 type lapsedEntry struct {
@@ -76,7 +79,7 @@
 func NewRegistry(c clock.Clock) *Registry {
 	r := &Registry{clock: c, replicas: map[string]*Replica{}, coldUntil: map[string]clock.Time{},
 		evacuated: map[string]bool{}, removalDue: map[string]clock.Time{},
-		lapsed: map[string]lapsedEntry{}, observations: map[string]*activeObservation{}}
+		lapsed: map[string]lapsedEntry{}, observations: map[string]*activeObservation{}, restored: newRestoredState()}
 	r.view.Store(&View{})
 	return r
 }
@@ -134,25 +137,25 @@
 	r.availableTo = now
 }
 
-// removalsUncertainUntil returns the time up to which removed entries may only have lapsed in a store outage and be written again. The
-// lock is held.
+// removalsUncertainUntil returns the time up to which removed entries may only have lapsed in a store outage, or be missing in the copy from
+// which the store came back, and be written again. The lock is held.
 func (r *Registry) removalsUncertainUntil() clock.Time {
-	now := r.clock.Now()
+	now, rewrittenBy := r.clock.Now(), r.restored.rewrittenBy()
 	switch {
 	case r.lastOutageAt == 0:
-		return 0
+		return rewrittenBy
 	case r.storeFailing && now.Sub(r.availableTo) > maxAnswerGap:
 		return now.Add(ReturnGrace)
 	}
-	return r.availableFrom.Add(ReturnGrace)
+	return max(rewrittenBy, r.availableFrom.Add(ReturnGrace))
 }
 
 // Complete tells whether unlisted replicas can be taken as stopped: more than ReturnGrace has passed since the first list, and
-// at least that since the last store outage.
+// at least that since the last store outage and since the store came back from an older copy.
 func (r *Registry) Complete() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.firstListAt != 0 && r.clock.Now().Sub(r.firstListAt) > ReturnGrace && !r.storeFailing &&
+	return r.firstListAt != 0 && r.clock.Now().Sub(r.firstListAt) > ReturnGrace && !r.storeFailing && r.clock.Now() >= r.restored.rewrittenBy() &&
 		(r.lastOutageAt == 0 || r.clock.Now().Sub(r.lastOutageAt) >= ReturnGrace)
 }
 
@@ -169,11 +172,28 @@
 	return true
 }
 
-// SetEvacuated replaces the set of evacuated failure domains.
+// SetEvacuated replaces the set of evacuated failure domains by a full list from the store.
 func (r *Registry) SetEvacuated(zones map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.evacuated = maps.Clone(zones)
+	r.evacuated = make(map[string]bool, len(zones)) // Not modified once it is published.
+	for zone := range zones {
+		r.evacuated[zone] = true
+		delete(r.restored.evacuatedUntil, zone)
+	}
+	r.publish()
+}
+
+// ChangeEvacuated applies an event of the store: a failure domain is evacuated, or taken back.
+func (r *Registry) ChangeEvacuated(zone string, evacuated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.restored.evacuatedUntil, zone)
+	if r.evacuated = maps.Clone(r.evacuated); evacuated {
+		r.evacuated[zone] = true
+	} else {
+		delete(r.evacuated, zone)
+	}
 	r.publish()
 }
 
@@ -230,6 +250,9 @@
 	now := r.clock.Now()
 	delete(r.removalDue, entry.ID)
 	delete(r.lapsed, entry.ID)
+	if r.replicas[entry.ID] == nil && r.restored.unusedNow(entry, now) {
+		r.departures.Returned = append(r.departures.Returned, entry.ID)
+	}
 	if known := r.replicas[entry.ID]; entry.Draining && known != nil && !known.Draining {
 		r.departures.Draining = append(r.departures.Draining, entry.ID)
 	}
@@ -273,6 +296,7 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	dropped := r.expireObservations(now)
+	dropped = r.restored.expire(now) || dropped
 	for id, l := range r.lapsed {
 		if now.Sub(l.removedAt) > lapsedRetention {
 			delete(r.lapsed, id)
@@ -289,9 +313,11 @@
 	}
 }
 
-// withStatement returns the entry, marked as draining if the replica has stated that it is leaving. The lock is held.
+// withStatement returns the entry, marked as draining if the replica has stated that it is leaving, or if it was removed before the store
+// came back from an older copy. The lock is held.
 func (r *Registry) withStatement(entry *Replica) *Replica {
-	if entry.Draining || r.statements == nil || !r.statements.Leaving(entry.Incarnation().Target()) {
+	leaving := r.statements != nil && r.statements.Leaving(entry.Incarnation().Target()) || r.restored.unusedNow(entry, r.clock.Now())
+	if entry.Draining || !leaving {
 		return entry
 	}
 	merged := *entry
@@ -301,7 +327,8 @@
 
 // publish replaces the snapshot that View returns. The lock is held.
 func (r *Registry) publish() {
-	v := &View{Replicas: make(map[string]*Replica, len(r.replicas)), ColdUntil: maps.Clone(r.coldUntil), Evacuated: r.evacuated,
+	evacuated := r.restored.evacuated(r.evacuated)
+	v := &View{Replicas: make(map[string]*Replica, len(r.replicas)), ColdUntil: maps.Clone(r.coldUntil), Evacuated: evacuated,
 		ByService: map[string][]*Replica{}, Config: r.config, Lapsed: map[string]*Replica{}}
 	for id, l := range r.lapsed {
 		v.Lapsed[id] = l.replica
@@ -309,7 +336,10 @@
 	for id, entry := range r.replicas {
 		replica := r.withStatement(r.withObservation(entry))
 		v.Replicas[id] = replica
-		if !replica.Draining && !r.evacuated[replica.Zone] {
+		if until := r.restored.coldUntil(entry); until > v.ColdUntil[id] {
+			v.ColdUntil[id] = until
+		}
+		if !replica.Draining && !evacuated[replica.Zone] {
 			v.ByService[replica.Service] = append(v.ByService[replica.Service], replica)
 		}
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -35,7 +35,7 @@
 	fresh    bool
 	objects  map[string]platform.Object
 	position platform.Position
-	era      int64 // Lowest era that the copy may be from.
+	era      int64         // Lowest era that the copy may be from.
 	batches  []batch       // Each starts at the revision where the previous one ends.
 	changed  chan struct{} // Closed and replaced when waiting readers have to check the copy again.
 }
@@ -160,7 +160,9 @@
 }
 
 // formerEraLocked reports whether the copy was read, but in a former era of the store.
-func (c *Copy) formerEraLocked() bool { return c.position != platform.Position{} && c.position.Era < c.era }
+func (c *Copy) formerEraLocked() bool {
+	return c.position != platform.Position{} && c.position.Era < c.era
+}
 
 // Watch implements platform.Source. It waits for a change after the position, for no longer than wait.
 func (c *Copy) Watch(ctx context.Context, from platform.Position, wait time.Duration) ([]platform.Object, platform.Position, error) {
