Answer 404 and 401 only by a configuration that is known to be the newest

Callers got 404 and 401 for routes and keys of acknowledged configurations: from nodes that started after the store had come back from an older copy, before the operator had written the newest one again, and from nodes whose reads of the configuration failed while their other calls were answered. Cause: a node took any answer of the store as proof that its configuration was the newest. Nodes now state the version of their configuration in gossip, and for how long the store is known to answer in its present era. A node that is behind another for 200 ms reads the configuration in force from that node, which keeps it also when the store has lost it; a node that starts waits for the versions of others for up to 300 ms before it puts the store's into force, so that it doesn't serve a withdrawn key. Unknown routes and keys are refused with 503 while another node has a higher version, for 5 s from the store's return (twice the time in which replicas write again), and when the configuration wasn't read within the time of a watch. In calm a node that starts learns the age of the era from any other, so 404 comes at once; only if no node is left that knows does it take 5 s. Evidence: TestNodeThatStartsTakesTheNewestConfigurationOfOthers fails without the versions in gossip and without the wait (version 1 in force); TestUnknownRoutesAreRefusedTemporarilyWhileTheConfigurationMayBeOlder and TestUnknownRoutesAreRefusedTemporarilyByANodeThatIsBehind fail without the doubt, as before (404). TestUnknownRouteAndKey checks more.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -63,6 +64,8 @@
 	Zone      string
 	// StoreAge returns the time since the store last answered this node.
 	StoreAge func() time.Duration
+	// ConfigDoubt tells why there may be a newer configuration than the one in force, or returns "". Nil for never.
+	ConfigDoubt func() string
 	// Nodes returns the number of serving nodes, including this one.
 	Nodes func() int
 	// LoadAge returns how old the loads reported by nodes of other failure domains may be.
@@ -223,14 +226,19 @@
 	return nil
 }
 
-// refusalForUnknown returns e, or a temporary refusal if the store has been silent for so long that a newer configuration may
-// contain the route or key.
+// refusalForUnknown returns e, or a temporary refusal if there may be a newer configuration that contains the route or key: the store
+// has been silent for long, or there is another reason.
 func (c *call) refusalForUnknown(e *result.Error) *result.Error {
+	doubt := ""
 	if age := c.opt.StoreAge(); age > storeContactTimeout {
-		return result.New(result.PlatformUnavailable, "%s, and the store has not answered for %v", e.Message, age.Round(time.Millisecond)).
-			WithRetryAfter(retryAfterUnready)
+		doubt = fmt.Sprintf("the store has not answered for %v", age.Round(time.Millisecond))
+	} else if c.opt.ConfigDoubt != nil {
+		doubt = c.opt.ConfigDoubt()
 	}
-	return e
+	if doubt == "" {
+		return e
+	}
+	return result.New(result.PlatformUnavailable, "%s, and %s", e.Message, doubt).WithRetryAfter(retryAfterUnready)
 }
 
 // recordWait records the stated deadline and returns an estimate of how long the client has waited in earlier attempts. Each
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -291,7 +291,16 @@
 	resp, _, err = sendRequest(t, h, http.MethodGet, "X-Api-Key", "wrong")
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(resp.StatusCode, quicktest.Equals, 503)
+	// So does a node that can't know whether its configuration is the newest; what it knows is served.
+	h.(*Server).opt.StoreAge, h.(*Server).opt.ConfigDoubt = func() time.Duration { return 0 }, func() string { return "another node has a newer one" }
+	resp, _, err = sendRequest(t, h, http.MethodGet, "X-Api-Key", "wrong")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(resp.StatusCode, quicktest.Equals, 503)
+	c.Assert(resp.Header.Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
 	c.Assert(a.received(), quicktest.HasLen, 0)
+	resp, _, err = sendRequest(t, h, http.MethodGet)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(resp.StatusCode, quicktest.Equals, 200)
 }
 
 // Guards against events that a client receives twice because the second replica starts the stream from the beginning instead of
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,9 +84,10 @@
 	registered     chan struct{} // Closed when this node's record was written, or the first attempt to write it has failed.
 	storeCalls     *callCounter
 	storeContact   *storeContact
+	storeEra       *eraRecord
+	newest         newestConfig
 
 	mu                    sync.Mutex
-	storeEra              int64                      // Highest era of the store that is known; 0 if none.
 	lastRelist            clock.Time                 // When a follower last found the store's history gone.
 	plannerLastSeen       clock.Time                 // When a node last reported that it is the planner; at first the start of this process.
 	firstRunPlanAttempted bool                       // This node has tried to become the planner in the first run of the system.
@@ -104,7 +105,7 @@
 	}
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
-		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c),
+		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c},
 		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), blocked: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
@@ -119,7 +120,7 @@
 	n.statements = statement.New(statement.Options{Divided: true, Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
 	n.registry.FollowStatements(n.statements)
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, OnBlocked: n.announceBlocked, Clock: c, Log: log,
-		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
+		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
 	n.planner = planner.New(planner.Options{Lease: n.lease, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
@@ -241,18 +242,36 @@
 		if o.Name != platform.ConfigName || o.Deleted {
 			continue
 		}
-		cfg, err := platform.DecodeConfig(o)
-		if err != nil {
-			n.logUnreadable(o, err)
-			continue
-		}
-		if n.registry.SetConfig(cfg) {
-			n.log.WithFields(logrus.Fields{"config_version": cfg.Version, "revision": o.Revision, "routes": len(cfg.Routes),
-				"client_accounts": len(cfg.Tenants)}).Info("configuration in force")
+		if cfg := n.decodeConfig(o); cfg != nil {
+			n.awaitPeerVersion(cfg.Version)
+			n.putInForce(o, cfg, "store")
 		}
 	}
 }
 
+// decodeConfig returns the configuration that an object holds, or nil if it can't be read.
+func (n *Node) decodeConfig(o platform.Object) *fleet.Config {
+	cfg, err := platform.DecodeConfig(o)
+	if err != nil {
+		n.logUnreadable(o, err)
+		return nil
+	}
+	return cfg
+}
+
+// putInForce puts a configuration into force if its version is higher than that of the present one.
+func (n *Node) putInForce(o platform.Object, cfg *fleet.Config, from string) {
+	n.newest.applying.Lock()
+	defer n.newest.applying.Unlock()
+	if n.registry.SetConfig(cfg) {
+		n.newest.inForce.Store(&o)
+		n.log.WithFields(logrus.Fields{"config_version": cfg.Version, "revision": o.Revision, "era": o.Era, "from": from, "routes": len(cfg.Routes),
+			"client_accounts": len(cfg.Tenants)}).Info("configuration in force")
+	} else if cfg.Version < n.configVersion() {
+		n.log.WithFields(logrus.Fields{"config_version": cfg.Version, "in_force": n.configVersion(), "era": o.Era, "from": from}).Warning("an older configuration than the one in force was read, which stays")
+	}
+}
+
 func (n *Node) replaceEvacuations(list []platform.Object) {
 	zones := map[string]bool{}
 	for _, o := range list {
@@ -276,6 +295,7 @@
 // recordStoreAnswer records an answer, from the store itself if direct is true, and returns whether calls failed until then.
 func (n *Node) recordStoreAnswer(direct bool) bool {
 	n.registry.StoreAnswered()
+	n.storeEra.noteAnswer()
 	return n.storeContact.recordAnswer(direct)
 }
 
@@ -290,6 +310,7 @@
 
 func (n *Node) recordStoreFailure() {
 	n.registry.StoreFailed()
+	n.storeEra.noteFailure()
 	n.storeContact.recordFailure()
 }
 
@@ -364,6 +385,7 @@
 		if n.nodesListed.Load() {
 			n.statements.DivideAmong(n.settings.Peer, n.mesh.Destinations())
 		}
+		n.readNewerConfig(ctx)
 		n.registry.Expire()
 		n.logDepartures()
 		view := n.registry.View()
@@ -400,7 +422,8 @@
 		msg.Observed = encodeObservations(n.registry.Observations())
 	}
 	msg.LeaseRevision, msg.Resigned = n.lease.Announcement()
-	msg.StoreEra = n.store.Era()
+	msg.StoreEra, msg.StoreEraMs = n.store.Era(), n.storeEra.age().Milliseconds()
+	msg.ConfigVersion = n.configVersion()
 	msg.Crashes, msg.Answers = n.crashes.Reports(max(minCrashReportFor, crashReportIntervals*n.mesh.OtherZoneInterval()))
 	msg.Statements = n.statements.Reports(n.mesh.OtherZoneInterval())
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
@@ -416,6 +439,8 @@
 // applyPeerGossip applies the state of another node.
 func (n *Node) applyPeerGossip(msg *schema.NodeGossip) {
 	n.learnEra(msg.StoreEra)
+	n.storeEra.noteAge(msg.StoreEra, time.Duration(msg.StoreEraMs)*time.Millisecond)
+	n.newest.notePeer(msg.ConfigVersion, n.clock.Now())
 	n.applyZoneLoads(msg)
 	n.crashes.Merge(msg.Crashes, msg.Answers)
 	if msg.StoreContactMs >= 0 {
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -1,31 +1,126 @@
 package entry
 
 import (
+	"sync"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
+	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
-// evacuationHoldBounds is the number of times the bound for an evacuation to take effect for which an evacuation is kept that an older copy
-// of the store lacks. The operator writes it again within seconds. One that was also ended meanwhile leaves no event, and a failure domain
-// that is left out for longer costs little.
-const evacuationHoldBounds = 2
+const (
+	// evacuationHoldBounds is the number of times the bound for an evacuation to take effect for which an evacuation is kept that an older
+	// copy of the store lacks. The operator writes it again within seconds. One that was also ended meanwhile leaves no event, and a failure
+	// domain that is left out for longer costs little.
+	evacuationHoldBounds = 2
+	// configRewriteTime is the time for which the store must have answered in an era until the configuration that it holds counts as the
+	// newest one: the operator has then written again what the store had lost. Replicas take up to half of it for their entries.
+	configRewriteTime = 2 * fleet.ReturnGrace
+)
+
+// eraRecord records for how long the store is known to answer in its present era. It may be used concurrently.
+type eraRecord struct {
+	clock clock.Clock
+
+	mu    sync.Mutex
+	era   int64      // Highest known era; 0 if none is known.
+	since clock.Time // Since when the store is known to answer some node in it; 0 while it isn't.
+	// settled is set once the store has answered for configRewriteTime in the era.
+	settled bool
+}
+
+// learn records an era and returns the one that was known before.
+func (r *eraRecord) learn(era int64) (former int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	former = r.era
+	if era > former {
+		r.era, r.since, r.settled = era, r.clock.Now(), false
+	}
+	return former
+}
+
+// settle records that the store holds the newest configuration in the present era.
+func (r *eraRecord) settle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled = true
+}
+
+// noteAnswer records that the store answers this node.
+func (r *eraRecord) noteAnswer() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since == 0 {
+		r.since = r.clock.Now()
+	}
+}
+
+// noteFailure records that the store doesn't answer this node. The time in which the operator can write counts anew.
+func (r *eraRecord) noteFailure() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.settledLocked() {
+		r.since = 0
+	}
+}
+
+// noteAge records that another node knows the store to answer in the era for the given time.
+func (r *eraRecord) noteAge(era int64, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if since := r.clock.Now().Add(-age); age > 0 && era == r.era && (r.since == 0 || since < r.since) {
+		r.since = since
+	}
+}
+
+// age returns the time for which the store is known to answer in the present era.
+func (r *eraRecord) age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.settled {
+		return max(configRewriteTime, r.ageLocked())
+	}
+	return r.ageLocked()
+}
+
+func (r *eraRecord) ageLocked() time.Duration {
+	if r.since == 0 {
+		return 0
+	}
+	return r.clock.Now().Sub(r.since)
+}
+
+// isSettled reports whether the store can be taken to hold the newest configuration. It is always so if the store states no era.
+func (r *eraRecord) isSettled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.settledLocked()
+}
+
+func (r *eraRecord) settledLocked() bool {
+	r.settled = r.settled || r.era != 0 && r.ageLocked() >= configRewriteTime
+	return r.settled || r.era == 0
+}
 
 // learnEra records an era of the store that an answer of the store or of a mirror, or another node, has stated. A higher one than the
 // known one means that the store has come back from an older copy; see platform.Store.Era. It is safe for concurrent use.
 func (n *Node) learnEra(era int64) {
-	n.mu.Lock()
-	known := n.storeEra
-	n.storeEra = max(known, era)
-	n.mu.Unlock()
-	if era <= known {
+	former := n.storeEra.learn(era)
+	if era <= former {
 		return
 	}
 	n.store.LearnEra(era)
-	if known == 0 {
+	if former == 0 {
+		if n.settings.FirstRun {
+			n.storeEra.settle() // Nothing was written before that could have been lost.
+		}
 		return // The first era that this process learns of says nothing about a restore.
 	}
-	n.log.WithFields(logrus.Fields{"era": era, "former_era": known}).Warning("the store has come back from an older copy")
+	n.log.WithFields(logrus.Fields{"era": era, "former_era": former, "entries_held_ms": fleet.ReturnGrace.Milliseconds(),
+		"unknown_routes_held_ms": configRewriteTime.Milliseconds()}).Warning("the store has come back from an older copy")
 	n.storeRestored(era)
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -128,6 +128,9 @@
 			}
 			f.position, failing, retryDelay = next, false, initialRetryDelay
 			f.lastAnswerAt = f.node.clock.Now()
+			if f.kind == platform.KindConfig {
+				f.node.newest.readAt.Store(int64(f.lastAnswerAt))
+			}
 			if f.node.recordStoreAnswer(f.source == "") {
 				f.node.cancelOtherLists(f)
 			}
--- a/internal/entry/restored_test.go
+++ b/internal/entry/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/frankban/quicktest"
 
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/platform"
 )
 
@@ -22,13 +25,6 @@
 	return map[string]any{"version": version, "routes": list, "services": []any{map[string]any{"name": "s"}}}
 }
 
-func (n *Node) configVersion() int64 {
-	if cfg := n.registry.View().Config; cfg != nil {
-		return cfg.Version
-	}
-	return 0
-}
-
 // Guards against a node that is deaf after the store has come back from an older copy, until the store's revisions have passed those
 // that it had read before: changes of the configuration weren't in force, and replicas that had left were sent requests.
 func TestNodesFollowAStoreThatCameBackOlder(t *testing.T) {
@@ -119,3 +115,96 @@
 	store.remove(platform.KindEvacuations, "zone-b")
 	waitFor(c, nodes[0].settings.Bounds.ConfigApply, all(func(v *fleet.View) bool { return !v.Evacuated["zone-b"] }))
 }
+
+// answerStatus returns the status of the answer to a request for the host, which is sent to a node's front end.
+func answerStatus(n *Node, host string) int {
+	r := httptest.NewRequest(http.MethodGet, "http://"+host+"/", nil)
+	w := httptest.NewRecorder()
+	n.edge.ServeHTTP(w, r)
+	return w.Code
+}
+
+// Guards against a node that starts after the store has come back from an older copy and serves by the configuration of that copy, though
+// other nodes know a newer one.
+func TestNodeThatStartsTakesTheNewestConfigurationOfOthers(t *testing.T) {
+	c := quicktest.New(t)
+	store := newFakeStore()
+	store.put(platform.KindConfig, platform.ConfigName, configSpec(1, "a", "withdrawn"))
+	zone := newZone(c, store)
+	old, _ := zone.start(true)
+	waitFor(c, 5*time.Second, func() bool { return old.configVersion() == 1 && len(store.list(nodesKind)) == 1 })
+	older := store.copy()
+	store.put(platform.KindConfig, platform.ConfigName, configSpec(2, "a", "added"))
+	waitFor(c, old.settings.Bounds.ConfigApply, func() bool { return old.configVersion() == 2 })
+	store.goAway()
+	store.restore(older)
+	waitFor(c, 5*time.Second, func() bool { return old.storeEra.age() > 0 && old.store.Era() == 2 })
+
+	started, _ := zone.start(false)
+	waitFor(c, 3*time.Second, func() bool {
+		v := started.configVersion()
+		c.Assert(v == 0 || v == 2, quicktest.IsTrue, quicktest.Commentf("version %d in force", v))
+		return v == 2
+	})
+	for _, n := range []*Node{old, started} {
+		c.Check(answerStatus(n, "withdrawn"), quicktest.Not(quicktest.Equals), http.StatusOK)
+		c.Check(answerStatus(n, "added"), quicktest.Equals, http.StatusServiceUnavailable) // There is no replica.
+	}
+}
+
+// Guards against 404 and 401 from a node that can't know that its configuration is the newest: the store has just come back from an older
+// copy, or the node has started and can't know how long ago that was.
+func TestUnknownRoutesAreRefusedTemporarilyWhileTheConfigurationMayBeOlder(t *testing.T) {
+	c := quicktest.New(t)
+	store := newFakeStore()
+	store.put(platform.KindConfig, platform.ConfigName, configSpec(1, "a"))
+	zone := newZone(c, store)
+	n, stop := zone.start(true)
+	waitFor(c, 5*time.Second, func() bool { return n.ready() && len(store.list(nodesKind)) == 1 })
+	c.Check(answerStatus(n, "unknown"), quicktest.Equals, http.StatusNotFound)
+
+	store.goAway()
+	store.restore(store.copy())
+	waitFor(c, 5*time.Second, func() bool { return n.store.Era() == 2 })
+	restored := time.Now()
+	c.Check(answerStatus(n, "unknown"), quicktest.Equals, http.StatusServiceUnavailable)
+	waitFor(c, 2*configRewriteTime, func() bool { return answerStatus(n, "unknown") == http.StatusNotFound })
+	c.Check(time.Since(restored) > configRewriteTime-time.Second, quicktest.IsTrue)
+
+	// In calm, a node that starts learns from another one that the store has been back for long.
+	second, stopSecond := zone.start(false)
+	waitFor(c, 2*time.Second, func() bool { return second.ready() && answerStatus(second, "unknown") == http.StatusNotFound })
+
+	// No node is left that can tell.
+	stop()
+	stopSecond()
+	time.Sleep(n.settings.Bounds.Grace / 2)
+	alone, _ := newZone(c, store).start(false)
+	waitFor(c, 5*time.Second, alone.ready)
+	started := time.Now()
+	c.Check(answerStatus(alone, "unknown"), quicktest.Equals, http.StatusServiceUnavailable)
+	waitFor(c, 2*configRewriteTime, func() bool { return answerStatus(alone, "unknown") == http.StatusNotFound })
+	c.Check(time.Since(started) > configRewriteTime-time.Second, quicktest.IsTrue)
+}
+
+// Guards against 404 from a node whose calls for the configuration fail while others are answered, and from one that knows that another
+// node has a newer configuration.
+func TestUnknownRoutesAreRefusedTemporarilyByANodeThatIsBehind(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, testSettings)
+	cfg := &fleet.Config{Version: 3, Services: map[string]*fleet.Service{}}
+	n.registry.SetConfig(cfg)
+	n.learnEra(1)
+	n.storeEra.settle()
+	read := func(ago time.Duration) { n.newest.readAt.Store(int64(n.clock.Now().Add(-ago))) }
+	read(0)
+	c.Assert(answerStatus(n, "unknown"), quicktest.Equals, http.StatusNotFound)
+	read(2 * time.Second)
+	n.recordStoreAnswer(true) // To another follower.
+	c.Assert(answerStatus(n, "unknown"), quicktest.Equals, http.StatusServiceUnavailable)
+	read(0)
+	n.applyPeerGossip(&schema.NodeGossip{Node: "b", Incarnation: 1, Zone: "z", StoreContactMs: -1, ConfigVersion: 4})
+	c.Assert(answerStatus(n, "unknown"), quicktest.Equals, http.StatusServiceUnavailable)
+	n.registry.SetConfig(&fleet.Config{Version: 4, Services: map[string]*fleet.Service{}})
+	c.Assert(answerStatus(n, "unknown"), quicktest.Equals, http.StatusNotFound)
+}
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -15,25 +14,48 @@
 	"cassiadeal.example/cassiadeal/platform"
 )
 
-// startZone starts nodes of one failure domain in this process, for the first time if firstRun is true. Each has an address of its
-// own.
-func startZone(c *quicktest.C, store *fakeStore, count int, firstRun bool) (nodes []*Node, stop []context.CancelFunc) {
+// testZone is a failure domain whose nodes run in this process. Each has an address of its own.
+type testZone struct {
+	c     *quicktest.C
+	store string
+	port  int // The first of the internal ports.
+	nodes int // Started so far.
+}
+
+func newZone(c *quicktest.C, store *fakeStore) *testZone {
 	server := httptest.NewServer(store)
 	c.Cleanup(server.Close)
 	probe, err := net.Listen("tcp", "127.0.90.1:0")
 	c.Assert(err, quicktest.IsNil)
 	port := probe.Addr().(*net.TCPAddr).Port
 	c.Assert(probe.Close(), quicktest.IsNil)
-	var running sync.WaitGroup
-	c.Cleanup(running.Wait)
-	for i := range count {
-		ip := fmt.Sprintf("127.0.90.%d", i+1)
-		text := strings.NewReplacer("10.200.1.7:8223", strings.TrimPrefix(server.URL, "http://"), `"node_name":"n"`, fmt.Sprintf(`"bootstrap":%v,"node_name":"n%d"`, firstRun, i),
-			"127.0.0.1:0", ip+":0", `"ip":"127.0.0.1"`, fmt.Sprintf(`"ip":%q`, ip), `[0,9]`, fmt.Sprintf("[%d,%d]", port, port+9)).Replace(testSettings)
-		n := newNode(c, text)
-		ctx, cancel := context.WithCancel(context.Background())
-		c.Cleanup(cancel)
-		running.Go(func() { c.Check(n.Run(ctx), quicktest.IsNil) })
+	return &testZone{c: c, store: strings.TrimPrefix(server.URL, "http://"), port: port}
+}
+
+// start starts one node more, for the first time if firstRun is true.
+func (z *testZone) start(firstRun bool) (*Node, context.CancelFunc) {
+	c, i := z.c, z.nodes
+	z.nodes++
+	ip := fmt.Sprintf("127.0.90.%d", i+1)
+	text := strings.NewReplacer("10.200.1.7:8223", z.store, `"node_name":"n"`, fmt.Sprintf(`"bootstrap":%v,"node_name":"n%d"`, firstRun, i),
+		"127.0.0.1:0", ip+":0", `"ip":"127.0.0.1"`, fmt.Sprintf(`"ip":%q`, ip), `[0,9]`, fmt.Sprintf("[%d,%d]", z.port, z.port+9)).Replace(testSettings)
+	n := newNode(c, text)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		c.Check(n.Run(ctx), quicktest.IsNil)
+	}()
+	c.Cleanup(func() { <-stopped })
+	c.Cleanup(cancel)
+	return n, cancel
+}
+
+// startZone starts nodes of one failure domain, for the first time if firstRun is true.
+func startZone(c *quicktest.C, store *fakeStore, count int, firstRun bool) (nodes []*Node, stop []context.CancelFunc) {
+	z := newZone(c, store)
+	for range count {
+		n, cancel := z.start(firstRun)
 		nodes, stop = append(nodes, n), append(stop, cancel)
 	}
 	return nodes, stop
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -15,6 +15,8 @@
 
 func at(revision int64) platform.Position { return platform.Position{Revision: revision} }
 
+func noConfig() *platform.Object { return nil }
+
 func object(name string, revision int64) platform.Object {
 	return platform.Object{Name: name, Revision: revision, Spec: []byte(`{"v":1}`)}
 }
@@ -23,7 +25,7 @@
 func TestReadersFollowTheCopyOverHTTP(t *testing.T) {
 	c := quicktest.New(t)
 	mirrorCopy := New()
-	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, func(int64) {}))
+	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, noConfig, func(int64) {}))
 	defer server.Close()
 	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	ctx := context.Background()
@@ -86,7 +88,7 @@
 func TestCopyOfAFormerEraIsNotHandedOn(t *testing.T) {
 	c := quicktest.New(t)
 	mirrorCopy := New()
-	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, mirrorCopy.Restored))
+	server := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, noConfig, mirrorCopy.Restored))
 	defer server.Close()
 	store := platform.NewStore("127.0.0.1:1") // Never called.
 	store.LearnEra(1)
@@ -129,7 +131,7 @@
 	c.Assert(list[0].Name, quicktest.Equals, "present")
 
 	// A mirror that doesn't take the era over is still told by its answers.
-	deaf := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, func(int64) {}))
+	deaf := httptest.NewServer(platform.MirrorHandler(map[string]platform.Source{"things": mirrorCopy}, noConfig, func(int64) {}))
 	defer deaf.Close()
 	store.LearnEra(3)
 	_, _, err = store.Mirror(strings.TrimPrefix(deaf.URL, "http://")).List(ctx, "things")
