Write the records of nodes again after the store came back older

A node that started after the store had come back from an older copy didn't find the others, and requests that crash replicas could be sent again after all nodes had ended: records and the crashes in them were written once. A record that was read in a former era is read again before it is replaced by its revision. Evidence: TestNodesWriteTheirRecordsAgain fails without the call on the event.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,7 +80,7 @@
 	draining       atomic.Bool
 	nodesListed    atomic.Bool   // The records of the nodes have been listed at least once.
 	replicasListed atomic.Bool   // The replicas have been listed at least once.
-	blocked        chan struct{} // Holds a value while the crashes in this node's record must be written anew.
+	recordOutdated chan struct{} // Holds a value while this node's record must be written anew.
 	registered     chan struct{} // Closed when this node's record was written, or the first attempt to write it has failed.
 	storeCalls     *callCounter
 	storeContact   *storeContact
@@ -106,7 +106,7 @@
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
 		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c},
-		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), blocked: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
+		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), recordOutdated: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
 	}
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -133,4 +134,6 @@
 		f.mirrorCopy.Restored(era)
 		f.relist()
 	}
+	// All nodes write their records again, so they do it at different times.
+	time.AfterFunc(rand.N(recordInterval), n.rewriteRecord)
 }
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -81,13 +81,18 @@
 // block.
 func (n *Node) announceBlocked() {
 	n.mesh.SendNow()
+	n.rewriteRecord()
+}
+
+// rewriteRecord makes this node's record be written anew. It doesn't block.
+func (n *Node) rewriteRecord() {
 	select {
-	case n.blocked <- struct{}{}:
-	default: // A value that wasn't taken yet covers this crash too, because the record is built after it is taken.
+	case n.recordOutdated <- struct{}{}:
+	default: // A value that wasn't taken yet covers this call too, because the record is built after it is taken.
 	}
 }
 
-// maintainRecord writes this node's record to the store, and again when requests are blocked.
+// maintainRecord writes this node's record to the store, and again when requests are blocked or the store may have lost it.
 func (n *Node) maintainRecord(ctx context.Context) {
 	attempted := sync.OnceFunc(func() { close(n.registered) })
 	create := n.settings.FirstRun
@@ -103,7 +108,7 @@
 		sleep(ctx, recordInterval)
 		select {
 		case <-ctx.Done():
-		case <-n.blocked:
+		case <-n.recordOutdated:
 		}
 	}
 }
@@ -127,6 +132,9 @@
 	if err != nil {
 		return err
 	}
+	if old.Era < n.store.Era() {
+		return platform.ErrFormerEra // The record may have another revision now, or the same one with other contents.
+	}
 	n.applyNodes([]platform.Object{old})
 	_, err = n.store.Update(ctx, nodesKind, n.settings.Node, old.Revision, n.newRecord())
 	return err
--- a/internal/entry/restored_test.go
+++ b/internal/entry/restored_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/platform"
@@ -208,3 +210,25 @@
 	n.registry.SetConfig(&fleet.Config{Version: 4, Services: map[string]*fleet.Service{}})
 	c.Assert(answerStatus(n, "unknown"), quicktest.Equals, http.StatusNotFound)
 }
+
+// Guards against nodes that start later and don't find the others, or send requests that crash replicas, because the store has come back
+// from a copy that is older than the nodes' records.
+func TestNodesWriteTheirRecordsAgain(t *testing.T) {
+	c := quicktest.New(t)
+	store := newFakeStore()
+	empty := store.copy()
+	nodes, _ := startZone(c, store, 2, true)
+	nodes[0].crashes.Record(crash.Crash{Request: crash.Request{Fingerprint: "f"}, Target: "1"})
+	nodes[0].crashes.Record(crash.Crash{Request: crash.Request{Fingerprint: "f"}, Target: "2"})
+	nodes[0].announceBlocked()
+	written := func() bool {
+		records := store.list(nodesKind)
+		return len(records) == 2 && strings.Contains(string(records[0].Spec), "crashed_unix_ms")
+	}
+	waitFor(c, 5*time.Second, written)
+	for range 2 {
+		store.goAway()
+		store.restore(empty)
+		waitFor(c, 5*time.Second, written)
+	}
+}
