Keep one planner when the store comes back from an older copy

Callers on engine routes could be served by groups that two nodes planned at once, or by none: replicas refuse the epochs of a planner whose term is lower than one that they have seen. Cause: the lease trusted revisions to rise and acknowledged writes to stay. A copy names the holder of some seconds ago, which took the lease at once by its name; positions of another era were compared by their number; a copy without a lease let any node create one; terms, from which epochs are derived, were revisions, which go back. Announcements count only in their own era.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,6 +122,7 @@
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
+	n.lease.FirstRun = s.FirstRun
 	n.planner = planner.New(planner.Options{Lease: n.lease, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
 		Table: n.table, Replicas: platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) }), Clock: c, Log: log, LoadWindow: s.Bounds.LoadWindow, StallAfter: s.Bounds.StallAfter, EntryTTL: s.Bounds.EntryTTL,
 		Limited: func(r *fleet.Replica) bool {
@@ -399,8 +400,8 @@
 	if msg.Planner && n.storeContact.failing() {
 		msg.Observed = encodeObservations(n.registry.Observations())
 	}
-	msg.LeaseRevision, msg.Resigned = n.lease.Announcement()
 	msg.StoreEra = n.store.Era()
+	msg.LeaseRevision, msg.Resigned = n.lease.Announcement(msg.StoreEra)
 	msg.Crashes, msg.Answers = n.crashes.Reports(max(minCrashReportFor, crashReportIntervals*n.mesh.OtherZoneInterval()))
 	msg.Statements = n.statements.Reports(n.mesh.OtherZoneInterval())
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
@@ -438,7 +439,7 @@
 		n.registry.Observe(decodeObservations(msg.Observed))
 	}
 	if msg.LeaseRevision != 0 {
-		n.lease.ObserveHolder(msg.LeaseRevision, msg.Resigned)
+		n.lease.ObserveHolder(msg.StoreEra, msg.LeaseRevision, msg.Resigned)
 	}
 }
 
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -22,5 +22,6 @@
 
 // storeRestored tells all parts that rely on the store's contents that it has come back from an older copy. What was written after
 // that copy is lost, also what was acknowledged, until its writers write it again; revisions of former eras mean nothing any more.
-func (n *Node) storeRestored(_ int64) {
+func (n *Node) storeRestored(era int64) {
+	n.lease.StoreRestored(era)
 }
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -109,8 +109,8 @@
 			t.Fatal("two nodes plan at once")
 		}
 		if gossip {
-			if revision, resigned := a.Announcement(); revision != 0 {
-				b.ObserveHolder(revision, resigned)
+			if revision, resigned := a.Announcement(0); revision != 0 {
+				b.ObserveHolder(0, revision, resigned)
 			}
 		}
 		c.Advance(100 * time.Millisecond)
@@ -168,7 +168,8 @@
 	maintainBoth(t, clk, time.Second, a, b, true)
 	a.Resign("the node is stopping")
 	c.Assert(a.Valid(), quicktest.IsFalse)
-	b.ObserveHolder(a.Announcement())
+	revision, resigned := a.Announcement(0)
+	b.ObserveHolder(0, revision, resigned)
 	c.Assert(b.Maintain(context.Background(), true, storeAnswersBoth(clk)), quicktest.IsTrue)
 	c.Assert(clk.Now() > 0, quicktest.IsTrue)
 }
