Let a resumed planner stop when it hears of its successor

Two nodes could plan groups at once in an outage of the store, so that a replica is joined to a group while its former one is open. Cause: a planner that was suspended, by its host or by a frozen process, and resumed while the store answered no node took its lease for valid again by the rule for outages, after no contact of another node with the store was reported for a while. The node that had acquired the lease meanwhile did the same. The resumed one heard its announcements, but a holder ignored them. Change: a holder that hears of a later position of another node has lost the lease.

--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -164,6 +164,9 @@
 	if era < l.era {
 		return
 	}
+	if l.held && observed.after(l.position) {
+		l.loseLocked("another node has acquired the lease since")
+	}
 	if l.otherKnownSince == 0 || observed.after(l.other) {
 		l.other, l.otherKnownSince, l.otherResigned = observed, l.clock.Now(), false
 	}
--- a/internal/planner/restore_test.go
+++ b/internal/planner/restore_test.go
@@ -514,3 +514,115 @@
 	e.run(maxTakeover)
 	c.Assert(holder.lease.Valid(), quicktest.IsFalse)
 }
+
+// Guards against two planners in an outage of the store: one that was suspended took its lease for valid, although it heard that another
+// node had acquired the lease since.
+func TestResumedHolderThatHearsOfItsSuccessorStops(t *testing.T) {
+	c := quicktest.New(t)
+	e := newElection(t, 3, 7)
+	former := e.runUntilPlanner(maxTakeover)
+	e.run(time.Second)
+	former.frozenUntil = e.clock.Now().Add(5 * time.Second)
+	e.run(LeaseTerm + electionStep)
+	holder := e.runUntilPlanner(maxTakeover + time.Second)
+	e.run(500 * time.Millisecond)
+	e.store.update(func() { e.store.down = true })
+	e.run(10 * time.Second)
+	c.Assert(former.lease.Valid(), quicktest.IsFalse)
+	c.Assert(holder.lease.Valid(), quicktest.IsTrue)
+}
+
+// Guards against two planners, terms that don't rise and groups without a planner, over restores beside outages, frozen, cut and killed
+// nodes, writes that are carried out late or not answered, and answers that arrive late.
+func TestOneNodePlansAcrossRestores(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			e := newElection(t, 2+int(seed%3), 100+seed)
+			e.disturbWrites()
+			for range int(4 * time.Minute / electionStep) {
+				e.disturb()
+				e.step()
+				e.checkPlannerExists()
+			}
+		})
+	}
+}
+
+// disturbWrites makes the store carry out some writes late, not answer some, and hold some answers back.
+func (e *election) disturbWrites() {
+	e.store.onWrite = func(string) (time.Duration, bool, <-chan struct{}) {
+		switch e.random.IntN(60) {
+		case 0:
+			e.calm = max(e.calm, e.clock.Now())
+			return time.Duration(1+e.random.IntN(6000)) * time.Millisecond, false, nil
+		case 1:
+			e.calm = max(e.calm, e.clock.Now())
+			return 0, false, nil
+		case 2:
+			e.calm = max(e.calm, e.clock.Now())
+			hold := make(chan struct{})
+			e.holds = append(e.holds, hold)
+			return 0, true, hold
+		}
+		return 0, true, nil
+	}
+}
+
+// disturb releases held answers, and restores, stops, cuts, freezes and kills at random. Phases without any of it allow a planner to be
+// found.
+func (e *election) disturb() {
+	if e.random.IntN(4) == 0 {
+		e.releaseAnswers(1)
+	}
+	if e.store.down {
+		e.calm = max(e.calm, e.clock.Now())
+		if e.random.IntN(30) == 0 {
+			if e.random.IntN(2) == 0 {
+				e.store.restore(time.Duration(e.random.IntN(15000)) * time.Millisecond)
+			}
+			e.store.update(func() { e.store.down = false })
+		}
+		return
+	}
+	n := e.nodes[e.random.IntN(len(e.nodes))]
+	if p := e.planners(); len(p) > 0 && e.random.IntN(2) == 0 {
+		n = p[0]
+	}
+	span := time.Duration(e.random.IntN(5000)) * time.Millisecond
+	switch e.random.IntN(400) {
+	case 0, 1:
+		e.store.restore(time.Duration(e.random.IntN(15000)) * time.Millisecond)
+		e.calm = max(e.calm, e.clock.Now())
+	case 2:
+		e.store.update(func() { e.store.down = true })
+	case 3:
+		n.cutUntil = e.clock.Now().Add(span)
+		e.calm = max(e.calm, n.cutUntil)
+	case 4:
+		n.frozenUntil = e.clock.Now().Add(span)
+		e.calm = max(e.calm, n.frozenUntil)
+	case 5:
+		if n.running == nil {
+			e.start(n, false)
+			e.calm = max(e.calm, e.clock.Now())
+		}
+	case 6:
+		n.lease.Resign("test")
+		e.calm = max(e.calm, e.clock.Now())
+	}
+}
+
+// maxElection is the longest time without a planner after the last disturbance. The store may then hold a record of an earlier process,
+// and its holder may learn of that by one more failed renewal.
+const maxElection = 2*(LeaseTerm+leaseMargin) + time.Second
+
+func (e *election) checkPlannerExists() {
+	e.t.Helper()
+	if len(e.planners()) > 0 {
+		e.calm = max(e.calm, e.clock.Now())
+	}
+	if quiet := e.clock.Now().Sub(e.calm); quiet > maxElection {
+		e.t.Fatalf("no node has planned for %v in calm, in era %d", quiet, e.store.era)
+	}
+}
