Count entries as uncertain for a while after the store came back older

After a restore the store lists replicas as they were some seconds before, until they have written their entries again. The planner took such entries for current: it could join a replica to a group while the head of its newer group served. Change: for the time that replicas take to write their entries, the planner treats the list as incomplete and the entries as outdated, as after an outage, also before the first request. Replicas that were confirmed before the restore are queried again, and one whose entry falls behind what it has answered counts as unconfirmed until it answers again: the old list may arrive after the answer.

--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -46,7 +46,8 @@
 		}
 	}
 	for _, r := range replicas {
-		if incarnation := r.Incarnation(); !p.confirmed[incarnation] {
+		incarnation := r.Incarnation()
+		if _, confirmed := p.confirmed[incarnation]; !confirmed {
 			addIfDue(incarnation, reportRetryInterval)
 		}
 	}
@@ -74,5 +75,43 @@
 	p.opt.Registry.Observe([]fleet.Observation{{Incarnation: r.Incarnation(), Group: report.Group, Models: report.Models, Staged: report.Staged}})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.confirmed[r.Incarnation()] = true
+	p.confirmed[r.Incarnation()] = epochOf(report.Group)
+}
+
+func epochOf(m *fleet.Membership) int64 {
+	if m == nil {
+		return 0
+	}
+	return m.Epoch
+}
+
+// restoredLately reports whether the store came back from an older copy within the time that replicas take to write their entries again.
+// Until then entries may be older than what was known of the replicas before, and those of some replicas may be missing. The caller
+// holds the lock.
+func (p *Planner) restoredLately(now clock.Time) bool {
+	era := p.opt.Lease.StoreEra()
+	if era > p.storeEra {
+		if p.storeEra != 0 {
+			p.restoredAt = now
+			clear(p.queriedAt)
+			clear(p.confirmed)
+		}
+		p.storeEra = era
+	}
+	return p.restoredAt != 0 && now.Sub(p.restoredAt) < p.opt.EntryTTL+settleTime
+}
+
+// confirmedReplicas returns the replicas that have answered a query and are known as they answered, or by a newer state. The others are
+// queried again: an older copy of the store has replaced their answers. The caller holds the lock.
+func (p *Planner) confirmedReplicas(replicas map[string]*fleet.Replica) map[fleet.Incarnation]bool {
+	list := map[fleet.Incarnation]bool{}
+	for incarnation, epoch := range p.confirmed {
+		r := replicas[incarnation.ID]
+		if r != nil && r.Incarnation() == incarnation && epochOf(r.Group) < epoch {
+			delete(p.confirmed, incarnation)
+			continue
+		}
+		list[incarnation] = true
+	}
+	return list
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -81,19 +81,22 @@
 	mu   sync.Mutex // Guards the fields below. No network call is made while it is held.
 	plan *placement.Plan
 	term int64 // Lease term of the plan.
-	// confirmed holds the replicas that have answered a query since their entries became uncertain.
-	confirmed   map[fleet.Incarnation]bool
+	// confirmed holds the replicas that have answered a query since their entries became uncertain, and the epochs that they stated; 0
+	// for no group.
+	confirmed   map[fleet.Incarnation]int64
 	queriedAt   map[fleet.Incarnation]clock.Time // When a replica's report was last requested in place of its entry.
 	termStart   clock.Time
 	nextProbe   map[string]clock.Time  // When a group may be probed again, by group name.
 	orderLocks  map[string]*sync.Mutex // By replica ID; see orderLock.
 	active      bool
 	lastSummary clock.Time // Last summary in the log.
+	storeEra    int64      // Highest era of the store that the plan has taken into account; 0 if none.
+	restoredAt  clock.Time // When a later one was first known; 0 if none was.
 }
 
 // New returns a Planner.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]bool{}, orderLocks: map[string]*sync.Mutex{}}
+	return &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{}, orderLocks: map[string]*sync.Mutex{}}
 }
 
 // Active tells whether this node was the planner at the last tick.
@@ -194,19 +197,21 @@
 		}
 	}
 	now, beforeFirstRequest := p.opt.Clock.Now(), p.opt.BeforeFirstRequest()
-	complete := beforeFirstRequest || p.opt.Registry.Complete()
-	uncertain := !beforeFirstRequest && (!complete || now.Sub(p.termStart) < p.opt.EntryTTL+settleTime)
+	restored := p.restoredLately(now)
+	complete := !restored && (beforeFirstRequest || p.opt.Registry.Complete())
+	uncertain := restored || !beforeFirstRequest && (!complete || now.Sub(p.termStart) < p.opt.EntryTTL+settleTime)
 	if !uncertain {
 		clear(p.queriedAt)
 		clear(p.confirmed)
 	}
+	confirmed := p.confirmedReplicas(replicas)
 	queries = p.replicasToQuery(replicas, uncertain, now)
 	if !beforeFirstRequest && now.Sub(p.termStart) < settleTime {
 		return nil, nil, queries
 	}
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
 		Need: p.modelShares(service.Engine), BeforeFirstRequest: beforeFirstRequest, LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
-		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: p.confirmed,
+		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: confirmed,
 		HeadSilent: func(r *fleet.Replica) bool { return p.opt.Table.EventAge(balance.KeyOf(r)) > headSilenceLimit },
 		Limited:    p.opt.Limited})
 	probes = p.dueProbes(replicas, now)
