Adopt a group only if the state of one of its members is known

A replica could be joined to a group while the head of its newer group served, again and again in turns: a new planner held it as a member of two groups. It had adopted one of them from entries that were older than the orders of its predecessor, before the replicas' answers arrived, and repaired it with members of the other one. Change: while entries may be outdated, a group is adopted once one of its members was confirmed in it. The test's emulator now forgets the answers of replicas once entries are certain, as the planner does: it counted those of an earlier outage as confirmations.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -327,6 +327,7 @@
 // does nothing unless Input.MayBeOutdated is set.
 func (m *emulator) queryReplicas() map[fleet.Incarnation]bool {
 	if !m.mayBeOutdated {
+		m.reports = nil
 		return nil
 	}
 	answered := map[fleet.Incarnation]bool{}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -11,9 +11,10 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
-// adoptReportedGroups adds groups to the plan that replicas report and the plan doesn't hold, as after a change of the planner.
+// adoptReportedGroups adds groups to the plan that replicas report and the plan doesn't hold, as after a change of the planner. The state
+// of at least one member must be known: entries that may be outdated show groups that have ended since.
 func (s *step) adoptReportedGroups() {
-	reported := map[groupKey][]*fleet.Replica{}
+	reported, known := map[groupKey][]*fleet.Replica{}, map[groupKey]bool{}
 	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
 		r := s.Replicas[id]
 		if r.Group == nil || strings.HasPrefix(r.Group.Name, standbyPrefix) {
@@ -28,8 +29,12 @@
 			continue
 		}
 		reported[key] = append(reported[key], r)
+		known[key] = known[key] || s.stateKnown(r)
 	}
 	for key, members := range reported {
+		if !known[key] {
+			continue
+		}
 		delete(s.dissolved, key)
 		model := reportedModel(members, s.Engine)
 		if model == nil {
