Never run a request again whose claim a restore of the store has taken

What callers saw: a confirmation that was made twice. The store came back from a copy without its claim, and a repeat of its key was claimed and run again; also when the copy had the claim released, though it was claimed again later. A claim that was back in the state claimed, though its owner had settled it, made repeats wait without end. Cause: a claim that was written is taken to be there for good. A key that was created before the present era, with the tolerance for clocks, and whose claim is missing is refused as outcome unknown and never run. A released or settled claim of a former era becomes unknown. Owners write final states again that the store has lost. A claim written in a later era than the one for which its key was checked is not run.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -64,6 +64,8 @@
 	Incarnation string
 	Store       Store
 	Owners      Owners
+	// Era returns the present era of the store. If it is nil, the store never loses an acknowledged write.
+	Era func(ctx context.Context) (platform.EraStart, error)
 	// Nodes returns the names of the live nodes, which share the deletion of old claims. If it is nil, this node deletes
 	// them all.
 	Nodes func() []string
@@ -149,10 +151,17 @@
 	if m.pendingFull() {
 		return nil, nil, result.New(result.PlatformUnavailable, "%d claims of this node are still waiting to be written to the platform", maxPending)
 	}
-	a, err := m.writeClaim(ctx, req, 0)
+	era, err := m.era(ctx)
+	if err != nil {
+		return nil, nil, result.New(result.PlatformUnavailable, "the era of the store could not be read").WithCause(err)
+	}
+	if claimMayBeLost(req.Key, era) {
+		return m.resolveExisting(ctx, req, nil)
+	}
+	a, err := m.writeClaim(ctx, req, 0, era.Era)
 	switch {
 	case err == nil:
-		return m.recheckKeyAge(ctx, a)
+		return m.recheck(ctx, a)
 	case errors.Is(err, platform.ErrConflict):
 		return m.resolveExisting(ctx, req, a)
 	default:
@@ -167,10 +176,15 @@
 	if CheckKey(req.Key, m.opts.Now()) != nil {
 		return nil, nil
 	}
-	_, stored, err := m.readClaim(ctx, req.Key)
+	version, stored, err := m.readClaim(ctx, req.Key)
 	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		if era, err := m.era(ctx); err == nil && claimMayBeLost(req.Key, era) {
+			return nil, unknownOutcome(req.Key)
+		}
+		return nil, nil
 	case err != nil:
-		// The claim is not found or not readable. Unlike after a conflicting create, nothing indicates that one exists.
+		// The claim is not readable. Unlike after a conflicting create, nothing indicates that one exists.
 		return nil, nil
 	case !sameRequest(stored, req):
 		return nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
@@ -183,11 +197,35 @@
 	case schema.ClaimState_CLAIM_STATE_UNKNOWN:
 		return nil, unknownOutcome(req.Key)
 	}
+	if ofFormerEra(stored, version) {
+		return nil, unknownOutcome(req.Key)
+	}
 	return nil, nil
 }
 
+// era returns the present era of the store.
+func (m *Manager) era(ctx context.Context) (platform.EraStart, error) {
+	if m.opts.Era == nil {
+		return platform.EraStart{}, nil
+	}
+	return m.opts.Era(ctx)
+}
+
+// claimMayBeLost reports whether a claim of the key may have been written in a former era and lost with it. A key that was
+// created later than the present era was noticed, by any two clocks, can have no such claim.
+func claimMayBeLost(key string, era platform.EraStart) bool {
+	id, _ := uuid.Parse(key) // CheckKey has already refused malformed keys.
+	return era.Era > 0 && !keyTime(id).After(era.NoticedAt.Add(MaxClockSkew))
+}
+
+// ofFormerEra reports whether the request was claimed in an era before the one in which its claim was read. Later states of
+// such a claim, and claims of later attempts, may be lost.
+func ofFormerEra(stored *schema.Claim, version uint64) bool {
+	return stored.GetStoreEra() < platform.EraOf(version)
+}
+
 // newClaim returns the content of a claim in the state claimed, with a new nonce.
-func (m *Manager) newClaim(req Request) *schema.Claim {
+func (m *Manager) newClaim(req Request, era uint64) *schema.Claim {
 	return &schema.Claim{
 		Key:         req.Key,
 		Account:     req.Account,
@@ -196,14 +234,15 @@
 		Incarnation: m.opts.Incarnation,
 		State:       schema.ClaimState_CLAIM_STATE_CLAIMED,
 		Nonce:       uuid.NewString(),
+		StoreEra:    era,
 	}
 }
 
 // writeClaim writes a new claim: a create if baseVersion is 0, otherwise an update that is conditional on baseVersion. On an
 // error, the attempt is abandoned and returned with the error, unless the write certainly had no effect. A conflict is not
 // certain: after a stale read-back, the platform client reports one for a write that did take effect.
-func (m *Manager) writeClaim(ctx context.Context, req Request, baseVersion uint64) (*attempt, error) {
-	content := m.newClaim(req)
+func (m *Manager) writeClaim(ctx context.Context, req Request, baseVersion, era uint64) (*attempt, error) {
+	content := m.newClaim(req, era)
 	data, err := platform.Encode(content)
 	if err != nil {
 		return nil, err
@@ -227,11 +266,16 @@
 	return a, err
 }
 
-// recheckKeyAge checks the key again after its claim was written, and releases the claim if the key is too old by now.
+// recheck checks the key again after its claim was written, and releases the claim if the key is too old by now.
 // Without it, a node that was paused before the write could claim a key whose earlier claim had been deleted as too old,
-// and run the request a second time.
-func (m *Manager) recheckKeyAge(ctx context.Context, a *attempt) (*Claim, *schema.Claim, *result.Error) {
+// and run the request a second time. A claim that was written in a later era than the one for which the key was checked
+// becomes unknown, since an earlier claim may have been lost in between.
+func (m *Manager) recheck(ctx context.Context, a *attempt) (*Claim, *schema.Claim, *result.Error) {
 	claim := &Claim{manager: m, attempt: a}
+	if ofFormerEra(a.claim, a.baseVersion) {
+		claim.Unknown(ctx)
+		return nil, nil, unknownOutcome(a.key)
+	}
 	if err := CheckKey(a.key, m.opts.Now()); err != nil {
 		claim.Release(ctx)
 		return nil, nil, err
@@ -244,12 +288,15 @@
 // the error doesn't state that the request was not run, because the earlier one may have run.
 //
 // ownAttempt is the attempt whose create got the conflict. Reading a claim with another nonce proves that this create
-// is not in force and never will be, so the attempt is removed.
+// is not in force and never will be, so the attempt is removed. It is nil for a key whose claim may be lost: a claim is read but
+// none is created.
 func (m *Manager) resolveExisting(ctx context.Context, req Request, ownAttempt *attempt) (*Claim, *schema.Claim, *result.Error) {
 	failedReads := 0
 	for wait := minPollInterval; ; wait = min(2*wait, maxPollInterval) {
 		version, stored, err := m.readClaim(ctx, req.Key)
 		switch {
+		case ownAttempt == nil && errors.Is(err, platform.ErrNotFound):
+			return nil, nil, unknownOutcome(req.Key)
 		case err != nil:
 			if failedReads++; failedReads == maxFailedReads {
 				return nil, nil, result.New(result.RequestInProgress, "an earlier claim of this key could not be read").WithCause(err)
@@ -259,7 +306,7 @@
 			return nil, nil, result.New(result.KeyReused, "Idempotency-Key %s was used for another request", req.Key)
 		default:
 			failedReads = 0
-			if stored.Nonce != ownAttempt.nonce {
+			if ownAttempt != nil && stored.Nonce != ownAttempt.nonce {
 				m.removeAttempt(ownAttempt)
 			}
 			claim, answer, readAgain, failure := m.resolveState(ctx, req, version, stored)
@@ -287,16 +334,21 @@
 // resolveState handles the state of an earlier claim that was read at the given version. readAgain is true if the request is
 // still running or the claim has changed since.
 func (m *Manager) resolveState(ctx context.Context, req Request, version uint64, stored *schema.Claim) (claim *Claim, answer *schema.Claim, readAgain bool, failure *result.Error) {
+	former := ofFormerEra(stored, version)
 	switch stored.State {
 	case schema.ClaimState_CLAIM_STATE_ANSWERED:
 		return nil, stored, false, nil
 	case schema.ClaimState_CLAIM_STATE_UNKNOWN:
 		return nil, nil, false, unknownOutcome(req.Key)
 	case schema.ClaimState_CLAIM_STATE_RELEASED:
+		if former { // A later attempt may have claimed it again.
+			return m.markUnknown(ctx, version, stored)
+		}
 		return m.reclaim(ctx, req, version)
 	}
 	status, alive := m.ownerStatus(ctx, stored)
-	if !alive {
+	settled := status != nil && (!status.GetKnown() || status.GetState() == schema.ClaimState_CLAIM_STATE_RELEASED)
+	if !alive || former && settled { // What the owner has settled is lost, or a later attempt with it.
 		return m.markUnknown(ctx, version, stored)
 	}
 	switch status.GetState() {
@@ -330,10 +382,10 @@
 // reclaim claims a released request again. The update is conditional on the version, so only one of several concurrent
 // callers succeeds.
 func (m *Manager) reclaim(ctx context.Context, req Request, version uint64) (*Claim, *schema.Claim, bool, *result.Error) {
-	a, err := m.writeClaim(ctx, req, version)
+	a, err := m.writeClaim(ctx, req, version, platform.EraOf(version))
 	switch {
 	case err == nil:
-		claim, answer, failure := m.recheckKeyAge(ctx, a)
+		claim, answer, failure := m.recheck(ctx, a)
 		return claim, answer, false, failure
 	case errors.Is(err, platform.ErrConflict):
 		return nil, nil, true, nil
--- a/internal/claims/fake_test.go
+++ b/internal/claims/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"runtime"
 	"slices"
 	"strings"
@@ -23,6 +24,7 @@
 	writeDelay       time.Duration // The write takes effect this much later; the call returns ErrOutcomeUnknown at once.
 	staleRead        bool          // The read returns the version before the current one.
 	blockUntilCancel bool          // The call blocks until its context is done.
+	onCall           func()        // Called first.
 }
 
 const maxFakeObject = 1 << 20
@@ -36,10 +38,40 @@
 	callCounts map[string]int
 	// onWrite is called with the old and new content for every accepted write.
 	onWrite func(name string, before, after []byte)
+	era     uint64
+	noticed map[uint64]time.Time // When an era was first noticed.
+	copies  []storeCopy          // One before each write.
+}
+
+// storeCopy is the state of the store until a time.
+type storeCopy struct {
+	until   time.Time
+	version uint64
+	objects map[string]platform.Object
+}
+
+// restore brings the store back as it was at an age.
+func (s *fakeStore) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Now().Add(-age)
+	for n := len(s.copies); n > 0 && s.copies[n-1].until.After(at); n-- {
+		s.version, s.objects = s.copies[n-1].version, s.copies[n-1].objects
+		s.copies = s.copies[:n-1]
+	}
+	s.era++
+	s.previous = map[string]platform.Object{} // A stale read of a former era is refused.
+}
+
+// stated returns an object with the version that the platform client states.
+func (s *fakeStore) stated(o platform.Object) platform.Object {
+	o.Version = platform.VersionIn(s.era, o.Version)
+	return o
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[string]platform.Object{}, previous: map[string]platform.Object{}, callCounts: map[string]int{}}
+	return &fakeStore{objects: map[string]platform.Object{}, previous: map[string]platform.Object{}, callCounts: map[string]int{},
+		noticed: map[uint64]time.Time{}}
 }
 
 // get returns the object, or its previous version if stale.
@@ -53,20 +85,26 @@
 	if !ok {
 		return nil, platform.ErrNotFound
 	}
+	o = s.stated(o)
 	return &o, nil
 }
 
-// put performs a write that is conditional on the given version; version 0 is a create, and nil data is a delete.
-func (s *fakeStore) put(kind, name string, version uint64, data []byte) (uint64, error) {
+// put performs a write that is conditional on the given version; version 0 is a create in the given era, and nil data is a
+// delete.
+func (s *fakeStore) put(kind, name string, version, era uint64, data []byte) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(data) > maxFakeObject {
 		return 0, platform.ErrRejected
 	}
 	old, exists := s.objects[name]
-	if exists != (version != 0) || old.Version != version {
+	switch {
+	case version == 0 && era != s.era:
+		return 0, platform.ErrUnavailable
+	case exists != (version != 0) || exists && s.stated(old).Version != version:
 		return 0, platform.ErrConflict
 	}
+	s.copies = append(s.copies, storeCopy{time.Now(), s.version, maps.Clone(s.objects)})
 	if s.onWrite != nil {
 		s.onWrite(name, old.Data, data)
 	}
@@ -80,7 +118,7 @@
 	} else {
 		s.objects[name] = platform.Object{Kind: kind, Name: name, Version: s.version, Data: data}
 	}
-	return s.version, nil
+	return platform.VersionIn(s.era, s.version), nil
 }
 
 // node is a simulated process that uses the store. Its calls block while the process is paused, and exit the calling
@@ -93,6 +131,7 @@
 
 	mu          sync.Mutex
 	ended       bool
+	era         uint64 // Highest era that an answer has stated.
 	pausedUntil time.Time
 	pausedSince time.Time
 }
@@ -145,6 +184,9 @@
 	if faultFor != nil {
 		f = faultFor(method, name) // Called without the lock because it may sleep.
 	}
+	if f.onCall != nil {
+		f.onCall()
+	}
 	if f.blockUntilCancel {
 		<-ctx.Done()
 		return f, fmt.Errorf("%s %s: %w", method, name, platform.ErrOutcomeUnknown)
@@ -158,6 +200,7 @@
 		return nil, err
 	}
 	o, err := n.store.get(name, f.staleRead)
+	n.noteEra()
 	n.blockWhilePaused()
 	return o, err
 }
@@ -184,11 +227,11 @@
 	var list []platform.Object
 	for _, o := range n.store.objects {
 		if o.Kind == kind {
-			list = append(list, o)
+			list = append(list, n.store.stated(o))
 		}
 	}
 	slices.SortFunc(list, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
-	return list, n.store.version, nil
+	return list, platform.VersionIn(n.store.era, n.store.version), nil
 }
 
 func (n *node) write(ctx context.Context, method, kind, name string, version uint64, data []byte) (uint64, error) {
@@ -196,11 +239,17 @@
 	if err != nil {
 		return 0, err
 	}
+	n.mu.Lock()
+	era := n.era
+	n.mu.Unlock()
 	if f.writeDelay > 0 {
-		time.AfterFunc(f.writeDelay, func() { _, _ = n.store.put(kind, name, version, data) })
+		time.AfterFunc(f.writeDelay, func() { _, _ = n.store.put(kind, name, version, era, data) })
 		return 0, platform.ErrOutcomeUnknown
 	}
-	v, err := n.store.put(kind, name, version, data)
+	v, err := n.store.put(kind, name, version, era, data)
+	if f.errAfterWrite == nil {
+		n.noteEra()
+	}
 	n.blockWhilePaused()
 	if f.errAfterWrite != nil {
 		return 0, f.errAfterWrite
@@ -208,6 +257,33 @@
 	return v, err
 }
 
+// noteEra learns the era of the store from an answer.
+func (n *node) noteEra() {
+	n.store.mu.Lock()
+	era := n.store.era
+	n.store.mu.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.era = max(n.era, era)
+}
+
+// eraStart returns the era that the node knows and when the first node noticed it, by that node's clock.
+func (n *node) eraStart(context.Context) (platform.EraStart, error) {
+	n.blockWhilePaused()
+	n.mu.Lock()
+	era := n.era
+	n.mu.Unlock()
+	if era == 0 {
+		return platform.EraStart{}, nil
+	}
+	n.store.mu.Lock()
+	defer n.store.mu.Unlock()
+	if _, known := n.store.noticed[era]; !known {
+		n.store.noticed[era] = n.manager.opts.Now()
+	}
+	return platform.EraStart{Era: era, NoticedAt: n.store.noticed[era]}, nil
+}
+
 // cluster is the set of simulated processes, which can query each other's claims.
 type cluster struct {
 	store     *fakeStore
@@ -230,7 +306,7 @@
 
 func (c *cluster) start(name, incarnation string) *node {
 	n := &node{name: name, incarnation: incarnation, store: c.store}
-	opts := Options{Node: name, Incarnation: incarnation, Store: n, Owners: c, Nodes: c.liveNames, Log: discardLogger()}
+	opts := Options{Node: name, Incarnation: incarnation, Store: n, Owners: c, Nodes: c.liveNames, Log: discardLogger(), Era: n.eraStart}
 	if c.now != nil {
 		opts.Now = func() time.Time { return c.now(name) }
 	}
--- a/internal/claims/model_test.go
+++ b/internal/claims/model_test.go
@@ -224,7 +224,7 @@
 // scripts generates sequences of 30 to 80 steps.
 var scripts = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 	return step{
-		action:    rapid.IntRange(0, 11).Draw(t, "action"),
+		action:    rapid.IntRange(0, 12).Draw(t, "action"),
 		nodeIndex: rapid.IntRange(0, 2).Draw(t, "node"),
 		keyOffset: rapid.IntRange(0, 3).Draw(t, "key"),
 		duration:  rapid.SampledFrom(stepDurations).Draw(t, "time"),
@@ -257,6 +257,8 @@
 		time.Sleep(s.duration)
 	case 11:
 		time.Sleep(4 * s.duration)
+	case 12:
+		m.cluster.store.restore(s.duration)
 	}
 }
 
@@ -268,6 +270,7 @@
 	m.mu.Unlock()
 	for _, n := range m.running {
 		n.pause(0)
+		n.noteEra() // As by the next renewal of its lease.
 	}
 	time.Sleep(time.Minute)
 	m.mu.Lock()
@@ -305,7 +308,7 @@
 }
 
 // Guards against running a request twice, changing a stored answer, reporting a wrong outcome, and leaving a key unusable that
-// never ran. It tries random sequences of lost, late and stale store calls, ended and paused owners, and repeated requests.
+// never ran. It tries random sequences of lost, late and stale store calls, ended and paused owners, restores of the store from an older copy, and repeated requests.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed, steps := rapid.Uint64().Draw(rt, "seed"), scripts.Draw(rt, "steps")
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -255,7 +255,8 @@
 }
 
 // tryWrite tries once to write the state of an attempt, and returns true if nothing is left to do. On a conflict nothing is
-// left: another write came after that of the claim, and since versions only grow, the condition can't hold again.
+// left, unless a restore of the store has undone the write of the claim or given it another version: another write came after
+// that of the claim, and since versions only grow, the condition can't hold again.
 func (m *Manager) tryWrite(ctx context.Context, a *attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
@@ -271,11 +272,54 @@
 		}
 		a.baseVersion, a.writeUncertain = version, false
 	}
-	data, err := platform.Encode(a.claim)
+	data, err := platform.Encode(settledClaim(a))
 	if err != nil {
 		m.opts.Log.WithError(err).WithField("key", a.key).Error("cannot encode the claim")
 		return false
 	}
 	_, err = m.opts.Store.Update(ctx, kindForKey(a.key), a.key, a.baseVersion, data)
+	if errors.Is(err, platform.ErrConflict) {
+		return m.settleAfterConflict(ctx, a)
+	}
+	return err == nil
+}
+
+// settledClaim returns the final state to write. A released claim of a former era becomes unknown: the release may have been
+// in force there, and the key been claimed again.
+func settledClaim(a *attempt) *schema.Claim {
+	if a.claim.State == schema.ClaimState_CLAIM_STATE_RELEASED && ofFormerEra(a.claim, a.baseVersion) {
+		return cloneWithState(a.claim, schema.ClaimState_CLAIM_STATE_UNKNOWN)
+	}
+	return a.claim
+}
+
+// settleAfterConflict is the part of tryWrite after a conflict. If the claim was written in a former era, it takes the version
+// that the restored store has for it, for the next try, or writes the lost claim again with its final state.
+func (m *Manager) settleAfterConflict(ctx context.Context, a *attempt) bool {
+	era, err := m.era(ctx)
+	if err != nil {
+		return false
+	}
+	if era.Era <= platform.EraOf(a.baseVersion) {
+		return true
+	}
+	version, stored, err := m.readClaim(ctx, a.key)
+	switch {
+	case err == nil && stored.Nonce == a.nonce:
+		a.baseVersion = version
+		return false
+	case err == nil:
+		return true
+	case !errors.Is(err, platform.ErrNotFound):
+		return false
+	case a.claim.State == schema.ClaimState_CLAIM_STATE_RELEASED:
+		return true // The key is refused from now on, since its claim is missing.
+	}
+	data, err := platform.Encode(a.claim)
+	if err != nil {
+		m.opts.Log.WithError(err).WithField("key", a.key).Error("cannot encode the claim")
+		return false
+	}
+	_, err = m.opts.Store.Create(ctx, kindForKey(a.key), a.key, data)
 	return err == nil || errors.Is(err, platform.ErrConflict)
 }
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -48,7 +48,7 @@
 //
 // A claim in any state can be deleted safely once the age of its key is above MaxKeyAge + MaxClockSkew by this node's clock.
 // Two clocks differ by at most MaxClockSkew, so by every node's clock the age is then above MaxKeyAge, and Acquire refuses
-// the key after any claim write that comes later than the delete (recheckKeyAge). A request that was claimed before the
+// the key after any claim write that comes later than the delete (recheck). A request that was claimed before the
 // delete, and is still running or not yet sent, may continue, since no other request can get the claim. Settling it after
 // the delete results in a conflict. The delete is conditional on the version only to be correct after a stale list.
 func (m *Manager) runSweeps(ctx context.Context) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,9 +188,20 @@
 	}
 	n.assembleControl()
 	n.assembleRequests()
+	n.platform.OnRestore(n.storeRestored)
 	return nil
 }
 
+// storeRestored is called when the platform's store has come back from an older copy. It has the start of the era recorded at
+// once: keys that were created before it can't be claimed any more.
+func (n *Node) storeRestored() {
+	go func() {
+		if _, err := n.platform.EraStart(n.requestContext); err != nil {
+			n.log.WithError(err).Warn("the start of the store's era could not be recorded; the next claim tries again")
+		}
+	}()
+}
+
 // afterRenew makes the lease depend on what this node has read since it was written: its holder tables and the
 // configuration. A node whose lease is valid therefore has both as of the lease's start or later.
 func (n *Node) afterRenew(ctx context.Context, version uint64) error {
@@ -240,6 +251,7 @@
 	n.admission = admission.New(n.self.Name, nil)
 	n.claims = claims.New(claims.Options{
 		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Nodes: n.liveNodes, Log: n.log,
+		Era: n.platform.EraStart,
 	})
 	n.executor = executor.New(executor.Options{
 		Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash,
