Refuse requests that outlast a stopping node, and answer those that it ends

What callers saw: a request that came late in the grace period of a planned stop was taken, passed on, and cut at the end of the period with no answer, even if it may not be repeated.

Cause: a node that drains took every request with its full time limit (8 s and more), while it ends 7.6 s after SIGTERM and goes on taking requests for over 3 s. http.Server.Shutdown gives up at its deadline and the process ends, which closes the connections.

Change: a draining node refuses a request at once as not run, with a short Retry-After, unless its time limit, or twice what others of its route took, fits into the time that is left. The deadline of those that it takes ends with the node. At that time, 0.4 s before the end of the grace as before, all others end with an answer: 503 if they have not run, 502 or 504 if they may have. A request whose body is still being read is refused. A stream whose first event was forwarded still breaks off, as nothing else tells an incomplete one.

Evidence: TestRequestsAtTheEndOfADrainAreAnswered fails on the code before: both late requests were passed on and neither was answered in 6 s, nor were the two in flight and the one with an incomplete body. It passes now (1.7 s).

Streams in flight at SIGTERM that last longer than the grace are still cut.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -73,8 +74,12 @@
 type Server struct {
 	opt      Options
 	inFlight atomic.Int64
-	closing  atomic.Bool
 	buffers  *bufferBudget
+	// drainEnd is when a draining server ends; nil before it drains. stopped ends at that time.
+	drainEnd  atomic.Pointer[time.Time]
+	stopped   context.Context
+	stop      context.CancelFunc
+	durations drain.Durations // By route.
 
 	mu sync.Mutex
 	// longestWait holds the longest deadline that clients have stated, by route. It is taken as the deadline of a first
@@ -85,15 +90,14 @@
 
 // New returns a Server.
 func New(opt Options) *Server {
-	return &Server{opt: opt, buffers: newBufferBudget(), longestWait: map[string]time.Duration{}}
+	s := &Server{opt: opt, buffers: newBufferBudget(), longestWait: map[string]time.Duration{}}
+	s.stopped, s.stop = context.WithCancel(context.Background())
+	return s
 }
 
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// CloseConnections makes all later responses ask the client to open a new connection.
-func (s *Server) CloseConnections() { s.closing.Store(true) }
-
 // HasReceivedRequest tells whether a request has arrived whose route and, unless the route is public, key are known.
 func (s *Server) HasReceivedRequest() bool {
 	s.mu.Lock()
@@ -145,9 +149,6 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c := &call{Server: s, w: w, ctx: r.Context(), start: time.Now(), req: s.opt.Codec.DecodeRequest(r), view: s.opt.Registry.View()}
 	if e := c.readBody(r); e != nil {
 		c.refuse(e)
@@ -157,8 +158,13 @@
 		c.refuse(e)
 		return
 	}
+	if e := c.limitToDrain(); e != nil {
+		c.refuse(e)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.stopped, cancel)()
 	c.ctx = ctx
 	if c.route.Repeat == fleet.RepeatStream {
 		c.serveStream()
@@ -172,7 +178,11 @@
 	if c.view.Config != nil && c.view.Config.Limits.BodyBytes > 0 {
 		limit = c.view.Config.Limits.BodyBytes
 	}
+	stopped := c.endReadWhenStopped()
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
+	if stopped() {
+		return c.stoppingRefusal()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return result.New(result.BodyTooLarge, "the body has more than %d bytes", limit)
@@ -268,6 +278,7 @@
 	status := c.opt.Codec.RefusalStatus(e.Code)
 	c.logOutcome(e.Code.String(), e.Message, logrus.Fields{"retry_after_ms": e.RetryAfter.Milliseconds(), "status": status})
 	c.opt.Metrics.Refusal(e.Code)
+	c.announceClose()
 	if e.RetryAfter > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 2, 64))
 	}
@@ -278,9 +289,13 @@
 // run.
 func (c *call) refuseUnanswered(reason string) {
 	if c.ctx.Err() != nil && c.timeLeft() <= 0 {
+		c.durations.Record(c.route.Name, time.Since(c.start))
 		c.refuse(result.New(result.DeadlineExceeded, "no response before the deadline: %s", reason))
 		return
 	}
+	if c.stopped.Err() != nil {
+		reason = "this node stopped before the response"
+	}
 	c.refuse(result.New(result.OutcomeUnknown, "the request may have run: %s", reason))
 }
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -290,6 +290,8 @@
 	switch {
 	case c.attempts.mayHaveRun():
 		c.refuseUnanswered(c.attempts.lastFailure)
+	case c.stopped.Err() != nil:
+		c.refuse(c.stoppingRefusal())
 	case c.timeLeft() <= 0:
 		c.refuse(result.New(result.DeadlineUnreachable, "no replica accepted the request before the deadline").WithRetryAfter(retryAfterFull))
 	case c.attempts.sends > 0:
@@ -330,9 +332,7 @@
 // writeResponse writes a complete response to the client.
 func (c *call) writeResponse(r *replicaResponse, body []byte) {
 	c.opt.Codec.CopyHeaders(r.resp.Header, c.w.Header())
-	if c.closing.Load() {
-		c.w.Header().Set("Connection", "close")
-	}
+	c.announceClose()
 	if r.resp.Header.Get("Content-Type") == "" {
 		c.w.Header()["Content-Type"] = nil // Keeps net/http from detecting one.
 	}
@@ -341,6 +341,7 @@
 	}
 	c.w.WriteHeader(r.resp.StatusCode)
 	_, err := c.w.Write(body)
+	c.durations.Record(c.route.Name, time.Since(c.start))
 	outcome, reason := "answered", "answered"
 	if err != nil {
 		outcome, reason = "client_gone", err.Error()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -38,7 +38,7 @@
 	streamRefused               // The target has not run the request.
 	responseForwarded           // A complete response other than a stream was forwarded.
 	clientGone
-	streamTimeout
+	streamTimeout // The deadline passed, or this node stopped.
 	streamBlocked // The request was found to crash replicas while it waited for its first event.
 )
 
@@ -77,6 +77,7 @@
 		switch end := c.relay(head, exclude, p); end {
 		case streamComplete:
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
+			c.durations.Record(c.route.Name, time.Since(c.start))
 			c.logOutcome("answered", "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.FirstEvent.Milliseconds(),
 				"first_ms": p.firstEventAfter.Milliseconds(), "gap_ms": p.longestGap.Milliseconds(), "prompt": c.req.PromptTokens,
 				"delay_ms": head.QueueDelay.Milliseconds(), "load": head.Load.Running, "unread": head.Load.UnreadTokens, "model": c.req.Model, "slow": head.SlowFactor})
@@ -184,9 +185,13 @@
 		select {
 		case <-c.ctx.Done():
 			c.attempts.maybeRun++
-			if errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+			switch {
+			case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
 				c.attempts.lastFailure = "the deadline passed"
 				return streamTimeout
+			case c.stopped.Err() != nil:
+				c.attempts.lastFailure = "this node stopped"
+				return streamTimeout
 			}
 			return clientGone
 		case <-stallTicker.C:
@@ -275,9 +280,7 @@
 	}
 	if !p.headerWritten {
 		c.opt.Codec.CopyHeaders(step.response.resp.Header, c.w.Header())
-		if c.closing.Load() {
-			c.w.Header().Set("Connection", "close")
-		}
+		c.announceClose()
 		c.w.WriteHeader(step.response.resp.StatusCode)
 		p.headerWritten, p.firstEventAfter, p.lastEventAt = true, time.Since(c.start), time.Now()
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -27,8 +27,10 @@
 	// clients keep it clientTTLFactor times as long.
 	directoryTTL    = time.Second
 	clientTTLFactor = 3
-	// exitReserve is the part of the shutdown grace period that is left for the exit of the process.
-	exitReserve = 400 * time.Millisecond
+	// exitReserve is the part of the shutdown grace period that is left for the exit of the process. answerReserve is the part
+	// before it in which requests that can't be completed get their answers.
+	exitReserve   = 300 * time.Millisecond
+	answerReserve = 100 * time.Millisecond
 	// minZoneAddresses is the number of nodes in the client's failure domain from which on the directory names only these.
 	minZoneAddresses = 2
 )
@@ -105,23 +107,24 @@
 }
 
 // drain takes this node out of service: other nodes remove it from their directory answers, and clients move to other nodes
-// while this one still serves them. The front listener closes when the directory answers with its address have expired at the
-// clients, or when half of the grace period is over. The other listeners close when all requests are done, at the latest
-// exitReserve before the end of the period.
+// while this one still serves them, unless their requests can be expected to last longer than this node. The front listener
+// closes when the directory answers with its address have expired at the clients, or when half of the grace period is over.
+// Requests that still run answerReserve before the last exitReserve of the period get an answer then. The other listeners close
+// when all requests are done.
 func (n *Node) drain(servers []*http.Server) {
 	started := time.Now()
 	n.draining.Store(true)
-	n.edge.CloseConnections()
-	n.log.WithField("in_flight", n.edge.InFlight()).Info("draining")
 	limit := n.settings.Bounds.Grace - exitReserve
+	n.edge.Drain(started.Add(limit - answerReserve))
+	n.log.WithField("in_flight", n.edge.InFlight()).Info("draining")
 	time.Sleep(min(clientTTLFactor*n.answerTTL()+gossip.Interval, limit/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
 	defer cancel()
 	front := servers[0]
-	if err := front.Shutdown(ctx); err != nil {
+	if err := front.Shutdown(ctx); err != nil && n.edge.InFlight() > 0 {
 		n.log.WithError(err).WithField("in_flight", n.edge.InFlight()).Warning("requests were still in flight at the end of the shutdown grace period")
 	}
-	for _, s := range servers[1:] {
+	for _, s := range servers {
 		if err := s.Close(); err != nil {
 			n.log.WithError(err).Debug("could not close an HTTP server")
 		}
