Keep a stream at a silent target until another one has gone on with it

What callers saw: a stream broke off midway, or got 502, though its target was sound and had only been silent for a while.

Cause: a stream was taken off its target once that had sent no event for 0.45 s, before another target had accepted it. If the other one then refused it, failed or was silent too, and the retry budget or the route allowed no further send, the answer was lost, although the first target went on.

Change: the request is sent to the other target as well, and the first one keeps the stream until the other has sent an event. If the first one goes on, the other connection is closed. Sends and retries are counted as before.

Conclusion: a silent target no longer ends an answer by its silence.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -132,8 +132,6 @@
 	lastFailure string // Why the last send got no usable response.
 	// began is set if the target of the last send has sent a part of its response.
 	began bool
-	// retryGranted is set if the retry budget has already granted the next send.
-	retryGranted bool
 }
 
 // startSend counts a send to the target.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -69,12 +69,12 @@
 			return
 		}
 		exclude[head.Key] = true
-		if c.attempts.sends > 0 && !c.attempts.retryGranted && !c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
+		if c.attempts.sends > 0 && !c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
 			c.failStream(p, nil)
 			return
 		}
-		c.attempts.retryGranted = false
-		switch end := c.relay(head, exclude, p); end {
+		head, end := c.relay(head, exclude, p)
+		switch end {
 		case streamComplete:
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 			c.durations.Record(c.route.Name, time.Since(c.start))
@@ -156,67 +156,183 @@
 	}
 }
 
-// mayMoveStream tells whether the stream should leave a target that is suspected of having stalled. Another target must be
-// available and the retry budget must grant the send: otherwise the stream would be lost, though the target may still continue.
-func (c *call) mayMoveStream(head *balance.Selection, exclude map[balance.Key]bool) bool {
-	if !c.route.Idempotent() || c.attempts.maybeRun+1 >= c.route.MaxAttempts || c.attempts.sends >= maxSends || !c.opt.Table.Suspected(head.Key) {
-		return false
+// streamSend is one send of a stream.
+type streamSend struct {
+	head   *balance.Selection
+	ticket *balance.Ticket
+	steps  <-chan streamStep
+	cancel context.CancelFunc
+}
+
+// startStream sends the request to the head.
+func (c *call) startStream(head *balance.Selection, p *progress) *streamSend {
+	ctx, cancel := context.WithCancel(c.ctx)
+	steps := make(chan streamStep)
+	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, cancel: cancel}
+	c.opt.Table.CountColdSend(head.Replica, c.view)
+	go c.receive(ctx, head, p.lastEventID, p.headerWritten, steps)
+	return s
+}
+
+// end closes the connection to the target.
+func (s *streamSend) end() {
+	s.cancel()
+	s.ticket.End()
+}
+
+// alternative selects a head that may go on with a stream whose target is suspected of having stalled, and counts it as a retry. It
+// returns nil if there is none.
+func (c *call) alternative(current *balance.Selection, exclude map[balance.Key]bool, p *progress) *balance.Selection {
+	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+1 >= c.route.MaxAttempts || c.attempts.sends >= maxSends ||
+		!c.opt.Table.Suspected(current.Key) || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
+		!c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
+		return nil
 	}
-	if c.model == nil || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil {
-		return false
+	for {
+		head := c.opt.Table.PickHead(c.balanceQuery(exclude))
+		if head == nil || c.admittedByStatement(head.Replica) {
+			return head
+		}
 	}
-	c.attempts.retryGranted = c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete)
-	return c.attempts.retryGranted
 }
 
-// relay sends the request to one target and forwards its events to the client.
-func (c *call) relay(head *balance.Selection, exclude map[balance.Key]bool, p *progress) streamEnd {
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
+// streamRelay forwards one stream to the client. While the target is suspected of having stalled, the request is sent to another one
+// as well: the target keeps the stream until that one has sent an event, since it may be refused or fail there.
+type streamRelay struct {
+	*call
+	p       *progress
+	exclude map[balance.Key]bool
+	current *streamSend
+	other   *streamSend // Nil if the request was sent to no other target.
+}
+
+// relay sends the request to one target and forwards its events to the client. It returns the target that sent the last of them.
+func (c *call) relay(head *balance.Selection, exclude map[balance.Key]bool, p *progress) (*balance.Selection, streamEnd) {
 	c.attempts.startSend(head.Key)
-	ticket := c.opt.Table.BeginHead(head, c.req.PromptTokens)
-	defer ticket.End()
-	c.opt.Table.CountColdSend(head.Replica, c.view)
-	steps := make(chan streamStep)
-	go c.receive(ctx, head, p, steps)
+	r := &streamRelay{call: c, p: p, exclude: exclude, current: c.startStream(head, p)}
+	end := r.run()
+	r.current.end()
+	r.dropOther()
+	return r.current.head, end
+}
+
+func (r *streamRelay) run() streamEnd {
 	stallTicker := time.NewTicker(stallCheckInterval)
 	defer stallTicker.Stop()
 	for {
+		var otherSteps <-chan streamStep
+		if r.other != nil {
+			otherSteps = r.other.steps
+		}
+		var end streamEnd
 		select {
-		case <-c.ctx.Done():
-			c.attempts.maybeRun++
-			switch {
-			case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
-				c.attempts.lastFailure = "the deadline passed"
-				return streamTimeout
-			case c.stopped.Err() != nil:
-				c.attempts.lastFailure = "this node stopped"
-				return streamTimeout
-			}
-			return clientGone
+		case <-r.ctx.Done():
+			return r.contextEnded()
 		case <-stallTicker.C:
-			if !c.attempts.began && c.crashRefusal() != nil {
-				// The replica drops the request when the connection closes, and so doesn't begin to answer it.
-				c.attempts.maybeRun++
-				c.attempts.lastFailure = "the request was blocked while it waited: it, or a part of its prompt, crashes replicas"
-				return streamBlocked
-			}
-			if !p.unnumbered && c.mayMoveStream(head, exclude) {
-				c.attempts.maybeRun++
-				c.attempts.lastFailure = "the target has stalled"
-				c.opt.Metrics.Retry("target_stalled")
-				c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(head.Key), "events": p.events}).
-					Info("moving a stream away from a stalled target")
-				return streamBroken
-			}
-		case step := <-steps:
-			if end := c.handleStep(step, ticket, head, p); end != 0 {
-				return end
-			}
+			end = r.checkTarget()
+		case step := <-r.current.steps:
+			end = r.handleCurrent(step)
+		case step := <-otherSteps:
+			end = r.handleOther(step)
+		}
+		if end != 0 {
+			return end
 		}
 	}
 }
 
+func (r *streamRelay) contextEnded() streamEnd {
+	r.attempts.maybeRun++
+	switch {
+	case errors.Is(r.ctx.Err(), context.DeadlineExceeded):
+		r.attempts.lastFailure = "the deadline passed"
+		return streamTimeout
+	case r.stopped.Err() != nil:
+		r.attempts.lastFailure = "this node stopped"
+		return streamTimeout
+	}
+	return clientGone
+}
+
+// checkTarget ends a stream that is blocked before it began, and sends the request to another target if the current one is suspected
+// of having stalled.
+func (r *streamRelay) checkTarget() streamEnd {
+	if !r.attempts.began && r.crashRefusal() != nil {
+		// The replica drops the request when the connection closes, and so doesn't begin to answer it.
+		r.attempts.maybeRun++
+		r.attempts.lastFailure = "the request was blocked while it waited: it, or a part of its prompt, crashes replicas"
+		return streamBlocked
+	}
+	if r.other != nil {
+		return 0
+	}
+	head := r.alternative(r.current.head, r.exclude, r.p)
+	if head == nil {
+		return 0
+	}
+	r.exclude[head.Key] = true
+	r.attempts.sends++
+	r.opt.Metrics.Retry("target_stalled")
+	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events}).
+		Info("the target of a stream has stalled; asking another one as well")
+	r.other = r.startStream(head, r.p)
+	return 0
+}
+
+// handleCurrent handles a step of the current target. If it fails, the other one goes on; if it doesn't, that one isn't needed.
+func (r *streamRelay) handleCurrent(step streamStep) streamEnd {
+	end := r.handleStep(step, r.current, r.p)
+	if r.other == nil {
+		return end
+	}
+	switch end {
+	case streamBroken, streamRefused:
+		r.useOther()
+		return 0
+	case 0:
+		r.dropOther()
+	}
+	return end
+}
+
+// handleOther handles the first step of the other target.
+func (r *streamRelay) handleOther(step streamStep) streamEnd {
+	if step.data != nil || errors.Is(step.err, io.EOF) && r.p.headerWritten {
+		r.attempts.maybeRun++ // At the target that has stalled.
+		r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.other.head.Key), "events": r.p.events}).
+			Info("a stream goes on at another target")
+		r.useOther()
+		return r.handleStep(step, r.current, r.p)
+	}
+	if step.response != nil && !step.response.header.NotRun {
+		step.err = errNoStream
+	}
+	began := r.attempts.began
+	r.attempts.began = false // The other target hasn't begun, whatever the current one has done.
+	r.handleStep(step, r.other, r.p)
+	r.attempts.began = began
+	r.other.end()
+	r.other = nil
+	return 0
+}
+
+// useOther makes the other target the current one.
+func (r *streamRelay) useOther() {
+	r.current.end()
+	r.current, r.other = r.other, nil
+	r.attempts.lastTarget, r.attempts.began = string(r.current.head.Key), false
+}
+
+// dropOther closes the connection to the other target, which may have run the request.
+func (r *streamRelay) dropOther() {
+	if r.other == nil {
+		return
+	}
+	r.attempts.maybeRun++
+	r.other.end()
+	r.other = nil
+}
+
 // streamStep is one result of receive: a refusal, a complete response that is no stream, one event of a stream, or the end.
 type streamStep struct {
 	response *replicaResponse // Nil if err is set.
@@ -228,7 +344,8 @@
 }
 
 // handleStep forwards one step to the client or ends the send. It returns 0 while the stream continues.
-func (c *call) handleStep(step streamStep, ticket *balance.Ticket, head *balance.Selection, p *progress) streamEnd {
+func (c *call) handleStep(step streamStep, send *streamSend, p *progress) streamEnd {
+	head := send.head
 	switch {
 	case errors.Is(step.err, io.EOF):
 		c.opt.Table.RecordOutcome(head.Key, false)
@@ -266,7 +383,7 @@
 		c.writeResponse(step.response, step.body)
 		return responseForwarded
 	case step.data != nil:
-		ticket.RecordEvent()
+		send.ticket.RecordEvent()
 		c.recordBegin()
 		return c.writeEvent(step, p)
 	}
@@ -329,9 +446,8 @@
 }
 
 // receive sends the request and reads the response into steps, until it ends or the context is done. What follows events that the
-// client already has must be numbered events: anything else could be the text of an error.
-func (c *call) receive(ctx context.Context, head *balance.Selection, p *progress, steps chan<- streamStep) {
-	lastEventID, resumed := p.lastEventID, p.headerWritten
+// client already has, if the stream is resumed, must be numbered events: anything else could be the text of an error.
+func (c *call) receive(ctx context.Context, head *balance.Selection, lastEventID string, resumed bool, steps chan<- streamStep) {
 	emit := func(step streamStep) bool {
 		select {
 		case steps <- step:
