--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -51,12 +51,9 @@
 
 // startDrainingNode starts a node with the replica and a grace period of 2 s.
 func startDrainingNode(c *quicktest.C, replica string) (front string, terminate context.CancelFunc, ended <-chan struct{}) {
-	store := &recordStore{objects: map[string][]map[string]any{}, changed: make(chan struct{})}
-	var spec map[string]any
-	c.Assert(json.Unmarshal([]byte(drainConfig), &spec), quicktest.IsNil)
-	store.create(platform.KindConfig, map[string]any{"metadata": map[string]any{"name": platform.ConfigName}, "spec": spec})
-	store.create(platform.KindReplicas, map[string]any{"metadata": map[string]any{"name": "i-1"},
-		"spec": map[string]any{"service": "desk", "address": replica, "zone": "z", "slots": 64, "state": "ready"}})
+	store := newFakeStore()
+	store.put(platform.KindConfig, platform.ConfigName, json.RawMessage(drainConfig))
+	store.put(platform.KindReplicas, "i-1", map[string]any{"service": "desk", "address": replica, "zone": "z", "slots": 64, "state": "ready"})
 	server := httptest.NewServer(store)
 	c.Cleanup(server.Close)
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
