--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	store string
 	port  int // The first of the internal ports.
 	nodes int // Started so far.
+	// running counts the nodes that haven't stopped. All are told to stop before the first is waited for.
+	running *sync.WaitGroup
 }
 
 func newZone(c *quicktest.C, store *fakeStore) *testZone {
@@ -29,7 +32,9 @@
 	c.Assert(err, quicktest.IsNil)
 	port := probe.Addr().(*net.TCPAddr).Port
 	c.Assert(probe.Close(), quicktest.IsNil)
-	return &testZone{c: c, store: strings.TrimPrefix(server.URL, "http://"), port: port}
+	z := &testZone{c: c, store: strings.TrimPrefix(server.URL, "http://"), port: port, running: &sync.WaitGroup{}}
+	c.Cleanup(z.running.Wait)
+	return z
 }
 
 // start starts one node more, for the first time if firstRun is true.
@@ -41,13 +46,8 @@
 		"127.0.0.1:0", ip+":0", `"ip":"127.0.0.1"`, fmt.Sprintf(`"ip":%q`, ip), `[0,9]`, fmt.Sprintf("[%d,%d]", z.port, z.port+9)).Replace(testSettings)
 	n := newNode(c, text)
 	ctx, cancel := context.WithCancel(context.Background())
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		c.Check(n.Run(ctx), quicktest.IsNil)
-	}()
-	c.Cleanup(func() { <-stopped })
 	c.Cleanup(cancel)
+	z.running.Go(func() { c.Check(n.Run(ctx), quicktest.IsNil) })
 	return n, cancel
 }
 
