Count and log what a store that came back older means for a node

Counters of restores seen and of answers refused as ones of a former era; lines when unknown routes and keys begin and cease to be refused only temporarily, and why.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,7 @@
 	storeCalls     *callCounter
 	storeContact   *storeContact
 	storeEra       *eraRecord
+	eraMetrics     eraMetrics
 	newest         newestConfig
 
 	mu                    sync.Mutex
@@ -110,7 +111,10 @@
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
 	}
-	n.store.OnCall, n.store.OnEra = n.storeCalls.record, n.learnEra
+	if n.eraMetrics, err = newEraMetrics(metrics.Meter()); err != nil {
+		return nil, err
+	}
+	n.store.OnCall, n.store.OnEra, n.store.OnFormerEra = n.storeCalls.record, n.learnEra, n.eraMetrics.countFormer
 	n.budget = retry.New(retry.Options{Share: s.Bounds.RetryRatio * retryBudgetFraction, BurstNow: n.localRetrySlack,
 		FloorPerSecond: -1, Log: log, Meter: metrics.Meter()})
 	n.mesh, err = gossip.New(gossip.Options{Address: s.Peer, Zone: s.Zone, Clock: c, Log: log, LocalState: n.localGossip, OnMessage: n.applyPeerGossip})
@@ -369,7 +373,7 @@
 func (n *Node) sweepTargets(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	lastSummary := n.clock.Now()
+	lastSummary, doubted := n.clock.Now(), false
 	for {
 		select {
 		case <-ctx.Done():
@@ -386,6 +390,7 @@
 			n.statements.DivideAmong(n.settings.Peer, n.mesh.Destinations())
 		}
 		n.readNewerConfig(ctx)
+		doubted = n.logConfigDoubt(doubted)
 		n.registry.Expire()
 		n.logDepartures()
 		view := n.registry.View()
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/fleet"
@@ -106,6 +110,22 @@
 	return r.settled || r.era == 0
 }
 
+// eraMetrics counts what tells of restores of the store.
+type eraMetrics struct{ restores, formerAnswers metric.Int64Counter }
+
+func newEraMetrics(m metric.Meter) (eraMetrics, error) {
+	restores, err := m.Int64Counter("cassiadeal_store_restores", metric.WithDescription("Times that the store was seen to come back from an older copy."))
+	if err != nil {
+		return eraMetrics{}, eris.Wrap(err, "create the counter of restores")
+	}
+	former, err := m.Int64Counter("cassiadeal_store_former_answers", metric.WithDescription("Answers refused as ones of a former era of the store, by method and kind."))
+	return eraMetrics{restores, former}, eris.Wrap(err, "create the counter of former answers")
+}
+
+func (m eraMetrics) countFormer(method, kind string) {
+	m.formerAnswers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("method", method), attribute.String("kind", kind)))
+}
+
 // learnEra records an era of the store that an answer of the store or of a mirror, or another node, has stated. A higher one than the
 // known one means that the store has come back from an older copy; see platform.Store.Era. It is safe for concurrent use.
 func (n *Node) learnEra(era int64) {
@@ -122,6 +142,7 @@
 	}
 	n.log.WithFields(logrus.Fields{"era": era, "former_era": former, "entries_held_ms": fleet.ReturnGrace.Milliseconds(),
 		"unknown_routes_held_ms": configRewriteTime.Milliseconds()}).Warning("the store has come back from an older copy")
+	n.eraMetrics.restores.Add(context.Background(), 1)
 	n.storeRestored(era)
 }
 
--- a/internal/entry/newest.go
+++ b/internal/entry/newest.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/platform"
@@ -93,6 +95,18 @@
 	return ""
 }
 
+// logConfigDoubt logs when it changes whether there may be a newer configuration. It returns whether there may be one.
+func (n *Node) logConfigDoubt(before bool) bool {
+	doubt := n.configDoubt()
+	switch {
+	case doubt != "" && !before:
+		n.log.WithFields(logrus.Fields{"why": doubt, "config_version": n.configVersion()}).Info("there may be a newer configuration; unknown routes and keys are refused only temporarily")
+	case doubt == "" && before:
+		n.log.WithField("config_version", n.configVersion()).Info("the configuration in force is known to be the newest")
+	}
+	return doubt != ""
+}
+
 // awaitPeerVersion waits at the start of a node until another node has stated its version, and one that is higher than the given one has
 // been read, for up to peerConfigWait: the store may hold an older configuration than that in force, in which a key isn't withdrawn yet.
 func (n *Node) awaitPeerVersion(version int64) {
