Keep newer groups of replicas when an older copy of the store lists former ones

By the copy from which the store had come back, nodes sent requests to heads that had left for another group, until these had written their entries again. A replica never goes back to an earlier epoch, so for the time that replicas take to write, an entry of a lower epoch doesn't replace the known group and weights of the same start. Evidence: TestGroupsInAnOlderCopyDoNotReplaceNewerOnes fails without it. No play showed the fault; it was found by reading.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -256,6 +256,7 @@
 	if known := r.replicas[entry.ID]; entry.Draining && known != nil && !known.Draining {
 		r.departures.Draining = append(r.departures.Draining, entry.ID)
 	}
+	entry = r.restored.withNewerGroup(entry, r.replicas[entry.ID], now)
 	r.dropSuperseded(entry)
 	r.replicas[entry.ID] = entry
 	if entry.ColdFor > 0 {
--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -45,6 +45,17 @@
 	return known && u.startedUnixMs == entry.StartedUnixMs && now < u.until
 }
 
+// withNewerGroup returns the entry, with the group and weights of the known one if that is of a later epoch: a replica never goes back to an
+// earlier one, so the entry is one of the copy that the replica hasn't written again yet.
+func (s *restoredState) withNewerGroup(entry, known *Replica, now clock.Time) *Replica {
+	if now >= s.rewrittenBy() || known == nil || known.StartedUnixMs != entry.StartedUnixMs || entry.Group == nil || epochOf(entry.Group) >= epochOf(known.Group) {
+		return entry
+	}
+	merged := *entry
+	merged.Group, merged.Models, merged.Staged = known.Group, known.Models, known.Staged
+	return &merged
+}
+
 // coldUntil returns the end of the cold time that this start of the replica had stated before; 0 if there is none.
 func (s *restoredState) coldUntil(entry *Replica) clock.Time {
 	if c, known := s.cold[entry.ID]; known && c.startedUnixMs == entry.StartedUnixMs {
--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -166,3 +166,26 @@
 	r.Expire()
 	c.Check(usable(r), quicktest.DeepEquals, []string{"a"})
 }
+
+// Guards against requests to the head of a group that a replica has left for a newer one, by the copy from which the store came back.
+func TestGroupsInAnOlderCopyDoNotReplaceNewerOnes(t *testing.T) {
+	c := quicktest.New(t)
+	r, now := newRestorable()
+	member := func(epoch, born int64) *Replica {
+		replica := startOf("a", born, false)
+		replica.Group, replica.Models = &Membership{Name: "g", Epoch: epoch, State: GroupOpen}, []string{"m"}
+		return replica
+	}
+	epoch := func() int64 { return r.View().Replicas["a"].Group.Epoch }
+	r.Replace([]*Replica{member(7, 1)})
+	r.restoreForTest()
+	r.Replace([]*Replica{member(5, 1)})
+	c.Check(epoch(), quicktest.Equals, int64(7))
+	r.Apply([]Change{{ID: "a", Replica: member(8, 1)}}) // Written again.
+	c.Check(epoch(), quicktest.Equals, int64(8))
+	r.Replace([]*Replica{member(5, 2)}) // Another start.
+	c.Check(epoch(), quicktest.Equals, int64(5))
+	now.Advance(ReturnGrace)
+	r.Replace([]*Replica{member(4, 2)})
+	c.Check(epoch(), quicktest.Equals, int64(4))
+}
