Don't wait for other nodes at each start before the store's configuration is in force

After all nodes had been killed at once, more requests were refused than before: each node waited for up to 300 ms to hear which version of the configuration others had, and none had one. A node now waits only if it knows already that another has a higher version than the store. Otherwise it serves by the store's, and reads a newer one as soon as it hears of it, in its first 600 ms without a delay. After a restore it may thus serve by the copy for a moment.

--- a/internal/entry/newest.go
+++ b/internal/entry/newest.go
@@ -21,8 +21,8 @@
 	// calm, the store or a mirror tells of it sooner.
 	peerConfigDelay   = 2 * sweepInterval
 	peerConfigTimeout = time.Second
-	// peerConfigWait is the time after its start for which a node waits to hear which version others have before it puts one that it has
-	// read into force. It gets three datagrams of each node that knows it in that time.
+	// peerConfigWait is the time after its start for which a node that knows that another has a higher version than the store waits for
+	// that one. It doesn't wait to hear of others: when all nodes start at once, clients are waiting too.
 	peerConfigWait = 3 * gossip.Interval
 )
 
@@ -63,13 +63,6 @@
 	return c.peerVersion, c.firstHeard
 }
 
-// heardAny reports whether another node has stated a version.
-func (c *newestConfig) heardAny() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.peerVersion > 0
-}
-
 // configVersion returns the version of the configuration in force; 0 if there is none.
 func (n *Node) configVersion() int64 {
 	if cfg := n.registry.View().Config; cfg != nil {
@@ -107,14 +100,11 @@
 	return doubt != ""
 }
 
-// awaitPeerVersion waits at the start of a node until another node has stated its version, and one that is higher than the given one has
-// been read, for up to peerConfigWait: the store may hold an older configuration than that in force, in which a key isn't withdrawn yet.
+// awaitPeerVersion waits at the start of a node, for up to peerConfigWait, while another node is known to have a higher version than the
+// given one, which the store holds: a key may not be withdrawn yet in the latter.
 func (n *Node) awaitPeerVersion(version int64) {
-	if n.settings.FirstRun {
-		return
-	}
 	for n.configVersion() == 0 && n.mesh.Uptime() < peerConfigWait {
-		if higher, _ := n.newest.higherThan(version, n.clock.Now()); higher == 0 && n.newest.heardAny() {
+		if higher, _ := n.newest.higherThan(version, n.clock.Now()); higher == 0 {
 			return
 		}
 		time.Sleep(sourceCheckInterval)
@@ -122,11 +112,11 @@
 }
 
 // readNewerConfig starts to read the configuration from another node that has had a higher version than this one for peerConfigDelay. A
-// node that has none yet doesn't wait.
+// node that has just started doesn't wait.
 func (n *Node) readNewerConfig(ctx context.Context) {
 	own, now := n.configVersion(), n.clock.Now()
 	higher, since := n.newest.higherThan(own, now)
-	if higher == 0 || own != 0 && now.Sub(since) < peerConfigDelay || !n.newest.fetching.CompareAndSwap(false, true) {
+	if higher == 0 || n.mesh.Uptime() > discoveryTime && now.Sub(since) < peerConfigDelay || !n.newest.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	var sources []string
