Replace a planner's lease that can't be decoded

Groups were planned by no node any more once another writer had replaced the lease by a record that can't be decoded: every node failed to read it, for ever. Change: such a record counts as one of no era. A holder whose lease is still valid replaces it; otherwise it is taken over like the lease of a holder that is silent. Evidence: TestUnreadableLeaseIsReplaced failed before. The test's store now sends the content as it is, since encoding/json can't encode a deeply nested one.

--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -43,6 +43,9 @@
 	revisionsPerEra = 1_000_000
 	maxTermEra      = 50_000
 
+	// noEra is the era of a record that can't be decoded. It is no present one, so the record says nothing about who planned last.
+	noEra = -1
+
 	leaseKind = "cassiadeal-planner"
 	leaseName = "lease"
 )
@@ -432,7 +435,11 @@
 	if err != nil {
 		return object, record, err
 	}
-	return object, record, json.Unmarshal(object.Spec, &record)
+	if err := json.Unmarshal(object.Spec, &record); err != nil || record.Node == "" {
+		l.log.WithError(err).WithField("revision", object.Revision).Warning("the planner's lease can't be decoded")
+		record = leaseRecord{Era: noEra}
+	}
+	return object, record, nil
 }
 
 // tryAcquire reads the lease, and acquires it if an earlier process of this node wrote it, or if it doesn't exist and the store can't
--- a/internal/planner/restore_test.go
+++ b/internal/planner/restore_test.go
@@ -132,8 +132,7 @@
 	if s.now.revision == 0 {
 		return http.StatusNotFound, nil
 	}
-	body, _ := json.Marshal(map[string]any{"metadata": map[string]any{"name": leaseName, "revision": s.now.revision}, "spec": s.now.spec})
-	return status, body
+	return status, fmt.Appendf(nil, `{"metadata":{"name":%q,"revision":%d},"spec":%s}`, leaseName, s.now.revision, s.now.spec)
 }
 
 // step carries out late writes that are due and keeps a copy. It reports whether one of them changed the lease.
@@ -515,6 +514,27 @@
 	c.Assert(holder.lease.Valid(), quicktest.IsFalse)
 }
 
+// Guards against groups that no node plans any more, since another writer has replaced the lease by a record that can't be read.
+func TestUnreadableLeaseIsReplaced(t *testing.T) {
+	c := quicktest.New(t)
+	for _, spec := range []string{`{"node":7}`, `{"node":"n0","era":1e400}`, `[]`, `null`, strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)} {
+		e := newElection(t, 3, 8)
+		holder := e.runUntilPlanner(maxTakeover)
+		overwrite := func() {
+			e.store.update(func() {
+				e.store.now.counter++
+				e.store.now.revision, e.store.now.spec = e.store.now.counter, json.RawMessage(spec)
+			})
+		}
+		overwrite()
+		e.run(3 * time.Second)
+		c.Assert(holder.lease.Valid(), quicktest.IsTrue)
+		e.retire(holder, time.Minute)
+		overwrite()
+		e.runUntilPlanner(maxTakeover)
+	}
+}
+
 // Guards against two planners in an outage of the store: one that was suspended took its lease for valid, although it heard that another
 // node had acquired the lease since.
 func TestResumedHolderThatHearsOfItsSuccessorStops(t *testing.T) {
