Bound the log lines about unreadable objects

An object that another writer changes all the time, or with names and values of a megabyte, could fill the log of every node that reads it. Change: 20 such objects are logged in 10 s, with names and errors cut to 200 bytes; the next line states how many were left out.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,7 @@
 	registered     chan struct{} // Closed when this node's record was written, or the first attempt to write it has failed.
 	storeCalls     *callCounter
 	storeContact   *storeContact
+	unreadable     unreadableCounter
 
 	mu                    sync.Mutex
 	storeEra              int64                      // Highest era of the store that is known; 0 if none.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/internal/mirror"
@@ -263,11 +261,6 @@
 	}
 }
 
-// logUnreadable logs an object that can't be decoded or lacks a required field.
-func (n *Node) logUnreadable(o platform.Object, err error) {
-	n.log.WithError(err).WithFields(logrus.Fields{"object": o.Name, "revision": o.Revision}).Warning("invalid object in the store")
-}
-
 const (
 	// mirrorRetryDelay is the time before a mirror that could not be read is tried again.
 	mirrorRetryDelay = 3 * time.Second
