Ignore records of nodes with unusable addresses or times

A record of a node with a port out of range became a destination of datagrams: each of ten a second failed and was logged. The age of a crash far in the past overflowed. Evidence: TestOddRecordsOfNodesAreIgnored failed before (four such destinations). That the overflow had an effect isn't shown: the test passes without the bound of the age.

--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/hostport"
 	"cassiadeal.example/cassiadeal/platform"
 )
 
@@ -17,6 +18,8 @@
 	registerTimeout = 1500 * time.Millisecond
 	// recordInterval is the minimum time between two writes of a node's record after the first.
 	recordInterval = time.Second
+	// maxSavedCrashAge bounds the age of a crash in a record. Requests are refused for much less.
+	maxSavedCrashAge = 24 * time.Hour
 )
 
 // nodeRecord is a node's record in the store, through which other nodes find it.
@@ -57,6 +60,9 @@
 	n.mesh.AddDestinations(record.Peer)
 	now := time.Now().UnixMilli()
 	for _, c := range record.Crashes {
+		if c.CrashedUnixMs < now-maxSavedCrashAge.Milliseconds() {
+			continue
+		}
 		n.crashes.Record(crash.Crash{Request: crash.Request{Fingerprint: c.Fingerprint, Parts: c.Parts}, Target: c.Target,
 			Incarnation: c.Incarnation, Began: c.Began, Age: time.Duration(max(0, now-c.CrashedUnixMs)) * time.Millisecond})
 	}
@@ -68,7 +74,7 @@
 		if o.Deleted {
 			continue
 		}
-		if err := json.Unmarshal(o.Spec, &record); err != nil || record.Peer == "" {
+		if err := json.Unmarshal(o.Spec, &record); err != nil || hostport.Check(record.Peer) != nil {
 			n.logUnreadable(o, err)
 			continue
 		}
