Own interface: read the other objects of a kind when one can't be decoded

Nodes could read no list and no watch of a kind any more, and no list of VMs, once one object or VM there was nested too deeply, or had a number too large for its type ("exceeded max depth", "cannot unmarshal number"). Change: lists, responses to watches and lists of VMs are split into their items without recursion, and each item is decoded for itself. A cut-off response still fails as a whole.

--- a/internal/platform/read.go
+++ b/internal/platform/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -12,24 +11,6 @@
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
-type listItem struct {
-	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
-	Deleted bool            `json:"deleted"`
-	Data    json.RawMessage `json:"data"`
-}
-
-type listResponse struct {
-	Version uint64     `json:"version"`
-	Items   []listItem `json:"items"`
-	Events  []listItem `json:"events"`
-}
-
-type vmListResponse struct {
-	Version uint64            `json:"version"`
-	VMs     []json.RawMessage `json:"vms"`
-}
-
 // Get returns an object.
 func (c *Client) Get(ctx context.Context, kind, name string) (*Object, error) {
 	operation := fmt.Sprintf("get %s/%s", kind, name)
@@ -52,7 +33,7 @@
 		return nil, 0, readError(operation, resp, err)
 	}
 	var parsed listResponse
-	if err := json.Unmarshal(resp.body, &parsed); err != nil {
+	if err := parsed.decode(resp.body); err != nil {
 		return nil, 0, readError(operation, nil, err)
 	}
 	objects := make([]Object, 0, len(parsed.Items))
@@ -71,7 +52,7 @@
 		return nil, 0, readError(operation, resp, err)
 	}
 	var parsed listResponse
-	if err := json.Unmarshal(resp.body, &parsed); err != nil {
+	if err := parsed.decode(resp.body); err != nil {
 		return nil, 0, readError(operation, nil, err)
 	}
 	events := make([]Event, 0, len(parsed.Events))
@@ -111,14 +92,15 @@
 		return nil, 0, readError(r.operation+" VMs", resp, err)
 	}
 	var parsed vmListResponse
-	if err := json.Unmarshal(resp.body, &parsed); err != nil {
+	if err := parsed.decode(resp.body); err != nil {
 		return nil, 0, readError(r.operation+" VMs", nil, err)
 	}
 	vms := make([]*schema.VM, 0, len(parsed.VMs))
 	for _, raw := range parsed.VMs {
-		vm := &schema.VM{}
-		if err := Decode(raw, vm); err != nil {
-			return nil, 0, readError(r.operation+" VMs", nil, err)
+		vm, err := decodeVM(raw)
+		if err != nil {
+			c.opts.Log.WithError(err).Warning("an invalid VM in the platform's list is left out")
+			continue
 		}
 		vms = append(vms, vm)
 	}
