Own interface: keep the right to serve beside a record that can't be decoded

Nodes were in doubt about their right to serve once the record of a node couldn't be decoded: the whole list of nodes counted as unread, and the node whose record it was never wrote it again. While only a record of no node can't be decoded, the list of nodes stays as it was; the right to serve then rests on heartbeats. Change: such a record is left out. If the node was known, its last known record stays until its lease lapses. A node's own one is replaced. Evidence: TestUnreadableRecords failed before (node n0 in doubt). With a record of no node alone it passed before too.

--- a/internal/membership/renew.go
+++ b/internal/membership/renew.go
@@ -108,7 +108,9 @@
 	}
 	var stored schema.Node
 	if err := platform.Decode(object.Data, &stored); err != nil {
-		return 0, false, fmt.Errorf("decode record of node %q: %w", name, err)
+		// It is no newer process's record, so the next write replaces it.
+		m.opts.Log.WithError(err).WithField("node", name).Warning("the record of this node can't be decoded")
+		return object.Version, false, nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -129,15 +131,23 @@
 		return err
 	}
 	found := make(map[string]*record, len(objects))
+	var unreadable []string
 	for _, o := range objects {
 		node := &schema.Node{}
 		if err := platform.Decode(o.Data, node); err != nil {
-			return fmt.Errorf("decode record of node %q: %w", o.Name, err)
+			m.opts.Log.WithError(err).WithField("node", o.Name).Warning("the record of a node can't be decoded")
+			unreadable = append(unreadable, o.Name)
+			continue
 		}
 		found[o.Name] = &record{node: node, version: o.Version}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, name := range unreadable {
+		if known := m.listed[name]; known != nil {
+			found[name] = known // The node's lease lasts until it lapses.
+		}
+	}
 	return m.applyList(found, sent)
 }
 
