Own interface: keep the holders of other tables when one can't be decoded

No target had a holder once one holder table, even one of no failure domain, couldn't be decoded: every read of the tables failed. Change: such a table is left as it was last known, and the others are read. No node can change a table that can't be decoded, so the holders that it named stay the only ones. Evidence: TestUnreadableTables failed before ("0 nodes hold t0" for all targets), and checks for exactly one holder of each target.

--- a/internal/holder/tables.go
+++ b/internal/holder/tables.go
@@ -50,8 +50,8 @@
 	for _, e := range events {
 		if e.Deleted {
 			h.applyTableLocked(e.Object.Name, table{version: e.Object.Version})
-		} else if err := h.applyObjectLocked(e.Object); err != nil {
-			return err
+		} else {
+			h.applyObjectLocked(e.Object)
 		}
 	}
 	*since = max(version, *since)
@@ -73,9 +73,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, o := range objects {
-		if err := h.applyObjectLocked(o); err != nil {
-			return err
-		}
+		h.applyObjectLocked(o)
 	}
 	h.listVersion, h.needsReread, h.rightConfirmedAt = max(version, h.listVersion), false, h.opts.Now()
 	return nil
@@ -100,18 +98,19 @@
 	return t, nil
 }
 
-// applyObjectLocked decodes a table and replaces this node's copy with it unless a later version is known.
-func (h *Holders) applyObjectLocked(o Object) error {
+// applyObjectLocked decodes a table and replaces this node's copy with it unless a later version is known. If it can't be decoded, the
+// copy stays as it is: no node can change such a table, so the holders that it named stay the only ones.
+func (h *Holders) applyObjectLocked(o Object) {
 	t, err := decode(o)
 	if err != nil {
-		return err
+		h.opts.Log.WithError(err).WithField("failure_domain", o.Name).Warn("a holder table can't be decoded")
+		return
 	}
 	next := table{version: o.Version, entries: make(map[string]Entry, len(t.Holders))}
 	for id, e := range t.Holders {
 		next.entries[id] = Entry{Identity{e.Node, e.Incarnation}, e.Epoch}
 	}
 	h.applyTableLocked(o.Name, next)
-	return nil
 }
 
 // applyTableLocked replaces this node's copy of a table unless it already has this version or a later one. It drops
@@ -264,11 +263,9 @@
 	return o, nil
 }
 
-// applyObject is applyObjectLocked for callers that don't hold mu. It logs an error.
+// applyObject is applyObjectLocked for callers that don't hold mu.
 func (h *Holders) applyObject(o Object) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if err := h.applyObjectLocked(o); err != nil {
-		h.opts.Log.WithError(err).Error("could not decode holder table")
-	}
+	h.applyObjectLocked(o)
 }
