Own interface: keep the plans of other fabric domains when one can't be decoded

No fabric domain had a plan on a node that starts, and no change of a plan was followed, once the plan of one of them couldn't be decoded. Change: such a plan is left as it was last known, and the others are read. Evidence: TestUnreadablePlanDoesNotHideOthers failed before.

--- a/internal/groups/follow.go
+++ b/internal/groups/follow.go
@@ -40,9 +40,7 @@
 		return 0, eris.Wrapf(err, "list %s", Kind)
 	}
 	for _, o := range objects {
-		if err := c.cachePlan(o); err != nil {
-			return 0, err
-		}
+		c.cacheReadablePlan(o)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,8 +57,8 @@
 	for _, e := range events {
 		if e.Deleted {
 			c.removePlan(e.Object)
-		} else if err := c.cachePlan(e.Object); err != nil {
-			return 0, err
+		} else {
+			c.cacheReadablePlan(e.Object)
 		}
 	}
 	return max(v, since), nil
@@ -95,6 +93,13 @@
 	return nil
 }
 
+// cacheReadablePlan caches a plan. If it can't be decoded, the last known one stays, and the plans of other fabric domains aren't affected.
+func (c *Controllers) cacheReadablePlan(o Object) {
+	if err := c.cachePlan(o); err != nil {
+		c.options.Log.WithError(err).WithField("fabric_domain", o.Name).Warn("a plan can't be decoded")
+	}
+}
+
 // removePlan removes a deleted plan from the cache and calls the functions set by OnChange.
 func (c *Controllers) removePlan(o Object) {
 	c.mu.Lock()
