--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,7 @@
 	storeEra       *eraRecord
 	eraMetrics     eraMetrics
 	newest         newestConfig
+	unreadable     unreadableCounter
 
 	mu                    sync.Mutex
 	lastRelist            clock.Time                 // When a follower last found the store's history gone.
