Write an accepted configuration again that a restore of the store has taken

What callers saw: after a restore, apply was refused for good ("the platform has revision 1, but nodes have 2"), and nodes that started served by the older configuration if no peer could be reached. A node that knew no lost revision gave its number out again for another text, and nodes that had the lost one kept theirs. Cause: a configuration that was written is taken to be there for good, and revisions are counted on from the stored one. A node with a higher revision than the stored one writes it again, conditionally, as soon as it reads the store. The first revision of an era skips 1000 numbers. An apply waits until the peers' revisions are known.

--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -34,14 +34,21 @@
 	if _, err := s.opts.Parse(text); err != nil {
 		return ApplyResult{}, result.New(result.RulesInvalid, "the rules are invalid").WithCause(err)
 	}
+	if s.opts.Era() > 0 {
+		// This writes a configuration again that a restore has taken.
+		if err := s.Refresh(ctx, 0); err != nil {
+			return ApplyResult{}, result.New(result.PlatformUnavailable, "the current revision can't be read").WithCause(err)
+		}
+	}
 	stored, version, err := s.readCurrent(ctx)
 	if err != nil {
 		return ApplyResult{}, err
 	}
-	if err := s.checkBase(base, stored); err != nil {
+	era := s.opts.Era()
+	if err := s.checkBase(base, stored, era); err != nil {
 		return ApplyResult{}, err
 	}
-	config := &schema.Config{Revision: base + 1, Rules: text, Nonce: uuid.NewString(), Author: author}
+	config := &schema.Config{Revision: nextRevision(stored, era), Rules: text, Nonce: uuid.NewString(), Author: author, StoreEra: era}
 	if err := s.write(ctx, config, version); err != nil {
 		return ApplyResult{}, err
 	}
@@ -78,12 +85,27 @@
 	return stored, o.Version, nil
 }
 
+// revisionGap is added to the first revision that is applied after a restore of the store. It is far above the number of
+// revisions that a copy of the store can lack, so that no lost revision's number is given out again, even if no node knows it.
+const revisionGap = 1000
+
+// nextRevision returns the revision that follows the stored one.
+func nextRevision(stored *schema.Config, era uint64) uint64 {
+	if stored.GetStoreEra() < era {
+		return stored.GetRevision() + revisionGap + 1
+	}
+	return stored.GetRevision() + 1
+}
+
 // checkBase returns an error unless base is the stored revision. It also returns one if the stored revision is lower than
 // one that a node has, or has other content than on this node: the platform returned a stale read or lost data, and an
-// apply would use a revision number twice.
-func (s *Sync) checkBase(base uint64, stored *schema.Config) error {
+// apply would use a revision number twice. After a restore of the store the peers' revisions must be known too.
+func (s *Sync) checkBase(base uint64, stored *schema.Config, era uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if era > 0 && !s.checkPeersKnown() {
+		return result.New(result.PlatformUnavailable, "the platform's store was restored, and the revisions of the other nodes are not known yet")
+	}
 	highestRevision := max(s.highestKnown, s.config.GetRevision())
 	if stored.GetRevision() < highestRevision {
 		return result.New(result.RevisionConflict, "the platform has revision %d, but nodes have %d: it lost data or returned a stale read",
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -87,6 +87,8 @@
 	Platform Platform
 	Members  Members
 	Peers    Peers
+	// Era returns the present era of the platform's store. If it is nil, the store never loses an acknowledged write.
+	Era func() uint64
 	// Parse checks the text of a rules file.
 	Parse func(text string) (*rules.Rules, error)
 
@@ -113,6 +115,8 @@
 	// watchVersion is the platform version up to which changes were read; 0 means that the next read is a full list. Guarded
 	// by refreshMu.
 	watchVersion uint64
+	// stored is what the platform was last found to hold. Guarded by refreshMu.
+	stored storedConfig
 
 	// mu guards all fields below. It may be held in calls to Members, which never calls Sync with its own lock held.
 	mu       sync.Mutex
@@ -134,6 +138,11 @@
 	peerWaitStarted bool
 }
 
+// storedConfig is the revision that the platform holds and the version of the object, 0 if it holds none.
+type storedConfig struct {
+	revision, version uint64
+}
+
 // New returns a Sync without a configuration.
 func New(opts Options) *Sync {
 	for _, d := range []struct {
@@ -147,6 +156,9 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.Boottime()
 	}
+	if opts.Era == nil {
+		opts.Era = func() uint64 { return 0 }
+	}
 	if opts.Log == nil {
 		discardLog := logrus.New()
 		discardLog.SetOutput(io.Discard)
@@ -211,6 +223,9 @@
 		return fmt.Errorf("list of %s has version %d, below %d: stale", Kind, version, minVersion)
 	}
 	s.watchVersion = version
+	if err := s.writeBack(ctx); err != nil {
+		s.opts.Log.WithError(err).Warn("writing the configuration again failed")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastRefresh, s.everRefreshed = started, true
@@ -245,6 +260,7 @@
 	if err != nil {
 		return 0, err
 	}
+	s.stored = storedConfig{}
 	for _, o := range objects {
 		if err := s.adoptObject(o); err != nil {
 			return 0, err
@@ -261,12 +277,44 @@
 	if err := platform.Decode(o.Data, config); err != nil {
 		return err
 	}
+	s.stored = storedConfig{config.GetRevision(), o.Version}
 	if err := s.adopt(config); !errors.Is(err, errInvalidRules) {
 		return err
 	}
 	return nil // adopt has logged the error, and recorded the revision so that Ready takes it into account.
 }
 
+// writeBack writes the configuration in force to the platform again if a restore of the store has taken it. The write is
+// conditional, so that it replaces nothing newer. The caller holds refreshMu.
+func (s *Sync) writeBack(ctx context.Context) error {
+	config, _ := s.Current()
+	if s.opts.Era() == 0 || config.GetRevision() <= s.stored.revision {
+		return nil
+	}
+	data, err := platform.Encode(config)
+	if err != nil {
+		return err
+	}
+	var version uint64
+	if s.stored.version == 0 {
+		version, err = s.opts.Platform.Create(ctx, Kind, Name, data)
+	} else {
+		version, err = s.opts.Platform.Update(ctx, Kind, Name, s.stored.version, data)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		s.watchVersion = 0 // What the platform holds was read too early; the next Refresh lists it again.
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.opts.Log.WithField("revision", config.GetRevision()).WithField("stored_revision", s.stored.revision).
+		Warn("a restore of the platform's store has taken the configuration in force; it is written again")
+	s.countOffer("written_back")
+	s.stored = storedConfig{config.GetRevision(), version}
+	return nil
+}
+
 // adopt puts a configuration in force if its revision is higher than the current one.
 func (s *Sync) adopt(config *schema.Config) error {
 	s.adoptMu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,7 +217,7 @@
 	api := objectAPI{n.platform}
 	self := holder.Identity{Name: n.self.Name, Incarnation: n.self.Incarnation}
 	n.config = configsync.New(configsync.Options{
-		Self: n.self.Name, Platform: n.platform, Members: n.membership, Peers: n.peers, Parse: parseRules,
+		Self: n.self.Name, Platform: n.platform, Members: n.membership, Peers: n.peers, Era: n.platform.Era, Parse: parseRules,
 		Clock: n.clock, Log: n.log, Meter: meter,
 	})
 	n.config.OnChange(n.onRules)
