Let a restore of the store end no running node and shrink no majority

What callers saw: a node ended by itself ("node record belongs to another incarnation") when the copy had the record of its former process, and claims of running nodes counted as those of ended ones. A list of nodes from the copy was counted for majorities, though nodes that joined since run. Cause: a record with a higher version is taken to be written later, and a list that is read later to name all nodes. Records name the era in which they were written; one of a former era replaces no process. Records that were known before the restore stay listed for a term and the margin, until their nodes have written them again. A node renews as soon as it notices a restore.

--- a/internal/membership/fake_test.go
+++ b/internal/membership/fake_test.go
@@ -36,6 +36,16 @@
 // freezeReads makes all later reads return the present state.
 func (s *fakeStore) freezeReads() { s.snapshot, s.snapshotVersion = maps.Clone(s.objects), s.version }
 
+// restore brings the objects of a copy back, in the next era, with the versions that the platform client states.
+func (s *fakeStore) restore(copied map[string]platform.Object, version uint64) {
+	era := platform.EraOf(s.version) + 1
+	s.objects, s.version = map[string]platform.Object{}, platform.VersionIn(era, version)
+	for key, o := range copied {
+		o.Version = platform.VersionIn(era, o.Version)
+		s.objects[key] = o
+	}
+}
+
 func (s *fakeStore) write(kind, name string, version uint64, data []byte) (uint64, error) {
 	if s.objects[kind+"/"+name].Version != version {
 		return 0, platform.ErrConflict
@@ -147,7 +157,7 @@
 func (c *cluster) addNode(name, incarnation string, change func(*testNode, *Options)) *testNode {
 	n := &testNode{clk: clock.NewManual(time.Hour), platform: &storeClient{store: c.store}, clockRate: 1, cluster: c, name: name}
 	opts := Options{Self: &schema.Node{Name: name, Incarnation: incarnation, PeerAddress: name}, Platform: n.platform,
-		Peers: n, Clock: n.clk}
+		Peers: n, Clock: n.clk, Era: func() uint64 { return platform.EraOf(c.store.version) }}
 	if change != nil {
 		change(n, &opts)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -69,6 +69,8 @@
 	ForgetAfter time.Duration // Time from the lapse of a node's lease until its record is removed.
 	MaxOutage   time.Duration // Longest time without a platform lease during which a majority is enough.
 
+	// Era returns the present era of the platform's store. If it is nil, the store never loses an acknowledged write.
+	Era   func() uint64
 	Clock clock.Clock // Default clock.Boottime().
 	Log   logrus.FieldLogger
 	Meter metric.Meter
@@ -117,9 +119,14 @@
 	// of the uninterrupted sequence of such lists. Both are unset while listEverCurrent is false.
 	listCurrentAt, listCurrentSince clock.Time
 	listEverCurrent                 bool
-	peers                           map[string]*peer
-	unlistedSince                   map[string]clock.Time // When LeaseEnded first found a node absent from the list.
-	heartbeatsRequested             chan struct{}         // Closed and replaced when heartbeats are to be sent now.
+	// listEra is the era of the store in which the list was read. beforeRestore holds the records that were listed in the former
+	// era and that their nodes haven't written again, for a term and the margin after restoredAt.
+	listEra             uint64
+	beforeRestore       map[string]*record
+	restoredAt          clock.Time
+	peers               map[string]*peer
+	unlistedSince       map[string]clock.Time // When LeaseEnded first found a node absent from the list.
+	heartbeatsRequested chan struct{}         // Closed and replaced when heartbeats are to be sent now.
 }
 
 // record is a node's lease record in the platform.
@@ -186,6 +193,9 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.Boottime()
 	}
+	if opts.Era == nil {
+		opts.Era = func() uint64 { return 0 }
+	}
 	if opts.Log == nil {
 		discard := logrus.New()
 		discard.SetOutput(io.Discard)
--- a/internal/membership/renew.go
+++ b/internal/membership/renew.go
@@ -69,6 +69,7 @@
 	self.ConfigRevision = status.GetConfigRevision()
 	self.LeaseTermMs = m.opts.Term.Milliseconds()
 	self.Nonce = uuid.NewString()
+	self.StoreEra = m.opts.Era()
 	data, err := platform.Encode(self)
 	if err != nil {
 		return 0, err
@@ -96,7 +97,8 @@
 
 // findOwnRecord returns the version of the record with this node's name, 0 if there is none, and whether this process wrote
 // it. A record of another incarnation is taken to be an older process's as long as this process has not written one; the
-// next write then replaces it. If it is newer than the last write of this process, findOwnRecord returns ErrReplaced.
+// next write then replaces it. If it is newer than the last write of this process, findOwnRecord returns ErrReplaced. A record
+// of a former era is no newer one: a restore of the store has brought it back.
 func (m *Membership) findOwnRecord(ctx context.Context) (version uint64, own bool, err error) {
 	name := m.opts.Self.GetName()
 	object, err := m.opts.Platform.Get(ctx, Kind, name)
@@ -113,7 +115,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own = stored.GetIncarnation() == m.opts.Self.GetIncarnation()
-	if !own && m.lastRenewalVersion != 0 && object.Version > m.lastRenewalVersion {
+	restored := stored.GetStoreEra() < platform.EraOf(object.Version)
+	if !own && !restored && m.lastRenewalVersion != 0 && object.Version > m.lastRenewalVersion {
 		m.supersededBy = stored.GetIncarnation()
 		return 0, false, fmt.Errorf("node %q: %w", name, ErrReplaced)
 	}
@@ -124,7 +127,7 @@
 // least as new as that renewal. With a stale list, the lease of a live node could appear to have lapsed.
 func (m *Membership) readNodes(ctx context.Context) error {
 	sent := m.clk.Now()
-	objects, _, err := m.opts.Platform.List(ctx, Kind)
+	objects, version, err := m.opts.Platform.List(ctx, Kind)
 	if err != nil {
 		return err
 	}
@@ -138,12 +141,12 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.applyList(found, sent)
+	return m.applyList(found, platform.EraOf(version), sent)
 }
 
-// applyList replaces the list of nodes by one that was requested at sent. It returns an error if the list doesn't contain
+// applyList replaces the list of nodes by one that was requested at sent and read in an era of the store. It returns an error if the list doesn't contain
 // this node's last renewal. The caller holds mu.
-func (m *Membership) applyList(found map[string]*record, sent clock.Time) error {
+func (m *Membership) applyList(found map[string]*record, era uint64, sent clock.Time) error {
 	own := found[m.opts.Self.GetName()]
 	if m.lastRenewalVersion != 0 && (own == nil || own.version < m.lastRenewalVersion) {
 		if own == nil {
@@ -159,6 +162,7 @@
 		}
 		delete(m.unlistedSince, name)
 	}
+	m.keepRecordsBeforeRestore(found, era, now)
 	m.changeBases(func() { m.listed, m.listKnown = found, true })
 	for name, p := range m.peers {
 		if found[name] == nil && now.Sub(p.lastContactAt) > m.opts.Term+m.opts.Margin {
@@ -179,6 +183,31 @@
 	return nil
 }
 
+// keepRecordsBeforeRestore adds to a list the records that were known before a restore of the store and that their nodes haven't
+// written again, until they had a term and the margin for that. With the records of the copy alone, a majority could be counted
+// that has no node in common with a majority of before, and a running process could count as ended. The caller holds mu.
+func (m *Membership) keepRecordsBeforeRestore(found map[string]*record, era uint64, now clock.Time) {
+	if era > m.listEra && m.listKnown {
+		m.beforeRestore, m.restoredAt = map[string]*record{}, now
+		for name, r := range m.listed {
+			if name != m.opts.Self.GetName() {
+				m.beforeRestore[name] = &record{node: r.node, version: r.version, firstReadAt: now}
+			}
+		}
+	}
+	m.listEra = era
+	if now.Sub(m.restoredAt) >= m.opts.Term+m.opts.Margin {
+		m.beforeRestore = nil
+	}
+	for name, r := range m.beforeRestore {
+		if listed := found[name]; listed != nil && listed.node.GetStoreEra() >= era {
+			delete(m.beforeRestore, name)
+			continue
+		}
+		found[name] = r
+	}
+}
+
 // removeExpiredRecords deletes the records of nodes that have not renewed for long. If a majority confirms that the node is
 // silent, its record is deleted once it was unchanged for its term, the margin and ForgetAfter. Otherwise the node may
 // still be serving on the basis of a majority without this node, so the record stays until that basis has ended, which is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,7 +179,7 @@
 		Self: n.self, Platform: n.platform, Peers: n.peers,
 		Heartbeat: timing.Heartbeat, Renew: timing.Renew, Term: timing.Term, Margin: timing.Margin,
 		ForgetAfter: timing.ForgetAfter, MaxOutage: timing.MaxOutage,
-		Clock: n.clock, Log: n.log, Meter: meter,
+		Clock: n.clock, Log: n.log, Meter: meter, Era: n.platform.Era,
 		FillStatus: n.fillStatus, OnPeerStatus: n.onPeerStatus,
 		AfterRenew: n.afterRenew,
 	})
@@ -192,9 +192,10 @@
 	return nil
 }
 
-// storeRestored is called when the platform's store has come back from an older copy. It has the start of the era recorded at
-// once: keys that were created before it can't be claimed any more.
+// storeRestored is called when the platform's store has come back from an older copy. It has this node's record written again,
+// and the start of the era recorded: keys that were created before it can't be claimed any more.
 func (n *Node) storeRestored() {
+	n.membership.Renew()
 	go func() {
 		if _, err := n.platform.EraStart(n.requestContext); err != nil {
 			n.log.WithError(err).Warn("the start of the store's era could not be recorded; the next claim tries again")
