Let no two nodes send to a target after a restore of the holder tables

What callers saw: targets beyond what they can bear. The copy named a former holder, which sent to the target at once, beside the present holder until that had read the tables; targets whose entries were lost were taken as free. A table that was lost as a whole kept its entries in memory for good. Cause: the table that is read last is taken to hold every entry that was written. Entries that the restored table lacks become takeovers that aren't written yet, as after an outage: announced, acknowledged by a majority, and written again by their holders. A node that didn't hold a target throughout waits a term and the margin, and is in doubt as long again. Nothing is taken over from the table for twice that time; a free target is taken in doubt while a node is cut off from the platform. A takeover of a lost table is based on the present one.

--- a/internal/holder/decide.go
+++ b/internal/holder/decide.go
@@ -127,6 +127,10 @@
 	Absent            map[Identity]bool
 	RightToServe      bool
 	PlatformReachable bool
+	// Restored is true if the store was restored so recently that a target may have a holder whose entry was lost.
+	Restored bool
+	// EverRestored is true if the store was ever restored. A node that can't reach it may then hold a target whose entry was lost.
+	EverRestored bool
 	// Fixed is true for targets that must not be moved, for example because they are in doubt.
 	Fixed map[string]bool
 	// MaxMoves is the maximum number of targets in Decision.HandOver.
@@ -178,18 +182,19 @@
 // mayAcquire reports whether this node may replace the holder in entry: the holder has provably lost the target, or holds it
 // only in doubt. The result has no Target and From yet.
 func mayAcquire(in Input, nodes map[string]Node, entry Entry, hasHolder bool) (Acquisition, bool) {
+	tableIsCurrent := in.PlatformReachable && !in.Restored
 	if !hasHolder {
-		return Acquisition{Path: PathFree}, in.PlatformReachable
+		return Acquisition{Path: PathFree, InDoubt: in.EverRestored && anyNodeCutOff(in.Nodes)}, tableIsCurrent
 	}
 	node, listed := nodes[entry.Name]
 	if !listed || node.Incarnation != entry.Incarnation {
 		// If the name is listed with another incarnation, the takeover is in doubt: peers can't confirm that the earlier
 		// incarnation is silent, because they receive heartbeats of the other one under the same name. If the name isn't
 		// listed, the holder has stopped: a node's record is only removed once that is proved.
-		return Acquisition{Path: PathPlatform, InDoubt: listed || anyNodeCutOff(in.Nodes)}, in.PlatformReachable && in.Absent[entry.Identity]
+		return Acquisition{Path: PathPlatform, InDoubt: listed || anyNodeCutOff(in.Nodes)}, tableIsCurrent && in.Absent[entry.Identity]
 	}
 	if in.PlatformReachable {
-		return Acquisition{Path: PathPlatform, InDoubt: anyNodeCutOff(in.Nodes)}, node.LeaseLapsed
+		return Acquisition{Path: PathPlatform, InDoubt: anyNodeCutOff(in.Nodes)}, node.LeaseLapsed && !in.Restored
 	}
 	return Acquisition{Path: PathMajority, InDoubt: true}, node.ConfirmedSilent
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -126,6 +126,10 @@
 	absentSince        map[Identity]time.Duration // Since when a holder matches no listed node.
 	lastBalancedAt     time.Duration
 	draining           bool
+	era                uint64                   // Highest era of the store in which this node has read tables.
+	eraNoticedAt       time.Duration            // When this node first read a table in that era.
+	tablesReadAt       time.Duration            // Start of the last successful Reread.
+	suspendedUntil     map[string]time.Duration // Until when this node doesn't send to a target that a restored table gives it.
 }
 
 // New returns Holders, which Run starts.
@@ -149,6 +153,7 @@
 		inDoubt: map[string]inDoubtEntry{}, entryChangedAt: map[string]time.Duration{}, targetMissingSince: map[string]time.Duration{},
 		releasing: map[string]bool{}, unsettledHandovers: map[string][]string{}, takeovers: map[string]Takeover{},
 		acks: map[string]map[string]bool{}, absentSince: map[Identity]time.Duration{},
+		suspendedUntil: map[string]time.Duration{},
 	}
 	counter, err := opts.Meter.Int64Counter("cassiadeal.holder.changes",
 		metric.WithDescription("Targets taken or handed over by this node, by path."))
@@ -202,7 +207,7 @@
 // that is not in the table yet counts once more than half of the listed nodes know of it.
 func (h *Holders) heldLocked(id string) (Held, bool) {
 	entry, ok := h.currentEntryLocked(id)
-	if !ok || h.needsReread || entry.Identity != h.opts.Self || h.releasing[id] {
+	if !ok || h.needsReread || entry.Identity != h.opts.Self || h.releasing[id] || h.opts.Now() < h.suspendedUntil[id] {
 		return Held{}, false
 	}
 	_, unwritten := h.takeovers[id]
@@ -284,7 +289,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, takeover := range takeovers {
-		if own, ok := h.takeovers[takeover.Target.ID]; ok && own == takeover && takeover.Entry.Identity == h.opts.Self {
+		if own, ok := h.takeovers[takeover.Target.ID]; ok && own.Target == takeover.Target && own.Entry == takeover.Entry && takeover.Entry.Identity == h.opts.Self {
 			h.acks[takeover.Target.ID][peer] = true
 			continue
 		}
@@ -297,6 +302,10 @@
 		if !ok || takeover.Entry.Epoch > known.Entry.Epoch || takeover.Entry.Epoch == known.Entry.Epoch &&
 			Score(takeover.Target.ID, takeover.Entry.Name) > Score(takeover.Target.ID, known.Entry.Name) {
 			h.takeovers[takeover.Target.ID] = takeover
+			if takeover.Entry.Identity == h.opts.Self {
+				// A restore of the store took the entry before this node read it.
+				h.acks[takeover.Target.ID] = map[string]bool{h.opts.Self.Name: true, peer: true}
+			}
 		}
 	}
 }
@@ -313,7 +322,7 @@
 	in = Input{
 		Self: h.opts.Self, Nodes: nodes, RightToServe: rightToServe, PlatformReachable: reachable,
 		Entries: make(map[string]Entry, len(h.targets)), Absent: h.absentLocked(nodes, now),
-		Fixed: map[string]bool{},
+		Fixed: map[string]bool{}, Restored: h.restoreGraceLocked(now), EverRestored: h.era > 0,
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.targets)) {
 		in.Targets = append(in.Targets, h.targets[id])
@@ -389,7 +398,7 @@
 	}
 	if input.PlatformReachable && input.RightToServe {
 		for _, t := range h.Takeovers() {
-			if t.Entry.Identity != h.opts.Self {
+			if t.Entry.Identity != h.opts.Self || h.suspended(t.Target.ID) {
 				continue
 			}
 			byDomain[t.Target.FailureDomain] = append(byDomain[t.Target.FailureDomain],
@@ -487,12 +496,12 @@
 	err := h.updateTable(ctx, domain, func(table *schema.HolderTable) bool {
 		taken = nil
 		for _, acquisition := range acquisitions {
-			tableEntry, exists := table.Holders[acquisition.Target.ID]
+			// An entry that doesn't exist has epoch 0, as in a takeover of a target whose entry a restore has taken.
+			tableEntry := table.Holders[acquisition.Target.ID]
 			if acquisition.Path == PathMajority && tableEntry.GetEpoch() != acquisition.From.Epoch {
 				continue
 			}
-			if acquisition.Path != PathMajority && !h.tableMatches(acquisition, entryOf(tableEntry)) ||
-				acquisition.Path != PathFree && !exists {
+			if acquisition.Path != PathMajority && !h.tableMatches(acquisition, entryOf(tableEntry)) {
 				continue
 			}
 			epoch := h.nextEpoch(acquisition, tableEntry.GetEpoch())
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"testing"
@@ -12,6 +13,8 @@
 
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
+
+	"cassiadeal.example/cassiadeal/internal/platform"
 )
 
 const (
@@ -38,10 +41,32 @@
 	objects       map[string]Object
 	fault         writeFault
 	delayedWrites []Object // Writes with an unknown outcome that are applied at the next advance.
+	copies        []storeCopy
 	nodes         []*process
 	replaced      []*process // Processes that were replaced by a restart under the same name and may still send.
 }
 
+// storeCopy is the state of the platform before an advance.
+type storeCopy struct {
+	version uint64
+	objects map[string]Object
+}
+
+// restore brings the platform back as it was the given number of advances ago, in the next era, with the versions that the platform
+// client states.
+func (sim *simulation) restore(advances int) {
+	copied := storeCopy{}
+	if n := len(sim.copies) - advances; n >= 0 && n < len(sim.copies) {
+		copied = sim.copies[n]
+	}
+	era := platform.EraOf(sim.version) + 1
+	sim.version, sim.objects, sim.copies = platform.VersionIn(era, platform.StoreVersion(copied.version)), map[string]Object{}, nil
+	for name, o := range copied.objects {
+		o.Version = platform.VersionIn(era, platform.StoreVersion(o.Version))
+		sim.objects[name] = o
+	}
+}
+
 // writeFault is a fault of the next write, which leaves its outcome unknown to the writer.
 type writeFault int
 
@@ -164,6 +189,7 @@
 func (sim *simulation) advance(d time.Duration) {
 	ctx := context.Background()
 	sim.now += d
+	sim.copies = append(sim.copies, storeCopy{sim.version, maps.Clone(sim.objects)})
 	for _, o := range sim.delayedWrites {
 		_, _ = sim.applyWrite(o) // The writer gets no reply.
 	}
@@ -220,7 +246,7 @@
 }
 
 // Guards against a node that sends to a target while another one holds it without doubt, under random pauses, lost
-// connections, restarts, handovers and lost replies. After the faults end, every target must be held without doubt.
+// connections, restarts, handovers, lost replies and restores of the platform's store from an older copy. After the faults end, every target must be held without doubt.
 func TestHoldersModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := &simulation{t: t, now: time.Hour, objects: map[string]Object{}}
@@ -249,6 +275,7 @@
 				}
 			},
 			"restart": func(t *rapid.T) { restart(node(t)) },
+			"restore": func(t *rapid.T) { sim.restore(rapid.IntRange(1, 12).Draw(t, "advances")) },
 			"hand over": func(t *rapid.T) {
 				i := node(t)
 				sim.nodes[i].draining = true
--- a/internal/holder/tables.go
+++ b/internal/holder/tables.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
@@ -62,7 +63,7 @@
 // result is older than a version that was already known when the read started.
 func (h *Holders) Reread(ctx context.Context) error {
 	// Only versions known before the read prove that it is stale, because a write of this node may finish during the read.
-	known := h.knownVersion()
+	known, started, announced := h.knownVersion(), h.opts.Now(), h.takeoversByTarget()
 	objects, version, err := h.opts.Platform.List(ctx, Kind)
 	if err != nil {
 		return eris.Wrapf(err, "list %s", Kind)
@@ -72,11 +73,25 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	unwritten := len(h.takeovers)
+	listed := map[string]bool{}
 	for _, o := range objects {
+		listed[o.Name] = true
 		if err := h.applyObjectLocked(o); err != nil {
 			return err
 		}
 	}
+	for domain, t := range h.tables {
+		if !listed[domain] && platform.EraOf(t.version) < platform.EraOf(version) {
+			h.applyTableLocked(domain, table{version: version}) // A restore has taken the whole table.
+		}
+	}
+	h.noteEraLocked(version)
+	h.rebaseTakeoversLocked(announced)
+	h.tablesReadAt = started
+	if len(h.takeovers) > unwritten && h.opts.OnTakeover != nil {
+		h.opts.OnTakeover()
+	}
 	h.listVersion, h.needsReread, h.rightConfirmedAt = max(version, h.listVersion), false, h.opts.Now()
 	return nil
 }
@@ -121,6 +136,11 @@
 	if next.version <= old.version {
 		return
 	}
+	h.noteEraLocked(next.version)
+	if known := h.entriesOfFormerEraLocked(domain, next); known != nil {
+		holds := h.holdsLocked(known, next)
+		defer h.reviseAfterRestoreLocked(domain, known, holds, next)
+	}
 	now := h.opts.Now()
 	for id := range old.entries {
 		if _, ok := next.entries[id]; !ok {
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -27,8 +27,8 @@
 // VersionIn returns the version that Client states for a version of the store in an era.
 func VersionIn(era, storeVersion uint64) uint64 { return era<<versionBits | storeVersion }
 
-// storeVersion returns the store's own version.
-func storeVersion(version uint64) uint64 { return version & (1<<versionBits - 1) }
+// StoreVersion returns the store's own version.
+func StoreVersion(version uint64) uint64 { return version & (1<<versionBits - 1) }
 
 // Era returns the highest era that an answer has stated.
 func (c *Client) Era() uint64 {
--- a/internal/platform/read.go
+++ b/internal/platform/read.go
@@ -95,7 +95,7 @@
 func (c *Client) watchRequest(kind, path string, since uint64, wait time.Duration) request {
 	query := url.Values{
 		"watch":      {"1"},
-		"since":      {strconv.FormatUint(storeVersion(since), 10)},
+		"since":      {strconv.FormatUint(StoreVersion(since), 10)},
 		"timeout_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	return request{kind: kind, operation: "watch", httpMethod: http.MethodGet, path: path + "?" + query.Encode(),
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -57,7 +57,7 @@
 
 func (c *Client) putOnce(ctx context.Context, w write) (uint64, error) {
 	r := request{kind: w.kind, operation: "update", httpMethod: http.MethodPut, path: objectPath(w.kind, w.name), body: w.data,
-		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(storeVersion(w.version), 10)}
+		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(StoreVersion(w.version), 10)}
 	r.era = c.eraCondition(w.version)
 	if w.version == 0 {
 		r.operation, r.conditionHeader, r.conditionValue = "create", "If-None-Match", "*"
@@ -148,7 +148,7 @@
 	w := write{kind: kind, name: name, version: version}
 	era := c.eraCondition(version)
 	resp, err := c.do(ctx, request{kind: kind, operation: "delete", httpMethod: http.MethodDelete, path: objectPath(kind, name),
-		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(storeVersion(version), 10), era: era})
+		conditionHeader: "If-Match", conditionValue: strconv.FormatUint(StoreVersion(version), 10), era: era})
 	switch {
 	case err != nil && !wasSent(err):
 		return fmt.Errorf("delete %s/%s: %w: %w", kind, name, ErrUnavailable, err)
