Let no two controllers act after a restore of the plans of fabric domains

What callers saw: groups that never served again. A plan that the store had lost stayed in memory, and each write of it conflicted. A restored plan could also name a former controller, which went on at once beside the present one. Cause: the plan with the highest version is taken to be in the store. When a controller first reads a plan or list of a later era, it neither plans nor orders nor takes over until the lease of a controller that doesn't know of the restore has ended and its orders have arrived. Plans that the list of a later era lacks are dropped.

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -122,6 +122,10 @@
 	absences      map[Identity]absence
 	onChange      []func()
 	released      bool // Set by Release; steps do nothing afterwards.
+	era           uint64
+	// quietUntil is when steps go on after the first plan or list of the present era of the store was read. Controllers that don't
+	// know of the restore have stopped by then, and their orders can no longer arrive.
+	quietUntil time.Duration
 }
 
 // New returns Controllers; call Run to start them.
@@ -286,7 +290,7 @@
 		return nil
 	}
 	c.mu.Lock()
-	current, inactive := c.plans[fabric], c.released || !c.plansListed
+	current, inactive := c.plans[fabric], c.released || !c.plansListed || c.options.Now() < c.quietUntil
 	c.mu.Unlock()
 	if inactive {
 		return nil
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -16,6 +16,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/holder"
 	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/rules"
 )
 
@@ -43,6 +44,29 @@
 	// delayNextOrder delays the next order to the end of its delivery time; its sender learns no outcome.
 	delayNextOrder bool
 	delayedOrders  map[string]delayedOrder // By VM.
+	copies         []storeCopy
+}
+
+// storeCopy is the state of the platform before an advance.
+type storeCopy struct {
+	version    uint64
+	planObject *Object
+}
+
+// restore brings the platform back as it was the given number of advances ago, in the next era, with the versions that the platform
+// client states.
+func (m *controllerModel) restore(advances int) {
+	copied := storeCopy{}
+	if n := len(m.copies) - advances; n >= 0 && n < len(m.copies) {
+		copied = m.copies[n]
+	}
+	era := platform.EraOf(m.version) + 1
+	m.version, m.planObject, m.copies = platform.VersionIn(era, platform.StoreVersion(copied.version)), nil, nil
+	if copied.planObject != nil {
+		o := *copied.planObject
+		o.Version = platform.VersionIn(era, platform.StoreVersion(o.Version))
+		m.planObject = &o
+	}
 }
 
 type delayedOrder struct {
@@ -239,6 +263,7 @@
 // advance moves the time on, delivers the delayed orders that are due and steps the nodes.
 func (m *controllerModel) advance(d time.Duration) {
 	m.now += d
+	m.copies = append(m.copies, storeCopy{m.version, m.planObject})
 	for vm, o := range m.delayedOrders {
 		if m.now >= o.due {
 			delete(m.delayedOrders, vm)
@@ -313,7 +338,7 @@
 }
 
 // Guards against a VM in two groups, a ready group with missing members, and a plan changed by a controller that lost its
-// lease, over random interleavings of faults. Once the faults stop, both groups must serve again.
+// lease, over random interleavings of faults and restores of the platform's store from an older copy. Once the faults stop, both groups must serve again.
 func TestControllersModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newControllerModel(t, rapid.Bool().Draw(t, "fenced"))
@@ -330,6 +355,7 @@
 			"leave":       func(*rapid.T) { vm().leaving = true },
 			"publish":     func(*rapid.T) { m.publishVMList() },
 			"lose reply":  func(*rapid.T) { m.loseNextReply = true },
+			"restore":     func(t *rapid.T) { m.restore(rapid.IntRange(1, 20).Draw(t, "advances")) },
 			"delay order": func(*rapid.T) { m.delayNextOrder = true },
 			"pause":       func(*rapid.T) { node().paused = true },
 			"resume":      func(*rapid.T) { node().paused = false },
--- a/internal/groups/follow.go
+++ b/internal/groups/follow.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
@@ -44,6 +45,7 @@
 			return 0, err
 		}
 	}
+	c.removeLostPlans(objects, v)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.plansListed = true
@@ -86,6 +88,7 @@
 		c.mu.Unlock()
 		return nil
 	}
+	c.noteEraLocked(o.Version)
 	c.plans[o.Name] = cachedPlan{o.Version, d}
 	changed := slices.Clone(c.onChange)
 	c.mu.Unlock()
@@ -95,6 +98,36 @@
 	return nil
 }
 
+// noteEraLocked makes this node's controllers wait when a version is of a later era than those before. The restored plans may name a
+// former controller, beside which the present one goes on until it has read them or its lease has ended. The caller holds c.mu.
+func (c *Controllers) noteEraLocked(version uint64) {
+	era := platform.EraOf(version)
+	if era <= c.era {
+		return
+	}
+	c.era, c.quietUntil = era, c.options.Now()+c.options.Term+c.options.Margin+c.options.OrderDelivery
+	for _, state := range c.controlStates {
+		state.activeFrom = max(state.activeFrom, c.quietUntil)
+	}
+}
+
+// removeLostPlans removes the plans that a list of a later era lacks.
+func (c *Controllers) removeLostPlans(listed []Object, version uint64) {
+	c.mu.Lock()
+	c.noteEraLocked(version)
+	var lost []Object
+	for name, d := range c.plans {
+		isListed := slices.ContainsFunc(listed, func(o Object) bool { return o.Name == name })
+		if !isListed && platform.EraOf(d.version) < platform.EraOf(version) {
+			lost = append(lost, Object{Name: name})
+		}
+	}
+	c.mu.Unlock()
+	for _, o := range lost {
+		c.removePlan(o)
+	}
+}
+
 // removePlan removes a deleted plan from the cache and calls the functions set by OnChange.
 func (c *Controllers) removePlan(o Object) {
 	c.mu.Lock()
