Refuse callers' requests that outlast a node's shutdown

What callers saw: a confirmation that came late in a graceful shutdown was passed on to another node and cancelled at the shutdown limit with outcome_unknown, so that nobody knew whether it had run. Callers that may not repeat it had to ask for its outcome.

A node that shuts down accepted requests with their full time limit.

Evidence: TestLateRequestsThatOutlastAShutdownAreNotPassedOn on the code before: "the late request ended after 3.8 s with status 502, code 3001, not_run false". It passes now, and the request then runs once through another node. The two other tests of the shutdown pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/admission"
 	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/router"
@@ -55,7 +56,9 @@
 	Crashes *crash.Table
 	Budget  *retry.Budget
 	// MayServe returns an error if this node must not take new requests.
-	MayServe  func() *result.Error
+	MayServe func() *result.Error
+	// EndsAt returns when this node ends the requests that are still in flight. ok is false while it isn't shutting down.
+	EndsAt    func() (end time.Time, ok bool)
 	Addresses func(seed string) Addresses
 	Metrics   Metrics
 	Log       logrus.FieldLogger
@@ -73,7 +76,8 @@
 type Gateway struct {
 	opts          Options
 	inFlight      atomic.Int64
-	bufferedBytes atomic.Int64 // Bytes of request bodies.
+	bufferedBytes atomic.Int64    // Bytes of request bodies.
+	durations     drain.Durations // By destination.
 }
 
 // New returns a Gateway.
@@ -214,6 +218,15 @@
 	return nil
 }
 
+// checkShutdown returns the refusal of a request that would outlast this node.
+func (g *Gateway) checkShutdown(c *callerRequest) *result.Error {
+	end, ok := g.opts.EndsAt()
+	if !ok || g.durations.Fit(c.destination, time.Until(c.deadline), time.Until(end)) {
+		return nil
+	}
+	return result.New(result.NodeStopping, "this node is shutting down; use another address")
+}
+
 func (g *Gateway) refuse(w http.ResponseWriter, req *http.Request, c *callerRequest, err *result.Error) {
 	g.recordOutcome(c, err.Code, "")
 	g.opts.Metrics.Refusal(err.Code)
@@ -228,6 +241,9 @@
 		return
 	}
 	elapsed := time.Since(c.started)
+	if code == result.OK || code == result.DeadlineExceeded {
+		g.durations.Record(c.destination, elapsed)
+	}
 	g.opts.Metrics.Request(c.destination, code, elapsed)
 	c.log.WithFields(logrus.Fields{
 		"target":     target,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -68,6 +68,7 @@
 			return f.execute(f.executed.Add(1), sink)
 		},
 		Crashes: crash.New(crash.Options{}), Budget: retry.New(retry.Options{}), MayServe: func() *result.Error { return nil },
+		EndsAt:    func() (time.Time, bool) { return time.Time{}, false },
 		Addresses: func(string) Addresses { return Addresses{} }, Metrics: metrics, Log: log,
 		MaxHeaderBytes: 4096, MaxBodyBytes: 1000, MaxBufferedBytes: 1500, MaxAnswerBytes: 1000, MaxInFlight: 10,
 		BodyReadTimeout: 300 * time.Millisecond, WriteTimeout: time.Second,
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -48,6 +48,10 @@
 		return
 	}
 	defer releaseBody()
+	if err := g.checkShutdown(c); err != nil {
+		g.refuse(w, req, c, err)
+		return
+	}
 	g.opts.Budget.RecordRequest(c.destination)
 	if stream {
 		g.answerStream(w, req, c)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -39,6 +39,10 @@
 		return
 	}
 	defer releaseBody()
+	if err := g.checkShutdown(c); err != nil {
+		g.refuse(w, req, c, err)
+		return
+	}
 	g.opts.Budget.RecordRequest(c.destination)
 	answer := &bufferedAnswer{maxBytes: g.opts.MaxAnswerBytes}
 	end := g.runWithRetries(req.Context(), c, answer)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,8 @@
 	// announced is set when this node first has the configuration in force. Unless it is draining, it then changes its
 	// state to serving.
 	announced bool
+	// shutdownEnd is the shutdown limit of a graceful shutdown; zero before it.
+	shutdownEnd time.Time
 	// closedToCallers is set during a graceful shutdown when new requests from callers are no longer accepted.
 	closedToCallers bool
 
@@ -250,7 +252,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Node: n.self.Name, Admission: n.admission, Router: n.router, Execute: n.execute, Crashes: n.crashes, Budget: n.budget,
 		Rules:    func() (*rules.Rules, uint64) { c, r := n.config.Current(); return r, c.GetRevision() },
-		MayServe: n.mayAccept, Addresses: n.addresses, Metrics: n.metrics, Log: n.log,
+		MayServe: n.mayAccept, EndsAt: n.endsAt, Addresses: n.addresses, Metrics: n.metrics, Log: n.log,
 		MaxHeaderBytes: int(limits.MaxHeaderBytes), MaxBodyBytes: limits.MaxBodyBytes, MaxBufferedBytes: maxBufferedBytes,
 		MaxAnswerBytes: int(limits.MaxAnswerBytes), MaxInFlight: int(limits.MaxInFlight),
 		BodyReadTimeout: limits.BodyReadTimeout, WriteTimeout: writeTimeout,
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -24,12 +24,13 @@
 )
 
 // shutdown stops the node gracefully. The node removes its address from the address list, hands its targets over to other
-// nodes, and accepts requests until callers no longer keep the address. Requests in flight run on until the shutdown limit;
-// those that remain then are cancelled.
+// nodes, and accepts requests that can be expected to end by the shutdown limit until callers no longer keep the address.
+// Requests in flight run on until the shutdown limit; those that remain then are cancelled.
 func (n *Node) shutdown(ctx context.Context, callerServer *http.Server) error {
 	start := time.Now()
 	n.mu.Lock()
 	n.draining = true
+	n.shutdownEnd = start.Add(n.settings.Timing.ShutdownLimit)
 	n.mu.Unlock()
 	// Other nodes list this node's address until they receive its draining state, or have received no heartbeat from it for a
 	// term.
@@ -116,6 +117,13 @@
 	return n.targets.WaitRoom(ctx, id) == nil
 }
 
+// endsAt returns the shutdown limit during a graceful shutdown.
+func (n *Node) endsAt() (end time.Time, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.shutdownEnd, !n.shutdownEnd.IsZero()
+}
+
 // mayAccept returns nil if this node accepts new requests from callers, else the reason.
 func (n *Node) mayAccept() *result.Error {
 	n.mu.Lock()
--- a/test/requests/shutdown_test.go
+++ b/test/requests/shutdown_test.go
@@ -269,3 +269,45 @@
 		}
 	}
 }
+
+// Guards against requests that come late in a graceful shutdown, are passed on and then cancelled at the shutdown limit, so that nobody
+// knows whether those that may not be repeated have run.
+func TestLateRequestsThatOutlastAShutdownAreNotPassedOn(t *testing.T) {
+	parallel(t)
+	c := startShutdownCluster(t, "address_keep = 2s\nshutdown_limit = 4s", 10) // The time limit of confirmations is 10 s.
+	leaving, holder := c.Nodes[1], c.Nodes[0]                                  // The leaving one runs all requests at the holder.
+	confirm := func(d *cluster.Daemon, key string) cluster.Answer {
+		return c.SendHeader(d, http.MethodPost, "/v1/services/bookings/confirm", "late", http.Header{"Idempotency-Key": {key}})
+	}
+	setServiceFaults(c, service.Faults{DelayMS: new(int64(10))})
+	harness.Eventually(t, requestDeadline, func() error {
+		if a := confirm(holder, uuid.Must(uuid.NewV7()).String()); !isAnswered(a) {
+			return fmt.Errorf("the targets don't serve yet: %v", a)
+		}
+		return nil
+	})
+	time.Sleep(time.Second) // The leaving node has heard that they serve.
+	setServiceFaults(c, service.Faults{DelayMS: new(int64(5000))})
+	before := countExecutions(c)
+	leaving.Terminate()
+	time.Sleep(200 * time.Millisecond)
+	key := uuid.Must(uuid.NewV7()).String()
+	sent := time.Now()
+	late := confirm(leaving, key)
+	if !isNotRun(late) || late.Code != int(result.NodeStopping) || time.Since(sent) > time.Second {
+		t.Errorf("the late request ended after %v with %v", time.Since(sent), late)
+	}
+	if a := confirm(holder, key); !isAnswered(a) {
+		t.Errorf("the request was refused elsewhere: %v", a)
+	}
+	if n := countExecutions(c) - before; n != 1 {
+		t.Errorf("the confirmation ran %d times, want once", n)
+	}
+}
+
+func countExecutions(c *cluster.Cluster) (n int) {
+	for _, s := range c.Services {
+		n += len(s.Record().Executions)
+	}
+	return n
+}
