Leave a silent target once another one has accepted its stream

Change: the first target keeps the stream only until the other one has refused it, failed, or accepted it, which is assumed 0.4 s after the request: dialling is limited to 0.3 s, and replicas refuse at once.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -22,6 +22,9 @@
 const (
 	// stallCheckInterval is how often a stream checks whether its target is suspected of having stalled.
 	stallCheckInterval = 100 * time.Millisecond
+	// acceptTime is the time after which a target that was asked to go on with a stream has accepted it, unless it has refused or
+	// failed before: it covers dialTimeout and a response. Waiting for its first event would keep a slot at both targets for longer.
+	acceptTime = dialTimeout + 100*time.Millisecond
 	// resumeTimeout limits the wait for another target after a stream broke off. Clients disconnect after about two seconds
 	// without an event.
 	resumeTimeout = 1200 * time.Millisecond
@@ -197,13 +200,14 @@
 }
 
 // streamRelay forwards one stream to the client. While the target is suspected of having stalled, the request is sent to another one
-// as well: the target keeps the stream until that one has sent an event, since it may be refused or fail there.
+// as well: the target keeps the stream until that one has accepted it, since it may be refused or fail there.
 type streamRelay struct {
 	*call
 	p       *progress
 	exclude map[balance.Key]bool
 	current *streamSend
 	other   *streamSend // Nil if the request was sent to no other target.
+	askedAt time.Time   // When the request was sent to the other target.
 }
 
 // relay sends the request to one target and forwards its events to the client. It returns the target that sent the last of them.
@@ -264,6 +268,9 @@
 		return streamBlocked
 	}
 	if r.other != nil {
+		if time.Since(r.askedAt) > acceptTime {
+			r.moveToOther()
+		}
 		return 0
 	}
 	head := r.alternative(r.current.head, r.exclude, r.p)
@@ -275,7 +282,7 @@
 	r.opt.Metrics.Retry("target_stalled")
 	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events}).
 		Info("the target of a stream has stalled; asking another one as well")
-	r.other = r.startStream(head, r.p)
+	r.other, r.askedAt = r.startStream(head, r.p), time.Now()
 	return 0
 }
 
@@ -295,13 +302,10 @@
 	return end
 }
 
-// handleOther handles the first step of the other target.
+// handleOther handles the first step of the other target before it has accepted the stream.
 func (r *streamRelay) handleOther(step streamStep) streamEnd {
 	if step.data != nil || errors.Is(step.err, io.EOF) && r.p.headerWritten {
-		r.attempts.maybeRun++ // At the target that has stalled.
-		r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.other.head.Key), "events": r.p.events}).
-			Info("a stream goes on at another target")
-		r.useOther()
+		r.moveToOther()
 		return r.handleStep(step, r.current, r.p)
 	}
 	if step.response != nil && !step.response.header.NotRun {
@@ -316,6 +320,14 @@
 	return 0
 }
 
+// moveToOther leaves the target that has stalled.
+func (r *streamRelay) moveToOther() {
+	r.attempts.maybeRun++
+	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.other.head.Key), "events": r.p.events}).
+		Info("a stream goes on at another target")
+	r.useOther()
+}
+
 // useOther makes the other target the current one.
 func (r *streamRelay) useOther() {
 	r.current.end()
