Send no empty success to a client of a stream that has closed its side

What callers saw: a client that closes its side of the connection after a request for a stream, and goes on reading, got "200 OK" with an empty body, which isn't its replica's answer.

Cause: net/http takes the end of the client's bytes for the end of the client and ends the request's context. The handler then returned without a response, for which net/http sends an empty 200.

Change: the connection is closed without a response.

--- a/internal/edge/silent_test.go
+++ b/internal/edge/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -164,3 +165,21 @@
 	c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
 	c.Check(len(r.received())+len(other.received()), quicktest.Equals, 1)
 }
+
+// Guards against an empty success for a stream whose client has closed its side of the connection, which counts as disconnected.
+func TestClientThatHasClosedItsSideGetsNoSuccess(t *testing.T) {
+	c := quicktest.New(t)
+	replicas := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }))
+	defer replicas.Close()
+	server := httptest.NewServer(newServer(t, fleet.RepeatStream, &replica{address: replicas.Listener.Addr().String()}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	c.Assert(err, quicktest.IsNil)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /a/1 HTTP/1.1\r\nHost: x.example\r\nX-Cassiadeal-Request-Id: q1\r\nX-Api-Key: key\r\nX-Cassiadeal-Model: m\r\n\r\n")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(conn.(*net.TCPConn).CloseWrite(), quicktest.IsNil)
+	answer, err := io.ReadAll(conn)
+	c.Check(err, quicktest.IsNil)
+	c.Check(string(answer), quicktest.Equals, "")
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -89,7 +89,7 @@
 			return
 		case clientGone:
 			c.logOutcome("client_gone", "the client closed its connection", logrus.Fields{"events": p.events})
-			return
+			panic(http.ErrAbortHandler) // net/http would send an empty success to a client that has closed only its side.
 		case streamTimeout, streamBlocked:
 			c.failStream(p, nil)
 			return
