State the expected number of orders in orders, so that late ones are refused after newer ones

Cause: an order without an answer may be carried out seconds later. Joins and opens are sent again, so that the first copies may be carried out after the head has left: it joins the epoch again, as the epoch isn't lower than one that it has seen, and opens it.

Change: each order except to leave states the number of orders that the replica has begun, which the replica compares. The planner counts its own orders, and asks the replica where the count isn't known: after an order without an answer or with a refusal, and after a change of the planner. A join isn't sent if the replica reports that it has joined a later group, or begun to serve, since the join was planned. Orders to leave name one epoch of a group and are carried out in any case. Order logs hold the count.

Tests: TestLateOrdersAreRefusedAfterNewerOnes (before: the replica was back in g1, open, after it had left) and TestReplicaThatHasMovedIsNotJoined (before: three of six cases sent the join) failed on the code before. TestOrdersGoOnAfterAnUnknownOne guards the recovery.

--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -29,6 +29,11 @@
 	State GroupState
 }
 
+// Serves reports whether the member is a head that serves its group, or finishes the requests of it.
+func (m *Membership) Serves() bool {
+	return m.Rank == 0 && (m.State == GroupOpen || m.State == GroupClosing)
+}
+
 // Replica is one VM that runs a model engine, or one back end of a plain service.
 type Replica struct {
 	ID       string
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -98,7 +98,7 @@
 
 // servesGroup reports whether the replica is a head that serves, or finishes the requests of, a group.
 func servesGroup(r *fleet.Replica) bool {
-	return r.Group != nil && r.Group.Rank == 0 && (r.Group.State == fleet.GroupOpen || r.Group.State == fleet.GroupClosing)
+	return r.Group != nil && r.Group.Serves()
 }
 
 // plannedElsewhere reports whether a planned group other than the one that the replica reports has it as a member.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/clock"
@@ -99,6 +100,23 @@
 	Reason  string
 }
 
+// InGroup reports whether the replica was in the epoch that the order concerns when it was planned.
+func (o Order) InGroup() bool {
+	return groupKey{o.Group, o.Epoch}.reportedBy(o.To, o.To.Incarnation())
+}
+
+// HasMoved reports whether a replica that is in the current group has joined it, or begun to serve it, since the order was planned.
+func (o Order) HasMoved(current *fleet.Membership) bool {
+	if current == nil || strings.HasPrefix(current.Name, standbyPrefix) || current.Name == o.Group && current.Epoch == o.Epoch {
+		return false
+	}
+	planned := o.To.Group
+	if planned == nil || planned.Epoch < current.Epoch || planned.Epoch == current.Epoch && planned.Name != current.Name {
+		return true
+	}
+	return planned.Epoch == current.Epoch && current.Serves() && !planned.Serves()
+}
+
 // Input is the known state on which Plan.Step decides.
 type Input struct {
 	Now      clock.Time
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -75,4 +75,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.confirmed[r.Incarnation()] = true
+	if _, known := p.counts.count(r); !known {
+		p.counts.reported(r.Incarnation(), report.OrderCount)
+	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,8 +18,7 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
-	// orderTimeout and probeTimeout bound one order and one report. Each takes some milliseconds at a healthy replica.
-	orderTimeout = 400 * time.Millisecond
+	// probeTimeout bounds one report. It takes some milliseconds at a healthy replica.
 	probeTimeout = 250 * time.Millisecond
 	// maxProbesPerTick bounds the probes that start in one tick; only the members of the last group may exceed it. After an outage
 	// all groups are probed, and a node with a fifth of a core mistook its own delay for the failure of many heads.
@@ -87,13 +84,15 @@
 	termStart   clock.Time
 	nextProbe   map[string]clock.Time  // When a group may be probed again, by group name.
 	orderLocks  map[string]*sync.Mutex // By replica ID; see orderLock.
+	counts      orderCounts
 	active      bool
 	lastSummary clock.Time // Last summary in the log.
 }
 
 // New returns a Planner.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]bool{}, orderLocks: map[string]*sync.Mutex{}}
+	return &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]bool{}, orderLocks: map[string]*sync.Mutex{},
+		counts: newOrderCounts()}
 }
 
 // Active tells whether this node was the planner at the last tick.
@@ -160,6 +159,7 @@
 	clear(p.nextProbe)
 	clear(p.queriedAt)
 	clear(p.confirmed)
+	p.counts = newOrderCounts()
 }
 
 // planOnce updates the plan once, and sends its orders and the probes and queries that are due.
@@ -214,7 +214,7 @@
 	return orders, probes, queries
 }
 
-// summarize logs a summary of the plan at most once per summaryInterval, and drops the order locks of replicas that are gone. The
+// summarize logs a summary of the plan at most once per summaryInterval, and drops the order locks and counts of replicas that are gone. The
 // caller holds the lock.
 func (p *Planner) summarize(view *fleet.View, replicas map[string]*fleet.Replica, now clock.Time) {
 	if now.Sub(p.lastSummary) < summaryInterval {
@@ -228,6 +228,7 @@
 			lock.Unlock()
 		}
 	}
+	p.counts.prune(replicas)
 	sum := p.plan.Summarize(replicas)
 	p.opt.Log.WithFields(logrus.Fields{"open": sum.Open, "forming": sum.Forming, "spares": sum.Spares, "loading": sum.Loading,
 		"idle": sum.Idle, "replicas": len(replicas), "failure_domains_out": view.Evacuated}).Info("groups")
@@ -343,65 +344,3 @@
 	}
 	log.WithError(err).Warning("a probed group member doesn't answer")
 }
-
-// orderLock returns the lock that ensures that orders to a replica are sent one at a time.
-func (p *Planner) orderLock(id string) *sync.Mutex {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	lock := p.orderLocks[id]
-	if lock == nil {
-		lock = &sync.Mutex{}
-		p.orderLocks[id] = lock
-	}
-	return lock
-}
-
-var operations = map[placement.Action]platform.Operation{placement.Join: platform.OpJoin, placement.Open: platform.OpOpen,
-	placement.CloseGroup: platform.OpClose, placement.Leave: platform.OpLeave, placement.Stage: platform.OpStage}
-
-// send sends one order, unless this node is no longer the planner once the earlier orders to the replica have ended.
-func (p *Planner) send(ctx context.Context, o placement.Order) {
-	lock := p.orderLock(o.To.ID)
-	lock.Lock()
-	defer lock.Unlock()
-	if !p.Active() {
-		return
-	}
-	message := platform.Order{Operation: operations[o.Action], Group: o.Group, Epoch: o.Epoch}
-	switch o.Action {
-	case placement.Join:
-		message.Model, message.Members = o.Model, o.Members
-	case placement.CloseGroup:
-		message.Close = platform.CloseFinish
-	case placement.Stage:
-		message = platform.Order{Operation: platform.OpStage, Model: o.Model}
-	}
-	started := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	reply, err := p.opt.Replicas.Order(ctx, o.To.Incarnation(), o.To.Address, message)
-	logEntry := p.opt.Log.WithFields(logrus.Fields{"order": o.Action.String(), "replica": o.To.ID, "group": o.Group, "epoch": o.Epoch,
-		"model": o.Model, "members": o.Members, "reply": int(reply), "took_ms": time.Since(started).Milliseconds()})
-	if err != nil {
-		logEntry = logEntry.WithError(err)
-	}
-	logEntry.Info("order: " + o.Reason)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.plan.RecordOutcome(o, orderOutcome(reply, err))
-}
-
-// orderOutcome translates the reply to an order.
-func orderOutcome(reply platform.Reply, err error) placement.Outcome {
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return placement.ConnectionRefused
-	case err != nil:
-		return placement.Unknown
-	case reply == platform.ReplyAccepted || reply == platform.ReplyDone:
-		return placement.Accepted
-	case reply == platform.ReplyOutdated:
-		return placement.Outdated
-	}
-	return placement.Refused
-}
