Keep a group whose head was silent for a moment and answers again

Callers lost streams at groups that worked: a head that was silent for half a second to a second was ordered to leave once it answered again.

Cause: the decision to dissolve a group, and the time since when its head was missing, were kept after the head had answered.

Change: a head that answers, reports that it serves the epoch and hasn't left ends both. The group is checked again, and repaired if a member is still lost.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -137,11 +137,15 @@
 
 // advance adds the orders that one group needs next, and repairs or dissolves it if it can't serve.
 func (s *step) advance(g *group) {
+	head := s.usableReplica(g.members[0].incarnation)
+	if head != nil && g.headMissingSince != 0 && !g.headReleased && s.headServes(g, head) {
+		// The head was only silent. A group that was to be dissolved for it is checked again.
+		g.headMissingSince, g.leaveSentAt, g.dissolveReason = 0, 0, ""
+	}
 	if g.dissolveReason != "" {
 		s.dissolve(g, g.dissolveReason)
 		return
 	}
-	head := s.usableReplica(g.members[0].incarnation)
 	if head != nil {
 		g.head = head
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -185,6 +185,30 @@
 	}
 }
 
+// Guards against requests that are broken off because a group is dissolved though its head, which was silent for a moment, answers again.
+func TestGroupWhoseHeadWasSilentForAMomentStays(t *testing.T) {
+	for _, silentFor := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(silentFor.String(), func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 8)
+			head := m.openHeads("large")[0]
+			member, epoch := m.vms[head.members[1]], head.epoch
+			head.cutOff, member.cutOff = true, true
+			head.busyUntil = m.clock.Now().Add(time.Minute)
+			m.run(p, silentFor, nil)
+			head.cutOff, member.cutOff = false, false
+			for _, v := range []*vm{head, member} {
+				p.RecordProbeAnswer(fleet.Incarnation{ID: v.id, StartedUnixMs: v.startedAt}, m.clock.Now())
+			}
+			m.run(p, 10*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(m.interruptions, quicktest.HasLen, 0)
+			c.Assert(head.epoch, quicktest.Equals, epoch)
+			c.Assert(p.groups[head.group], quicktest.IsNotNil)
+		})
+	}
+}
+
 // Guards against members that are joined to another group while the head of their own serves: a failure domain was cut off, so that
 // its groups were given up, and some of the members return before their head.
 func TestMembersThatReturnBeforeTheirHeadWait(t *testing.T) {
