Use the members of a group without a known head sooner after a change of the planner

Members of groups that were given up keep reporting them until they are needed. After a change of the planner the group was adopted, and its members stood idle for the stall time and one second, since its head, which had left, could be sent no order.

Change: they wait for headReturnTimeout, within which an entry that has lapsed is back.

Test: TestNewPlannerUsesMembersOfGroupsThatWereGivenUp failed before: no group of the large model was open after 4 s, want 1.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -481,8 +481,8 @@
 		g.headMissingSince = s.Now
 	}
 	if g.head == nil {
-		// The head of an adopted group whose entry was never listed can't be sent an order.
-		return s.Now.Sub(g.adoptedAt) > s.StallAfter+stallMargin
+		// The head of an adopted group whose entry was never listed can't be sent an order. It may be listed soon.
+		return s.Now.Sub(g.adoptedAt) > headReturnTimeout
 	}
 	if missingFor := s.Now.Sub(g.headMissingSince); g.headMissingSince != 0 && (missingFor > s.StallAfter+stallMargin ||
 		missingFor > minHeadSilence && s.HeadSilent != nil && s.HeadSilent(g.head)) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -388,6 +388,25 @@
 	c.Assert(m.openGroups(), quicktest.DeepEquals, before)
 }
 
+// Guards against members that stay unused for seconds after a change of the planner: their group was given up, and its head has left.
+func TestNewPlannerUsesMembersOfGroupsThatWereGivenUp(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 8)
+	head := m.openHeads("large")[0]
+	group, member := head.group, m.vms[head.members[1]]
+	for _, id := range head.members[2:] {
+		m.kill(id)
+		p.RecordProbeFailure(fleet.Incarnation{ID: id, StartedUnixMs: m.vms[id].startedAt}, m.clock.Now())
+	}
+	m.run(p, 9*time.Second, nil)
+	c.Assert(p.groups[group], quicktest.IsNil)
+	c.Assert(member.group, quicktest.Equals, group)
+	m.add("found", head.fabric).staged = []string{"large"}
+	m.run(New(2), 4*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+}
+
 // Guards against members that wait forever for a lost head: nothing answers at its address.
 func TestUnreachableHeadIsReplacedAfterStall(t *testing.T) {
 	c := quicktest.New(t)
