--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -103,7 +103,7 @@
 
 // servesGroup reports whether the replica is a head that serves, or finishes the requests of, a group.
 func servesGroup(r *fleet.Replica) bool {
-	return r.Group != nil && r.Group.Rank == 0 && (r.Group.State == fleet.GroupOpen || r.Group.State == fleet.GroupClosing)
+	return r.Group != nil && r.Group.Serves()
 }
 
 // plannedElsewhere reports whether a planned group other than the one that the replica reports has it as a member.
@@ -142,11 +142,15 @@
 
 // advance adds the orders that one group needs next, and repairs or dissolves it if it can't serve.
 func (s *step) advance(g *group) {
+	head := s.usableReplica(g.members[0].incarnation)
+	if head != nil && g.headMissingSince != 0 && !g.headReleased && s.headServes(g, head) {
+		// The head was only silent. A group that was to be dissolved for it is checked again.
+		g.headMissingSince, g.leaveSentAt, g.dissolveReason = 0, 0, ""
+	}
 	if g.dissolveReason != "" {
 		s.dissolve(g, g.dissolveReason)
 		return
 	}
-	head := s.usableReplica(g.members[0].incarnation)
 	if head != nil {
 		g.head = head
 	}
@@ -482,8 +486,8 @@
 		g.headMissingSince = s.Now
 	}
 	if g.head == nil {
-		// The head of an adopted group whose entry was never listed can't be sent an order.
-		return s.Now.Sub(g.adoptedAt) > s.StallAfter+stallMargin
+		// The head of an adopted group whose entry was never listed can't be sent an order. It may be listed soon.
+		return s.Now.Sub(g.adoptedAt) > headReturnTimeout
 	}
 	if missingFor := s.Now.Sub(g.headMissingSince); g.headMissingSince != 0 && (missingFor > s.StallAfter+stallMargin ||
 		missingFor > minHeadSilence && s.HeadSilent != nil && s.HeadSilent(g.head)) {
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -76,6 +76,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.confirmed[r.Incarnation()] = epochOf(report.Group)
+	if _, known := p.counts.count(r); !known {
+		p.counts.reported(r.Incarnation(), report.OrderCount)
+	}
 }
 
 func epochOf(m *fleet.Membership) int64 {
