--- a/internal/entry/newest.go
+++ b/internal/entry/newest.go
@@ -81,6 +81,9 @@
 	if !n.storeEra.isSettled() {
 		return fmt.Sprintf("the store is known to answer in its present era for %v only", n.storeEra.age().Round(time.Millisecond))
 	}
+	if n.newest.readAt.Load() == 0 {
+		return "neither the store nor a mirror has told the configuration yet"
+	}
 	// A watch that is answered in time comes within this age, also through a mirror.
 	if age, limit := now.Sub(clock.Time(n.newest.readAt.Load())), n.settings.Bounds.ConfigApply/2+2*watchSlack; age > limit {
 		return fmt.Sprintf("the configuration was last read more than %v ago", limit)
