Adopt reported groups in a fixed order, and keep the seeds that need their confirmation

Groups are now adopted by name and epoch. With the check switched off, seeds 22, 209, 296 and 299 of 300 fail in each of three runs; they are in the test, beside the 40 seeds of before. With the check, all pass.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -31,7 +31,8 @@
 		reported[key] = append(reported[key], r)
 		known[key] = known[key] || s.stateKnown(r)
 	}
-	for key, members := range reported {
+	for _, key := range slices.SortedFunc(maps.Keys(reported), groupKey.compare) {
+		members := reported[key]
 		if !known[key] {
 			continue
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -230,6 +231,11 @@
 	epoch int64
 }
 
+// compare orders epochs of groups by name and number.
+func (k groupKey) compare(other groupKey) int {
+	return cmp.Or(strings.Compare(k.name, other.name), cmp.Compare(k.epoch, other.epoch))
+}
+
 // reportedBy reports whether an entry is that of the given start of a replica, and shows it in this epoch of the group.
 func (k groupKey) reportedBy(r *fleet.Replica, start fleet.Incarnation) bool {
 	return r != nil && r.Incarnation() == start && r.Group != nil && (groupKey{r.Group.Name, r.Group.Epoch}) == k
--- a/internal/placement/restore_test.go
+++ b/internal/placement/restore_test.go
@@ -16,7 +16,11 @@
 // such an entry the head is still in a former group, or has left. The same plan goes on, or another planner takes over. Replicas that the
 // copy lacks are listed again once they have written their entries.
 func TestPlanAcrossRestoredEntries(t *testing.T) {
+	seeds := []uint64{209, 296, 299} // With 22, those of the first 300 that fail if groups are adopted from entries alone.
 	for seed := range uint64(40) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := quicktest.New(t)
 			random := rand.New(rand.NewPCG(seed, 0))
