Guard what the store of the election test shares with the test

Writes now draw from a generator of their own, and the store's lock guards all three. The package's tests of leases and restores pass with the race detector (8.8 s).

--- a/internal/planner/restore_test.go
+++ b/internal/planner/restore_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -199,15 +200,23 @@
 	nodes   []*electionNode
 	started int64 // Processes so far.
 	term    int64 // Highest term so far.
-	calm    clock.Time
-	holds   []chan struct{}
+
+	// The lock of the store guards these, as its server uses them too.
+	writeRandom *rand.Rand // Separate from random, so that a seed gives the same faults however writes and steps interleave.
+	calm        clock.Time
+	holds       []chan struct{}
+}
+
+// noteDisturbance records that a planner can't be expected before a while after the given time.
+func (e *election) noteDisturbance(at clock.Time) {
+	e.store.update(func() { e.calm = max(e.calm, at) })
 }
 
 const electionStep = 50 * time.Millisecond
 
 func newElection(t *testing.T, nodes int, seed uint64) *election {
 	c := clock.NewManual(time.Hour)
-	e := &election{t: t, clock: c, random: rand.New(rand.NewPCG(seed, 0)), calm: c.Now(),
+	e := &election{t: t, clock: c, random: rand.New(rand.NewPCG(seed, 0)), writeRandom: rand.New(rand.NewPCG(seed, 1)), calm: c.Now(),
 		store: &restoringStore{clock: c, era: 1, now: storedLease{counter: 1}, copies: map[clock.Time]storedLease{}, cut: map[string]bool{}}}
 	for i := range nodes {
 		n := &electionNode{name: fmt.Sprintf("n%d", i)}
@@ -224,7 +233,7 @@
 		e.store.ServeHTTP(w, r)
 	}))
 	e.t.Cleanup(func() {
-		e.releaseAnswers(len(e.holds)) // The server waits for them.
+		e.releaseAnswers(math.MaxInt) // The server waits for them.
 		server.Close()
 	})
 	log := logrus.New()
@@ -268,7 +277,7 @@
 func (e *election) step() {
 	e.t.Helper()
 	if e.store.step() {
-		e.calm = max(e.calm, e.clock.Now())
+		e.noteDisturbance(e.clock.Now())
 	}
 	for _, n := range e.nodes {
 		e.store.update(func() { e.store.cut[n.name] = e.clock.Now() < n.cutUntil })
@@ -572,10 +581,10 @@
 // disturbWrites makes the store carry out some writes late, not answer some, and hold some answers back.
 func (e *election) disturbWrites() {
 	e.store.onWrite = func(string) (time.Duration, bool, <-chan struct{}) {
-		switch e.random.IntN(60) {
+		switch e.writeRandom.IntN(60) {
 		case 0:
 			e.calm = max(e.calm, e.clock.Now())
-			return time.Duration(1+e.random.IntN(6000)) * time.Millisecond, false, nil
+			return time.Duration(1+e.writeRandom.IntN(6000)) * time.Millisecond, false, nil
 		case 1:
 			e.calm = max(e.calm, e.clock.Now())
 			return 0, false, nil
@@ -596,7 +605,7 @@
 		e.releaseAnswers(1)
 	}
 	if e.store.down {
-		e.calm = max(e.calm, e.clock.Now())
+		e.noteDisturbance(e.clock.Now())
 		if e.random.IntN(30) == 0 {
 			if e.random.IntN(2) == 0 {
 				e.store.restore(time.Duration(e.random.IntN(15000)) * time.Millisecond)
@@ -613,23 +622,23 @@
 	switch e.random.IntN(400) {
 	case 0, 1:
 		e.store.restore(time.Duration(e.random.IntN(15000)) * time.Millisecond)
-		e.calm = max(e.calm, e.clock.Now())
+		e.noteDisturbance(e.clock.Now())
 	case 2:
 		e.store.update(func() { e.store.down = true })
 	case 3:
 		n.cutUntil = e.clock.Now().Add(span)
-		e.calm = max(e.calm, n.cutUntil)
+		e.noteDisturbance(n.cutUntil)
 	case 4:
 		n.frozenUntil = e.clock.Now().Add(span)
-		e.calm = max(e.calm, n.frozenUntil)
+		e.noteDisturbance(n.frozenUntil)
 	case 5:
 		if n.running == nil {
 			e.start(n, false)
-			e.calm = max(e.calm, e.clock.Now())
+			e.noteDisturbance(e.clock.Now())
 		}
 	case 6:
 		n.lease.Resign("test")
-		e.calm = max(e.calm, e.clock.Now())
+		e.noteDisturbance(e.clock.Now())
 	}
 }
 
@@ -640,9 +649,11 @@
 func (e *election) checkPlannerExists() {
 	e.t.Helper()
 	if len(e.planners()) > 0 {
-		e.calm = max(e.calm, e.clock.Now())
+		e.noteDisturbance(e.clock.Now())
 	}
-	if quiet := e.clock.Now().Sub(e.calm); quiet > maxElection {
+	var quiet time.Duration
+	e.store.update(func() { quiet = e.clock.Now().Sub(e.calm) })
+	if quiet > maxElection {
 		e.t.Fatalf("no node has planned for %v in calm, in era %d", quiet, e.store.era)
 	}
 }
