Settle an era of the store though single calls fail

The time now counts from the first answer in the era and starts anew only after a gap between answers in which a watch could not have been in time. Ages that other nodes state are taken over if they are longer, and nodes that hear nothing from the store state none.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,7 +107,7 @@
 	}
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
-		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c},
+		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c, maxGap: maxConfigAge(s.Bounds)},
 		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), recordOutdated: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
@@ -316,7 +316,6 @@
 
 func (n *Node) recordStoreFailure() {
 	n.registry.StoreFailed()
-	n.storeEra.noteFailure()
 	n.storeContact.recordFailure()
 }
 
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -28,21 +28,25 @@
 // eraRecord records for how long the store is known to answer in its present era. It may be used concurrently.
 type eraRecord struct {
 	clock clock.Clock
-
-	mu    sync.Mutex
-	era   int64      // Highest known era; 0 if none is known.
-	since clock.Time // Since when the store is known to answer some node in it; 0 while it isn't.
-	// settled is set once the store has answered for configRewriteTime in the era.
+	// maxGap is the longest time between two answers to any nodes in which the store counts as answering. After a longer one, the time in
+	// which the operator can write counts anew.
+	maxGap time.Duration
+
+	mu  sync.Mutex
+	era int64 // Highest known era; 0 if none is known.
+	// The store is known to have answered some node in the era from since to lastAnswer, without a gap above maxGap.
+	since, lastAnswer clock.Time
+	// settled is set once that has lasted for configRewriteTime.
 	settled bool
 }
 
-// learn records an era and returns the one that was known before.
+// learn records an era, which an answer or another node has stated, and returns the one that was known before.
 func (r *eraRecord) learn(era int64) (former int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	former = r.era
 	if era > former {
-		r.era, r.since, r.settled = era, r.clock.Now(), false
+		r.era, r.since, r.lastAnswer, r.settled = era, r.clock.Now(), r.clock.Now(), false
 	}
 	return former
 }
@@ -58,29 +62,30 @@
 func (r *eraRecord) noteAnswer() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.since == 0 {
-		r.since = r.clock.Now()
-	}
-}
-
-// noteFailure records that the store doesn't answer this node. The time in which the operator can write counts anew.
-func (r *eraRecord) noteFailure() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.settledLocked() {
-		r.since = 0
+	now := r.clock.Now()
+	if now.Sub(r.lastAnswer) > r.maxGap {
+		r.since = now
 	}
+	r.lastAnswer = now
+	r.settleIfDue()
 }
 
 // noteAge records that another node knows the store to answer in the era for the given time.
 func (r *eraRecord) noteAge(era int64, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if since := r.clock.Now().Add(-age); age > 0 && era == r.era && (r.since == 0 || since < r.since) {
-		r.since = since
+	if era == r.era && age > r.ageLocked() {
+		r.lastAnswer = r.clock.Now()
+		r.since = r.lastAnswer.Add(-age)
+		r.settleIfDue()
 	}
 }
 
+// settleIfDue is called after each answer. The lock is held.
+func (r *eraRecord) settleIfDue() {
+	r.settled = r.settled || r.era != 0 && r.ageLocked() >= configRewriteTime
+}
+
 // age returns the time for which the store is known to answer in the present era.
 func (r *eraRecord) age() time.Duration {
 	r.mu.Lock()
@@ -91,22 +96,18 @@
 	return r.ageLocked()
 }
 
+// ageLocked returns 0 if the store hasn't answered for longer than maxGap. The lock is held.
 func (r *eraRecord) ageLocked() time.Duration {
-	if r.since == 0 {
+	if r.clock.Now().Sub(r.lastAnswer) > r.maxGap {
 		return 0
 	}
-	return r.clock.Now().Sub(r.since)
+	return r.lastAnswer.Sub(r.since)
 }
 
 // isSettled reports whether the store can be taken to hold the newest configuration. It is always so if the store states no era.
 func (r *eraRecord) isSettled() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.settledLocked()
-}
-
-func (r *eraRecord) settledLocked() bool {
-	r.settled = r.settled || r.era != 0 && r.ageLocked() >= configRewriteTime
 	return r.settled || r.era == 0
 }
 
--- a/internal/entry/newest.go
+++ b/internal/entry/newest.go
@@ -71,6 +71,9 @@
 	return 0
 }
 
+// maxConfigAge returns the longest time between two answers to watches of the configuration, also through a mirror, that are in time.
+func maxConfigAge(b platform.Bounds) time.Duration { return b.ConfigApply/2 + 2*watchSlack }
+
 // configDoubt tells why there may be a newer configuration than the one in force, or returns "". A route or key that the one in force lacks
 // may be in it.
 func (n *Node) configDoubt() string {
@@ -84,8 +87,7 @@
 	if n.newest.readAt.Load() == 0 {
 		return "neither the store nor a mirror has told the configuration yet"
 	}
-	// A watch that is answered in time comes within this age, also through a mirror.
-	if age, limit := now.Sub(clock.Time(n.newest.readAt.Load())), n.settings.Bounds.ConfigApply/2+2*watchSlack; age > limit {
+	if age, limit := now.Sub(clock.Time(n.newest.readAt.Load())), maxConfigAge(n.settings.Bounds); age > limit {
 		return fmt.Sprintf("the configuration was last read more than %v ago", limit)
 	}
 	return ""
