Use no answer of a new era before all parts know of it

The highest known era was raised before the restore was announced, so a list of the restored store that another goroutine had read meanwhile could be applied first: what the copy lacks then counted as removed or ended, for example an evacuation. A list of the former era that was still being decoded could be applied after the announcement (both found by the review, by reading). Each answer now states its era to the node before it is used, and waits while an era is being announced; an answer that was overtaken is dropped and the follower lists again.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,7 @@
 	storeCalls     *callCounter
 	storeContact   *storeContact
 	storeEra       *eraRecord
+	eraEvent       sync.Mutex // Held while an era is learnt; taken before all other locks.
 	eraMetrics     eraMetrics
 	newest         newestConfig
 	unreadable     unreadableCounter
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -128,13 +128,16 @@
 }
 
 // learnEra records an era of the store that an answer of the store or of a mirror, or another node, has stated. A higher one than the
-// known one means that the store has come back from an older copy; see platform.Store.Era. It is safe for concurrent use.
+// known one means that the store has come back from an older copy; see platform.Store.Era. No answer of the new era is used before all parts
+// know of it, since callers wait here until then. It is safe for concurrent use.
 func (n *Node) learnEra(era int64) {
+	n.eraEvent.Lock()
+	defer n.eraEvent.Unlock()
 	former := n.storeEra.learn(era)
 	if era <= former {
 		return
 	}
-	n.store.LearnEra(era)
+	defer n.store.LearnEra(era)
 	if former == 0 {
 		if n.settings.FirstRun {
 			n.storeEra.settle() // Nothing was written before that could have been lost.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -221,7 +221,7 @@
 		if err == nil && next.Before(f.newest) {
 			err = errStaleList
 		}
-		if err != nil {
+		if err = f.checkEra(next, err); err != nil {
 			return platform.Position{}, err
 		}
 		f.noteRead(items, next)
@@ -233,7 +233,7 @@
 		return next, nil
 	}
 	events, next, err := f.client().Watch(ctx, f.kind, f.position, f.maxWait)
-	if err != nil {
+	if err = f.checkEra(next, err); err != nil {
 		return platform.Position{}, err
 	}
 	if len(events) > 0 {
@@ -246,6 +246,15 @@
 	return next, nil
 }
 
+// checkEra returns err, or platform.ErrHistoryGone for an answer that was overtaken while it was decoded: the store has come back from an
+// older copy since.
+func (f *follower) checkEra(at platform.Position, err error) error {
+	if err == nil && at.Era < f.node.store.Era() {
+		return platform.ErrHistoryGone
+	}
+	return err
+}
+
 // noteRead raises newest to the positions of the given objects, which were read at the store's position at. It doesn't use at for all
 // of them: its revision counts the changes of all kinds, so a mirror that has all changes of this kind may still state a lower one. A
 // removal has no revision of its own, so at is used for it.
