Tell the planner of a restore by the node's event

The planner compared the store's era in each step, while all other parts are told by storeRestored. It is told there too now, so that a restore is one event and the lease hands out no era. Nothing else changes; the tests of planner and entry that cover it pass.

--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -154,6 +154,7 @@
 // that copy is lost, also what was acknowledged, until its writers write it again; revisions of former eras mean nothing any more.
 func (n *Node) storeRestored(era int64) {
 	n.lease.StoreRestored(era)
+	n.planner.StoreRestored()
 	bounds := n.settings.Bounds
 	n.registry.Restored(fleet.RestoreBounds{Lapse: bounds.EntryTTL + fleet.ReturnGrace, Evacuations: evacuationHoldBounds * bounds.Evacuate})
 	for _, f := range n.followers {
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -217,9 +217,6 @@
 	return l.term
 }
 
-// StoreEra returns the highest known era of the store; 0 if none is known.
-func (l *Lease) StoreEra() int64 { return l.store.Era() }
-
 func (l *Lease) isHeld() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -88,19 +88,19 @@
 	return m.Epoch
 }
 
+// StoreRestored tells the planner that the store has come back from an older copy. What replicas confirmed before is forgotten.
+func (p *Planner) StoreRestored() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.restoredAt = p.opt.Clock.Now()
+	clear(p.queriedAt)
+	clear(p.confirmed)
+}
+
 // restoredLately reports whether the store came back from an older copy within the time that replicas take to write their entries again.
 // Until then entries may be older than what was known of the replicas before, and those of some replicas may be missing. The caller
 // holds the lock.
 func (p *Planner) restoredLately(now clock.Time) bool {
-	era := p.opt.Lease.StoreEra()
-	if era > p.storeEra {
-		if p.storeEra != 0 {
-			p.restoredAt = now
-			clear(p.queriedAt)
-			clear(p.confirmed)
-		}
-		p.storeEra = era
-	}
 	return p.restoredAt != 0 && now.Sub(p.restoredAt) < p.opt.EntryTTL+settleTime
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -88,8 +88,7 @@
 	counts      orderCounts
 	active      bool
 	lastSummary clock.Time // Last summary in the log.
-	storeEra    int64      // Highest era of the store that the plan has taken into account; 0 if none.
-	restoredAt  clock.Time // When a later one was first known; 0 if none was.
+	restoredAt  clock.Time // When the store last came back from an older copy; 0 if it never did.
 }
 
 // New returns a Planner.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -63,6 +63,7 @@
 
 	e.store.restore(2 * time.Second)
 	node.store.LearnEra(e.store.era)
+	p.StoreRestored()
 	_, _, queries = p.decide()
 	c.Assert(queries, quicktest.HasLen, 1)
 	p.queryReport(context.Background(), queries[0]) // Answered before the list of the new era arrives.
