Promise nothing about a key whose claim may be lost while the era can't be read

A caller whose request had run could be told that it had not: its claim was lost by a restore of the store, no slot was free, so that the claim was only looked up, and the start of the era could not be read (found by the review). The look-up now answers that the request may be in progress. Evidence: TestLookUpWithoutTheEraPromisesNothing failed before (no error) and passes.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -179,7 +179,11 @@
 	version, stored, err := m.readClaim(ctx, req.Key)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		if era, err := m.era(ctx); err == nil && claimMayBeLost(req.Key, era) {
+		era, err := m.era(ctx)
+		if err != nil {
+			return nil, result.New(result.RequestInProgress, "whether an earlier claim of this key was lost could not be read").WithCause(err)
+		}
+		if claimMayBeLost(req.Key, era) {
 			return nil, unknownOutcome(req.Key)
 		}
 		return nil, nil
--- a/internal/claims/restore_test.go
+++ b/internal/claims/restore_test.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -113,3 +114,15 @@
 		f.checkUnknown(f.b)
 	})
 }
+
+// Guards against a request that has run and is refused as not run: its claim is lost, and the era can't be read.
+func TestLookUpWithoutTheEraPromisesNothing(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.claim(f.a).Answer(t.Context(), Answer{Status: 200})
+		f.restore(lost)
+		f.b.manager.opts.Era = func(context.Context) (platform.EraStart, error) { return platform.EraStart{}, platform.ErrUnavailable }
+		_, err := f.b.manager.LookUpEarlier(t.Context(), Request{Key: f.key, Account: "acc", Fingerprint: "fp"})
+		f.Assert(err, qt.Not(qt.Equals), (*result.Error)(nil))
+		f.Check(err.NotRun, qt.IsFalse)
+	})
+}
