Tell clients of an unknown outcome when a stopping node ends their requests

A client whose request a draining node ended was told deadline_exceeded, though its own deadline had not passed: the node shortens the deadlines of requests that it takes while it drains (found by the review). Such requests end with outcome_unknown now, and don't count for the estimate of durations. Evidence: TestRequestThatADrainEndsHasAnUnknownOutcome failed before (code 3005) and passes; the tests of draining in edge and entry pass.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -40,6 +40,13 @@
 	return nil
 }
 
+// drainEnded reports whether the time has come at which this server ends the requests that still run. The deadlines of those that it took
+// while it drained end then too.
+func (c *call) drainEnded() bool {
+	end := c.drainEnd.Load()
+	return end != nil && !time.Now().Before(*end)
+}
+
 // endReadWhenStopped makes the read of the body fail once the server has stopped. The function that it returns must be called
 // after the read, and reports whether that has happened.
 func (c *call) endReadWhenStopped() (stopped func() bool) {
--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -4,12 +4,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/result"
 )
 
 // Guards against a draining server that turns away requests though others of their kind ended in a fraction of the time that is
@@ -56,3 +58,26 @@
 	}
 	c.Check(r.received(), quicktest.HasLen, 1)
 }
+
+// Guards against a client that is told that its own deadline has passed, though the server has ended its request.
+func TestRequestThatADrainEndsHasAnUnknownOutcome(t *testing.T) {
+	c := quicktest.New(t)
+	var slow atomic.Bool
+	r := newReplica(t, false, func(*http.Request) string {
+		if slow.Load() {
+			time.Sleep(2 * time.Second)
+		}
+		return httpResponse("200 OK", sealHeader, "done")
+	})
+	server := newServer(t, fleet.RepeatNever, r)
+	for range 4 {
+		_, _, err := sendRequest(t, server, http.MethodPost)
+		c.Assert(err, quicktest.IsNil)
+	}
+	slow.Store(true)
+	server.(*Server).Drain(time.Now().Add(time.Second))
+	resp, body, err := sendRequest(t, server, http.MethodPost)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(statesNotRun(resp.StatusCode), quicktest.IsFalse)
+	c.Check(strings.Contains(body, result.OutcomeUnknown.String()), quicktest.IsTrue, quicktest.Commentf(body))
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -294,14 +294,15 @@
 // refuseUnanswered ends a request that was sent and got no usable response. The error never states that the request has not
 // run.
 func (c *call) refuseUnanswered(reason string) {
+	if c.drainEnded() {
+		c.refuse(result.New(result.OutcomeUnknown, "the request may have run: this node stopped before the response"))
+		return
+	}
 	if c.ctx.Err() != nil && c.timeLeft() <= 0 {
 		c.durations.Record(c.route.Name, time.Since(c.start))
 		c.refuse(result.New(result.DeadlineExceeded, "no response before the deadline: %s", reason))
 		return
 	}
-	if c.stopped.Err() != nil {
-		reason = "this node stopped before the response"
-	}
 	c.refuse(result.New(result.OutcomeUnknown, "the request may have run: %s", reason))
 }
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -290,7 +290,7 @@
 	switch {
 	case c.attempts.mayHaveRun():
 		c.refuseUnanswered(c.attempts.lastFailure)
-	case c.stopped.Err() != nil:
+	case c.drainEnded():
 		c.refuse(c.stoppingRefusal())
 	case c.timeLeft() <= 0:
 		c.refuse(result.New(result.DeadlineUnreachable, "no replica accepted the request before the deadline").WithRetryAfter(retryAfterFull))
