--- a/internal/entry/restored_test.go
+++ b/internal/entry/restored_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,6 +151,32 @@
 	}
 }
 
+// Guards against a node that serves by an old configuration for seconds, because the store turns it away while it answers other nodes.
+func TestNodeThatTheStoreTurnsAwayTakesTheConfigurationOfOthers(t *testing.T) {
+	c := quicktest.New(t)
+	store := newFakeStore()
+	store.put(platform.KindConfig, platform.ConfigName, configSpec(1, "a"))
+	var turnedAway atomic.Bool
+	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if turnedAway.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	c.Cleanup(gate.Close)
+	zone := newZone(c, store)
+	reader, _ := zone.start(true)
+	zone.name, zone.store = "other", strings.TrimPrefix(gate.URL, "http://")
+	behind, _ := zone.start(true)
+	waitFor(c, 10*time.Second, func() bool { return behind.configVersion() == 1 && len(behind.mesh.Alive()) == 1 })
+	turnedAway.Store(true)
+	gate.CloseClientConnections()
+	store.put(platform.KindConfig, platform.ConfigName, configSpec(2, "a"))
+	waitFor(c, reader.settings.Bounds.ConfigApply, func() bool { return reader.configVersion() == 2 })
+	waitFor(c, behind.settings.Bounds.ConfigApply, func() bool { return behind.configVersion() == 2 })
+}
+
 // Guards against a node that puts an older configuration of the store into force though it knows, when it has read it, that another node
 // has a newer one.
 func TestOlderConfigurationIsNotInForceFirst(t *testing.T) {
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -18,9 +18,10 @@
 // testZone is a failure domain whose nodes run in this process. Each has an address of its own.
 type testZone struct {
 	c     *quicktest.C
-	store string
-	port  int // The first of the internal ports.
-	nodes int // Started so far.
+	store string // Address of the store for the nodes that are started next.
+	name  string // Of their failure domain.
+	port  int    // The first of the internal ports.
+	nodes int    // Started so far.
 	// running counts the nodes that haven't stopped. All are told to stop before the first is waited for.
 	running *sync.WaitGroup
 }
@@ -32,7 +33,7 @@
 	c.Assert(err, quicktest.IsNil)
 	port := probe.Addr().(*net.TCPAddr).Port
 	c.Assert(probe.Close(), quicktest.IsNil)
-	z := &testZone{c: c, store: strings.TrimPrefix(server.URL, "http://"), port: port, running: &sync.WaitGroup{}}
+	z := &testZone{c: c, store: strings.TrimPrefix(server.URL, "http://"), name: "z", port: port, running: &sync.WaitGroup{}}
 	c.Cleanup(z.running.Wait)
 	return z
 }
@@ -42,7 +43,7 @@
 	c, i := z.c, z.nodes
 	z.nodes++
 	ip := fmt.Sprintf("127.0.90.%d", i+1)
-	text := strings.NewReplacer("10.200.1.7:8223", z.store, `"node_name":"n"`, fmt.Sprintf(`"bootstrap":%v,"node_name":"n%d"`, firstRun, i),
+	text := strings.NewReplacer("10.200.1.7:8223", z.store, `"zone":"z"`, fmt.Sprintf(`"zone":%q`, z.name), `"node_name":"n"`, fmt.Sprintf(`"bootstrap":%v,"node_name":"n%d"`, firstRun, i),
 		"127.0.0.1:0", ip+":0", `"ip":"127.0.0.1"`, fmt.Sprintf(`"ip":%q`, ip), `[0,9]`, fmt.Sprintf("[%d,%d]", z.port, z.port+9)).Replace(testSettings)
 	n := newNode(c, text)
 	ctx, cancel := context.WithCancel(context.Background())
