--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 	record     *record
 	store      *store
 	storeAt    string
+	stopStore  func()
 	trouble    bool
 	nodes      []*node
 }
@@ -80,7 +81,7 @@
 	}
 	p.nodes = nodes
 	p.storeAt = "127.0.0.1:" + strconv.Itoa(nodes[0].base+portInternal+internalPorts)
-	if _, err := p.store.serve(p.storeAt); err != nil {
+	if p.stopStore, err = p.store.serve(p.storeAt); err != nil {
 		return err
 	}
 	for _, n := range nodes {
