--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -27,7 +27,7 @@
 }
 
 var cases = map[string]func(*play) (broken bool, err error){
-	"cold": coldAfterRestart, "bodies": largeBodies, "late-beat": lateBeat, "configs": manyConfigs,
+	"cold": coldAfterRestart, "bodies": largeBodies, "late-beat": lateBeat, "turned-cold": turnedCold, "configs": manyConfigs,
 }
 
 func main() {
