--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -80,7 +80,7 @@
 
 func portsFree(ips []string, base int) bool {
 	for _, ip := range ips {
-		for offset := range portInternal + internalPorts {
+		for offset := range portInternal + internalPorts + 1 { // The last one is for the store.
 			address := net.JoinHostPort(ip, strconv.Itoa(base+offset))
 			l, err := net.Listen("tcp", address)
 			if err != nil {
