--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -51,7 +51,7 @@
 func (c *client) resolve() {
 	ask := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, n := range c.nodes[:min(3, len(c.nodes))] {
-		resp, err := ask.Get("http://" + n.address(portDirectory) + "/cassiadeal/resolve?name=" + clientHost + "&region=wa-west&zone=" + c.zone)
+		resp, err := ask.Get("http://" + n.address(portDirectory) + wire.PathResolve + "?name=" + clientHost + "&region=wa-west&zone=" + c.zone)
 		if err != nil {
 			continue
 		}
@@ -131,8 +131,8 @@
 		return id, outcome{err: err}
 	}
 	req.Host = clientHost
-	req.Header.Set("X-Cassiadeal-Request-Id", id)
-	req.Header.Set("X-Cassiadeal-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	req.Header.Set(wire.HeaderPrefix+"Request-Id", id)
+	req.Header.Set(wire.HeaderPrefix+"Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
 	req.Header.Set("X-Api-Key", clientKey)
 	c.record.add("%s: %s %s, request %s, sent to %s", c.name, method, path, id, address)
 	timer := &http.Client{Transport: c.http.Transport, Timeout: limit}
@@ -141,7 +141,7 @@
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		o = outcome{status: resp.StatusCode, body: string(data), sealed: resp.Header.Get("X-Cassiadeal-Response-Seal") != ""}
+		o = outcome{status: resp.StatusCode, body: string(data), sealed: resp.Header.Get(wire.HeaderPrefix+"Response-Seal") != ""}
 		if s, parseErr := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); parseErr == nil {
 			o.retryAfter = time.Duration(s * float64(time.Second))
 		}
--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -134,7 +134,7 @@
 	}
 	cmd := exec.Command("target/cassiadeald", "--platform")
 	cmd.Dir, cmd.Stdout, cmd.Stderr = repository, log, log
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "CASSIADEAL_BOOT=" + n.settingsPath}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", wire.SettingsVariable + "=" + n.settingsPath}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
@@ -200,7 +200,7 @@
 // ready reports whether the node answers the platform's readiness check with 200.
 func (n *node) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get("http://" + n.address(portReadiness) + "/cassiadeal/ready")
+	resp, err := client.Get("http://" + n.address(portReadiness) + wire.PathReady)
 	if err != nil {
 		return false
 	}
--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -122,7 +122,7 @@
 	defer p.mu.Unlock()
 	p.sequence++
 	return map[string]any{"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state,
-		"cold_remaining_ms": max(0, p.cold-time.Since(p.coldFrom)).Milliseconds(), "sequence": p.sequence, "born": p.born.UnixMilli()}
+		wire.ColdField: max(0, p.cold-time.Since(p.coldFrom)).Milliseconds(), "sequence": p.sequence, "born": p.born.UnixMilli()}
 }
 
 func (p *replica) beat() {
@@ -187,21 +187,21 @@
 
 // ServeHTTP implements http.Handler.
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Cassiadeal-Request-Id")
-	w.Header().Set("X-Cassiadeal-Instance-Id", p.id)
+	id := r.Header.Get(wire.HeaderPrefix + "Request-Id")
+	w.Header().Set(wire.HeaderPrefix+"Instance-Id", p.id)
 	if id != "" {
-		w.Header().Set("X-Cassiadeal-Request-Id", id)
+		w.Header().Set(wire.HeaderPrefix+"Request-Id", id)
 	}
 	if p.isLeaving() {
 		w.Header().Set("Server-Leaving", "1")
 		w.Header().Set("Connection", "close")
 	}
-	if want := r.Header.Get("X-Cassiadeal-Expect-Instance"); want != "" && want != p.id {
-		w.Header().Set("X-Cassiadeal-Not-Executed", "1")
+	if want := r.Header.Get(wire.HeaderPrefix + "Expect-Instance"); want != "" && want != p.id {
+		w.Header().Set(wire.HeaderPrefix+"Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == "/cassiadeal/report" {
+	if r.URL.Path == wire.PathReport {
 		reply(w, http.StatusOK, p.entry())
 		return
 	}
@@ -246,7 +246,7 @@
 		return
 	}
 	body := fmt.Sprintf("done %s by %s", id, p.id)
-	w.Header().Set("X-Cassiadeal-Response-Seal", sealPart+id)
+	w.Header().Set(wire.HeaderPrefix+"Response-Seal", sealPart+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(w, body) // A caller that has left gets no answer.
 	p.record.add("%s: request %s answered", p.id, id)
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -109,7 +109,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	path, ok := strings.CutPrefix(r.URL.Path, "/cassiadeal/objects/")
+	path, ok := strings.CutPrefix(r.URL.Path, wire.PathObjects)
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
