Hold entries that a late check-in may have written

Cause: the registry took the newest entry that the store lists for the present state of a replica. A check-in that got no answer may be carried out seconds later, after newer ones, and the store then lists the older one until the replica checks in again. By the same way an old check-in took back slots, a cold time, the group and its epoch, staged weights, the start of the replica, and a removal.

Change: an entry that is older than the known one by its start or its sequence is held, not used. So is one that comes back within 6 s of a removal, though its sequence is higher: the store changes an entry only when more than the sequence changes, so check-ins with numbers that no node has seen may have been sent before the removal. A replica that is back is used by a higher sequence, or after a removal once no late check-in can have written its entry. An entry that stays listed for as long as the store keeps one without a check-in is used in any case, unless the store was away meanwhile. Sequences are forgotten when the store comes back from an older copy. An entry that another writer had spoilt hasn't left, so its return isn't held. Held entries are logged and counted by reason.

Result: TestLateCheckInTakesNothingBack (12 cases), TestLateCheckInDoesNotEndAColdTime, TestLateCheckInOfAnEarlierStart, TestLateCheckInDoesNotBringBackARemovedReplica, TestEntryThatStaysListedIsUsed, TestHeldEntryIsNotUsedAfterAnOutage and TestLateCheckInBringsNoLeavingReplicaBack (2 cases) failed before, or with the hold switched off.

Conclusion: the order of check-ins decides, not the order in which the store carries them out. Replicas that return need a quicker way.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/clock"
@@ -87,6 +88,7 @@
 	storeEra       *eraRecord
 	eraEvent       sync.Mutex // Held while an era is learnt; taken before all other locks.
 	eraMetrics     eraMetrics
+	heldEntries    metric.Int64Counter
 	newest         newestConfig
 	unreadable     unreadableCounter
 
@@ -116,6 +118,10 @@
 	if n.eraMetrics, err = newEraMetrics(metrics.Meter()); err != nil {
 		return nil, err
 	}
+	if n.heldEntries, err = newHeldCounter(metrics.Meter()); err != nil {
+		return nil, err
+	}
+	n.registry.SetEntryLapse(s.Bounds.EntryTTL)
 	n.store.OnCall, n.store.OnEra, n.store.OnFormerEra = n.storeCalls.record, n.learnEra, n.eraMetrics.countFormer
 	n.budget = retry.New(retry.Options{Share: s.Bounds.RetryRatio * retryBudgetFraction, BurstNow: n.localRetrySlack,
 		FloorPerSecond: -1, Log: log, Meter: metrics.Meter()})
@@ -202,14 +208,16 @@
 
 func (n *Node) replaceReplicas(list []platform.Object) {
 	var replicas []*fleet.Replica
+	var unreadable []string
 	for _, o := range list {
 		if r, err := platform.DecodeReplica(o); err != nil {
 			n.logUnreadable(o, err)
+			unreadable = append(unreadable, o.Name)
 		} else {
 			replicas = append(replicas, r)
 		}
 	}
-	n.registry.Replace(replicas)
+	n.registry.Replace(replicas, unreadable...)
 	n.logDepartures()
 	n.replicasListed.Store(true)
 }
@@ -223,7 +231,7 @@
 			if err != nil {
 				n.logUnreadable(o, err)
 			}
-			change.Replica = r // An entry that can't be decoded counts as removed.
+			change.Replica, change.Unreadable = r, err != nil // An entry that can't be decoded counts as removed.
 		}
 		changes = append(changes, change)
 	}
@@ -242,6 +250,7 @@
 			n.log.WithFields(logrus.Fields{"state": state, "count": len(ids), "replicas": ids[:min(len(ids), maxLoggedDepartures)]}).Info("replicas leave by their entries")
 		}
 	}
+	n.recordHeld(d)
 }
 
 func (n *Node) applyConfig(list []platform.Object) {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -51,6 +51,8 @@
 	availableFrom, availableTo clock.Time
 	firstListAt                clock.Time // When the replicas were first listed; 0 before.
 	lapsed                     map[string]lapsedEntry
+	entryLapse                 time.Duration        // See SetEntryLapse.
+	held                       map[string]heldEntry // By ID.
 	restored                   restoredState
 	// observations holds the state that replicas reported directly, by ID.
 	observations map[string]*activeObservation
@@ -65,11 +67,16 @@
 	Removed  []string // The entries were removed and are no longer used.
 	// Returned holds replicas whose entries were removed and are listed again by an older copy of the store. They aren't used for a while.
 	Returned []string
+	// Held holds replicas of which the store lists an entry that may be written by an old check-in.
+	Held     []Hold
+	HeldUsed []string // Held entries that are used now, since the store went on listing them.
 }
 
 type lapsedEntry struct {
 	replica   *Replica
 	removedAt clock.Time
+	// overwritten is set if the store holds an entry that can't be read, of another writer, in place of the removed one.
+	overwritten bool
 }
 
 // lapsedRetention is the time for which a removed entry is kept in View.Lapsed.
@@ -79,7 +86,7 @@
 func NewRegistry(c clock.Clock) *Registry {
 	r := &Registry{clock: c, replicas: map[string]*Replica{}, coldUntil: map[string]clock.Time{},
 		evacuated: map[string]bool{}, removalDue: map[string]clock.Time{},
-		lapsed: map[string]lapsedEntry{}, observations: map[string]*activeObservation{}, restored: newRestoredState()}
+		lapsed: map[string]lapsedEntry{}, held: map[string]heldEntry{}, entryLapse: defaultEntryLapse, observations: map[string]*activeObservation{}, restored: newRestoredState()}
 	r.view.Store(&View{})
 	return r
 }
@@ -197,8 +204,8 @@
 	r.publish()
 }
 
-// Replace sets the entries to a full list from the store.
-func (r *Registry) Replace(list []*Replica) {
+// Replace sets the entries to a full list from the store. unreadable holds the IDs of entries that can't be read.
+func (r *Registry) Replace(list []*Replica, unreadable ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.firstListAt == 0 {
@@ -214,13 +221,18 @@
 			r.entryRemoved(id)
 		}
 	}
+	maps.DeleteFunc(r.held, func(id string, _ heldEntry) bool { return !listed[id] })
+	for _, id := range unreadable {
+		r.markOverwritten(id)
+	}
 	r.publish()
 }
 
 // Change is one event of the store's watch: an entry was written, or removed if Replica is nil.
 type Change struct {
-	ID      string
-	Replica *Replica
+	ID         string
+	Replica    *Replica
+	Unreadable bool // An entry that can't be read was written. Replica is nil.
 }
 
 // TakeDepartures returns the departures since its last call.
@@ -239,6 +251,9 @@
 	for _, c := range changes {
 		if c.Replica == nil {
 			r.entryRemoved(c.ID)
+			if c.Unreadable {
+				r.markOverwritten(c.ID)
+			}
 		} else {
 			r.storeEntry(c.Replica)
 		}
@@ -246,8 +261,19 @@
 	r.publish()
 }
 
+// storeEntry uses an entry that the store lists, or holds it if an old check-in may have written it. The lock is held.
 func (r *Registry) storeEntry(entry *Replica) {
+	if reason := r.holdReason(entry); reason != holdNone {
+		r.hold(entry, reason)
+		return
+	}
+	r.useEntry(entry, r.clock.Now())
+}
+
+// useEntry uses an entry that arrived at the given time. The lock is held.
+func (r *Registry) useEntry(entry *Replica, arrivedAt clock.Time) {
 	now := r.clock.Now()
+	delete(r.held, entry.ID)
 	delete(r.removalDue, entry.ID)
 	delete(r.lapsed, entry.ID)
 	if r.replicas[entry.ID] == nil && r.restored.unusedNow(entry, now) {
@@ -260,7 +286,7 @@
 	r.dropSuperseded(entry)
 	r.replicas[entry.ID] = entry
 	if entry.ColdFor > 0 {
-		r.coldUntil[entry.ID] = now.Add(entry.ColdFor)
+		r.coldUntil[entry.ID] = arrivedAt.Add(entry.ColdFor)
 	} else {
 		delete(r.coldUntil, entry.ID)
 	}
@@ -268,7 +294,11 @@
 
 // entryRemoved drops an entry that the store no longer lists, or keeps it while removals are uncertain. The lock is held.
 func (r *Registry) entryRemoved(id string) {
+	delete(r.held, id)
 	if _, known := r.replicas[id]; !known {
+		if l, lapsed := r.lapsed[id]; lapsed && l.overwritten {
+			r.lapsed[id] = lapsedEntry{replica: l.replica, removedAt: r.clock.Now()}
+		}
 		return
 	}
 	if until := r.removalsUncertainUntil(); r.clock.Now() < until {
@@ -281,9 +311,17 @@
 	r.removeEntry(id)
 }
 
+// markOverwritten records that the store holds an entry of another writer in place of a removed one. The lock is held.
+func (r *Registry) markOverwritten(id string) {
+	if l, lapsed := r.lapsed[id]; lapsed {
+		l.overwritten = true
+		r.lapsed[id] = l
+	}
+}
+
 func (r *Registry) removeEntry(id string) {
 	r.departures.Removed = append(r.departures.Removed, id)
-	r.lapsed[id] = lapsedEntry{r.withObservation(r.replicas[id]), r.clock.Now()}
+	r.lapsed[id] = lapsedEntry{replica: r.withObservation(r.replicas[id]), removedAt: r.clock.Now()}
 	delete(r.replicas, id)
 	delete(r.observations, id)
 	delete(r.coldUntil, id)
@@ -298,6 +336,7 @@
 	now := r.clock.Now()
 	dropped := r.expireObservations(now)
 	dropped = r.restored.expire(now) || dropped
+	dropped = r.useHeld(now) || dropped
 	for id, l := range r.lapsed {
 		if now.Sub(l.removedAt) > lapsedRetention {
 			delete(r.lapsed, id)
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -46,10 +46,12 @@
 	ColdFor time.Duration
 	// StartedUnixMs is the replica's start in Unix milliseconds. It distinguishes two starts under the same ID.
 	StartedUnixMs int64
-	Fabric        string      // Fabric domain; empty for plain services.
-	Staged        []string    // Models whose weights are on the replica's host.
-	Models        []string    // Models whose weights are loaded.
-	Group         *Membership // Nil if the replica is in no group.
+	// Sequence is the number of the check-in that wrote the entry, counted from the replica's start; 0 if the entry states none.
+	Sequence int64
+	Fabric   string      // Fabric domain; empty for plain services.
+	Staged   []string    // Models whose weights are on the replica's host.
+	Models   []string    // Models whose weights are loaded.
+	Group    *Membership // Nil if the replica is in no group.
 }
 
 // Head tells whether the replica is the serving head of a group.
--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -111,6 +111,7 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	r.restored.at = now
+	r.forgetSequences()
 	noteLeaving := func(replica *Replica) {
 		if replica.Draining && r.statements != nil {
 			leaving = append(leaving, replica.Incarnation().Target())
--- a/internal/fleet/restored_test.go
+++ b/internal/fleet/restored_test.go
@@ -18,10 +18,14 @@
 func newRestorable() (*Registry, *clock.Manual) {
 	now := clock.NewManual(time.Hour)
 	r := NewRegistry(now)
-	r.FollowStatements(statement.New(statement.Options{Now: func() time.Duration { return time.Duration(now.Now()) }}))
+	r.FollowStatements(newTable(now))
 	return r, now
 }
 
+func newTable(now *clock.Manual) *statement.Table {
+	return statement.New(statement.Options{Now: func() time.Duration { return time.Duration(now.Now()) }})
+}
+
 func startOf(id string, born int64, draining bool) *Replica {
 	r := plainReplica(id, "z")
 	r.StartedUnixMs, r.Draining = born, draining
