Keep a replica's own report when its entry states an earlier epoch

What a replica itself has reported was replaced by any entry that differs from the one known then, also by one of a check-in from before the report: the replica was shown in the group that it had left.

Change: an entry that states an earlier epoch of the same start doesn't replace a report. A replica never goes back to an earlier epoch.

An entry without a group can't be ordered this way and still replaces a report; its sequence protects it where the node has seen a later one.

Conclusion: reports and entries are ordered by epoch where both name a group.

--- a/internal/fleet/checkin_test.go
+++ b/internal/fleet/checkin_test.go
@@ -219,3 +219,22 @@
 	c.Check(r.View().Replicas["a"].Slots, quicktest.Equals, 8)
 	c.Check(usable(r), quicktest.DeepEquals, []string{"a"})
 }
+
+// Guards against a check-in from before a join that takes back the group that the replica itself has reported since.
+func TestLateCheckInDoesNotReplaceANewerReport(t *testing.T) {
+	c := quicktest.New(t)
+	member := func(sequence, epoch int64) *Replica {
+		return checkIn(1, sequence, func(r *Replica) {
+			r.Group, r.Models = &Membership{Name: "g", Epoch: epoch, State: GroupOpen}, []string{"m"}
+		})
+	}
+	r, _ := newOrdered(member(5, 5))
+	r.Observe([]Observation{observationOf(member(0, 7))})
+	late := member(6, 5)
+	late.Staged = []string{"m"}
+	r.write(late)
+	c.Check(r.View().Replicas["a"].Group.Epoch, quicktest.Equals, int64(7))
+	r.write(member(8, 8))
+	c.Check(r.View().Replicas["a"].Group.Epoch, quicktest.Equals, int64(8))
+	c.Check(r.Observations(), quicktest.HasLen, 0)
+}
--- a/internal/fleet/observed.go
+++ b/internal/fleet/observed.go
@@ -92,9 +92,12 @@
 }
 
 // dropSuperseded removes the observation of a replica if its new entry differs from the replaced one, since the new entry is then
-// newer than the observation. The lock is held.
+// newer than the observation, unless it states an earlier epoch. The lock is held.
 func (r *Registry) dropSuperseded(entry *Replica) {
 	o := r.observations[entry.ID]
+	if o != nil && entry.StartedUnixMs == o.Incarnation.StartedUnixMs && entry.Group != nil && epochOf(entry.Group) < epochOf(o.Group) {
+		return
+	}
 	if o != nil && (entry.StartedUnixMs != o.replacedEntry.StartedUnixMs ||
 		!equalMemberships(entry.Group, o.replacedEntry.Group) || !slices.Equal(entry.Staged, o.replacedEntry.Staged)) {
 		delete(r.observations, entry.ID)
