Ignore a replica's report that a later one has overtaken

While the store doesn't answer, the planner asks replicas for reports every 150 ms and waits 250 ms for each. A report that arrived after a later one replaced it: a replica that had joined a group looked like a spare again, and could be joined to another one.

Change: the planner keeps when the report in use was asked for, and ignores one that was asked for earlier.

Conclusion: the own interface has no such path: its reports are read one at a time for each VM and each member, on connections that are closed after a timeout.

--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -64,7 +64,8 @@
 func (p *Planner) queryReport(ctx context.Context, r *fleet.Replica) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	report, err := p.opt.Replicas.Report(ctx, r.Incarnation(), r.Address)
+	incarnation, askedAt := r.Incarnation(), p.opt.Clock.Now()
+	report, err := p.opt.Replicas.Report(ctx, incarnation, r.Address)
 	if err != nil {
 		p.opt.Log.WithField("replica", r.ID).WithError(err).Debug("a replica's report could not be read")
 		return
@@ -72,12 +73,16 @@
 	if report.StartedUnixMs != r.StartedUnixMs || !p.Active() {
 		return
 	}
-	p.opt.Registry.Observe([]fleet.Observation{{Incarnation: r.Incarnation(), Group: report.Group, Models: report.Models, Staged: report.Staged}})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.confirmed[r.Incarnation()] = epochOf(report.Group)
+	if askedAt < p.reportAskedAt[incarnation] {
+		return // A later report has overtaken this one.
+	}
+	p.reportAskedAt[incarnation] = askedAt
+	p.opt.Registry.Observe([]fleet.Observation{{Incarnation: incarnation, Group: report.Group, Models: report.Models, Staged: report.Staged}})
+	p.confirmed[incarnation] = epochOf(report.Group)
 	if _, known := p.counts.count(r); !known {
-		p.counts.reported(r.Incarnation(), report.OrderCount)
+		p.counts.reported(incarnation, report.OrderCount)
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -80,20 +80,22 @@
 	term int64 // Lease term of the plan.
 	// confirmed holds the replicas that have answered a query since their entries became uncertain, and the epochs that they stated; 0
 	// for no group.
-	confirmed   map[fleet.Incarnation]int64
-	queriedAt   map[fleet.Incarnation]clock.Time // When a replica's report was last requested in place of its entry.
-	termStart   clock.Time
-	nextProbe   map[string]clock.Time  // When a group may be probed again, by group name.
-	orderLocks  map[string]*sync.Mutex // By replica ID; see orderLock.
-	counts      orderCounts
-	active      bool
-	lastSummary clock.Time // Last summary in the log.
-	restoredAt  clock.Time // When the store last came back from an older copy; 0 if it never did.
+	confirmed map[fleet.Incarnation]int64
+	queriedAt map[fleet.Incarnation]clock.Time // When a replica's report was last requested in place of its entry.
+	// reportAskedAt holds when the newest report in use was requested.
+	reportAskedAt map[fleet.Incarnation]clock.Time
+	termStart     clock.Time
+	nextProbe     map[string]clock.Time  // When a group may be probed again, by group name.
+	orderLocks    map[string]*sync.Mutex // By replica ID; see orderLock.
+	counts        orderCounts
+	active        bool
+	lastSummary   clock.Time // Last summary in the log.
+	restoredAt    clock.Time // When the store last came back from an older copy; 0 if it never did.
 }
 
 // New returns a Planner.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
+	return &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
 		orderLocks: map[string]*sync.Mutex{}, counts: newOrderCounts()}
 }
 
@@ -160,6 +162,7 @@
 	p.termStart = p.opt.Clock.Now()
 	clear(p.nextProbe)
 	clear(p.queriedAt)
+	clear(p.reportAskedAt)
 	clear(p.confirmed)
 	p.counts = newOrderCounts()
 }
@@ -201,6 +204,7 @@
 	uncertain := restored || !beforeFirstRequest && (!complete || now.Sub(p.termStart) < p.opt.EntryTTL+settleTime)
 	if !uncertain {
 		clear(p.queriedAt)
+		clear(p.reportAskedAt)
 		clear(p.confirmed)
 	}
 	confirmed := p.confirmedReplicas(replicas)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -85,3 +85,38 @@
 	_, _, queries = p.decide()
 	c.Assert(queries, quicktest.HasLen, 0)
 }
+
+// Guards against a report that arrives after a later one, while the store doesn't answer, and takes back the group that the later one has
+// told: the spare that the earlier one describes would be joined to another group.
+func TestReportThatIsOvertakenIsNotUsed(t *testing.T) {
+	c := quicktest.New(t)
+	e, _, p := newPlanner(t)
+	firstAsked, answerFirst := make(chan struct{}), make(chan struct{})
+	var queries atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if queries.Add(1) == 1 {
+			close(firstAsked)
+			<-answerFirst
+			_, _ = fmt.Fprint(w, `{"born":5,"models":[],"staged":[]}`)
+			return
+		}
+		_, _ = fmt.Fprint(w, `{"born":5,"group":{"name":"g","epoch":7,"rank":0,"state":"open"},"models":[],"staged":[]}`)
+	}))
+	t.Cleanup(server.Close)
+	r := &fleet.Replica{ID: "r", Service: "engine", Zone: "z", StartedUnixMs: 5, Address: strings.TrimPrefix(server.URL, "http://")}
+	p.opt.Registry.Replace([]*fleet.Replica{r})
+	p.opt.Registry.StoreFailed()
+	firstDone := make(chan struct{})
+	go func() {
+		p.queryReport(context.Background(), r)
+		close(firstDone)
+	}()
+	<-firstAsked
+	e.clock.Advance(reportInterval)
+	p.queryReport(context.Background(), r)
+	c.Assert(p.opt.Registry.View().Replicas["r"].Group, quicktest.IsNotNil)
+	close(answerFirst)
+	<-firstDone
+	c.Assert(p.opt.Registry.View().Replicas["r"].Group, quicktest.IsNotNil)
+	c.Assert(p.confirmed[r.Incarnation()], quicktest.Equals, int64(7))
+}
