Ask replicas whose entries return soon after their removal whether they are back

Cause: a check-in with a number that no node has seen is either a new one or one from before the removal. Waiting tells them apart, slowly.

Change: a node asks such a replica for its report. One that leaves says so in every answer; an answer of this start, to a query sent after the entry had come back, that doesn't say so makes it used at once. Without an answer the wait goes on.

Conclusion: a replica in earnest is back within a query, one that has left stays out.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,7 @@
 	edge       *edge.Server
 	lease      *planner.Lease
 	planner    *planner.Planner
+	replicas   *platform.ReplicaClient
 
 	followers      []*follower // Not modified after New.
 	incarnation    int64
@@ -134,10 +135,11 @@
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
+	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
 	n.lease.FirstRun = s.FirstRun
 	n.planner = planner.New(planner.Options{Lease: n.lease, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
-		Table: n.table, Replicas: platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) }), Clock: c, Log: log, LoadWindow: s.Bounds.LoadWindow, StallAfter: s.Bounds.StallAfter, EntryTTL: s.Bounds.EntryTTL,
+		Table: n.table, Replicas: n.replicas, Clock: c, Log: log, LoadWindow: s.Bounds.LoadWindow, StallAfter: s.Bounds.StallAfter, EntryTTL: s.Bounds.EntryTTL,
 		Limited: func(r *fleet.Replica) bool {
 			_, limited := n.statements.Rate(r.Incarnation().Target(), 1)
 			return limited
@@ -385,6 +387,7 @@
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	lastSummary, doubted := n.clock.Now(), false
+	returned := returnQueries{node: n, queriedAt: map[fleet.Incarnation]clock.Time{}}
 	for {
 		select {
 		case <-ctx.Done():
@@ -404,6 +407,7 @@
 		doubted = n.logConfigDoubt(doubted)
 		n.registry.Expire()
 		n.logDepartures()
+		returned.start(ctx)
 		view := n.registry.View()
 		for _, k := range n.table.Sweep(sweepInterval, func(balance.Key, balance.Load) time.Duration { return n.longestEventGap(view) }) {
 			n.log.WithFields(logrus.Fields{"target": string(k), "load": n.table.Load(k)}).Warning("target suspected of a stall: it runs requests but sends no events")
--- a/internal/fleet/checkin.go
+++ b/internal/fleet/checkin.go
@@ -140,3 +140,31 @@
 	unordered.Sequence = 0
 	return &unordered
 }
+
+// MayHaveReturned returns the held entries of replicas that are listed as ready and either have returned or have left. Only their own answers
+// tell which.
+func (r *Registry) MayHaveReturned() []*Replica {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*Replica
+	for _, h := range r.held {
+		if h.reason == HoldAfterRemoval && !h.entry.Draining {
+			list = append(list, h.entry)
+		}
+	}
+	return list
+}
+
+// ConfirmReturn uses the held entry of a replica that has answered a query, which was sent at the given time, without saying that it leaves.
+// It reports whether there was such an entry then.
+func (r *Registry) ConfirmReturn(i Incarnation, askedAt clock.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, held := r.held[i.ID]
+	if !held || h.reason != HoldAfterRemoval || h.entry.Incarnation() != i || askedAt < h.firstAt {
+		return false
+	}
+	r.useEntry(h.entry, h.arrivedAt)
+	r.publish()
+	return true
+}
--- a/internal/fleet/checkin_test.go
+++ b/internal/fleet/checkin_test.go
@@ -238,3 +238,28 @@
 	c.Check(r.View().Replicas["a"].Group.Epoch, quicktest.Equals, int64(8))
 	c.Check(r.Observations(), quicktest.HasLen, 0)
 }
+
+// Guards against a replica that waits for the time of late check-ins although it has answered that it is back, and against an answer from
+// before its removal, or of another start, that brings it back.
+func TestReplicaThatAnswersIsBackAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	r, now := newOrdered(checkIn(1, 10, nil))
+	r.Apply([]Change{{ID: "a"}})
+	beforeReturn := now.Now()
+	pass(r, now, time.Second)
+	r.write(checkIn(1, 14, nil))
+	c.Assert(r.MayHaveReturned(), quicktest.HasLen, 1)
+	c.Check(r.ConfirmReturn(Incarnation{"a", 1}, beforeReturn), quicktest.IsFalse)
+	c.Check(r.ConfirmReturn(Incarnation{"a", 2}, now.Now()), quicktest.IsFalse)
+	c.Check(usable(r), quicktest.HasLen, 0)
+	c.Check(r.ConfirmReturn(Incarnation{"a", 1}, now.Now()), quicktest.IsTrue)
+	c.Check(usable(r), quicktest.DeepEquals, []string{"a"})
+	c.Check(r.MayHaveReturned(), quicktest.HasLen, 0)
+
+	// An entry that is known to be older isn't confirmed by any answer, nor is one that says that the replica leaves.
+	r.Apply([]Change{{ID: "a"}})
+	r.write(checkIn(1, 12, nil))
+	c.Check(r.MayHaveReturned(), quicktest.HasLen, 0)
+	r.write(checkIn(1, 15, draining))
+	c.Check(r.MayHaveReturned(), quicktest.HasLen, 0)
+}
