Keep a silent target of a stream until another one has sent an event

Callers: a stream that is broken off, or whose outcome is reported as unknown, though its target was sound and only silent for a second.

Cause: a stream whose target is silent is also sent to another target, and was moved there after 0.4 s although that one had sent nothing; the first connection was closed. If the other one refused, failed or closed after that, or never answered, nothing was left.

Change: both are kept until one of them sends an event other than a comment; that one goes on. A late refusal or failure of the other one costs its send only. If both are suspected of having stalled and the route allows a third attempt, the second is given up for it. The price is a slot at both targets for as long as neither sends anything.

No test was narrowed.

Conclusion: silence of a target doesn't end its stream any more, unless another one has gone on.

--- a/internal/edge/silent_test.go
+++ b/internal/edge/silent_test.go
@@ -18,7 +18,7 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
-// silence is how long a silent replica goes on being silent once another one was asked: longer than acceptTime.
+// silence is how long a silent replica goes on being silent once another one was asked.
 const silence = 600 * time.Millisecond
 
 // silentTimeout is the time limit of requests to silent heads. It is long enough on a machine under any load.
@@ -110,6 +110,20 @@
 		"other breaks off": func(http.ResponseWriter, *http.Request) {
 			panic(http.ErrAbortHandler)
 		},
+		"other refuses late": func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(2 * silence)
+			w.Header().Set("X-Cassiadeal-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"other fails late": func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(2 * silence)
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+		"other breaks off late": func(http.ResponseWriter, *http.Request) {
+			time.Sleep(2 * silence)
+			panic(http.ErrAbortHandler)
+		},
+		"other never answers": func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() },
 		"other is silent": func(w http.ResponseWriter, q *http.Request) {
 			time.Sleep(2 * silence)
 			var after int
@@ -145,6 +159,55 @@
 	}
 }
 
+// Guards against waiting for two silent heads while a third one may be asked, and against one that only keeps its connection open counting
+// as going on.
+func TestStreamOfTwoSilentHeadsGoesOnAtAThird(t *testing.T) {
+	for _, comments := range []string{"", ": still here\n\n"} {
+		t.Run(fmt.Sprintf("comments %q", comments), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			var requests atomic.Int32
+			silent := make(chan string, 2)
+			var replicas []*replica
+			for range 3 {
+				var address string
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+					_, _ = io.Copy(io.Discard, q.Body)
+					w.Header().Set("X-Cassiadeal-Request-Id", q.Header.Get("X-Cassiadeal-Request-Id"))
+					w.Header().Set("X-Cassiadeal-Response-Seal", "s")
+					w.Header().Set("Content-Type", "text/event-stream")
+					if requests.Add(1) == 3 {
+						fmt.Fprint(w, events(1, 4))
+						return
+					}
+					fmt.Fprint(w, comments)
+					_ = http.NewResponseController(w).Flush()
+					silent <- address
+					<-q.Context().Done()
+				}))
+				t.Cleanup(server.Close)
+				address = server.Listener.Addr().String()
+				replicas = append(replicas, &replica{address: address})
+			}
+			server := newServerWithBudget(t, 2, fleet.RepeatStream, replicas...).(*Server)
+			cfg := *server.opt.Registry.View().Config
+			cfg.Version++
+			cfg.Routes = slices.Clone(cfg.Routes)
+			cfg.Routes[0].Timeout, cfg.Routes[0].MaxAttempts = silentTimeout, 3
+			server.opt.Registry.SetConfig(&cfg)
+			stop := make(chan struct{})
+			t.Cleanup(func() { close(stop) })
+			for range 2 {
+				go suspectWhenSilent(server, silent, stop)
+			}
+			resp, body, err := sendRequest(t, server, http.MethodPost, "X-Cassiadeal-Deadline-Ms", strconv.FormatInt(silentTimeout.Milliseconds(), 10))
+			c.Assert(err, quicktest.IsNil)
+			c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
+			c.Check(body, quicktest.Equals, comments+events(1, 4))
+		})
+	}
+}
+
 // Guards against giving up a request that may not be repeated because its replica is silent for a while.
 func TestRequestThatMayNotBeRepeatedWaitsForASilentReplica(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -22,9 +22,6 @@
 const (
 	// stallCheckInterval is how often a stream checks whether its target is suspected of having stalled.
 	stallCheckInterval = 100 * time.Millisecond
-	// acceptTime is the time after which a target that was asked to go on with a stream has accepted it, unless it has refused or
-	// failed before: it covers dialTimeout and a response. Waiting for its first event would keep a slot at both targets for longer.
-	acceptTime = dialTimeout + 100*time.Millisecond
 	// resumeTimeout limits the wait for another target after a stream broke off. Clients disconnect after about two seconds
 	// without an event.
 	resumeTimeout = 1200 * time.Millisecond
@@ -183,11 +180,16 @@
 	s.ticket.End()
 }
 
-// alternative selects a head that may go on with a stream whose target is suspected of having stalled, and counts it as a retry. It
-// returns nil if there is none.
-func (c *call) alternative(current *balance.Selection, exclude map[balance.Key]bool, p *progress) *balance.Selection {
-	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+1 >= c.route.MaxAttempts || c.attempts.sends >= maxSends ||
-		!c.opt.Table.Suspected(current.Key) || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
+// alternative selects a head that may go on with a stream for which only the given targets, one or more, are still asked, and counts it as a
+// retry. It returns nil if there is none, or if one of them isn't suspected of having stalled.
+func (c *call) alternative(asked []*streamSend, exclude map[balance.Key]bool, p *progress) *balance.Selection {
+	for _, s := range asked {
+		if !c.opt.Table.Suspected(s.head.Key) {
+			return nil
+		}
+	}
+	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked) >= c.route.MaxAttempts ||
+		c.attempts.sends >= maxSends || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
 		!c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
 		return nil
 	}
@@ -200,14 +202,14 @@
 }
 
 // streamRelay forwards one stream to the client. While the target is suspected of having stalled, the request is sent to another one
-// as well: the target keeps the stream until that one has accepted it, since it may be refused or fail there.
+// as well. The first of the two that sends an event goes on with the stream: until then, one may go on although it was silent, and the
+// other one may refuse the request, fail or be silent too.
 type streamRelay struct {
 	*call
 	p       *progress
 	exclude map[balance.Key]bool
 	current *streamSend
 	other   *streamSend // Nil if the request was sent to no other target.
-	askedAt time.Time   // When the request was sent to the other target.
 }
 
 // relay sends the request to one target and forwards its events to the client. It returns the target that sent the last of them.
@@ -267,26 +269,25 @@
 		r.attempts.lastFailure = "the request was blocked while it waited: it, or a part of its prompt, crashes replicas"
 		return streamBlocked
 	}
+	asked := []*streamSend{r.current}
 	if r.other != nil {
-		if time.Since(r.askedAt) > acceptTime {
-			r.moveToOther()
-		}
-		return 0
+		asked = append(asked, r.other)
 	}
-	head := r.alternative(r.current.head, r.exclude, r.p)
+	head := r.alternative(asked, r.exclude, r.p)
 	if head == nil {
 		return 0
 	}
+	r.dropOther() // It has sent nothing, and the current target may have.
 	r.exclude[head.Key] = true
 	r.attempts.sends++
 	r.opt.Metrics.Retry("target_stalled")
 	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events}).
 		Info("the target of a stream has stalled; asking another one as well")
-	r.other, r.askedAt = r.startStream(head, r.p), time.Now()
+	r.other = r.startStream(head, r.p)
 	return 0
 }
 
-// handleCurrent handles a step of the current target. If it fails, the other one goes on; if it doesn't, that one isn't needed.
+// handleCurrent handles a step of the current target. If it fails, the other one goes on; if it sends an event, that one isn't needed.
 func (r *streamRelay) handleCurrent(step streamStep) streamEnd {
 	end := r.handleStep(step, r.current, r.p)
 	if r.other == nil {
@@ -297,13 +298,18 @@
 		r.useOther()
 		return 0
 	case 0:
-		r.dropOther()
+		if !isComment(step.data) {
+			r.dropOther()
+		}
 	}
 	return end
 }
 
-// handleOther handles the first step of the other target before it has accepted the stream.
+// handleOther handles a step of the other target before it has sent an event.
 func (r *streamRelay) handleOther(step streamStep) streamEnd {
+	if step.data != nil && isComment(step.data) {
+		return 0 // It may keep its connection open and never begin.
+	}
 	if step.data != nil || errors.Is(step.err, io.EOF) && r.p.headerWritten {
 		r.moveToOther()
 		return r.handleStep(step, r.current, r.p)
