Bound the answers to the calls that nodes make themselves

Cause: answers to clients' requests were bounded, but the transports of calls to replicas, engines and the store set no limit for heads, and the library's default is 10 MB each. Reports and states could have 1 MB each. A hundred calls at once are usual. Besides, a JSON object followed by bytes without end counted as a whole answer, since decoders stop at its end.

Change: heads have at most 64 KB, as those of answers to clients; reports and states too. Bodies are read to their end (internal/wholebody) and are invalid beyond their limit.

Conclusion: one faulty replica can't take a node's memory by calls. Calls between nodes: drpc messages are bounded to 4 MB, and mirrors are read by the store's client (by reading).

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -54,14 +54,19 @@
 	store := newFakeStore()
 	store.put(platform.KindConfig, platform.ConfigName, json.RawMessage(drainConfig))
 	store.put(platform.KindReplicas, "i-1", map[string]any{"service": "desk", "address": replica, "zone": "z", "slots": 64, "state": "ready"})
+	return startServingNode(c, store, `"grace_s":8`, `"grace_s":4`)
+}
+
+// startServingNode starts a node with the store, and with the settings of tests in which texts are replaced, and waits until it is ready.
+func startServingNode(c *quicktest.C, store *fakeStore, replaced ...string) (front string, terminate context.CancelFunc, ended <-chan struct{}) {
 	server := httptest.NewServer(store)
 	c.Cleanup(server.Close)
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	front = probe.Addr().String()
 	c.Assert(probe.Close(), quicktest.IsNil)
-	n := newNode(c, strings.NewReplacer(`"front":"127.0.0.1:0"`, fmt.Sprintf(`"front":%q`, front), `"grace_s":8`, `"grace_s":4`,
-		"10.200.1.7:8223", strings.TrimPrefix(server.URL, "http://")).Replace(testSettings))
+	n := newNode(c, strings.NewReplacer(append(replaced, `"front":"127.0.0.1:0"`, fmt.Sprintf(`"front":%q`, front),
+		"10.200.1.7:8223", strings.TrimPrefix(server.URL, "http://"))...).Replace(testSettings))
 	ctx, terminate := context.WithCancel(context.Background())
 	c.Cleanup(terminate)
 	done := make(chan struct{})
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cassiadeal.example/cassiadeal/internal/wholebody"
 )
 
 // Action is the kind of an order.
@@ -76,8 +78,10 @@
 var ErrNotSent = errors.New("order not sent")
 
 const (
-	defaultTimeout   = 2 * time.Second // The default of order_delivery.
-	maxResponseBytes = 1 << 20
+	defaultTimeout = 2 * time.Second // The default of order_delivery.
+	// maxHeaderBytes and maxResponseBytes bound the header and the body of a response. Many engines are called at the same time.
+	maxHeaderBytes   = 64 << 10
+	maxResponseBytes = 64 << 10
 )
 
 // Options configures a Client.
@@ -105,8 +109,9 @@
 	return &Client{heard: o.Heard, http: &http.Client{
 		Timeout: o.Timeout,
 		Transport: &http.Transport{
-			DisableKeepAlives: true,
-			DialContext:       (&net.Dialer{Timeout: o.Timeout}).DialContext,
+			DisableKeepAlives:      true,
+			DialContext:            (&net.Dialer{Timeout: o.Timeout}).DialContext,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -143,7 +148,7 @@
 		Accepted bool   `json:"accepted"`
 		Fence    uint64 `json:"fence"`
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&result)
+	err = decode(resp, &result)
 	switch {
 	case err != nil:
 		return fmt.Errorf("%w: engine %s: status %d, decode response: %w", ErrOutcomeUnknown, address, resp.StatusCode, err)
@@ -155,6 +160,15 @@
 	return nil
 }
 
+// decode decodes the whole body of a response.
+func decode(resp *http.Response, value any) error {
+	body, err := wholebody.Read(resp.Body, maxResponseBytes)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, value)
+}
+
 // State reads the state of the engine at address.
 func (c *Client) State(ctx context.Context, address string) (State, error) {
 	var s State
@@ -171,7 +185,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s, eris.Errorf("get state of engine %s: status %d", address, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&s); err != nil {
+	if err := decode(resp, &s); err != nil {
 		return s, eris.Wrapf(err, "decode state of engine %s", address)
 	}
 	return s, nil
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"cassiadeal.example/cassiadeal/internal/wholebody"
 )
 
 // request describes one HTTP request to the platform.
@@ -76,10 +78,7 @@
 		return nil, c.transportError(ctx, err, sent.Load())
 	}
 	defer func() { _ = httpResp.Body.Close() }() // After an incomplete read this discards the connection.
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("response above %d bytes", maxResponseBytes)
-	}
+	body, err := wholebody.Read(httpResp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, c.transportError(ctx, err, true)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -40,6 +40,7 @@
 
 const (
 	defaultTimeout = time.Second
+	maxHeaderBytes = 64 << 10 // Of a response.
 	// maxResponseBytes bounds a response. It exceeds the size of a list of a few dozen objects of 1 MB.
 	maxResponseBytes = 64 << 20
 	// maxIdleConns is the number of idle connections kept; a node has a handful of concurrent calls.
@@ -126,6 +127,8 @@
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{
 		opts:       opts,
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -4,20 +4,21 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/statement"
+	"cassiadeal.example/cassiadeal/internal/wholebody"
 )
 
 const (
 	// probeJitter is the largest random deviation of a probe interval, as a fraction of it in both directions. It keeps the
 	// holders from probing in step.
 	probeJitter = 0.2
-	// maxProbeResponse bounds the body of a probe response in bytes.
+	// maxProbeHeader and maxProbeResponse bound the header and the body of a probe response in bytes.
+	maxProbeHeader   = 64 << 10
 	maxProbeResponse = 64 << 10
 	// probeIdleTimeout is the time after which an unused probe connection is closed, for example one to a removed target.
 	probeIdleTimeout = 10 * time.Second
@@ -53,9 +54,10 @@
 func NewHTTPProber() *HTTPProber {
 	return &HTTPProber{client: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{}).DialContext,
-			MaxIdleConnsPerHost: 1,
-			IdleConnTimeout:     probeIdleTimeout,
+			DialContext:            (&net.Dialer{}).DialContext,
+			MaxIdleConnsPerHost:    1,
+			IdleConnTimeout:        probeIdleTimeout,
+			MaxResponseHeaderBytes: maxProbeHeader,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -80,7 +82,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return headers, fmt.Errorf("probe %s: status %d", address, resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeResponse))
+	body, err := wholebody.Read(resp.Body, maxProbeResponse)
 	if err != nil {
 		return headers, fmt.Errorf("probe %s: %w", address, err)
 	}
