Bound the answers that the own interface keeps until they are complete

Cause: each answer was bounded (8 MB), all of them together weren't. The answers of requests that may run only once were kept twice, and as the pieces that they were read in: each read of some bytes kept 32 KB.

Change: the buffers of the users' platform, whose budget all answers share, move to internal/buffer. The gateway's answers and those kept for claims use one such budget of 16 MB beyond 32 KB each. A read buffer is used again for the next part. An answer that is too large to be stored with its claim isn't encoded first.

Conclusion: both front ends now bound what targets can make a node keep.

--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -82,8 +82,12 @@
 	settled.Status = answer.Status
 	settled.Headers = answer.Headers
 	settled.Answer = answer.Body
-	if _, err := platform.Encode(settled); err != nil || answer.size() > MaxStoredAnswer {
-		// A header that is not valid UTF-8 can't be encoded as JSON.
+	dropped := answer.size() > MaxStoredAnswer
+	if !dropped { // A header that is not valid UTF-8 can't be encoded as JSON.
+		_, err := platform.Encode(settled)
+		dropped = err != nil
+	}
+	if dropped {
 		settled.Headers, settled.Answer, settled.AnswerDropped = nil, nil, true
 	}
 	c.settle(ctx, settled)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -61,7 +61,7 @@
 }
 
 // Sink receives the parts of a response in order: a head, then data or tokens. The end is not passed to it. While it
-// blocks, the response is not read further. An error ends the exchange.
+// blocks, the response is not read further. An error ends the exchange. It must not keep data, which later parts overwrite.
 type Sink func(*schema.DispatchChunk) error
 
 // errSink wraps the errors that a Sink returns.
@@ -263,8 +263,8 @@
 
 func (r *Runner) forwardBody(body io.Reader, sink Sink) error {
 	received := int64(0)
+	part := make([]byte, bodyChunkSize)
 	for {
-		part := make([]byte, bodyChunkSize) // The sink may keep it.
 		n, err := body.Read(part)
 		if received += int64(n); received > r.options.MaxAnswerBytes {
 			return fmt.Errorf("the response body has more than %d bytes", r.options.MaxAnswerBytes)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
@@ -77,7 +78,7 @@
 type Server struct {
 	opt      Options
 	inFlight atomic.Int64
-	buffers  *bufferBudget
+	buffers  *buffer.Budget
 	// drainEnd is when a draining server ends; nil before it drains. stopped ends at that time.
 	drainEnd  atomic.Pointer[time.Time]
 	stopped   context.Context
@@ -93,7 +94,7 @@
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: newBufferBudget(), longestWait: map[string]time.Duration{}}
+	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -217,9 +217,9 @@
 		return false, true
 	}
 	c.attempts.began = true
-	body := c.newBuffer(maxResponseBytes)
-	defer body.release()
-	if err := body.readAll(r.resp.Body); err != nil {
+	body := c.buffers.NewBuffer(maxResponseBytes)
+	defer body.Release()
+	if err := body.ReadAll(r.resp.Body); err != nil {
 		c.recordFailure(replica, true, err)
 		return false, c.route.Idempotent()
 	}
@@ -236,7 +236,7 @@
 			return false, true
 		}
 	}
-	c.writeResponse(r, body.data)
+	c.writeResponse(r, body.Bytes())
 	return true, false
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -489,13 +489,13 @@
 		return
 	}
 	if r.resp.StatusCode != http.StatusOK {
-		body := c.newBuffer(maxResponseBytes)
-		defer body.release()
-		if err := body.readAll(r.resp.Body); err != nil {
+		body := c.buffers.NewBuffer(maxResponseBytes)
+		defer body.Release()
+		if err := body.ReadAll(r.resp.Body); err != nil {
 			emit(streamStep{sent: true, err: err})
 			return
 		}
-		if emit(streamStep{response: r, body: body.data, sent: true}) {
+		if emit(streamStep{response: r, body: body.Bytes(), sent: true}) {
 			<-ctx.Done() // The body is being written until then.
 		}
 		return
@@ -505,21 +505,21 @@
 		return
 	}
 	reader := bufio.NewReaderSize(r.resp.Body, 4096)
-	previous := c.newBuffer(maxEventBytes)
-	defer func() { previous.release() }()
+	previous := c.buffers.NewBuffer(maxEventBytes)
+	defer func() { previous.Release() }()
 	for {
-		event := c.newBuffer(maxEventBytes)
-		id, err := event.readEvent(reader)
-		if err == nil && resumed && id == "" && !isComment(event.data) {
+		event := c.buffers.NewBuffer(maxEventBytes)
+		id, err := readEvent(reader, event)
+		if err == nil && resumed && id == "" && !isComment(event.Bytes()) {
 			err = errUnnumbered
 		}
 		if err != nil {
-			event.release()
+			event.Release()
 			emit(streamStep{sent: true, err: err})
 			return
 		}
-		emitted := emit(streamStep{response: r, data: event.data, eventID: id, sent: true})
-		previous.release() // The event before has been written once the next one is accepted.
+		emitted := emit(streamStep{response: r, data: event.Bytes(), eventID: id, sent: true})
+		previous.Release() // The event before has been written once the next one is accepted.
 		previous = event
 		if !emitted {
 			return
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -4,10 +4,13 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/claims"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/dispatch"
@@ -23,11 +26,15 @@
 // lookupTimeout bounds the read of an earlier claim when a request is refused.
 const lookupTimeout = time.Second
 
-// Sink receives the chunks of an answer. The end isn't passed to it.
+// answerPartBytes is the size of the parts in which an answer that was kept is passed on.
+const answerPartBytes = 32 << 10
+
+// Sink receives the chunks of an answer. The end isn't passed to it. It must not keep a chunk's data, which is overwritten by later chunks.
 type Sink func(*schema.DispatchChunk) error
 
 // Options configures an Executor.
 type Options struct {
+	Answers *buffer.Budget // For answers that are kept until their claims are settled.
 	Targets *target.Table
 	Runner  *dispatch.Runner
 	Claims  *claims.Manager
@@ -175,14 +182,15 @@
 		return errorEnd(err)
 	}
 
-	var collected collector
+	collected := collector{body: e.opts.Answers.NewBuffer(math.MaxInt)} // The runner limits the size of one answer.
+	defer collected.body.Release()
 	exchangeCtx, stopExchange := withoutCallerCancel(ctx)
 	defer stopExchange()
 	end := e.run(exchangeCtx, slot, req, collected.add)
 	switch {
 	case end.Code == int32(result.OK):
 		claim.Answer(settleCtx, collected.answer())
-		return sendChunks(collected.chunks, sink, end)
+		return sendChunks(collected.chunks(), sink, end)
 	case end.NotRun:
 		claim.Release(settleCtx)
 	default:
@@ -233,26 +241,30 @@
 	}
 }
 
-// collector keeps the chunks of an answer until its claim is settled.
+// collector keeps the answer of a service until its claim is settled.
 type collector struct {
-	chunks []*schema.DispatchChunk
+	head *schema.DispatchHead
+	body *buffer.Buffer
 }
 
 func (c *collector) add(chunk *schema.DispatchChunk) error {
-	c.chunks = append(c.chunks, chunk)
-	return nil
+	if head := chunk.GetHead(); head != nil {
+		c.head = head
+	}
+	return c.body.Append(chunk.GetData())
 }
 
 func (c *collector) answer() claims.Answer {
-	var a claims.Answer
-	for _, chunk := range c.chunks {
-		if head := chunk.GetHead(); head != nil {
-			a.Status = head.Status
-			a.Headers = head.Headers
-		}
-		a.Body = append(a.Body, chunk.GetData()...)
+	return claims.Answer{Status: c.head.GetStatus(), Headers: c.head.GetHeaders(), Body: c.body.Bytes()}
+}
+
+// chunks returns the answer in parts that can be sent to another node.
+func (c *collector) chunks() []*schema.DispatchChunk {
+	list := []*schema.DispatchChunk{{Part: &schema.DispatchChunk_Head{Head: c.head}}}
+	for part := range slices.Chunk(c.body.Bytes(), answerPartBytes) {
+		list = append(list, &schema.DispatchChunk{Part: &schema.DispatchChunk_Data{Data: part}})
 	}
-	return a
+	return list
 }
 
 func sendChunks(chunks []*schema.DispatchChunk, sink Sink, end *schema.DispatchEnd) *schema.DispatchEnd {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/admission"
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/result"
@@ -67,7 +68,8 @@
 	MaxBodyBytes     int64
 	MaxBufferedBytes int64 // Limit for the total size of the request bodies in memory.
 	MaxAnswerBytes   int
-	MaxInFlight      int // Limit for the callers' requests in progress at this node.
+	Answers          *buffer.Budget // For answers that are sent once they are complete. Default: one of SharedAnswerBytes.
+	MaxInFlight      int            // Limit for the callers' requests in progress at this node.
 	BodyReadTimeout  time.Duration
 	WriteTimeout     time.Duration // Time limit for sending each part of an answer to the caller.
 }
@@ -80,8 +82,17 @@
 	durations     drain.Durations // By destination.
 }
 
+// SharedAnswerBytes is what answers may use together beyond buffer.Allowance each, in bytes, until they are complete. It leaves most of a
+// node's 256 MB to request bodies, streams and the control components.
+const SharedAnswerBytes = 16 << 20
+
 // New returns a Gateway.
-func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+func New(opts Options) *Gateway {
+	if opts.Answers == nil {
+		opts.Answers = buffer.NewBudget(SharedAnswerBytes)
+	}
+	return &Gateway{opts: opts}
+}
 
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,6 +34,7 @@
 // testGateway is a gateway with one pool, one service and one account, whose requests are run by the function execute.
 type testGateway struct {
 	*httptest.Server
+	gateway  *Gateway
 	executed atomic.Int64
 	execute  func(attempt int64, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd
 }
@@ -73,7 +74,7 @@
 		MaxHeaderBytes: 4096, MaxBodyBytes: 1000, MaxBufferedBytes: 1500, MaxAnswerBytes: 1000, MaxInFlight: 10,
 		BodyReadTimeout: 300 * time.Millisecond, WriteTimeout: time.Second,
 	})
-	f.Server = httptest.NewServer(g.Handler())
+	f.gateway, f.Server = g, httptest.NewServer(g.Handler())
 	t.Cleanup(f.Close)
 	return f
 }
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
@@ -111,7 +112,8 @@
 }
 
 func (g *Gateway) answerJSON(w http.ResponseWriter, req *http.Request, c *callerRequest) {
-	tokens := &tokenCollector{maxBytes: g.opts.MaxAnswerBytes}
+	tokens := &tokenCollector{text: g.opts.Answers.NewBuffer(g.opts.MaxAnswerBytes)}
+	defer tokens.text.Release()
 	end := g.runWithRetries(req.Context(), c, tokens)
 	if end.Code != int32(result.OK) {
 		g.refuse(w, req, c, errorFromEnd(end))
@@ -121,14 +123,13 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Request-Id", c.id)
 	// An encoding error means that the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(generateAnswer{RequestID: c.id, Text: tokens.text.String(), Tokens: tokens.tokenCount})
+	_ = json.NewEncoder(w).Encode(generateAnswer{RequestID: c.id, Text: string(tokens.text.Bytes()), Tokens: tokens.tokenCount})
 	g.recordOutcome(c, result.OK, end.Target)
 }
 
 // tokenCollector joins the tokens of an answer that is sent as one JSON document.
 type tokenCollector struct {
-	maxBytes   int
-	text       strings.Builder
+	text       *buffer.Buffer
 	tokenCount uint64
 }
 
@@ -140,18 +141,17 @@
 	if token.Offset != t.tokenCount {
 		return result.New(result.AnswerMismatch, "token %d arrived in place of token %d", token.Offset, t.tokenCount)
 	}
-	if t.text.Len()+len(token.Text) > t.maxBytes {
-		return result.New(result.StreamIncomplete, "the answer is larger than %d bytes", t.maxBytes)
+	if err := t.text.Append([]byte(token.Text)); err != nil {
+		return result.New(result.StreamIncomplete, "the answer can't be buffered: %v", err)
 	}
 	t.tokenCount++
-	t.text.WriteString(token.Text)
 	return nil
 }
 
 func (t *tokenCollector) started() bool { return false }
 
 func (t *tokenCollector) reset() {
-	t.text.Reset()
+	t.text.Release()
 	t.tokenCount = 0
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/claims"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/result"
@@ -44,7 +45,8 @@
 		return
 	}
 	g.opts.Budget.RecordRequest(c.destination)
-	answer := &bufferedAnswer{maxBytes: g.opts.MaxAnswerBytes}
+	answer := &bufferedAnswer{body: g.opts.Answers.NewBuffer(g.opts.MaxAnswerBytes)}
+	defer answer.body.Release()
 	end := g.runWithRetries(req.Context(), c, answer)
 	if end.Code != int32(result.OK) {
 		g.refuse(w, req, c, errorFromEnd(end))
@@ -108,19 +110,17 @@
 
 // bufferedAnswer holds an answer until it is complete, so that a caller never receives a part of one.
 type bufferedAnswer struct {
-	maxBytes int
-	head     *schema.DispatchHead
-	body     []byte
+	head *schema.DispatchHead
+	body *buffer.Buffer
 }
 
 func (b *bufferedAnswer) addPart(chunk *schema.DispatchChunk) error {
 	if head := chunk.GetHead(); head != nil {
 		b.head = head
 	}
-	if len(b.body)+len(chunk.GetData()) > b.maxBytes {
-		return result.New(result.TargetFailed, "the answer is larger than %d bytes", b.maxBytes)
+	if err := b.body.Append(chunk.GetData()); err != nil {
+		return result.New(result.TargetFailed, "the answer can't be buffered: %v", err)
 	}
-	b.body = append(b.body, chunk.GetData()...)
 	return nil
 }
 
@@ -128,7 +128,7 @@
 
 func (b *bufferedAnswer) reset() {
 	b.head = nil
-	b.body = nil
+	b.body.Release()
 }
 
 func (b *bufferedAnswer) write(w http.ResponseWriter, requestID string) {
@@ -138,9 +138,9 @@
 		}
 	}
 	w.Header().Set("X-Request-Id", requestID)
-	w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(b.body.Bytes())))
 	w.WriteHeader(int(b.head.GetStatus()))
-	_, _ = w.Write(b.body) // A write error means that the caller has disconnected; it may repeat the request.
+	_, _ = w.Write(b.body.Bytes()) // A write error means that the caller has disconnected; it may repeat the request.
 }
 
 func errorFromEnd(end *schema.DispatchEnd) *result.Error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/admission"
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/claims"
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/configsync"
@@ -256,8 +257,9 @@
 		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Nodes: n.liveNodes, Log: n.log,
 		Era: n.platform.EraStart,
 	})
+	answers := buffer.NewBudget(gateway.SharedAnswerBytes)
 	n.executor = executor.New(executor.Options{
-		Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash,
+		Answers: answers, Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash,
 		Holds: n.holdsTarget, Clock: n.now, Log: n.log,
 		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter}),
 	})
@@ -267,7 +269,7 @@
 		Rules:    func() (*rules.Rules, uint64) { c, r := n.config.Current(); return r, c.GetRevision() },
 		MayServe: n.mayAccept, EndsAt: n.endsAt, Addresses: n.addresses, Metrics: n.metrics, Log: n.log,
 		MaxHeaderBytes: int(limits.MaxHeaderBytes), MaxBodyBytes: limits.MaxBodyBytes, MaxBufferedBytes: maxBufferedBytes,
-		MaxAnswerBytes: int(limits.MaxAnswerBytes), MaxInFlight: int(limits.MaxInFlight),
+		MaxAnswerBytes: int(limits.MaxAnswerBytes), Answers: answers, MaxInFlight: int(limits.MaxInFlight),
 		BodyReadTimeout: limits.BodyReadTimeout, WriteTimeout: writeTimeout,
 	})
 }
