Wait for silent members of a group while requests run there

Cause: the plan of groups took one missed probe of a member, or two of a head, by one node for a loss. It replaced the member or ordered the head to leave, whatever the other nodes received from the group and whatever ran there, and the first order that a head answered after its silence ended its streams. A head whose entry lapsed was ordered to leave at once, too.

Change: an event that any node received after a failed probe disproves the loss, as a group that has lost a member sends none. While requests run at the head, a member that doesn't answer or isn't listed is waited for until the group has been silent for longer than a sound replica may be (maxSoundSilence); once they have ended or gone on elsewhere, or the member is known to have ended, the group is repaired at once. A silent head gets no order to leave. Events are told from sends to idle heads, here and in what nodes report. Orders log what ran at the head and the age of its last event.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -224,7 +224,7 @@
 	other := NewTable(now)
 	other.SetPeerState("node-1", table.LocalState())
 	c.Assert(other.Suspected(head.Key), quicktest.IsTrue)
-	c.Assert(other.EventAge(head.Key), quicktest.Equals, 600*time.Millisecond)
+	c.Assert(now.Now().Sub(other.Activity(head.Key).LastEvent), quicktest.Equals, 600*time.Millisecond)
 
 	ticket.RecordEvent()
 	c.Assert(table.Suspected(head.Key), quicktest.IsFalse)
@@ -339,3 +339,26 @@
 	n := simulate(1, 2*time.Second)
 	c.Assert(n >= 5, quicktest.IsTrue, quicktest.Commentf("%d of 66", n))
 }
+
+// Guards against a send to an idle head that is taken for a sign of life of the head, here and at the nodes to which this one reports.
+func TestSendIsNoActivityOfTheHead(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	q, table, other := queryWithHeads(now, 1), NewTable(now), NewTable(now)
+	head := table.PickHead(q)
+	ticket := table.Begin(head.Key, q.PromptTokens, head.FirstEvent)
+	report := func() { other.SetPeerState("node-1", table.LocalState()) }
+	report()
+	for _, known := range []*Table{table, other} {
+		c.Check(known.Activity(head.Key), quicktest.Equals, Activity{Running: 1})
+	}
+	ticket.RecordEvent()
+	heard := now.Now()
+	ticket.End()
+	now.Advance(2 * time.Second)
+	table.Begin(head.Key, q.PromptTokens, head.FirstEvent)
+	report()
+	for _, known := range []*Table{table, other} {
+		c.Check(known.Activity(head.Key), quicktest.Equals, Activity{Running: 1, LastEvent: heard})
+	}
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -22,6 +22,8 @@
 	// fullDuration is the time for which a target that refused a request as full gets no other request. It spans some events,
 	// during which slots become free.
 	fullDuration = 300 * time.Millisecond
+	// idleRetention is the time for which a target without requests is remembered.
+	idleRetention = time.Minute
 	// loadAgeCost is the part of the age of the loads in other failure domains that is added to the cost of their targets.
 	loadAgeCost = 0.25
 	// peerStateMaxAge is the age up to which the loads, suspicions and slow factors reported by another node count.
@@ -50,6 +52,7 @@
 	load          Load
 	tickets       map[*Ticket]struct{}
 	lastActivity  clock.Time    // Last event, or the send that ended an idle time.
+	lastEvent     clock.Time    // Last event; 0 if there was none.
 	suspectUntil  clock.Time    // Until when the target is suspected of having stalled.
 	avoidUntil    clock.Time    // Until when the target is avoided.
 	fullUntil     clock.Time    // Until when the target is treated as full.
@@ -69,7 +72,7 @@
 // PeerState is what another node reports about the targets that it uses.
 type PeerState struct {
 	Loads       map[Key]Load
-	EventAges   map[Key]time.Duration // Time since the last event, for targets with a load.
+	EventAges   map[Key]time.Duration // Time since the last event, for targets with a load that have sent one.
 	Suspected   map[Key]bool
 	SlowFactors map[Key]float64 // How many times slower than others of its model a target works; absent for those that aren't.
 }
@@ -175,7 +178,7 @@
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
 	s, now := k.table.stateLocked(k.key), k.table.clock.Now()
-	s.lastActivity, s.suspectUntil = now, 0
+	s.lastActivity, s.lastEvent, s.suspectUntil = now, now, 0
 	k.markStartedLocked(s)
 	if k.lastEvent != 0 && k.engine != nil {
 		expected := k.timeFactor * passMillis(k.engine, k.table.loadLocked(k.key, now).Running)
@@ -265,7 +268,7 @@
 }
 
 // Sweep suspects targets that run requests but have sent no event for too long, and returns those that became suspected. It
-// also drops targets that have been idle for a minute. It is called every interval; after a longer pause of this process
+// also drops what is known of targets that have been idle for idleRetention. It is called every interval; after a longer pause of this process
 // silence proves nothing, since events may wait unread.
 func (t *Table) Sweep(interval time.Duration, gap func(Key, Load) time.Duration) []Key {
 	t.mu.Lock()
@@ -276,7 +279,7 @@
 	var suspected []Key
 	for k, s := range t.targets {
 		if s.load.Running == 0 {
-			if now > s.avoidUntil && now > s.suspectUntil && now.Sub(s.lastActivity) > time.Minute {
+			if now > s.avoidUntil && now > s.suspectUntil && now.Sub(s.lastActivity) > idleRetention {
 				delete(t.targets, k)
 			}
 			continue
@@ -301,7 +304,8 @@
 func (t *Table) SetPeerState(node string, state PeerState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers.set(node, state, t.clock.Now())
+	now := t.clock.Now()
+	t.peers.set(node, state, now)
 }
 
 // LocalState returns the state of this node's targets, to be reported to the other nodes.
@@ -312,7 +316,10 @@
 	local := PeerState{map[Key]Load{}, map[Key]time.Duration{}, map[Key]bool{}, map[Key]float64{}}
 	for k, s := range t.targets {
 		if s.load.Running > 0 {
-			local.Loads[k], local.EventAges[k] = s.localLoad(now), now.Sub(s.lastActivity)
+			local.Loads[k] = s.localLoad(now)
+			if s.lastEvent != 0 {
+				local.EventAges[k] = now.Sub(s.lastEvent)
+			}
 		}
 		if now < s.suspectUntil {
 			local.Suspected[k] = true
@@ -324,26 +331,29 @@
 	return local
 }
 
-// EventAge returns the time since any node received an event from the target, or 0 if nothing is known.
-func (t *Table) EventAge(k Key) time.Duration {
+// Activity is what all nodes know of the requests at a target.
+type Activity struct {
+	Running   int        // Requests that were sent to the target and haven't ended.
+	Begun     int        // Those of them from which an event was received.
+	LastEvent clock.Time // When a node last received an event from it; 0 if that isn't known.
+}
+
+// Activity returns what all nodes know of the requests at the target. An event that another node received counts from the time at
+// which it was received there, as far as that is known.
+func (t *Table) Activity(k Key) Activity {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
-	age, known := time.Duration(0), false
-	consider := func(a time.Duration) {
-		if !known || a < age {
-			age, known = a, true
-		}
-	}
-	if s := t.targets[k]; s != nil && s.lastActivity != 0 {
-		consider(now.Sub(s.lastActivity))
+	load := t.loadLocked(k, t.clock.Now())
+	a := Activity{Running: load.Running, Begun: load.Running - load.Waiting}
+	if s := t.targets[k]; s != nil {
+		a.LastEvent = s.lastEvent
 	}
 	for _, peer := range t.peers.byNode {
-		if eventAge, ok := peer.EventAges[k]; ok {
-			consider(eventAge + now.Sub(peer.receivedAt))
+		if age, ok := peer.EventAges[k]; ok {
+			a.LastEvent = max(a.LastEvent, peer.receivedAt.Add(-age))
 		}
 	}
-	return age
+	return a
 }
 
 // SilentTargets returns the targets with started requests from which this node has received no event for the given time.
--- a/internal/balance/zones.go
+++ b/internal/balance/zones.go
@@ -9,7 +9,7 @@
 // ZoneState is the work of all nodes of a failure domain.
 type ZoneState struct {
 	Loads     map[Key]Load
-	EventAges map[Key]time.Duration // Time since one of the nodes last received an event, for targets with a load.
+	EventAges map[Key]time.Duration // Time since one of the nodes last received an event, for targets with a load that have sent one.
 }
 
 // SumOf returns the work of this node and the given other ones, as far as their reports aren't too old.
@@ -26,11 +26,11 @@
 			continue
 		}
 		for k, load := range r.Loads {
-			eventAge := r.EventAges[k] + age
-			if known, ok := sum.EventAges[k]; !ok || eventAge < known {
-				sum.EventAges[k] = eventAge
-			}
 			sum.Loads[k] = sum.Loads[k].Add(load)
+			eventAge, heard := r.EventAges[k]
+			if newest, ok := sum.EventAges[k]; heard && (!ok || eventAge+age < newest) {
+				sum.EventAges[k] = eventAge + age
+			}
 		}
 	}
 	return sum
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
@@ -129,6 +130,9 @@
 		n.mu.Unlock()
 		if newer {
 			loads, ages := decodeLoads(z.Loads)
+			for k := range ages {
+				ages[k] += now.Sub(sum.formedAt)
+			}
 			n.table.SetZoneState(z.Zone, balance.ZoneState{Loads: loads, EventAges: ages})
 		}
 	}
@@ -153,11 +157,18 @@
 	return n.clock.Now().Sub(p.ReceivedAt) < plannerTimeout
 }
 
+// neverHeardMs is the value of TargetLoad.heard_ms for a target that has sent no event.
+const neverHeardMs = math.MaxUint32
+
 func encodeLoads(loads map[balance.Key]balance.Load, ages map[balance.Key]time.Duration) []*schema.TargetLoad {
 	list := make([]*schema.TargetLoad, 0, len(loads))
 	for k, l := range loads {
+		heardMs := uint32(neverHeardMs)
+		if age, heard := ages[k]; heard {
+			heardMs = uint32(min(age.Milliseconds(), neverHeardMs-1))
+		}
 		list = append(list, &schema.TargetLoad{Target: string(k), Running: uint32(l.Running), Waiting: uint32(l.Waiting),
-			UnreadTokens: uint32(l.UnreadTokens), HeardMs: uint32(ages[k].Milliseconds())})
+			UnreadTokens: uint32(l.UnreadTokens), HeardMs: heardMs})
 	}
 	return list
 }
@@ -167,7 +178,9 @@
 	for _, l := range list {
 		k := balance.Key(l.Target)
 		loads[k] = balance.Load{Running: int(l.Running), Waiting: int(l.Waiting), UnreadTokens: int(l.UnreadTokens)}
-		ages[k] = time.Duration(l.HeardMs) * time.Millisecond
+		if l.HeardMs != neverHeardMs {
+			ages[k] = time.Duration(l.HeardMs) * time.Millisecond
+		}
 	}
 	return loads, ages
 }
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -62,7 +62,8 @@
 		c.Assert(n.table.Load("head").Running, quicktest.Equals, step.want, quicktest.Commentf("step %d", i))
 		time.Sleep(2 * time.Millisecond)
 	}
-	c.Check(n.table.EventAge("head") < time.Second, quicktest.IsTrue)
+	heard := n.table.Activity("head").LastEvent
+	c.Check(heard != 0 && n.clock.Now().Sub(heard) < time.Second, quicktest.IsTrue)
 	sum := n.table.SumOf([]string{"own"})
 	c.Check(sum.Loads, quicktest.DeepEquals, map[balance.Key]balance.Load{}) // Without the loads of other failure domains.
 }
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -72,6 +72,9 @@
 	openAt       clock.Time // When an accepted open order takes effect; 0 if there is none.
 	highestEpoch int64      // Highest epoch that it has joined.
 	busyUntil    clock.Time // The head has running requests until then.
+	lastEvent    clock.Time // When a node last received an event from the head.
+	silent       bool       // No data go in or out of it for a while, though it runs.
+	hidden       bool       // The planner doesn't reach it, other nodes do.
 }
 
 func newEmulator(t testing.TB, domains, size int, e *fleet.Engine) *emulator {
@@ -124,9 +127,37 @@
 			v.state, v.openAt = fleet.GroupOpen, 0
 		}
 	}
+	for _, v := range m.vms {
+		if servesGroup(&fleet.Replica{Group: &fleet.Membership{State: v.state}}) && m.sendsEvents(v) {
+			v.lastEvent = now
+		}
+	}
 	m.history = append(m.history, snapshot{now, m.entries()})
 }
 
+// sendsEvents reports whether events of a serving head reach nodes: no member of its group is lost or silent.
+func (m *emulator) sendsEvents(head *vm) bool {
+	for _, id := range head.members {
+		v := m.vms[id]
+		if v == nil || v.failedAt != 0 || v.silent || v.group != head.group || v.epoch != head.epoch {
+			return false
+		}
+	}
+	return !head.cutOff
+}
+
+// activity returns what the nodes know of the requests at a head.
+func (m *emulator) activity(r *fleet.Replica) Activity {
+	v := m.vms[r.ID]
+	if m.clock.Now() < v.busyUntil {
+		return Activity{Running: 1, Begun: 1, LastEvent: v.lastEvent}
+	}
+	return Activity{LastEvent: v.lastEvent}
+}
+
+// reached reports whether a replica that runs answers the planner.
+func (v *vm) reached() bool { return !v.cutOff && !v.silent && !v.hidden }
+
 // entries returns the current entries of the replicas by ID. The entry of a stopped VM stays for entryTTL.
 func (m *emulator) entries() map[string]*fleet.Replica {
 	now, list := m.clock.Now(), map[string]*fleet.Replica{}
@@ -170,7 +201,7 @@
 // execute carries out an order and returns its outcome.
 func (m *emulator) execute(o Order) Outcome {
 	v := m.vms[o.To.ID]
-	if v == nil || v.failedAt != 0 || v.cutOff {
+	if v == nil || v.failedAt != 0 || !v.reached() {
 		return Unknown
 	}
 	now := m.clock.Now()
@@ -308,7 +339,7 @@
 	m.probeFormerMembers(p, entries)
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.mayBeOutdated, Confirmed: m.queryReplicas(),
-		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadSilent: func(r *fleet.Replica) bool { return m.vms[r.ID].failedAt != 0 || m.vms[r.ID].cutOff },
+		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadActivity: m.activity,
 		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }}) {
 		if m.refuse != nil && m.refuse(o) {
 			p.RecordOutcome(o, Refused)
@@ -359,12 +390,12 @@
 func (m *emulator) probe(p *Plan, listed map[string]*fleet.Replica) {
 	for name, members := range p.Groups() {
 		for _, member := range members {
-			if v := m.vms[member.Incarnation.ID]; v != nil && v.failedAt == 0 && !v.cutOff && p.AwaitsAnswers(name) {
+			if v := m.vms[member.Incarnation.ID]; v != nil && v.failedAt == 0 && v.reached() && p.AwaitsAnswers(name) {
 				delete(m.unheard, v.id)
 				p.RecordProbeAnswer(member.Incarnation, m.clock.Now())
-			} else if v == nil || listed[member.Incarnation.ID] != nil && !v.cutOff {
+			} else if v == nil || listed[member.Incarnation.ID] != nil && v.reached() {
 				continue
-			} else if v.cutOff {
+			} else if !v.reached() {
 				p.RecordProbeFailure(member.Incarnation, m.clock.Now())
 			} else if v.failedAt == 0 && v.startedAt == member.Incarnation.StartedUnixMs {
 				p.RecordProbeAnswer(member.Incarnation, m.clock.Now())
@@ -378,7 +409,7 @@
 // probeFormerMembers probes the members of groups that were given up, as the planner does.
 func (m *emulator) probeFormerMembers(p *Plan, listed map[string]*fleet.Replica) {
 	for _, former := range p.FormerMembers(listed) {
-		if v := m.vms[former.Replica.ID]; v.failedAt == 0 && !v.cutOff {
+		if v := m.vms[former.Replica.ID]; v.failedAt == 0 && v.reached() {
 			p.RecordProbeAnswer(former.Replica.Incarnation(), m.clock.Now())
 		} else {
 			p.RecordProbeFailure(former.Replica.Incarnation(), m.clock.Now())
@@ -407,3 +438,8 @@
 	}
 	return list
 }
+
+// incarnation returns the present start of a VM.
+func (m *emulator) incarnation(v *vm) fleet.Incarnation {
+	return fleet.Incarnation{ID: v.id, StartedUnixMs: v.startedAt}
+}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -143,6 +143,7 @@
 
 // advance adds the orders that one group needs next, and repairs or dissolves it if it can't serve.
 func (s *step) advance(g *group) {
+	s.forgetOutdatedFailures(g)
 	head := s.usableReplica(g.members[0].incarnation)
 	if head != nil && g.headMissingSince != 0 && !g.headReleased && s.headServes(g, head) {
 		// The head was only silent. A group that was to be dissolved for it is checked again.
@@ -290,7 +291,7 @@
 		m := &g.members[i]
 		r := s.usableReplica(m.incarnation)
 		if r == nil {
-			if reason := s.missingReason(m, i); reason != "" {
+			if reason := s.missingReason(m, i); reason != "" && !s.mayOnlyBeSilent(g, m) {
 				return reason
 			}
 			continue
@@ -462,13 +463,13 @@
 }
 
 // releaseMembers tells whether the members of a group may be planned in another group or epoch. A head that may still serve this epoch or
-// an earlier one is ordered to leave first. If it doesn't answer, the members are released when the engine must have broken the group, or
-// earlier if no node receives events from the head. Since it may serve all the same, joinMembers then lets each member leave before it joins.
+// an earlier one is ordered to leave first, unless it is silent. If it doesn't answer, the members are released once it counts as lost. Since
+// it may serve all the same, joinMembers then lets each member leave before it joins.
 func (s *step) releaseMembers(g *group, reason string) bool {
 	head := s.Replicas[g.members[0].incarnation.ID]
 	failures, unresponsive := s.unresponsive[g.members[0].incarnation]
 	if head != nil && unresponsive && failures.count < minHeadProbeFailures {
-		return false // After a single failed probe, an order to leave could end a group that works.
+		return false // A single probe fails too easily to give up a group that may work.
 	}
 	if head != nil && !unresponsive {
 		if head.StartedUnixMs != g.members[0].incarnation.StartedUnixMs || head.Group == nil || head.Group.Name != g.name ||
@@ -483,17 +484,28 @@
 		s.headEnded(g.name, g.epoch)
 		return true
 	}
+	if unresponsive && failures.ended {
+		s.headEnded(g.name, g.epoch)
+		s.headEnded(g.name, g.formerEpoch)
+		g.headReleased = true
+		return true
+	}
 	if (head == nil || unresponsive) && g.headMissingSince == 0 {
 		g.headMissingSince = s.Now
+		if unresponsive {
+			g.headMissingSince = failures.first
+		}
 	}
 	if g.head == nil {
 		// The head of an adopted group whose entry was never listed can't be sent an order. It may be listed soon.
 		return s.Now.Sub(g.adoptedAt) > headReturnTimeout
 	}
-	if missingFor := s.Now.Sub(g.headMissingSince); g.headMissingSince != 0 && (missingFor > s.StallAfter+stallMargin ||
-		missingFor > minHeadSilence && s.HeadSilent != nil && s.HeadSilent(g.head)) {
+	if g.headMissingSince != 0 && s.headLost(g) {
 		return true
 	}
+	if unresponsive {
+		return false // The first order to which a head answers after a silence would end what runs there; a probe doesn't.
+	}
 	if g.leaveSentAt == 0 || s.Now.Sub(g.leaveSentAt) > reportTimeout {
 		g.leaveSentAt = s.Now
 		s.addOrderForEpoch(g.head, Leave, g, cmp.Or(g.formerEpoch, g.epoch), reason)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,9 +29,13 @@
 	unresponsiveFor = 8 * time.Second
 	// stallMargin is added to Input.StallAfter before an unreachable head counts as no longer serving.
 	stallMargin = time.Second
-	// minHeadSilence is the least time for which a head must be missing or unresponsive before the lack of events from it at all
-	// nodes (Input.HeadSilent) counts as proof that it no longer serves.
-	minHeadSilence = 500 * time.Millisecond
+	// maxSoundSilence is the longest time for which a sound replica may fall silent. A group without an event for longer has lost a member
+	// that doesn't answer, whatever runs there.
+	maxSoundSilence = 1500 * time.Millisecond
+	// idleHeadSilence is the time without an event at any node after which a head that doesn't answer counts as lost if no request runs
+	// there any more. minHeadSilence is the least time for which it must be missing or unresponsive.
+	idleHeadSilence = time.Second
+	minHeadSilence  = 500 * time.Millisecond
 	// standbyPrefix begins the names of standby groups. Each has a spare as its only real member, so that the spare loads its
 	// staged weights, and is never opened.
 	standbyPrefix = "standby-"
@@ -99,6 +103,8 @@
 	Model   string
 	Members []string
 	Reason  string
+	// Activity is what was known of the requests at the group's head when the order was planned. An order to leave or join may end them.
+	Activity Activity
 }
 
 // InGroup reports whether the replica was in the epoch that the order concerns when it was planned.
@@ -140,8 +146,8 @@
 	// groups or staged.
 	MayBeOutdated bool
 	Confirmed     map[fleet.Incarnation]bool
-	// HeadSilent tells whether no node has lately received an event from a head to which nodes send requests. Nil if not known.
-	HeadSilent func(*fleet.Replica) bool
+	// HeadActivity returns what all nodes know of the requests at a head. Nil if it isn't known for any.
+	HeadActivity func(*fleet.Replica) Activity
 	// Limited tells whether a replica has stated a limit on its rate of requests. The limit of a group is that of its head. Nil if not
 	// known.
 	Limited func(*fleet.Replica) bool
@@ -189,7 +195,7 @@
 	// head is the last known entry of the head. A head whose entry was removed may still serve.
 	head             *fleet.Replica
 	headReleased     bool       // A leave order was answered, or refused by an address without a listener: the head doesn't serve.
-	headMissingSince clock.Time // When the head was first unlisted or unresponsive while its members were needed; 0 if it wasn't.
+	headMissingSince clock.Time // When the head was first unlisted or unresponsive; 0 if it isn't.
 	adoptedAt        clock.Time // When the group was adopted from the replicas' entries; 0 if this planner formed it.
 }
 
@@ -279,15 +285,31 @@
 	return p.term*epochsPerTerm + p.epochCounter
 }
 
-// probeFailures records the unanswered probes of a replica.
+// probeFailures records the successive probes that a replica didn't answer.
 type probeFailures struct {
-	until clock.Time // The replica counts as unresponsive until then.
-	count int        // Successive probes that were not answered.
+	until  clock.Time // The replica counts as unresponsive until then.
+	count  int
+	first  clock.Time // When the first of them failed.
+	newest clock.Time // When the newest of them failed.
+	ended  bool       // The replica is known to have ended: nothing listens at its address, or it has been started anew.
 }
 
 // RecordProbeFailure records that a replica did not answer a probe.
 func (p *Plan) RecordProbeFailure(incarnation fleet.Incarnation, now clock.Time) {
-	p.unresponsive[incarnation] = probeFailures{now.Add(unresponsiveFor), p.unresponsive[incarnation].count + 1}
+	f, known := p.unresponsive[incarnation]
+	if !known {
+		f.first = now
+	}
+	f.until, f.newest, f.count = now.Add(unresponsiveFor), now, f.count+1
+	p.unresponsive[incarnation] = f
+}
+
+// RecordEnd records that a probe has shown that this start of a replica has ended.
+func (p *Plan) RecordEnd(incarnation fleet.Incarnation, now clock.Time) {
+	p.RecordProbeFailure(incarnation, now)
+	f := p.unresponsive[incarnation]
+	f.ended = true
+	p.unresponsive[incarnation] = f
 }
 
 // RecordProbeAnswer records that a replica has answered a probe.
@@ -551,7 +573,7 @@
 }
 
 func (s *step) addOrderForEpoch(to *fleet.Replica, action Action, g *group, epoch int64, reason string) {
-	o := Order{To: to, Action: action, Group: g.name, Epoch: epoch, Model: g.model, Reason: reason}
+	o := Order{To: to, Action: action, Group: g.name, Epoch: epoch, Model: g.model, Reason: reason, Activity: s.activity(g)}
 	for _, m := range g.members {
 		o.Members = append(o.Members, m.incarnation.ID)
 	}
--- /dev/null
+++ b/internal/placement/silence.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+// Activity is what all nodes know of the requests at a head.
+type Activity struct {
+	Running   int        // Requests that were sent to the head and haven't ended.
+	Begun     int        // Those of them from which an event was received.
+	LastEvent clock.Time // When a node last received an event from the head; 0 if that isn't known.
+}
+
+// activity returns what the nodes know of the requests at the head of a group.
+func (s *step) activity(g *group) Activity {
+	if s.HeadActivity == nil || g.head == nil {
+		return Activity{}
+	}
+	return s.HeadActivity(g.head)
+}
+
+// silentFor returns for how long a group has sent no event although it had to, or 0 if that isn't known. Requests that wait for
+// their first event say nothing about the time before doubtSince, when a member was first missing or didn't answer.
+func (s *step) silentFor(a Activity, doubtSince clock.Time) time.Duration {
+	since := a.LastEvent
+	if a.Begun == 0 && a.Running > 0 {
+		since = max(since, doubtSince)
+	}
+	if since == 0 {
+		return 0
+	}
+	return s.Now.Sub(since)
+}
+
+// forgetOutdatedFailures drops failed probes of members that a later event of the group has disproved: a group that has lost a member
+// sends no more events, so only this node can't reach the member.
+func (s *step) forgetOutdatedFailures(g *group) {
+	for _, m := range g.members {
+		failures, unresponsive := s.unresponsive[m.incarnation]
+		if unresponsive && g.wasOpen && s.activity(g).LastEvent > failures.newest {
+			delete(s.unresponsive, m.incarnation)
+		}
+	}
+}
+
+// mayOnlyBeSilent reports whether a member that isn't listed or doesn't answer must be waited for: requests run in the group, the member
+// isn't known to have ended, and the group hasn't been silent for longer than a sound replica may be. Orders to repair the group
+// would end these requests. Once they have ended or gone on at other targets, the group is repaired at once.
+func (s *step) mayOnlyBeSilent(g *group, m *member) bool {
+	failures, unresponsive := s.unresponsive[m.incarnation]
+	doubtSince := m.missingSince
+	if unresponsive {
+		doubtSince = failures.first
+	}
+	a := s.activity(g)
+	return g.wasOpen && a.Running > 0 && !failures.ended && !s.restarted(m.incarnation) && s.silentFor(a, doubtSince) <= maxSoundSilence
+}
+
+// restarted reports whether another start of the replica is listed.
+func (s *step) restarted(incarnation fleet.Incarnation) bool {
+	r := s.Replicas[incarnation.ID]
+	return r != nil && r.StartedUnixMs != incarnation.StartedUnixMs
+}
+
+// headLost reports whether the head of a group, which is missing or doesn't answer, counts as lost: the engine must have broken the
+// group by now, or no node has received an event from the head for long enough.
+func (s *step) headLost(g *group) bool {
+	missingFor, a := s.Now.Sub(g.headMissingSince), s.activity(g)
+	if missingFor > s.StallAfter+stallMargin {
+		return true
+	}
+	limit := idleHeadSilence
+	if a.Running > 0 {
+		limit = maxSoundSilence
+	}
+	return missingFor > minHeadSilence && a.LastEvent != 0 && s.silentFor(a, g.headMissingSince) > limit
+}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -137,7 +137,10 @@
 		reply, err = p.opt.Replicas.Order(orderCtx, o.To.Incarnation(), o.To.Address, message)
 	}
 	logEntry := p.opt.Log.WithFields(logrus.Fields{"order": o.Action.String(), "replica": o.To.ID, "group": o.Group, "epoch": o.Epoch,
-		"model": o.Model, "members": o.Members, "reply": int(reply), "took_ms": time.Since(started).Milliseconds()})
+		"model": o.Model, "members": o.Members, "reply": int(reply), "took_ms": time.Since(started).Milliseconds(), "running": o.Activity.Running})
+	if o.Activity.LastEvent != 0 {
+		logEntry = logEntry.WithField("event_age_ms", p.opt.Clock.Now().Sub(o.Activity.LastEvent).Milliseconds())
+	}
 	if message.ExpectedCount != nil {
 		logEntry = logEntry.WithField("expected_count", *message.ExpectedCount)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,9 +36,6 @@
 	// probeAfterSilence is how long a head sends no event before the members of its group are probed. It spans several of the usual
 	// gaps between events.
 	probeAfterSilence = 250 * time.Millisecond
-	// headSilenceLimit is the time without an event at any node after which a head that is unlisted or doesn't answer the
-	// planner's probes counts as no longer serving.
-	headSilenceLimit = time.Second
 	// probeInterval is the time between two probes of the members of a group that seems to have stopped.
 	probeInterval = 700 * time.Millisecond
 	// summaryInterval is the time between two log lines with a summary of the groups.
@@ -46,6 +45,9 @@
 	settleTime = 400 * time.Millisecond
 )
 
+// errRestarted means that another start of a replica has answered a probe.
+var errRestarted = eris.New("the replica has been started anew")
+
 // Options configures a Planner.
 type Options struct {
 	Lease    *Lease
@@ -215,8 +217,10 @@
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
 		Need: p.modelShares(service.Engine), BeforeFirstRequest: beforeFirstRequest, LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
 		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: confirmed,
-		HeadSilent: func(r *fleet.Replica) bool { return p.opt.Table.EventAge(balance.KeyOf(r)) > headSilenceLimit },
-		Limited:    p.opt.Limited})
+		HeadActivity: func(r *fleet.Replica) placement.Activity {
+			return placement.Activity(p.opt.Table.Activity(balance.KeyOf(r)))
+		},
+		Limited: p.opt.Limited})
 	probes = p.dueProbes(replicas, now)
 	p.summarize(view, replicas, now)
 	return orders, probes, queries
@@ -320,7 +324,7 @@
 			reportedSlowdown.Store(report.Slowdown)
 		}
 		if err == nil && report.StartedUnixMs != 0 && report.StartedUnixMs != replica.StartedUnixMs {
-			err = eris.Errorf("replica %s was started at %d, not at %d", replica.ID, report.StartedUnixMs, replica.StartedUnixMs)
+			err = eris.Wrapf(errRestarted, "replica %s was started at %d, not at %d", replica.ID, report.StartedUnixMs, replica.StartedUnixMs)
 		}
 		answers <- err
 	}
@@ -345,7 +349,11 @@
 		return
 	}
 	now := p.opt.Clock.Now()
-	p.plan.RecordProbeFailure(replica.Incarnation(), now)
+	if errors.Is(err, errRestarted) || errors.Is(err, syscall.ECONNREFUSED) {
+		p.plan.RecordEnd(replica.Incarnation(), now)
+	} else {
+		p.plan.RecordProbeFailure(replica.Incarnation(), now)
+	}
 	p.nextProbe[task.group] = min(p.nextProbe[task.group], now.Add(failedProbeInterval))
 	if head != nil && head.Group != nil {
 		p.opt.Table.Suspect(balance.KeyOf(head))
