Remember the last event of a target after its requests have ended

Their streams had gone on at other heads, so no node reported a load there, and with it no age of the last event; without one the head doesn't count as silent.

It makes the look-up independent of the number of nodes, too.

TestLastEventIsKnownAfterTheRequestsHaveEnded failed before (no last event).

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -362,3 +362,23 @@
 		c.Check(known.Activity(head.Key), quicktest.Equals, Activity{Running: 1, LastEvent: heard})
 	}
 }
+
+// Guards against a lost head that is replaced only after the engine must have broken its group, because the requests there have gone on at
+// other targets and nobody remembers when it last sent an event.
+func TestLastEventIsKnownAfterTheRequestsHaveEnded(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	q, table, other := queryWithHeads(now, 1), NewTable(now), NewTable(now)
+	head := table.PickHead(q)
+	ticket := table.Begin(head.Key, q.PromptTokens, head.FirstEvent)
+	ticket.RecordEvent()
+	heard := now.Now()
+	other.SetPeerState("node-1", table.LocalState())
+	now.Advance(800 * time.Millisecond)
+	ticket.End()
+	other.SetPeerState("node-1", table.LocalState())
+	c.Assert(other.Activity(head.Key), quicktest.Equals, Activity{LastEvent: heard})
+	now.Advance(2 * idleRetention)
+	other.Sweep(100*time.Millisecond, func(Key, Load) time.Duration { return time.Second })
+	c.Assert(other.Activity(head.Key), quicktest.Equals, Activity{})
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -86,6 +87,7 @@
 	targets   map[Key]*targetState
 	peers     peerReports
 	lastSweep clock.Time
+	heard     map[Key]clock.Time      // When any node last received an event from a target, as far as this node knows.
 	coldSends map[string][]clock.Time // Sends to cold replicas within the last second, by ID.
 	overheads map[string]*overhead    // By model.
 	rates     map[string]*rate        // Of this node's sends, by model.
@@ -94,7 +96,7 @@
 
 // NewTable returns an empty table.
 func NewTable(c clock.Clock) *Table {
-	return &Table{clock: c, targets: map[Key]*targetState{}, peers: newPeerReports(), lastSweep: c.Now(),
+	return &Table{clock: c, targets: map[Key]*targetState{}, peers: newPeerReports(), lastSweep: c.Now(), heard: map[Key]clock.Time{},
 		coldSends: map[string][]clock.Time{}, overheads: map[string]*overhead{}, medians: map[string]median{}, rates: map[string]*rate{}}
 }
 
@@ -179,6 +181,7 @@
 	defer k.table.mu.Unlock()
 	s, now := k.table.stateLocked(k.key), k.table.clock.Now()
 	s.lastActivity, s.lastEvent, s.suspectUntil = now, now, 0
+	k.table.heard[k.key] = now
 	k.markStartedLocked(s)
 	if k.lastEvent != 0 && k.engine != nil {
 		expected := k.timeFactor * passMillis(k.engine, k.table.loadLocked(k.key, now).Running)
@@ -276,6 +279,7 @@
 	now := t.clock.Now()
 	paused := now.Sub(t.lastSweep) > 3*interval
 	t.lastSweep = now
+	maps.DeleteFunc(t.heard, func(_ Key, at clock.Time) bool { return now.Sub(at) > idleRetention })
 	var suspected []Key
 	for k, s := range t.targets {
 		if s.load.Running == 0 {
@@ -306,6 +310,9 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.peers.set(node, state, now)
+	for k, age := range state.EventAges {
+		t.heard[k] = max(t.heard[k], now.Add(-age))
+	}
 }
 
 // LocalState returns the state of this node's targets, to be reported to the other nodes.
@@ -344,16 +351,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	load := t.loadLocked(k, t.clock.Now())
-	a := Activity{Running: load.Running, Begun: load.Running - load.Waiting}
-	if s := t.targets[k]; s != nil {
-		a.LastEvent = s.lastEvent
-	}
-	for _, peer := range t.peers.byNode {
-		if age, ok := peer.EventAges[k]; ok {
-			a.LastEvent = max(a.LastEvent, peer.receivedAt.Add(-age))
-		}
-	}
-	return a
+	return Activity{Running: load.Running, Begun: load.Running - load.Waiting, LastEvent: t.heard[k]}
 }
 
 // SilentTargets returns the targets with started requests from which this node has received no event for the given time.
