Probe groups that are silent at all nodes, not only at the planner

A lost member was noticed by the first failed probe 0.8 s after its loss where the planner itself had no request at the head: it then waited until another node suspected the head. The planner knows when other nodes last received an event, so it now probes a group with running requests once none has received one for 0.25 s and the age of these reports.

TestHeadThatIsSilentAtOtherNodesIsProbed failed before (no probe).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -67,6 +67,8 @@
 	// StoreAccess returns what is known about the store's answers, and StoreFailing whether the last call of this node got none.
 	StoreAccess  func() StoreAccess
 	StoreFailing func() bool
+	// LoadAge returns how old what other nodes report of their requests may be.
+	LoadAge func() time.Duration
 	// Limited tells whether a replica has stated a limit on its rate of requests.
 	Limited func(*fleet.Replica) bool
 	// BeforeFirstRequest tells whether the system has started for the first time and no client has sent a request yet.
@@ -308,7 +310,13 @@
 		return false
 	}
 	key := balance.KeyOf(head)
-	return head.Group.State == fleet.GroupBroken || head.Head() && (silent[key] || p.opt.Table.Suspected(key) || p.opt.Table.IsSlow(key))
+	return head.Group.State == fleet.GroupBroken || head.Head() && (silent[key] || p.silentAtAllNodes(key) || p.opt.Table.Suspected(key) || p.opt.Table.IsSlow(key))
+}
+
+// silentAtAllNodes reports whether no node has lately received an event from a head to which one of them has a request that has begun.
+func (p *Planner) silentAtAllNodes(head balance.Key) bool {
+	a := p.opt.Table.Activity(head)
+	return a.Begun > 0 && a.LastEvent != 0 && p.opt.Clock.Now().Sub(a.LastEvent) > probeAfterSilence+p.opt.LoadAge()
 }
 
 // probe requests a replica's report and records whether it answers. A group with a member that doesn't answer has stopped.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -19,7 +19,10 @@
 	"cassiadeal.example/cassiadeal/platform"
 )
 
-const testEntryTTL = 3 * time.Second
+const (
+	testEntryTTL = 3 * time.Second
+	testLoadAge  = 100 * time.Millisecond
+)
 
 // newPlanner returns the planner of a node that holds the lease, whose only replica has the given address.
 func newPlanner(t *testing.T) (*election, *electionNode, *Planner) {
@@ -30,7 +33,7 @@
 	registry := fleet.NewRegistry(e.clock)
 	registry.SetConfig(&fleet.Config{Version: 1, Services: map[string]*fleet.Service{"engine": {Name: "engine", Engine: &fleet.Engine{}}}})
 	p := New(Options{Lease: node.lease, Registry: registry, Table: balance.NewTable(e.clock), Clock: e.clock, Log: log, LoadWindow: time.Second,
-		StallAfter: time.Second, EntryTTL: testEntryTTL, StoreFailing: func() bool { return false }, BeforeFirstRequest: func() bool { return false },
+		StallAfter: time.Second, EntryTTL: testEntryTTL, StoreFailing: func() bool { return false }, LoadAge: func() time.Duration { return testLoadAge }, BeforeFirstRequest: func() bool { return false },
 		Replicas: platform.NewReplicaClient(func(fleet.Incarnation, fleet.Answer) {})})
 	p.startTerm()
 	p.setActive(true)
@@ -120,3 +123,36 @@
 	c.Assert(p.opt.Registry.View().Replicas["r"].Group, quicktest.IsNotNil)
 	c.Assert(p.confirmed[r.Incarnation()], quicktest.Equals, int64(7))
 }
+
+// Guards against a lost member that is noticed late because only other nodes have requests at its head.
+func TestHeadThatIsSilentAtOtherNodesIsProbed(t *testing.T) {
+	c := quicktest.New(t)
+	e, _, p := newPlanner(t)
+	member := func(rank int) *fleet.Replica {
+		state := fleet.GroupReady
+		if rank == 0 {
+			state = fleet.GroupOpen
+		}
+		return &fleet.Replica{ID: fmt.Sprintf("r%d", rank), Service: "engine", Zone: "z", StartedUnixMs: 5, Address: "127.0.0.1:1", Models: []string{"m"},
+			Group: &fleet.Membership{Name: "g", Epoch: 7, Rank: rank, State: state}}
+	}
+	head := member(0)
+	p.opt.Registry.SetConfig(&fleet.Config{Version: 2, Services: map[string]*fleet.Service{"engine": {Name: "engine",
+		Engine: &fleet.Engine{Models: []fleet.Model{{Name: "m", Size: 2, Share: 1}}}}}})
+	p.opt.Registry.Replace([]*fleet.Replica{head, member(1)})
+	e.clock.Advance(testEntryTTL + settleTime)
+	report := func(age time.Duration) (probed int) {
+		key := balance.KeyOf(head)
+		p.opt.Table.SetPeerState("n", balance.PeerState{Loads: map[balance.Key]balance.Load{key: {Running: 1}}, EventAges: map[balance.Key]time.Duration{key: age}})
+		_, probes, _ := p.decide()
+		return len(probes)
+	}
+	p.confirmed[head.Incarnation()] = 7
+	report(0) // The group is adopted.
+	c.Assert(p.plan.Groups(), quicktest.HasLen, 1)
+	c.Assert(report(0), quicktest.Equals, 0)
+	e.clock.Advance(probeAfterSilence + testLoadAge)
+	c.Assert(report(probeAfterSilence+testLoadAge), quicktest.Equals, 0)
+	e.clock.Advance(time.Millisecond)
+	c.Assert(report(probeAfterSilence+testLoadAge+time.Millisecond), quicktest.Equals, 2)
+}
