Leave streams that another target has accepted out of the load of a silent one

Change: a stream that was sent to a second target no longer counts at its silent first one once the second has accepted it: it had the time to refuse, and has sent an event since, so that it runs and has queued the stream. Both targets are kept as before. If the second one refuses or fails, the stream counts again.

TestStreamsThatOtherTargetsHaveAcceptedAreNoLoad is new with the functions that it tests.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -382,3 +382,44 @@
 	other.Sweep(100*time.Millisecond, func(Key, Load) time.Duration { return time.Second })
 	c.Assert(other.Activity(head.Key), quicktest.Equals, Activity{})
 }
+
+// Guards against a lost group that is repaired late because streams count there that other targets have already accepted, and against one
+// that counts as idle though its streams depend on it.
+func TestStreamsThatOtherTargetsHaveAcceptedAreNoLoad(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		after    time.Duration // When the other target sends an event, since it was asked; 0 for never.
+		accepted bool
+	}{
+		{"the other target is silent", 0, false},
+		{"its event may precede a refusal", refusalTime - time.Millisecond, false},
+		{"it goes on with its work", refusalTime, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			now := clock.NewManual(time.Hour)
+			table := NewTable(now)
+			running := func() int { return table.Load("silent").Running }
+			first, beside := table.Begin("silent", 100, time.Second), table.Begin("other", 0, time.Second)
+			beside.RecordEvent()
+			other := table.Begin("other", 100, time.Second)
+			now.Advance(test.after)
+			if test.after > 0 {
+				beside.RecordEvent()
+			}
+			now.Advance(time.Second)
+			c.Assert(first.YieldTo(other), quicktest.Equals, test.accepted)
+			c.Assert(running() == 0, quicktest.Equals, test.accepted)
+			first.CountAgain()
+			c.Assert(running(), quicktest.Equals, 1)
+			first.YieldTo(other)
+			first.RecordEvent()
+			c.Assert(table.Activity("silent"), quicktest.Equals, Activity{Running: 1, Begun: 1, LastEvent: now.Now()})
+			first.YieldTo(other)
+			first.End()
+			first.End()
+			c.Assert(table.Load("silent"), quicktest.Equals, Load{})
+			c.Assert(first.YieldTo(other), quicktest.IsFalse)
+		})
+	}
+}
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -25,6 +25,8 @@
 	fullDuration = 300 * time.Millisecond
 	// idleRetention is the time for which a target without requests is remembered.
 	idleRetention = time.Minute
+	// refusalTime is the time within which a target refuses a request that it doesn't queue.
+	refusalTime = 150 * time.Millisecond
 	// loadAgeCost is the part of the age of the loads in other failure domains that is added to the cost of their targets.
 	loadAgeCost = 0.25
 	// peerStateMaxAge is the age up to which the loads, suspicions and slow factors reported by another node count.
@@ -107,6 +109,7 @@
 	promptTokens int
 	started      bool // No longer counted as waiting.
 	ended        bool
+	setAside     bool // Not counted in the load; see YieldTo.
 	sentAt       clock.Time
 	// readBy is when the prompt is predicted to be read; 0 if there is no prediction.
 	readBy clock.Time
@@ -180,6 +183,7 @@
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
 	s, now := k.table.stateLocked(k.key), k.table.clock.Now()
+	k.countAgainLocked(s)
 	s.lastActivity, s.lastEvent, s.suspectUntil = now, now, 0
 	k.table.heard[k.key] = now
 	k.markStartedLocked(s)
@@ -228,6 +232,7 @@
 		return
 	}
 	s := k.table.stateLocked(k.key)
+	k.countAgainLocked(s)
 	if !k.started {
 		k.started = true // Without an event there is no sample for the overhead.
 		s.load.Waiting--
@@ -237,6 +242,42 @@
 	delete(s.tickets, k)
 }
 
+// YieldTo takes the request out of the load of its target, which is silent, once another target has accepted it: that one has had the time to
+// refuse it, and has sent an event since, of whatever request. It reports whether the request is out of the load. The next event of the
+// first target, or CountAgain, brings it back.
+func (k *Ticket) YieldTo(other *Ticket) bool {
+	t := k.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !k.setAside && !k.ended && !other.ended && t.heard[other.key] >= other.sentAt.Add(refusalTime) {
+		s := t.stateLocked(k.key)
+		s.load.Running--
+		if !k.started {
+			s.load.Waiting--
+		}
+		k.setAside = true
+	}
+	return k.setAside
+}
+
+// CountAgain brings a request that YieldTo took out of the load of its target back into it.
+func (k *Ticket) CountAgain() {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	k.countAgainLocked(k.table.stateLocked(k.key))
+}
+
+func (k *Ticket) countAgainLocked(s *targetState) {
+	if !k.setAside {
+		return
+	}
+	k.setAside = false
+	s.load.Running++
+	if !k.started {
+		s.load.Waiting++
+	}
+}
+
 // RecordOutcome records whether an exchange failed because of the target.
 func (t *Table) RecordOutcome(k Key, failed bool) {
 	t.mu.Lock()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -271,6 +271,7 @@
 	}
 	asked := []*streamSend{r.current}
 	if r.other != nil {
+		r.current.ticket.YieldTo(r.other.ticket)
 		asked = append(asked, r.other)
 	}
 	head := r.alternative(asked, r.exclude, r.p)
@@ -321,8 +322,7 @@
 	r.attempts.began = false // The other target hasn't begun, whatever the current one has done.
 	r.handleStep(step, r.other, r.p)
 	r.attempts.began = began
-	r.other.end()
-	r.other = nil
+	r.endOther()
 	return 0
 }
 
@@ -347,8 +347,14 @@
 		return
 	}
 	r.attempts.maybeRun++
+	r.endOther()
+}
+
+// endOther closes the connection to the other target, so that the request depends on the current one again.
+func (r *streamRelay) endOther() {
 	r.other.end()
 	r.other = nil
+	r.current.ticket.CountAgain()
 }
 
 // streamStep is one result of receive: a refusal, a complete response that is no stream, one event of a stream, or the end.
