Withdraw orders whose reason has ended

Change: an order that has waited is sent only if the plan still wants it.

TestOrderToLeaveIsDroppedOnceTheHeadIsBack is new with the function that it tests.

--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -78,3 +78,24 @@
 	}
 	return missingFor > minHeadSilence && a.LastEvent != 0 && s.silentFor(a, g.headMissingSince) > limit
 }
+
+// StillWants reports whether an order that has waited since it was planned, for an earlier one to the same replica, should still be sent. An
+// order to leave isn't if the head of the group has answered since, and no order is that concerns a group which has been planned
+// under a later epoch or given up.
+func (p *Plan) StillWants(o Order) bool {
+	key := groupKey{o.Group, o.Epoch}
+	if _, ordered := p.memberLeaves[membership{key, o.To.Incarnation()}]; ordered && o.Action == Leave {
+		return true
+	}
+	if _, dissolved := p.dissolved[key]; dissolved {
+		return o.Action == Leave
+	}
+	g := p.groups[o.Group]
+	switch {
+	case g == nil || o.Action == Stage:
+		return true
+	case o.Action == Leave:
+		return g.epoch != o.Epoch && g.formerEpoch != o.Epoch || g.leaveSentAt != 0
+	}
+	return g.epoch == o.Epoch
+}
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -133,3 +133,28 @@
 		})
 	}
 }
+
+// Guards against an order to leave that ends running requests although its reason has ended: it waited for an earlier order to the head,
+// whose entry was listed again meanwhile.
+func TestOrderToLeaveIsDroppedOnceTheHeadIsBack(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, _ := busyHead(m, 0)
+	var leave *Order
+	m.loseAnswer = func(o Order) bool {
+		if o.To.ID == head.id && o.Action == Leave {
+			leave = &o
+		}
+		return leave != nil && o.To.ID == head.id
+	}
+	head.unlistedAt = m.clock.Now()
+	m.run(p, missingTimeout+400*time.Millisecond, nil)
+	c.Assert(leave, quicktest.IsNotNil)
+	c.Assert(p.StillWants(*leave), quicktest.IsTrue)
+	m.lateOrders = nil
+	head.unlistedAt = 0
+	m.run(p, 400*time.Millisecond, nil)
+	c.Assert(p.StillWants(*leave), quicktest.IsFalse)
+	c.Assert(p.StillWants(Order{To: leave.To, Action: Open, Group: leave.Group, Epoch: leave.Epoch}), quicktest.IsTrue)
+	c.Assert(p.StillWants(Order{To: leave.To, Action: Join, Group: leave.Group, Epoch: leave.Epoch - 1}), quicktest.IsFalse)
+}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -98,7 +98,7 @@
 	lock := p.orderLock(o.To.ID)
 	lock.Lock()
 	defer lock.Unlock()
-	if !p.Active() {
+	if !p.Active() || !p.stillWants(o) {
 		return
 	}
 	message := platform.Order{Operation: operations[o.Action], Group: o.Group, Epoch: o.Epoch}
@@ -123,6 +123,18 @@
 	p.plan.RecordOutcome(o, outcome)
 }
 
+// stillWants reports whether an order should still be sent, and logs it if not.
+func (p *Planner) stillWants(o placement.Order) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := p.plan.StillWants(o)
+	if !wanted {
+		p.opt.Log.WithFields(logrus.Fields{"order": o.Action.String(), "replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).
+			Info("an order is dropped: its reason has ended while it waited")
+	}
+	return wanted
+}
+
 // sendCounted sends an order, which states the number of orders that the replica has begun unless it is an order to leave. It reports
 // whether the replica was asked for that number.
 func (p *Planner) sendCounted(ctx context.Context, o placement.Order, message platform.Order) (outcome placement.Outcome, asked bool, err error) {
