Check again what spoke against a group whose head serves

A group of which nothing ran for one step was dissolved for good after one failed probe of its head and of more members than there are spares, although all answered the next probe: the reason to dissolve it was kept, and the sound head was ordered to leave with the requests that it had got since. A draining member that no longer listens, but works on, counted as ended by its refused connections, so that the group's requests ended.

Change: while the head serves, the reason to dissolve is found anew in each step. A draining replica's refused connection is no proof of its end.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -145,9 +145,12 @@
 func (s *step) advance(g *group) {
 	s.forgetOutdatedFailures(g)
 	head := s.usableReplica(g.members[0].incarnation)
-	if head != nil && g.headMissingSince != 0 && !g.headReleased && s.headServes(g, head) {
-		// The head was only silent. A group that was to be dissolved for it is checked again.
-		g.headMissingSince, g.leaveSentAt, g.dissolveReason = 0, 0, ""
+	if head != nil && !g.headReleased && s.headServes(g, head) {
+		// What spoke against the group is checked again: the head, or other members, may only have been silent.
+		if g.headMissingSince != 0 {
+			g.headMissingSince, g.leaveSentAt = 0, 0
+		}
+		g.dissolveReason = ""
 	}
 	if g.dissolveReason != "" {
 		s.dissolve(g, g.dissolveReason)
@@ -175,7 +178,7 @@
 		if reason != "" {
 			s.closeForRepair(g, head, reason)
 		} else if head.Group.State == fleet.GroupOpen {
-			g.closingSince, g.closeSentAt = 0, 0 // What the group was to close for has ended.
+			g.closingSince, g.closeSentAt, g.leaveSentAt = 0, 0, 0 // What the group was to close or leave for has ended.
 		}
 	case reason != "":
 		s.repair(g, head, reason)
@@ -484,7 +487,7 @@
 		s.headEnded(g.name, g.epoch)
 		return true
 	}
-	if unresponsive && failures.ended {
+	if unresponsive && s.hasEnded(g.members[0].incarnation) {
 		s.headEnded(g.name, g.epoch)
 		s.headEnded(g.name, g.formerEpoch)
 		g.headReleased = true
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -56,7 +56,14 @@
 		doubtSince = failures.first
 	}
 	a := s.activity(g)
-	return g.wasOpen && a.Running > 0 && !failures.ended && !s.restarted(m.incarnation) && s.silentFor(a, doubtSince) <= maxSoundSilence
+	return g.wasOpen && a.Running > 0 && !s.hasEnded(m.incarnation) && !s.restarted(m.incarnation) && s.silentFor(a, doubtSince) <= maxSoundSilence
+}
+
+// hasEnded reports whether a probe has shown that this start of a replica has ended. A draining replica may refuse connections and still
+// work on what runs in its group.
+func (s *step) hasEnded(incarnation fleet.Incarnation) bool {
+	r := s.Replicas[incarnation.ID]
+	return s.unresponsive[incarnation].ended && (r == nil || !r.Draining)
 }
 
 // restarted reports whether another start of the replica is listed.
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -158,3 +158,82 @@
 	c.Assert(p.StillWants(Order{To: leave.To, Action: Open, Group: leave.Group, Epoch: leave.Epoch}), quicktest.IsTrue)
 	c.Assert(p.StillWants(Order{To: leave.To, Action: Join, Group: leave.Group, Epoch: leave.Epoch - 1}), quicktest.IsFalse)
 }
+
+// Guards against running requests that end because a draining member that listens no more, but stays while the head has work, counts as
+// ended.
+func TestDrainingMemberThatNoLongerListensStays(t *testing.T) {
+	for _, rank := range []int{0, 1} {
+		t.Run(fmt.Sprintf("rank %d", rank), func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 10)
+			head, members := busyHead(m, 6*time.Second)
+			epoch := head.epoch
+			members[rank].draining = true
+			m.run(p, 2*time.Second, nil)
+			c.Assert(head.state, quicktest.Equals, fleet.GroupClosing)
+			members[2].silent = true // Another member is silent for a moment, so that all are probed.
+			n := 0
+			m.run(p, 600*time.Millisecond, func() {
+				if n++; n >= 3 {
+					p.RecordEnd(m.incarnation(members[rank]), m.clock.Now())
+				}
+			})
+			members[2].silent = false
+			m.run(p, 2*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(m.interruptions, quicktest.HasLen, 0)
+			c.Check(head.epoch, quicktest.Equals, epoch)
+		})
+	}
+}
+
+// Guards against requests that end because their group is dissolved for a silence during which nothing ran there.
+func TestIdleGroupThatWasSilentStays(t *testing.T) {
+	for name, ranks := range silenceCases {
+		for _, silentFor := range []time.Duration{100, 200, 300, 600, 900} {
+			for _, spares := range []int{0, 2} {
+				silentFor := silentFor * time.Millisecond
+				t.Run(fmt.Sprintf("%s, %v, %d spares", name, silentFor, spares), func(t *testing.T) {
+					c := quicktest.New(t)
+					m, p := startedSystem(t, 1, 8+spares)
+					head, members := busyHead(m, 0)
+					for _, rank := range ranks {
+						members[rank].silent = true
+					}
+					m.run(p, silentFor, nil)
+					for _, v := range members {
+						v.silent = false
+					}
+					head.busyUntil = m.clock.Now().Add(time.Minute)
+					m.run(p, 10*time.Second, nil)
+					m.assertNoViolations()
+					c.Assert(m.interruptions, quicktest.HasLen, 0)
+				})
+			}
+		}
+	}
+}
+
+// Guards against requests that end because their group is dissolved after a silence that is over.
+func TestGroupOfWhichOneProbeEachFailedStays(t *testing.T) {
+	for _, headFails := range []int{0, 1, 2} {
+		t.Run(fmt.Sprint(headFails), func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 8)
+			head, members := busyHead(m, 0)
+			for range headFails {
+				p.RecordProbeFailure(m.incarnation(head), m.clock.Now())
+			}
+			p.RecordProbeFailure(m.incarnation(members[1]), m.clock.Now())
+			m.step(p)
+			m.advance(100 * time.Millisecond)
+			p.RecordProbeAnswer(m.incarnation(head), m.clock.Now())
+			p.RecordProbeAnswer(m.incarnation(members[1]), m.clock.Now())
+			head.busyUntil = m.clock.Now().Add(time.Minute)
+			m.step(p)
+			m.run(p, 4*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(m.interruptions, quicktest.HasLen, 0)
+		})
+	}
+}
