Let slow and limited heads finish their requests, however long these take

A head whose group had a slow member, or that limited its rate, was closed for repair and lost the requests that were left after 9 s. That bound is the platform's for draining VMs, which end then; here nothing ends, and the head gets no new requests while it closes.

Change: the bound holds for groups with a draining member. Others are repaired once no node has a request there.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -273,12 +273,13 @@
 }
 
 // closeForRepair lets the head of a group with a draining or slow member finish its requests before the member is replaced, so
-// that planned work interrupts no running request. After closeTimeout the group is repaired even if the head has requests left.
+// that planned work interrupts no running request. After closeTimeout the group is repaired even if the head has requests left, but only for
+// a draining member, which will end: a slow member or a limited head is replaced once nothing runs there.
 func (s *step) closeForRepair(g *group, head *fleet.Replica, reason string) {
 	if g.closingSince == 0 {
 		g.closingSince = s.Now
 	}
-	if s.Now.Sub(g.closingSince) > closeTimeout {
+	if s.Now.Sub(g.closingSince) > closeTimeout && (s.drainingMember(g) != "" || s.activity(g).Running == 0) {
 		s.repair(g, head, reason+", and the head did not finish its requests in time")
 		return
 	}
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -237,3 +237,16 @@
 		})
 	}
 }
+
+// Guards against requests longer than closeTimeout that end because their group is slow.
+func TestRequestsOfASlowGroupFinish(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	_, members := busyHead(m, 15*time.Second)
+	m.run(p, 20*time.Second, func() {
+		p.RecordSlowdown(m.incarnation(members[1]), 12, m.clock.Now())
+	})
+	m.assertNoViolations()
+	c.Assert(m.interruptions, quicktest.HasLen, 0)
+	c.Assert(members[0].members, quicktest.Not(quicktest.Contains), members[1].id) // It was replaced.
+}
