Give nothing up while the planner hears of no other node

A planner that was cut off from all other nodes and from some replicas took the lack of reports for groups without requests, 2 s after the last report, and ordered sound members to leave or join as soon as it reached them again.

Change: what nodes know of the requests at a head is unknown while there are other nodes and none of them is heard. Then a member that doesn't answer is lost only once the engine must have broken the group, or it is known to have ended.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -144,7 +144,7 @@
 			_, limited := n.statements.Rate(r.Incarnation().Target(), 1)
 			return limited
 		},
-		LoadAge: n.loadAge, Candidate: n.isPlannerCandidate, BeforeFirstRequest: n.firstRunWithoutRequests})
+		LoadAge: n.loadAge, Alone: func() bool { return n.mesh.PeerCount() > 0 && len(n.mesh.Alive()) == 0 }, Candidate: n.isPlannerCandidate, BeforeFirstRequest: n.firstRunWithoutRequests})
 	n.followers = n.newFollowers()
 	return n, nil
 }
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -37,6 +37,7 @@
 	reports            map[fleet.Incarnation]*fleet.Replica // What replicas reported to the planner's direct queries.
 	limited            map[string]bool                      // Replicas that limit their rate of requests, by ID.
 	unheard            map[string]bool                      // Those of them that haven't stated it yet.
+	aloneSince         clock.Time                           // When the planner was cut off from all other nodes; 0 if it isn't.
 }
 
 // snapshot holds the entries of the replicas at one time.
@@ -77,6 +78,9 @@
 	hidden       bool       // The planner doesn't reach it, other nodes do.
 }
 
+// aloneTimeout is the time after which a planner that hears of no other node knows it.
+const aloneTimeout = 1200 * time.Millisecond
+
 func newEmulator(t testing.TB, domains, size int, e *fleet.Engine) *emulator {
 	m := &emulator{t: t, clock: clock.NewManual(time.Hour), engine: e, vms: map[string]*vm{}, readyOnce: map[string]map[string]bool{},
 		loadedBy: map[string]int{}, lastEntries: map[string]*fleet.Replica{},
@@ -146,13 +150,21 @@
 	return !head.cutOff
 }
 
-// activity returns what the nodes know of the requests at a head.
+// activity returns what the nodes know of the requests at a head. A planner that is alone knows what was reported before.
 func (m *emulator) activity(r *fleet.Replica) Activity {
 	v := m.vms[r.ID]
+	a := Activity{LastEvent: v.lastEvent}
 	if m.clock.Now() < v.busyUntil {
-		return Activity{Running: 1, Begun: 1, LastEvent: v.lastEvent}
+		a.Running, a.Begun = 1, 1
+	}
+	if m.aloneSince == 0 {
+		return a
+	}
+	a.LastEvent = min(a.LastEvent, m.aloneSince)
+	if m.clock.Now().Sub(m.aloneSince) > aloneTimeout {
+		a.Running, a.Begun, a.Unknown = 0, 0, true
 	}
-	return Activity{LastEvent: v.lastEvent}
+	return a
 }
 
 // reached reports whether a replica that runs answers the planner.
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -12,6 +12,8 @@
 	Running   int        // Requests that were sent to the head and haven't ended.
 	Begun     int        // Those of them from which an event was received.
 	LastEvent clock.Time // When a node last received an event from the head; 0 if that isn't known.
+	// Unknown is set while no other node reports, although there are others: the planner may be cut off from them and from replicas.
+	Unknown bool
 }
 
 // activity returns what the nodes know of the requests at the head of a group.
@@ -55,8 +57,14 @@
 	if unresponsive {
 		doubtSince = failures.first
 	}
+	if !g.wasOpen || s.hasEnded(m.incarnation) || s.restarted(m.incarnation) {
+		return false
+	}
 	a := s.activity(g)
-	return g.wasOpen && a.Running > 0 && !s.hasEnded(m.incarnation) && !s.restarted(m.incarnation) && s.silentFor(a, doubtSince) <= maxSoundSilence
+	if a.Unknown {
+		return s.Now.Sub(doubtSince) <= s.StallAfter+stallMargin
+	}
+	return a.Running > 0 && s.silentFor(a, doubtSince) <= maxSoundSilence
 }
 
 // hasEnded reports whether a probe has shown that this start of a replica has ended. A draining replica may refuse connections and still
@@ -83,7 +91,7 @@
 	if a.Running > 0 {
 		limit = maxSoundSilence
 	}
-	return missingFor > minHeadSilence && a.LastEvent != 0 && s.silentFor(a, g.headMissingSince) > limit
+	return missingFor > minHeadSilence && !a.Unknown && a.LastEvent != 0 && s.silentFor(a, g.headMissingSince) > limit
 }
 
 // StillWants reports whether an order that has waited since it was planned, for an earlier one to the same replica, should still be sent. An
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -250,3 +250,30 @@
 	c.Assert(m.interruptions, quicktest.HasLen, 0)
 	c.Assert(members[0].members, quicktest.Not(quicktest.Contains), members[1].id) // It was replaced.
 }
+
+// Guards against orders that end running requests because a planner which is cut off from all other nodes, and from some replicas, takes
+// that for the silence of the replicas.
+func TestPlannerThatIsCutOffGivesNothingUp(t *testing.T) {
+	for name, ranks := range silenceCases {
+		for _, cutFor := range []time.Duration{1000, 2500, 4000} {
+			cutFor := cutFor * time.Millisecond
+			t.Run(fmt.Sprintf("%s, %v", name, cutFor), func(t *testing.T) {
+				c := quicktest.New(t)
+				m, p := startedSystem(t, 1, 10)
+				_, members := busyHead(m, time.Minute)
+				m.aloneSince = m.clock.Now()
+				for _, rank := range ranks {
+					members[rank].hidden = true
+				}
+				m.run(p, cutFor, nil)
+				for _, v := range members {
+					v.hidden = false
+				}
+				m.aloneSince = 0
+				m.run(p, 10*time.Second, nil)
+				m.assertNoViolations()
+				c.Assert(m.interruptions, quicktest.HasLen, 0)
+			})
+		}
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -69,6 +69,8 @@
 	StoreFailing func() bool
 	// LoadAge returns how old what other nodes report of their requests may be.
 	LoadAge func() time.Duration
+	// Alone reports whether this node hears of no other one, although there are others.
+	Alone func() bool
 	// Limited tells whether a replica has stated a limit on its rate of requests.
 	Limited func(*fleet.Replica) bool
 	// BeforeFirstRequest tells whether the system has started for the first time and no client has sent a request yet.
@@ -219,15 +221,19 @@
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
 		Need: p.modelShares(service.Engine), BeforeFirstRequest: beforeFirstRequest, LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
 		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: confirmed,
-		HeadActivity: func(r *fleet.Replica) placement.Activity {
-			return placement.Activity(p.opt.Table.Activity(balance.KeyOf(r)))
-		},
-		Limited: p.opt.Limited})
+		HeadActivity: p.headActivity,
+		Limited:      p.opt.Limited})
 	probes = p.dueProbes(replicas, now)
 	p.summarize(view, replicas, now)
 	return orders, probes, queries
 }
 
+// headActivity returns what is known of the requests at a head.
+func (p *Planner) headActivity(head *fleet.Replica) placement.Activity {
+	a := p.opt.Table.Activity(balance.KeyOf(head))
+	return placement.Activity{Running: a.Running, Begun: a.Begun, LastEvent: a.LastEvent, Unknown: p.opt.Alone()}
+}
+
 // summarize logs a summary of the plan at most once per summaryInterval, and drops the order locks and counts of replicas that are gone. The
 // caller holds the lock.
 func (p *Planner) summarize(view *fleet.View, replicas map[string]*fleet.Replica, now clock.Time) {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -33,7 +33,7 @@
 	registry := fleet.NewRegistry(e.clock)
 	registry.SetConfig(&fleet.Config{Version: 1, Services: map[string]*fleet.Service{"engine": {Name: "engine", Engine: &fleet.Engine{}}}})
 	p := New(Options{Lease: node.lease, Registry: registry, Table: balance.NewTable(e.clock), Clock: e.clock, Log: log, LoadWindow: time.Second,
-		StallAfter: time.Second, EntryTTL: testEntryTTL, StoreFailing: func() bool { return false }, LoadAge: func() time.Duration { return testLoadAge }, BeforeFirstRequest: func() bool { return false },
+		StallAfter: time.Second, EntryTTL: testEntryTTL, StoreFailing: func() bool { return false }, LoadAge: func() time.Duration { return testLoadAge }, Alone: func() bool { return false }, BeforeFirstRequest: func() bool { return false },
 		Replicas: platform.NewReplicaClient(func(fleet.Incarnation, fleet.Answer) {})})
 	p.startTerm()
 	p.setActive(true)
