Let a new head leave its former epoch before it joins the next one

A replica was in two groups (rule TWO): a member that had become the head of a repaired group still reported the former epoch, whose own head served without an entry, and its order to leave wasn't answered. When a spare of the new epoch didn't respond either, the group was repaired once more, and the member counted as a head that stays: it was joined at once, without having left.

Change: only a replica that reports rank 0 of the group is joined as a head that stays.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -382,7 +382,7 @@
 			}
 			continue
 		}
-		if keepsHead := i == 0 && g.headFirst; !keepsHead && s.mustLeave(r) {
+		if keepsHead := i == 0 && g.headFirst && s.headedBefore(g, r); !keepsHead && s.mustLeave(r) {
 			if s.orderMemberToLeave(r) {
 				m.joinAttempts++
 			}
@@ -402,6 +402,12 @@
 	}
 }
 
+// headedBefore reports whether a replica is the head of the epoch of the group that it reports. One that a repair made the head may still
+// be a member of an epoch whose own head serves.
+func (s *step) headedBefore(g *group, r *fleet.Replica) bool {
+	return r.Group != nil && r.Group.Name == g.name && r.Group.Rank == 0
+}
+
 // repair replaces lost, draining and slow members by spares of the fabric domain that have staged the weights, under a new
 // epoch. It dissolves the group if there are too few spares, and waits if lost members may return or states aren't known.
 func (s *step) repair(g *group, head *fleet.Replica, reason string) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -709,3 +709,23 @@
 		}
 	})
 }
+
+// Guards against a member that is joined to a new epoch, as its head, while the head of its own epoch, which serves without an entry, hasn't
+// been told to leave: a spare that should complete the new epoch doesn't answer.
+func TestNewHeadLeavesItsFormerEpochFirst(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head := m.openHeads("large")[0]
+	next := m.vms[head.members[1]]
+	head.cutOff, head.unlistedAt = true, m.clock.Now()
+	m.loseAnswer = func(o Order) bool { return o.To.ID == next.id && o.Action == Leave }
+	var spare *vm
+	m.run(p, 8*time.Second, func() {
+		if g := p.groups[head.group]; g != nil && g.members[0].incarnation.ID == next.id && spare == nil {
+			spare = m.vms[g.members[3].incarnation.ID]
+			spare.cutOff = true
+		}
+	})
+	c.Assert(spare, quicktest.IsNotNil)
+	m.assertNoViolations()
+}
