Answer, count and log requests whose handler panics

Callers saw a connection that closed without an answer. net/http recovers a panic of a handler, closes the connection and writes to its own error log, which is no JSON line and names no request.

internal/recovery wraps the handlers of all listeners: front, readiness, directory, metrics and mirror on the users' platform, caller and operator on the own interface. If no header was written, the request gets result code 5001 (500), which doesn't state that the request has not run, without any header that the handler had set, so without a replica's seal. If the response is incomplete, the connection is closed; one whose whole length was written is sent. Each panic is counted (cassiadeal_panics_total{where}) and logged as one error line with the request's ID, route or destination, path and stack, of bounded size; values other than errors and strings are named by their type only. http.ErrAbortHandler keeps its meaning.

Evidence: with the handlers not wrapped, as before, TestPanicBeforeTheResponseIsAnswered, TestPanicAfterTheHeader, TestLogLineOfAPanicIsBounded, TestPanicIsAnsweredAndReleasesTheRequest (gateway) and both TestEachListenerAnswersAfterAPanic failed with EOF at the client.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -152,6 +153,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c := &call{Server: s, w: w, ctx: r.Context(), start: time.Now(), req: s.opt.Codec.DecodeRequest(r), view: s.opt.Registry.View()}
+	recovery.OnPanic(w, c.outcomeFields)
 	if e := c.readBody(r); e != nil {
 		c.refuse(e)
 		return
@@ -181,7 +183,7 @@
 		limit = c.view.Config.Limits.BodyBytes
 	}
 	stopped := c.endReadWhenStopped()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(recovery.Unwrap(c.w), r.Body, limit))
 	if stopped() {
 		return c.stoppingRefusal()
 	}
@@ -309,7 +311,12 @@
 
 // logOutcome writes the log line that ends each request.
 func (c *call) logOutcome(outcome, reason string, extra logrus.Fields) {
-	fields := logrus.Fields{"request_id": c.req.ID, "outcome": outcome, "sends": c.attempts.sends, "maybe_run": c.attempts.maybeRun,
+	c.opt.Log.WithFields(c.outcomeFields()).WithField("outcome", outcome).WithFields(extra).Info(reason)
+}
+
+// outcomeFields returns what the log line that ends a request says in any case.
+func (c *call) outcomeFields() logrus.Fields {
+	fields := logrus.Fields{"request_id": c.req.ID, "sends": c.attempts.sends, "maybe_run": c.attempts.maybeRun,
 		"took_ms": time.Since(c.start).Milliseconds(), "store_age_ms": c.opt.StoreAge().Milliseconds()}
 	if c.view.Config != nil {
 		fields["config_version"] = c.view.Config.Version
@@ -320,8 +327,5 @@
 	if c.attempts.lastTarget != "" {
 		fields["target"], fields["why"] = c.attempts.lastTarget, c.attempts.lastFailure
 	}
-	for k, v := range extra {
-		fields[k] = v
-	}
-	c.opt.Log.WithFields(fields).Info(reason)
+	return fields
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/internal/mirror"
 	"cassiadeal.example/cassiadeal/internal/planner"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -487,6 +488,12 @@
 	}
 }
 
+// newServer returns the HTTP server of one listener.
+func (n *Node) newServer(listener string, h http.Handler) *http.Server {
+	recoverer := recovery.Recoverer{Where: listener, Log: n.log, Metrics: n.metrics}
+	return &http.Server{Handler: recoverer.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // startServers binds the node's HTTP addresses and serves them.
 func (n *Node) startServers() ([]*http.Server, error) {
 	var servers []*http.Server
@@ -502,7 +509,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "bind the %s address", s.name)
 		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+		server := n.newServer(s.name, s.handler)
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 )
 
@@ -50,7 +51,7 @@
 	// If the ResponseWriter doesn't support deadlines (in tests), the server's read timeout applies.
 	_ = response.SetReadDeadline(time.Now().Add(g.opts.BodyReadTimeout))
 
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, g.opts.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(recovery.Unwrap(w), req.Body, g.opts.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/router"
@@ -216,6 +217,15 @@
 	return rules.Account{}, result.New(result.UnknownAccount, "the bearer token belongs to no account")
 }
 
+// describePanic makes the log line of a panic name the request, and counts a request that ends so.
+func (g *Gateway) describePanic(w http.ResponseWriter, c *callerRequest) {
+	recovery.OnPanic(w, func() logrus.Fields {
+		elapsed := time.Since(c.started)
+		g.opts.Metrics.Request(c.destination, result.Internal, elapsed)
+		return logrus.Fields{"request_id": c.id, "account": c.account.Name, "destination": c.destination, "elapsed_ms": elapsed.Milliseconds()}
+	})
+}
+
 // setDeadline sets the deadline from the time limit in the rules, or from the header X-Timeout-Ms if that is shorter.
 func (c *callerRequest) setDeadline(limit time.Duration, req *http.Request) *result.Error {
 	if header := req.Header.Get("X-Timeout-Ms"); header != "" {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -43,6 +43,7 @@
 		return
 	}
 	defer release()
+	g.describePanic(w, c)
 	stream, releaseBody, err := g.prepareGenerate(w, req, c, poolName)
 	if err != nil {
 		g.refuse(w, req, c, err)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -34,6 +34,7 @@
 		return
 	}
 	defer release()
+	g.describePanic(w, c)
 	releaseBody, err := g.prepareService(w, req, c, serviceName)
 	if err != nil {
 		g.refuse(w, req, c, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"cassiadeal.example/cassiadeal/internal/orders"
 	"cassiadeal.example/cassiadeal/internal/peer"
 	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/router"
@@ -301,10 +302,7 @@
 		return func(ctx context.Context) error { task(ctx); return nil }
 	}
 	callerServer := n.callerServer()
-	operatorServer := &http.Server{
-		Handler:           operator.NewHandler(operator.Options{Backend: backend{n}, Metrics: n.metrics.Handler(), Log: n.log}),
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-	}
+	operatorServer := n.operatorServer()
 	start("peer listener", func(ctx context.Context) error { return peer.Serve(ctx, n.listeners.peer, handler{n}) })
 	start("caller listener", serveHTTP(callerServer, n.listeners.caller))
 	start("operator listener", serveHTTP(operatorServer, n.listeners.operator))
@@ -337,9 +335,23 @@
 	return err
 }
 
+func (n *Node) operatorServer() *http.Server {
+	handler := operator.NewHandler(operator.Options{Backend: backend{n}, Metrics: n.metrics.Handler(), Log: n.log})
+	return &http.Server{
+		Handler:           n.recoverer("operator").Handler(handler),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// recoverer reports the panics of one part of this node.
+func (n *Node) recoverer(where string) recovery.Recoverer {
+	return recovery.Recoverer{Where: where, Log: n.log, Metrics: n.metrics}
+}
+
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           n.gateway.Handler(),
+		Handler:           n.recoverer("caller").Handler(n.gateway.Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		// The gateway sets the write deadline before each part of a response; this one resets it between requests.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/rules"
 )
@@ -175,7 +176,7 @@
 
 func decodeRequest(w http.ResponseWriter, req *http.Request) (ApplyRequest, *result.Error) {
 	var body ApplyRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxRequestBytes))
+	decoder := json.NewDecoder(http.MaxBytesReader(recovery.Unwrap(w), req.Body, maxRequestBytes))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&body)
 	var tooLarge *http.MaxBytesError
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -37,7 +37,7 @@
 // targets of 33 ms and 0.42 s.
 var latencyBucketsSeconds = []float64{0.001, 0.0025, 0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.2, 0.3, 0.42, 0.6, 1, 2, 5, 10, 30, 60}
 
-// Metrics holds the metric instruments of one daemon. It is safe for concurrent use. Refusal, Retry and Request do nothing on a
+// Metrics holds the metric instruments of one daemon. It is safe for concurrent use. Refusal, Retry, Request and Panic do nothing on a
 // nil *Metrics.
 type Metrics struct {
 	registry  *prometheus.Registry
@@ -45,6 +45,7 @@
 	refusals  metric.Int64Counter
 	retries   metric.Int64Counter
 	requests  metric.Int64Counter
+	panics    metric.Int64Counter
 	latencies metric.Float64Histogram
 }
 
@@ -67,6 +68,9 @@
 	if m.requests, err = meter.Int64Counter("cassiadeal_requests", metric.WithDescription("Finished requests by destination and result code.")); err != nil {
 		return nil, eris.Wrap(err, "create requests counter")
 	}
+	if m.panics, err = meter.Int64Counter("cassiadeal_panics", metric.WithDescription("Recovered panics by part of the daemon.")); err != nil {
+		return nil, eris.Wrap(err, "create panics counter")
+	}
 	m.latencies, err = meter.Float64Histogram("cassiadeal_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from the arrival of a request to the end of its answer."),
 		metric.WithExplicitBucketBoundaries(latencyBucketsSeconds...))
@@ -110,6 +114,13 @@
 	}
 }
 
+// Panic counts one recovered panic by the part of the daemon, which must be a constant.
+func (m *Metrics) Panic(where string) {
+	if m != nil {
+		m.panics.Add(context.Background(), 1, metric.WithAttributes(attribute.String("where", where)))
+	}
+}
+
 // Request counts one finished request and records its latency. The destination is the name of a configured pool or service.
 func (m *Metrics) Request(destination string, code result.Code, latency time.Duration) {
 	if m == nil {
