End the sends of a stream whose handler panics

After a panic of the handler of a stream, the target kept the request in its load for good: the ticket of package balance was ended only when the relay returned. Each such request made its target look busier to all nodes, until this node ended.

The relay now ends its sends in a deferred function, and counts a cold send before it takes the ticket.

Evidence: TestPanicIsAnsweredAndEndsTheSend failed without the change for streams that panic before the header, at the first and at the third write ("the condition isn't met after 10 s"); its cases of buffered requests passed. Contexts and connections of the sends were ended before, since ServeHTTP cancels its context in a deferred function.

--- /dev/null
+++ b/internal/edge/panic_test.go
@@ -0,0 +1,204 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/recovery"
+	"cassiadeal.example/cassiadeal/internal/telemetry"
+)
+
+// panickingCodec panics in the function of the given name.
+type panickingCodec struct {
+	Codec
+	in string
+}
+
+func (p panickingCodec) panicIn(name string) {
+	if p.in == name {
+		panic("test: " + name)
+	}
+}
+
+func (p panickingCodec) DecodeRequest(q *http.Request) *fleet.Request {
+	p.panicIn("DecodeRequest")
+	return p.Codec.DecodeRequest(q)
+}
+
+func (p panickingCodec) EncodeHeader(q *fleet.Request, o fleet.SendOptions) http.Header {
+	p.panicIn("EncodeHeader")
+	return p.Codec.EncodeHeader(q, o)
+}
+
+func (p panickingCodec) DecodeAnswer(resp *http.Response) fleet.Answer {
+	p.panicIn("DecodeAnswer")
+	return p.Codec.DecodeAnswer(resp)
+}
+
+func (p panickingCodec) CopyHeaders(from, to http.Header) {
+	p.Codec.CopyHeaders(from, to)
+	p.panicIn("CopyHeaders")
+}
+
+// panickingWriter panics at the given write.
+type panickingWriter struct {
+	http.ResponseWriter
+	at, writes int
+}
+
+func (p *panickingWriter) Unwrap() http.ResponseWriter { return p.ResponseWriter }
+
+func (p *panickingWriter) Write(b []byte) (int, error) {
+	if p.writes++; p.writes == p.at {
+		panic("test: Write")
+	}
+	return p.ResponseWriter.Write(b)
+}
+
+// syncBuffer is a buffer for a log.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// lines returns the lines that contain the text.
+func (b *syncBuffer) lines(t testing.TB, text string) (list []map[string]any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.buf.String()) {
+		if strings.Contains(line, text) {
+			fields := map[string]any{}
+			quicktest.Assert(t, json.Unmarshal([]byte(line), &fields), quicktest.IsNil)
+			list = append(list, fields)
+		}
+	}
+	return list
+}
+
+// logTo makes the server write its log to the buffer that is returned.
+func logTo(s *Server) *syncBuffer {
+	out := &syncBuffer{}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	s.opt.Log = logger
+	return out
+}
+
+// targetsInUse returns the targets at which the server still counts requests.
+func targetsInUse(s *Server) (keys []balance.Key) {
+	for key := range s.opt.Table.LocalState().Loads {
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// Guards against a request that ends without an answer, a count, a log line with its ID or the end of its send because this node's code
+// panics, and against an answer that promises that it has not run or that bears the replica's seal.
+func TestPanicIsAnsweredAndEndsTheSend(t *testing.T) {
+	whole := httpResponse("200 OK", sealHeader+"X-Cassiadeal-Request-Id: q1\r\n", "done")
+	for _, test := range []struct {
+		repeat   fleet.Repeat
+		in       string
+		write    int // The write to the client that panics; 0 for none.
+		status   int // 0 if the response is incomplete.
+		sends    int
+		received int
+	}{
+		{repeat: fleet.RepeatNever, in: "DecodeRequest", status: 500},
+		{repeat: fleet.RepeatNever, in: "EncodeHeader", status: 500, sends: 1},
+		{repeat: fleet.RepeatNever, in: "DecodeAnswer", status: 500, sends: 1, received: 1},
+		{repeat: fleet.RepeatSafe, in: "DecodeAnswer", status: 500, sends: 1, received: 1},
+		{repeat: fleet.RepeatNever, in: "CopyHeaders", status: 500, sends: 1, received: 1},
+		{repeat: fleet.RepeatNever, write: 1, sends: 1, received: 1},
+		{repeat: fleet.RepeatStream, in: "DecodeRequest", status: 500},
+		{repeat: fleet.RepeatStream, in: "CopyHeaders", status: 500, sends: 1, received: 1},
+		{repeat: fleet.RepeatStream, write: 1, sends: 1, received: 1},
+		{repeat: fleet.RepeatStream, write: 3, sends: 1, received: 1},
+	} {
+		t.Run(fmt.Sprintf("repeat %v, %s, write %d", test.repeat, test.in, test.write), func(t *testing.T) {
+			c := quicktest.New(t)
+			release := make(chan struct{})
+			r := newReplica(t, false, func(*http.Request) string {
+				if test.repeat == fleet.RepeatStream {
+					return streamHead + events(1, 4)
+				}
+				return whole
+			})
+			s := newServer(t, test.repeat, r).(*Server)
+			s.opt.Codec = panickingCodec{s.opt.Codec, test.in}
+			log := logTo(s)
+			metrics, err := telemetry.New("n")
+			c.Assert(err, quicktest.IsNil)
+			h := recovery.Recoverer{Where: "front", Log: s.opt.Log, Metrics: metrics}.Handler(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				defer close(release)
+				s.ServeHTTP(&panickingWriter{ResponseWriter: w, at: test.write}, q)
+			}))
+			resp, body, err := sendRequest(t, h, http.MethodPost, "X-Api-Key", "key")
+			<-release
+			if test.status == 0 {
+				c.Check(err, quicktest.IsNotNil, quicktest.Commentf("the client got %q", body))
+			} else {
+				c.Assert(err, quicktest.IsNil)
+				c.Check(resp.StatusCode, quicktest.Equals, test.status)
+				c.Check(resp.Header.Get("X-Cassiadeal-Response-Seal"), quicktest.Equals, "")
+			}
+			c.Check(r.received(), quicktest.HasLen, test.received)
+			waitUntil(t, func() bool { return len(targetsInUse(s)) == 0 })
+			c.Check(s.InFlight(), quicktest.Equals, int64(0))
+			lines := log.lines(t, "recovered from a panic")
+			c.Assert(lines, quicktest.HasLen, 1)
+			if test.in != "DecodeRequest" {
+				c.Check(lines[0]["request_id"], quicktest.Equals, "q1")
+				c.Check(lines[0]["route"], quicktest.Equals, "r")
+				c.Check(lines[0]["sends"], quicktest.Equals, float64(test.sends))
+			}
+			c.Check(fmt.Sprint(lines), quicktest.Not(quicktest.Contains), "order")
+			c.Check(scrape(metrics), quicktest.Contains, `cassiadeal_panics_total{where="front"} 1`)
+		})
+	}
+}
+
+// waitUntil waits for a condition.
+func waitUntil(t testing.TB, ok func() bool) {
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition isn't met after 10 s")
+		}
+	}
+}
+
+func scrape(m *telemetry.Metrics) string {
+	w := &recordedBody{header: http.Header{}}
+	m.Handler().ServeHTTP(w, &http.Request{Method: http.MethodGet, Header: http.Header{}})
+	return w.buf.String()
+}
+
+type recordedBody struct {
+	header http.Header
+	buf    bytes.Buffer
+}
+
+func (r *recordedBody) Header() http.Header         { return r.header }
+func (r *recordedBody) WriteHeader(int)             {}
+func (r *recordedBody) Write(p []byte) (int, error) { return r.buf.Write(p) }
+
+var _ io.Writer = (*recordedBody)(nil)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -168,8 +168,8 @@
 func (c *call) startStream(head *balance.Selection, p *progress) *streamSend {
 	ctx, cancel := context.WithCancel(c.ctx)
 	steps := make(chan streamStep)
-	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, cancel: cancel}
 	c.opt.Table.CountColdSend(head.Replica, c.view)
+	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, cancel: cancel}
 	go c.receive(ctx, head, p.lastEventID, p.headerWritten, steps)
 	return s
 }
@@ -216,9 +216,11 @@
 func (c *call) relay(head *balance.Selection, exclude map[balance.Key]bool, p *progress) (*balance.Selection, streamEnd) {
 	c.attempts.startSend(head.Key)
 	r := &streamRelay{call: c, p: p, exclude: exclude, current: c.startStream(head, p)}
+	defer func() { // Also after a panic.
+		r.current.end()
+		r.dropOther()
+	}()
 	end := r.run()
-	r.current.end()
-	r.dropOther()
 	return r.current.head, end
 }
 
