Fail one send when the code that receives a stream panics

A stream is received in a goroutine of its own. A panic there ended the process, and with it all its requests without an answer.

The goroutine recovers it, counts and logs it with the request's ID, and reports the failure of that send, which counts as one that may have run. Another target goes on if the route allows; otherwise the client gets outcome_unknown, or its begun stream breaks off. The target isn't blamed for it. Buffers of an event that was being read are released.

Evidence: without the recovery, TestPanicWhileReceivingFailsOnlyThatSend and TestPanicBetweenEventsDoesNotCompleteTheStream ended the test process with the panic.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -15,6 +15,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -271,6 +272,9 @@
 		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key)}).Info(err.Error())
 		return
 	}
+	if errors.Is(err, recovery.ErrPanic) {
+		return // A failure of this node, not of the replica.
+	}
 	c.opt.Table.RecordOutcome(key, true)
 	if !sent {
 		c.opt.Table.Avoid(key)
--- a/internal/edge/panic_test.go
+++ b/internal/edge/panic_test.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,34 +21,35 @@
 	"cassiadeal.example/cassiadeal/internal/telemetry"
 )
 
-// panickingCodec panics in the function of the given name.
+// panickingCodec panics in the function of the given name, in the first calls of it.
 type panickingCodec struct {
 	Codec
-	in string
+	in   string
+	left atomic.Int64
 }
 
-func (p panickingCodec) panicIn(name string) {
-	if p.in == name {
+func (p *panickingCodec) panicIn(name string) {
+	if p.in == name && p.left.Add(-1) >= 0 {
 		panic("test: " + name)
 	}
 }
 
-func (p panickingCodec) DecodeRequest(q *http.Request) *fleet.Request {
+func (p *panickingCodec) DecodeRequest(q *http.Request) *fleet.Request {
 	p.panicIn("DecodeRequest")
 	return p.Codec.DecodeRequest(q)
 }
 
-func (p panickingCodec) EncodeHeader(q *fleet.Request, o fleet.SendOptions) http.Header {
+func (p *panickingCodec) EncodeHeader(q *fleet.Request, o fleet.SendOptions) http.Header {
 	p.panicIn("EncodeHeader")
 	return p.Codec.EncodeHeader(q, o)
 }
 
-func (p panickingCodec) DecodeAnswer(resp *http.Response) fleet.Answer {
+func (p *panickingCodec) DecodeAnswer(resp *http.Response) fleet.Answer {
 	p.panicIn("DecodeAnswer")
 	return p.Codec.DecodeAnswer(resp)
 }
 
-func (p panickingCodec) CopyHeaders(from, to http.Header) {
+func (p *panickingCodec) CopyHeaders(from, to http.Header) {
 	p.Codec.CopyHeaders(from, to)
 	p.panicIn("CopyHeaders")
 }
@@ -136,7 +138,7 @@
 	} {
 		t.Run(fmt.Sprintf("repeat %v, %s, write %d", test.repeat, test.in, test.write), func(t *testing.T) {
 			c := quicktest.New(t)
-			release := make(chan struct{})
+			handled := make(chan struct{})
 			r := newReplica(t, false, func(*http.Request) string {
 				if test.repeat == fleet.RepeatStream {
 					return streamHead + events(1, 4)
@@ -144,16 +146,18 @@
 				return whole
 			})
 			s := newServer(t, test.repeat, r).(*Server)
-			s.opt.Codec = panickingCodec{s.opt.Codec, test.in}
+			codec := &panickingCodec{Codec: s.opt.Codec, in: test.in}
+			codec.left.Store(1)
+			s.opt.Codec = codec
 			log := logTo(s)
 			metrics, err := telemetry.New("n")
 			c.Assert(err, quicktest.IsNil)
 			h := recovery.Recoverer{Where: "front", Log: s.opt.Log, Metrics: metrics}.Handler(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-				defer close(release)
+				defer close(handled)
 				s.ServeHTTP(&panickingWriter{ResponseWriter: w, at: test.write}, q)
 			}))
 			resp, body, err := sendRequest(t, h, http.MethodPost, "X-Api-Key", "key")
-			<-release
+			<-handled
 			if test.status == 0 {
 				c.Check(err, quicktest.IsNotNil, quicktest.Commentf("the client got %q", body))
 			} else {
@@ -177,6 +181,69 @@
 	}
 }
 
+// Guards against a panic in the goroutine that receives a stream: it ended the process, and all its requests without an answer.
+func TestPanicWhileReceivingFailsOnlyThatSend(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		replicas int
+		panics   int64  // Number of calls of the codec that panic.
+		in       string // The function of the codec.
+		status   int
+		body     string // Of a success.
+		received int
+	}{
+		{"before the send", 1, 9, "EncodeHeader", http.StatusBadGateway, "", 0},
+		{"after the send", 1, 9, "DecodeAnswer", http.StatusBadGateway, "", 1},
+		{"after the send, another target", 2, 1, "DecodeAnswer", http.StatusOK, events(1, 4), 2},
+		{"after the send, at both targets", 2, 9, "DecodeAnswer", http.StatusBadGateway, "", 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var replicas []*replica
+			for range test.replicas {
+				replicas = append(replicas, newReplica(t, false, func(*http.Request) string { return streamHead + events(1, 4) }))
+			}
+			s := newServer(t, fleet.RepeatStream, replicas...).(*Server)
+			codec := &panickingCodec{Codec: s.opt.Codec, in: test.in}
+			codec.left.Store(test.panics)
+			s.opt.Codec = codec
+			log := logTo(s)
+			resp, body, err := sendRequest(t, s, http.MethodPost)
+			c.Assert(err, quicktest.IsNil)
+			c.Check(resp.StatusCode, quicktest.Equals, test.status)
+			if test.status == http.StatusOK {
+				c.Check(body, quicktest.Equals, test.body)
+			}
+			received := 0
+			for _, r := range replicas {
+				received += len(r.received())
+			}
+			c.Check(received, quicktest.Equals, test.received)
+			waitUntil(t, func() bool { return len(targetsInUse(s)) == 0 })
+			lines := log.lines(t, "recovered from a panic")
+			c.Assert(len(lines) > 0, quicktest.IsTrue)
+			c.Check(lines[0]["request_id"], quicktest.Equals, "q1")
+			c.Check(lines[0]["target"], quicktest.Matches, "i-.*")
+		})
+	}
+}
+
+// Guards against a stream that ends as if it were complete, and against the end of the process, when the code that receives it panics
+// between two events.
+func TestPanicBetweenEventsDoesNotCompleteTheStream(t *testing.T) {
+	c := quicktest.New(t)
+	answer := func(*http.Request) string { return streamHead + events(1, 4) }
+	s := newServer(t, fleet.RepeatStream, newReplica(t, false, answer), newReplica(t, false, answer)).(*Server)
+	s.buffers = nil // Releasing the buffer of an event panics now.
+	log := logTo(s)
+	_, body, err := sendRequest(t, s, http.MethodPost)
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(strings.HasPrefix(events(1, 4), body), quicktest.IsTrue, quicktest.Commentf("%q", body))
+	waitUntil(t, func() bool { return len(targetsInUse(s)) == 0 })
+	c.Check(log.lines(t, "recovered from a panic"), quicktest.HasLen, 2)
+	c.Check(log.lines(t, "the stream broke off"), quicktest.HasLen, 1)
+}
+
 // waitUntil waits for a condition.
 func waitUntil(t testing.TB, ok func() bool) {
 	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
@@ -187,18 +254,7 @@
 }
 
 func scrape(m *telemetry.Metrics) string {
-	w := &recordedBody{header: http.Header{}}
-	m.Handler().ServeHTTP(w, &http.Request{Method: http.MethodGet, Header: http.Header{}})
-	return w.buf.String()
-}
-
-type recordedBody struct {
-	header http.Header
-	buf    bytes.Buffer
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return w.Body.String()
 }
-
-func (r *recordedBody) Header() http.Header         { return r.header }
-func (r *recordedBody) WriteHeader(int)             {}
-func (r *recordedBody) Write(p []byte) (int, error) { return r.buf.Write(p) }
-
-var _ io.Writer = (*recordedBody)(nil)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -170,7 +170,7 @@
 	steps := make(chan streamStep)
 	c.opt.Table.CountColdSend(head.Replica, c.view)
 	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, cancel: cancel}
-	go c.receive(ctx, head, p.lastEventID, p.headerWritten, steps)
+	go c.receiveRecovered(ctx, head, p.lastEventID, p.headerWritten, steps)
 	return s
 }
 
@@ -508,9 +508,13 @@
 	}
 	reader := bufio.NewReaderSize(r.resp.Body, 4096)
 	previous := c.buffers.NewBuffer(maxEventBytes)
-	defer func() { previous.Release() }()
+	event := previous
+	defer func() {
+		previous.Release()
+		event.Release()
+	}()
 	for {
-		event := c.buffers.NewBuffer(maxEventBytes)
+		event = c.buffers.NewBuffer(maxEventBytes)
 		id, err := readEvent(reader, event)
 		if err == nil && resumed && id == "" && !isComment(event.Bytes()) {
 			err = errUnnumbered
