Recover panics of RPCs between nodes

drpc recovers no panic of a handler, so one in a request that another node had forwarded, or in a heartbeat, ended the process, and with it all of its requests without an answer.

peer.Serve wraps the handler of all RPCs: a panic is counted and logged, and the RPC ends with an error. The goroutines that keep a forwarded request's connection alive and that report a crash to a peer are covered too.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -303,7 +303,7 @@
 	}
 	callerServer := n.callerServer()
 	operatorServer := n.operatorServer()
-	start("peer listener", func(ctx context.Context) error { return peer.Serve(ctx, n.listeners.peer, handler{n}) })
+	start("peer listener", func(ctx context.Context) error { return peer.Serve(ctx, n.listeners.peer, handler{n}, n.recoverer("peer")) })
 	start("caller listener", serveHTTP(callerServer, n.listeners.caller))
 	start("operator listener", serveHTTP(operatorServer, n.listeners.operator))
 	start("membership", n.membership.Run)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/gateway"
@@ -157,6 +158,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			defer n.recoverer("crash report").Recover(logrus.Fields{"peer": info.Record.Name})
 			// A node that misses the report gets the crash with the next heartbeat.
 			_ = n.peers.ReportCrash(ctx, info.Record.PeerAddress, report)
 		}()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,9 +7,12 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
@@ -26,18 +29,36 @@
 	ClaimStatus(ctx context.Context, req *schema.ClaimStatusRequest) *schema.ClaimStatusResponse
 }
 
-// Serve answers RPCs on listener until ctx ends.
-func Serve(ctx context.Context, listener net.Listener, h Handler) error {
+// Serve answers RPCs on listener until ctx ends. A panic in an RPC ends only that RPC, with an error.
+func Serve(ctx context.Context, listener net.Listener, h Handler, r recovery.Recoverer) error {
 	mux := drpcmux.New()
-	if err := schema.DRPCRegisterPeer(mux, &server{handler: h}); err != nil {
+	if err := schema.DRPCRegisterPeer(mux, &server{handler: h, recoverer: r}); err != nil {
 		return eris.Wrap(err, "registering the peer service")
 	}
-	srv := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	srv := drpcserver.NewWithOptions(recoveringHandler{mux, r}, drpcserver.Options{Manager: managerOptions()})
 	return eris.Wrap(srv.Serve(ctx, listener), "serving peers")
 }
 
+// recoveringHandler recovers the panics of a handler. drpc doesn't, so that they would end the process.
+type recoveringHandler struct {
+	drpc.Handler
+	recoverer recovery.Recoverer
+}
+
+// HandleRPC implements drpc.Handler.
+func (h recoveringHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			h.recoverer.Report(value, logrus.Fields{"rpc": rpc})
+			err = recovery.ErrPanic
+		}
+	}()
+	return h.Handler.HandleRPC(stream, rpc)
+}
+
 type server struct {
-	handler Handler
+	handler   Handler
+	recoverer recovery.Recoverer
 }
 
 func (s *server) Heartbeat(ctx context.Context, req *schema.HeartbeatRequest) (*schema.HeartbeatResponse, error) {
@@ -63,7 +84,7 @@
 
 func (s *server) Dispatch(req *schema.DispatchRequest, stream schema.DRPCPeer_DispatchStream) error {
 	sender := &chunkSender{stream: stream}
-	stopKeepAlive := sender.keepAlive(stream.Context())
+	stopKeepAlive := sender.keepAlive(stream.Context(), s.recoverer)
 	defer stopKeepAlive()
 	end := s.handler.Execute(stream.Context(), req, sender.send)
 	return sender.send(&schema.DispatchChunk{Part: &schema.DispatchChunk_End{End: end}})
@@ -82,9 +103,10 @@
 }
 
 // keepAlive sends empty chunks until stop is called, so that the client can distinguish a slow target from a failed node.
-func (c *chunkSender) keepAlive(ctx context.Context) (stop func()) {
+func (c *chunkSender) keepAlive(ctx context.Context, r recovery.Recoverer) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
+		defer r.Recover(nil) // The client ends the request when no chunk arrives.
 		ticker := time.NewTicker(keepAliveInterval)
 		defer ticker.Stop()
 		for {
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -46,6 +46,13 @@
 	r.Log.WithFields(fields).WithFields(logrus.Fields{"where": r.Where, "panic": describe(value), "stack": stack()}).Error("recovered from a panic")
 }
 
+// Recover recovers and reports a panic. It is deferred by goroutines that work for one request whose failure is noticed elsewhere.
+func (r Recoverer) Recover(fields logrus.Fields) {
+	if value := recover(); value != nil {
+		r.Report(value, fields)
+	}
+}
+
 // describe returns the text of a panic's value. Values that are neither an error nor a string may hold parts of a request, so only their
 // type is named.
 func describe(value any) string {
