End the exchange whose code panics and give its slot back

A panic in an exchange with a target, or in the sink of its response, left the slot in use for good, and the engine of a stream went on with the request. One in the check before the first byte, which net/http calls in a goroutine of its own, ended the process.

Runner.Run recovers the panic of an exchange: it is counted and logged, the request is cancelled at the engine, the slot is released, and the end has the code internal without the statement that the request has not run. The check before the first byte fails the exchange instead.

Evidence: without the recovery, TestPanicEndsTheExchangeAndReleasesItsSlot and TestPanicBeforeTheFirstByteFailsOnlyThatExchange ended with the panic.

--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cassiadeal.example/cassiadeal/internal/recovery"
 )
 
 const (
@@ -26,6 +28,7 @@
 type exchange struct {
 	idleTimeout time.Duration // Timeout of each read and write; 0 for none.
 	checkTarget func() error  // Called right before the first byte is written; an error closes the exchange. May be nil.
+	onPanic     func(any)     // Reports a panic of checkTarget.
 
 	mu         sync.Mutex
 	dialed     bool
@@ -116,7 +119,7 @@
 	ex.mu.Unlock()
 	var checkError error
 	if first {
-		checkError = ex.checkTarget()
+		checkError = ex.checkRecovered()
 	}
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
@@ -131,6 +134,17 @@
 	return nil
 }
 
+// checkRecovered calls checkTarget. http.Transport writes in a goroutine of its own, where a panic would end the process.
+func (ex *exchange) checkRecovered() (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			ex.onPanic(value)
+			err = recovery.ErrPanic
+		}
+	}()
+	return ex.checkTarget()
+}
+
 // targetRefusal returns the error of checkTarget, or nil.
 func (ex *exchange) targetRefusal() error {
 	ex.mu.Lock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -51,6 +52,7 @@
 	MaxAnswerBytes int64         // Largest body of a service's response in bytes.
 	Log            logrus.FieldLogger
 	Meter          metric.Meter
+	Panics         recovery.Metrics // Counts recovered panics. May be nil.
 }
 
 // Runner runs exchanges. Its methods may be called concurrently.
@@ -130,12 +132,8 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(req.GetDeadlineMs())*time.Millisecond)
 		defer cancel()
 	}
-	var e exchangeEnd
-	if req.GetGenerate() {
-		e = r.runGenerate(ctx, slot, req, sink)
-	} else {
-		e = r.runService(ctx, slot, req, sink)
-	}
+	defer slot.Release(target.Outcome{}) // Has an effect only after a panic.
+	e := r.runRecovered(ctx, slot, req, sink)
 	slot.Release(e.outcome)
 	if e.connectionBroken {
 		lossCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
@@ -152,9 +150,37 @@
 	return e.end
 }
 
+// runRecovered runs the exchange. A panic in it, or in the sink, becomes the failure of a request that may have run.
+func (r *Runner) runRecovered(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) (e exchangeEnd) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		if value == http.ErrAbortHandler {
+			panic(value)
+		}
+		r.reportPanic(value, slot, req)
+		e = failureEnd(result.Internal, "a fault in cassiadeal ended the exchange with target %s", slot.ID)
+		if req.GetGenerate() {
+			(&stream{runner: r, slot: slot, req: req}).cancelAtEngine(ctx)
+		}
+	}()
+	if req.GetGenerate() {
+		return r.runGenerate(ctx, slot, req, sink)
+	}
+	return r.runService(ctx, slot, req, sink)
+}
+
+// reportPanic reports a panic. It must be called by the deferred function that has recovered the value.
+func (r *Runner) reportPanic(value any, slot *target.Slot, req *schema.DispatchRequest) {
+	recovery.Recoverer{Where: "dispatch", Log: r.options.Log, Metrics: r.options.Panics}.
+		Report(value, logrus.Fields{"request_id": req.GetRequestId(), "target": slot.ID, "destination": req.GetDestination()})
+}
+
 // runService runs one exchange with a back end of a service.
 func (r *Runner) runService(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) exchangeEnd {
-	ex := &exchange{checkTarget: slot.Check}
+	ex := &exchange{checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }}
 	defer ex.close()
 	httpReq, err := newRequest(ctx, req.GetMethod(), slot.Address, req.GetPath(), req.GetRequestId(), req.GetHeaders(), req.GetBody())
 	if err != nil {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -60,7 +60,7 @@
 		return notRunEnd(result.BadRequest, "generate request: %v", err)
 	}
 	s := &stream{runner: r, slot: slot, req: req, sink: sink}
-	ex := &exchange{idleTimeout: r.options.IdleTimeout, checkTarget: slot.Check}
+	ex := &exchange{idleTimeout: r.options.IdleTimeout, checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }}
 	err = s.runExchange(ctx, ex, "/v1/generate", body)
 	if !ex.close() {
 		return notSentEnd(ctx, ex, slot, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -262,7 +262,7 @@
 	n.executor = executor.New(executor.Options{
 		Answers: answers, Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash,
 		Holds: n.holdsTarget, Clock: n.now, Log: n.log,
-		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter}),
+		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter, Panics: n.metrics}),
 	})
 	n.router = router.New(n.self.FailureDomain, n.routableNodes)
 	n.gateway = gateway.New(gateway.Options{
