Give back slots, queue places and claims after a panic

A panic between the grant of a slot and the exchange left the slot in use for good, and the claim of a request that runs once in the state "claimed", so that each repeat was told that it still runs. One in the choice of a target left the request in the queue, where it got a slot that nobody gave back, and other requests of the queue twice.

Executor and target.Table release these in deferred functions. The claim becomes unknown, since the request may have run. The queue keeps the waiters that were not handled.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -69,8 +69,8 @@
 	if err != nil {
 		return e.endWithoutSlot(ctx, req, result.From(err), sink)
 	}
+	defer slot.Release(target.Outcome{NotRun: true}) // Has an effect only if nothing else has released it, for example after a panic.
 	if err := e.recheck(slot, req); err != nil {
-		slot.Release(target.Outcome{NotRun: true})
 		return errorEnd(err)
 	}
 	if req.Repeatable {
@@ -169,12 +169,26 @@
 	}
 	settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(req.DeadlineMs)*time.Millisecond+settleTimeout)
 	defer cancel()
+	returned := false
+	defer func() {
+		if !returned { // After a panic the request may have run.
+			claim.Unknown(settleCtx)
+		}
+	}()
+	end := e.runClaimed(ctx, settleCtx, claim, slot, slotReleased, req, sink)
+	returned = true
+	return end
+}
+
+// runClaimed dispatches a claimed request and settles its claim. It acquires another slot if that of the request was released.
+func (e *Executor) runClaimed(ctx, settleCtx context.Context, claim *claims.Claim, slot *target.Slot, slotReleased bool, req *schema.DispatchRequest, sink Sink) *schema.DispatchEnd {
 	if slotReleased {
 		var err error
 		if slot, err = e.acquireSlot(ctx, req); err != nil {
 			claim.Release(settleCtx)
 			return errorEnd(result.From(err))
 		}
+		defer slot.Release(target.Outcome{NotRun: true}) // See Execute.
 	}
 	if err := e.checkBeforeDispatch(ctx, slot, req); err != nil {
 		slot.Release(target.Outcome{NotRun: true})
--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -116,6 +116,30 @@
 // QueueFull if too many requests wait, DeadlineUnreachable if the request can't be served before its deadline or ctx ended.
 func (t *Table) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	w := &waiter{request: request, granted: make(chan *Slot, 1), refused: make(chan *result.Error, 1)}
+	returned := false
+	defer func() {
+		if !returned { // After a panic.
+			t.abandon(w)
+		}
+	}()
+	slot, err := t.await(ctx, w)
+	returned = true
+	return slot, err
+}
+
+// abandon takes a waiter out of the queue that it may be in.
+func (t *Table) abandon(w *waiter) {
+	t.mu.Lock()
+	q := t.queues[w.request.Destination]
+	t.mu.Unlock()
+	if q != nil {
+		t.leaveQueue(q, w)
+	}
+}
+
+// await waits for a slot of a new waiter.
+func (t *Table) await(ctx context.Context, w *waiter) (*Slot, error) {
+	request := w.request
 	q, timeout, slot, refusal := t.enqueue(w)
 	if refusal != nil {
 		increment(t.refusalCounter, "code", refusal.Code.String())
@@ -289,7 +313,12 @@
 			worthWaiting = append(worthWaiting, tgt)
 		}
 	}
-	remaining := q.waiters[:0]
+	remaining, handled := q.waiters[:0], 0
+	defer func() { // Also after a panic, which leaves the waiters that weren't handled.
+		remaining = append(remaining, q.waiters[handled:]...)
+		clear(q.waiters[len(remaining):])
+		q.waiters = remaining
+	}()
 	for _, w := range q.waiters {
 		if q.missesDeadline(w, now) {
 			w.refused <- q.deadlineRefusal(0, max(w.request.Deadline-now, 0))
@@ -300,9 +329,8 @@
 		} else {
 			remaining = append(remaining, w)
 		}
+		handled++
 	}
-	clear(q.waiters[len(remaining):])
-	q.waiters = remaining
 }
 
 func (w SlotRequest) allows(tgt *target) bool { return !slices.Contains(w.Exclude, tgt.spec.ID) }
