Write the errors of HTTP servers to the structured log

net/http wrote its own errors (panics outside handlers, failures to accept, wrong use of a response) as plain text to stderr, beside the JSON lines and without a bound on their number.

Evidence: TestServerErrorsOfAListenerAreLogged and TestServerErrorsOfEachListenerAreLogged failed on the code before (no ErrorLog).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -491,7 +491,8 @@
 // newServer returns the HTTP server of one listener.
 func (n *Node) newServer(listener string, h http.Handler) *http.Server {
 	recoverer := recovery.Recoverer{Where: listener, Log: n.log, Metrics: n.metrics}
-	return &http.Server{Handler: recoverer.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: recoverer.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: telemetry.ServerErrorLog(n.log, listener)}
 }
 
 // startServers binds the node's HTTP addresses and serves them.
--- a/internal/entry/panic_test.go
+++ b/internal/entry/panic_test.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/telemetry"
 )
 
 // Guards against a listener whose requests end without an answer when their handler panics.
@@ -29,3 +33,18 @@
 	c.Check(recorder.Body.String(), quicktest.Contains, `cassiadeal_panics_total{where="front"} 1`)
 	c.Check(recorder.Body.String(), quicktest.Contains, `cassiadeal_refusals_total{code="internal"} 2`)
 }
+
+// Guards against a listener whose server errors are no JSON lines.
+func TestServerErrorsOfAListenerAreLogged(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, testSettings)
+	var out bytes.Buffer
+	log, err := telemetry.NewLogger(&out, "n", "info")
+	c.Assert(err, quicktest.IsNil)
+	n.log = log
+	n.newServer("front", nil).ErrorLog.Print("an error")
+	line := map[string]any{}
+	c.Assert(json.Unmarshal(out.Bytes(), &line), quicktest.IsNil)
+	c.Check(line["listener"], quicktest.Equals, "front")
+	c.Check(line["message"], quicktest.Equals, "an error")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -303,7 +303,9 @@
 	}
 	callerServer := n.callerServer()
 	operatorServer := n.operatorServer()
-	start("peer listener", func(ctx context.Context) error { return peer.Serve(ctx, n.listeners.peer, handler{n}, n.recoverer("peer")) })
+	start("peer listener", func(ctx context.Context) error {
+		return peer.Serve(ctx, n.listeners.peer, handler{n}, n.recoverer("peer"))
+	})
 	start("caller listener", serveHTTP(callerServer, n.listeners.caller))
 	start("operator listener", serveHTTP(operatorServer, n.listeners.operator))
 	start("membership", n.membership.Run)
@@ -341,6 +343,7 @@
 		Handler:           n.recoverer("operator").Handler(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		ErrorLog:          telemetry.ServerErrorLog(n.log, "operator"),
 	}
 }
 
@@ -358,6 +361,7 @@
 		WriteTimeout: writeTimeout,
 		// The gateway refuses large headers with a result code; net/http refuses only those above four times the limit.
 		MaxHeaderBytes: 4 * int(n.settings.Limits.MaxHeaderBytes),
+		ErrorLog:       telemetry.ServerErrorLog(n.log, "caller"),
 		BaseContext:    func(net.Listener) context.Context { return n.requestContext },
 	}
 }
--- a/internal/node/panic_test.go
+++ b/internal/node/panic_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/settings"
+	"cassiadeal.example/cassiadeal/internal/telemetry"
 )
 
 // newTestNode returns a node that doesn't run and whose platform doesn't answer.
@@ -55,3 +58,21 @@
 	c.Check(recorder.Body.String(), qt.Contains, `cassiadeal_panics_total{where="caller"} 1`)
 	c.Check(recorder.Body.String(), qt.Contains, `cassiadeal_panics_total{where="operator"} 1`)
 }
+
+// Guards against a listener whose server errors are no JSON lines.
+func TestServerErrorsOfEachListenerAreLogged(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(t)
+	var out bytes.Buffer
+	log, err := telemetry.NewLogger(&out, "n", "info")
+	c.Assert(err, qt.IsNil)
+	n.log = log
+	for listener, server := range map[string]*http.Server{"caller": n.callerServer(), "operator": n.operatorServer()} {
+		out.Reset()
+		server.ErrorLog.Print("an error")
+		line := map[string]any{}
+		c.Assert(json.Unmarshal(out.Bytes(), &line), qt.IsNil)
+		c.Check(line["listener"], qt.Equals, listener)
+		c.Check(line["message"], qt.Equals, "an error")
+	}
+}
