Log how far the target of an unanswered request came

The line that ends a request without a complete answer told the target and, for streams, the number of events, but not what was heard last of the target and when, whether another one was asked or had taken over, or whether the client had closed first. So a silent target, one that nobody reached and a client that left couldn't be told apart afterwards.

Such a line, and the one of a panic, now has last_heard (nothing, connection, header or body), silent_ms, events, others_asked, takeovers, other with other_last_heard and other_silent_ms, and client_closed. It is still one line per request; lines of answered requests are as they were.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -39,6 +40,9 @@
 	defaultDeadline = 30 * time.Second
 )
 
+// outcomeAnswered is the outcome of requests whose clients have got a complete answer of a replica.
+const outcomeAnswered = "answered"
+
 // Codec translates between HTTP headers and the types of package fleet.
 type Codec interface {
 	DecodeRequest(*http.Request) *fleet.Request
@@ -115,6 +119,7 @@
 	*Server
 	w       http.ResponseWriter
 	ctx     context.Context
+	client  context.Context // Ends when the client closes its connection.
 	req     *fleet.Request
 	view    *fleet.View
 	route   *fleet.Route
@@ -127,6 +132,7 @@
 	deadline time.Time     // The final response is due by then.
 	waited   time.Duration // Estimated time that the client spent on earlier attempts.
 	attempts attempts
+	progress *progress // Of a stream; nil for other requests.
 }
 
 // attempts counts the sends of one request.
@@ -137,12 +143,17 @@
 	lastFailure string // Why the last send got no usable response.
 	// began is set if the target of the last send has sent a part of its response.
 	began bool
+	heard *heard // Of the last target.
+	// othersAsked counts the targets that were asked beside one that had stalled, takeovers those that went on in its place.
+	othersAsked, takeovers int
+	other                  string // The last of othersAsked.
+	otherHeard             *heard
 }
 
 // startSend counts a send to the target.
-func (a *attempts) startSend(key balance.Key) {
+func (a *attempts) startSend(key balance.Key, h *heard) {
 	a.sends++
-	a.lastTarget, a.began = string(key), false
+	a.lastTarget, a.began, a.heard = string(key), false, h
 }
 
 // mayHaveRun tells whether any send may have run or may still run. Only if not may the request be refused as not run.
@@ -152,8 +163,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	c := &call{Server: s, w: w, ctx: r.Context(), start: time.Now(), req: s.opt.Codec.DecodeRequest(r), view: s.opt.Registry.View()}
-	recovery.OnPanic(w, c.outcomeFields)
+	c := &call{Server: s, w: w, ctx: r.Context(), client: r.Context(), start: time.Now(), req: s.opt.Codec.DecodeRequest(r), view: s.opt.Registry.View()}
+	recovery.OnPanic(w, func() logrus.Fields {
+		fields := c.outcomeFields()
+		maps.Copy(fields, c.incompleteFields())
+		return fields
+	})
 	if e := c.readBody(r); e != nil {
 		c.refuse(e)
 		return
@@ -311,7 +326,13 @@
 
 // logOutcome writes the log line that ends each request.
 func (c *call) logOutcome(outcome, reason string, extra logrus.Fields) {
-	c.opt.Log.WithFields(c.outcomeFields()).WithField("outcome", outcome).WithFields(extra).Info(reason)
+	fields := c.outcomeFields()
+	fields["outcome"] = outcome
+	if outcome != outcomeAnswered {
+		maps.Copy(fields, c.incompleteFields())
+	}
+	maps.Copy(fields, extra)
+	c.opt.Log.WithFields(fields).Info(reason)
 }
 
 // outcomeFields returns what the log line that ends a request says in any case.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -60,12 +60,14 @@
 
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
-func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string) (r *replicaResponse, sent bool, err error) {
+func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *heard) (r *replicaResponse, sent bool, err error) {
 	dialer := net.Dialer{Timeout: min(dialTimeout, max(c.timeLeft()/2, time.Millisecond))}
 	conn, err := dialer.DialContext(ctx, "tcp", replica.Address)
 	if err != nil {
 		return nil, false, err
 	}
+	h.note()
+	h.reach(heardConnection)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
@@ -79,12 +81,13 @@
 	if _, err := conn.Write(c.encodeRequest(replica, lastEventID)); err != nil {
 		return fail(true, err)
 	}
-	limited := &io.LimitedReader{R: conn, N: maxResponseHeaderBytes}
+	limited := &io.LimitedReader{R: heardReader{conn, h}, N: maxResponseHeaderBytes}
 	resp, err := http.ReadResponse(bufio.NewReaderSize(limited, 4096), &http.Request{Method: c.req.Method})
 	if err != nil {
 		return fail(true, err)
 	}
 	limited.N = 1 << 62
+	h.reach(heardHeader)
 	header := c.opt.Codec.DecodeAnswer(resp)
 	if header.RequestID != "" && header.RequestID != c.req.ID {
 		return fail(true, errRequestIDMismatch)
@@ -203,11 +206,12 @@
 		ctx, cancel = context.WithTimeout(c.ctx, c.timeLeft()/2)
 	}
 	defer cancel()
-	c.attempts.startSend(key)
+	h := newHeard()
+	c.attempts.startSend(key, h)
 	ticket := c.opt.Table.Begin(key, c.req.PromptTokens, c.route.LatencyTarget)
 	defer ticket.End()
 	c.opt.Table.CountColdSend(replica, c.view)
-	r, sent, err := c.send(ctx, replica, "")
+	r, sent, err := c.send(ctx, replica, "", h)
 	defer r.close()
 	if err != nil {
 		c.recordFailure(replica, sent, err)
@@ -221,6 +225,9 @@
 	body := c.buffers.NewBuffer(maxResponseBytes)
 	defer body.Release()
 	if err := body.ReadAll(r.resp.Body); err != nil {
+		if len(body.Bytes()) > 0 {
+			h.reach(heardBody)
+		}
 		c.recordFailure(replica, true, err)
 		return false, c.route.Idempotent()
 	}
@@ -346,7 +353,7 @@
 	c.w.WriteHeader(r.resp.StatusCode)
 	_, err := c.w.Write(body)
 	c.durations.Record(c.route.Name, time.Since(c.start))
-	outcome, reason := "answered", "answered"
+	outcome, reason := outcomeAnswered, "answered"
 	if err != nil {
 		outcome, reason = "client_gone", err.Error()
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -57,6 +57,7 @@
 func (c *call) serveStream() {
 	exclude := map[balance.Key]bool{}
 	p := &progress{lastEventID: c.req.LastEventID}
+	c.progress = p
 	c.opt.Budget.RecordRequest(c.service.Name)
 	for {
 		if refusal := c.crashRefusal(); refusal != nil {
@@ -78,14 +79,14 @@
 		case streamComplete:
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 			c.durations.Record(c.route.Name, time.Since(c.start))
-			c.logOutcome("answered", "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.FirstEvent.Milliseconds(),
+			c.logOutcome(outcomeAnswered, "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.FirstEvent.Milliseconds(),
 				"first_ms": p.firstEventAfter.Milliseconds(), "gap_ms": p.longestGap.Milliseconds(), "prompt": c.req.PromptTokens,
 				"delay_ms": head.QueueDelay.Milliseconds(), "load": head.Load.Running, "unread": head.Load.UnreadTokens, "model": c.req.Model, "slow": head.SlowFactor})
 			return
 		case responseForwarded:
 			return
 		case clientGone:
-			c.logOutcome("client_gone", "the client closed its connection", logrus.Fields{"events": p.events})
+			c.logOutcome("client_gone", "the client closed its connection", nil)
 			panic(http.ErrAbortHandler) // net/http would send an empty success to a client that has closed only its side.
 		case streamTimeout, streamBlocked:
 			c.failStream(p, nil)
@@ -147,7 +148,7 @@
 	switch {
 	case p.headerWritten:
 		c.opt.Metrics.Refusal(result.StreamIncomplete)
-		c.logOutcome(result.StreamIncomplete.String(), "the stream broke off: "+c.attempts.lastFailure, logrus.Fields{"events": p.events})
+		c.logOutcome(result.StreamIncomplete.String(), "the stream broke off: "+c.attempts.lastFailure, nil)
 		panic(http.ErrAbortHandler) // Closes the connection without completing the response.
 	case refusal != nil && !c.attempts.mayHaveRun():
 		c.refuse(refusal)
@@ -161,6 +162,7 @@
 	head   *balance.Selection
 	ticket *balance.Ticket
 	steps  <-chan streamStep
+	heard  *heard
 	cancel context.CancelFunc
 }
 
@@ -169,8 +171,8 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	steps := make(chan streamStep)
 	c.opt.Table.CountColdSend(head.Replica, c.view)
-	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, cancel: cancel}
-	go c.receiveRecovered(ctx, head, p.lastEventID, p.headerWritten, steps)
+	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, heard: newHeard(), cancel: cancel}
+	go c.receiveRecovered(ctx, s, p.lastEventID, p.headerWritten, steps)
 	return s
 }
 
@@ -214,8 +216,8 @@
 
 // relay sends the request to one target and forwards its events to the client. It returns the target that sent the last of them.
 func (c *call) relay(head *balance.Selection, exclude map[balance.Key]bool, p *progress) (*balance.Selection, streamEnd) {
-	c.attempts.startSend(head.Key)
 	r := &streamRelay{call: c, p: p, exclude: exclude, current: c.startStream(head, p)}
+	c.attempts.startSend(head.Key, r.current.heard)
 	defer func() { // Also after a panic.
 		r.current.end()
 		r.dropOther()
@@ -286,6 +288,8 @@
 	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events}).
 		Info("the target of a stream has stalled; asking another one as well")
 	r.other = r.startStream(head, r.p)
+	r.attempts.othersAsked++
+	r.attempts.other, r.attempts.otherHeard = string(head.Key), r.other.heard
 	return 0
 }
 
@@ -340,7 +344,8 @@
 func (r *streamRelay) useOther() {
 	r.current.end()
 	r.current, r.other = r.other, nil
-	r.attempts.lastTarget, r.attempts.began = string(r.current.head.Key), false
+	r.attempts.takeovers++
+	r.attempts.lastTarget, r.attempts.began, r.attempts.heard = string(r.current.head.Key), false, r.current.heard
 }
 
 // dropOther closes the connection to the other target, which may have run the request.
@@ -467,7 +472,7 @@
 
 // receive sends the request and reads the response into steps, until it ends or the context is done. What follows events that the
 // client already has, if the stream is resumed, must be numbered events: anything else could be the text of an error.
-func (c *call) receive(ctx context.Context, head *balance.Selection, lastEventID string, resumed bool, steps chan<- streamStep) {
+func (c *call) receive(ctx context.Context, s *streamSend, lastEventID string, resumed bool, steps chan<- streamStep) {
 	emit := func(step streamStep) bool {
 		select {
 		case steps <- step:
@@ -476,7 +481,7 @@
 			return false
 		}
 	}
-	r, sent, err := c.send(ctx, head.Replica, lastEventID)
+	r, sent, err := c.send(ctx, s.head.Replica, lastEventID, s.heard)
 	defer r.close()
 	if err != nil {
 		emit(streamStep{sent: sent, err: err})
@@ -524,6 +529,7 @@
 			emit(streamStep{sent: true, err: err})
 			return
 		}
+		s.heard.reach(heardBody)
 		emitted := emit(streamStep{response: r, data: event.Bytes(), eventID: id, sent: true})
 		previous.Release() // The event before has been written once the next one is accepted.
 		previous = event
