Log how far unanswered requests of the own interface came

On the own interface the line that ends a request without a complete answer named neither its target nor the holder, and that of the exchange didn't say what was heard last of the target, when, how often the stream was resumed, or whether the caller had ended it.

The record of what was last heard moves to internal/lastheard, which both front ends use. "request finished" has holder, target, attempts, tokens and client_closed; the holder's line has last_heard, silent_ms, tokens, resumes and canceled. Still one line each per request.

--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 )
 
@@ -29,6 +30,7 @@
 	idleTimeout time.Duration // Timeout of each read and write; 0 for none.
 	checkTarget func() error  // Called right before the first byte is written; an error closes the exchange. May be nil.
 	onPanic     func(any)     // Reports a panic of checkTarget.
+	heard       *lastheard.Record
 
 	mu         sync.Mutex
 	dialed     bool
@@ -68,6 +70,8 @@
 		return nil, errClosed
 	}
 	ex.conn = conn
+	ex.heard.Note()
+	ex.heard.Reach(lastheard.Connection)
 	return &exchangeConn{Conn: conn, exchange: ex}, nil
 }
 
@@ -96,7 +100,7 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(p)
+	return lastheard.Reader{Reader: c.Conn, Record: c.exchange.heard}.Read(p)
 }
 
 func (c *exchangeConn) Write(p []byte) (int, error) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
@@ -109,6 +110,7 @@
 	outcome target.Outcome
 	// connectionBroken is set if the connection failed after a byte of the request may have been sent.
 	connectionBroken bool
+	resumes          int // Attempts to resume a token stream.
 }
 
 // failureEnd returns the end of an exchange that failed with the code.
@@ -133,7 +135,10 @@
 		defer cancel()
 	}
 	defer slot.Release(target.Outcome{}) // Has an effect only after a panic.
-	e := r.runRecovered(ctx, slot, req, sink)
+	heard := lastheard.New()
+	e := r.runRecovered(ctx, slot, req, sink, heard)
+	fields := logrus.Fields{"request_id": req.GetRequestId(), "target": slot.ID, "tokens": e.end.GetTokens(), "resumes": e.resumes, "canceled": errors.Is(ctx.Err(), context.Canceled)}
+	heard.AddTo(fields, "")
 	slot.Release(e.outcome)
 	if e.connectionBroken {
 		lossCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
@@ -144,14 +149,14 @@
 	code := result.Code(e.end.GetCode())
 	r.endCounter.Add(context.WithoutCancel(ctx), 1, metric.WithAttributes(attribute.String("code", code.String())))
 	if code != result.OK {
-		r.options.Log.WithFields(logrus.Fields{"request_id": req.GetRequestId(), "target": slot.ID, "code": code.String(),
-			"not_run": e.end.GetNotRun(), "crashed": e.end.GetCrashed()}).Info(e.end.GetMessage())
+		fields["code"], fields["not_run"], fields["crashed"] = code.String(), e.end.GetNotRun(), e.end.GetCrashed()
+		r.options.Log.WithFields(fields).Info(e.end.GetMessage())
 	}
 	return e.end
 }
 
 // runRecovered runs the exchange. A panic in it, or in the sink, becomes the failure of a request that may have run.
-func (r *Runner) runRecovered(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) (e exchangeEnd) {
+func (r *Runner) runRecovered(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink, heard *lastheard.Record) (e exchangeEnd) {
 	defer func() {
 		value := recover()
 		if value == nil {
@@ -167,9 +172,9 @@
 		}
 	}()
 	if req.GetGenerate() {
-		return r.runGenerate(ctx, slot, req, sink)
+		return r.runGenerate(ctx, slot, req, sink, heard)
 	}
-	return r.runService(ctx, slot, req, sink)
+	return r.runService(ctx, slot, req, sink, heard)
 }
 
 // reportPanic reports a panic. It must be called by the deferred function that has recovered the value.
@@ -179,8 +184,8 @@
 }
 
 // runService runs one exchange with a back end of a service.
-func (r *Runner) runService(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) exchangeEnd {
-	ex := &exchange{checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }}
+func (r *Runner) runService(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink, heard *lastheard.Record) exchangeEnd {
+	ex := &exchange{checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }, heard: heard}
 	defer ex.close()
 	httpReq, err := newRequest(ctx, req.GetMethod(), slot.Address, req.GetPath(), req.GetRequestId(), req.GetHeaders(), req.GetBody())
 	if err != nil {
@@ -191,6 +196,7 @@
 		return r.noResponseEnd(ctx, ex, slot, req, err)
 	}
 	defer resp.Body.Close()
+	heard.Reach(lastheard.Header)
 	if got := resp.Header.Get(headerRequestID); got != req.GetRequestId() {
 		e := failureEnd(result.AnswerMismatch, "target %s responded to request %q instead of %q", slot.ID, got, req.GetRequestId())
 		if !req.GetRepeatable() {
@@ -208,7 +214,7 @@
 	cold := resp.Header.Get(headerCold) == "true"
 	resp.Header.Del(headerCold)
 	statement.RemoveHeaders(resp.Header)
-	if err := r.forwardResponse(resp, req.GetMethod(), sink); err != nil {
+	if err := r.forwardResponse(resp, req.GetMethod(), sink, heard); err != nil {
 		return r.incompleteEnd(ctx, slot, req, err)
 	}
 	// A server error is a complete response, but doesn't show that the target can handle more requests.
@@ -266,7 +272,7 @@
 }
 
 // forwardResponse passes the response to the sink. It returns an error unless the whole body was read and forwarded.
-func (r *Runner) forwardResponse(resp *http.Response, method string, sink Sink) error {
+func (r *Runner) forwardResponse(resp *http.Response, method string, sink Sink, heard *lastheard.Record) error {
 	noBody := method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	chunked := len(resp.TransferEncoding) > 0
 	switch {
@@ -284,10 +290,10 @@
 	if noBody {
 		return nil
 	}
-	return r.forwardBody(resp.Body, sink)
+	return r.forwardBody(resp.Body, sink, heard)
 }
 
-func (r *Runner) forwardBody(body io.Reader, sink Sink) error {
+func (r *Runner) forwardBody(body io.Reader, sink Sink, heard *lastheard.Record) error {
 	received := int64(0)
 	part := make([]byte, bodyChunkSize)
 	for {
@@ -296,6 +302,7 @@
 			return fmt.Errorf("the response body has more than %d bytes", r.options.MaxAnswerBytes)
 		}
 		if n > 0 {
+			heard.Reach(lastheard.Body)
 			if err := sink(&schema.DispatchChunk{Part: &schema.DispatchChunk_Data{Data: part[:n]}}); err != nil {
 				return fmt.Errorf("%w: %w", errSink, err)
 			}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 
+	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -50,32 +51,37 @@
 	headSent         bool
 	cachedTokens     uint64
 	cold             bool // The end marker states that the engine is cold.
+	heard            *lastheard.Record
 	connectionBroken bool // A connection failed after a byte may have been sent.
 }
 
 // runGenerate sends a generate request to rank 0 of the group and resumes its stream if the connection breaks.
-func (r *Runner) runGenerate(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink) exchangeEnd {
+func (r *Runner) runGenerate(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink, heard *lastheard.Record) exchangeEnd {
 	body, err := generateBody(slot, req)
 	if err != nil {
 		return notRunEnd(result.BadRequest, "generate request: %v", err)
 	}
-	s := &stream{runner: r, slot: slot, req: req, sink: sink}
-	ex := &exchange{idleTimeout: r.options.IdleTimeout, checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }}
+	s := &stream{runner: r, slot: slot, req: req, sink: sink, heard: heard}
+	ex := &exchange{idleTimeout: r.options.IdleTimeout, checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }, heard: heard}
 	err = s.runExchange(ctx, ex, "/v1/generate", body)
 	if !ex.close() {
 		return notSentEnd(ctx, ex, slot, err)
 	}
+	resumes := 0
 	for tries := 0; err != nil && s.resumable(ctx, err) && tries < r.options.MaxResumeTries; tries++ {
+		resumes++
 		r.resumeCounter.Add(ctx, 1)
 		nextBefore := s.nextOffset
-		if err = s.runExchange(ctx, &exchange{idleTimeout: r.options.IdleTimeout}, "/v1/resume", s.controlBody()); s.nextOffset > nextBefore {
+		if err = s.runExchange(ctx, &exchange{idleTimeout: r.options.IdleTimeout, heard: heard}, "/v1/resume", s.controlBody()); s.nextOffset > nextBefore {
 			tries = -1
 		}
 	}
 	if err == nil {
 		return exchangeEnd{end: &schema.DispatchEnd{Tokens: s.nextOffset, CacheHit: s.cachedTokens > 0}, outcome: target.Outcome{Completed: true, Cold: s.cold}}
 	}
-	return s.failureEnd(ctx, err)
+	e := s.failureEnd(ctx, err)
+	e.resumes = resumes
+	return e
 }
 
 // generateBody adds the priority and the group to the caller's body. The group lets an engine of another group refuse the
@@ -124,6 +130,7 @@
 		return err
 	}
 	defer resp.Body.Close()
+	s.heard.Reach(lastheard.Header)
 	if got := resp.Header.Get(headerRequestID); got == "" || got == s.req.GetRequestId() {
 		s.slot.RecordStatement(resp)
 	}
@@ -176,6 +183,7 @@
 		if err := json.Unmarshal(data, &ev); err != nil {
 			return &streamError{code: result.StreamIncomplete, message: fmt.Sprintf("malformed event: %v", err)}
 		}
+		s.heard.Reach(lastheard.Body)
 		if done, err := s.handleEvent(ev); done || err != nil {
 			return err
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -143,15 +144,15 @@
 	lastFailure string // Why the last send got no usable response.
 	// began is set if the target of the last send has sent a part of its response.
 	began bool
-	heard *heard // Of the last target.
+	heard *lastheard.Record // Of the last target.
 	// othersAsked counts the targets that were asked beside one that had stalled, takeovers those that went on in its place.
 	othersAsked, takeovers int
 	other                  string // The last of othersAsked.
-	otherHeard             *heard
+	otherHeard             *lastheard.Record
 }
 
 // startSend counts a send to the target.
-func (a *attempts) startSend(key balance.Key, h *heard) {
+func (a *attempts) startSend(key balance.Key, h *lastheard.Record) {
 	a.sends++
 	a.lastTarget, a.began, a.heard = string(key), false, h
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -15,6 +15,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -60,14 +61,14 @@
 
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
-func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *heard) (r *replicaResponse, sent bool, err error) {
+func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
 	dialer := net.Dialer{Timeout: min(dialTimeout, max(c.timeLeft()/2, time.Millisecond))}
 	conn, err := dialer.DialContext(ctx, "tcp", replica.Address)
 	if err != nil {
 		return nil, false, err
 	}
-	h.note()
-	h.reach(heardConnection)
+	h.Note()
+	h.Reach(lastheard.Connection)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
@@ -81,13 +82,13 @@
 	if _, err := conn.Write(c.encodeRequest(replica, lastEventID)); err != nil {
 		return fail(true, err)
 	}
-	limited := &io.LimitedReader{R: heardReader{conn, h}, N: maxResponseHeaderBytes}
+	limited := &io.LimitedReader{R: lastheard.Reader{Reader: conn, Record: h}, N: maxResponseHeaderBytes}
 	resp, err := http.ReadResponse(bufio.NewReaderSize(limited, 4096), &http.Request{Method: c.req.Method})
 	if err != nil {
 		return fail(true, err)
 	}
 	limited.N = 1 << 62
-	h.reach(heardHeader)
+	h.Reach(lastheard.Header)
 	header := c.opt.Codec.DecodeAnswer(resp)
 	if header.RequestID != "" && header.RequestID != c.req.ID {
 		return fail(true, errRequestIDMismatch)
@@ -206,7 +207,7 @@
 		ctx, cancel = context.WithTimeout(c.ctx, c.timeLeft()/2)
 	}
 	defer cancel()
-	h := newHeard()
+	h := lastheard.New()
 	c.attempts.startSend(key, h)
 	ticket := c.opt.Table.Begin(key, c.req.PromptTokens, c.route.LatencyTarget)
 	defer ticket.End()
@@ -226,7 +227,7 @@
 	defer body.Release()
 	if err := body.ReadAll(r.resp.Body); err != nil {
 		if len(body.Bytes()) > 0 {
-			h.reach(heardBody)
+			h.Reach(lastheard.Body)
 		}
 		c.recordFailure(replica, true, err)
 		return false, c.route.Idempotent()
--- a/internal/edge/heard_test.go
+++ b/internal/edge/incomplete_test.go
@@ -14,6 +14,7 @@
 	"github.com/frankban/quicktest"
 
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/lastheard"
 )
 
 // Guards against the log line of a request without a complete answer that doesn't tell how far its target came, how long it has been silent
@@ -29,14 +30,14 @@
 		lastHeard    string
 		events       any // Nil for other requests than streams.
 	}{
-		{"buffered, no byte", fleet.RepeatNever, "", false, "deadline_exceeded", heardConnection, nil},
-		{"buffered, part of the header", fleet.RepeatNever, "HTTP/1.1 200", false, "deadline_exceeded", heardConnection, nil},
-		{"buffered, header", fleet.RepeatNever, "HTTP/1.1 200 OK\r\n" + sealHeader + "Content-Length: 9\r\n\r\n", false, "deadline_exceeded", heardHeader, nil},
-		{"buffered, part of the body", fleet.RepeatNever, httpResponse("200 OK", sealHeader, "whole")[:len(httpResponse("200 OK", sealHeader, "whole"))-2], false, "deadline_exceeded", heardBody, nil},
-		{"buffered, client closes", fleet.RepeatNever, "", true, "outcome_unknown", heardConnection, nil},
-		{"stream, no byte", fleet.RepeatStream, "", false, "deadline_exceeded", heardConnection, 0.0},
-		{"stream, header", fleet.RepeatStream, streamHead, false, "deadline_exceeded", heardHeader, 0.0},
-		{"stream, client closes", fleet.RepeatStream, streamHead, true, "client_gone", heardHeader, 0.0},
+		{"buffered, no byte", fleet.RepeatNever, "", false, "deadline_exceeded", string(lastheard.Connection), nil},
+		{"buffered, part of the header", fleet.RepeatNever, "HTTP/1.1 200", false, "deadline_exceeded", string(lastheard.Connection), nil},
+		{"buffered, header", fleet.RepeatNever, "HTTP/1.1 200 OK\r\n" + sealHeader + "Content-Length: 9\r\n\r\n", false, "deadline_exceeded", string(lastheard.Header), nil},
+		{"buffered, part of the body", fleet.RepeatNever, httpResponse("200 OK", sealHeader, "whole")[:len(httpResponse("200 OK", sealHeader, "whole"))-2], false, "deadline_exceeded", string(lastheard.Body), nil},
+		{"buffered, client closes", fleet.RepeatNever, "", true, "outcome_unknown", string(lastheard.Connection), nil},
+		{"stream, no byte", fleet.RepeatStream, "", false, "deadline_exceeded", string(lastheard.Connection), 0.0},
+		{"stream, header", fleet.RepeatStream, streamHead, false, "deadline_exceeded", string(lastheard.Header), 0.0},
+		{"stream, client closes", fleet.RepeatStream, streamHead, true, "client_gone", string(lastheard.Header), 0.0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -106,9 +107,9 @@
 		takeovers float64
 		other     string // What was heard last of it.
 	}{
-		{"silent too", "", 2, 0, heardConnection},
-		{"only a header", streamHead, 2, 0, heardHeader},
-		{"takes over and falls silent", streamHead + events(3, 4), 4, 1, heardBody},
+		{"silent too", "", 2, 0, string(lastheard.Connection)},
+		{"only a header", streamHead, 2, 0, string(lastheard.Header)},
+		{"takes over and falls silent", streamHead + events(3, 4), 4, 1, string(lastheard.Body)},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -134,7 +135,7 @@
 			line := lines[0]
 			c.Check(line["outcome"], quicktest.Equals, "stream_incomplete")
 			c.Check(line["events"], quicktest.Equals, test.events)
-			c.Check(line["last_heard"], quicktest.Equals, heardBody)
+			c.Check(line["last_heard"], quicktest.Equals, string(lastheard.Body))
 			c.Check(line["silent_ms"].(float64) >= 100, quicktest.IsTrue, quicktest.Commentf("%v", line["silent_ms"]))
 			c.Check(line["others_asked"], quicktest.Equals, 1.0)
 			c.Check(line["takeovers"], quicktest.Equals, test.takeovers)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 )
@@ -162,7 +163,7 @@
 	head   *balance.Selection
 	ticket *balance.Ticket
 	steps  <-chan streamStep
-	heard  *heard
+	heard  *lastheard.Record
 	cancel context.CancelFunc
 }
 
@@ -171,7 +172,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	steps := make(chan streamStep)
 	c.opt.Table.CountColdSend(head.Replica, c.view)
-	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, heard: newHeard(), cancel: cancel}
+	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, heard: lastheard.New(), cancel: cancel}
 	go c.receiveRecovered(ctx, s, p.lastEventID, p.headerWritten, steps)
 	return s
 }
@@ -529,7 +530,7 @@
 			emit(streamStep{sent: true, err: err})
 			return
 		}
-		s.heard.reach(heardBody)
+		s.heard.Reach(lastheard.Body)
 		emitted := emit(streamStep{response: r, data: event.Bytes(), eventID: id, sent: true})
 		previous.Release() // The event before has been written once the next one is accepted.
 		previous = event
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,10 +3,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -162,6 +165,12 @@
 	started     time.Time
 	destination string
 	log         logrus.FieldLogger
+
+	caller   context.Context // Ends when the caller closes its connection.
+	attempts int
+	node     string // Of the last attempt.
+	target   string // Of the last attempt; empty if it got none.
+	tokens   uint64 // Received in the last attempt.
 }
 
 // admit runs the checks that all requests have in common: this node's right to serve, the account and its limits. If err
@@ -189,6 +198,7 @@
 		rules:       current,
 		started:     time.Now(),
 		destination: destination,
+		caller:      req.Context(),
 		dispatch: &schema.DispatchRequest{
 			RequestId:      id,
 			Account:        account.Name,
@@ -222,7 +232,10 @@
 	recovery.OnPanic(w, func() logrus.Fields {
 		elapsed := time.Since(c.started)
 		g.opts.Metrics.Request(c.destination, result.Internal, elapsed)
-		return logrus.Fields{"request_id": c.id, "account": c.account.Name, "destination": c.destination, "elapsed_ms": elapsed.Milliseconds()}
+		fields := c.incompleteFields()
+		fields["request_id"], fields["account"], fields["destination"] = c.id, c.account.Name, c.destination
+		fields["target"], fields["elapsed_ms"] = c.target, elapsed.Milliseconds()
+		return fields
 	})
 }
 
@@ -266,10 +279,22 @@
 		g.durations.Record(c.destination, elapsed)
 	}
 	g.opts.Metrics.Request(c.destination, code, elapsed)
-	c.log.WithFields(logrus.Fields{
-		"target":     target,
+	fields := logrus.Fields{
+		"target":     cmp.Or(target, c.target),
 		"code":       int(code),
 		"result":     code.String(),
 		"elapsed_ms": elapsed.Milliseconds(),
-	}).Info("request finished")
+	}
+	if code != result.OK {
+		maps.Copy(fields, c.incompleteFields())
+	}
+	c.log.WithFields(fields).Info("request finished")
+}
+
+// incompleteFields returns what the log line of a request without a complete answer says of its last attempt. The target's holder logs when
+// that target was heard last.
+func (c *callerRequest) incompleteFields() logrus.Fields {
+	var nodeErr *result.Error
+	nodeStopped := errors.As(context.Cause(c.caller), &nodeErr)
+	return logrus.Fields{"attempts": c.attempts, "holder": c.node, "tokens": c.tokens, "client_closed": c.caller.Err() != nil && !nodeStopped}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -107,7 +107,15 @@
 	if c.dispatch.DeadlineMs <= 0 {
 		return &schema.DispatchEnd{Code: int32(result.DeadlineUnreachable), NotRun: true, Message: "the deadline has passed"}
 	}
-	end := g.opts.Execute(ctx, node, c.dispatch, out.addPart)
+	c.attempts++
+	c.node, c.target, c.tokens = node.Name, "", 0
+	end := g.opts.Execute(ctx, node, c.dispatch, func(chunk *schema.DispatchChunk) error {
+		if chunk.GetToken() != nil {
+			c.tokens++
+		}
+		return out.addPart(chunk)
+	})
+	c.target = end.Target
 	if end.Code != int32(result.OK) {
 		c.log.WithFields(logrus.Fields{
 			"node": node.Name, "target": end.Target, "code": end.Code, "not_run": end.NotRun, "message": end.Message,
