Log client_closed for answers whose write failed

A write to a client that has gone may fail before the request's context shows it, so the line with the outcome client_gone could say client_closed false.

Evidence: TestLogTellsThatAWriteFailed failed without the change, for a buffered answer and for a stream.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,8 +41,11 @@
 	defaultDeadline = 30 * time.Second
 )
 
-// outcomeAnswered is the outcome of requests whose clients have got a complete answer of a replica.
-const outcomeAnswered = "answered"
+// Outcomes that are no result codes.
+const (
+	outcomeAnswered   = "answered" // The client has got a complete answer of a replica.
+	outcomeClientGone = "client_gone"
+)
 
 // Codec translates between HTTP headers and the types of package fleet.
 type Codec interface {
@@ -332,6 +335,9 @@
 	if outcome != outcomeAnswered {
 		maps.Copy(fields, c.incompleteFields())
 	}
+	if outcome == outcomeClientGone {
+		fields["client_closed"] = true // A failed write may show it before the context does.
+	}
 	maps.Copy(fields, extra)
 	c.opt.Log.WithFields(fields).Info(reason)
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -356,7 +356,7 @@
 	c.durations.Record(c.route.Name, time.Since(c.start))
 	outcome, reason := outcomeAnswered, "answered"
 	if err != nil {
-		outcome, reason = "client_gone", err.Error()
+		outcome, reason = outcomeClientGone, err.Error()
 	}
 	c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 	c.logOutcome(outcome, reason, logrus.Fields{"status": r.resp.StatusCode})
--- a/internal/edge/incomplete_test.go
+++ b/internal/edge/incomplete_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -146,3 +147,23 @@
 		})
 	}
 }
+
+// failingWriter fails the writes of a response's body.
+type failingWriter struct{ http.ResponseWriter }
+
+func (failingWriter) Write([]byte) (int, error) { return 0, errors.New("connection reset by peer") }
+
+// Guards against a log line that blames the target for a client whose connection is seen to be lost when an answer is written.
+func TestLogTellsThatAWriteFailed(t *testing.T) {
+	for repeat, answer := range map[fleet.Repeat]string{fleet.RepeatNever: httpResponse("200 OK", sealHeader, "done"), fleet.RepeatStream: streamHead + events(1, 4)} {
+		c := quicktest.New(t)
+		s := newServer(t, repeat, newReplica(t, false, func(*http.Request) string { return answer })).(*Server)
+		log := logTo(s)
+		_, _, err := sendRequest(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { s.ServeHTTP(failingWriter{w}, q) }), http.MethodPost)
+		c.Check(err, quicktest.IsNotNil)
+		lines := log.lines(t, `"outcome"`)
+		c.Assert(lines, quicktest.HasLen, 1)
+		c.Check(lines[0]["outcome"], quicktest.Equals, "client_gone")
+		c.Check(lines[0]["client_closed"], quicktest.Equals, true)
+	}
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -87,7 +87,7 @@
 		case responseForwarded:
 			return
 		case clientGone:
-			c.logOutcome("client_gone", "the client closed its connection", nil)
+			c.logOutcome(outcomeClientGone, "the client closed its connection", nil)
 			panic(http.ErrAbortHandler) // net/http would send an empty success to a client that has closed only its side.
 		case streamTimeout, streamBlocked:
 			c.failStream(p, nil)
