--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 )
 
 const (
@@ -26,6 +29,8 @@
 type exchange struct {
 	idleTimeout time.Duration // Timeout of each read and write; 0 for none.
 	checkTarget func() error  // Called right before the first byte is written; an error closes the exchange. May be nil.
+	onPanic     func(any)     // Reports a panic of checkTarget.
+	heard       *lastheard.Record
 
 	mu         sync.Mutex
 	dialed     bool
@@ -65,6 +70,8 @@
 		return nil, errClosed
 	}
 	ex.conn = conn
+	ex.heard.Note()
+	ex.heard.Reach(lastheard.Connection)
 	return &exchangeConn{Conn: conn, exchange: ex}, nil
 }
 
@@ -93,7 +100,7 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(p)
+	return lastheard.Reader{Reader: c.Conn, Record: c.exchange.heard}.Read(p)
 }
 
 func (c *exchangeConn) Write(p []byte) (int, error) {
@@ -116,7 +123,7 @@
 	ex.mu.Unlock()
 	var checkError error
 	if first {
-		checkError = ex.checkTarget()
+		checkError = ex.checkRecovered()
 	}
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
@@ -131,6 +138,17 @@
 	return nil
 }
 
+// checkRecovered calls checkTarget. http.Transport writes in a goroutine of its own, where a panic would end the process.
+func (ex *exchange) checkRecovered() (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			ex.onPanic(value)
+			err = recovery.ErrPanic
+		}
+	}()
+	return ex.checkTarget()
+}
+
 // targetRefusal returns the error of checkTarget, or nil.
 func (ex *exchange) targetRefusal() error {
 	ex.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -22,6 +23,8 @@
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -38,6 +41,12 @@
 	defaultDeadline = 30 * time.Second
 )
 
+// Outcomes that are no result codes.
+const (
+	outcomeAnswered   = "answered" // The client has got a complete answer of a replica.
+	outcomeClientGone = "client_gone"
+)
+
 // Codec translates between HTTP headers and the types of package fleet.
 type Codec interface {
 	DecodeRequest(*http.Request) *fleet.Request
@@ -114,6 +123,7 @@
 	*Server
 	w       http.ResponseWriter
 	ctx     context.Context
+	client  context.Context // Ends when the client closes its connection.
 	req     *fleet.Request
 	view    *fleet.View
 	route   *fleet.Route
@@ -126,6 +136,7 @@
 	deadline time.Time     // The final response is due by then.
 	waited   time.Duration // Estimated time that the client spent on earlier attempts.
 	attempts attempts
+	progress *progress // Of a stream; nil for other requests.
 }
 
 // attempts counts the sends of one request.
@@ -136,12 +147,17 @@
 	lastFailure string // Why the last send got no usable response.
 	// began is set if the target of the last send has sent a part of its response.
 	began bool
+	heard *lastheard.Record // Of the last target.
+	// othersAsked counts the targets that were asked beside one that had stalled, takeovers those that went on in its place.
+	othersAsked, takeovers int
+	other                  string // The last of othersAsked.
+	otherHeard             *lastheard.Record
 }
 
 // startSend counts a send to the target.
-func (a *attempts) startSend(key balance.Key) {
+func (a *attempts) startSend(key balance.Key, h *lastheard.Record) {
 	a.sends++
-	a.lastTarget, a.began = string(key), false
+	a.lastTarget, a.began, a.heard = string(key), false, h
 }
 
 // mayHaveRun tells whether any send may have run or may still run. Only if not may the request be refused as not run.
@@ -151,7 +167,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	c := &call{Server: s, w: w, ctx: r.Context(), start: time.Now(), req: s.opt.Codec.DecodeRequest(r), view: s.opt.Registry.View()}
+	c := &call{Server: s, w: w, ctx: r.Context(), client: r.Context(), start: time.Now(), req: s.opt.Codec.DecodeRequest(r), view: s.opt.Registry.View()}
+	recovery.OnPanic(w, func() logrus.Fields {
+		fields := c.outcomeFields()
+		maps.Copy(fields, c.incompleteFields())
+		return fields
+	})
 	if e := c.readBody(r); e != nil {
 		c.refuse(e)
 		return
@@ -181,7 +202,7 @@
 		limit = c.view.Config.Limits.BodyBytes
 	}
 	stopped := c.endReadWhenStopped()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(recovery.Unwrap(c.w), r.Body, limit))
 	if stopped() {
 		return c.stoppingRefusal()
 	}
@@ -309,7 +330,21 @@
 
 // logOutcome writes the log line that ends each request.
 func (c *call) logOutcome(outcome, reason string, extra logrus.Fields) {
-	fields := logrus.Fields{"request_id": c.req.ID, "outcome": outcome, "sends": c.attempts.sends, "maybe_run": c.attempts.maybeRun,
+	fields := c.outcomeFields()
+	fields["outcome"] = outcome
+	if outcome != outcomeAnswered {
+		maps.Copy(fields, c.incompleteFields())
+	}
+	if outcome == outcomeClientGone {
+		fields["client_closed"] = true // A failed write may show it before the context does.
+	}
+	maps.Copy(fields, extra)
+	c.opt.Log.WithFields(fields).Info(reason)
+}
+
+// outcomeFields returns what the log line that ends a request says in any case.
+func (c *call) outcomeFields() logrus.Fields {
+	fields := logrus.Fields{"request_id": c.req.ID, "sends": c.attempts.sends, "maybe_run": c.attempts.maybeRun,
 		"took_ms": time.Since(c.start).Milliseconds(), "store_age_ms": c.opt.StoreAge().Milliseconds()}
 	if c.view.Config != nil {
 		fields["config_version"] = c.view.Config.Version
@@ -320,8 +355,5 @@
 	if c.attempts.lastTarget != "" {
 		fields["target"], fields["why"] = c.attempts.lastTarget, c.attempts.lastFailure
 	}
-	for k, v := range extra {
-		fields[k] = v
-	}
-	c.opt.Log.WithFields(fields).Info(reason)
+	return fields
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -15,6 +15,8 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -59,12 +61,14 @@
 
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
-func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string) (r *replicaResponse, sent bool, err error) {
+func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
 	dialer := net.Dialer{Timeout: min(dialTimeout, max(c.timeLeft()/2, time.Millisecond))}
 	conn, err := dialer.DialContext(ctx, "tcp", replica.Address)
 	if err != nil {
 		return nil, false, err
 	}
+	h.Note()
+	h.Reach(lastheard.Connection)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
@@ -78,12 +82,13 @@
 	if _, err := conn.Write(c.encodeRequest(replica, lastEventID)); err != nil {
 		return fail(true, err)
 	}
-	limited := &io.LimitedReader{R: conn, N: maxResponseHeaderBytes}
+	limited := &io.LimitedReader{R: lastheard.Reader{Reader: conn, Record: h}, N: maxResponseHeaderBytes}
 	resp, err := http.ReadResponse(bufio.NewReaderSize(limited, 4096), &http.Request{Method: c.req.Method})
 	if err != nil {
 		return fail(true, err)
 	}
 	limited.N = 1 << 62
+	h.Reach(lastheard.Header)
 	header := c.opt.Codec.DecodeAnswer(resp)
 	if header.RequestID != "" && header.RequestID != c.req.ID {
 		return fail(true, errRequestIDMismatch)
@@ -202,11 +207,12 @@
 		ctx, cancel = context.WithTimeout(c.ctx, c.timeLeft()/2)
 	}
 	defer cancel()
-	c.attempts.startSend(key)
+	h := lastheard.New()
+	c.attempts.startSend(key, h)
 	ticket := c.opt.Table.Begin(key, c.req.PromptTokens, c.route.LatencyTarget)
 	defer ticket.End()
 	c.opt.Table.CountColdSend(replica, c.view)
-	r, sent, err := c.send(ctx, replica, "")
+	r, sent, err := c.send(ctx, replica, "", h)
 	defer r.close()
 	if err != nil {
 		c.recordFailure(replica, sent, err)
@@ -220,6 +226,9 @@
 	body := c.buffers.NewBuffer(maxResponseBytes)
 	defer body.Release()
 	if err := body.ReadAll(r.resp.Body); err != nil {
+		if len(body.Bytes()) > 0 {
+			h.Reach(lastheard.Body)
+		}
 		c.recordFailure(replica, true, err)
 		return false, c.route.Idempotent()
 	}
@@ -271,6 +280,9 @@
 		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key)}).Info(err.Error())
 		return
 	}
+	if errors.Is(err, recovery.ErrPanic) {
+		return // A failure of this node, not of the replica.
+	}
 	c.opt.Table.RecordOutcome(key, true)
 	if !sent {
 		c.opt.Table.Avoid(key)
@@ -342,9 +354,9 @@
 	c.w.WriteHeader(r.resp.StatusCode)
 	_, err := c.w.Write(body)
 	c.durations.Record(c.route.Name, time.Since(c.start))
-	outcome, reason := "answered", "answered"
+	outcome, reason := outcomeAnswered, "answered"
 	if err != nil {
-		outcome, reason = "client_gone", err.Error()
+		outcome, reason = outcomeClientGone, err.Error()
 	}
 	c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 	c.logOutcome(outcome, reason, logrus.Fields{"status": r.resp.StatusCode})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"cassiadeal.example/cassiadeal/internal/orders"
 	"cassiadeal.example/cassiadeal/internal/peer"
 	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/router"
@@ -261,7 +262,7 @@
 	n.executor = executor.New(executor.Options{
 		Answers: answers, Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash,
 		Holds: n.holdsTarget, Clock: n.now, Log: n.log,
-		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter}),
+		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter, Panics: n.metrics}),
 	})
 	n.router = router.New(n.self.FailureDomain, n.routableNodes)
 	n.gateway = gateway.New(gateway.Options{
@@ -301,11 +302,10 @@
 		return func(ctx context.Context) error { task(ctx); return nil }
 	}
 	callerServer := n.callerServer()
-	operatorServer := &http.Server{
-		Handler:           operator.NewHandler(operator.Options{Backend: backend{n}, Metrics: n.metrics.Handler(), Log: n.log}),
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-	}
-	start("peer listener", func(ctx context.Context) error { return peer.Serve(ctx, n.listeners.peer, handler{n}) })
+	operatorServer := n.operatorServer()
+	start("peer listener", func(ctx context.Context) error {
+		return peer.Serve(ctx, n.listeners.peer, handler{n}, n.recoverer("peer"))
+	})
 	start("caller listener", serveHTTP(callerServer, n.listeners.caller))
 	start("operator listener", serveHTTP(operatorServer, n.listeners.operator))
 	start("membership", n.membership.Run)
@@ -337,15 +337,31 @@
 	return err
 }
 
+func (n *Node) operatorServer() *http.Server {
+	handler := operator.NewHandler(operator.Options{Backend: backend{n}, Metrics: n.metrics.Handler(), Log: n.log})
+	return &http.Server{
+		Handler:           n.recoverer("operator").Handler(handler),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          telemetry.ServerErrorLog(n.log, "operator"),
+	}
+}
+
+// recoverer reports the panics of one part of this node.
+func (n *Node) recoverer(where string) recovery.Recoverer {
+	return recovery.Recoverer{Where: where, Log: n.log, Metrics: n.metrics}
+}
+
 func (n *Node) callerServer() *http.Server {
 	return &http.Server{
-		Handler:           n.gateway.Handler(),
+		Handler:           n.recoverer("caller").Handler(n.gateway.Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		// The gateway sets the write deadline before each part of a response; this one resets it between requests.
 		WriteTimeout: writeTimeout,
 		// The gateway refuses large headers with a result code; net/http refuses only those above four times the limit.
 		MaxHeaderBytes: 4 * int(n.settings.Limits.MaxHeaderBytes),
+		ErrorLog:       telemetry.ServerErrorLog(n.log, "caller"),
 		BaseContext:    func(net.Listener) context.Context { return n.requestContext },
 	}
 }
