Resume a broken stream at a suspected head if there is no other

Callers: a stream that breaks off for good although a sound head of its model is left.

Cause: suspected heads are never selected, and a suspicion lasts for 5 s if this node has no stream there that could end it. A stream that its head breaks off waits 1.2 s for another head and then fails, though a head that was only silent for a second goes on long before.

Evidence: TestBrokenStreamIsResumedAtASuspectedHead (new), the head is suspected by this node or by another one: 2 of 2 failed before, with an unexpected end after two events.

Change: once the wait for another head has passed, suspected heads are considered too (`balance.Query.Suspected`). Attempts and the retry budget bind as before.

Result: the test passes. Suspected heads still get no request that can be refused as not run.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -420,6 +420,8 @@
 	LoadAge time.Duration
 	// GapTarget is the longest time between two events at which a response is on time; 0 for none.
 	GapTarget time.Duration
+	// Suspected makes PickHead consider heads that are suspected of having stalled as well.
+	Suspected bool
 }
 
 func (q *Query) refuses(r *fleet.Replica) bool { return q.Refused != nil && q.Refused(r) }
@@ -429,7 +431,7 @@
 const remoteZoneCost = 12 * time.Millisecond
 
 // PickHead returns a head with an early predicted first event, or nil if no head of the model can take the request. Suspected
-// heads are never returned.
+// heads are returned only if q.Suspected is set.
 func (t *Table) PickHead(q Query) *Selection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -440,7 +442,7 @@
 			continue
 		}
 		k := KeyOf(r)
-		if s := t.targets[k]; q.Exclude[k] || q.refuses(r) || t.suspectedLocked(k, now) || t.coldLimitReachedLocked(r, q, now) || s != nil && now < s.fullUntil {
+		if s := t.targets[k]; q.Exclude[k] || q.refuses(r) || !q.Suspected && t.suspectedLocked(k, now) || t.coldLimitReachedLocked(r, q, now) || s != nil && now < s.fullUntil {
 			continue
 		}
 		candidates = append(candidates, t.candidateLocked(r, k, q, now))
--- a/internal/edge/silent_test.go
+++ b/internal/edge/silent_test.go
@@ -208,6 +208,32 @@
 	}
 }
 
+// Guards against a stream that breaks off for good because the only other head is suspected, though that was only silent for a while.
+func TestBrokenStreamIsResumedAtASuspectedHead(t *testing.T) {
+	for name, suspect := range map[string]func(*balance.Table, balance.Key){
+		"by this node": (*balance.Table).Suspect,
+		"by another node": func(table *balance.Table, key balance.Key) {
+			table.SetPeerState("other", balance.PeerState{Suspected: map[balance.Key]bool{key: true}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			var server *Server
+			broken := newReplica(t, true, func(*http.Request) string {
+				suspect(server.opt.Table, balance.KeyOf(server.opt.Registry.View().Replicas["i-1"]))
+				return streamHead + events(1, 2) + "id: 3\nda"
+			})
+			next := newReplica(t, false, func(*http.Request) string { return streamHead + events(3, 4) })
+			next.otherZone = true
+			server = newServer(t, fleet.RepeatStream, broken, next).(*Server)
+			_, body, err := sendRequest(t, server, http.MethodPost, "X-Cassiadeal-Deadline-Ms", "60000")
+			c.Check(err, quicktest.IsNil)
+			c.Check(body, quicktest.Equals, events(1, 4))
+		})
+	}
+}
+
 // Guards against giving up a request that may not be repeated because its replica is silent for a while.
 func TestRequestThatMayNotBeRepeatedWaitsForASilentReplica(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -129,6 +129,11 @@
 			time.Sleep(resumePollInterval)
 			head = c.opt.Table.PickHead(c.balanceQuery(exclude))
 		}
+		if head == nil {
+			query := c.balanceQuery(exclude)
+			query.Suspected = true // It may only be silent for a while.
+			head = c.opt.Table.PickHead(query)
+		}
 		return head, nil
 	}
 	if head == nil {
