Open connections to a silent target again when the others have failed

Callers: an unknown outcome (502) for a request that may be repeated, though time is left and a sound target hasn't had it.

Cause: a target to which no connection opens within 0.3 s is excluded from the request for good. If the next target takes the request and breaks it off, no target is left, though the first one opens connections again a second later.

Change: targets that weren't reached in time are candidates again once the request may have run elsewhere, or while a stream's target is silent. They are avoided while there is another one. Since nothing was sent to them, the send and the retry granted for it are taken back, so that both limits count what may arrive. A request that hasn't run is still refused as not run after the first round of targets.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -136,6 +136,9 @@
 	lastFailure string // Why the last send got no usable response.
 	// began is set if the target of the last send has sent a part of its response.
 	began bool
+	// unreached holds targets to which no connection opened in time.
+	unreached []balance.Key
+	granted   int // Retries that the budget granted for sends that reached no target.
 }
 
 // startSend counts a send to the target.
@@ -144,6 +147,17 @@
 	a.lastTarget, a.began = string(key), false
 }
 
+// readmit takes the targets that weren't reached in time out of the excluded ones, and takes back the sends to them: a target that is only
+// silent for a while opens connections later. A request that hasn't run is refused instead if there is no other target.
+func (a *attempts) readmit(exclude map[balance.Key]bool) {
+	for _, key := range a.unreached {
+		delete(exclude, key)
+	}
+	a.sends -= len(a.unreached)
+	a.granted += len(a.unreached)
+	a.unreached = nil
+}
+
 // mayHaveRun tells whether any send may have run or may still run. Only if not may the request be refused as not run.
 func (a *attempts) mayHaveRun() bool { return a.maybeRun > 0 }
 
@@ -278,6 +292,15 @@
 	return backends[len(backends)-1].Service
 }
 
+// allowRetry reports whether the budget grants one more send.
+func (c *call) allowRetry(reason retry.Reason) bool {
+	if c.attempts.granted > 0 {
+		c.attempts.granted--
+		return true
+	}
+	return c.opt.Budget.Allow(c.service.Name, reason)
+}
+
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
 // refuse responds with an error that this server generates.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -149,6 +149,9 @@
 			}
 			return
 		}
+		if c.attempts.mayHaveRun() {
+			c.attempts.readmit(exclude)
+		}
 		replica := c.chooseReplica(exclude)
 		if replica == nil {
 			c.giveUp()
@@ -156,7 +159,7 @@
 		}
 		key := balance.KeyOf(replica)
 		exclude[key] = true
-		if c.attempts.sends > 0 && !c.opt.Budget.Allow(c.service.Name, retry.ReasonTargetFailed) {
+		if c.attempts.sends > 0 && !c.allowRetry(retry.ReasonTargetFailed) {
 			c.giveUp()
 			return
 		}
@@ -274,6 +277,9 @@
 	c.opt.Table.RecordOutcome(key, true)
 	if !sent {
 		c.opt.Table.Avoid(key)
+		if timeout, ok := errors.AsType[net.Error](err); ok && timeout.Timeout() {
+			c.attempts.unreached = append(c.attempts.unreached, key)
+		}
 	}
 	crashed := sent && connectionLost(err) && c.recordCrash(replica)
 	reason := "target_failed"
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -63,13 +63,16 @@
 			c.failStream(p, refusal)
 			return
 		}
+		if c.attempts.mayHaveRun() {
+			c.attempts.readmit(exclude)
+		}
 		head, refusal := c.admit(exclude, p)
 		if head == nil {
 			c.failStream(p, refusal)
 			return
 		}
 		exclude[head.Key] = true
-		if c.attempts.sends > 0 && !c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
+		if c.attempts.sends > 0 && !c.allowRetry(retry.ReasonStreamIncomplete) {
 			c.failStream(p, nil)
 			return
 		}
@@ -193,9 +196,10 @@
 			return nil
 		}
 	}
+	c.attempts.readmit(exclude)
 	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked) >= c.route.MaxAttempts ||
 		c.attempts.sends >= maxSends || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
-		!c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
+		!c.allowRetry(retry.ReasonStreamIncomplete) {
 		return nil
 	}
 	for {
