Keep the replica of a request that may be repeated until another one has answered

Callers: 502 after half of the time for a request that may be repeated, of a plain service, though its replica goes on and answers in time.

Cause: each send but the last that the route allows ended after half of the time that was left, before it was known whether another replica would be found, be granted by the budget, accept the request and answer it.

Change: after half of the time the request is also sent to another replica, if there is one and budget and `max_attempts` allow it. The first complete response counts; then the other connections are closed. As before, a replica that has not answered by then counts as having failed once. The price is a slot at both while neither answers.

TestReplicaThatStatesSomethingMeanwhileGetsNoRequest passes the excluded targets to trySend; what it checks is unchanged.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -132,6 +132,7 @@
 type attempts struct {
 	sends       int
 	maybeRun    int // Sends that may have run.
+	running     int // Sends that are under way at the same time, if the response is buffered.
 	lastTarget  string
 	lastFailure string // Why the last send got no usable response.
 	// began is set if the target of the last send has sent a part of its response.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -163,7 +163,7 @@
 			c.giveUp()
 			return
 		}
-		done, retryable := c.trySend(replica, key)
+		done, retryable := c.trySend(replica, key, exclude)
 		if done {
 			return
 		}
@@ -185,7 +185,7 @@
 
 // availableReplica returns a replica that another send may go to, or nil.
 func (c *call) availableReplica(exclude map[balance.Key]bool) *fleet.Replica {
-	if c.attempts.sends >= maxSends || c.attempts.maybeRun >= c.route.MaxAttempts {
+	if c.attempts.sends >= maxSends || c.attempts.maybeRun+c.attempts.running >= c.route.MaxAttempts {
 		return nil
 	}
 	if c.model == nil {
@@ -197,52 +197,6 @@
 	return nil
 }
 
-// trySend makes one send. done tells that the client has its response, retryable that another replica may be tried.
-func (c *call) trySend(replica *fleet.Replica, key balance.Key) (done, retryable bool) {
-	ctx, cancel := c.ctx, context.CancelFunc(func() {})
-	if c.route.Repeat == fleet.RepeatSafe && c.attempts.maybeRun+1 < c.route.MaxAttempts {
-		// Half of the time is left for another replica in case this one does not respond.
-		ctx, cancel = context.WithTimeout(c.ctx, c.timeLeft()/2)
-	}
-	defer cancel()
-	c.attempts.startSend(key)
-	ticket := c.opt.Table.Begin(key, c.req.PromptTokens, c.route.LatencyTarget)
-	defer ticket.End()
-	c.opt.Table.CountColdSend(replica, c.view)
-	r, sent, err := c.send(ctx, replica, "")
-	defer r.close()
-	if err != nil {
-		c.recordFailure(replica, sent, err)
-		return false, !sent || c.route.Idempotent()
-	}
-	if r.header.NotRun {
-		c.attempts.lastFailure = "not run, status " + strconv.Itoa(r.resp.StatusCode)
-		return false, true
-	}
-	c.attempts.began = true
-	body := c.buffers.NewBuffer(maxResponseBytes)
-	defer body.Release()
-	if err := body.ReadAll(r.resp.Body); err != nil {
-		c.recordFailure(replica, true, err)
-		return false, c.route.Idempotent()
-	}
-	if problem := c.unusableReason(r); problem != "" {
-		c.recordFailure(replica, true, errors.New(problem))
-		return false, c.route.Idempotent()
-	}
-	c.recordAnswer()
-	c.opt.Table.RecordOutcome(key, r.resp.StatusCode >= 500)
-	c.attempts.maybeRun++
-	if r.resp.StatusCode >= 500 && c.route.Idempotent() && c.attempts.maybeRun < c.route.MaxAttempts && c.timeLeft() > c.route.LatencyTarget {
-		c.attempts.lastFailure = "status " + strconv.Itoa(r.resp.StatusCode)
-		if next := c.availableReplica(map[balance.Key]bool{key: true}); next != nil {
-			return false, true
-		}
-	}
-	c.writeResponse(r, body.Bytes())
-	return true, false
-}
-
 // unusableReason returns why a response can't be forwarded, or "". A success needs the replica's seal. Statuses that tell the
 // client that the request has not run are unusable here, because callers have already handled responses in which the replica
 // states so.
--- a/internal/edge/statement_test.go
+++ b/internal/edge/statement_test.go
@@ -77,7 +77,7 @@
 			call := &call{Server: server, w: httptest.NewRecorder(), ctx: t.Context(), req: &fleet.Request{ID: "q1", Method: http.MethodPost, URI: "/a/1", Header: http.Header{}},
 				view: view, route: &view.Config.Routes[0], service: view.Config.Services["s"], start: time.Now(), deadline: time.Now().Add(time.Minute)}
 			server.opt.Statements.Record(target.Incarnation().Target(), stated)
-			done, retryable := call.trySend(target, balance.KeyOf(target))
+			done, retryable := call.trySend(target, balance.KeyOf(target), map[balance.Key]bool{})
 			c.Check(done, quicktest.IsFalse)
 			c.Check(retryable, quicktest.IsTrue)
 			c.Check(call.attempts.mayHaveRun(), quicktest.IsFalse)
