Keep all silent targets of a stream until one of them has sent an event

Callers: an unknown outcome, or a stream that breaks off, though one of its targets was sound and only silent for a while.

Cause: if both targets of a stream are suspected of having stalled and a third one is asked, the second was given up for it at once. If the third refuses, fails or is silent too, and the first is lost, nothing is left.

Evidence: TestStreamOfTwoSilentHeadsKeepsBothUntilAThirdHasTakenIt (new): the third refuses, the first breaks off, the second goes on. Before, the client got 502.

Change: a stream keeps every target that it has asked until one sends an event other than a comment, or that target itself refuses or fails. All steps come through one channel; those of targets that have been left are ignored. Sends, `max_attempts` and the retry budget bind as before.

--- a/internal/edge/silent_test.go
+++ b/internal/edge/silent_test.go
@@ -208,6 +208,78 @@
 	}
 }
 
+// streamReplicas returns a server with a head for each handler and a route that allows that many attempts. The first handler gets the first request,
+// and so on. A head that has announced on the channel that it is silent is suspected.
+func streamReplicas(t testing.TB, handlers ...func(w http.ResponseWriter, q *http.Request, silent func())) (h http.Handler, requests *atomic.Int32) {
+	requests = new(atomic.Int32)
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	var replicas []*replica
+	silent := make(chan string, 2*len(handlers))
+	for range handlers {
+		server := httptest.NewUnstartedServer(nil)
+		address := server.Listener.Addr().String()
+		server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			_, _ = io.Copy(io.Discard, q.Body) // Only then does net/http notice that the connection closes.
+			w.Header().Set("X-Cassiadeal-Request-Id", q.Header.Get("X-Cassiadeal-Request-Id"))
+			w.Header().Set("X-Cassiadeal-Response-Seal", "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			n := int(requests.Add(1))
+			if n > len(handlers) {
+				t.Errorf("%d requests", n)
+				return
+			}
+			handlers[n-1](w, q, func() {
+				_ = http.NewResponseController(w).Flush()
+				silent <- address
+			})
+		})
+		server.Start()
+		t.Cleanup(server.Close)
+		replicas = append(replicas, &replica{address: address})
+	}
+	server := newServerWithBudget(t, float64(len(handlers)-1), fleet.RepeatStream, replicas...).(*Server)
+	cfg := *server.opt.Registry.View().Config
+	cfg.Version++
+	cfg.Routes = slices.Clone(cfg.Routes)
+	cfg.Routes[0].Timeout, cfg.Routes[0].MaxAttempts = silentTimeout, len(handlers)
+	server.opt.Registry.SetConfig(&cfg)
+	for range handlers {
+		go suspectWhenSilent(server, silent, stop)
+	}
+	return server, requests
+}
+
+// Guards against giving up a silent head because a third one has been asked: that refuses the stream, and only the second one goes on.
+func TestStreamOfTwoSilentHeadsKeepsBothUntilAThirdHasTakenIt(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	thirdAsked := make(chan struct{})
+	server, requests := streamReplicas(t,
+		func(_ http.ResponseWriter, q *http.Request, silent func()) {
+			silent()
+			<-thirdAsked
+			time.Sleep(silence / 2)
+			panic(http.ErrAbortHandler)
+		},
+		func(w http.ResponseWriter, q *http.Request, silent func()) {
+			silent()
+			<-thirdAsked
+			time.Sleep(silence)
+			fmt.Fprint(w, events(1, 4))
+		},
+		func(w http.ResponseWriter, _ *http.Request, _ func()) {
+			close(thirdAsked)
+			w.Header().Set("X-Cassiadeal-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	resp, body, err := sendRequest(t, server, http.MethodPost, "X-Cassiadeal-Deadline-Ms", strconv.FormatInt(silentTimeout.Milliseconds(), 10))
+	c.Assert(err, quicktest.IsNil)
+	c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
+	c.Check(body, quicktest.Equals, events(1, 4))
+	c.Check(requests.Load(), quicktest.Equals, int32(3))
+}
+
 // Guards against a stream that breaks off for good because the only other head is suspected, though that was only silent for a while.
 func TestBrokenStreamIsResumedAtASuspectedHead(t *testing.T) {
 	for name, suspect := range map[string]func(*balance.Table, balance.Key){
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -168,17 +169,15 @@
 type streamSend struct {
 	head   *balance.Selection
 	ticket *balance.Ticket
-	steps  <-chan streamStep
 	cancel context.CancelFunc
 }
 
-// startStream sends the request to the head.
-func (c *call) startStream(head *balance.Selection, p *progress) *streamSend {
+// startStream sends the request to the head, whose steps are sent to the given channel.
+func (c *call) startStream(head *balance.Selection, p *progress, steps chan<- streamStep) *streamSend {
 	ctx, cancel := context.WithCancel(c.ctx)
-	steps := make(chan streamStep)
-	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, cancel: cancel}
+	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), cancel: cancel}
 	c.opt.Table.CountColdSend(head.Replica, c.view)
-	go c.receive(ctx, head, p.lastEventID, p.headerWritten, steps)
+	go c.receive(ctx, s, p.lastEventID, p.headerWritten, steps)
 	return s
 }
 
@@ -210,24 +209,26 @@
 	}
 }
 
-// streamRelay forwards one stream to the client. While the target is suspected of having stalled, the request is sent to another one
-// as well. The first of the two that sends an event goes on with the stream: until then, one may go on although it was silent, and the
-// other one may refuse the request, fail or be silent too.
+// streamRelay forwards one stream to the client. While all targets that were asked are suspected of having stalled, the request is sent to
+// another one as well. The first that sends an event goes on with the stream: until then, each may go on although it was silent, and each
+// other may refuse the request, fail or be silent too.
 type streamRelay struct {
 	*call
 	p       *progress
 	exclude map[balance.Key]bool
 	current *streamSend
-	other   *streamSend // Nil if the request was sent to no other target.
+	others  []*streamSend // They have sent no event.
+	steps   chan streamStep
 }
 
 // relay sends the request to one target and forwards its events to the client. It returns the target that sent the last of them.
 func (c *call) relay(head *balance.Selection, exclude map[balance.Key]bool, p *progress) (*balance.Selection, streamEnd) {
 	c.attempts.startSend(head.Key)
-	r := &streamRelay{call: c, p: p, exclude: exclude, current: c.startStream(head, p)}
+	steps := make(chan streamStep)
+	r := &streamRelay{call: c, p: p, exclude: exclude, steps: steps, current: c.startStream(head, p, steps)}
 	end := r.run()
 	r.current.end()
-	r.dropOther()
+	r.dropOthers()
 	return r.current.head, end
 }
 
@@ -235,20 +236,19 @@
 	stallTicker := time.NewTicker(stallCheckInterval)
 	defer stallTicker.Stop()
 	for {
-		var otherSteps <-chan streamStep
-		if r.other != nil {
-			otherSteps = r.other.steps
-		}
 		var end streamEnd
 		select {
 		case <-r.ctx.Done():
 			return r.contextEnded()
 		case <-stallTicker.C:
 			end = r.checkTarget()
-		case step := <-r.current.steps:
-			end = r.handleCurrent(step)
-		case step := <-otherSteps:
-			end = r.handleOther(step)
+		case step := <-r.steps:
+			switch {
+			case step.from == r.current:
+				end = r.handleCurrent(step)
+			case slices.Contains(r.others, step.from): // Otherwise it has been ended meanwhile.
+				end = r.handleOther(step)
+			}
 		}
 		if end != 0 {
 			return end
@@ -278,49 +278,45 @@
 		r.attempts.lastFailure = "the request was blocked while it waited: it, or a part of its prompt, crashes replicas"
 		return streamBlocked
 	}
-	asked := []*streamSend{r.current}
-	if r.other != nil {
-		asked = append(asked, r.other)
-	}
-	head := r.alternative(asked, r.exclude, r.p)
+	head := r.alternative(append([]*streamSend{r.current}, r.others...), r.exclude, r.p)
 	if head == nil {
 		return 0
 	}
-	r.dropOther() // It has sent nothing, and the current target may have.
 	r.exclude[head.Key] = true
 	r.attempts.sends++
 	r.opt.Metrics.Retry("target_stalled")
 	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events}).
 		Info("the target of a stream has stalled; asking another one as well")
-	r.other = r.startStream(head, r.p)
+	r.others = append(r.others, r.startStream(head, r.p, r.steps))
 	return 0
 }
 
-// handleCurrent handles a step of the current target. If it fails, the other one goes on; if it sends an event, that one isn't needed.
+// handleCurrent handles a step of the current target. If it fails, another one goes on; if it sends an event, the others aren't needed.
 func (r *streamRelay) handleCurrent(step streamStep) streamEnd {
 	end := r.handleStep(step, r.current, r.p)
-	if r.other == nil {
+	if len(r.others) == 0 {
 		return end
 	}
 	switch end {
 	case streamBroken, streamRefused:
-		r.useOther()
+		r.current.end()
+		r.use(r.others[0])
 		return 0
 	case 0:
 		if !isComment(step.data) {
-			r.dropOther()
+			r.dropOthers()
 		}
 	}
 	return end
 }
 
-// handleOther handles a step of the other target before it has sent an event.
+// handleOther handles a step of another target than the current one, before it has sent an event.
 func (r *streamRelay) handleOther(step streamStep) streamEnd {
 	if step.data != nil && isComment(step.data) {
 		return 0 // It may keep its connection open and never begin.
 	}
 	if step.data != nil || errors.Is(step.err, io.EOF) && r.p.headerWritten {
-		r.moveToOther()
+		r.moveTo(step.from)
 		return r.handleStep(step, r.current, r.p)
 	}
 	if step.response != nil && !step.response.header.NotRun {
@@ -328,40 +324,50 @@
 	}
 	began := r.attempts.began
 	r.attempts.began = false // The other target hasn't begun, whatever the current one has done.
-	r.handleStep(step, r.other, r.p)
+	r.handleStep(step, step.from, r.p)
 	r.attempts.began = began
-	r.other.end()
-	r.other = nil
+	step.from.end()
+	r.removeOther(step.from)
 	return 0
 }
 
-// moveToOther leaves the target that has stalled.
-func (r *streamRelay) moveToOther() {
-	r.attempts.maybeRun++
-	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.other.head.Key), "events": r.p.events}).
+// moveTo leaves all targets that have stalled for another one.
+func (r *streamRelay) moveTo(s *streamSend) {
+	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(s.head.Key), "events": r.p.events}).
 		Info("a stream goes on at another target")
-	r.useOther()
+	r.leave(r.current)
+	r.use(s)
+	r.dropOthers()
 }
 
-// useOther makes the other target the current one.
-func (r *streamRelay) useOther() {
-	r.current.end()
-	r.current, r.other = r.other, nil
-	r.attempts.lastTarget, r.attempts.began = string(r.current.head.Key), false
+// use makes one of the other targets the current one.
+func (r *streamRelay) use(s *streamSend) {
+	r.removeOther(s)
+	r.current = s
+	r.attempts.lastTarget, r.attempts.began = string(s.head.Key), false
 }
 
-// dropOther closes the connection to the other target, which may have run the request.
-func (r *streamRelay) dropOther() {
-	if r.other == nil {
-		return
-	}
+func (r *streamRelay) removeOther(s *streamSend) {
+	r.others = slices.DeleteFunc(r.others, func(o *streamSend) bool { return o == s })
+}
+
+// leave closes the connection to a target, which may have run the request.
+func (r *streamRelay) leave(s *streamSend) {
 	r.attempts.maybeRun++
-	r.other.end()
-	r.other = nil
+	s.end()
+}
+
+// dropOthers closes the connections to the other targets.
+func (r *streamRelay) dropOthers() {
+	for _, s := range r.others {
+		r.leave(s)
+	}
+	r.others = nil
 }
 
 // streamStep is one result of receive: a refusal, a complete response that is no stream, one event of a stream, or the end.
 type streamStep struct {
+	from     *streamSend
 	response *replicaResponse // Nil if err is set.
 	data     []byte
 	eventID  string
@@ -474,8 +480,9 @@
 
 // receive sends the request and reads the response into steps, until it ends or the context is done. What follows events that the
 // client already has, if the stream is resumed, must be numbered events: anything else could be the text of an error.
-func (c *call) receive(ctx context.Context, head *balance.Selection, lastEventID string, resumed bool, steps chan<- streamStep) {
+func (c *call) receive(ctx context.Context, send *streamSend, lastEventID string, resumed bool, steps chan<- streamStep) {
 	emit := func(step streamStep) bool {
+		step.from = send
 		select {
 		case steps <- step:
 			return true
@@ -483,7 +490,7 @@
 			return false
 		}
 	}
-	r, sent, err := c.send(ctx, head.Replica, lastEventID)
+	r, sent, err := c.send(ctx, send.head.Replica, lastEventID)
 	defer r.close()
 	if err != nil {
 		emit(streamStep{sent: sent, err: err})
