Let a stream return to a target that it left because of its silence

Callers: a stream that breaks off for good although its first target is sound again and the route allows one more attempt.

Cause: a target counted as excluded from the moment at which it was asked. One that was left since another one went on with the stream had not failed, but stayed excluded like those that had.

Evidence: TestStreamReturnsToAHeadThatWasSilent (new): the second target goes on after a silence of the first and breaks off, the first is the only one left. Before, the client got three of four events and an unexpected end.

Change: a target that is left because another one has sent an event may be selected again. The attempts that it took still count.

No test was narrowed.

--- a/internal/edge/silent_test.go
+++ b/internal/edge/silent_test.go
@@ -208,15 +208,15 @@
 	}
 }
 
-// streamReplicas returns a server with a head for each handler and a route that allows that many attempts. The first handler gets the first request,
-// and so on. A head that has announced on the channel that it is silent is suspected.
-func streamReplicas(t testing.TB, handlers ...func(w http.ResponseWriter, q *http.Request, silent func())) (h http.Handler, requests *atomic.Int32) {
+// streamReplicas returns a server with the given number of heads and a route that allows an attempt for each handler. The first handler gets the
+// first request, and so on. A head that says that it is silent is suspected.
+func streamReplicas(t testing.TB, heads int, handlers ...func(w http.ResponseWriter, q *http.Request, silent func())) (h http.Handler, requests *atomic.Int32) {
 	requests = new(atomic.Int32)
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
 	var replicas []*replica
-	silent := make(chan string, 2*len(handlers))
-	for range handlers {
+	silent := make(chan string, len(handlers))
+	for range heads {
 		server := httptest.NewUnstartedServer(nil)
 		address := server.Listener.Addr().String()
 		server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -255,7 +255,7 @@
 	t.Parallel()
 	c := quicktest.New(t)
 	thirdAsked := make(chan struct{})
-	server, requests := streamReplicas(t,
+	server, requests := streamReplicas(t, 3,
 		func(_ http.ResponseWriter, q *http.Request, silent func()) {
 			silent()
 			<-thirdAsked
@@ -280,6 +280,34 @@
 	c.Check(requests.Load(), quicktest.Equals, int32(3))
 }
 
+// Guards against a stream that breaks off for good because the only head that is left was once silent: another one had gone on with the stream.
+func TestStreamReturnsToAHeadThatWasSilent(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	server, requests := streamReplicas(t, 2,
+		func(w http.ResponseWriter, q *http.Request, silent func()) {
+			fmt.Fprint(w, events(1, 2))
+			silent()
+			<-q.Context().Done()
+		},
+		func(w http.ResponseWriter, q *http.Request, _ func()) {
+			fmt.Fprint(w, events(3, 3))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(silence / 2)
+			panic(http.ErrAbortHandler)
+		},
+		func(w http.ResponseWriter, q *http.Request, _ func()) {
+			if q.Header.Get("Last-Event-Id") == "3" {
+				fmt.Fprint(w, events(4, 4))
+			}
+		})
+	resp, body, err := sendRequest(t, server, http.MethodPost, "X-Cassiadeal-Deadline-Ms", strconv.FormatInt(silentTimeout.Milliseconds(), 10))
+	c.Assert(err, quicktest.IsNil)
+	c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
+	c.Check(body, quicktest.Equals, events(1, 4))
+	c.Check(requests.Load(), quicktest.Equals, int32(3))
+}
+
 // Guards against a stream that breaks off for good because the only other head is suspected, though that was only silent for a while.
 func TestBrokenStreamIsResumedAtASuspectedHead(t *testing.T) {
 	for name, suspect := range map[string]func(*balance.Table, balance.Key){
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -351,9 +351,10 @@
 	r.others = slices.DeleteFunc(r.others, func(o *streamSend) bool { return o == s })
 }
 
-// leave closes the connection to a target, which may have run the request.
+// leave closes the connection to a target, which may have run the request. It hasn't failed, so that the stream may return to it.
 func (r *streamRelay) leave(s *streamSend) {
 	r.attempts.maybeRun++
+	delete(r.exclude, s.head.Key)
 	s.end()
 }
 
