--- a/internal/edge/panic.go
+++ b/internal/edge/panic.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 )
 
@@ -16,12 +17,28 @@
 		if value == nil {
 			return
 		}
-		recovery.Recoverer{Where: "stream", Log: c.opt.Log, Metrics: c.opt.Metrics}.Report(value,
-			logrus.Fields{"request_id": c.req.ID, "route": c.route.Name, "target": string(s.head.Key)})
+		c.reportPanic("stream", value, s.head.Key)
 		select {
-		case steps <- streamStep{sent: true, err: recovery.ErrPanic}:
+		case steps <- streamStep{from: s, sent: true, err: recovery.ErrPanic}:
 		case <-ctx.Done():
 		}
 	}()
 	c.receive(ctx, s, lastEventID, resumed, steps)
 }
+
+// exchangeRecovered is exchange in a goroutine of its own. A panic becomes the failure of the send, which may have run.
+func (c *call) exchangeRecovered(ctx context.Context, s *bufferedSend) {
+	defer func() {
+		if value := recover(); value != nil {
+			c.reportPanic("exchange", value, s.key)
+			s.sent, s.err = true, recovery.ErrPanic
+		}
+	}()
+	c.exchange(ctx, s)
+}
+
+// reportPanic counts and logs the panic of a goroutine that works on a send to the target.
+func (c *call) reportPanic(where string, value any, target balance.Key) {
+	recovery.Recoverer{Where: where, Log: c.opt.Log, Metrics: c.opt.Metrics}.Report(value,
+		logrus.Fields{"request_id": c.req.ID, "route": c.route.Name, "target": string(target)})
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -65,13 +66,16 @@
 			c.failStream(p, refusal)
 			return
 		}
+		if c.attempts.mayHaveRun() {
+			c.attempts.readmit(exclude)
+		}
 		head, refusal := c.admit(exclude, p)
 		if head == nil {
 			c.failStream(p, refusal)
 			return
 		}
 		exclude[head.Key] = true
-		if c.attempts.sends > 0 && !c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
+		if c.attempts.sends > 0 && !c.allowRetry(retry.ReasonStreamIncomplete) {
 			c.failStream(p, nil)
 			return
 		}
@@ -131,6 +135,11 @@
 			time.Sleep(resumePollInterval)
 			head = c.opt.Table.PickHead(c.balanceQuery(exclude))
 		}
+		if head == nil {
+			query := c.balanceQuery(exclude)
+			query.Suspected = true // It may only be silent for a while.
+			head = c.opt.Table.PickHead(query)
+		}
 		return head, nil
 	}
 	if head == nil {
@@ -162,17 +171,15 @@
 type streamSend struct {
 	head   *balance.Selection
 	ticket *balance.Ticket
-	steps  <-chan streamStep
 	heard  *lastheard.Record
 	cancel context.CancelFunc
 }
 
-// startStream sends the request to the head.
-func (c *call) startStream(head *balance.Selection, p *progress) *streamSend {
+// startStream sends the request to the head, whose steps are sent to the given channel.
+func (c *call) startStream(head *balance.Selection, p *progress, steps chan<- streamStep) *streamSend {
 	ctx, cancel := context.WithCancel(c.ctx)
-	steps := make(chan streamStep)
 	c.opt.Table.CountColdSend(head.Replica, c.view)
-	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), steps: steps, heard: lastheard.New(), cancel: cancel}
+	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), heard: lastheard.New(), cancel: cancel}
 	go c.receiveRecovered(ctx, s, p.lastEventID, p.headerWritten, steps)
 	return s
 }
@@ -191,9 +198,10 @@
 			return nil
 		}
 	}
+	c.attempts.readmit(exclude)
 	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked) >= c.route.MaxAttempts ||
 		c.attempts.sends >= maxSends || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
-		!c.opt.Budget.Allow(c.service.Name, retry.ReasonStreamIncomplete) {
+		!c.allowRetry(retry.ReasonStreamIncomplete) {
 		return nil
 	}
 	for {
@@ -204,24 +212,26 @@
 	}
 }
 
-// streamRelay forwards one stream to the client. While the target is suspected of having stalled, the request is sent to another one
-// as well. The first of the two that sends an event goes on with the stream: until then, one may go on although it was silent, and the
-// other one may refuse the request, fail or be silent too.
+// streamRelay forwards one stream to the client. While all targets that were asked are suspected of having stalled, the request is sent to
+// another one as well. The first that sends an event goes on with the stream: until then, each may go on although it was silent, and each
+// other may refuse the request, fail or be silent too.
 type streamRelay struct {
 	*call
 	p       *progress
 	exclude map[balance.Key]bool
 	current *streamSend
-	other   *streamSend // Nil if the request was sent to no other target.
+	others  []*streamSend // They have sent no event.
+	steps   chan streamStep
 }
 
 // relay sends the request to one target and forwards its events to the client. It returns the target that sent the last of them.
 func (c *call) relay(head *balance.Selection, exclude map[balance.Key]bool, p *progress) (*balance.Selection, streamEnd) {
-	r := &streamRelay{call: c, p: p, exclude: exclude, current: c.startStream(head, p)}
+	steps := make(chan streamStep)
+	r := &streamRelay{call: c, p: p, exclude: exclude, steps: steps, current: c.startStream(head, p, steps)}
 	c.attempts.startSend(head.Key, r.current.heard)
 	defer func() { // Also after a panic.
 		r.current.end()
-		r.dropOther()
+		r.dropOthers()
 	}()
 	end := r.run()
 	return r.current.head, end
@@ -231,20 +241,19 @@
 	stallTicker := time.NewTicker(stallCheckInterval)
 	defer stallTicker.Stop()
 	for {
-		var otherSteps <-chan streamStep
-		if r.other != nil {
-			otherSteps = r.other.steps
-		}
 		var end streamEnd
 		select {
 		case <-r.ctx.Done():
 			return r.contextEnded()
 		case <-stallTicker.C:
 			end = r.checkTarget()
-		case step := <-r.current.steps:
-			end = r.handleCurrent(step)
-		case step := <-otherSteps:
-			end = r.handleOther(step)
+		case step := <-r.steps:
+			switch {
+			case step.from == r.current:
+				end = r.handleCurrent(step)
+			case slices.Contains(r.others, step.from): // Otherwise it has been ended meanwhile.
+				end = r.handleOther(step)
+			}
 		}
 		if end != 0 {
 			return end
@@ -274,52 +283,51 @@
 		r.attempts.lastFailure = "the request was blocked while it waited: it, or a part of its prompt, crashes replicas"
 		return streamBlocked
 	}
-	asked := []*streamSend{r.current}
-	if r.other != nil {
-		r.current.ticket.YieldTo(r.other.ticket)
-		asked = append(asked, r.other)
+	for _, other := range r.others {
+		r.current.ticket.YieldTo(other.ticket)
 	}
-	head := r.alternative(asked, r.exclude, r.p)
+	head := r.alternative(append([]*streamSend{r.current}, r.others...), r.exclude, r.p)
 	if head == nil {
 		return 0
 	}
-	r.dropOther() // It has sent nothing, and the current target may have.
 	r.exclude[head.Key] = true
 	r.attempts.sends++
 	r.opt.Metrics.Retry("target_stalled")
 	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events}).
 		Info("the target of a stream has stalled; asking another one as well")
-	r.other = r.startStream(head, r.p)
+	other := r.startStream(head, r.p, r.steps)
+	r.others = append(r.others, other)
 	r.attempts.othersAsked++
-	r.attempts.other, r.attempts.otherHeard = string(head.Key), r.other.heard
+	r.attempts.other, r.attempts.otherHeard = string(head.Key), other.heard
 	return 0
 }
 
-// handleCurrent handles a step of the current target. If it fails, the other one goes on; if it sends an event, that one isn't needed.
+// handleCurrent handles a step of the current target. If it fails, another one goes on; if it sends an event, the others aren't needed.
 func (r *streamRelay) handleCurrent(step streamStep) streamEnd {
 	end := r.handleStep(step, r.current, r.p)
-	if r.other == nil {
+	if len(r.others) == 0 {
 		return end
 	}
 	switch end {
 	case streamBroken, streamRefused:
-		r.useOther()
+		r.current.end()
+		r.use(r.others[0])
 		return 0
 	case 0:
 		if !isComment(step.data) {
-			r.dropOther()
+			r.dropOthers()
 		}
 	}
 	return end
 }
 
-// handleOther handles a step of the other target before it has sent an event.
+// handleOther handles a step of another target than the current one, before it has sent an event.
 func (r *streamRelay) handleOther(step streamStep) streamEnd {
 	if step.data != nil && isComment(step.data) {
 		return 0 // It may keep its connection open and never begin.
 	}
 	if step.data != nil || errors.Is(step.err, io.EOF) && r.p.headerWritten {
-		r.moveToOther()
+		r.moveTo(step.from)
 		return r.handleStep(step, r.current, r.p)
 	}
 	if step.response != nil && !step.response.header.NotRun {
@@ -327,46 +335,54 @@
 	}
 	began := r.attempts.began
 	r.attempts.began = false // The other target hasn't begun, whatever the current one has done.
-	r.handleStep(step, r.other, r.p)
+	r.handleStep(step, step.from, r.p)
 	r.attempts.began = began
-	r.endOther()
+	step.from.end()
+	r.removeOther(step.from)
+	r.current.ticket.CountAgain()
 	return 0
 }
 
-// moveToOther leaves the target that has stalled.
-func (r *streamRelay) moveToOther() {
-	r.attempts.maybeRun++
-	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.other.head.Key), "events": r.p.events}).
+// moveTo leaves all targets that have stalled for another one.
+func (r *streamRelay) moveTo(s *streamSend) {
+	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(s.head.Key), "events": r.p.events}).
 		Info("a stream goes on at another target")
-	r.useOther()
+	r.leave(r.current)
+	r.use(s)
+	r.dropOthers()
 }
 
-// useOther makes the other target the current one.
-func (r *streamRelay) useOther() {
-	r.current.end()
-	r.current, r.other = r.other, nil
+// use makes one of the other targets the current one.
+func (r *streamRelay) use(s *streamSend) {
+	r.removeOther(s)
+	r.current = s
 	r.attempts.takeovers++
-	r.attempts.lastTarget, r.attempts.began, r.attempts.heard = string(r.current.head.Key), false, r.current.heard
+	r.attempts.lastTarget, r.attempts.began, r.attempts.heard = string(s.head.Key), false, s.heard
 }
 
-// dropOther closes the connection to the other target, which may have run the request.
-func (r *streamRelay) dropOther() {
-	if r.other == nil {
-		return
-	}
+func (r *streamRelay) removeOther(s *streamSend) {
+	r.others = slices.DeleteFunc(r.others, func(o *streamSend) bool { return o == s })
+}
+
+// leave closes the connection to a target, which may have run the request. It hasn't failed, so that the stream may return to it.
+func (r *streamRelay) leave(s *streamSend) {
 	r.attempts.maybeRun++
-	r.endOther()
+	delete(r.exclude, s.head.Key)
+	s.end()
 }
 
-// endOther closes the connection to the other target, so that the request depends on the current one again.
-func (r *streamRelay) endOther() {
-	r.other.end()
-	r.other = nil
+// dropOthers closes the connections to the other targets, so that the request depends on the current one again.
+func (r *streamRelay) dropOthers() {
+	for _, s := range r.others {
+		r.leave(s)
+	}
+	r.others = nil
 	r.current.ticket.CountAgain()
 }
 
 // streamStep is one result of receive: a refusal, a complete response that is no stream, one event of a stream, or the end.
 type streamStep struct {
+	from     *streamSend
 	response *replicaResponse // Nil if err is set.
 	data     []byte
 	eventID  string
@@ -479,8 +495,9 @@
 
 // receive sends the request and reads the response into steps, until it ends or the context is done. What follows events that the
 // client already has, if the stream is resumed, must be numbered events: anything else could be the text of an error.
-func (c *call) receive(ctx context.Context, s *streamSend, lastEventID string, resumed bool, steps chan<- streamStep) {
+func (c *call) receive(ctx context.Context, send *streamSend, lastEventID string, resumed bool, steps chan<- streamStep) {
 	emit := func(step streamStep) bool {
+		step.from = send
 		select {
 		case steps <- step:
 			return true
@@ -488,7 +505,7 @@
 			return false
 		}
 	}
-	r, sent, err := c.send(ctx, s.head.Replica, lastEventID, s.heard)
+	r, sent, err := c.send(ctx, send.head.Replica, lastEventID, send.heard)
 	defer r.close()
 	if err != nil {
 		emit(streamStep{sent: sent, err: err})
@@ -536,7 +553,7 @@
 			emit(streamStep{sent: true, err: err})
 			return
 		}
-		s.heard.Reach(lastheard.Body)
+		send.heard.Reach(lastheard.Body)
 		emitted := emit(streamStep{response: r, data: event.Bytes(), eventID: id, sent: true})
 		previous.Release() // The event before has been written once the next one is accepted.
 		previous = event
