Test a panic in the second send of a stream

The first target, silent for a while, goes on with the stream. Without the recovery of the receiving goroutine the test process ended with the panic.

--- a/internal/edge/panic_test.go
+++ b/internal/edge/panic_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,15 +22,15 @@
 	"cassiadeal.example/cassiadeal/internal/telemetry"
 )
 
-// panickingCodec panics in the function of the given name, in the first calls of it.
+// panickingCodec panics in the function of the given name, in the first calls of it that aren't skipped.
 type panickingCodec struct {
 	Codec
-	in   string
-	left atomic.Int64
+	in         string
+	skip, left atomic.Int64
 }
 
 func (p *panickingCodec) panicIn(name string) {
-	if p.in == name && p.left.Add(-1) >= 0 {
+	if p.in == name && p.skip.Add(-1) < 0 && p.left.Add(-1) >= 0 {
 		panic("test: " + name)
 	}
 }
@@ -228,6 +229,23 @@
 	}
 }
 
+// Guards against a stream that is given up because the code of a second send panics, which was made while the first target was silent.
+func TestPanicOfASecondSendLeavesTheFirst(t *testing.T) {
+	c := quicktest.New(t)
+	s := silentHeads(t, 2, 4, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, events(3, 4)) }).(*Server)
+	codec := &panickingCodec{Codec: s.opt.Codec, in: "DecodeAnswer"}
+	codec.skip.Store(1)
+	codec.left.Store(1)
+	s.opt.Codec = codec
+	log := logTo(s)
+	resp, body, err := sendRequest(t, s, http.MethodPost, "X-Cassiadeal-Deadline-Ms", strconv.FormatInt(silentTimeout.Milliseconds(), 10))
+	c.Assert(err, quicktest.IsNil)
+	c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
+	c.Check(body, quicktest.Equals, events(1, 4))
+	c.Check(log.lines(t, "recovered from a panic"), quicktest.HasLen, 1)
+	waitUntil(t, func() bool { return len(targetsInUse(s)) == 0 })
+}
+
 // Guards against a stream that ends as if it were complete, and against the end of the process, when the code that receives it panics
 // between two events.
 func TestPanicBetweenEventsDoesNotCompleteTheStream(t *testing.T) {
