Recover a panic while a claim's final state is written

The final state of each claim is written in a goroutine of its own. A panic there ended the process, and with it all its requests without an answer.

It is now counted and logged. The node's Status goes on to state the final state; the store's copy of the claim stays as it was.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
@@ -71,6 +72,8 @@
 	Nodes func() []string
 	Now   func() time.Time
 	Log   logrus.FieldLogger
+	// Panics counts recovered panics. May be nil.
+	Panics recovery.Metrics
 }
 
 // Manager claims requests for one node. Run must be active while it is used.
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
@@ -131,7 +133,11 @@
 	}
 	a.claim, a.expires = settled, m.opts.Now().Add(unsettledTTL)
 	m.mu.Unlock()
-	go m.settleOrEnqueue(context.WithoutCancel(ctx), a)
+	go func() {
+		// After a panic, Status still states the final state, and the store's copy of the claim stays as it is.
+		defer recovery.Recoverer{Where: "claims", Log: m.opts.Log, Metrics: m.opts.Panics}.Recover(logrus.Fields{"key": a.key})
+		m.settleOrEnqueue(context.WithoutCancel(ctx), a)
+	}()
 	timer := time.NewTimer(answerStoreTimeout)
 	defer timer.Stop()
 	select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,7 +256,7 @@
 	n.admission = admission.New(n.self.Name, nil)
 	n.claims = claims.New(claims.Options{
 		Node: n.self.Name, Incarnation: n.self.Incarnation, Store: n.platform, Owners: claimOwners{n}, Nodes: n.liveNodes, Log: n.log,
-		Era: n.platform.EraStart,
+		Era: n.platform.EraStart, Panics: n.metrics,
 	})
 	answers := buffer.NewBudget(gateway.SharedAnswerBytes)
 	n.executor = executor.New(executor.Options{
