Count an engine as lost only if it has missed reads of its state

Callers saw their streams end though the engines of the group were sound: after 3 s without a report a controller took a member out of its group, and its orders end what runs there. The age of a report also grew when the controller had not asked. 32 readers were shared by all VMs, and each silent VM occupied one for a second at a time, so that 100 silent VMs delayed the reads of sound ones by 3 s; after a pause of the controller every report was old. An engine that answered each read after 1.2 s of silence was never read at all, because a read was given up after the freshness bound of 1 s.

Each read now has its own goroutine, at most four for each engine, and a time limit of 1.5 s. Reports state how many reads were missed since the last answer, and a member is lost if its report is older than 3 s and two reads were missed. One may have been under way while the controller was paused.

The doubles of the existing tests state missed reads beside the age; their expectations are unchanged.

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -435,7 +435,7 @@
 func (c *Controllers) reportSince(vm string, now, since time.Duration) Report {
 	r := c.options.Report(vm)
 	if now-r.Age < since {
-		return Report{Age: max(now-since, 0)}
+		return Report{Age: max(now-since, 0), Missed: r.Missed}
 	}
 	return r
 }
--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -39,6 +39,8 @@
 	Age time.Duration
 	// Seen is false if no report has arrived yet.
 	Seen bool
+	// Missed counts the requests for a report that were sent after the one that was answered last, and have failed.
+	Missed int
 	// Leaving is set if the engine has stated that it is leaving, whether or not the VM list shows it.
 	Leaving bool
 	// Limited is set if the engine has stated a limit on its rate of requests.
@@ -68,10 +70,14 @@
 // Timing holds the planner's time limits.
 type Timing struct {
 	Fresh time.Duration // An older report doesn't confirm a VM's state; 1 s if zero.
-	Lost  time.Duration // A member without a report for this long is lost; 3 s if zero.
+	Lost  time.Duration // A member without a report for this long, and with minMissed missed ones, is lost; 3 s if zero.
 	Drain time.Duration // A retiring group keeps its VMs for this long; 30 s if zero.
 }
 
+// minMissed is the number of missed reports without which a member isn't lost. A report can be old because the controller was paused or
+// was late to ask. One missed report doesn't show more, since it may have been under way during the pause.
+const minMissed = 2
+
 func (t Timing) withDefaults() Timing {
 	return Timing{
 		Fresh: cmp.Or(t.Fresh, time.Second), Lost: cmp.Or(t.Lost, 3*time.Second),
@@ -189,7 +195,7 @@
 		return true
 	}
 	r, ok := p.input.Reports[vm]
-	return ok && r.Age > p.input.Timing.Lost
+	return ok && r.Age > p.input.Timing.Lost && r.Missed >= minMissed
 }
 
 // freshReport returns the report of a VM, and whether it is recent enough to be relied upon.
--- a/internal/groups/plan_test.go
+++ b/internal/groups/plan_test.go
@@ -19,6 +19,9 @@
 	engines  map[string]*engine
 }
 
+// missedEvery is the time between two missed reports of a silent engine.
+const missedEvery = time.Second
+
 type engine struct {
 	Report
 	readyAt     time.Duration
@@ -68,6 +71,7 @@
 		r := e.Report
 		if e.silentSince >= 0 {
 			r.Age = s.now - e.silentSince
+			r.Missed = int(r.Age / missedEvery)
 		}
 		s.input.Reports[vm] = r
 	}
@@ -342,3 +346,23 @@
 	}
 	return n
 }
+
+// Guards against orders that end the requests of every group of a controller that was paused, or was late to ask: the reports are old,
+// but the engines haven't missed more than the one that was under way. A member that has missed more is lost as soon as its report is old.
+func TestPlanKeepsGroupsWhoseReportsWereNotMissed(t *testing.T) {
+	for missed, want := range map[int]bool{0: false, minMissed - 1: false, minMissed: true} {
+		t.Run(fmt.Sprintf("%d missed", missed), func(t *testing.T) {
+			s := newPlanSimulation(9, 2, RepairWithSpare)
+			s.run(4 * time.Minute)
+			qt.Assert(t, s.groupStates(), qt.DeepEquals, map[schema.GroupState]int{ready: 2})
+			in := s.input
+			for vm := range in.Plan.Assignments {
+				r := in.Reports[vm]
+				r.Age, r.Missed = 3100*time.Millisecond, missed
+				in.Reports[vm] = r
+			}
+			qt.Check(t, Plan(in).Changed, qt.Equals, want)
+			qt.Check(t, Plan(in).Orders, qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,8 +234,7 @@
 	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery, Heard: func(address string, resp *http.Response) {
 		n.statements.RecordResponse(address, "", resp, 0)
 	}})
-	// Two reads within the freshness bound tolerate one late read.
-	n.reports = newVMReports(orderClient, n.statements, n.now, n.vms.address, timing.Freshness/2, timing.Freshness)
+	n.reports = newVMReports(orderClient, n.statements, n.now, n.vms.address, timing.Freshness)
 	n.groups = groups.New(groups.Options{
 		Self: self, Platform: api, Members: holderMembers{n.membership}, Orders: orderClient, VMs: n.plannedVMs, Report: n.reports.get,
 		Rules: func() *rules.Rules { _, r := n.config.Current(); return r }, Now: n.now,
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cassiadeal.example/cassiadeal/internal/groups"
 	"cassiadeal.example/cassiadeal/internal/orders"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -14,9 +16,8 @@
 	// reportExpiry is how long a VM's engine is read after a controller last requested its state. Controllers request only
 	// VMs of fabric domains that this node controls.
 	reportExpiry        = 2 * time.Second
-	reportReaders       = 32
-	reportQueueSize     = 1024
 	maxScheduleInterval = 50 * time.Millisecond // Between two checks for due reads.
+	maxReads            = 4                     // Reads of one engine at a time.
 )
 
 // vmReports reads the states of engines for the group controllers. It reads an engine repeatedly while controllers request its
@@ -28,7 +29,7 @@
 	address      func(vm string) (string, bool)
 	readInterval time.Duration
 	readTimeout  time.Duration
-	readQueue    chan string
+	reads        sync.WaitGroup
 
 	mu  sync.Mutex
 	vms map[string]*vmReport
@@ -40,14 +41,16 @@
 	hasState       bool
 	firstRequested time.Duration // When a controller first requested the state.
 	lastRequested  time.Duration // When a controller last requested the state.
-	reading        bool          // A read is queued or in progress.
+	reads          int           // In progress.
 	nextRead       time.Duration // Earliest start of the next read.
+	missed         int           // Reads that were sent after readSentAt and have failed.
 }
 
-func newVMReports(client *orders.Client, statements *statement.Table, now func() time.Duration, address func(string) (string, bool), interval, timeout time.Duration) *vmReports {
+func newVMReports(client *orders.Client, statements *statement.Table, now func() time.Duration, address func(string) (string, bool), freshness time.Duration) *vmReports {
 	return &vmReports{
-		client: client, statements: statements, now: now, address: address, readInterval: interval, readTimeout: timeout,
-		readQueue: make(chan string, reportQueueSize), vms: make(map[string]*vmReport),
+		client: client, statements: statements, now: now, address: address, vms: make(map[string]*vmReport),
+		// Two reads within the freshness bound tolerate one late read. A sound engine may be silent for longer than the bound.
+		readInterval: freshness / 2, readTimeout: freshness * 3 / 2,
 	}
 }
 
@@ -62,7 +65,7 @@
 	}
 	report.lastRequested = v.now()
 	if !report.hasState {
-		return groups.Report{Age: v.now() - report.firstRequested}
+		return groups.Report{Age: v.now() - report.firstRequested, Missed: report.missed}
 	}
 	address, _ := v.address(vm)
 	engine := statement.Target{ID: address, Incarnation: report.state.Incarnation}
@@ -72,78 +75,63 @@
 		Incarnation: report.state.Incarnation, Group: report.state.Group, Number: report.state.Number,
 		Rank: report.state.Rank, Size: report.state.Size,
 		Model: report.state.Model, Loading: report.state.Loading, Ready: report.state.Ready, Weights: report.state.Weights,
-		Age: v.now() - report.readSentAt, Seen: true,
+		Age: v.now() - report.readSentAt, Seen: true, Missed: report.missed,
 	}
 }
 
-// run schedules reads until ctx ends. A pool of readers bounds the concurrent reads; there is at most one for each VM.
+// run schedules reads until ctx ends. Each read has its own goroutine, so that reads of silent engines don't delay those of others.
 func (v *vmReports) run(ctx context.Context) {
-	var wg sync.WaitGroup
-	for range reportReaders {
-		wg.Go(func() { v.readLoop(ctx) })
-	}
 	ticker := time.NewTicker(min(v.readInterval, maxScheduleInterval))
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		v.schedule()
+		v.schedule(ctx)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
 		}
 	}
-	wg.Wait()
+	v.reads.Wait()
 }
 
-func (v *vmReports) schedule() {
+func (v *vmReports) schedule(ctx context.Context) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
 	for vm, report := range v.vms {
 		switch {
-		case report.reading:
 		case now-report.lastRequested > reportExpiry:
 			delete(v.vms, vm)
-		case now >= report.nextRead:
-			select {
-			case v.readQueue <- vm:
-				report.reading = true
-				report.nextRead = now + v.readInterval
-			default: // The queue is full; the next tick tries again.
-			}
-		}
-	}
-}
-
-func (v *vmReports) readLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case vm := <-v.readQueue:
-			v.read(ctx, vm)
+		case now >= report.nextRead && report.reads < maxReads:
+			report.reads++
+			report.nextRead = now + v.readInterval
+			v.reads.Go(func() { v.read(ctx, vm, report) })
 		}
 	}
 }
 
-func (v *vmReports) read(ctx context.Context, vm string) {
+// read reads the state of a VM's engine once and stores it, unless the state of a later read has arrived before.
+func (v *vmReports) read(ctx context.Context, vm string, report *vmReport) {
 	sentAt := v.now()
-	var state orders.State
-	address, ok := v.address(vm)
-	if ok {
-		ctx, cancel := context.WithTimeout(ctx, v.readTimeout)
-		defer cancel()
-		var err error
-		state, err = v.client.State(ctx, address)
-		ok = err == nil
-	}
+	state, err := v.readState(ctx, vm)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	report, stillRequested := v.vms[vm]
-	if !stillRequested {
+	report.reads--
+	if report.hasState && sentAt < report.readSentAt || ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		report.missed++
 		return
 	}
-	report.reading = false
-	if ok {
-		report.state, report.readSentAt, report.hasState = state, sentAt, true
+	report.state, report.readSentAt, report.hasState, report.missed = state, sentAt, true, 0
+}
+
+func (v *vmReports) readState(ctx context.Context, vm string) (orders.State, error) {
+	address, ok := v.address(vm)
+	if !ok {
+		return orders.State{}, eris.Errorf("VM %q is not listed", vm)
 	}
+	ctx, cancel := context.WithTimeout(ctx, v.readTimeout)
+	defer cancel()
+	return v.client.State(ctx, address)
 }
