Keep the VMs of a retiring group while requests run there

Callers whose requests ran for more than 30 s lost them when their group was retired, because a replacement of a leaving member was ready, a pool had changed or there was a surplus: the controller ordered the VMs away 30 s after the start of the retirement, and a leave order ends what the engine runs. The deadline of a pool may be longer.

A retiring group is now dissolved when its 30 s are over and a fresh report of rank 0 counts no running and no waiting request. While that is silent for a second, the group is kept. Requests that don't end hold the VMs for 10 more minutes at most, or for the deadline of the pool if that is longer. A lost member still dissolves the group at once.

TestPlanKeepsARetiringGroupWhileRequestsRun: four of five cases failed before (dissolved after 30 s while a request ran, waited, or rank 0 was silent); an idle group is dissolved after 30 s as before.

--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -35,6 +35,8 @@
 	Loading     bool
 	Ready       bool
 	Weights     []string // Models whose weights the VM holds.
+	// Running and Waiting count the engine's requests, as of a short time before.
+	Running, Waiting int
 	// Age is the time since the report was requested, or since reports of the VM are collected if none has arrived.
 	Age time.Duration
 	// Seen is false if no report has arrived yet.
@@ -71,7 +73,10 @@
 type Timing struct {
 	Fresh time.Duration // An older report doesn't confirm a VM's state; 1 s if zero.
 	Lost  time.Duration // A member without a report for this long, and with minMissed missed ones, is lost; 3 s if zero.
-	Drain time.Duration // A retiring group keeps its VMs for this long; 30 s if zero.
+	Drain time.Duration // A retiring group keeps its VMs for at least this long; 30 s if zero.
+	// MaxDrain is the longest time for which a retiring group keeps its VMs beyond Drain for the requests that still run, unless their
+	// pool has a longer deadline; 10 min if zero.
+	MaxDrain time.Duration
 }
 
 // minMissed is the number of missed reports without which a member isn't lost. A report can be old because the controller was paused or
@@ -81,7 +86,7 @@
 func (t Timing) withDefaults() Timing {
 	return Timing{
 		Fresh: cmp.Or(t.Fresh, time.Second), Lost: cmp.Or(t.Lost, 3*time.Second),
-		Drain: cmp.Or(t.Drain, 30*time.Second),
+		Drain: cmp.Or(t.Drain, 30*time.Second), MaxDrain: cmp.Or(t.MaxDrain, 10*time.Minute),
 	}
 }
 
@@ -275,7 +280,7 @@
 		}
 	}
 	if g.State == schema.GroupState_GROUP_STATE_RETIRING {
-		if len(lost) > 0 || p.input.Now.UnixMilli() >= g.RetireUnixMs {
+		if len(lost) > 0 || p.isDrained(g) {
 			p.dissolve(g)
 		}
 		return
@@ -303,6 +308,23 @@
 	}
 }
 
+// isDrained reports whether the VMs of a retiring group may be ordered away: its time is over, and by a fresh report of rank 0, which runs
+// the requests, none is left. Requests may run for longer than Timing.Drain, up to the deadline of their pool.
+func (p *planner) isDrained(g *schema.Group) bool {
+	retired := time.UnixMilli(g.RetireUnixMs)
+	if p.input.Now.Before(retired) {
+		return false
+	}
+	names := members(p.plan, g)
+	if len(names) == 0 {
+		return true
+	}
+	r, fresh := p.freshReport(names[0])
+	idle := fresh && r.Running == 0 && r.Waiting == 0
+	maxDrain := max(p.input.Timing.MaxDrain, p.shares[g.Pool].Pool.Deadline)
+	return idle || !p.input.Now.Before(retired.Add(maxDrain))
+}
+
 // checkReady renumbers a ready group if a fresh report contradicts the plan.
 func (p *planner) checkReady(g *schema.Group) {
 	for _, vm := range members(p.plan, g) {
--- a/internal/groups/plan_test.go
+++ b/internal/groups/plan_test.go
@@ -17,6 +17,8 @@
 	loadTime time.Duration
 	input    Input
 	engines  map[string]*engine
+	// retiredAt is when a test began to retire a group.
+	retiredAt time.Duration
 }
 
 // missedEvery is the time between two missed reports of a silent engine.
@@ -366,3 +368,57 @@
 		})
 	}
 }
+
+// Guards against a leave order that ends requests at a retiring group: they run for longer than the drain time, rank 0 is silent for a
+// second when that is over, or its count of requests isn't known. The VMs are free once nothing runs, and after the longest drain time.
+func TestPlanKeepsARetiringGroupWhileRequestsRun(t *testing.T) {
+	const drain, maxDrain = 30 * time.Second, 10 * time.Minute // The defaults.
+	for _, tc := range []struct {
+		name      string
+		head      func(s *planSimulation, head *engine) // Called each second after the start of the retirement.
+		earliest  time.Duration
+		dissolved time.Duration // Latest.
+	}{
+		{"idle", func(*planSimulation, *engine) {}, drain, drain + time.Second},
+		{"runs for 45 s", func(s *planSimulation, head *engine) {
+			if head.Running = 1; s.sinceRetirement() >= 45*time.Second {
+				head.Running = 0
+			}
+		}, 45 * time.Second, 46 * time.Second},
+		{"waits for 45 s", func(s *planSimulation, head *engine) {
+			if head.Waiting = 1; s.sinceRetirement() >= 45*time.Second {
+				head.Waiting = 0
+			}
+		}, 45 * time.Second, 46 * time.Second},
+		{"silent for two seconds at the end", func(s *planSimulation, head *engine) {
+			head.silentSince = -1
+			if since := s.sinceRetirement(); since >= drain-time.Second && since <= drain+time.Second {
+				head.silentSince = s.now - (since - (drain - time.Second)) - time.Second
+			}
+		}, drain + 2*time.Second, drain + 3*time.Second},
+		{"runs on", func(_ *planSimulation, head *engine) { head.Running = 1 }, drain + maxDrain, drain + maxDrain + time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newPlanSimulation(4, 1, RepairWithSpare)
+			s.run(4 * time.Minute)
+			qt.Assert(t, s.groupStates(), qt.DeepEquals, map[schema.GroupState]int{ready: 1})
+			var head *engine
+			for vm, a := range s.input.Plan.Assignments {
+				if a.Rank == 0 {
+					head = s.engines[vm]
+				}
+			}
+			s.input.Shares, s.retiredAt = nil, s.now
+			for ; s.sinceRetirement() < 2*maxDrain; s.now += time.Second {
+				tc.head(s, head)
+				if s.step(); len(s.input.Plan.Groups) == 0 {
+					break
+				}
+			}
+			took := s.sinceRetirement()
+			qt.Check(t, took >= tc.earliest && took <= tc.dissolved, qt.IsTrue, qt.Commentf("dissolved after %v", took))
+		})
+	}
+}
+
+func (s *planSimulation) sinceRetirement() time.Duration { return s.now - s.retiredAt }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -75,6 +75,7 @@
 		Incarnation: report.state.Incarnation, Group: report.state.Group, Number: report.state.Number,
 		Rank: report.state.Rank, Size: report.state.Size,
 		Model: report.state.Model, Loading: report.state.Loading, Ready: report.state.Ready, Weights: report.state.Weights,
+		Running: report.state.Running, Waiting: report.state.Waiting,
 		Age: v.now() - report.readSentAt, Seen: true, Missed: report.missed,
 	}
 }
