Keep silent members of a group until spares replace them

Streams ended though nothing was lost and nothing took over: a member that was silent for 3 s left its group at once, also without a spare. When it reported again, it got a leave order and all members got join orders, which end what runs there.

A group with silent members now goes back to the planned state, in which it gets no new requests, but keeps its members, their incarnations and its number. Spares replace its silent members as soon as there are enough. If all members report again unchanged before, the group is ready without an order; any other report gives it a new number. Incomplete groups are merged as before, but a group with silent members is only dissolved if the sound VMs complete another one. Members that left the VM list are removed at once, as before.

--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -193,12 +193,18 @@
 	return names
 }
 
-// isLost reports whether a member can no longer serve. Timing.Lost also applies to a VM without any report, counted from
-// the start of collection, so that a new controller doesn't dissolve all groups.
-func (p *planner) isLost(vm string) bool {
-	if _, listed := p.vms[vm]; !listed {
-		return true
-	}
+// isLost reports whether a member can no longer serve.
+func (p *planner) isLost(vm string) bool { return p.isGone(vm) || p.isSilent(vm) }
+
+// isGone reports whether a VM is no longer listed.
+func (p *planner) isGone(vm string) bool {
+	_, listed := p.vms[vm]
+	return !listed
+}
+
+// isSilent reports whether a VM has sent no report for so long that it counts as lost. Timing.Lost also applies to a VM without any
+// report, counted from the start of collection, so that a new controller doesn't dissolve all groups.
+func (p *planner) isSilent(vm string) bool {
 	r, ok := p.input.Reports[vm]
 	return ok && r.Age > p.input.Timing.Lost && r.Missed >= minMissed
 }
@@ -294,20 +300,38 @@
 		p.dissolve(g)
 		return
 	}
-	if len(lost) > 0 {
-		for _, vm := range lost {
-			delete(p.plan.Assignments, vm)
-		}
+	switch {
+	case slices.ContainsFunc(lost, p.isGone):
+		p.removeMissing(g)
 		p.renumber(g)
-		return
-	}
-	if ready {
-		p.checkReady(g)
-	} else {
+	case len(lost) > 0:
+		// The group keeps its silent members until spares replace them. If these report again before, unchanged, the group is
+		// ready again without orders, which would end what runs there.
+		g.State = schema.GroupState_GROUP_STATE_PLANNED
+	case (ready || p.isSuspended(g)) && p.isContradicted(g):
+		p.renumber(g)
+	case !ready:
 		p.checkPlanned(g)
 	}
 }
 
+// removeMissing removes the members of a group that have to be replaced.
+func (p *planner) removeMissing(g *schema.Group) {
+	maps.DeleteFunc(p.plan.Assignments, func(vm string, a *schema.Assignment) bool { return a.Group == g.Id && p.isMissing(g, vm) })
+}
+
+// isMissing reports whether a member of a group has to be replaced: it is lost, or leaving while the group doesn't serve.
+func (p *planner) isMissing(g *schema.Group, vm string) bool {
+	return p.isLost(vm) || g.State == schema.GroupState_GROUP_STATE_PLANNED && p.vms[vm].Leaving
+}
+
+// isSuspended reports whether a planned group was ready and has not been renumbered since, so that its members may still run requests.
+func (p *planner) isSuspended(g *schema.Group) bool {
+	return g.State == schema.GroupState_GROUP_STATE_PLANNED && !slices.ContainsFunc(members(p.plan, g), func(vm string) bool {
+		return p.plan.Assignments[vm].GetIncarnation() == ""
+	})
+}
+
 // isDrained reports whether the VMs of a retiring group may be ordered away: its time is over, and by a fresh report of rank 0, which runs
 // the requests, none is left. Requests may run for longer than Timing.Drain, up to the deadline of their pool.
 func (p *planner) isDrained(g *schema.Group) bool {
@@ -325,8 +349,8 @@
 	return idle || !p.input.Now.Before(retired.Add(maxDrain))
 }
 
-// checkReady renumbers a ready group if a fresh report contradicts the plan.
-func (p *planner) checkReady(g *schema.Group) {
+// isContradicted reports whether a fresh report contradicts the plan of a group that is ready or suspended.
+func (p *planner) isContradicted(g *schema.Group) bool {
 	for _, vm := range members(p.plan, g) {
 		r, fresh := p.freshReport(vm)
 		if !fresh {
@@ -334,10 +358,10 @@
 		}
 		a := p.plan.Assignments[vm]
 		if r.Incarnation != a.Incarnation || !confirmsMembership(r, g, a.Rank) {
-			p.renumber(g)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // confirmsMembership reports whether a VM reports the group, its current number and the given rank.
@@ -375,11 +399,11 @@
 	return p.isOutdated(g) || slices.ContainsFunc(members(p.plan, g), func(vm string) bool { return p.vms[vm].Leaving })
 }
 
-// missingMembers counts the vacant ranks of a group.
+// missingMembers counts the ranks of a group that are vacant or whose member has to be replaced.
 func (p *planner) missingMembers(g *schema.Group) int {
 	n := 0
 	for _, vm := range members(p.plan, g) {
-		if vm == "" {
+		if vm == "" || p.isMissing(g, vm) {
 			n++
 		}
 	}
@@ -462,8 +486,8 @@
 	return n
 }
 
-// repairGroups fills the vacant ranks of planned groups, those with the fewest vacant ranks first. If the spares don't
-// suffice for two or more groups, the one with the most vacant ranks is dissolved, so that its VMs can complete another.
+// repairGroups fills the vacant ranks of planned groups and replaces their silent members, in groups that miss the fewest first. If the
+// spares don't suffice for two or more groups, the one that misses the most is dissolved, so that its VMs can complete another.
 func (p *planner) repairGroups() {
 	var incomplete []*schema.Group
 	for _, id := range p.groupIDs() {
@@ -471,7 +495,9 @@
 		if g.State != schema.GroupState_GROUP_STATE_PLANNED {
 			continue
 		}
-		p.dropLeaving(g)
+		if !p.isSuspended(g) {
+			p.dropLeaving(g)
+		}
 		if p.missingMembers(g) > 0 {
 			incomplete = append(incomplete, g)
 		}
@@ -483,11 +509,24 @@
 			unfilled = append(unfilled, g)
 		}
 	}
-	if len(unfilled) > 1 {
+	if len(unfilled) > 1 && p.canComplete(unfilled) {
 		p.dissolve(unfilled[len(unfilled)-1])
 	}
 }
 
+// canComplete reports whether the VMs of incomplete groups, ordered by the members that they miss, can complete the first one. Only silent
+// members need this: their groups may become ready without being touched.
+func (p *planner) canComplete(incomplete []*schema.Group) bool {
+	if !slices.ContainsFunc(members(p.plan, incomplete[len(incomplete)-1]), p.isSilent) {
+		return true
+	}
+	available := len(p.spares(incomplete[0].Model))
+	for _, g := range incomplete[1:] {
+		available += int(g.Size) - p.missingMembers(g)
+	}
+	return available >= p.missingMembers(incomplete[0])
+}
+
 // dropLeaving removes leaving members from a planned group, which doesn't serve.
 func (p *planner) dropLeaving(g *schema.Group) {
 	changed := false
@@ -502,12 +541,13 @@
 	}
 }
 
-// fillVacancies assigns spares to all vacant ranks, or to none if there are too few spares.
+// fillVacancies assigns spares to all vacant ranks and those of lost members, or to none if there are too few spares.
 func (p *planner) fillVacancies(g *schema.Group) bool {
 	spares := p.spares(g.Model)
 	if len(spares) < p.missingMembers(g) {
 		return false
 	}
+	p.removeMissing(g)
 	for rank, vm := range members(p.plan, g) {
 		if vm == "" {
 			p.plan.Assignments[spares[0]] = &schema.Assignment{Group: g.Id, Rank: uint32(rank)}
@@ -587,7 +627,7 @@
 	for _, id := range p.groupIDs() {
 		g := p.plan.Groups[id]
 		names := members(p.plan, g)
-		if g.State != schema.GroupState_GROUP_STATE_PLANNED || slices.Contains(names, "") {
+		if g.State != schema.GroupState_GROUP_STATE_PLANNED || p.missingMembers(g) > 0 {
 			continue
 		}
 		addresses := make([]string, len(names))
