Keep what nothing can take over while the node that runs it is silent

Callers of another node than the holder lost their begun streams, and got "outcome unknown" for requests that may not be repeated, when the holder fell silent for 1.5 to 2 s and went on: a forwarded request was cancelled 2 s after the last chunk, and keep-alive chunks are 0.5 s apart. Nothing had taken over by then, and nothing can: the stream is at its engine, and the lease of the holder lasts 3 s.

A begun answer and a request that may not be repeated are now given up after the term of the lease and the margin (3.5 s) without a chunk. A request that can be repeated and has no answer yet is still cancelled after 2 s, so that another target answers it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,7 +115,7 @@
 	if node.listeners, err = bind(&cfg.Listen); err != nil {
 		return nil, err
 	}
-	node.peers = peer.NewClient(node.listeners.peer.Addr())
+	node.peers = peer.NewClient(node.listeners.peer.Addr(), cfg.Timing.Term+cfg.Timing.Margin)
 	node.self = &schema.Node{
 		Name:            cfg.Node.Name,
 		Incarnation:     uuid.NewString(),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -22,8 +22,8 @@
 	idleConnExpiry      = 2 * time.Second
 	maxIdleConnsPerNode = 64
 	keepAliveInterval   = 500 * time.Millisecond
-	// chunkTimeout is the time without a chunk after which a dispatch is cancelled. It covers three keep-alive intervals
-	// and the delay of a lossy link.
+	// chunkTimeout is the time without a chunk after which a dispatch that can be repeated elsewhere is cancelled. It covers three
+	// keep-alive intervals and the delay of a lossy link. A request that can't be repeated has Client.lostAfter.
 	chunkTimeout = 2 * time.Second
 	dialTimeout  = time.Second
 )
@@ -33,12 +33,14 @@
 type Client struct {
 	pool         *drpcpool.Pool[string, *drpcconn.Conn]
 	localAddress net.Addr
+	lostAfter    time.Duration // Time without a chunk after which a node has certainly lost its right to serve.
 }
 
 // NewClient returns a client that calls from the IP of listenAddress, so that a node with several networks listens and
-// calls on the same one. If that IP is unspecified, the operating system chooses the source address.
-func NewClient(listenAddress net.Addr) *Client {
-	c := &Client{}
+// calls on the same one. If that IP is unspecified, the operating system chooses the source address. lostAfter is the time after which
+// a silent node is lost: the term of its lease and the margin.
+func NewClient(listenAddress net.Addr, lostAfter time.Duration) *Client {
+	c := &Client{lostAfter: max(lostAfter, chunkTimeout)}
 	if tcp, ok := listenAddress.(*net.TCPAddr); ok && !tcp.IP.IsUnspecified() {
 		c.localAddress = &net.TCPAddr{IP: tcp.IP}
 	}
@@ -138,13 +140,17 @@
 	if err != nil {
 		return errorEnd(connectionLostCode(req), false, err)
 	}
-	return receiveChunks(cancel, stream, req, sink)
+	return c.receiveChunks(cancel, stream, req, sink)
 }
 
 // receiveChunks passes chunks to sink until the end chunk. The watchdog cancels the stream if no chunk arrives within
-// chunkTimeout.
-func receiveChunks(cancel context.CancelFunc, stream schema.DRPCPeer_DispatchClient, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
-	watchdog := time.AfterFunc(chunkTimeout, cancel)
+// chunkTimeout, or within lostAfter if the request may not be repeated or its answer has begun: nothing can take it over then.
+func (c *Client) receiveChunks(cancel context.CancelFunc, stream schema.DRPCPeer_DispatchClient, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
+	timeout := chunkTimeout
+	if !req.Repeatable {
+		timeout = c.lostAfter
+	}
+	watchdog := time.AfterFunc(timeout, cancel)
 	defer watchdog.Stop()
 	for {
 		chunk, err := stream.Recv()
@@ -159,8 +165,9 @@
 			if err := sink(chunk); err != nil {
 				return errorEnd(connectionLostCode(req), false, err)
 			}
+			timeout = c.lostAfter
 		}
-		watchdog.Reset(chunkTimeout)
+		watchdog.Reset(timeout)
 	}
 }
 
