Don't count a target that is silent for a second as crashed

A request could be refused everywhere for 10 min though it had crashed nothing: when its connection broke while the target, or another member of its group, was silent for a second, the crash check took the first probe without an answer in 0.5 s for a crash. Two of these block a request.

A probe without an answer in time now counts only if the member has answered none for 1.75 s; the check asks again until then. A refused connection, another incarnation and a replaced group are known at once, as before. The check may take 2.5 s instead of 2 s.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 	// bodyChunkSize is the number of bytes of a response body that are read and forwarded at a time.
 	bodyChunkSize = 32 << 10
 	// crashCheckTimeout bounds the wait for new probes after a broken exchange.
-	crashCheckTimeout = 2 * time.Second
+	crashCheckTimeout = 2500 * time.Millisecond
 	// cancelTimeout bounds a call that cancels a request at an engine.
 	cancelTimeout = 500 * time.Millisecond
 )
--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -460,9 +462,13 @@
 	}
 }
 
+// lostSilence is how long a member has answered no probe when another one without an answer shows that it is lost. A sound target may be
+// silent for more than a second.
+const lostSilence = 1750 * time.Millisecond
+
 // TargetLost probes all members again and reports whether the target that the slot was granted for no longer runs: a member
-// fails the probe or has another incarnation, or the members were replaced. It returns false if ctx ends before that is
-// known.
+// fails the probe, is silent for lostSilence or has another incarnation, or the members were replaced. It returns false if ctx ends
+// before that is known.
 func (s *Slot) TargetLost(ctx context.Context) bool {
 	t := s.table
 	requestedAt := t.options.Now()
@@ -478,6 +484,9 @@
 			case !m.everProbed || m.lastProbeSentAt < requestedAt:
 				allProbed = false
 				m.requestProbe()
+			case isTimeout(m.lastProbeError) && t.options.Now()-m.reportSentAt < lostSilence:
+				allProbed = false
+				m.requestProbe()
 			case m.lastProbeError != nil:
 				t.mu.Unlock()
 				return true
@@ -495,3 +504,9 @@
 		}
 	}
 }
+
+// isTimeout reports whether a probe failed because no answer arrived in time.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+}
--- /dev/null
+++ b/internal/target/silence_test.go
@@ -0,0 +1,70 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/rules"
+)
+
+// Guards against a sound target that counts as crashed because it is silent for a second after a connection broke: two such crashes block
+// a request everywhere. A target that refuses connections, or stays silent, must still count.
+func TestSilentSecondIsNoCrash(t *testing.T) {
+	const crashCheckTimeout = 2500 * time.Millisecond // As in package dispatch.
+	for _, test := range []struct {
+		name    string
+		silence time.Duration
+		refuse  bool
+		lost    bool
+		within  time.Duration
+	}{
+		{"sound", 0, false, false, time.Second},
+		{"silent for a second", 1200 * time.Millisecond, false, false, 2 * time.Second},
+		{"silent", time.Minute, false, true, 2400 * time.Millisecond},
+		{"refuses connections", 0, true, true, 700 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var silentUntil atomic.Pointer[time.Time]
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				if until := silentUntil.Load(); until != nil {
+					select {
+					case <-time.After(time.Until(*until)):
+					case <-req.Context().Done():
+						return
+					}
+				}
+				_, _ = fmt.Fprint(w, `{"incarnation":"i1"}`)
+			}))
+			defer server.Close()
+			table := New(Options{})
+			table.SetSpecs([]Spec{{ID: "s1", Destination: "service/s", Address: server.Listener.Addr().String(), MaxQueue: 1, Limits: rules.Limits{Cold: 1, Full: 2}}})
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() { defer close(ended); table.Run(ctx) }()
+			defer func() { cancel(); <-ended }()
+			slot, err := table.Acquire(ctx, SlotRequest{Destination: "service/s"}) // Blocks until the first report.
+			qt.Assert(t, err, qt.IsNil)
+			until := time.Now().Add(test.silence)
+			silentUntil.Store(&until)
+			if test.refuse {
+				server.CloseClientConnections()
+				_ = server.Listener.Close()
+			}
+			checkCtx, stop := context.WithTimeout(ctx, crashCheckTimeout)
+			defer stop()
+			start := time.Now()
+			qt.Check(t, slot.TargetLost(checkCtx), qt.Equals, test.lost)
+			took := time.Since(start)
+			qt.Check(t, took < test.within, qt.IsTrue, qt.Commentf("known after %v", took))
+			t.Logf("known after %v", took)
+		})
+	}
+}
