Let requests outlast a silent second of their targets

Callers were refused ("no target is serving") while the targets of a pool or service were only silent for a second. A holder refuses what waits there when a target has been silent for the freshness bound, and its summary, by which other nodes choose it, changes only with the next heartbeat. The gateway used up its four attempts on these nodes within 51 ms, though it means to wait 4 s for a target. A request that had waited in a queue for more than these 4 s was refused at once.

Attempts that found no target no longer count towards the four. They are repeated at intervals that grow from 50 to 500 ms, 32 times at most, and within the 4 s, which are extended to 2 s after an attempt that waited in a queue.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -19,6 +19,13 @@
 	// the targets of a node that stopped.
 	noTargetWait         = 4 * time.Second
 	noTargetPollInterval = 50 * time.Millisecond
+	// maxNoTargetPause bounds the interval of polling, which grows while nodes are tried in vain. It is the interval of heartbeats, in
+	// which nodes report their targets.
+	maxNoTargetPause = 500 * time.Millisecond
+	// minNoTargetWait is how long a request that has waited in a queue waits at least when the target of the queue has fallen silent. A
+	// sound target may be silent for more than a second.
+	minNoTargetWait = 2 * time.Second
+	maxVainAttempts = 32 // That found no target.
 )
 
 // output receives the parts of an answer and converts them to the caller's format.
@@ -31,27 +38,39 @@
 }
 
 // runWithRetries runs the request on one node after another until it has an answer, a failure that can't be retried, or no
-// attempts left. It polls for a usable node for up to noTargetWait.
+// attempts left. It polls for a usable node for up to noTargetWait. Attempts that found no target don't count towards maxAttempts: the
+// summaries by which nodes are chosen lag, so a node is still chosen for a while after its target has fallen silent.
 func (g *Gateway) runWithRetries(ctx context.Context, c *callerRequest, out output) *schema.DispatchEnd {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	excluded := make(map[string]bool)
-	waitUntil := time.Now().Add(noTargetWait)
+	waitUntil, pause := time.Now().Add(noTargetWait), noTargetPollInterval
 	var lastEnd *schema.DispatchEnd
-	for attempt := 0; attempt < maxAttempts; {
+	for attempts, vain := 0, 0; attempts < maxAttempts && vain < maxVainAttempts; {
 		node, ok := g.nextCandidate(c, excluded)
 		if !ok {
-			if lastEnd != nil && !isTransient(lastEnd) || time.Now().After(waitUntil) || !sleep(ctx, noTargetPollInterval) {
+			if lastEnd != nil && !isTransient(lastEnd) || time.Now().After(waitUntil) || !sleep(ctx, pause) {
 				return g.noCandidateEnd(ctx, c, lastEnd)
 			}
+			if len(excluded) > 0 {
+				pause = min(2*pause, maxNoTargetPause)
+			}
 			clear(excluded)
 			continue
 		}
-		attempt++
+		begin := time.Now()
 		lastEnd = g.tryNode(ctx, c, node, out)
 		if lastEnd.Code == int32(result.OK) || !g.mayRetry(ctx, c, lastEnd, out) {
 			return lastEnd
 		}
+		if foundNoTarget(lastEnd) {
+			vain++
+		} else {
+			attempts++
+		}
+		if waited := time.Since(begin); waited >= maxNoTargetPause {
+			waitUntil = later(waitUntil, time.Now().Add(minNoTargetWait))
+		}
 		if lastEnd.NotRun && result.Code(lastEnd.Code) != result.TargetRefused {
 			excluded[node.Name] = true // A node whose target refused the request may have others.
 		}
@@ -60,6 +79,13 @@
 	return lastEnd
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (g *Gateway) nextCandidate(c *callerRequest, excluded map[string]bool) (router.Node, bool) {
 	for _, n := range g.opts.Router.Candidates(c.destination, c.affinity) {
 		if !excluded[n.Name] {
@@ -79,6 +105,15 @@
 	return false
 }
 
+// foundNoTarget reports whether a request didn't run because no target could be reached through the node.
+func foundNoTarget(end *schema.DispatchEnd) bool {
+	switch result.Code(end.Code) {
+	case result.NoTarget, result.NodeUnreachable, result.TargetUnreachable:
+		return end.NotRun
+	}
+	return false
+}
+
 func (g *Gateway) noCandidateEnd(ctx context.Context, c *callerRequest, lastEnd *schema.DispatchEnd) *schema.DispatchEnd {
 	if lastEnd != nil {
 		return lastEnd
