--- a/internal/peer/panic_test.go
+++ b/internal/peer/panic_test.go
@@ -55,7 +55,7 @@
 			go func() {
 				done <- Serve(ctx, listener, panickingHandler{chunks: test.chunks}, recovery.Recoverer{Where: "peer", Log: logger})
 			}()
-			client := NewClient(listener.Addr())
+			client := NewClient(listener.Addr(), 10*time.Second)
 			callCtx, cancel := context.WithTimeout(ctx, 10*time.Second)
 			defer cancel()
 			received := 0
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/schema"
 	"cassiadeal.example/cassiadeal/test/faultproxy"
@@ -69,7 +71,7 @@
 			c := qt.New(t)
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
-			go func() { _ = Serve(t.Context(), listener, fakeNode{firstToken: test.firstToken}) }() // Ends with the test.
+			go func() { _ = Serve(t.Context(), listener, fakeNode{firstToken: test.firstToken}, recovery.Recoverer{Where: "peer", Log: logrus.New()}) }() // Ends with the test.
 			proxy, err := faultproxy.New(listener.Addr().String())
 			c.Assert(err, qt.IsNil)
 			defer proxy.Close()
