--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -71,7 +71,9 @@
 			c := qt.New(t)
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
-			go func() { _ = Serve(t.Context(), listener, fakeNode{firstToken: test.firstToken}, recovery.Recoverer{Where: "peer", Log: logrus.New()}) }() // Ends with the test.
+			go func() {
+				_ = Serve(t.Context(), listener, fakeNode{firstToken: test.firstToken}, recovery.Recoverer{Where: "peer", Log: logrus.New()})
+			}() // Ends with the test.
 			proxy, err := faultproxy.New(listener.Addr().String())
 			c.Assert(err, qt.IsNil)
 			defer proxy.Close()
