Forward the failure of a replica if no other replica has a response

Callers: 502 with an unknown outcome, or 504, for a request that may be repeated, though a replica has answered it with a failure of its own.

Cause: such a response was dropped for another try before it was known whether there is another replica that hasn't had the request, whether the budget grants the try, and whether a replica that has the request already answers it.

Change: the response is dropped only once a retry has been granted for which there is a replica. While another replica has the request, it is kept: it is forwarded when that one ends without a better response, or when half of the time that was left has passed, so that the client can still come back.

--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -44,6 +44,7 @@
 	exclude map[balance.Key]bool
 	running []*bufferedSend
 	ended   chan *bufferedSend
+	failed  *bufferedSend // Has a complete response, which states a failure, while others are under way; nil if there is none.
 }
 
 // trySend sends the request to the replica, and also to others if it may be repeated and has no response after half of the time. done
@@ -57,10 +58,17 @@
 	for {
 		select {
 		case <-silent.C:
+			if sends.failed != nil {
+				return sends.forwardFailure(false), false // The client may come back while it has time.
+			}
 			silent.Reset(sends.askAnother())
 		case s := <-sends.ended:
-			if done, retryable = sends.handleEnd(s); done || len(sends.running) == 0 {
-				return done, retryable
+			done, retryable = sends.handleEnd(s)
+			if done || len(sends.running) == 0 {
+				return sends.forwardFailure(done), retryable
+			}
+			if sends.failed == s {
+				silent.Reset(c.timeLeft() / 2)
 			}
 		}
 	}
@@ -124,7 +132,11 @@
 // handleEnd handles the end of one send.
 func (b *bufferedSends) handleEnd(s *bufferedSend) (done, retryable bool) {
 	b.remove(s)
-	defer s.close()
+	defer func() {
+		if s != b.failed {
+			s.close()
+		}
+	}()
 	b.attempts.lastTarget, b.attempts.began = string(s.key), s.began
 	if s.err != nil {
 		b.recordFailure(s.replica, s.sent, s.err)
@@ -138,9 +150,15 @@
 	b.recordAnswer()
 	b.opt.Table.RecordOutcome(s.key, status >= 500)
 	b.attempts.maybeRun++
-	if status >= 500 && b.route.Idempotent() && b.mayBeAnsweredElsewhere(s.key) {
+	if status >= 500 && b.route.Idempotent() {
 		b.attempts.lastFailure = "status " + strconv.Itoa(status)
-		return false, true
+		switch {
+		case len(b.running) > 0 && b.failed == nil:
+			b.failed = s
+			return false, true
+		case len(b.running) > 0 || b.reserveRetry():
+			return false, true
+		}
 	}
 	b.attempts.maybeRun += len(b.running)
 	for _, other := range b.running {
@@ -150,9 +168,25 @@
 	return true, false
 }
 
-// mayBeAnsweredElsewhere reports whether another replica than the one that failed has the request, or may get it in time.
-func (b *bufferedSends) mayBeAnsweredElsewhere(failed balance.Key) bool {
-	return len(b.running) > 0 || b.timeLeft() > b.route.LatencyTarget && b.availableReplica(map[balance.Key]bool{failed: true}) != nil
+// reserveRetry reports whether the request may be sent to another replica in time. If so, the retry is granted.
+func (b *bufferedSends) reserveRetry() bool {
+	if b.timeLeft() <= b.route.LatencyTarget || b.availableReplica(b.exclude) == nil || !b.allowRetry(retry.ReasonTargetFailed) {
+		return false
+	}
+	b.attempts.granted++
+	return true
+}
+
+// forwardFailure forwards the response of a replica that failed, if there is one and the client has no other response. It reports whether the
+// client has its response.
+func (b *bufferedSends) forwardFailure(done bool) bool {
+	if done || b.failed == nil {
+		return done
+	}
+	b.attempts.lastTarget = string(b.failed.key)
+	b.attempts.maybeRun += len(b.running)
+	b.writeResponse(b.failed.response, b.failed.body.Bytes())
+	return true
 }
 
 func (b *bufferedSends) remove(s *bufferedSend) {
@@ -175,4 +209,7 @@
 		b.remove(s)
 		s.close()
 	}
+	if b.failed != nil {
+		b.failed.close()
+	}
 }
--- a/internal/edge/buffered_test.go
+++ b/internal/edge/buffered_test.go
@@ -112,3 +112,42 @@
 	c.Check(runs.Load(), quicktest.Equals, int32(2))
 	c.Check(statesNotRun(resp.StatusCode), quicktest.IsFalse)
 }
+
+// Guards against a failure of a replica that is replaced by an unknown outcome, since no other replica has a response or may be asked.
+func TestFailureOfTheOnlyReplicaThatAnsweredIsForwarded(t *testing.T) {
+	const limit, answerTime = 3 * time.Second, 2 * time.Second
+	fail := func(wait time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			_, _ = io.Copy(io.Discard, q.Body)
+			time.Sleep(wait)
+			w.Header().Set("X-Cassiadeal-Request-Id", q.Header.Get("X-Cassiadeal-Request-Id"))
+			w.Header().Set("X-Cassiadeal-Response-Seal", "s")
+			w.WriteHeader(http.StatusInternalServerError)
+			fmt.Fprint(w, "failed")
+		}
+	}
+	breakOff := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, test := range []struct {
+		name        string
+		maxAttempts int
+		budget      float64
+		handlers    []http.HandlerFunc
+	}{
+		{"budget used up", 2, 0.1, []http.HandlerFunc{fail(0), answerAfter(0, "other", new(atomic.Int32))}},
+		{"other has broken it off", 3, 10, []http.HandlerFunc{breakOff, fail(0)}},
+		{"other is silent", 2, 10, []http.HandlerFunc{fail(answerTime), answerAfter(time.Minute, "other", new(atomic.Int32))}},
+		{"silent one asked first", 2, 10, []http.HandlerFunc{answerAfter(time.Minute, "other", new(atomic.Int32)), fail(0)}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			started := time.Now()
+			resp, body, err := sendRequest(t, serverOfSafeRequests(t, limit, test.maxAttempts, test.budget, test.handlers...), http.MethodPost,
+				"X-Cassiadeal-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+			c.Assert(err, quicktest.IsNil)
+			c.Check(resp.StatusCode, quicktest.Equals, http.StatusInternalServerError)
+			c.Check(body, quicktest.Equals, "failed")
+			c.Check(time.Since(started) < limit, quicktest.IsTrue, quicktest.Commentf("the client has no time left"))
+		})
+	}
+}
