Count targets that are silent for a second in the expected wait

Callers with a deadline were refused early (deadline_unreachable, not run) while some targets of a queue were silent for a second: the estimate of the wait counted only the targets that were usable at that moment, as if the others were lost.

The estimate now counts targets that were usable within the last 2 s. Targets that are draining, leaving or removed don't count, as before.

TestSilentTargetsCountForTheExpectedWait: the case of 1.2 s failed without the change; after 2.5 s a silent target counts as lost.

--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -234,11 +234,17 @@
 	return slices.DeleteFunc(t.targetsLocked(q.destination), func(tgt *target) bool { return t.unusableReason(tgt, now) != "" })
 }
 
-// throughputLocked estimates how many requests per second the usable targets of a queue take. It returns 0 if there are none, or if
-// the service time of one that has stated no limit is unknown.
+// soundSilence is how long a target without an answer to probes is expected to go on. A sound one may be silent for more than a second.
+const soundSilence = 2 * time.Second
+
+// throughputLocked estimates how many requests per second the targets of a queue take that are usable, or were so within soundSilence.
+// It returns 0 if there are none, or if the service time of one that has stated no limit is unknown.
 func (t *Table) throughputLocked(q *queue, now time.Duration) float64 {
 	total := 0.0
-	for _, tgt := range t.usableLocked(q, now) {
+	for _, tgt := range t.targetsLocked(q.destination) {
+		if t.isLeaving(tgt) || !tgt.worthWaiting(t.unusableReason(tgt, now) == "", now, soundSilence) {
+			continue
+		}
 		perSecond, known := float64(tgt.effectiveLimit())/q.serviceTime.Seconds(), q.serviceTime > 0
 		if limit, limited := t.statedRate(tgt); limited && (!known || limit < perSecond) {
 			perSecond, known = limit, true
@@ -338,10 +344,10 @@
 }
 
 // worthWaiting reports whether the target may serve a waiting request: it isn't draining, its limit is above zero, and it
-// is usable or was so within the freshness bound. The latter covers a target that was just added or is being probed again
+// is usable or was so within the given time. The latter covers a target that was just added, is silent, or is being probed again
 // after a lost connection.
-func (tgt *target) worthWaiting(usable bool, now, freshness time.Duration) bool {
-	return !tgt.spec.Draining && tgt.effectiveLimit() > 0 && (usable || now-tgt.lastUsableAt < freshness)
+func (tgt *target) worthWaiting(usable bool, now, within time.Duration) bool {
+	return !tgt.spec.Draining && tgt.effectiveLimit() > 0 && (usable || now-tgt.lastUsableAt < within)
 }
 
 func (t *Table) newSlotLocked(tgt *target, now time.Duration) *Slot {
--- a/internal/target/silence_test.go
+++ b/internal/target/silence_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/rules"
 )
 
@@ -68,3 +69,39 @@
 		})
 	}
 }
+
+// Guards against requests that are refused because of their deadline while targets are silent for a second, as if these were lost. Once the
+// silence is longer, they don't count any more.
+func TestSilentTargetsCountForTheExpectedWait(t *testing.T) {
+	for silence, want := range map[time.Duration]result.Code{0: result.OK, 1200 * time.Millisecond: result.OK, 2500 * time.Millisecond: result.DeadlineUnreachable} {
+		t.Run(silence.String(), func(t *testing.T) {
+			specs := []Spec{poolSpec("t1", 1, 1), poolSpec("t2", 1, 1), poolSpec("t3", 1, 1)}
+			for i := range specs {
+				specs[i].MaxQueue = 10
+			}
+			f := newFixture(t, nil, specs...)
+			f.recordAllReady("t1", "t2", "t3")
+			slots := f.acquireAll()
+			qt.Assert(t, slots, qt.HasLen, 3)
+			f.advance(time.Second) // The observed service time.
+			f.recordAllReady("t1", "t2", "t3")
+			slots[0].Release(Outcome{Completed: true})
+			_, code := f.tryAcquire(SlotRequest{})
+			qt.Assert(t, code, qt.Equals, result.OK)
+			f.advance(silence)
+			f.recordAllReady("t1")
+			waitCtx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for i := range 3 { // Each of the three targets ends one request a second, so the next one waits for 4/3 s.
+				go func() { _, _ = f.table.Acquire(waitCtx, SlotRequest{Destination: "pool/p"}) }()
+				f.waitQueued(i + 1)
+			}
+			ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer stop()
+			_, err := f.table.Acquire(ctx, SlotRequest{Destination: "pool/p", Deadline: f.clock() + 3*time.Second})
+			refusedEarly := ctx.Err() == nil
+			qt.Check(t, refusedEarly, qt.Equals, want != result.OK, qt.Commentf("%v", err))
+			qt.Check(t, result.From(err).Code, qt.Equals, result.DeadlineUnreachable)
+		})
+	}
+}
