Leave replicas of other planned groups out of an adopted one

A replica was planned in two groups, which took it from each other for ever, each time ending the other's requests: the idle head of a group was silent for 1.1 s, its group was given up and a member planned elsewhere; when the head was back, the group was adopted again, and in the next step the member was added from its entry, which was older than its leave.

Change: a replica that another planned group has isn't added to a group from its entry.

TestReplicaIsPlannedInOneGroup failed before ("vm-0-05 is in g100006 and g100005").

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -22,7 +22,7 @@
 		}
 		key := groupKey{r.Group.Name, r.Group.Epoch}
 		g := s.groups[key.name]
-		if g != nil && g.epoch == key.epoch {
+		if g != nil && g.epoch == key.epoch && !s.plannedElsewhere(r) {
 			g.addReportedMember(r, s.Now)
 		}
 		if s.isDissolved(key) && !s.stillServes(key) || g != nil && g.epoch >= key.epoch || s.plannedElsewhere(r) {
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -277,3 +277,32 @@
 		}
 	}
 }
+
+// Guards against a replica that is planned in two groups, each of which joins it again and again: its former head, which was silent, is back
+// while the replica still reports its group, although it is already planned in another one.
+func TestReplicaIsPlannedInOneGroup(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 12)
+	heads := m.openHeads("small")
+	c.Assert(heads, quicktest.HasLen, 2)
+	silent := []*vm{heads[0], m.vms[heads[1].members[1]]}
+	for _, v := range silent {
+		v.silent = true
+	}
+	m.run(p, 1100*time.Millisecond, nil)
+	for _, v := range silent {
+		v.silent = false
+	}
+	m.run(p, 10*time.Second, func() {
+		planned := map[string]string{}
+		for name, g := range p.groups {
+			for _, member := range g.members {
+				other, twice := planned[member.incarnation.ID]
+				c.Assert(twice, quicktest.IsFalse, quicktest.Commentf("%s is in %s and %s", member.incarnation.ID, name, other))
+				planned[member.incarnation.ID] = name
+			}
+		}
+	})
+	m.assertNoViolations()
+	c.Assert(m.openGroups()["small"], quicktest.Equals, 2)
+}
