Dissolve a group whose member answers again after it has missed its orders

A group stayed closed for ever (30 s seen): a member had missed more join orders than maxJoinAttempts and then answered again, and no spare could replace it. The repair waited for unusable members to return although there was none.

Change: only members that are unusable and answer probes are waited for. Without any, the group is dissolved and formed anew.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -337,8 +337,9 @@
 	return fmt.Sprintf("member %d (%s) is not listed", rank, m.incarnation.ID)
 }
 
-// missingMayReturn tells whether all unusable members of a group answer probes, so that they may be listed again soon.
+// missingMayReturn tells whether the group has unusable members and all of them answer probes, so that they may be listed again soon.
 func (s *step) missingMayReturn(g *group) bool {
+	missing := false
 	for i := range g.members {
 		m := &g.members[i]
 		if s.usableReplica(m.incarnation) != nil {
@@ -347,8 +348,9 @@
 		if _, answers := s.probeAnswers[m.incarnation]; !answers || s.Now.Sub(m.missingSince) > returnTimeout {
 			return false
 		}
+		missing = true
 	}
-	return true
+	return missing
 }
 
 // allReady tells whether all members report the group's epoch as ready.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -729,3 +729,30 @@
 	c.Assert(spare, quicktest.IsNotNil)
 	m.assertNoViolations()
 }
+
+// Guards against a group that is never completed nor dissolved after a member that answers again has missed a few orders to join, because
+// there is no spare to replace it.
+func TestMemberThatMissedJoinOrdersIsOrderedAgain(t *testing.T) {
+	for _, size := range []int{7, 8, 9, 10} {
+		t.Run(fmt.Sprintf("%d replicas", size), func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, size)
+			head := m.openHeads("large")[0]
+			lost, late := m.vms[head.members[1]], m.vms[head.members[2]]
+			missed := 0
+			m.refuse = func(o Order) bool {
+				if o.To.ID != late.id || o.Action != Join || missed > maxJoinAttempts {
+					return false
+				}
+				missed++
+				return true
+			}
+			m.kill(lost.id)
+			p.RecordProbeFailure(fleet.Incarnation{ID: lost.id, StartedUnixMs: lost.startedAt}, m.clock.Now())
+			m.run(p, 30*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(missed, quicktest.Equals, maxJoinAttempts+1)
+			c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+		})
+	}
+}
