--- a/test/requests/silence_test.go
+++ b/test/requests/silence_test.go
@@ -63,22 +63,24 @@
 		t.Run(test.name, func(t *testing.T) {
 			plans := len(c.Plans())
 			var running sync.WaitGroup
+			ticker := time.NewTicker(silenceInterval)
+			defer ticker.Stop()
 			for i := range 3 * silentStreams {
 				d := c.Nodes[i%len(c.Nodes)]
 				running.Go(func() { checkStream(t, c, d, fmt.Sprintf("%s: draft %d", test.name, i)) })
 				running.Go(func() { checkService(t, c, d, i) })
-				time.Sleep(silenceInterval)
-				switch i {
-				case silentStreams:
+				<-ticker.C
+				if i != silentStreams {
+					continue
+				}
+				for _, p := range test.silent {
+					p.Freeze()
+				}
+				time.AfterFunc(silentTime, func() {
 					for _, p := range test.silent {
-						p.Freeze()
+						p.Thaw()
 					}
-					time.AfterFunc(silentTime, func() {
-						for _, p := range test.silent {
-							p.Thaw()
-						}
-					})
-				}
+				})
 			}
 			running.Wait()
 			if n := len(c.Plans()) - plans; n > 0 {
