Test silences that other nodes report up to a second late

What other nodes report of their requests is as old as the interval of their reports, up to a second, and the plan of groups gives a group up after 1.5 s without an event. The reports must not add up with a silence of 1.2 s to orders that end running requests.

TestRequestsOutlastASilenceThatIsReportedLate passes on: the report that follows the last event is exact. It doesn't cover lost reports. The emulator's activities can be as old as an interval.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -37,6 +37,7 @@
 	reports            map[fleet.Incarnation]*fleet.Replica // What replicas reported to the planner's direct queries.
 	limited            map[string]bool                      // Replicas that limit their rate of requests, by ID.
 	unheard            map[string]bool                      // Those of them that haven't stated it yet.
+	activityInterval   time.Duration                        // How old what nodes report of their requests may be.
 }
 
 // snapshot holds the entries of the replicas at one time.
@@ -149,10 +150,14 @@
 // activity returns what the nodes know of the requests at a head.
 func (m *emulator) activity(r *fleet.Replica) Activity {
 	v := m.vms[r.ID]
+	a := Activity{LastEvent: v.lastEvent}
 	if m.clock.Now() < v.busyUntil {
-		return Activity{Running: 1, Begun: 1, LastEvent: v.lastEvent}
+		a.Running, a.Begun = 1, 1
 	}
-	return Activity{LastEvent: v.lastEvent}
+	if interval := m.activityInterval; interval > 0 {
+		a.LastEvent = min(a.LastEvent, m.clock.Now()/clock.Time(interval)*clock.Time(interval))
+	}
+	return a
 }
 
 // reached reports whether a replica that runs answers the planner.
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -133,3 +133,34 @@
 		})
 	}
 }
+
+// Guards against orders that end running requests of a group because what other nodes report of its events is as old as the interval of
+// their reports.
+func TestRequestsOutlastASilenceThatIsReportedLate(t *testing.T) {
+	for _, interval := range []time.Duration{200, 700, 1000} {
+		for name, ranks := range silenceCases {
+			for _, silentFor := range []time.Duration{300, 600, 900, 1200} {
+				interval, silentFor := interval*time.Millisecond, silentFor*time.Millisecond
+				t.Run(fmt.Sprintf("%v, %s, %v", interval, name, silentFor), func(t *testing.T) {
+					c := quicktest.New(t)
+					m, p := startedSystem(t, 1, 10)
+					m.activityInterval = interval
+					head, members := busyHead(m, time.Minute)
+					m.run(p, 3*time.Second, nil)
+					epoch := head.epoch
+					for _, rank := range ranks {
+						members[rank].silent = true
+					}
+					m.run(p, silentFor, nil)
+					for _, v := range members {
+						v.silent = false
+					}
+					m.run(p, 10*time.Second, nil)
+					m.assertNoViolations()
+					c.Assert(m.interruptions, quicktest.HasLen, 0)
+					c.Assert(head.epoch, quicktest.Equals, epoch)
+				})
+			}
+		}
+	}
+}
