--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -38,6 +38,7 @@
 	limited            map[string]bool                      // Replicas that limit their rate of requests, by ID.
 	unheard            map[string]bool                      // Those of them that haven't stated it yet.
 	aloneSince         clock.Time                           // When the planner was cut off from all other nodes; 0 if it isn't.
+	activityInterval   time.Duration                        // How old what nodes report of their requests may be.
 }
 
 // snapshot holds the entries of the replicas at one time.
@@ -157,6 +158,9 @@
 	if m.clock.Now() < v.busyUntil {
 		a.Running, a.Begun = 1, 1
 	}
+	if interval := m.activityInterval; interval > 0 {
+		a.LastEvent = min(a.LastEvent, m.clock.Now()/clock.Time(interval)*clock.Time(interval))
+	}
 	if m.aloneSince == 0 {
 		return a
 	}
