Report targets that were never heard by an age that survives a relay

By reading in the review: a relay of an earlier build adds its age to heard_ms, so that 2^32-1 for "never" would wrap to an age of some milliseconds, and a lost head would look alive. Now each age of an hour or more means never. TestLoadsTellOfTargetsThatWereNeverHeard adds 300 ms as a relay does; with the value before it can't pass, as the sum wraps.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math"
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
@@ -157,8 +156,8 @@
 	return n.clock.Now().Sub(p.ReceivedAt) < plannerTimeout
 }
 
-// neverHeardMs is the value of TargetLoad.heard_ms for a target that has sent no event.
-const neverHeardMs = math.MaxUint32
+// neverHeardMs is the least value of TargetLoad.heard_ms for a target that has sent no event. A relay may have added its own age.
+const neverHeardMs = 3_600_000
 
 func encodeLoads(loads map[balance.Key]balance.Load, ages map[balance.Key]time.Duration) []*schema.TargetLoad {
 	list := make([]*schema.TargetLoad, 0, len(loads))
@@ -178,7 +177,7 @@
 	for _, l := range list {
 		k := balance.Key(l.Target)
 		loads[k] = balance.Load{Running: int(l.Running), Waiting: int(l.Waiting), UnreadTokens: int(l.UnreadTokens)}
-		if l.HeardMs != neverHeardMs {
+		if l.HeardMs < neverHeardMs {
 			ages[k] = time.Duration(l.HeardMs) * time.Millisecond
 		}
 	}
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -85,3 +85,16 @@
 	alive[0].Draining = true
 	c.Check(n.isRelay(alive), quicktest.IsTrue)
 }
+
+// Guards against a target that has never sent an event, and that counts as heard just now at the nodes to which this is reported.
+func TestLoadsTellOfTargetsThatWereNeverHeard(t *testing.T) {
+	c := quicktest.New(t)
+	loads := map[balance.Key]balance.Load{"heard": {Running: 2, Waiting: 1}, "never": {Running: 1, Waiting: 1}}
+	list := encodeLoads(loads, map[balance.Key]time.Duration{"heard": 40 * time.Millisecond})
+	for _, l := range list {
+		l.HeardMs += 300 // Of a relay.
+	}
+	decoded, ages := decodeLoads(list)
+	c.Check(decoded, quicktest.DeepEquals, loads)
+	c.Check(ages, quicktest.DeepEquals, map[balance.Key]time.Duration{"heard": 340 * time.Millisecond})
+}
