Check that requests reported as not run were not received

The check took any such report for a fault. It now compares what was reported as not run with what the target has received, which a false report can't pass; streams must still report none.

--- a/internal/dispatch/endless_test.go
+++ b/internal/dispatch/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,6 +50,7 @@
 				slots = append(slots, slot)
 			}
 			runner := New(Options{MaxResumeTries: 1})
+			var notRun atomic.Int64
 			peak := endless.PeakHeap(func() {
 				var running sync.WaitGroup
 				for _, slot := range slots {
@@ -58,13 +60,17 @@
 						end := runner.Run(ctx, slot, &schema.DispatchRequest{RequestId: "r1", Method: "POST", Path: "/", Generate: test.generate, Body: []byte("{}")},
 							func(*schema.DispatchChunk) error { return nil })
 						c.Check(result.Code(end.Code), qt.Not(qt.Equals), result.OK)
-						c.Check(end.NotRun, qt.IsFalse)
+						if end.NotRun {
+							notRun.Add(1)
+						}
 					})
 				}
 				running.Wait()
 			})
 			t.Logf("%d MB of heap in use at most", peak>>20)
 			c.Check(peak < endless.SmallestHeap, qt.IsTrue, qt.Commentf("%d MB of heap in use", peak>>20))
+			// On a busy machine a connection may not open before the deadline. Streams are resumed, so that their requests exceed their number.
+			c.Check(notRun.Load() == 0 || !test.generate && int(notRun.Load())+s.Requests() <= requests, qt.IsTrue, qt.Commentf("%d reported as not run, %d received", notRun.Load(), s.Requests()))
 			for end := time.Now().Add(5 * time.Second); s.Open() > 0; time.Sleep(10 * time.Millisecond) {
 				c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("%d connections are still open", s.Open()))
 			}
