--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -337,3 +337,21 @@
 		}
 	}
 }
+
+// Guards against requests that end because a new planner doesn't know the head of their group.
+func TestNewPlannerWaitsForUnlistedHead(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 6*time.Second)
+	epoch := head.epoch
+	head.unlistedAt = m.clock.Now()
+	m.run(p, time.Second, nil)
+	m.lastEntries = map[string]*fleet.Replica{}
+	p = New(2)
+	m.run(p, 4*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(m.interruptions, quicktest.HasLen, 0)
+	for _, v := range members {
+		c.Check(v.epoch, quicktest.Equals, epoch, quicktest.Commentf("%s", v.id))
+	}
+}
