--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -20,6 +20,17 @@
 	return head, members
 }
 
+// fallSilent lets the members of the given ranks be silent for a while.
+func (m *emulator) fallSilent(p *Plan, members []*vm, ranks []int, d time.Duration) {
+	for _, rank := range ranks {
+		members[rank].silent = true
+	}
+	m.run(p, d, nil)
+	for _, v := range members {
+		v.silent = false
+	}
+}
+
 // silenceCases are ranks of the members of a group that are silent or can't be reached.
 var silenceCases = map[string][]int{"a member": {1}, "two members": {2, 3}, "the head": {0}, "the head and a member": {0, 1}, "all members": {0, 1, 2, 3}}
 
@@ -34,13 +45,7 @@
 					m, p := startedSystem(t, 1, 8+spares)
 					head, members := busyHead(m, time.Minute)
 					epoch := head.epoch
-					for _, rank := range ranks {
-						members[rank].silent = true
-					}
-					m.run(p, silentFor, nil)
-					for _, v := range members {
-						v.silent = false
-					}
+					m.fallSilent(p, members, ranks, silentFor)
 					m.run(p, 10*time.Second, nil)
 					m.assertNoViolations()
 					c.Assert(m.interruptions, quicktest.HasLen, 0)
@@ -197,13 +202,7 @@
 					c := quicktest.New(t)
 					m, p := startedSystem(t, 1, 8+spares)
 					head, members := busyHead(m, 0)
-					for _, rank := range ranks {
-						members[rank].silent = true
-					}
-					m.run(p, silentFor, nil)
-					for _, v := range members {
-						v.silent = false
-					}
+					m.fallSilent(p, members, ranks, silentFor)
 					head.busyUntil = m.clock.Now().Add(time.Minute)
 					m.run(p, 10*time.Second, nil)
 					m.assertNoViolations()
@@ -321,13 +320,7 @@
 					head, members := busyHead(m, time.Minute)
 					m.run(p, 3*time.Second, nil)
 					epoch := head.epoch
-					for _, rank := range ranks {
-						members[rank].silent = true
-					}
-					m.run(p, silentFor, nil)
-					for _, v := range members {
-						v.silent = false
-					}
+					m.fallSilent(p, members, ranks, silentFor)
 					m.run(p, 10*time.Second, nil)
 					m.assertNoViolations()
 					c.Assert(m.interruptions, quicktest.HasLen, 0)
