Know the requests of a group whose head a new planner has never seen

Callers saw streams break off after a change of the planner: it ordered the members of a serving group to leave 2.5 s after it had adopted the group, since the head had no entry.

Cause: what runs at a group was looked up by the entry of its head. A planner that has never seen that entry took the group for idle.

TestActivityOfAGroupIsFoundWithoutItsHead is new.

Change: the requests of a group without a known head are looked up by its name and epoch, which the keys of targets hold. A group that runs requests is waited for like any other with a missing member.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -383,6 +383,30 @@
 	c.Assert(other.Activity(head.Key), quicktest.Equals, Activity{})
 }
 
+// Guards against requests that don't count because the head of their group has no entry: they are found by its epoch.
+func TestActivityOfAGroupIsFoundWithoutItsHead(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	head := &fleet.Replica{ID: "head", StartedUnixMs: 7, Group: &fleet.Membership{Name: "g1", Epoch: 12}}
+	table, other := NewTable(now), NewTable(now)
+	ticket := table.Begin(KeyOf(head), 100, time.Millisecond)
+	for _, step := range []struct {
+		change func()
+		want   Activity
+	}{
+		{func() {}, Activity{Running: 1}},
+		{ticket.RecordEvent, Activity{Running: 1, Begun: 1, LastEvent: now.Now()}},
+		{ticket.End, Activity{LastEvent: now.Now()}},
+	} {
+		step.change()
+		other.SetPeerState("node-1", table.LocalState())
+		c.Check(table.GroupActivity("g1", 12), quicktest.Equals, step.want)
+		c.Check(other.GroupActivity("g1", 12), quicktest.Equals, step.want)
+		c.Check(other.GroupActivity("g1", 2), quicktest.Equals, Activity{})
+		c.Check(other.GroupActivity("1", 12), quicktest.Equals, Activity{})
+	}
+}
+
 // Guards against a lost group that is repaired late because streams count there that other targets have already accepted, and against one
 // that counts as idle though its streams depend on it.
 func TestStreamsThatOtherTargetsHaveAcceptedAreNoLoad(t *testing.T) {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,9 +49,11 @@
 	if r.Group == nil {
 		return Key(fmt.Sprintf("%s@%d", r.ID, r.StartedUnixMs))
 	}
-	return Key(fmt.Sprintf("%s@%d/%s/%d", r.ID, r.StartedUnixMs, r.Group.Name, r.Group.Epoch))
+	return Key(fmt.Sprintf("%s@%d", r.ID, r.StartedUnixMs) + groupSuffix(r.Group.Name, r.Group.Epoch))
 }
 
+func groupSuffix(name string, epoch int64) string { return fmt.Sprintf("/%s/%d", name, epoch) }
+
 // targetState is what this node knows about a target from its own requests.
 type targetState struct {
 	load          Load
@@ -395,6 +399,34 @@
 	return Activity{Running: load.Running, Begun: load.Running - load.Waiting, LastEvent: t.heard[k]}
 }
 
+// GroupActivity returns the same for the head of an epoch of a group, whichever replica that is.
+func (t *Table) GroupActivity(name string, epoch int64) Activity {
+	suffix := groupSuffix(name, epoch)
+	for _, k := range t.knownKeys() {
+		if strings.HasSuffix(string(k), suffix) {
+			return t.Activity(k)
+		}
+	}
+	return Activity{}
+}
+
+// knownKeys returns the targets that this node or another one has requests at, or has had an event from.
+func (t *Table) knownKeys() []Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	keys := map[Key]bool{}
+	for k := range t.targets {
+		keys[k] = true
+	}
+	for k := range t.peers.sums {
+		keys[k] = true
+	}
+	for k := range t.heard {
+		keys[k] = true
+	}
+	return slices.Collect(maps.Keys(keys))
+}
+
 // SilentTargets returns the targets with started requests from which this node has received no event for the given time.
 func (t *Table) SilentTargets(silence time.Duration) map[Key]bool {
 	t.mu.Lock()
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -171,6 +171,16 @@
 	return a
 }
 
+// groupActivity returns what the nodes know of the requests at the head of an epoch of a group.
+func (m *emulator) groupActivity(name string, epoch int64) Activity {
+	for _, v := range m.vms {
+		if v.group == name && v.epoch == epoch && v.rank == 0 {
+			return m.activity(&fleet.Replica{ID: v.id})
+		}
+	}
+	return Activity{}
+}
+
 // reached reports whether a replica that runs answers the planner.
 func (v *vm) reached() bool { return !v.cutOff && !v.silent && !v.hidden }
 
@@ -355,7 +365,7 @@
 	m.probeFormerMembers(p, entries)
 	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.mayBeOutdated, Confirmed: m.queryReplicas(),
-		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadActivity: m.activity,
+		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadActivity: m.activity, GroupActivity: m.groupActivity,
 		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }}) {
 		if m.refuse != nil && m.refuse(o) {
 			p.RecordOutcome(o, Refused)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -148,6 +148,8 @@
 	Confirmed     map[fleet.Incarnation]bool
 	// HeadActivity returns what all nodes know of the requests at a head. Nil if it isn't known for any.
 	HeadActivity func(*fleet.Replica) Activity
+	// GroupActivity returns the same for an epoch of a group whose head isn't known. Nil if it isn't known for any.
+	GroupActivity func(name string, epoch int64) Activity
 	// Limited tells whether a replica has stated a limit on its rate of requests. The limit of a group is that of its head. Nil if not
 	// known.
 	Limited func(*fleet.Replica) bool
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -18,10 +18,13 @@
 
 // activity returns what the nodes know of the requests at the head of a group.
 func (s *step) activity(g *group) Activity {
-	if s.HeadActivity == nil || g.head == nil {
-		return Activity{}
+	switch {
+	case g.head != nil && s.HeadActivity != nil:
+		return s.HeadActivity(g.head)
+	case g.head == nil && s.GroupActivity != nil:
+		return s.GroupActivity(g.name, g.epoch)
 	}
-	return s.HeadActivity(g.head)
+	return Activity{}
 }
 
 // silentFor returns for how long a group has sent no event although it had to, or 0 if that isn't known. Requests that wait for
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -221,8 +221,8 @@
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
 		Need: p.modelShares(service.Engine), BeforeFirstRequest: beforeFirstRequest, LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
 		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: confirmed,
-		HeadActivity: p.headActivity,
-		Limited:      p.opt.Limited})
+		HeadActivity: p.headActivity, GroupActivity: p.groupActivity,
+		Limited: p.opt.Limited})
 	probes = p.dueProbes(replicas, now)
 	p.summarize(view, replicas, now)
 	return orders, probes, queries
@@ -230,7 +230,15 @@
 
 // headActivity returns what is known of the requests at a head.
 func (p *Planner) headActivity(head *fleet.Replica) placement.Activity {
-	a := p.opt.Table.Activity(balance.KeyOf(head))
+	return p.activity(p.opt.Table.Activity(balance.KeyOf(head)))
+}
+
+// groupActivity returns what is known of the requests at the head of an epoch of a group, whichever replica that is.
+func (p *Planner) groupActivity(name string, epoch int64) placement.Activity {
+	return p.activity(p.opt.Table.GroupActivity(name, epoch))
+}
+
+func (p *Planner) activity(a balance.Activity) placement.Activity {
 	return placement.Activity{Running: a.Running, Begun: a.Begun, LastEvent: a.LastEvent, Unknown: p.opt.Alone()}
 }
 
