Keep the plan of groups in the store for the next planner

Cause: what a planner has planned and ordered was known nowhere but in the entries of replicas, which lapse while replicas serve. Its successor guessed the members of groups from who was listed.

Change: one object per fabric domain holds each epoch that a head may serve, with the start and address of all members. An order to join is sent only once its epoch is in the store; a new planner reads the objects before it plans, and asks heads without an entry at their addresses. While the store answers no node, nobody can succeed the planner, and orders aren't held back. A member that reports a later epoch than the record makes its group give way.

Evidence: TestNewPlannerOrdersUnlistedIdleHeadToLeave and TestNewPlannerFinishesEpochs failed without the record ("vm-0-01 moved before its head").

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -139,7 +139,7 @@
 	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
 	n.lease.FirstRun = s.FirstRun
-	n.planner = planner.New(planner.Options{Lease: n.lease, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
+	n.planner = planner.New(planner.Options{Lease: n.lease, Store: n.store, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
 		Table: n.table, Replicas: n.replicas, Clock: c, Log: log, LoadWindow: s.Bounds.LoadWindow, StallAfter: s.Bounds.StallAfter, EntryTTL: s.Bounds.EntryTTL,
 		Limited: func(r *fleet.Replica) bool {
 			_, limited := n.statements.Rate(r.Incarnation().Target(), 1)
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -17,13 +17,15 @@
 	reported, known := map[groupKey][]*fleet.Replica{}, map[groupKey]bool{}
 	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
 		r := s.Replicas[id]
-		if r.Group == nil || strings.HasPrefix(r.Group.Name, standbyPrefix) {
+		if r.Group == nil || strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 			continue
 		}
 		key := groupKey{r.Group.Name, r.Group.Epoch}
 		g := s.groups[key.name]
 		if g != nil && g.epoch == key.epoch && !s.plannedElsewhere(r) {
-			g.addReportedMember(r, s.Now)
+			if g.addReportedMember(r, s.Now) {
+				s.changed(g.fabric)
+			}
 		}
 		if s.isDissolved(key) && !s.stillServes(key) || g != nil && g.epoch >= key.epoch || s.plannedElsewhere(r) {
 			continue
@@ -52,7 +54,11 @@
 			g.addReportedMember(r, s.Now)
 		}
 		g.wasOpen = true // An earlier planner may have opened it.
+		if former := s.groups[key.name]; former != nil {
+			s.giveUp(former)
+		}
 		s.groups[key.name] = g
+		s.changed(g.fabric)
 	}
 }
 
@@ -117,16 +123,17 @@
 	return false
 }
 
-// addReportedMember sets the member of a rank from the entry of a replica that reports the group, unless it is already set.
-func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) {
+// addReportedMember sets the member of a rank from the entry of a replica that reports the group. It reports false if it is already set.
+func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) bool {
 	if r.Group.Rank >= len(g.members) || g.members[r.Group.Rank].incarnation.ID != "" {
-		return
+		return false
 	}
 	g.members[r.Group.Rank] = member{incarnation: r.Incarnation(), lastEntry: r, joinAccepted: true, joinSentAt: now}
 	g.fabric = r.Fabric
 	if r.Group.Rank == 0 {
 		g.head = r
 	}
+	return true
 }
 
 // reportedModel returns the first configured model that a member reports as loaded, or nil.
@@ -175,6 +182,7 @@
 		// The list of replicas may be incomplete; the group is checked again in the next step.
 	case s.headServes(g, head):
 		g.wasOpen = true
+		s.noteServing(g)
 		if reason != "" {
 			s.closeForRepair(g, head, reason)
 		} else if head.Group.State == fleet.GroupOpen {
@@ -547,13 +555,14 @@
 		s.formerHeads[key] = formerHead{sentAt: s.Now, left: true}
 	}
 	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, head: g.members[0].incarnation,
-		headEntry: g.head, returnedAt: map[fleet.Incarnation]clock.Time{}}
+		headEntry: g.head, fabric: g.fabric, model: g.model, members: slices.Clone(g.members), returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for _, m := range g.members[1:] {
 		if s.usableReplica(m.incarnation) == nil {
 			d.returnedAt[m.incarnation] = 0
 		}
 	}
 	s.dissolved[key] = d
+	s.changed(g.fabric)
 }
 
 // awaitsHead reports whether a replica of a group that was given up must wait for its head: both were unreachable, so they were
--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -36,7 +36,7 @@
 // mustLeave reports whether a replica must leave the group that it reports before it joins another one, since the head of that group may
 // still serve it.
 func (s *step) mustLeave(r *fleet.Replica) bool {
-	if r.Group == nil || strings.HasPrefix(r.Group.Name, standbyPrefix) {
+	if r.Group == nil || strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 		return false
 	}
 	key := groupKey{r.Group.Name, r.Group.Epoch}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -36,9 +36,9 @@
 	// there any more. minHeadSilence is the least time for which it must be missing or unresponsive.
 	idleHeadSilence = time.Second
 	minHeadSilence  = 500 * time.Millisecond
-	// standbyPrefix begins the names of standby groups. Each has a spare as its only real member, so that the spare loads its
+	// StandbyPrefix begins the names of standby groups. Each has a spare as its only real member, so that the spare loads its
 	// staged weights, and is never opened.
-	standbyPrefix = "standby-"
+	StandbyPrefix = "standby-"
 	// standbyTimeout is the time after which the join order is sent again to a spare that doesn't report its standby group.
 	standbyTimeout = 3 * time.Second
 	// minHeadProbeFailures is the number of successive probes that a listed head must fail before its group may be repaired
@@ -114,7 +114,7 @@
 
 // HasMoved reports whether a replica that is in the current group has joined it, or begun to serve it, since the order was planned.
 func (o Order) HasMoved(current *fleet.Membership) bool {
-	if current == nil || strings.HasPrefix(current.Name, standbyPrefix) || current.Name == o.Group && current.Epoch == o.Epoch {
+	if current == nil || strings.HasPrefix(current.Name, StandbyPrefix) || current.Name == o.Group && current.Epoch == o.Epoch {
 		return false
 	}
 	planned := o.To.Group
@@ -198,7 +198,9 @@
 	head             *fleet.Replica
 	headReleased     bool       // A leave order was answered, or refused by an address without a listener: the head doesn't serve.
 	headMissingSince clock.Time // When the head was first unlisted or unresponsive; 0 if it isn't.
-	adoptedAt        clock.Time // When the group was adopted from the replicas' entries; 0 if this planner formed it.
+	adoptedAt        clock.Time // When the group was adopted from entries or a record; 0 if this planner formed it.
+	// restored is set while only the record of an earlier planner says that the members were ordered to join.
+	restored bool
 }
 
 // staging is an order to stage weights that isn't known to be completed.
@@ -213,9 +215,11 @@
 	at clock.Time
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
-	headUnheard bool
-	head        fleet.Incarnation
-	headEntry   *fleet.Replica // Last known entry of the head; nil if there was none.
+	headUnheard   bool
+	head          fleet.Incarnation
+	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
+	fabric, model string
+	members       []member // By rank.
 	// returnedAt holds the members that were unreachable too, with the time when they were first usable again; 0 if they weren't.
 	returnedAt map[fleet.Incarnation]clock.Time
 }
@@ -254,19 +258,20 @@
 	term         int64
 	epochCounter int64
 
-	groups       map[string]*group
-	dissolved    map[groupKey]dissolution
-	staging      map[fleet.Incarnation]staging
-	loadStarts   []clock.Time // Starts of weight loads within the window.
-	unresponsive map[fleet.Incarnation]probeFailures
-	probeAnswers map[fleet.Incarnation]clock.Time // When a replica, listed or not, last answered a probe.
-	slowUntil    map[fleet.Incarnation]clock.Time // Time until which a replica counts as slow.
-	standbyJoins map[fleet.Incarnation]clock.Time // When a spare was last ordered to join its standby group.
-	domains      map[string]domainSize            // By fabric domain.
-	formerHeads  map[groupKey]formerHead          // Heads of groups that are no longer planned, as far as they were ordered to leave.
-	ended        map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
-	memberLeaves map[membership]memberLeave       // Members that were ordered to leave their group just before.
-	now          clock.Time                       // Time of the last step.
+	groups          map[string]*group
+	dissolved       map[groupKey]dissolution
+	staging         map[fleet.Incarnation]staging
+	loadStarts      []clock.Time // Starts of weight loads within the window.
+	unresponsive    map[fleet.Incarnation]probeFailures
+	probeAnswers    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last answered a probe.
+	slowUntil       map[fleet.Incarnation]clock.Time // Time until which a replica counts as slow.
+	standbyJoins    map[fleet.Incarnation]clock.Time // When a spare was last ordered to join its standby group.
+	domains         map[string]domainSize            // By fabric domain.
+	formerHeads     map[groupKey]formerHead          // Heads of groups that are no longer planned, as far as they were ordered to leave.
+	ended           map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
+	memberLeaves    map[membership]memberLeave       // Members that were ordered to leave their group just before.
+	outdatedRecords map[string]bool                  // Fabric domains whose Record has changed.
+	now             clock.Time                       // Time of the last step.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -278,7 +283,7 @@
 		unresponsive: map[fleet.Incarnation]probeFailures{}, probeAnswers: map[fleet.Incarnation]clock.Time{},
 		slowUntil: map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
-		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}}
+		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
@@ -382,6 +387,7 @@
 		g.formerEpoch = g.epoch
 	}
 	g.epoch = p.nextEpoch()
+	p.changed(g.fabric)
 	for i := range g.members {
 		g.members[i].joinAccepted, g.members[i].joinSentAt, g.members[i].joinAttempts = false, 0, 0
 	}
@@ -490,6 +496,7 @@
 	s := &step{Plan: p, Input: in, used: map[string]bool{}, served: map[groupKey]bool{}}
 	s.expire()
 	s.expireLeaves()
+	s.dropSupersededGroups()
 	s.adoptReportedGroups()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		for _, m := range p.groups[name].members {
--- /dev/null
+++ b/internal/placement/record.go
@@ -0,0 +1,247 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+// Record is what a planner keeps of the groups of one fabric domain for its successor: every epoch that a head may serve. Entries of
+// replicas can't replace it, since they lapse while their replicas serve.
+type Record struct {
+	Groups []RecordedGroup
+}
+
+// RecordedGroup is one epoch of a group.
+type RecordedGroup struct {
+	Name  string
+	Epoch int64
+	Model string
+	// FormerEpoch is an earlier epoch that the head may still serve; 0 if there is none.
+	FormerEpoch int64
+	// GivenUp is set if the epoch isn't planned any more, but its head isn't known to have ended.
+	GivenUp bool
+	// Members holds the known members by rank. An ID is empty where the member isn't known.
+	Members []RecordedMember
+}
+
+// RecordedMember is one start of a replica, with its address.
+type RecordedMember struct {
+	Incarnation fleet.Incarnation
+	Address     string
+}
+
+func (g RecordedGroup) key() groupKey { return groupKey{g.Name, g.Epoch} }
+
+func (g RecordedGroup) equal(other RecordedGroup) bool {
+	return g.Name == other.Name && g.Epoch == other.Epoch && g.Model == other.Model && g.FormerEpoch == other.FormerEpoch &&
+		g.GivenUp == other.GivenUp && slices.Equal(g.Members, other.Members)
+}
+
+// Covers reports whether each group of the other record is in this one as it is there. Groups that this one has besides may have
+// ended since.
+func (r Record) Covers(other Record) bool {
+	for _, g := range other.Groups {
+		if !slices.ContainsFunc(r.Groups, g.equal) {
+			return false
+		}
+	}
+	return true
+}
+
+// Holds reports whether the record has the epoch of the group.
+func (r Record) Holds(name string, epoch int64) bool {
+	return slices.ContainsFunc(r.Groups, func(g RecordedGroup) bool { return g.key() == groupKey{name, epoch} })
+}
+
+// changed notes that the record of a fabric domain is outdated.
+func (p *Plan) changed(fabric string) { p.outdatedRecords[fabric] = true }
+
+// TakeRecords returns the records of the fabric domains that have changed since the last call.
+func (p *Plan) TakeRecords() map[string]Record {
+	records := map[string]Record{}
+	for fabric := range p.outdatedRecords {
+		records[fabric] = p.record(fabric)
+	}
+	clear(p.outdatedRecords)
+	return records
+}
+
+// Records returns the records of all fabric domains that have groups.
+func (p *Plan) Records() map[string]Record {
+	for _, g := range p.groups {
+		p.changed(g.fabric)
+	}
+	for _, d := range p.dissolved {
+		p.changed(d.fabric)
+	}
+	return p.TakeRecords()
+}
+
+func (p *Plan) record(fabric string) Record {
+	var r Record
+	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
+		if g := p.groups[name]; g.fabric == fabric {
+			r.Groups = append(r.Groups, g.recorded())
+		}
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(p.dissolved), groupKey.compare) {
+		if _, ended := p.ended[key]; p.dissolved[key].fabric == fabric && !ended {
+			r.Groups = append(r.Groups, p.dissolved[key].recorded(key))
+		}
+	}
+	return r
+}
+
+func (g *group) recorded() RecordedGroup {
+	r := RecordedGroup{Name: g.name, Epoch: g.epoch, Model: g.model, FormerEpoch: g.formerEpoch}
+	for _, m := range g.members {
+		r.Members = append(r.Members, recordedMember(m.incarnation, m.lastEntry))
+	}
+	return r
+}
+
+func (d dissolution) recorded(key groupKey) RecordedGroup {
+	r := RecordedGroup{Name: key.name, Epoch: key.epoch, Model: d.model, GivenUp: true}
+	for i, m := range d.members {
+		entry := m.lastEntry
+		if i == 0 {
+			entry = cmp.Or(d.headEntry, entry)
+		}
+		r.Members = append(r.Members, recordedMember(m.incarnation, entry))
+	}
+	return r
+}
+
+func recordedMember(incarnation fleet.Incarnation, entry *fleet.Replica) RecordedMember {
+	if entry == nil {
+		return RecordedMember{Incarnation: incarnation}
+	}
+	return RecordedMember{incarnation, entry.Address}
+}
+
+// Restore adds the groups in the records of an earlier planner that this plan doesn't have. Their members are known also if they have no
+// entries.
+func (p *Plan) Restore(records map[string]Record, now clock.Time) {
+	for _, fabric := range slices.Sorted(maps.Keys(records)) {
+		for _, r := range records[fabric].Groups {
+			if len(r.Members) == 0 || r.Members[0].Incarnation.ID == "" && r.GivenUp {
+				continue
+			}
+			if r.GivenUp {
+				p.restoreDissolution(fabric, r, now)
+			} else {
+				p.restoreGroup(fabric, r, now)
+			}
+		}
+	}
+}
+
+func (p *Plan) restoreGroup(fabric string, r RecordedGroup, now clock.Time) {
+	known := p.groups[r.Name]
+	if known != nil && known.epoch >= r.Epoch {
+		if known.epoch == r.Epoch {
+			known.addRecordedMembers(r, fabric)
+		}
+		return
+	}
+	if _, dissolved := p.dissolved[r.key()]; dissolved || p.plansAny(r) {
+		return
+	}
+	g := &group{name: r.Name, epoch: r.Epoch, model: r.Model, fabric: fabric, formerEpoch: r.FormerEpoch, members: make([]member, len(r.Members)),
+		headFirst: r.FormerEpoch != 0, adoptedAt: now, restored: true, wasOpen: true} // The earlier planner may have opened it.
+	g.addRecordedMembers(r, fabric)
+	p.groups[r.Name] = g
+	p.changed(fabric)
+}
+
+// plansAny reports whether a member of the recorded group is planned in any group.
+func (p *Plan) plansAny(r RecordedGroup) bool {
+	for _, g := range p.groups {
+		for _, m := range g.members {
+			if m.incarnation.ID != "" && slices.ContainsFunc(r.Members, func(o RecordedMember) bool { return o.Incarnation == m.incarnation }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// addRecordedMembers sets the members that aren't known yet.
+func (g *group) addRecordedMembers(r RecordedGroup, fabric string) {
+	for rank, m := range r.Members {
+		if rank >= len(g.members) || g.members[rank].incarnation.ID != "" || m.Incarnation.ID == "" {
+			continue
+		}
+		entry := m.entry(r, rank, fabric)
+		g.members[rank] = member{incarnation: m.Incarnation, lastEntry: entry}
+		if rank == 0 {
+			g.head = entry
+		}
+	}
+}
+
+// entry returns the entry of a member as far as the record tells it.
+func (m RecordedMember) entry(r RecordedGroup, rank int, fabric string) *fleet.Replica {
+	return &fleet.Replica{ID: m.Incarnation.ID, StartedUnixMs: m.Incarnation.StartedUnixMs, Address: m.Address, Fabric: fabric,
+		Group: &fleet.Membership{Name: r.Name, Epoch: cmp.Or(r.FormerEpoch, r.Epoch), Rank: rank}}
+}
+
+func (p *Plan) restoreDissolution(fabric string, r RecordedGroup, now clock.Time) {
+	if _, known := p.dissolved[r.key()]; known {
+		return
+	}
+	if g := p.groups[r.Name]; g != nil && g.epoch == r.Epoch {
+		return
+	}
+	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: true, head: r.Members[0].Incarnation,
+		headEntry: r.Members[0].entry(r, 0, fabric), returnedAt: map[fleet.Incarnation]clock.Time{}}
+	for rank, m := range r.Members {
+		if m.Incarnation.ID == "" {
+			d.members = append(d.members, member{})
+			continue
+		}
+		d.members = append(d.members, member{incarnation: m.Incarnation, lastEntry: m.entry(r, rank, fabric)})
+		if rank > 0 {
+			d.returnedAt[m.Incarnation] = 0
+		}
+	}
+	p.dissolved[r.key()] = d
+	p.changed(fabric)
+}
+
+// dropSupersededGroups gives up restored groups of which a member has reported a later epoch of another group that isn't planned: the
+// record is older than the last orders of the planner that wrote it.
+func (s *step) dropSupersededGroups() {
+	for _, name := range slices.Sorted(maps.Keys(s.groups)) {
+		g := s.groups[name]
+		if !g.restored || !slices.ContainsFunc(g.members, func(m member) bool { return s.supersedes(g, m) }) {
+			continue
+		}
+		s.giveUp(g)
+		delete(s.groups, name)
+	}
+}
+
+func (s *step) supersedes(g *group, m member) bool {
+	r := s.usableReplica(m.incarnation)
+	if r == nil || r.Group == nil || r.Group.Epoch <= g.epoch || !s.stateKnown(r) {
+		return false
+	}
+	other := s.groups[r.Group.Name]
+	return other == nil || other == g || other.epoch < r.Group.Epoch
+}
+
+// noteServing notes that the head of a restored group serves it, so that all members have joined it.
+func (s *step) noteServing(g *group) {
+	if !g.restored {
+		return
+	}
+	g.restored = false
+	for i := range g.members {
+		g.members[i].joinAccepted, g.members[i].joinSentAt = true, s.Now
+	}
+}
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -18,7 +18,7 @@
 		if r.Fabric != fabric || s.used[id] || r.Draining || s.usableReplica(r.Incarnation()) == nil || !s.stateKnown(r) {
 			continue
 		}
-		if r.Group != nil && !strings.HasPrefix(r.Group.Name, standbyPrefix) {
+		if r.Group != nil && !strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 			key := groupKey{r.Group.Name, r.Group.Epoch}
 			if s.served[key] || s.awaitsHead(r) || !s.isDissolved(key) && s.inUnknownGroup(r) {
 				continue
@@ -112,6 +112,7 @@
 		s.used[r.ID] = true
 	}
 	s.groups[g.name] = g
+	s.changed(g.fabric)
 	s.joinMembers(g)
 	return true
 }
@@ -226,7 +227,7 @@
 			for i := 1; i < model.Size; i++ {
 				members = append(members, fmt.Sprintf("%s-none-%d", r.ID, i))
 			}
-			s.orders = append(s.orders, Order{To: r, Action: Join, Group: standbyPrefix + r.ID, Epoch: s.nextEpoch(), Model: model.Name,
+			s.orders = append(s.orders, Order{To: r, Action: Join, Group: StandbyPrefix + r.ID, Epoch: s.nextEpoch(), Model: model.Name,
 				Members: members, Reason: "a spare loads its staged weights in advance"})
 		}
 	}
--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -494,3 +494,11 @@
 	l.log.WithField("term", l.term).Info("this node plans groups")
 	return true
 }
+
+// PlansInOutage reports whether this node holds the lease beyond its term because the store answers no node. No other node can acquire
+// it meanwhile.
+func (l *Lease) PlansInOutage() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held && l.clock.Now() < l.extendedUntil
+}
--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -98,6 +98,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.restoredAt = p.opt.Clock.Now()
+	if p.recorder != nil {
+		p.recorder.storeRestored(context.Background())
+	}
 	clear(p.queriedAt)
 	clear(p.confirmed)
 }
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -92,9 +92,15 @@
 	return lock
 }
 
-// send sends one order, unless this node is no longer the planner once the earlier orders to the replica have ended, or the replica has
-// moved to another group meanwhile.
+// send sends one order once its epoch is recorded, unless this node is no longer the planner when the earlier orders to the
+// replica have ended, or the replica has moved to another group meanwhile.
 func (p *Planner) send(ctx context.Context, o placement.Order) {
+	if p.recorder != nil {
+		if err := p.recorder.await(ctx, o); err != nil {
+			p.opt.Log.WithError(err).WithFields(logrus.Fields{"replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).Info("an order to join is dropped")
+			return
+		}
+	}
 	lock := p.orderLock(o.To.ID)
 	lock.Lock()
 	defer lock.Unlock()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -50,7 +50,9 @@
 
 // Options configures a Planner.
 type Options struct {
-	Lease    *Lease
+	Lease *Lease
+	// Store holds the record of the plan; nil if none is kept.
+	Store    *platform.Store
 	Registry *fleet.Registry
 	Table    *balance.Table
 	Replicas *platform.ReplicaClient
@@ -79,11 +81,14 @@
 
 // Planner plans the groups of the engine service while this node holds the lease.
 type Planner struct {
-	opt Options
+	opt      Options
+	recorder *recorder // Nil if no record is kept.
 
 	mu   sync.Mutex // Guards the fields below. No network call is made while it is held.
 	plan *placement.Plan
-	term int64 // Lease term of the plan.
+	// restored is set once the plan holds what earlier planners have recorded. Nothing is planned before.
+	restored bool
+	term     int64 // Lease term of the plan.
 	// confirmed holds the replicas that have answered a query since their entries became uncertain, and the epochs that they stated; 0
 	// for no group.
 	confirmed map[fleet.Incarnation]int64
@@ -101,8 +106,12 @@
 
 // New returns a Planner.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
+	p := &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
 		orderLocks: map[string]*sync.Mutex{}, counts: newOrderCounts()}
+	if opt.Store != nil {
+		p.recorder = newRecorder(opt.Store, opt.Lease, opt.StoreFailing, opt.Log)
+	}
+	return p
 }
 
 // Active tells whether this node was the planner at the last tick.
@@ -146,6 +155,9 @@
 		}
 		if p.opt.Lease.Maintain(ctx, p.opt.Candidate(), p.opt.StoreAccess()) {
 			p.startTerm()
+			if p.recorder != nil {
+				go p.restorePlan(ctx, p.opt.Lease.Term())
+			}
 		}
 	}
 }
@@ -166,6 +178,10 @@
 	p.term = p.opt.Lease.Term()
 	p.plan = placement.New(p.term)
 	p.termStart = p.opt.Clock.Now()
+	p.restored = p.recorder == nil
+	if p.recorder != nil {
+		p.recorder.startTerm(p.term)
+	}
 	clear(p.nextProbe)
 	clear(p.queriedAt)
 	clear(p.reportAskedAt)
@@ -177,6 +193,7 @@
 func (p *Planner) planOnce(ctx context.Context) {
 	orders, probes, queries := p.decide()
 	p.queryReports(ctx, queries)
+	p.recordPlan(ctx)
 	for _, o := range orders {
 		go p.send(ctx, o)
 	}
@@ -215,7 +232,7 @@
 	}
 	confirmed := p.confirmedReplicas(replicas)
 	queries = p.replicasToQuery(replicas, uncertain, now)
-	if !beforeFirstRequest && now.Sub(p.termStart) < settleTime {
+	if !p.restored || !beforeFirstRequest && now.Sub(p.termStart) < settleTime {
 		return nil, nil, queries
 	}
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
@@ -228,6 +245,46 @@
 	return orders, probes, queries
 }
 
+// restorePlan reads what earlier planners have recorded and adds it to the plan of the term. In an outage of the store, groups are planned
+// from what the replicas report until it answers.
+func (p *Planner) restorePlan(ctx context.Context, term int64) {
+	for ; ctx.Err() == nil && p.recorder.current(term); sleep(ctx, recordRetryInterval) {
+		if p.opt.StoreFailing() && !p.opt.Lease.PlansInOutage() {
+			continue
+		}
+		records, err := p.recorder.load(ctx, term)
+		if err != nil {
+			p.opt.Log.WithError(err).Info("the record of the plan of groups could not be read")
+			if p.opt.Lease.PlansInOutage() {
+				p.addRecords(nil, term)
+			}
+			continue
+		}
+		p.addRecords(records, term)
+		p.opt.Log.WithFields(logrus.Fields{"term": term, "fabric_domains": len(records)}).Info("the plan of groups is restored from its record")
+		return
+	}
+}
+
+func (p *Planner) addRecords(records map[string]placement.Record, term int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term != term {
+		return
+	}
+	p.plan.Restore(records, p.opt.Clock.Now())
+	p.restored = true
+}
+
+// recordPlan writes what has changed in the plan to the store.
+func (p *Planner) recordPlan(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.recorder != nil && p.plan != nil && p.restored {
+		p.recorder.keep(ctx, p.plan.TakeRecords())
+	}
+}
+
 // headActivity returns what is known of the requests at a head.
 func (p *Planner) headActivity(head *fleet.Replica) placement.Activity {
 	return p.activity(p.opt.Table.Activity(balance.KeyOf(head)))
