Take no head as ended from an entry that may be outdated

What callers saw: members of a group joined another one while the head of their own served (rule TWO), after a change of the planner or while the store came back older; requests of a sound group ended.

Cause: releaseMembers took a listed head whose entry shows another epoch, no group or another start as ended, breakReason a member whose entry shows another group as lost, and restarted an entry of an earlier start as that of a later one, without asking whether the entry may be older than what the replica has done since. Only the members that remain were asked that. freeReplicas, joinMembers (before mustLeave) and repair ask already; releaseFormerHeads and the check for broken groups need not: a head takes an order to leave only in the epoch that it names, and a broken epoch isn't served again.

Evidence, on the code before: - TestHeadWithAnOutdatedEntryIsReleasedFirst: "vm-0-01 was joined to g100001 while g100001 of vm-0-00 was open" (in all three cases) - TestRequestsOfAMemberWithAnOutdatedEntryFinish: "join to vm-0-00 (member 1 (vm-0-01) reports another group)" - TestRequestsOfAMemberWhoseEarlierStartIsListedFinish: "join to vm-0-00 (member 1 (vm-0-01) does not respond or has restarted)"

Why it works: while entries may be outdated, such an entry counts only once the replica has confirmed it. A head that doesn't confirm is ordered to leave like one that serves, and is released by its answer or by silence, so that no group waits longer than for a head that serves.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -308,7 +308,7 @@
 		if reports && i == 0 {
 			s.headJoined(g)
 		}
-		if m.joinAccepted && !reports && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
+		if m.joinAccepted && !reports && s.stateKnown(r) && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
 			return fmt.Sprintf("member %d (%s) reports another group", i, m.incarnation.ID)
 		}
 		if reports && r.Group.State == fleet.GroupBroken {
@@ -475,8 +475,9 @@
 }
 
 // releaseMembers tells whether the members of a group may be planned in another group or epoch. A head that may still serve this epoch or
-// an earlier one is ordered to leave first, unless it is silent. If it doesn't answer, the members are released once it counts as lost. Since
-// it may serve all the same, joinMembers then lets each member leave before it joins.
+// an earlier one is ordered to leave first, unless it is silent. An entry that may be outdated doesn't show that it has ended. If it doesn't
+// answer, the members are released once it counts as lost. Since it may serve all the same, joinMembers then lets each member leave before
+// it joins.
 func (s *step) releaseMembers(g *group, reason string) bool {
 	head := s.Replicas[g.members[0].incarnation.ID]
 	failures, unresponsive := s.unresponsive[g.members[0].incarnation]
@@ -484,13 +485,13 @@
 		return false // A single probe fails too easily to give up a group that may work.
 	}
 	if head != nil && !unresponsive {
-		if head.StartedUnixMs != g.members[0].incarnation.StartedUnixMs || head.Group == nil || head.Group.Name != g.name ||
-			head.Group.Epoch != g.epoch && head.Group.Epoch != g.formerEpoch || head.Group.State == fleet.GroupBroken {
+		if serves := g.mayBeServedBy(head); !serves && s.stateKnown(head) {
 			s.headEnded(g.name, g.epoch)
 			s.headEnded(g.name, g.formerEpoch)
 			return true
+		} else if serves {
+			g.head = head
 		}
-		g.head = head
 	}
 	if g.formerEpoch == 0 && (g.headReleased || !g.wasOpen && g.openSentAt == 0) {
 		s.headEnded(g.name, g.epoch)
@@ -525,6 +526,12 @@
 	return false
 }
 
+// mayBeServedBy reports whether the entry of the group's head allows that it serves the planned epoch or the former one.
+func (g *group) mayBeServedBy(head *fleet.Replica) bool {
+	return head.Incarnation() == g.members[0].incarnation && head.Group != nil && head.Group.Name == g.name &&
+		(head.Group.Epoch == g.epoch || head.Group.Epoch == g.formerEpoch) && head.Group.State != fleet.GroupBroken
+}
+
 // sortLimitedLast moves replicas that limit their rate of requests to the end of the members of a group that gets a new head: as the
 // head, one would limit the whole group.
 func (s *step) sortLimitedLast(members []*fleet.Replica) {
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -74,10 +74,10 @@
 	return s.unresponsive[incarnation].ended && (r == nil || !r.Draining)
 }
 
-// restarted reports whether another start of the replica is listed.
+// restarted reports whether another start of the replica is listed. An entry that may be outdated can be that of an earlier start.
 func (s *step) restarted(incarnation fleet.Incarnation) bool {
 	r := s.Replicas[incarnation.ID]
-	return r != nil && r.StartedUnixMs != incarnation.StartedUnixMs
+	return r != nil && r.StartedUnixMs != incarnation.StartedUnixMs && s.stateKnown(r)
 }
 
 // headLost reports whether the head of a group, which is missing or doesn't answer, counts as lost: the engine must have broken the
