Take no members from a head that answers probes

Cause: headLost counts a missing head as lost after a second without an event. An idle head sends none, and that it answers probes wasn't asked. The silence of a head that was listed and answered again counted too.

Evidence, on the code before: TestIdleUnlistedHeadThatAnswersIsReleasedFirst, in both cases, "leave to vm-0-01: it is needed in another group, and the head of its own may still serve" while the head was open.

Why it works: a head that has answered its last probe isn't silent, so only its answer to the order to leave releases its members. A head that is listed and answers ends its silence.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -503,7 +503,10 @@
 		g.headReleased = true
 		return true
 	}
-	if (head == nil || unresponsive) && g.headMissingSince == 0 {
+	switch missing := head == nil || unresponsive; {
+	case !missing:
+		g.headMissingSince = 0
+	case g.headMissingSince == 0:
 		g.headMissingSince = s.Now
 		if unresponsive {
 			g.headMissingSince = failures.first
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -258,6 +258,7 @@
 	loadStarts   []clock.Time // Starts of weight loads within the window.
 	unresponsive map[fleet.Incarnation]probeFailures
 	probeAnswers map[fleet.Incarnation]clock.Time // When a replica, listed or not, last answered a probe.
+	probeSilence map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
 	slowUntil    map[fleet.Incarnation]clock.Time // Time until which a replica counts as slow.
 	standbyJoins map[fleet.Incarnation]clock.Time // When a spare was last ordered to join its standby group.
 	domains      map[string]domainSize            // By fabric domain.
@@ -274,7 +275,8 @@
 func New(term int64) *Plan {
 	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupKey]dissolution{}, staging: map[fleet.Incarnation]staging{},
 		unresponsive: map[fleet.Incarnation]probeFailures{}, probeAnswers: map[fleet.Incarnation]clock.Time{},
-		slowUntil: map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
+		probeSilence: map[fleet.Incarnation]clock.Time{},
+		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
 		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}}
 }
@@ -302,6 +304,7 @@
 	}
 	f.until, f.newest, f.count = now.Add(unresponsiveFor), now, f.count+1
 	p.unresponsive[incarnation] = f
+	p.probeSilence[incarnation] = now
 }
 
 // RecordEnd records that a probe has shown that this start of a replica has ended.
@@ -318,6 +321,12 @@
 	p.probeAnswers[incarnation] = now
 }
 
+// answersProbes reports whether a replica, listed or not, has lately answered a probe, and none later than that has failed.
+func (p *Plan) answersProbes(incarnation fleet.Incarnation) bool {
+	answeredAt, answered := p.probeAnswers[incarnation]
+	return answered && answeredAt >= p.probeSilence[incarnation]
+}
+
 // RecordSlowdown records by what factor a replica reports to be slower than usual; 0 if it reports none.
 func (p *Plan) RecordSlowdown(incarnation fleet.Incarnation, slowdown float64, now clock.Time) {
 	if slowdown >= minSlowdown {
@@ -518,6 +527,7 @@
 			delete(s.probeAnswers, incarnation)
 		}
 	}
+	maps.DeleteFunc(s.probeSilence, func(_ fleet.Incarnation, at clock.Time) bool { return s.Now.Sub(at) > probeAnswerValidity })
 	for g, d := range s.dissolved {
 		if s.Now.Sub(d.at) > dissolvedRetention {
 			delete(s.dissolved, g)
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -81,8 +81,12 @@
 }
 
 // headLost reports whether the head of a group, which is missing or doesn't answer, counts as lost: the engine must have broken the
-// group by now, or no node has received an event from the head for long enough.
+// group by now, or no node has received an event from the head for long enough. A head that isn't listed but answers probes is sound, and
+// may send no events because nothing runs there.
 func (s *step) headLost(g *group) bool {
+	if s.answersProbes(g.members[0].incarnation) {
+		return false
+	}
 	missingFor, a := s.Now.Sub(g.headMissingSince), s.activity(g)
 	if missingFor > s.StallAfter+stallMargin {
 		return true
--- a/internal/placement/takeover_test.go
+++ b/internal/placement/takeover_test.go
@@ -75,3 +75,58 @@
 	m.assertNoViolations()
 	c.Assert(m.interruptions, quicktest.HasLen, 0)
 }
+
+// watch calls seen with each order before it is carried out.
+func (m *emulator) watch(seen func(Order)) {
+	m.refuse = func(o Order) bool {
+		seen(o)
+		return false
+	}
+}
+
+// Guards against members that are taken from a sound, idle head: its entry has lapsed, and it hasn't received the order to leave, but it
+// answers probes.
+func TestIdleUnlistedHeadThatAnswersIsReleasedFirst(t *testing.T) {
+	for name, spares := range map[string]int{"the group is repaired": 2, "the group is dissolved": 0} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 8+spares)
+			m.activityInterval = time.Hour // No node has received an event since the start.
+			head, members := busyHead(m, 0)
+			since := m.clock.Now()
+			m.loseAnswer = func(o Order) bool {
+				return o.To.ID == head.id && o.Action == Leave && m.clock.Now().Sub(since) < 3*time.Second
+			}
+			m.watch(func(o Order) {
+				for _, v := range members[1:] {
+					c.Check(o.To.ID == v.id && head.state == fleet.GroupOpen, quicktest.IsFalse, quicktest.Commentf("%s to %s: %s", o.Action, v.id, o.Reason))
+				}
+			})
+			head.unlistedAt = since
+			m.run(p, 5*time.Second, nil)
+			c.Assert(head.state, quicktest.Not(quicktest.Equals), fleet.GroupOpen)
+			head.unlistedAt = 0
+			m.run(p, 5*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+		})
+	}
+}
+
+// Guards against members that wait for a head that answered probes while its entry had lapsed, and then stopped answering.
+func TestUnlistedHeadThatStopsAnsweringIsReplaced(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, _ := busyHead(m, 0)
+	m.loseAnswer = func(o Order) bool { return o.To.ID == head.id && o.Action == Leave }
+	group, epoch := head.group, head.epoch
+	head.unlistedAt = m.clock.Now()
+	m.run(p, time.Second, nil)
+	c.Assert(p.groups[group].epoch, quicktest.Equals, epoch)
+	m.kill(head.id)
+	m.run(p, idleHeadSilence+200*time.Millisecond, nil)
+	c.Assert(p.groups[group].epoch > epoch, quicktest.IsTrue)
+	m.run(p, 3*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+}
