Don't take a draining head that no longer listens as ended

Cause: recordLeave took an address that refuses the connection of an order to leave as the end of the head. hasEnded, which judges refused probes, doesn't for a draining replica: it listens no more, but stays while the head has work.

Evidence, on the code before: TestDrainingHeadThatNoLongerListensKeepsItsMembers, "join to vm-0-02: member 1 (vm-0-01) does not respond or has restarted" while the head was closing.

Why it works: the outcome counts as no answer while the head's entry shows that it drains and serves the epoch. Once the entry shows that it has finished, or is removed, a refused connection means its end again: the test sees the group open anew after that.

--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -61,6 +61,9 @@
 func (p *Plan) recordLeave(o Order, outcome Outcome) {
 	key, to := groupKey{o.Group, o.Epoch}, o.To.Incarnation()
 	m := membership{key, to}
+	if outcome == ConnectionRefused && p.worksWithoutListening(m) {
+		outcome = Unknown
+	}
 	if _, ordered := p.memberLeaves[m]; ordered && outcome == Unknown {
 		delete(p.memberLeaves, m)
 	} else if ordered {
@@ -83,6 +86,13 @@
 	}
 }
 
+// worksWithoutListening reports whether a head may work on what runs in its group although nothing listens at its address, because it drains.
+// One whose entry was removed has ended.
+func (p *Plan) worksWithoutListening(m membership) bool {
+	r := p.entries[m.member.ID]
+	return m.group.reportedBy(r, m.member) && r.Draining && servesGroup(r)
+}
+
 // expireLeaves removes records of heads and members that are too old to be used.
 func (s *step) expireLeaves() {
 	for key, at := range s.ended {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -162,7 +162,7 @@
 	Accepted                         // Begun or completed.
 	Refused                          // The order doesn't fit the replica's state, or another replica has the address.
 	Outdated                         // The replica has seen a higher epoch.
-	ConnectionRefused                // Nothing listens at the address.
+	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
 )
 
 // member is one VM of a planned group.
@@ -194,7 +194,7 @@
 	dissolveReason string     // Why the group is being dissolved; empty if it isn't.
 	// head is the last known entry of the head. A head whose entry was removed may still serve.
 	head             *fleet.Replica
-	headReleased     bool       // A leave order was answered, or refused by an address without a listener: the head doesn't serve.
+	headReleased     bool       // The head doesn't serve: it has answered an order to leave, or has ended.
 	headMissingSince clock.Time // When the head was first unlisted or unresponsive; 0 if it isn't.
 	adoptedAt        clock.Time // When the group was adopted from the replicas' entries; 0 if this planner formed it.
 }
@@ -266,6 +266,7 @@
 	ended        map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
 	memberLeaves map[membership]memberLeave       // Members that were ordered to leave their group just before.
 	now          clock.Time                       // Time of the last step.
+	entries      map[string]*fleet.Replica        // Input.Replicas of the last step.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -493,7 +494,7 @@
 // Step compares the plan with the entries of the replicas, changes the plan where it can no longer be carried out, and returns
 // the orders to send now.
 func (p *Plan) Step(in Input) []Order {
-	p.now = in.Now
+	p.now, p.entries = in.Now, in.Replicas
 	s := &step{Plan: p, Input: in, used: map[string]bool{}, served: map[groupKey]bool{}}
 	s.expire()
 	s.expireLeaves()
--- a/internal/placement/takeover_test.go
+++ b/internal/placement/takeover_test.go
@@ -130,3 +130,37 @@
 	m.assertNoViolations()
 	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
 }
+
+// refuseConnections lets nothing listen at the address of a replica, which goes on with its work.
+func (m *emulator) refuseConnections(p *Plan, v *vm) {
+	m.loseAnswer = func(o Order) bool {
+		if o.To.ID == v.id {
+			p.RecordOutcome(o, ConnectionRefused)
+		}
+		return o.To.ID == v.id
+	}
+}
+
+// Guards against members that are taken from a draining head: it listens no more, but works on what runs in its group.
+func TestDrainingHeadThatNoLongerListensKeepsItsMembers(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 8*time.Second)
+	m.watch(func(o Order) {
+		taken := o.To.ID == members[2].id || o.To.ID == members[3].id
+		c.Check(taken && head.state == fleet.GroupClosing, quicktest.IsFalse, quicktest.Commentf("%s to %s: %s", o.Action, o.To.ID, o.Reason))
+	})
+	head.draining = true
+	m.run(p, time.Second, nil)
+	c.Assert(head.state, quicktest.Equals, fleet.GroupClosing)
+	m.refuseConnections(p, head)
+	m.kill(members[1].id)
+	p.RecordEnd(m.incarnation(members[1]), m.clock.Now())
+	m.run(p, 6*time.Second, func() { m.lateOrders = nil })
+	c.Assert(head.state, quicktest.Equals, fleet.GroupClosing)
+	m.run(p, 2*time.Second, func() { m.lateOrders = nil })
+	m.kill(head.id)
+	m.run(p, 4*time.Second, func() { m.lateOrders = nil })
+	m.assertNoViolations()
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+}
