--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -164,7 +164,7 @@
 	Accepted                         // Begun or completed.
 	Refused                          // The order doesn't fit the replica's state, or another replica has the address.
 	Outdated                         // The replica has seen a higher epoch.
-	ConnectionRefused                // Nothing listens at the address.
+	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
 )
 
 // member is one VM of a planned group.
@@ -196,7 +196,7 @@
 	dissolveReason string     // Why the group is being dissolved; empty if it isn't.
 	// head is the last known entry of the head. A head whose entry was removed may still serve.
 	head             *fleet.Replica
-	headReleased     bool       // A leave order was answered, or refused by an address without a listener: the head doesn't serve.
+	headReleased     bool       // The head doesn't serve: it has answered an order to leave, or has ended.
 	headMissingSince clock.Time // When the head was first unlisted or unresponsive; 0 if it isn't.
 	adoptedAt        clock.Time // When the group was adopted from entries or a record; 0 if this planner formed it.
 	// restored is set while only the record of an earlier planner says that the members were ordered to join.
@@ -272,6 +272,8 @@
 	memberLeaves    map[membership]memberLeave       // Members that were ordered to leave their group just before.
 	outdatedRecords map[string]bool                  // Fabric domains whose Record has changed.
 	now             clock.Time                       // Time of the last step.
+	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
+	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -281,7 +283,8 @@
 func New(term int64) *Plan {
 	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupKey]dissolution{}, staging: map[fleet.Incarnation]staging{},
 		unresponsive: map[fleet.Incarnation]probeFailures{}, probeAnswers: map[fleet.Incarnation]clock.Time{},
-		slowUntil: map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
+		probeSilence: map[fleet.Incarnation]clock.Time{},
+		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
 		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{}}
 }
@@ -309,6 +312,7 @@
 	}
 	f.until, f.newest, f.count = now.Add(unresponsiveFor), now, f.count+1
 	p.unresponsive[incarnation] = f
+	p.probeSilence[incarnation] = now
 }
 
 // RecordEnd records that a probe has shown that this start of a replica has ended.
@@ -325,6 +329,12 @@
 	p.probeAnswers[incarnation] = now
 }
 
+// answersProbes reports whether a replica, listed or not, has lately answered a probe, and none later than that has failed.
+func (p *Plan) answersProbes(incarnation fleet.Incarnation) bool {
+	answeredAt, answered := p.probeAnswers[incarnation]
+	return answered && answeredAt >= p.probeSilence[incarnation]
+}
+
 // RecordSlowdown records by what factor a replica reports to be slower than usual; 0 if it reports none.
 func (p *Plan) RecordSlowdown(incarnation fleet.Incarnation, slowdown float64, now clock.Time) {
 	if slowdown >= minSlowdown {
@@ -492,7 +502,7 @@
 // Step compares the plan with the entries of the replicas, changes the plan where it can no longer be carried out, and returns
 // the orders to send now.
 func (p *Plan) Step(in Input) []Order {
-	p.now = in.Now
+	p.now, p.entries = in.Now, in.Replicas
 	s := &step{Plan: p, Input: in, used: map[string]bool{}, served: map[groupKey]bool{}}
 	s.expire()
 	s.expireLeaves()
@@ -527,6 +537,7 @@
 			delete(s.probeAnswers, incarnation)
 		}
 	}
+	maps.DeleteFunc(s.probeSilence, func(_ fleet.Incarnation, at clock.Time) bool { return s.Now.Sub(at) > probeAnswerValidity })
 	for g, d := range s.dissolved {
 		if s.Now.Sub(d.at) > dissolvedRetention {
 			delete(s.dissolved, g)
