Let members that left a serving head wait until it has broken

Requests at that head stood still although other spares were idle.

Cause: an answered order to leave was enough for a member to join another group. Spares were taken in the order of their IDs, so also those that first had to leave a group whose head may serve.

Evidence, on the code before: - TestMembersOfAnUnknownHeadWaitUntilItHasBroken: "vm-0-01 was joined to g100001 100ms after it had left vm-0-00, which is open" - TestReplacedMemberWaitsForItsFormerHead, in both cases: "vm-0-05 was joined to g100006 100ms after it had left vm-0-04, which is open"

Why it works: the plan keeps when a member left an epoch. It joins another group, or its standby group, once the head of that epoch is known to have ended, or counted as lost when the group was given up, or StallAfter and its margin have passed, by when the engine must have broken the group. The former epoch of a group that is given up is recorded with it, so that its members don't wait for a lost head.

Choice: repairs use only spares that can join at once; with too few of them the group is dissolved, as without spares. New groups are formed of such spares too. If there are enough only with members of groups whose heads may serve, these members are ordered to leave, and the group is formed once they may join. Until then the other spares stay free for repairs; a group that waited for its last member would hold them for five seconds.

A group whose head was never known counts as lost if it lacks other members too; else TestNewPlannerUsesMembersOfGroupsThatWereGivenUp couldn't hold. That isn't proof. What a member left isn't known to the next planner.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -369,7 +369,7 @@
 
 // joinMembers orders members that don't report the group yet to join it. If the group had a head in an older epoch that stays,
 // the head joins first: no member may be taken from a group whose head still serves. Where that isn't known, a member leaves its own
-// group before it joins.
+// group before it joins, and waits until the engine must have broken that group unless its head counts as lost.
 func (s *step) joinMembers(g *group) {
 	for i := range g.members {
 		m := &g.members[i]
@@ -389,6 +389,8 @@
 				m.joinAttempts++
 			}
 			continue
+		} else if !keepsHead && s.awaitsBreak(r) {
+			continue
 		}
 		if m.joinSentAt == 0 || s.Now.Sub(m.joinSentAt) > reportTimeout && !m.joinAccepted {
 			m.joinSentAt = s.Now
@@ -563,7 +565,15 @@
 			d.returnedAt[m.incarnation] = 0
 		}
 	}
+	if g.head == nil {
+		d.headLost = len(d.returnedAt) > 0 // The group lacks other members too.
+	} else {
+		d.headLost = g.headMissingSince != 0 && s.headLost(g)
+	}
 	s.dissolved[key] = d
+	if g.formerEpoch != 0 {
+		s.dissolved[groupKey{g.name, g.formerEpoch}] = d
+	}
 }
 
 // awaitsHead reports whether a replica of a group that was given up must wait for its head: both were unreachable, so they were
--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -20,6 +20,13 @@
 	answered bool
 }
 
+// departure records that a member has answered an order to leave a group whose head may have served it. Such a head waits for its member
+// until the engine breaks the group.
+type departure struct {
+	group groupKey
+	at    clock.Time
+}
+
 // headEnded records that the head of an epoch of a group is known not to serve it, so that its members may be joined to others at once.
 func (p *Plan) headEnded(name string, epoch int64) {
 	if epoch != 0 {
@@ -44,6 +51,23 @@
 	return !ended && !s.memberLeaves[membership{key, r.Incarnation()}].answered
 }
 
+// headMayServe reports whether the head of an epoch that isn't planned may still serve it.
+func (s *step) headMayServe(key groupKey) bool {
+	_, ended := s.ended[key]
+	return !ended && (s.served[key] || !s.dissolved[key].headLost)
+}
+
+// awaitsBreak reports whether a replica has left a group whose head may still wait for it, so that it mustn't join another one yet.
+func (s *step) awaitsBreak(r *fleet.Replica) bool {
+	d, left := s.departures[r.Incarnation()]
+	return left && s.headMayServe(d.group) && s.Now.Sub(d.at) <= s.StallAfter+stallMargin
+}
+
+// joinsLate reports whether a free replica can't join a group at once: it has to leave one whose head may serve, or has just left it.
+func (s *step) joinsLate(r *fleet.Replica) bool {
+	return s.awaitsBreak(r) || s.mustLeave(r) && r.Group.Rank > 0 && s.headMayServe(groupKey{r.Group.Name, r.Group.Epoch})
+}
+
 // orderMemberToLeave orders a member to leave the group that it reports, unless it was ordered to just before. It reports whether the
 // order is sent.
 func (s *step) orderMemberToLeave(r *fleet.Replica) bool {
@@ -69,7 +93,11 @@
 	} else if ordered {
 		p.memberLeaves[m] = memberLeave{at: p.now, answered: true}
 	}
-	if outcome == Unknown || key.reportedBy(o.To, to) && o.To.Group.Rank > 0 {
+	if outcome == Unknown {
+		return
+	}
+	if key.reportedBy(o.To, to) && o.To.Group.Rank > 0 {
+		p.memberLeft(m, outcome)
 		return
 	}
 	p.headEnded(o.Group, o.Epoch)
@@ -86,6 +114,15 @@
 	}
 }
 
+// memberLeft records that a member has left a group whose head isn't known to have ended. One that refuses the order may have left it just
+// before.
+func (p *Plan) memberLeft(m membership, outcome Outcome) {
+	if d, known := p.departures[m.member]; known && d.group == m.group && outcome != Accepted {
+		return
+	}
+	p.departures[m.member] = departure{m.group, p.now}
+}
+
 // worksWithoutListening reports whether a head may work on what runs in its group although nothing listens at its address, because it drains.
 // One whose entry was removed has ended.
 func (p *Plan) worksWithoutListening(m membership) bool {
@@ -105,4 +142,9 @@
 			delete(s.memberLeaves, m)
 		}
 	}
+	for incarnation, d := range s.departures {
+		if s.Now.Sub(d.at) > s.StallAfter+stallMargin {
+			delete(s.departures, incarnation)
+		}
+	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -212,6 +212,7 @@
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
 	headUnheard bool
+	headLost    bool // The head counted as lost: no node heard from it, or it was never known and the group lacked other members too.
 	head        fleet.Incarnation
 	headEntry   *fleet.Replica // Last known entry of the head; nil if there was none.
 	// returnedAt holds the members that were unreachable too, with the time when they were first usable again; 0 if they weren't.
@@ -265,6 +266,7 @@
 	formerHeads  map[groupKey]formerHead          // Heads of groups that are no longer planned, as far as they were ordered to leave.
 	ended        map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
 	memberLeaves map[membership]memberLeave       // Members that were ordered to leave their group just before.
+	departures   map[fleet.Incarnation]departure  // Members that have left a group whose head may have served it.
 	now          clock.Time                       // Time of the last step.
 	entries      map[string]*fleet.Replica        // Input.Replicas of the last step.
 }
@@ -279,7 +281,7 @@
 		probeSilence: map[fleet.Incarnation]clock.Time{},
 		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
-		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}}
+		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, departures: map[fleet.Incarnation]departure{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -35,8 +35,13 @@
 	return g == nil || r.Group.Epoch > g.epoch
 }
 
-// spares returns the free replicas of the fabric domain that have staged the model's weights and aren't slow.
+// spares returns the free replicas of the fabric domain that have staged the model's weights, aren't slow and can join a group at once.
 func (s *step) spares(fabric, model string) []*fleet.Replica {
+	return slices.DeleteFunc(s.stagedReplicas(fabric, model), s.joinsLate)
+}
+
+// stagedReplicas returns the free replicas of the fabric domain that have staged the model's weights and aren't slow.
+func (s *step) stagedReplicas(fabric, model string) []*fleet.Replica {
 	return slices.DeleteFunc(s.freeReplicas(fabric), func(r *fleet.Replica) bool { return !r.HasStaged(model) || s.isSlow(r.Incarnation()) })
 }
 
@@ -87,25 +92,17 @@
 	}
 }
 
-// formGroup forms one group of the model and tells whether there were enough replicas in one fabric domain.
+// formGroup forms one group of the model and tells whether there were enough replicas in one fabric domain. If there are enough only with
+// replicas that can't join at once, these are ordered to leave their groups, and the others stay free until then.
 func (s *step) formGroup(m *fleet.Model) bool {
-	var best []*fleet.Replica
-	for _, fabric := range s.fabricDomains() {
-		candidates := s.spares(fabric, m.Name)
-		if s.BeforeFirstRequest {
-			candidates = s.initialMembers(fabric, m)
-		}
-		// The domain with the most candidates is chosen, as it can best do without them as spares.
-		if len(candidates) >= m.Size && len(candidates) > len(best) {
-			best = candidates
-		}
-	}
-	if best == nil {
+	candidates := s.candidates(m, false)
+	if candidates == nil {
+		s.releaseCandidates(m)
 		return false
 	}
+	members := candidates[:m.Size]
 	epoch := s.nextEpoch()
-	g := &group{name: fmt.Sprintf("g%d", epoch), epoch: epoch, model: m.Name, fabric: best[0].Fabric}
-	members := best[:m.Size]
+	g := &group{name: fmt.Sprintf("g%d", epoch), epoch: epoch, model: m.Name, fabric: members[0].Fabric}
 	s.sortLimitedLast(members)
 	for _, r := range members {
 		g.members = append(g.members, member{incarnation: r.Incarnation(), lastEntry: r})
@@ -116,6 +113,37 @@
 	return true
 }
 
+// releaseCandidates orders replicas to leave their groups so that they can form a group of the model later.
+func (s *step) releaseCandidates(m *fleet.Model) {
+	list := s.candidates(m, true)
+	for _, r := range list[:min(len(list), m.Size)] {
+		if s.mustLeave(r) {
+			s.orderMemberToLeave(r)
+		}
+	}
+}
+
+// candidates returns the replicas of one fabric domain that may form a group of the model, or nil if no domain has enough. Those that can't
+// join at once are left out, or come last if late is set.
+func (s *step) candidates(m *fleet.Model, late bool) []*fleet.Replica {
+	var best []*fleet.Replica
+	for _, fabric := range s.fabricDomains() {
+		list := s.stagedReplicas(fabric, m.Name)
+		if s.BeforeFirstRequest {
+			list = s.initialMembers(fabric, m)
+		}
+		atOnce := slices.DeleteFunc(slices.Clone(list), s.joinsLate)
+		if late {
+			atOnce = append(atOnce, slices.DeleteFunc(list, func(r *fleet.Replica) bool { return !s.joinsLate(r) })...)
+		}
+		// The domain with the most candidates is chosen, as it can best do without them as spares.
+		if len(atOnce) >= m.Size && len(atOnce) > len(best) {
+			best = atOnce
+		}
+	}
+	return best
+}
+
 // initialMembers returns the replicas of a domain that may form a group of the model before the first client request: those
 // that have staged or are staging the model's weights, and those without weights as far as the domain's quota for the model
 // allows.
@@ -215,7 +243,7 @@
 	for _, fabric := range s.fabricDomains() {
 		for _, r := range s.freeReplicas(fabric) {
 			model := s.Engine.Model(s.assignedModel(r))
-			if model == nil || !r.HasStaged(model.Name) || r.Group != nil || slices.Contains(r.Models, model.Name) {
+			if model == nil || !r.HasStaged(model.Name) || r.Group != nil || slices.Contains(r.Models, model.Name) || s.awaitsBreak(r) {
 				continue
 			}
 			if at, ordered := s.standbyJoins[r.Incarnation()]; ordered && s.Now.Sub(at) < standbyTimeout {
--- a/internal/placement/takeover_test.go
+++ b/internal/placement/takeover_test.go
@@ -1,11 +1,13 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
@@ -76,9 +78,13 @@
 	c.Assert(m.interruptions, quicktest.HasLen, 0)
 }
 
-// watch calls seen with each order before it is carried out.
+// watch calls seen with each order that isn't refused before it is carried out.
 func (m *emulator) watch(seen func(Order)) {
+	refuse := m.refuse
 	m.refuse = func(o Order) bool {
+		if refuse != nil && refuse(o) {
+			return true
+		}
 		seen(o)
 		return false
 	}
@@ -164,3 +170,113 @@
 	m.assertNoViolations()
 	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
 }
+
+// watchMoves fails the test if a member joins another group, of whatever name, less than the time to break a group after it has left one
+// whose head still serves.
+func (m *emulator) watchMoves(c *quicktest.C) {
+	type departure struct {
+		head  *vm
+		epoch int64
+		at    clock.Time
+	}
+	left := map[string]departure{}
+	m.watch(func(o Order) {
+		v := m.vms[o.To.ID]
+		if o.Action == Leave && v.group == o.Group && v.epoch == o.Epoch && v.rank > 0 && v.reached() {
+			left[v.id] = departure{m.vms[v.members[0]], v.epoch, m.clock.Now()}
+		}
+		d, has := left[v.id]
+		if o.Action == Join && has && m.clock.Now().Sub(d.at) < stallAfter && d.head.epoch == d.epoch && d.head.failedAt == 0 {
+			c.Errorf("%s was joined to %s %v after it had left %s, which is %s", v.id, o.Group, m.clock.Now().Sub(d.at), d.head.id, d.head.state)
+		}
+	})
+}
+
+// stallAfter is the time after which a group that has lost a member is broken, as in Input.StallAfter.
+const stallAfter = 4 * time.Second
+
+// Guards against members that join another group while the head of their own, of which a new planner has never known an entry, waits for
+// them.
+func TestMembersOfAnUnknownHeadWaitUntilItHasBroken(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head := m.openHeads("large")[0]
+	m.watchMoves(c)
+	head.cutOff, head.unlistedAt = true, m.clock.Now()
+	m.run(p, 2*m.reportLag, nil)
+	m.lastEntries = map[string]*fleet.Replica{}
+	m.run(New(2), headReturnTimeout+stallAfter+4*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(m.openHeads("large"), quicktest.HasLen, 2) // The former head is cut off.
+}
+
+// Guards against a member that joins another group while the head of its own, which hasn't received its order to join a new epoch, waits for
+// it.
+func TestReplacedMemberWaitsForItsFormerHead(t *testing.T) {
+	for name, others := range map[string]int{"it is needed": 1, "there are other spares": 2} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 8)
+			head := m.openHeads("small")[0]
+			member, epoch := m.vms[head.members[1]], head.epoch
+			m.refuse = func(o Order) bool { return o.To.ID == head.id && o.Action == Join && o.Group == head.group }
+			m.watchMoves(c)
+			member.cutOff = true
+			m.run(p, 300*time.Millisecond, nil)
+			c.Assert(p.groups[head.group].epoch > epoch, quicktest.IsTrue)
+			for i := range others {
+				m.add(fmt.Sprint("z-spare-", i), head.fabric).staged = []string{"small"}
+			}
+			member.cutOff = false
+			p.RecordProbeAnswer(m.incarnation(member), m.clock.Now())
+			m.run(p, time.Second, nil)
+			c.Assert(head.epoch, quicktest.Equals, epoch)
+			c.Assert(member.group == head.group, quicktest.Equals, others > 1)
+			m.run(p, 10*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(m.openGroups()["small"] >= 2, quicktest.IsTrue, quicktest.Commentf("%v", m.openGroups()))
+		})
+	}
+}
+
+// Guards against a group that opens later after the loss of its head because its members wait for it: a head that is silent for all nodes
+// counts as lost.
+func TestMembersOfALostHeadServeInTime(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		betweenEpochs bool // The head hasn't received its order to join a new epoch.
+		lost          int  // Members that are lost with the head.
+		within        time.Duration
+	}{
+		{"the head", false, 0, 1900 * time.Millisecond},
+		{"the head and a member", false, 1, 1900 * time.Millisecond},
+		{"the head between two epochs", true, 0, 1600 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, p := startedSystem(t, 1, 11)
+			head, members := busyHead(m, 0)
+			m.watchMoves(c)
+			if test.betweenEpochs {
+				m.loseAnswer = func(o Order) bool { return o.To.ID == head.id && o.Action == Join }
+				m.kill(members[1].id)
+				p.RecordProbeFailure(m.incarnation(members[1]), m.clock.Now())
+				m.run(p, 300*time.Millisecond, nil)
+			}
+			for _, v := range members[:1+test.lost] {
+				m.kill(v.id)
+			}
+			lost, openAfter := m.clock.Now(), time.Duration(0)
+			m.run(p, 12*time.Second, func() {
+				for _, v := range members[:1+test.lost] {
+					p.RecordProbeFailure(m.incarnation(v), m.clock.Now())
+				}
+				if m.openGroups()["large"] == 1 && openAfter == 0 {
+					openAfter = m.clock.Now().Sub(lost)
+				}
+			})
+			m.assertNoViolations()
+			c.Assert(openAfter > 0 && openAfter <= test.within, quicktest.IsTrue, quicktest.Commentf("after %v", openAfter))
+		})
+	}
+}
