--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -216,6 +216,7 @@
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
 	headUnheard   bool
+	headLost      bool // The head counted as lost: no node heard from it, or it was never known and the group lacked other members too.
 	head          fleet.Incarnation
 	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
 	fabric, model string
@@ -274,6 +275,7 @@
 	now             clock.Time                       // Time of the last step.
 	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
 	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
+	departures      map[fleet.Incarnation]departure  // Members that have left a group whose head may have served it.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -286,7 +288,8 @@
 		probeSilence: map[fleet.Incarnation]clock.Time{},
 		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
-		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{}}
+		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{},
+		departures: map[fleet.Incarnation]departure{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
