Send orders to engines only with a lease that knows the plans

A controller that was cut off from the platform for longer than its lease goes on to have the right to serve, since its peers answer it. When it reached the platform again, its first write counted as contact, and it sent the orders of the plan that it had known before: to leave, at VMs that another controller had joined to a group meanwhile. Engines that ignore fencing numbers carry them out, which ends the requests of a group that serves. Those that check them refuse only what is older than the last order that they have received.

The cause is that contact with the platform was taken for the lease. Only the lease keeps others from taking over, and only plans that were read after a gap show what they did in it.

A controller now plans and orders only with a valid lease, and a renewal after a gap counts only once the plans were read after its record was written, as it does for holder tables. A lease without a gap needs no read: the record changed before another node could find it lapsed. Nodes make no further calls otherwise.

TestReturningControllerOrdersNothingByAnOldPlan failed before, with and without fencing numbers: "3 orders arrived from a node that hasn't read the plans since its lease lapsed". The model of random faults now cuts nodes off from the platform.

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -276,8 +276,19 @@
 
 // mayControl reports whether this node may write plans and send orders now. Contact with a majority of the nodes is not
 // enough, because another node takes over as soon as this node's lease in the platform has ended.
-func (c *Controllers) mayControl() bool {
-	return c.options.Members.RightToServe() && c.options.Members.PlatformReachable()
+func (c *Controllers) mayControl() bool { return c.options.Members.HasLease() }
+
+// AfterRenew makes a lease depend on the plans if it doesn't follow another one without a gap, in which other nodes may have taken fabric
+// domains over: it reads them again. version is that of this node's renewed record; an older list is an error.
+func (c *Controllers) AfterRenew(ctx context.Context, version uint64) error {
+	if c.options.Members.HasLease() {
+		return nil // No other node can have found the lease lapsed.
+	}
+	listed, err := c.listPlans(ctx)
+	if err == nil && listed < version {
+		err = eris.Errorf("list of %s has version %d, below %d: stale", Kind, listed, version)
+	}
+	return err
 }
 
 // step plans one fabric domain once, or takes it over.
@@ -465,8 +476,7 @@
 		return cachedPlan{}, eris.Wrapf(err, "encode plan of fabric domain %q", fabric)
 	}
 	if !c.mayControl() {
-		return cachedPlan{}, eris.Errorf("write plan of fabric domain %q: node has no right to serve or cannot reach the platform",
-			fabric)
+		return cachedPlan{}, eris.Errorf("write plan of fabric domain %q: node has no lease", fabric)
 	}
 	o := Object{Kind: Kind, Name: fabric, Version: version, Data: data}
 	var written Object
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -35,6 +35,7 @@
 	planObject    *Object
 	loseNextReply bool
 	fenced        bool
+	rules         *rules.Rules
 	vmList        []VM
 	engines       map[string]*engineState
 	nodes         []*controllerNode
@@ -87,8 +88,12 @@
 	*Controllers
 	name      string
 	paused    bool
-	renewedAt time.Duration // When its lease was last renewed.
-	// staleRight makes RightToServe return true, as if it had been called just before the process was paused.
+	renewedAt time.Duration // When its record was last written.
+	// leaseStart is the start of its last lease: a renewal counts once the plans were read after it.
+	leaseStart time.Duration
+	// cutOff is true while the node has no path to the platform. Its peers go on to answer its heartbeats.
+	cutOff bool
+	// staleRight makes HasLease return true, as if it had been called just before the process was paused.
 	staleRight bool
 }
 
@@ -104,8 +109,9 @@
 	return list
 }
 
-func (n *controllerNode) RightToServe() bool      { return n.staleRight || n.model.now-n.renewedAt < term }
-func (n *controllerNode) PlatformReachable() bool { return true }
+func (n *controllerNode) HasLease() bool { return n.staleRight || n.model.now-n.leaseStart < term }
+
+var errNoPath = errors.New("no path to the platform")
 
 // platformClient is the platform API as used by one node, the author of its writes.
 type platformClient struct {
@@ -114,6 +120,9 @@
 }
 
 func (c platformClient) Get(context.Context, string, string) (Object, error) {
+	if c.node.cutOff {
+		return Object{}, errNoPath
+	}
 	if c.model.planObject == nil {
 		return Object{}, ErrNotFound
 	}
@@ -147,6 +156,9 @@
 
 // put accepts a write and checks that only the controller, or the successor of one whose lease has ended, changes a plan.
 func (c platformClient) put(o Object) (Object, error) {
+	if c.node.cutOff {
+		return Object{}, errNoPath
+	}
 	if c.model.planObject != nil {
 		previous, err := decodePlan(*c.model.planObject)
 		must(c.model.t, err == nil, "%v", err)
@@ -219,8 +231,7 @@
 	m := &controllerModel{t: t, fenced: fenced, engines: map[string]*engineState{},
 		delayedOrders: map[string]delayedOrder{}, now: time.Hour}
 	pool := rules.Pool{Name: "p", Model: "m", VMs: 3, Replicas: 2, FencedOrders: fenced}
-	currentRules := &rules.Rules{Pools: map[string]rules.Pool{"p": pool},
-		Weights: rules.WeightBudget{AtOnce: 100, PerMinute: 1000}}
+	m.rules = &rules.Rules{Pools: map[string]rules.Pool{"p": pool}, Weights: rules.WeightBudget{AtOnce: 100, PerMinute: 1000}}
 	for range 8 {
 		m.addVM()
 	}
@@ -228,11 +239,11 @@
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	for _, name := range []string{"a", "b", "c"} {
-		n := &controllerNode{model: m, name: name, renewedAt: m.now}
+		n := &controllerNode{model: m, name: name, renewedAt: m.now, leaseStart: m.now}
 		n.Controllers = New(Options{
 			Self: Identity{Name: name, Incarnation: "1"}, Platform: platformClient{m, n}, Members: n, Orders: m,
 			VMs:    func() ([]VM, bool) { return slices.Clone(m.vmList), true },
-			Report: m.report, Rules: func() *rules.Rules { return currentRules },
+			Report: m.report, Rules: func() *rules.Rules { return m.rules },
 			WallClock: func() time.Time { return time.Unix(0, int64(m.now)) }, Now: func() time.Duration { return m.now },
 			Term: term, Margin: margin, Log: log,
 		})
@@ -280,9 +291,14 @@
 		if n.paused {
 			continue
 		}
-		n.renewedAt = m.now
-		_, err := n.listPlans(ctx)
-		must(m.t, err == nil, "%v", err)
+		if !n.cutOff {
+			n.renewedAt = m.now
+			err := n.AfterRenew(ctx, m.version)
+			must(m.t, err == nil, "%v", err)
+			n.leaseStart = m.now
+			_, err = n.listPlans(ctx)
+			must(m.t, err == nil, "%v", err)
+		}
 		m.stepNode(n)
 	}
 	m.checkInvariants()
@@ -320,10 +336,30 @@
 	}
 }
 
+// controller returns the node that the stored plan names as the controller.
+func (m *controllerModel) controller() *controllerNode {
+	plan, err := decodePlan(*m.planObject)
+	must(m.t, err == nil, "%v", err)
+	i := slices.IndexFunc(m.nodes, func(n *controllerNode) bool { return n.name == plan.Controller })
+	must(m.t, i >= 0, "the controller %q is no node", plan.Controller)
+	return m.nodes[i]
+}
+
+// advanceUntilServing advances until the given number of groups serves.
+func (m *controllerModel) advanceUntilServing(groups int) {
+	for deadline := m.now + time.Minute; m.planObject == nil || m.servingGroups() != groups; {
+		m.advance(250 * time.Millisecond)
+		must(m.t, m.now < deadline, "%d of %d groups serve after a minute", m.servingGroups(), groups)
+	}
+}
+
 // servingGroups counts the ready groups whose members all report what the plan says.
 func (m *controllerModel) servingGroups() int {
+	if m.planObject == nil {
+		return 0
+	}
 	n := 0
-	for _, v := range m.nodes[0].Groups() {
+	for _, v := range m.controller().Groups() {
 		whole := v.State == ready
 		for rank, member := range v.Members {
 			r := m.report(member.VM)
@@ -359,6 +395,8 @@
 			"delay order": func(*rapid.T) { m.delayNextOrder = true },
 			"pause":       func(*rapid.T) { node().paused = true },
 			"resume":      func(*rapid.T) { node().paused = false },
+			"cut off":     func(*rapid.T) { node().cutOff = true },
+			"reconnect":   func(*rapid.T) { node().cutOff = false },
 			"remove": func(t *rapid.T) {
 				if len(m.engines) <= 4 {
 					t.Skip("few VMs are left")
@@ -383,7 +421,7 @@
 			"": func(*rapid.T) { m.checkInvariants() },
 		})
 		for _, n := range m.nodes {
-			n.paused = false
+			n.paused, n.cutOff = false, false
 		}
 		for range 8 {
 			m.addVM()
@@ -459,3 +497,38 @@
 		})
 	}
 }
+
+// Guards against orders by a plan that another controller has replaced: a node whose lease has lapsed renews its record, its peers have
+// answered it throughout, and it hasn't read the plans yet. Its orders to leave would end a group that the other controller has formed.
+func TestReturningControllerOrdersNothingByAnOldPlan(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fenced=%v", fenced), func(t *testing.T) {
+			m := newControllerModel(t, fenced)
+			m.advanceUntilServing(2)
+			former := m.controller()
+			former.cutOff = true
+			pool := m.rules.Pools["p"]
+			pool.Replicas = 3
+			m.rules.Pools["p"] = pool
+			m.addVM()
+			m.publishVMList()
+			m.advanceUntilServing(3)
+			must(t, m.controller() != former, "%s is still the controller", former.name)
+
+			former.cutOff = false
+			arrived := m.ordersArrived
+			former.renewedAt = m.now
+			m.stepNode(former)
+			must(t, m.ordersArrived == arrived, "%d orders arrived before it read the plans", m.ordersArrived-arrived)
+			must(t, former.AfterRenew(context.Background(), m.version+1) != nil, "a list older than its renewal was accepted")
+			must(t, former.AfterRenew(context.Background(), m.version) == nil, "the plans could not be read")
+			former.leaseStart = m.now
+			m.stepNode(former)
+			must(t, m.ordersArrived == arrived, "%d orders arrived after its return", m.ordersArrived-arrived)
+			for range 40 {
+				m.advance(250 * time.Millisecond)
+				must(t, m.servingGroups() == 3, "%d of 3 groups serve after its return", m.servingGroups())
+			}
+		})
+	}
+}
--- a/internal/groups/platform.go
+++ b/internal/groups/platform.go
@@ -7,10 +7,18 @@
 	Object   = holder.Object
 	Event    = holder.Event
 	Platform = holder.Platform
-	Members  = holder.Members
 	Identity = holder.Identity
 )
 
+// Members provides the state of the entry nodes.
+type Members interface {
+	// Nodes returns all listed nodes, this one included.
+	Nodes() []holder.Node
+	// HasLease reports whether this node's lease in the platform is valid. A lease must count only once AfterRenew has returned without
+	// an error after its renewal.
+	HasLease() bool
+}
+
 // Errors of a Platform.
 var (
 	ErrNotFound       = holder.ErrNotFound
--- a/internal/node/adapters.go
+++ b/internal/node/adapters.go
@@ -45,6 +45,7 @@
 
 func (h holderMembers) RightToServe() bool      { return h.membership.Right().Serve }
 func (h holderMembers) PlatformReachable() bool { return h.membership.PlatformReachable() }
+func (h holderMembers) HasLease() bool          { return h.membership.Right().PlatformLease }
 
 func (h holderMembers) Nodes() []holder.Node {
 	var nodes []holder.Node
