Give no number of a group's composition out twice after a restore

When the platform's store came back without the last repair of a group, the next repair gave the group the number of the lost one with other members. Members that had carried out the lost repair confirmed that number without an order, so the group counted as ready although its members knew different compositions: requests were sent to a replica of which a part had been ordered to leave.

The planner counted numbers up from the restored plan. They now begin higher in each era of the store, as versions, fencing numbers and the IDs of new groups do, so that members of a lost composition contradict the plan and are joined again. Without a restore the numbers are as before.

TestNumbersOfCompositionsAreNotGivenTwice failed before: "vm02 was joined to number 2 of p.f.1.0 with the members [vm07 vm02 vm03], but the plan has [vm01 vm02 vm03]". The model of random faults checks the same of every ready group.

--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -78,6 +78,7 @@
 type engineState struct {
 	Report
 	fence   uint64
+	members []string // Addresses by rank, as in the last join.
 	down    bool
 	leaving bool
 }
@@ -213,6 +214,7 @@
 		return nil
 	}
 	e.Group, e.Number, e.Rank, e.Size, e.Model, e.Ready = o.Group, o.Number, o.Rank, o.Size, o.Model, true
+	e.members = o.Members
 	e.Weights = []string{o.Model}
 	return nil
 }
@@ -330,6 +332,12 @@
 			}
 		}
 		must(m.t, len(ranks) == int(g.Size), "ready group %s has %d of %d members", g.Id, len(ranks), g.Size)
+		for vm, a := range plan.Assignments {
+			if e := m.engines[vm]; a.Group == g.Id && e != nil && confirmsMembership(e.Report, g, a.Rank) {
+				want := members(plan, g)
+				must(m.t, slices.Equal(e.members, want), "%s was joined to number %d of %s with the members %v, but the plan has %v", vm, g.Number, g.Id, e.members, want)
+			}
+		}
 	}
 	for vm, a := range plan.Assignments {
 		must(m.t, plan.Groups[a.Group] != nil, "%s is in group %s, which does not exist", vm, a.Group)
@@ -532,3 +540,25 @@
 		})
 	}
 }
+
+// Guards against a group that serves although its members know different compositions: a restore of the store takes a repair, and the next
+// one got the number of the first, which members that had carried out the first confirm at once.
+func TestNumbersOfCompositionsAreNotGivenTwice(t *testing.T) {
+	m := newControllerModel(t, true)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	plan, _ := decodePlan(*m.planObject)
+	copied := len(m.copies)
+	repaired := slices.Min(slices.Collect(engineNames(m.engines)))
+	group := plan.Assignments[repaired].GetGroup()
+	must(t, group != "", "%s is in no group", repaired)
+	m.engines[repaired].down = true
+	m.advanceUntilServing(1)
+	m.advanceUntilServing(2)
+	m.engines[repaired].down = false
+	m.restore(len(m.copies) - copied)
+	for range 60 {
+		m.advance(250 * time.Millisecond)
+	}
+	must(t, m.servingGroups() == 2, "%d of 2 groups serve after the restore", m.servingGroups())
+}
--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
@@ -98,7 +99,7 @@
 	FailureDomainOut bool
 	VMs              []VM // VMs of this fabric domain.
 	Plan             *schema.FabricDomain
-	// Version is the object version of Plan. It makes the IDs of new groups unique.
+	// Version is the object version of Plan. It makes the IDs of new groups and the numbers of compositions unique.
 	Version uint64
 	Reports map[string]Report // By VM name.
 	Shares  []Share
@@ -250,9 +251,10 @@
 }
 
 // renumber gives a group a new number, which invalidates all earlier reports and orders, and returns it to the planned
-// state until all members have confirmed the new number.
+// state until all members have confirmed the new number. Members may report numbers of plans that a restore of the store has taken, so
+// numbers begin anew, and higher, in each era.
 func (p *planner) renumber(g *schema.Group) {
-	g.Number++
+	g.Number = max(g.Number, platform.VersionIn(platform.EraOf(p.input.Version), 0)) + 1
 	g.State = schema.GroupState_GROUP_STATE_PLANNED
 	for _, a := range p.plan.Assignments {
 		if a.Group == g.Id {
