Keep serving by plans that a restore of the store has taken

When the platform's store came back from an older copy, the nodes dropped the plans that they knew for the restored ones. Groups that were formed or repaired after the copy got no requests from that moment on, and once the wait after a restore was over, the controller ordered their engines to leave or to join again, though nothing had happened to them.

The restored plan says less than the nodes know: the lost one was written, and its orders were carried out. A node now keeps the plan that was written last, by the era and version of its write, and takes only the controller from the restored object. Requests go on, since they are sent only to groups whose members all report what the plan says. After the wait the controller writes the plan again before its first order, and continues from there. If it doesn't know the lost plan, the others adopt what it writes, as before.

TestGroupsServeOnAfterARestoreTookTheirPlan failed before, with and without fencing numbers: "1 of 2 groups serve after the restore" if the copy lacked a repair, "0 of 2" if it had no plan.

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -78,10 +78,14 @@
 	Members       []Member // By rank.
 }
 
-// cachedPlan is the last known plan of a fabric domain, with its object version.
+// cachedPlan is the last known plan of a fabric domain, with the version of the stored object, 0 if there is none.
 type cachedPlan struct {
 	version uint64
 	plan    *schema.FabricDomain
+	// writtenAt is the version at which plan was written. A restore of the store changes version only.
+	writtenAt uint64
+	// unstored is true if a restore has taken plan. The controller that the stored object names then writes plan again.
+	unstored bool
 }
 
 // controlState is a node's state for a fabric domain that it controls.
@@ -315,7 +319,7 @@
 		return nil // Orders of the previous controller may still arrive.
 	}
 	out := Plan(in)
-	if out.Changed {
+	if out.Changed || current.unstored {
 		var err error
 		if current, err = c.write(ctx, fabric, current.version, out.Plan); err != nil {
 			return err
@@ -470,7 +474,7 @@
 // nonce in the stored object shows whether the write succeeded.
 func (c *Controllers) write(ctx context.Context, fabric string, version uint64, plan *schema.FabricDomain) (cachedPlan, error) {
 	plan = proto.CloneOf(plan)
-	plan.Nonce = uuid.NewString()
+	plan.Nonce, plan.StoreEra = uuid.NewString(), c.knownEra()
 	data, err := protojson.Marshal(plan)
 	if err != nil {
 		return cachedPlan{}, eris.Wrapf(err, "encode plan of fabric domain %q", fabric)
@@ -492,7 +496,7 @@
 		return cachedPlan{}, eris.Wrapf(err, "write plan of fabric domain %q from version %d", fabric, version)
 	}
 	o.Version = written.Version
-	return cachedPlan{written.Version, plan}, c.cachePlan(o)
+	return storedPlan(o.Version, plan), c.cachePlan(o)
 }
 
 // readBack reads a plan after a write whose outcome is unknown, or that failed because the plan has changed.
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
@@ -18,6 +19,7 @@
 	"cassiadeal.example/cassiadeal/internal/orders"
 	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
 const (
@@ -366,8 +368,13 @@
 	if m.planObject == nil {
 		return 0
 	}
+	return m.servingGroupsAt(m.controller())
+}
+
+// servingGroupsAt is servingGroups by the plan that a node knows.
+func (m *controllerModel) servingGroupsAt(node *controllerNode) int {
 	n := 0
-	for _, v := range m.controller().Groups() {
+	for _, v := range node.Groups() {
 		whole := v.State == ready
 		for rank, member := range v.Members {
 			r := m.report(member.VM)
@@ -562,3 +569,66 @@
 	}
 	must(t, m.servingGroups() == 2, "%d of 2 groups serve after the restore", m.servingGroups())
 }
+
+// Guards against orders that end the requests of groups because a restore of the store has taken their latest plan, or the whole plan: the
+// nodes know it, the engines serve by it, and its groups get requests until it is written again.
+func TestGroupsServeOnAfterARestoreTookTheirPlan(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		for _, copied := range []string{"before the repair", "before any plan"} {
+			t.Run(fmt.Sprintf("fenced=%v/copy %s", fenced, copied), func(t *testing.T) {
+				m := newControllerModel(t, fenced)
+				m.advanceUntilServing(2)
+				m.advance(250 * time.Millisecond)
+				beforeRepair := len(m.copies)
+				m.engines["vm01"].down = true
+				m.advanceUntilServing(1)
+				m.advanceUntilServing(2)
+				m.advance(250 * time.Millisecond) // All nodes read the last plan.
+				if copied == "before any plan" {
+					m.restore(len(m.copies) + 1)
+				} else {
+					m.restore(len(m.copies) - beforeRepair)
+				}
+				arrived := m.ordersArrived
+				for range 120 {
+					m.advance(250 * time.Millisecond)
+					serving := m.servingGroupsAt(m.nodes[0])
+					must(t, serving == 2, "%d of 2 groups serve after the restore, %d orders", serving, m.ordersArrived-arrived)
+				}
+				must(t, m.ordersArrived == arrived, "%d orders arrived after the restore", m.ordersArrived-arrived)
+				must(t, m.servingGroups() == 2, "%d of 2 groups are in the stored plan and serve", m.servingGroups())
+			})
+		}
+	}
+}
+
+// Guards against a node that keeps the plan that a restore has taken although a later one was written since, and against one that trades it
+// for the older copy.
+func TestLaterWrittenPlanIsKept(t *testing.T) {
+	at := platform.VersionIn
+	for _, tc := range []struct {
+		name                string
+		knownEra, storedEra uint64 // In which the plan was written.
+		known, stored       uint64 // Version of the stored object.
+		keep                bool
+	}{
+		{"no restore", 0, 0, at(0, 5), at(0, 6), false},
+		{"restored as it was", 0, 0, at(0, 5), at(1, 5), false},
+		{"restored before the plan", 0, 0, at(0, 5), at(1, 4), true},
+		{"written since the restore", 0, 1, at(0, 5), at(1, 3), false},
+		{"written in an era that this node has missed", 0, 1, at(0, 5), at(2, 3), false},
+		{"written in the last era, restored before", 1, 0, at(1, 3), at(2, 5), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			known := storedPlan(tc.known, &schema.FabricDomain{Nonce: "known", Controller: "former", StoreEra: tc.knownEra})
+			stored := storedPlan(tc.stored, &schema.FabricDomain{Nonce: "stored", Controller: "present", StoreEra: tc.storedEra})
+			got := known.over(stored)
+			c.Check(got.version, qt.Equals, tc.stored)
+			c.Check(got.plan.Controller, qt.Equals, "present")
+			c.Check(got.unstored, qt.Equals, tc.keep)
+			c.Check(got.plan.Nonce == "known", qt.Equals, tc.keep)
+			c.Check(known.plan.Controller, qt.Equals, "former")
+		})
+	}
+}
--- a/internal/groups/follow.go
+++ b/internal/groups/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/schema"
@@ -43,7 +44,7 @@
 	for _, o := range objects {
 		c.cacheReadablePlan(o)
 	}
-	c.removeLostPlans(objects, v)
+	c.noteLostPlans(objects, v)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.plansListed = true
@@ -75,6 +76,22 @@
 	return plan, nil
 }
 
+// storedPlan returns a plan that was read or written at a version of the store.
+func storedPlan(version uint64, plan *schema.FabricDomain) cachedPlan {
+	return cachedPlan{version: version, plan: plan, writtenAt: platform.VersionIn(plan.StoreEra, platform.StoreVersion(version))}
+}
+
+// over returns what is known after reading next: its plan, unless a restore of the store has taken a later one. Engines have carried out that
+// one, so that orders by the older one would end what they run. Only the controller is that of the stored object.
+func (known cachedPlan) over(next cachedPlan) cachedPlan {
+	if known.writtenAt <= next.writtenAt {
+		return next
+	}
+	plan := proto.CloneOf(known.plan)
+	plan.Controller, plan.ControllerIncarnation = next.plan.Controller, next.plan.ControllerIncarnation
+	return cachedPlan{version: next.version, plan: plan, writtenAt: known.writtenAt, unstored: true}
+}
+
 // cachePlan caches a plan unless the same or a later version is known, and calls the functions set by OnChange.
 func (c *Controllers) cachePlan(o Object) error {
 	d, err := decodePlan(o)
@@ -87,7 +104,7 @@
 		return nil
 	}
 	c.noteEraLocked(o.Version)
-	c.plans[o.Name] = cachedPlan{o.Version, d}
+	c.plans[o.Name] = c.plans[o.Name].over(storedPlan(o.Version, d))
 	changed := slices.Clone(c.onChange)
 	c.mu.Unlock()
 	for _, f := range changed {
@@ -103,6 +120,13 @@
 	}
 }
 
+// knownEra returns the highest era of the store in which this node has read plans.
+func (c *Controllers) knownEra() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
 // noteEraLocked makes this node's controllers wait when a version is of a later era than those before. The restored plans may name a
 // former controller, beside which the present one goes on until it has read them or its lease has ended. The caller holds c.mu.
 func (c *Controllers) noteEraLocked(version uint64) {
@@ -116,21 +140,18 @@
 	}
 }
 
-// removeLostPlans removes the plans that a list of a later era lacks.
-func (c *Controllers) removeLostPlans(listed []Object, version uint64) {
+// noteLostPlans notes the plans that a list of a later era lacks as not stored. Their controllers write them again.
+func (c *Controllers) noteLostPlans(listed []Object, version uint64) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.noteEraLocked(version)
-	var lost []Object
 	for name, d := range c.plans {
 		isListed := slices.ContainsFunc(listed, func(o Object) bool { return o.Name == name })
 		if !isListed && platform.EraOf(d.version) < platform.EraOf(version) {
-			lost = append(lost, Object{Name: name})
+			d.version, d.unstored = 0, true
+			c.plans[name] = d
 		}
 	}
-	c.mu.Unlock()
-	for _, o := range lost {
-		c.removePlan(o)
-	}
 }
 
 // removePlan removes a deleted plan from the cache and calls the functions set by OnChange.
