Read the plans before a lease counts in a new era of the store

After a restore of the platform's store, the restored plan may name a former controller. The present one was meant to stop with its lease, but it could renew that in the new era while the connection of its watch of the plans was silent. As long as its plan needed no change, no conditional write told it, and it sent the orders of the lost plan beside the other controller: engines that ignore fencing numbers were joined back and forth between the groups of both.

The first lease in an era now also counts only once the plans were read after the record was written, as the first one after a gap does. The node then waits as all do after a restore, with the plan that the store has.

TestControllerReadsThePlansAfterARestore failed before: "38 orders were carried out after one of a later plan". The model of random faults now checks this of all orders to engines that ignore fencing numbers, except of senders that were paused after they had checked their lease, and lets watches fall silent.

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -16,6 +16,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/holder"
 	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
@@ -282,10 +283,11 @@
 // enough, because another node takes over as soon as this node's lease in the platform has ended.
 func (c *Controllers) mayControl() bool { return c.options.Members.HasLease() }
 
-// AfterRenew makes a lease depend on the plans if it doesn't follow another one without a gap, in which other nodes may have taken fabric
-// domains over: it reads them again. version is that of this node's renewed record; an older list is an error.
+// AfterRenew makes a lease depend on the plans where they may name another controller than this node knows: after a gap between leases, in
+// which other nodes may have taken fabric domains over, and after a restore of the store. It then reads them again. version is that of this
+// node's renewed record; an older list is an error.
 func (c *Controllers) AfterRenew(ctx context.Context, version uint64) error {
-	if c.options.Members.HasLease() {
+	if c.options.Members.HasLease() && platform.EraOf(version) == c.knownEra() {
 		return nil // No other node can have found the lease lapsed.
 	}
 	listed, err := c.listPlans(ctx)
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -44,6 +44,11 @@
 	violation     string // Found by Send, outside the test's goroutine.
 	nextVM        int
 	ordersArrived int // Also counts orders to engines that are down or refuse them.
+	// outdatedOrders counts the orders that engines have carried out after one of a later plan.
+	outdatedOrders int
+	// unchecked is true while orders are sent or arrive whose sender had its lease only before a pause. Nothing can keep engines that ignore
+	// fencing numbers from carrying them out.
+	unchecked bool
 	// delayNextOrder delays the next order to the end of its delivery time; its sender learns no outcome.
 	delayNextOrder bool
 	delayedOrders  map[string]delayedOrder // By VM.
@@ -74,7 +79,8 @@
 
 type delayedOrder struct {
 	orders.Order
-	due time.Duration
+	due       time.Duration
+	unchecked bool
 }
 
 type engineState struct {
@@ -96,6 +102,8 @@
 	leaseStart time.Duration
 	// cutOff is true while the node has no path to the platform. Its peers go on to answer its heartbeats.
 	cutOff bool
+	// watchSilent is true while the connection of its watch of the plans is silent, though others work.
+	watchSilent bool
 	// staleRight makes HasLease return true, as if it had been called just before the process was paused.
 	staleRight bool
 }
@@ -195,7 +203,7 @@
 	}
 	if m.delayNextOrder {
 		m.delayNextOrder = false
-		m.delayedOrders[address] = delayedOrder{o, m.now + defaultOrderDelivery}
+		m.delayedOrders[address] = delayedOrder{o, m.now + defaultOrderDelivery, m.unchecked}
 		return fmt.Errorf("%w: %s", orders.ErrOutcomeUnknown, address)
 	}
 	return m.receiveOrder(address, o)
@@ -210,6 +218,9 @@
 	if m.fenced && o.Fence < e.fence {
 		return &orders.FencedError{Sent: o.Fence, Current: e.fence}
 	}
+	if o.Fence < e.fence && !m.unchecked {
+		m.outdatedOrders++
+	}
 	e.fence = o.Fence
 	if o.Action == orders.Leave {
 		e.Report = Report{Incarnation: e.Incarnation, Seen: true, Weights: e.Weights}
@@ -282,7 +293,9 @@
 	for vm, o := range m.delayedOrders {
 		if m.now >= o.due {
 			delete(m.delayedOrders, vm)
+			m.unchecked = o.unchecked
 			_ = m.receiveOrder(vm, o.Order) // The sender has already got an unknown outcome.
+			m.unchecked = false
 		}
 	}
 	m.stepNodes()
@@ -300,7 +313,9 @@
 			err := n.AfterRenew(ctx, m.version)
 			must(m.t, err == nil, "%v", err)
 			n.leaseStart = m.now
-			_, err = n.listPlans(ctx)
+		}
+		if !n.cutOff && !n.watchSilent {
+			_, err := n.listPlans(ctx)
 			must(m.t, err == nil, "%v", err)
 		}
 		m.stepNode(n)
@@ -316,6 +331,7 @@
 // checkInvariants verifies the plan in the platform and the groups to which requests would be dispatched.
 func (m *controllerModel) checkInvariants() {
 	must(m.t, m.violation == "", "%s", m.violation)
+	must(m.t, m.outdatedOrders == 0, "%d orders were carried out after one of a later plan", m.outdatedOrders)
 	if m.planObject == nil {
 		return
 	}
@@ -412,6 +428,8 @@
 			"resume":      func(*rapid.T) { node().paused = false },
 			"cut off":     func(*rapid.T) { node().cutOff = true },
 			"reconnect":   func(*rapid.T) { node().cutOff = false },
+			"hang watch":  func(*rapid.T) { node().watchSilent = true },
+			"watch again": func(*rapid.T) { node().watchSilent = false },
 			"remove": func(t *rapid.T) {
 				if len(m.engines) <= 4 {
 					t.Skip("few VMs are left")
@@ -426,9 +444,9 @@
 					t.Skip("no paused node or no plan")
 				}
 				before := m.version
-				n.staleRight = true
+				n.staleRight, m.unchecked = true, true
 				m.stepNode(n)
-				n.staleRight = false
+				n.staleRight, m.unchecked = false, false
 				d, err := decodePlan(*m.planObject)
 				must(t, err == nil, "%v", err)
 				must(t, d.Controller == n.name || m.version == before, "write of %s accepted, which is not the controller", n.name)
@@ -436,7 +454,7 @@
 			"": func(*rapid.T) { m.checkInvariants() },
 		})
 		for _, n := range m.nodes {
-			n.paused, n.cutOff = false, false
+			n.paused, n.cutOff, n.watchSilent = false, false, false
 		}
 		for range 8 {
 			m.addVM()
@@ -632,3 +650,33 @@
 		})
 	}
 }
+
+// Guards against a controller that orders by a plan that a restore of the store has taken, beside the controller that the restored plan names:
+// its lease is renewed, but the connection of its watch is silent, so that it hasn't read the plans since.
+func TestControllerReadsThePlansAfterARestore(t *testing.T) {
+	m := newControllerModel(t, false)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	copied, restored := len(m.copies), m.controller()
+	restored.cutOff = true
+	pool := m.rules.Pools["p"]
+	pool.Replicas = 3
+	m.rules.Pools["p"] = pool
+	m.rules.Weights.PerMinute = 1 // The third group waits for weights.
+	m.addVM()
+	m.publishVMList()
+	ordered := m.ordersArrived
+	for deadline := m.now + time.Minute; m.ordersArrived == ordered; m.advance(250 * time.Millisecond) {
+		must(t, m.now < deadline, "nothing was ordered for the third group")
+	}
+	present := m.controller()
+	must(t, present != restored, "%s is still the controller", restored.name)
+
+	m.restore(len(m.copies) - copied)
+	present.watchSilent, restored.cutOff = true, false
+	for range 60 {
+		m.advance(250 * time.Millisecond)
+	}
+	must(t, m.controller() == restored, "%s is the controller, want %s", m.controller().name, restored.name)
+	must(t, m.outdatedOrders == 0, "%d orders were carried out after one of a later plan", m.outdatedOrders)
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -80,7 +80,7 @@
 	// OnPeerStatus is called with each status received from a peer. It must not block.
 	OnPeerStatus func(*schema.NodeStatus)
 	// AfterRenew is called after the write of each renewal, before the lease is extended. If it returns an error, the lease
-	// isn't extended. It re-reads the holder tables, the configuration and, after a gap between leases, the plans of groups. version is the version of the written record: a
+	// isn't extended. It re-reads the holder tables, the configuration and, after a gap between leases or a restore, the plans of groups. version is the version of the written record: a
 	// list with a lower version is stale and must be treated as an error. The lease starts before the write, and the reads
 	// come after it, so what they return is at least as new as the lease.
 	AfterRenew func(ctx context.Context, version uint64) error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,7 +209,7 @@
 
 // afterRenew makes the lease depend on what this node has read since it was written: its holder tables and the
 // configuration. A node whose lease is valid therefore has both as of the lease's start or later. It has the plans as of the end of the last
-// gap between leases.
+// gap between leases and of the present era of the store.
 func (n *Node) afterRenew(ctx context.Context, version uint64) error {
 	if err := n.holders.Reread(ctx); err != nil {
 		return err
