Record which members may just have left a serving head

A replica could join another group while the head of the one that it had left on the former planner's order still waited for it: the new planner knew from the record that the group was given up, but not when its members left.

Cause: the time of an answered order to leave is known to the planner that sent it only.

Change: after a change of the planner, members of a group that was given up count as having just left, unless its head counted as lost, which the record holds now. They wait until the engine must have broken the group.

Evidence: TestNewPlannerKnowsWhoHasJustLeft failed before ("vm-0-01 joined g200001 400ms after it had left").

--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -24,6 +24,8 @@
 	FormerEpoch int64
 	// GivenUp is set if the epoch isn't planned any more, but its head isn't known to have ended.
 	GivenUp bool
+	// HeadLost is set if the head of a group that was given up counted as lost.
+	HeadLost bool
 	// Members holds the known members by rank. An ID is empty where the member isn't known.
 	Members []RecordedMember
 }
@@ -38,7 +40,7 @@
 
 func (g RecordedGroup) equal(other RecordedGroup) bool {
 	return g.Name == other.Name && g.Epoch == other.Epoch && g.Model == other.Model && g.FormerEpoch == other.FormerEpoch &&
-		g.GivenUp == other.GivenUp && slices.Equal(g.Members, other.Members)
+		g.GivenUp == other.GivenUp && g.HeadLost == other.HeadLost && slices.Equal(g.Members, other.Members)
 }
 
 // Covers reports whether each group of the other record is in this one as it is there. Groups that this one has besides may have
@@ -105,7 +107,7 @@
 }
 
 func (d dissolution) recorded(key groupKey) RecordedGroup {
-	r := RecordedGroup{Name: key.name, Epoch: key.epoch, Model: d.model, GivenUp: true}
+	r := RecordedGroup{Name: key.name, Epoch: key.epoch, Model: d.model, GivenUp: true, HeadLost: d.headLost}
 	for i, m := range d.members {
 		entry := m.lastEntry
 		if i == 0 {
@@ -197,7 +199,7 @@
 	if g := p.groups[r.Name]; g != nil && g.epoch == r.Epoch {
 		return
 	}
-	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: true, head: r.Members[0].Incarnation,
+	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: true, headLost: r.HeadLost, head: r.Members[0].Incarnation,
 		headEntry: r.Members[0].entry(r, 0, fabric), returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for rank, m := range r.Members {
 		if m.Incarnation.ID == "" {
@@ -207,6 +209,7 @@
 		d.members = append(d.members, member{incarnation: m.Incarnation, lastEntry: m.entry(r, rank, fabric)})
 		if rank > 0 {
 			d.returnedAt[m.Incarnation] = 0
+			p.departures[m.Incarnation] = departure{r.key(), now} // It may just have left.
 		}
 	}
 	p.dissolved[r.key()] = d
--- a/internal/placement/record_test.go
+++ b/internal/placement/record_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
@@ -106,6 +107,28 @@
 	}
 }
 
+// Guards against a member that has left a group on the former planner's order, and joins another one while its head, which the new planner
+// can't reach, still waits for it.
+func TestNewPlannerKnowsWhoHasJustLeft(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head := m.openHeads("large")[0]
+	key := groupKey{head.group, head.epoch}
+	members := slices.Clone(head.members)
+	head.unlistedAt, head.hidden = m.clock.Now(), true
+	m.loseAnswer = func(o Order) bool { return o.To.ID == head.id }
+	p.dissolved[key] = dissolution{at: m.clock.Now(), fabric: head.fabric, model: "large", head: m.incarnation(head), headEntry: p.groups[head.group].head,
+		members: slices.Clone(p.groups[head.group].members), returnedAt: map[fleet.Incarnation]clock.Time{}}
+	delete(p.groups, head.group)
+	left := m.vms[members[1]]
+	left.group, left.epoch, left.state, left.members = "", 0, "", nil
+	leftAt := m.clock.Now()
+	m.run(m.successor(p), 4*time.Second, func() {
+		c.Assert(left.group == "", quicktest.IsTrue, quicktest.Commentf("%s joined %s %v after it had left", left.id, left.group, m.clock.Now().Sub(leftAt)))
+	})
+	m.assertNoViolations()
+}
+
 // Guards against a record that is older than the last orders, as after an outage of the store: replicas that report later epochs aren't
 // taken back.
 func TestOutdatedRecordGivesWayToLaterEpochs(t *testing.T) {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -47,6 +47,7 @@
 	Model       string         `json:"model"`
 	FormerEpoch int64          `json:"former_epoch,omitempty"`
 	GivenUp     bool           `json:"given_up,omitempty"`
+	HeadLost    bool           `json:"head_lost,omitempty"`
 	Members     []storedMember `json:"members"`
 }
 
@@ -59,7 +60,7 @@
 func encodeRecord(r placement.Record) []storedGroup {
 	groups := []storedGroup{}
 	for _, g := range r.Groups {
-		stored := storedGroup{Name: g.Name, Epoch: g.Epoch, Model: g.Model, FormerEpoch: g.FormerEpoch, GivenUp: g.GivenUp}
+		stored := storedGroup{Name: g.Name, Epoch: g.Epoch, Model: g.Model, FormerEpoch: g.FormerEpoch, GivenUp: g.GivenUp, HeadLost: g.HeadLost}
 		for _, m := range g.Members {
 			stored.Members = append(stored.Members, storedMember{m.Incarnation.ID, m.Incarnation.StartedUnixMs, m.Address})
 		}
@@ -71,7 +72,7 @@
 func (s storedRecord) decode() placement.Record {
 	var r placement.Record
 	for _, stored := range s.Groups {
-		g := placement.RecordedGroup{Name: stored.Name, Epoch: stored.Epoch, Model: stored.Model, FormerEpoch: stored.FormerEpoch, GivenUp: stored.GivenUp}
+		g := placement.RecordedGroup{Name: stored.Name, Epoch: stored.Epoch, Model: stored.Model, FormerEpoch: stored.FormerEpoch, GivenUp: stored.GivenUp, HeadLost: stored.HeadLost}
 		for _, m := range stored.Members {
 			g.Members = append(g.Members, placement.RecordedMember{Incarnation: fleet.Incarnation{ID: m.ID, StartedUnixMs: m.StartedUnixMs}, Address: m.Address})
 		}
