Let members leave an epoch that its head may still join

What callers could see: a replica that joins another group while the head of its own serves (rule TWO), if planners change twice within the delay of an order.

Cause: a refused order to leave, or an entry with no group, of a head that isn't known to have been in the epoch counted as the end of that epoch. An earlier planner's order to join it may be carried out later. The members were joined elsewhere without leaving, and if that order was late too, the next planner found the group complete and could open it.

What makes the refusal reliable: the head has been in the epoch (its other joins state an older count of orders and are refused), has joined a later one, has started again, or nothing listens. Otherwise the head doesn't serve now, which releases the group at once, but the epoch hasn't ended for good: its members leave before they join others, which takes one more round trip and no other wait, so that no planner can find it complete again.

Evidence, on the code before: TestMembersOfAHeadThatMayJoinLateLeaveFirst, in both cases, "join to g200001" to a member that is in g100050. The test also shows that the member serves in another group within three seconds. It sets up the adopted group by hand, since only a record of the earlier planner tells of a head that hasn't joined yet.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -307,6 +307,7 @@
 		reports := r.Group != nil && r.Group.Name == g.name && r.Group.Epoch == g.epoch
 		if reports && i == 0 {
 			s.headJoined(g)
+			m.joinAccepted = true
 		}
 		if m.joinAccepted && !reports && s.stateKnown(r) && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
 			return fmt.Sprintf("member %d (%s) reports another group", i, m.incarnation.ID)
@@ -488,14 +489,20 @@
 	}
 	if head != nil && !unresponsive {
 		if serves := g.mayBeServedBy(head); !serves && s.stateKnown(head) {
-			s.headEnded(g.name, g.epoch)
+			if !s.mayJoinLate(g) {
+				s.headEnded(g.name, g.epoch)
+			}
 			s.headEnded(g.name, g.formerEpoch)
+			g.headReleased = true
 			return true
 		} else if serves {
 			g.head = head
 		}
 	}
-	if g.formerEpoch == 0 && (g.headReleased || !g.wasOpen && g.openSentAt == 0) {
+	if g.formerEpoch == 0 && g.headReleased {
+		return true
+	}
+	if g.formerEpoch == 0 && !g.wasOpen && g.openSentAt == 0 {
 		s.headEnded(g.name, g.epoch)
 		return true
 	}
@@ -565,7 +572,9 @@
 			d.returnedAt[m.incarnation] = 0
 		}
 	}
-	if g.head == nil {
+	if g.headReleased {
+		d.headLost = true
+	} else if g.head == nil {
 		d.headLost = len(d.returnedAt) > 0 // The group lacks other members too.
 	} else {
 		d.headLost = g.headMissingSince != 0 && s.headLost(g)
--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -34,6 +34,16 @@
 	}
 }
 
+// mayJoinLate reports whether the head of an adopted group may join the planned epoch later, although it isn't in it now: it isn't known to
+// have been, so that an order of an earlier planner may still be carried out. Such an epoch hasn't ended for good: another planner may find it
+// complete, unless its members leave it.
+func (p *Plan) mayJoinLate(g *group) bool {
+	head := g.members[0]
+	r := p.entries[head.incarnation.ID]
+	movedOn := r != nil && (r.StartedUnixMs > head.incarnation.StartedUnixMs || r.Group != nil && r.Group.Epoch > g.epoch)
+	return g.wasOpen && !head.joinAccepted && !movedOn
+}
+
 // headJoined records that the head of a group has joined the planned epoch, and so left the former one.
 func (p *Plan) headJoined(g *group) {
 	p.headEnded(g.name, g.formerEpoch)
@@ -100,7 +110,9 @@
 		p.memberLeft(m, outcome)
 		return
 	}
-	p.headEnded(o.Group, o.Epoch)
+	if g := p.groups[o.Group]; g == nil || o.Epoch != g.epoch || outcome == ConnectionRefused || !p.mayJoinLate(g) {
+		p.headEnded(o.Group, o.Epoch)
+	}
 	if h, former := p.formerHeads[key]; former {
 		h.left = true
 		p.formerHeads[key] = h
--- a/internal/placement/takeover_test.go
+++ b/internal/placement/takeover_test.go
@@ -280,3 +280,47 @@
 		})
 	}
 }
+
+// Guards against members that move without leaving their group because its head isn't in it yet: an order of an earlier planner to join it may
+// be carried out later, and the next planner may find the group complete, and open it. Guards as well against members that are never released.
+func TestMembersOfAHeadThatMayJoinLateLeaveFirst(t *testing.T) {
+	for name, ordered := range map[string]bool{"it refuses to leave": true, "its entry shows no group": false} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, _ := startedSystem(t, 1, 10)
+			other, head := m.add("a", "domain-0"), m.add("c", "domain-0")
+			m.add("b", "domain-0").staged = []string{"small"}
+			other.staged = []string{"small"}
+			entries := m.entries()
+			join := Order{To: entries[other.id], Action: Join, Group: "g100050", Epoch: 100050, Model: "small", Members: []string{head.id, other.id}}
+			c.Assert(m.execute(join), quicktest.Equals, Accepted)
+			m.advance(m.reportLag)
+			if ordered {
+				m.outdate(m.entries())
+			}
+			p := New(2)
+			p.groups[join.Group] = &group{name: join.Group, epoch: join.Epoch, model: "small", fabric: head.fabric, head: entries[head.id],
+				wasOpen: true, adoptedAt: m.clock.Now(), dissolveReason: "too few spares", members: []member{
+					{incarnation: m.incarnation(head), lastEntry: entries[head.id]},
+					{incarnation: m.incarnation(other), lastEntry: entries[other.id], joinAccepted: true},
+				}}
+			c.Check(other.group, quicktest.Equals, join.Group)
+			m.watch(func(o Order) {
+				moves := o.To.ID == other.id && o.Action == Join && other.group == join.Group
+				c.Check(moves, quicktest.IsFalse, quicktest.Commentf("join to %s", o.Group))
+				ordered = ordered && !(o.To.ID == head.id && o.Action == Leave)
+			})
+			m.run(p, time.Second, func() {
+				if m.mayBeOutdated {
+					m.withholdReport(head)
+				}
+			})
+			c.Check(ordered, quicktest.IsFalse)
+			m.storedEntries, m.mayBeOutdated = nil, false
+			m.run(p, 2*time.Second, nil)
+			m.assertNoViolations()
+			c.Check(other.state, quicktest.Equals, fleet.GroupOpen)
+			c.Check(other.group, quicktest.Not(quicktest.Equals), join.Group)
+		})
+	}
+}
