Log by what a planner adopts groups, gives them up and releases members

The logs of a planner didn't tell why a member counted as free: which report or reply showed that its head doesn't serve, whether the head was listed, and when it was last heard. Orders say only what was ordered.

Change: the plan keeps its decisions as events, which the planner logs with its term: groups that are adopted from entries (with the number of members that aren't known), epochs that are given up, and heads that are known not to serve, each with its cause.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -59,6 +59,7 @@
 		}
 		s.groups[key.name] = g
 		s.changed(g.fabric)
+		s.noteGroup("a group is adopted from entries", g, fmt.Sprintf("%d entries show it", len(members)))
 	}
 }
 
@@ -498,9 +499,9 @@
 	if head != nil && !unresponsive {
 		if serves := g.mayBeServedBy(head); !serves && s.stateKnown(head) {
 			if !s.mayJoinLate(g) {
-				s.headEnded(g.name, g.epoch)
+				s.headEnded(g.name, g.epoch, showing(head))
 			}
-			s.headEnded(g.name, g.formerEpoch)
+			s.headEnded(g.name, g.formerEpoch, showing(head))
 			g.headReleased = true
 			return true
 		} else if serves {
@@ -511,12 +512,12 @@
 		return true
 	}
 	if g.formerEpoch == 0 && !g.wasOpen && g.openSentAt == 0 {
-		s.headEnded(g.name, g.epoch)
+		s.headEnded(g.name, g.epoch, "it was never ordered to open")
 		return true
 	}
 	if unresponsive && s.hasEnded(g.members[0].incarnation) {
-		s.headEnded(g.name, g.epoch)
-		s.headEnded(g.name, g.formerEpoch)
+		s.headEnded(g.name, g.epoch, "its process has ended")
+		s.headEnded(g.name, g.formerEpoch, "its process has ended")
 		g.headReleased = true
 		return true
 	}
@@ -587,6 +588,7 @@
 	} else {
 		d.headLost = g.headMissingSince != 0 && s.headLost(g)
 	}
+	s.noteGroup("an epoch of a group is given up", g, s.releaseCause(g, d))
 	s.dissolved[key] = d
 	if g.formerEpoch != 0 {
 		s.dissolved[groupKey{g.name, g.formerEpoch}] = d
--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -27,11 +27,16 @@
 	at    clock.Time
 }
 
-// headEnded records that the head of an epoch of a group is known not to serve it, so that its members may be joined to others at once.
-func (p *Plan) headEnded(name string, epoch int64) {
-	if epoch != 0 {
-		p.ended[groupKey{name, epoch}] = p.now
+// headEnded records by what the head of an epoch of a group is known not to serve it, so that its members may be joined to others at once.
+func (p *Plan) headEnded(name string, epoch int64, cause string) {
+	if epoch == 0 {
+		return
+	}
+	key := groupKey{name, epoch}
+	if _, known := p.ended[key]; !known {
+		p.addEvent(Event{Message: "the head of an epoch is known not to serve", Group: name, Epoch: epoch, Cause: cause})
 	}
+	p.ended[key] = p.now
 }
 
 // mayJoinLate reports whether the head of an adopted group may join the planned epoch later, although it isn't in it now: it isn't known to
@@ -46,7 +51,7 @@
 
 // headJoined records that the head of a group has joined the planned epoch, and so left the former one.
 func (p *Plan) headJoined(g *group) {
-	p.headEnded(g.name, g.formerEpoch)
+	p.headEnded(g.name, g.formerEpoch, "it has joined a later epoch")
 	g.formerEpoch = 0
 }
 
@@ -111,7 +116,7 @@
 		return
 	}
 	if g := p.groups[o.Group]; g == nil || o.Epoch != g.epoch || outcome == ConnectionRefused || !p.mayJoinLate(g) {
-		p.headEnded(o.Group, o.Epoch)
+		p.headEnded(o.Group, o.Epoch, "its order to leave was "+outcome.String())
 	}
 	if h, former := p.formerHeads[key]; former {
 		h.left = true
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -167,6 +167,12 @@
 	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
 )
 
+var outcomeNames = map[Outcome]string{Unknown: "not answered", Accepted: "accepted", Refused: "refused", Outdated: "refused as outdated",
+	ConnectionRefused: "refused by an address at which nothing listens"}
+
+// String returns the outcome as it is logged.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // member is one VM of a planned group.
 type member struct {
 	incarnation  fleet.Incarnation
@@ -272,6 +278,7 @@
 	ended           map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
 	memberLeaves    map[membership]memberLeave       // Members that were ordered to leave their group just before.
 	outdatedRecords map[string]bool                  // Fabric domains whose Record has changed.
+	events          []Event                          // Not yet taken.
 	now             clock.Time                       // Time of the last step.
 	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
 	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
@@ -392,7 +399,7 @@
 func (p *Plan) startEpoch(g *group, headStays bool) {
 	opened := g.wasOpen || g.openSentAt != 0
 	if !opened {
-		p.headEnded(g.name, g.epoch)
+		p.headEnded(g.name, g.epoch, "it was never ordered to open")
 	}
 	if !headStays {
 		g.formerEpoch = 0
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -240,6 +240,7 @@
 		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: confirmed,
 		HeadActivity: p.headActivity, GroupActivity: p.groupActivity,
 		Limited: p.opt.Limited})
+	p.logEvents(now)
 	probes = p.dueProbes(replicas, now)
 	p.summarize(view, replicas, now)
 	return orders, probes, queries
@@ -285,6 +286,20 @@
 	}
 }
 
+// logEvents logs the decisions of the plan. The caller holds the lock.
+func (p *Planner) logEvents(now clock.Time) {
+	for _, e := range p.plan.TakeEvents() {
+		entry := p.opt.Log.WithFields(logrus.Fields{"term": p.term, "group": e.Group, "epoch": e.Epoch, "cause": e.Cause})
+		if e.Head != "" || e.Unknown > 0 {
+			entry = entry.WithFields(logrus.Fields{"head": e.Head, "head_listed": e.HeadListed, "unknown_members": e.Unknown, "running": e.Activity.Running})
+		}
+		if e.Activity.LastEvent != 0 {
+			entry = entry.WithField("event_age_ms", now.Sub(e.Activity.LastEvent).Milliseconds())
+		}
+		entry.Info(e.Message)
+	}
+}
+
 // headActivity returns what is known of the requests at a head.
 func (p *Planner) headActivity(head *fleet.Replica) placement.Activity {
 	return p.activity(p.opt.Table.Activity(balance.KeyOf(head)))
