Record which heads are known not to serve any more

Cause: the record left ended epochs out.

Change: it holds them, marked as ended.

Evidence: TestNewPlannerKnowsWhichHeadsHaveLeft failed before ("vm-0-01 is ordered to leave: it is needed in another group, and the head of its own may still serve").

--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -37,6 +37,9 @@
 		p.addEvent(Event{Message: "the head of an epoch is known not to serve", Group: name, Epoch: epoch, Cause: cause})
 	}
 	p.ended[key] = p.now
+	if d, dissolved := p.dissolved[key]; dissolved {
+		p.changed(d.fabric)
+	}
 }
 
 // mayJoinLate reports whether the head of an adopted group may join the planned epoch later, although it isn't in it now: it isn't known to
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -9,8 +9,8 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
-// Record is what a planner keeps of the groups of one fabric domain for its successor: every epoch that a head may serve. Entries of
-// replicas can't replace it, since they lapse while their replicas serve.
+// Record is what a planner keeps of the groups of one fabric domain for its successor: every epoch that a head may serve, and those that were
+// given up lately. Entries of replicas can't replace it, since they lapse while their replicas serve.
 type Record struct {
 	Groups []RecordedGroup
 }
@@ -22,10 +22,9 @@
 	Model string
 	// FormerEpoch is an earlier epoch that the head may still serve; 0 if there is none.
 	FormerEpoch int64
-	// GivenUp is set if the epoch isn't planned any more, but its head isn't known to have ended.
-	GivenUp bool
-	// HeadLost is set if the head of a group that was given up counted as lost.
-	HeadLost bool
+	// GivenUp is set if the epoch isn't planned any more. HeadLost is then set if its head counted as lost or didn't serve, and Ended if the
+	// head is known not to serve it again.
+	GivenUp, HeadLost, Ended bool
 	// Members holds the known members by rank. An ID is empty where the member isn't known.
 	Members []RecordedMember
 }
@@ -40,7 +39,7 @@
 
 func (g RecordedGroup) equal(other RecordedGroup) bool {
 	return g.Name == other.Name && g.Epoch == other.Epoch && g.Model == other.Model && g.FormerEpoch == other.FormerEpoch &&
-		g.GivenUp == other.GivenUp && g.HeadLost == other.HeadLost && slices.Equal(g.Members, other.Members)
+		g.GivenUp == other.GivenUp && g.HeadLost == other.HeadLost && g.Ended == other.Ended && slices.Equal(g.Members, other.Members)
 }
 
 // Covers reports whether each group of the other record is in this one as it is there. Groups that this one has besides may have
@@ -91,8 +90,10 @@
 		}
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(p.dissolved), groupKey.compare) {
-		if _, ended := p.ended[key]; p.dissolved[key].fabric == fabric && !ended {
-			r.Groups = append(r.Groups, p.dissolved[key].recorded(key))
+		if d := p.dissolved[key]; d.fabric == fabric {
+			g := d.recorded(key)
+			_, g.Ended = p.ended[key]
+			r.Groups = append(r.Groups, g)
 		}
 	}
 	return r
@@ -199,7 +200,7 @@
 	if g := p.groups[r.Name]; g != nil && g.epoch == r.Epoch {
 		return
 	}
-	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: true, headLost: r.HeadLost, head: r.Members[0].Incarnation,
+	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: !r.Ended, headLost: r.HeadLost, head: r.Members[0].Incarnation,
 		headEntry: r.Members[0].entry(r, 0, fabric), returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for rank, m := range r.Members {
 		if m.Incarnation.ID == "" {
@@ -213,6 +214,9 @@
 		}
 	}
 	p.dissolved[r.key()] = d
+	if r.Ended {
+		p.ended[r.key()] = now
+	}
 	p.changed(fabric)
 }
 
--- a/internal/placement/record_test.go
+++ b/internal/placement/record_test.go
@@ -107,6 +107,33 @@
 	}
 }
 
+// Guards against members that leave a group once more, or count as a group without a head, after a change of the planner, although the former
+// planner had heard that their head left: they serve later.
+func TestNewPlannerKnowsWhichHeadsHaveLeft(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head := m.openHeads("large")[0]
+	group, epoch, members := head.group, head.epoch, slices.Clone(head.members)
+	head.unlistedAt = m.clock.Now()
+	for range 30 {
+		if m.run(p, 100*time.Millisecond, nil); p.groups[group].epoch != epoch {
+			break
+		}
+		m.refuse = func(o Order) bool { return o.To.ID != head.id } // Nothing is carried out after its order to leave.
+	}
+	c.Assert(head.group, quicktest.Not(quicktest.Equals), group)
+	c.Assert(p.groups[group].epoch > epoch, quicktest.IsTrue)
+	m.refuse = nil
+	m.watch(func(o Order) {
+		left := o.Action == Leave && o.Group == group && o.Epoch == epoch && slices.Contains(members, o.To.ID)
+		c.Check(left, quicktest.IsFalse, quicktest.Commentf("%s is ordered to leave: %s", o.To.ID, o.Reason))
+	})
+	p = m.successor(p)
+	m.run(p, 2*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+}
+
 // Guards against a member that has left a group on the former planner's order, and joins another one while its head, which the new planner
 // can't reach, still waits for it.
 func TestNewPlannerKnowsWhoHasJustLeft(t *testing.T) {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -48,6 +48,7 @@
 	FormerEpoch int64          `json:"former_epoch,omitempty"`
 	GivenUp     bool           `json:"given_up,omitempty"`
 	HeadLost    bool           `json:"head_lost,omitempty"`
+	Ended       bool           `json:"ended,omitempty"`
 	Members     []storedMember `json:"members"`
 }
 
@@ -60,7 +61,8 @@
 func encodeRecord(r placement.Record) []storedGroup {
 	groups := []storedGroup{}
 	for _, g := range r.Groups {
-		stored := storedGroup{Name: g.Name, Epoch: g.Epoch, Model: g.Model, FormerEpoch: g.FormerEpoch, GivenUp: g.GivenUp, HeadLost: g.HeadLost}
+		stored := storedGroup{Name: g.Name, Epoch: g.Epoch, Model: g.Model, FormerEpoch: g.FormerEpoch, GivenUp: g.GivenUp, HeadLost: g.HeadLost,
+			Ended: g.Ended}
 		for _, m := range g.Members {
 			stored.Members = append(stored.Members, storedMember{m.Incarnation.ID, m.Incarnation.StartedUnixMs, m.Address})
 		}
@@ -72,7 +74,8 @@
 func (s storedRecord) decode() placement.Record {
 	var r placement.Record
 	for _, stored := range s.Groups {
-		g := placement.RecordedGroup{Name: stored.Name, Epoch: stored.Epoch, Model: stored.Model, FormerEpoch: stored.FormerEpoch, GivenUp: stored.GivenUp, HeadLost: stored.HeadLost}
+		g := placement.RecordedGroup{Name: stored.Name, Epoch: stored.Epoch, Model: stored.Model, FormerEpoch: stored.FormerEpoch, GivenUp: stored.GivenUp,
+			HeadLost: stored.HeadLost, Ended: stored.Ended}
 		for _, m := range stored.Members {
 			g.Members = append(g.Members, placement.RecordedMember{Incarnation: fleet.Incarnation{ID: m.ID, StartedUnixMs: m.StartedUnixMs}, Address: m.Address})
 		}
