Give members that were adopted from outdated entries back to their groups

What callers saw: requests of a sound group ended after a change of the planner, since the group was formed anew.

Cause: a group is adopted if the state of one member is known; the entries of the others may be older than orders of the earlier planner. A member that had moved since stayed in the former group in the plan, so that its report of the group that it serves in was passed over, and that group counted as one with a member that isn't listed. A former group that such entries show as ready was also opened.

Evidence, on the code before: TestMemberAdoptedFromAnOutdatedEntryIsGivenBack, in both cases, "join to vm-0-04 (member 1 () is not listed)" to a head with requests; with rank 1, before the test counted the former members as ready once: "g100000/100000 opened though vm-0-05 was never ready".

Why it works: a replica whose known state is a later epoch of another group has left the adopted group, if this plan hasn't ordered it to join that. It is removed there, and a head that has moved on has ended its epoch. A group is opened only if the state of all members is known.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -22,6 +22,9 @@
 		}
 		key := groupKey{r.Group.Name, r.Group.Epoch}
 		g := s.groups[key.name]
+		if s.stateKnown(r) {
+			s.dropFormerMemberships(r)
+		}
 		if g != nil && g.epoch == key.epoch && !s.plannedElsewhere(r) {
 			g.addReportedMember(r, s.Now)
 		}
@@ -56,6 +59,27 @@
 	}
 }
 
+// dropFormerMemberships removes a replica from the groups that were adopted from an older entry of it: it has reported a later epoch since, and
+// this plan hasn't ordered it to join those groups.
+func (s *step) dropFormerMemberships(r *fleet.Replica) {
+	for name, g := range s.groups {
+		if name == r.Group.Name || g.adoptedAt == 0 || g.epoch >= r.Group.Epoch {
+			continue
+		}
+		for i, m := range g.members {
+			if m.incarnation != r.Incarnation() || m.joinAttempts > 0 {
+				continue
+			}
+			g.members[i] = member{}
+			if i == 0 {
+				s.headEnded(g.name, g.epoch)
+				s.headEnded(g.name, g.formerEpoch)
+				g.headReleased = true
+			}
+		}
+	}
+}
+
 func (s *step) isDissolved(g groupKey) bool {
 	_, dissolved := s.dissolved[g]
 	return dissolved
@@ -354,11 +378,11 @@
 	return missing
 }
 
-// allReady tells whether all members report the group's epoch as ready.
+// allReady tells whether all members report the group's epoch as ready, in entries that aren't outdated.
 func (s *step) allReady(g *group) bool {
 	for _, m := range g.members {
 		r := s.usableReplica(m.incarnation)
-		if r == nil || r.Group == nil || r.Group.Name != g.name || r.Group.Epoch != g.epoch {
+		if r == nil || r.Group == nil || r.Group.Name != g.name || r.Group.Epoch != g.epoch || !s.stateKnown(r) {
 			return false
 		}
 		if r.Group.State != fleet.GroupReady {
--- a/internal/placement/takeover_test.go
+++ b/internal/placement/takeover_test.go
@@ -324,3 +324,42 @@
 		})
 	}
 }
+
+// Guards against a sound group that is formed anew because a new planner took one of its members for that of a former group, from an entry
+// older than the orders of the planner before: the member has reported its group since.
+func TestMemberAdoptedFromAnOutdatedEntryIsGivenBack(t *testing.T) {
+	for _, rank := range []int{0, 1} {
+		t.Run(fmt.Sprintf("rank %d of the former group", rank), func(t *testing.T) {
+			c := quicktest.New(t)
+			m, _ := startedSystem(t, 1, 10)
+			head := m.openHeads("small")[0]
+			head.busyUntil = m.clock.Now().Add(time.Minute)
+			epoch, member := head.epoch, m.vms[head.members[1]]
+			left := m.add("left", head.fabric) // Still in the former group.
+			left.group, left.epoch, left.rank, left.state, left.model, left.staged = "g100000", 100000, 1-rank, fleet.GroupReady, "small", []string{"small"}
+			left.members = []string{left.id, left.id}
+			left.members[rank] = member.id
+			m.readyOnce["g100000/100000"] = map[string]bool{left.id: true, member.id: true}
+			opened := false
+			m.watch(func(o Order) { opened = opened || o.Action == Open && o.Epoch == 100000 })
+			outdated := m.entries()
+			outdated[member.id].Group = &fleet.Membership{Name: left.group, Epoch: left.epoch, Rank: rank, State: fleet.GroupReady}
+			m.outdate(outdated)
+			m.incomplete = true // Members that aren't known are waited for.
+			p, since := New(2), m.clock.Now()
+			m.run(p, 2*time.Second, func() {
+				if m.clock.Now().Sub(since) < time.Second {
+					m.withholdReport(member)
+				}
+			})
+			m.storedEntries, m.mayBeOutdated, m.incomplete = nil, false, false
+			m.run(p, 6*time.Second, nil)
+			m.assertNoViolations()
+			c.Assert(m.interruptions, quicktest.HasLen, 0)
+			c.Check(head.epoch, quicktest.Equals, epoch)
+			c.Check(member.epoch, quicktest.Equals, epoch)
+			c.Check(opened, quicktest.IsFalse)
+			c.Check(p.groups["g100000"] == nil || p.groups["g100000"].epoch != 100000, quicktest.IsTrue)
+		})
+	}
+}
