Restore the plan also after a late renewal of the lease

A new planner whose lease had ended for a moment while it read the record of the plan stopped reading. Its next renewal was answered in the same term, and it then held the lease without ever planning.

--- a/internal/planner/lease.go
+++ b/internal/planner/lease.go
@@ -495,6 +495,14 @@
 	return true
 }
 
+// Holds reports whether this node holds the lease in the given term. The lease may have ended: unless another node has acquired it since, a
+// late renewal makes it valid again in the same term.
+func (l *Lease) Holds(term int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held && l.term == term
+}
+
 // PlansInOutage reports whether this node holds the lease beyond its term because the store answers no node. No other node can acquire
 // it meanwhile.
 func (l *Lease) PlansInOutage() bool {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -248,8 +248,8 @@
 // restorePlan reads what earlier planners have recorded and adds it to the plan of the term. In an outage of the store, groups are planned
 // from what the replicas report until it answers.
 func (p *Planner) restorePlan(ctx context.Context, term int64) {
-	for ; ctx.Err() == nil && p.recorder.current(term); sleep(ctx, recordRetryInterval) {
-		if p.opt.StoreFailing() && !p.opt.Lease.PlansInOutage() {
+	for ; ctx.Err() == nil && p.opt.Lease.Holds(term); sleep(ctx, recordRetryInterval) {
+		if !p.opt.Lease.Valid() || p.opt.StoreFailing() && !p.opt.Lease.PlansInOutage() {
 			continue
 		}
 		records, err := p.recorder.load(ctx, term)
--- /dev/null
+++ b/internal/planner/review43_test.go
@@ -0,0 +1,45 @@
+package planner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// Guards against a planner that never plans, because its lease had ended for a moment while it read the record and was renewed later.
+func TestPlanIsRestoredAfterALateRenewal(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	lease := r.planner.opt.Lease
+	lease.validUntil = r.clock.Now()
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(done)
+		r.planner.restorePlan(ctx, 3)
+	}()
+	time.Sleep(2 * recordRetryInterval)
+	lease.mu.Lock()
+	lease.validUntil = r.clock.Now().Add(time.Hour) // The renewal was answered: no other node has acquired the lease.
+	lease.mu.Unlock()
+	time.Sleep(4 * recordRetryInterval)
+	cancel()
+	<-done
+	r.planner.mu.Lock()
+	defer r.planner.mu.Unlock()
+	r.c.Assert(r.planner.restored, quicktest.IsTrue)
+}
+
+// Guards against a restore of the plan that goes on for ever after the lease was lost.
+func TestRestoreOfThePlanEndsWithTheLease(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	r.failing.Store(true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.planner.restorePlan(context.Background(), 3)
+	}()
+	r.planner.opt.Lease.lose("the test ends the term")
+	r.await(done)
+}
