Send no order after the lease has ended

An order that waited for its record, or for an earlier order, was sent if this node was the planner at its last tick. A process that was paused, or that had just resigned, could thus send joins beside its successor.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -104,7 +104,7 @@
 	lock := p.orderLock(o.To.ID)
 	lock.Lock()
 	defer lock.Unlock()
-	if !p.Active() || !p.stillWants(o) {
+	if !p.mayOrder() || !p.stillWants(o) {
 		return
 	}
 	message := platform.Order{Operation: operations[o.Action], Group: o.Group, Epoch: o.Epoch}
@@ -129,6 +129,9 @@
 	p.plan.RecordOutcome(o, outcome)
 }
 
+// mayOrder reports whether this node is the planner now. Its lease may have ended since the last tick, as when this process was paused.
+func (p *Planner) mayOrder() bool { return p.Active() && p.opt.Lease.Valid() }
+
 // stillWants reports whether an order should still be sent, and logs it if not.
 func (p *Planner) stillWants(o placement.Order) bool {
 	p.mu.Lock()
@@ -190,7 +193,7 @@
 	if report.StartedUnixMs != o.To.StartedUnixMs || o.Action == placement.Join && o.HasMoved(report.Group) {
 		return nil, true, errReplicaMoved
 	}
-	if !p.Active() {
+	if !p.mayOrder() {
 		return nil, true, errNotPlanner
 	}
 	p.mu.Lock()
--- a/internal/planner/orders_test.go
+++ b/internal/planner/orders_test.go
@@ -112,7 +112,8 @@
 	f := &fakeReplica{}
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
-	p := New(Options{Replicas: platform.NewReplicaClient(func(fleet.Incarnation, fleet.Answer) {}), Clock: clock.NewManual(time.Hour), Log: log})
+	manual := clock.NewManual(time.Hour)
+	p := New(Options{Lease: heldLease(nil, manual, log), Replicas: platform.NewReplicaClient(func(fleet.Incarnation, fleet.Answer) {}), Clock: manual, Log: log})
 	p.plan, p.active = placement.New(1), true
 	return &orderTest{p, f, fleet.Replica{ID: "i-1", Address: strings.TrimPrefix(server.URL, "http://"), StartedUnixMs: 1}}
 }
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -134,15 +134,20 @@
 	r := &recordTest{c: quicktest.New(t), store: store, clock: clock.NewManual(time.Hour), replica: replica,
 		entry: &fleet.Replica{ID: "i-1", Address: strings.TrimPrefix(replicaServer.URL, "http://"), StartedUnixMs: 1, Fabric: "f/1"}}
 	client := platform.NewStore(strings.TrimPrefix(storeServer.URL, "http://"))
-	lease := NewLease(client, r.clock, log, "n", 1)
-	lease.held, lease.term, lease.validUntil = true, 3, r.clock.Now().Add(time.Hour)
-	r.planner = New(Options{Lease: lease, Store: client, StoreFailing: r.failing.Load, Clock: r.clock, Log: log,
+	r.planner = New(Options{Lease: heldLease(client, r.clock, log), Store: client, StoreFailing: r.failing.Load, Clock: r.clock, Log: log,
 		Replicas: platform.NewReplicaClient(func(fleet.Incarnation, fleet.Answer) {})})
 	r.planner.startTerm()
 	r.planner.setActive(true)
 	return r
 }
 
+// heldLease returns a lease that this node holds in term 3 for an hour.
+func heldLease(store *platform.Store, c clock.Clock, log logrus.FieldLogger) *Lease {
+	lease := NewLease(store, c, log, "n", 1)
+	lease.held, lease.term, lease.validUntil = true, 3, c.Now().Add(time.Hour)
+	return lease
+}
+
 // plan makes the planner want an epoch of a group with the replica as head, and returns the order to join it.
 func (r *recordTest) plan(epoch int64) placement.Order {
 	record := recordOf(r.entry, epoch)
--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -43,3 +43,20 @@
 	r.planner.opt.Lease.lose("the test ends the term")
 	r.await(done)
 }
+
+// Guards against a join by a planner that was paused beyond its lease while the order waited: the tick after which it knows may come later.
+func TestRecordedJoinIsDroppedAfterTheLeaseHasEnded(t *testing.T) {
+	for name, end := range map[string]func(*recordTest){
+		"expired":  func(r *recordTest) { r.clock.Advance(2 * time.Hour) },
+		"resigned": func(r *recordTest) { r.planner.opt.Lease.Resign("the test ends the term") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRecordTest(t, newObjectStore())
+			o := r.plan(300001)
+			r.awaitStored(300001)
+			end(r)
+			r.await(r.send(o))
+			r.c.Assert(r.orders(), quicktest.Equals, 0)
+		})
+	}
+}
