Let a new planner's members wait for the head of a given-up epoch

A repair that the former planner had recorded, but not carried out, took its members from a head that had been silent and served again: members of a planned group were ordered to leave at the same time as the head, or at once if the head had no entry. They now wait as free replicas do, until the head has left or its time to return has passed. A head that isn't listed is ordered to leave at once after a takeover.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -393,6 +393,9 @@
 			continue
 		}
 		if keepsHead := i == 0 && g.headFirst && s.headedBefore(g, r); !keepsHead && s.mustLeave(r) {
+			if s.boundToHead(r) {
+				continue // The head has been ordered to leave, or will be.
+			}
 			if s.orderMemberToLeave(r) {
 				m.joinAttempts++
 			}
@@ -588,6 +591,11 @@
 	return d.headUnheard && lost && !s.formerHeads[key].left && (returnedAt == 0 || s.Now.Sub(returnedAt) < timeout)
 }
 
+// boundToHead reports whether the head of a group that isn't planned, and that the replica reports, is known to serve it, or may still return.
+func (s *step) boundToHead(r *fleet.Replica) bool {
+	return s.served[groupKey{r.Group.Name, r.Group.Epoch}] || s.awaitsHead(r)
+}
+
 // noteReturns records the members of groups that were given up which are usable again. If their head doesn't return soon after, it is
 // ordered to leave: it may serve without an entry.
 func (s *step) noteReturns() {
@@ -597,7 +605,7 @@
 				at = s.Now
 				d.returnedAt[incarnation] = at
 			}
-			if r := s.Replicas[incarnation.ID]; at != 0 && s.Now.Sub(at) >= headLeaveAfter && key.reportedBy(r, incarnation) && s.awaitsHead(r) && s.Replicas[d.head.ID] == nil {
+			if r := s.Replicas[incarnation.ID]; at != 0 && (d.restored || s.Now.Sub(at) >= headLeaveAfter) && key.reportedBy(r, incarnation) && s.awaitsHead(r) && s.Replicas[d.head.ID] == nil {
 				s.orderFormerHead(key, d.headEntry)
 			}
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -216,6 +216,7 @@
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
 	headUnheard   bool
+	restored      bool // Only the record of an earlier planner tells that it was given up.
 	head          fleet.Incarnation
 	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
 	fabric, model string
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -197,7 +197,7 @@
 	if g := p.groups[r.Name]; g != nil && g.epoch == r.Epoch {
 		return
 	}
-	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: true, head: r.Members[0].Incarnation,
+	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: true, restored: true, head: r.Members[0].Incarnation,
 		headEntry: r.Members[0].entry(r, 0, fabric), returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for rank, m := range r.Members {
 		if m.Incarnation.ID == "" {
--- /dev/null
+++ b/internal/placement/review43_test.go
@@ -0,0 +1,57 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+// Guards against a member that a new planner takes from a head that serves: the former planner had recorded the repair of the group under
+// another head, since this one was silent, and died before it sent the first order.
+func TestNewPlannerReleasesAReturnedHeadBeforeItsMembers(t *testing.T) {
+	for name, unlisted := range map[string]bool{"listed": false, "unlisted": true} {
+		t.Run(name, func(t *testing.T) { testReturnedHead(t, unlisted) })
+	}
+}
+
+func testReturnedHead(t *testing.T, unlisted bool) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	name, epoch := head.group, head.epoch
+	head.hidden, head.silent = true, true
+	m.loseAnswer = func(Order) bool { return true }
+	for range 80 {
+		if !p.isPlanned(name, epoch) {
+			break
+		}
+		m.run(p, 100*time.Millisecond, func() { m.lateOrders = nil })
+	}
+	c.Assert(p.isPlanned(name, epoch), quicktest.IsFalse)
+	m.loseAnswer, m.lateOrders = nil, nil
+	head.hidden, head.silent = false, false
+	c.Assert(head.state, quicktest.Equals, fleet.GroupOpen)
+	if unlisted {
+		head.unlistedAt = m.clock.Now()
+	}
+	p = m.successor(p)
+	since := m.clock.Now()
+	m.loseAnswer = func(o Order) bool { return o.To.ID == head.id && m.clock.Now().Sub(since) < time.Second } // The orders arrive late.
+	m.watch(func(o Order) {
+		for _, v := range members[1:] {
+			serves := head.state == fleet.GroupOpen && head.epoch == epoch
+			c.Check(o.To.ID == v.id && serves, quicktest.IsFalse, quicktest.Commentf("%s to %s: %s", o.Action, v.id, o.Reason))
+		}
+	})
+	m.run(p, 6*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+}
+
+func (p *Plan) isPlanned(name string, epoch int64) bool {
+	g := p.groups[name]
+	return g != nil && g.epoch == epoch
+}
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -20,7 +20,7 @@
 		}
 		if r.Group != nil && !strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 			key := groupKey{r.Group.Name, r.Group.Epoch}
-			if s.served[key] || s.awaitsHead(r) || !s.isDissolved(key) && s.inUnknownGroup(r) {
+			if s.boundToHead(r) || !s.isDissolved(key) && s.inUnknownGroup(r) {
 				continue
 			}
 		}
