Retry refused calls for the plan's record less and less often

A store that answered but refused the calls got 20 a second for each fabric domain, and 20 reads a second from a new planner. All of them are charged for, and count towards the rate that the lease's renewals need as well.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -248,8 +248,10 @@
 // restorePlan reads what earlier planners have recorded and adds it to the plan of the term. In an outage of the store, groups are planned
 // from what the replicas report until it answers.
 func (p *Planner) restorePlan(ctx context.Context, term int64) {
-	for ; ctx.Err() == nil && p.opt.Lease.Holds(term); sleep(ctx, recordRetryInterval) {
+	var retry retryDelay
+	for ctx.Err() == nil && p.opt.Lease.Holds(term) {
 		if !p.opt.Lease.Valid() || p.opt.StoreFailing() && !p.opt.Lease.PlansInOutage() {
+			sleep(ctx, recordRetryInterval)
 			continue
 		}
 		records, err := p.recorder.load(ctx, term)
@@ -258,6 +260,7 @@
 			if p.opt.Lease.PlansInOutage() {
 				p.addRecords(nil, term)
 			}
+			sleep(ctx, retry.next())
 			continue
 		}
 		p.addRecords(records, term)
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -24,10 +24,11 @@
 const (
 	recordKind       = "cassiadeal-plan"
 	recordNamePrefix = "domain-"
-	// recordCallTimeout bounds one call. recordRetryInterval is the time between two of them after a failure, and between two checks of
-	// an order that waits.
-	recordCallTimeout   = 400 * time.Millisecond
-	recordRetryInterval = 50 * time.Millisecond
+	// recordCallTimeout bounds one call. recordRetryInterval is the time to the next one after the first failure, and between two checks of
+	// an order that waits. Each further failure doubles the time, up to maxRecordRetryInterval: refused calls are charged for too.
+	recordCallTimeout      = 400 * time.Millisecond
+	recordRetryInterval    = 50 * time.Millisecond
+	maxRecordRetryInterval = 400 * time.Millisecond
 )
 
 // errNotRecorded means that an order wasn't sent because its epoch isn't in the store.
@@ -212,6 +213,7 @@
 
 // write writes the record of a fabric domain until the store holds it or the term ends.
 func (r *recorder) write(ctx context.Context, fabric string, d *domainRecord, term int64) {
+	var retry retryDelay
 	for {
 		// After a failed call, the renewals of the lease show when the store answers again.
 		for ctx.Err() == nil && r.storeFailing() && r.current(term) {
@@ -226,14 +228,27 @@
 		case err == nil:
 			r.finish(d, positionOf(object), record)
 		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
-			r.resolveConflict(ctx, d, stored, record)
-		default:
-			r.log.WithError(err).WithField("fabric_domain", fabric).Info("the plan of a fabric domain could not be recorded")
-			sleep(ctx, recordRetryInterval)
+			err = r.resolveConflict(ctx, d, stored, record)
+		}
+		if err == nil {
+			retry.reset()
+			continue
 		}
+		r.log.WithError(err).WithField("fabric_domain", fabric).Info("the plan of a fabric domain could not be recorded")
+		sleep(ctx, retry.next())
 	}
 }
 
+// retryDelay is the time to wait after the next failed call.
+type retryDelay time.Duration
+
+func (d *retryDelay) reset() { *d = 0 }
+
+func (d *retryDelay) next() time.Duration {
+	*d = min(max(2**d, retryDelay(recordRetryInterval)), retryDelay(maxRecordRetryInterval))
+	return time.Duration(*d)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -279,26 +294,25 @@
 }
 
 // resolveConflict reads the object after a conflict, which may come from an earlier write of the same record whose answer was lost.
-func (r *recorder) resolveConflict(ctx context.Context, d *domainRecord, stored storedRecord, record placement.Record) {
+func (r *recorder) resolveConflict(ctx context.Context, d *domainRecord, stored storedRecord, record placement.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, recordCallTimeout)
 	defer cancel()
 	object, err := r.store.Get(ctx, recordKind, recordNamePrefix+stored.Fabric)
 	if errors.Is(err, platform.ErrNotFound) {
 		r.finish(d, position{}, placement.Record{})
-		return
+		return nil
 	}
 	if err != nil {
-		r.log.WithError(err).WithField("fabric_domain", stored.Fabric).Info("the record of the plan of a fabric domain could not be read")
-		sleep(ctx, recordRetryInterval)
-		return
+		return err
 	}
 	found, err := decodeStored(object)
 	if err == nil && found.Term == stored.Term && sameGroups(found, stored) {
 		r.finish(d, positionOf(object), record)
-		return
+		return nil
 	}
 	// The object is that of a former planner, since this one's lease is valid, or an earlier one of this planner.
 	r.finish(d, positionOf(object), placement.Record{})
+	return nil
 }
 
 func sameGroups(a, b storedRecord) bool {
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -34,7 +34,9 @@
 	// onRecord tells what happens to a write of a record: whether it is carried out and whether it is answered. Nil for both.
 	onRecord func() (carriedOut, answered bool)
 	down     bool
-	records  int // Writes of records that were carried out.
+	// refuse returns the status with which the store refuses a call; 0 if it doesn't. Nil if it refuses none.
+	refuse  func(*http.Request) int
+	records int // Writes of records that were carried out.
 }
 
 func newObjectStore() *objectStore { return &objectStore{era: 1, objects: map[string]map[string]any{}} }
@@ -46,6 +48,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.refuse != nil {
+		if status := s.refuse(r); status != 0 {
+			w.WriteHeader(status)
+			return
+		}
+	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/cassiadeal/objects/"), "/")
 	status, answer := s.handle(r, kind, name)
 	if status == 0 {
--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -60,3 +61,45 @@
 		})
 	}
 }
+
+// refuseAll lets the store refuse all calls, and returns the number of calls since.
+func (r *recordTest) refuseAll() (calls func() int) {
+	n := 0
+	r.store.update(func() {
+		r.store.refuse = func(*http.Request) int {
+			n++
+			return http.StatusTooManyRequests
+		}
+	})
+	return func() (count int) {
+		r.store.update(func() { count = n })
+		return count
+	}
+}
+
+// Guards against a storm of priced calls while the store refuses records but answers other calls.
+func TestRefusedRecordsAreRetriedLessAndLessOften(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	calls := r.refuseAll()
+	r.plan(300001)
+	time.Sleep(3 * time.Second)
+	r.c.Assert(calls() <= 12, quicktest.IsTrue, quicktest.Commentf("%d calls in 3 s for one fabric domain", calls()))
+	r.store.update(func() { r.store.refuse = nil })
+	r.awaitStored(300001)
+}
+
+// Guards against a storm of priced calls by a new planner whose reads the store refuses.
+func TestRefusedReadsOfTheRecordAreRetriedLessAndLessOften(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	calls := r.refuseAll()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.planner.restorePlan(ctx, 3)
+	}()
+	time.Sleep(3 * time.Second)
+	cancel()
+	<-done
+	r.c.Assert(calls() <= 12, quicktest.IsTrue, quicktest.Commentf("%d calls in 3 s", calls()))
+}
