--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -223,6 +223,7 @@
 	// it.
 	headUnheard   bool
 	headLost      bool // The head counted as lost: no node heard from it, or it was never known and the group lacked other members too.
+	restored      bool // Only the record of an earlier planner tells that it was given up.
 	head          fleet.Incarnation
 	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
 	fabric, model string
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -34,7 +34,9 @@
 	// onRecord tells what happens to a write of a record: whether it is carried out and whether it is answered. Nil for both.
 	onRecord func() (carriedOut, answered bool)
 	down     bool
-	records  int // Writes of records that were carried out.
+	// refuse returns the status with which the store refuses a call; 0 if it doesn't. Nil if it refuses none.
+	refuse  func(*http.Request) int
+	records int // Writes of records that were carried out.
 }
 
 func newObjectStore() *objectStore { return &objectStore{era: 1, objects: map[string]map[string]any{}} }
@@ -46,6 +48,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.refuse != nil {
+		if status := s.refuse(r); status != 0 {
+			w.WriteHeader(status)
+			return
+		}
+	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/cassiadeal/objects/"), "/")
 	status, answer := s.handle(r, kind, name)
 	if status == 0 {
@@ -134,15 +142,20 @@
 	r := &recordTest{c: quicktest.New(t), store: store, clock: clock.NewManual(time.Hour), replica: replica,
 		entry: &fleet.Replica{ID: "i-1", Address: strings.TrimPrefix(replicaServer.URL, "http://"), StartedUnixMs: 1, Fabric: "f/1"}}
 	client := platform.NewStore(strings.TrimPrefix(storeServer.URL, "http://"))
-	lease := NewLease(client, r.clock, log, "n", 1)
-	lease.held, lease.term, lease.validUntil = true, 3, r.clock.Now().Add(time.Hour)
-	r.planner = New(Options{Lease: lease, Store: client, StoreFailing: r.failing.Load, Clock: r.clock, Log: log,
+	r.planner = New(Options{Lease: heldLease(client, r.clock, log), Store: client, StoreFailing: r.failing.Load, Clock: r.clock, Log: log,
 		Replicas: platform.NewReplicaClient(func(fleet.Incarnation, fleet.Answer) {})})
 	r.planner.startTerm()
 	r.planner.setActive(true)
 	return r
 }
 
+// heldLease returns a lease that this node holds in term 3 for an hour.
+func heldLease(store *platform.Store, c clock.Clock, log logrus.FieldLogger) *Lease {
+	lease := NewLease(store, c, log, "n", 1)
+	lease.held, lease.term, lease.validUntil = true, 3, c.Now().Add(time.Hour)
+	return lease
+}
+
 // plan makes the planner want an epoch of a group with the replica as head, and returns the order to join it.
 func (r *recordTest) plan(epoch int64) placement.Order {
 	record := recordOf(r.entry, epoch)
--- /dev/null
+++ b/internal/planner/review43_test.go
@@ -0,0 +1,105 @@
+package planner
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// Guards against a planner that never plans, because its lease had ended for a moment while it read the record and was renewed later.
+func TestPlanIsRestoredAfterALateRenewal(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	lease := r.planner.opt.Lease
+	lease.validUntil = r.clock.Now()
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(done)
+		r.planner.restorePlan(ctx, 3)
+	}()
+	time.Sleep(2 * recordRetryInterval)
+	lease.mu.Lock()
+	lease.validUntil = r.clock.Now().Add(time.Hour) // The renewal was answered: no other node has acquired the lease.
+	lease.mu.Unlock()
+	time.Sleep(4 * recordRetryInterval)
+	cancel()
+	<-done
+	r.planner.mu.Lock()
+	defer r.planner.mu.Unlock()
+	r.c.Assert(r.planner.restored, quicktest.IsTrue)
+}
+
+// Guards against a restore of the plan that goes on for ever after the lease was lost.
+func TestRestoreOfThePlanEndsWithTheLease(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	r.failing.Store(true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.planner.restorePlan(context.Background(), 3)
+	}()
+	r.planner.opt.Lease.lose("the test ends the term")
+	r.await(done)
+}
+
+// Guards against a join by a planner that was paused beyond its lease while the order waited: the tick after which it knows may come later.
+func TestRecordedJoinIsDroppedAfterTheLeaseHasEnded(t *testing.T) {
+	for name, end := range map[string]func(*recordTest){
+		"expired":  func(r *recordTest) { r.clock.Advance(2 * time.Hour) },
+		"resigned": func(r *recordTest) { r.planner.opt.Lease.Resign("the test ends the term") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRecordTest(t, newObjectStore())
+			o := r.plan(300001)
+			r.awaitStored(300001)
+			end(r)
+			r.await(r.send(o))
+			r.c.Assert(r.orders(), quicktest.Equals, 0)
+		})
+	}
+}
+
+// refuseAll lets the store refuse all calls, and returns the number of calls since.
+func (r *recordTest) refuseAll() (calls func() int) {
+	n := 0
+	r.store.update(func() {
+		r.store.refuse = func(*http.Request) int {
+			n++
+			return http.StatusTooManyRequests
+		}
+	})
+	return func() (count int) {
+		r.store.update(func() { count = n })
+		return count
+	}
+}
+
+// Guards against a storm of priced calls while the store refuses records but answers other calls.
+func TestRefusedRecordsAreRetriedLessAndLessOften(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	calls := r.refuseAll()
+	r.plan(300001)
+	time.Sleep(3 * time.Second)
+	r.c.Assert(calls() <= 12, quicktest.IsTrue, quicktest.Commentf("%d calls in 3 s for one fabric domain", calls()))
+	r.store.update(func() { r.store.refuse = nil })
+	r.awaitStored(300001)
+}
+
+// Guards against a storm of priced calls by a new planner whose reads the store refuses.
+func TestRefusedReadsOfTheRecordAreRetriedLessAndLessOften(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	calls := r.refuseAll()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.planner.restorePlan(ctx, 3)
+	}()
+	time.Sleep(3 * time.Second)
+	cancel()
+	<-done
+	r.c.Assert(calls() <= 12, quicktest.IsTrue, quicktest.Commentf("%d calls in 3 s", calls()))
+}
