Keep a member that one list of the VMs lacks

A member that wasn't in the VM list left its group at once: the group got a new number, its other members were joined again or waited for a spare, and what they ran ended. In a fabric domain without spares a complete group was even retired, since the listed VMs were too few for all. But lists are late and differ between nodes, entries that can't be decoded are left out, and a controller that has just taken over may have a list from before the VM joined, for as long as it can't read another one.

The planner took absence from one list for the end of a VM. A member now counts as listed until the lists that were read for 3 s, as long as for a silent member, have lacked it. Its last known address stays in use, so that requests go on; a node that never found it listed sends no orders to its group. The repair after a VM was removed from the list starts up to 3 s later than before.

TestMemberThatOneListLacksStays, TestOldListOfVMsEndsNoGroup and TestOneListThatLacksAMemberRetiresNoGroup failed before: "1 of 2 groups serve while a list lacks a member", "1 of 2 groups serve while the list can't be read", "1 of 2 groups serve".

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -42,8 +42,8 @@
 	Platform Platform
 	Members  Members
 	Orders   Sender
-	// VMs returns the VM list of all fabric domains; ok is false until it is known.
-	VMs func() (vms []VM, ok bool)
+	// VMs returns the VM list of all fabric domains and the time since it was last read; ok is false until it is known.
+	VMs func() (vms []VM, age time.Duration, ok bool)
 	// Report returns the last state read from a VM's engine, with its age.
 	Report    func(vm string) Report
 	Rules     func() *rules.Rules  // Nil until a configuration is known.
@@ -125,6 +125,7 @@
 	controlStates map[string]*controlState // By fabric domain.
 	running       map[string]bool          // Fabric domains whose control loop runs.
 	absences      map[Identity]absence
+	memberVMs     map[string]memberVM // By VM name.
 	onChange      []func()
 	released      bool // Set by Release; steps do nothing afterwards.
 	era           uint64
@@ -155,6 +156,7 @@
 	return &Controllers{
 		options: o, sendSlots: make(chan struct{}, maxConcurrentOrders), plans: map[string]cachedPlan{},
 		controlStates: map[string]*controlState{}, running: map[string]bool{}, absences: map[Identity]absence{},
+		memberVMs: map[string]memberVM{},
 	}
 }
 
@@ -243,7 +245,7 @@
 
 // candidateDomains returns the fabric domains that this node controls or should take over.
 func (c *Controllers) candidateDomains() []string {
-	vms, known := c.options.VMs()
+	vms, known := c.vms()
 	if !known || c.options.Rules() == nil {
 		return nil
 	}
@@ -301,7 +303,7 @@
 func (c *Controllers) step(ctx context.Context, fabric string) error {
 	c.stepMu.RLock()
 	defer c.stepMu.RUnlock()
-	vms, known := c.options.VMs()
+	vms, known := c.vms()
 	r := c.options.Rules()
 	if !known || r == nil || !c.mayControl() {
 		return nil
@@ -422,7 +424,9 @@
 		if vm.FabricDomain == fabric {
 			vm.Leaving = vm.Leaving || c.options.Report(vm.Name).Leaving
 			in.VMs = append(in.VMs, vm)
-			in.Reports[vm.Name] = c.reportSince(vm.Name, now, state.activeFrom)
+			if vm.Address != "" {
+				in.Reports[vm.Name] = c.reportSince(vm.Name, now, state.activeFrom)
+			}
 		}
 	}
 	c.mu.Lock()
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -39,6 +39,7 @@
 	fenced        bool
 	rules         *rules.Rules
 	vmList        []VM
+	listAge       time.Duration // Time since vmList was read.
 	engines       map[string]*engineState
 	nodes         []*controllerNode
 	violation     string // Found by Send, outside the test's goroutine.
@@ -257,7 +258,7 @@
 		n := &controllerNode{model: m, name: name, renewedAt: m.now, leaseStart: m.now}
 		n.Controllers = New(Options{
 			Self: Identity{Name: name, Incarnation: "1"}, Platform: platformClient{m, n}, Members: n, Orders: m,
-			VMs:    func() ([]VM, bool) { return slices.Clone(m.vmList), true },
+			VMs:    func() ([]VM, time.Duration, bool) { return slices.Clone(m.vmList), m.listAge, true },
 			Report: m.report, Rules: func() *rules.Rules { return m.rules },
 			WallClock: func() time.Time { return time.Unix(0, int64(m.now)) }, Now: func() time.Duration { return m.now },
 			Term: term, Margin: margin, Log: log,
@@ -680,3 +681,90 @@
 	must(t, m.controller() == restored, "%s is the controller, want %s", m.controller().name, restored.name)
 	must(t, m.outdatedOrders == 0, "%d orders were carried out after one of a later plan", m.outdatedOrders)
 }
+
+// Guards against orders that end the requests of a group because one list of the VMs lacks a member that serves: the list is late, or an entry
+// of it can't be read. A new controller doesn't know that the VM was listed before.
+func TestMemberThatOneListLacksStays(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		t.Run(fmt.Sprintf("successor=%v", successor), func(t *testing.T) {
+			m := newControllerModel(t, true)
+			m.advanceUntilServing(2)
+			m.advance(250 * time.Millisecond)
+			former := m.controller()
+			for former.paused = successor; m.controller() == former && successor; m.advance(250 * time.Millisecond) {
+				must(t, m.now < 2*time.Hour, "nobody took over")
+				m.setListed("vm01", m.now < former.renewedAt+term+margin)
+			}
+			arrived, stored := m.ordersArrived, m.version
+			m.setListed("vm01", false)
+			for range 8 {
+				m.advance(250 * time.Millisecond)
+				must(t, m.servingGroups() == 2, "%d of 2 groups serve while a list lacks a member", m.servingGroups())
+			}
+			m.setListed("vm01", true)
+			for range 40 {
+				m.advance(250 * time.Millisecond)
+				must(t, m.servingGroups() == 2, "%d of 2 groups serve after the list", m.servingGroups())
+			}
+			must(t, m.ordersArrived == arrived && m.version == stored, "%d orders and %d writes", m.ordersArrived-arrived, m.version-stored)
+
+			m.setListed("vm01", false)
+			m.advanceUntilServing(1)
+			m.advanceUntilServing(2)
+			plan, _ := decodePlan(*m.planObject)
+			must(t, plan.Assignments["vm01"] == nil, "a VM that is listed no more is still a member")
+		})
+	}
+}
+
+// Guards against a new controller that ends a group because a member isn't in its list of the VMs, which it can't read again: the member was
+// listed later.
+func TestOldListOfVMsEndsNoGroup(t *testing.T) {
+	m := newControllerModel(t, true)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	former, arrived := m.controller(), m.ordersArrived
+	former.paused = true
+	for _, n := range m.nodes {
+		clear(n.memberVMs) // As in a process that has just started.
+	}
+	m.setListed("vm01", false)
+	for range 120 {
+		m.listAge += 250 * time.Millisecond
+		m.advance(250 * time.Millisecond)
+		must(t, m.servingGroups() == 2, "%d of 2 groups serve while the list can't be read", m.servingGroups())
+	}
+	must(t, m.controller() != former, "nobody took over")
+	m.setListed("vm01", true)
+	m.listAge = 0
+	for range 40 {
+		m.advance(250 * time.Millisecond)
+		must(t, m.servingGroups() == 2, "%d of 2 groups serve after the list was read", m.servingGroups())
+	}
+	must(t, m.ordersArrived == arrived, "%d orders arrived", m.ordersArrived-arrived)
+}
+
+// Guards against a group that retires because the VMs of a list that lacks a member are too few for all groups.
+func TestOneListThatLacksAMemberRetiresNoGroup(t *testing.T) {
+	m := newControllerModel(t, true)
+	delete(m.engines, "vm07")
+	delete(m.engines, "vm08")
+	m.publishVMList()
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	stored := m.version
+	for i := range 40 {
+		m.setListed("vm01", i >= 8)
+		m.advance(250 * time.Millisecond)
+		must(t, m.servingGroups() == 2, "%d of 2 groups serve", m.servingGroups())
+	}
+	must(t, m.version == stored, "the plan changed")
+}
+
+// setListed publishes the VM list with or without a VM.
+func (m *controllerModel) setListed(vm string, listed bool) {
+	m.publishVMList()
+	if !listed {
+		m.vmList = slices.DeleteFunc(m.vmList, func(v VM) bool { return v.Name == vm })
+	}
+}
--- a/internal/groups/follow.go
+++ b/internal/groups/follow.go
@@ -167,7 +167,7 @@
 
 // Groups returns all groups of all fabric domains, ordered by ID.
 func (c *Controllers) Groups() []View {
-	list, _ := c.options.VMs()
+	list, _ := c.vms()
 	vms := make(map[string]VM, len(list))
 	for _, vm := range list {
 		vms[vm.Name] = vm
--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -19,7 +19,7 @@
 // VM is one VM of a fabric domain in the platform's list.
 type VM struct {
 	Name          string
-	Address       string // host:port of the engine.
+	Address       string // host:port of the engine; empty for a member that this node has never found listed.
 	FabricDomain  string
 	FailureDomain string
 	Leaving       bool
@@ -636,6 +636,9 @@
 		for i, vm := range names {
 			addresses[i] = p.vms[vm].Address
 		}
+		if slices.Contains(addresses, "") {
+			continue
+		}
 		for rank, vm := range names {
 			r, fresh := p.freshReport(vm)
 			if !fresh || confirmsMembership(r, g, uint32(rank)) {
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -41,11 +41,11 @@
 	return v.vms
 }
 
-// getIfRead returns false if the list was never read.
-func (v *vmList) getIfRead() ([]*schema.VM, bool) {
+// getIfRead returns the list and when it was last read, or false if it never was.
+func (v *vmList) getIfRead() ([]*schema.VM, time.Duration, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.vms, v.everRead
+	return v.vms, v.readAt, v.everRead
 }
 
 // set stores the result of a successful read. If vms is nil, the stored list is kept.
@@ -103,8 +103,8 @@
 }
 
 // plannedVMs returns the VM list for the planners of groups.
-func (n *Node) plannedVMs() ([]groups.VM, bool) {
-	vms, known := n.vms.getIfRead()
+func (n *Node) plannedVMs() ([]groups.VM, time.Duration, bool) {
+	vms, readAt, known := n.vms.getIfRead()
 	list := make([]groups.VM, 0, len(vms))
 	for _, vm := range vms {
 		list = append(list, groups.VM{
@@ -112,7 +112,7 @@
 			Leaving: vm.State == schema.VMState_VM_STATE_LEAVING,
 		})
 	}
-	return list, known
+	return list, n.now() - readAt, known
 }
 
 // followVMs keeps the VM list current by long polling.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -34,7 +34,7 @@
 
 // VMs implements operator.Backend.
 func (b backend) VMs(context.Context) ([]*schema.VM, error) {
-	vms, known := b.node.vms.getIfRead()
+	vms, _, known := b.node.vms.getIfRead()
 	if !known {
 		return nil, result.New(result.PlatformUnavailable, "the VM list has not been read yet")
 	}
