Count the weight loads of the last minute across controllers

A new controller of a fabric domain ordered loads as if none had begun in the last minute, so that the weight store got up to twice the loads that its budget allows when a controller was replaced during a rebuild.

Only the controller's memory had the times. They are now part of the plan, which is written before the orders: a successor counts every load that may have begun, also those whose orders were never sent or answered. An order that is sent again is counted once, as engines take it for the same load. The field is written with the plan that starts the load, which is an additional write only for loads that waited for the budget.

TestNewControllerKeepsToTheLoadsOfAMinute failed before: "6 loads began within a minute, the budget has 3".

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -95,7 +95,6 @@
 	// numbers, orders of the previous controller can no longer arrive by then.
 	activeFrom  time.Duration
 	orderStates map[string]*orderState // By VM name.
-	loadStarts  []time.Duration        // When weight loads were ordered; times older than a minute are dropped.
 }
 
 // absence records when a controller was first and last found to match no listed node.
@@ -446,8 +445,6 @@
 		}
 	}
 	in.Budget = BudgetShare(r.Weights, fabric, loading, in.Now)
-	state.loadStarts = slices.DeleteFunc(state.loadStarts, func(t time.Duration) bool { return now-t >= time.Minute })
-	in.LoadStarts = len(state.loadStarts)
 	in.Shares = poolShares(fabric, vms, r, readyElsewhere)
 	return in
 }
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -39,7 +39,8 @@
 	fenced        bool
 	rules         *rules.Rules
 	vmList        []VM
-	listAge       time.Duration // Time since vmList was read.
+	listAge       time.Duration   // Time since vmList was read.
+	loads         []time.Duration // When engines began to load weights.
 	engines       map[string]*engineState
 	nodes         []*controllerNode
 	violation     string // Found by Send, outside the test's goroutine.
@@ -229,6 +230,9 @@
 	}
 	e.Group, e.Number, e.Rank, e.Size, e.Model, e.Ready = o.Group, o.Number, o.Rank, o.Size, o.Model, true
 	e.members = o.Members
+	if !slices.Contains(e.Weights, o.Model) {
+		m.loads = append(m.loads, m.now)
+	}
 	e.Weights = []string{o.Model}
 	return nil
 }
@@ -768,3 +772,23 @@
 		m.vmList = slices.DeleteFunc(m.vmList, func(v VM) bool { return v.Name == vm })
 	}
 }
+
+// Guards against more loads in a minute than the weight store allows: a new controller doesn't know of those that its predecessor has ordered.
+func TestNewControllerKeepsToTheLoadsOfAMinute(t *testing.T) {
+	const perMinute = 3
+	m := newControllerModel(t, true)
+	m.rules.Weights.PerMinute = perMinute
+	for len(m.loads) < perMinute {
+		m.advance(250 * time.Millisecond)
+		must(t, m.now < 2*time.Hour, "no weights were loaded within an hour")
+	}
+	former := m.controller()
+	former.paused = true
+	for end := m.now + 2*time.Minute; m.now < end; {
+		m.advance(250 * time.Millisecond)
+		last := slices.DeleteFunc(slices.Clone(m.loads), func(at time.Duration) bool { return m.now-at >= time.Minute })
+		must(t, len(last) <= perMinute, "%d loads began within a minute, the budget has %d", len(last), perMinute)
+	}
+	must(t, m.controller() != former, "nobody took over")
+	must(t, m.servingGroups() == 2, "%d of 2 groups serve", m.servingGroups())
+}
--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -103,11 +103,10 @@
 	Version uint64
 	Reports map[string]Report // By VM name.
 	Shares  []Share
-	// Budget is this fabric domain's part of the weight budget; LoadStarts counts loads ordered in the last minute.
-	Budget     rules.WeightBudget
-	LoadStarts int
-	Policy     Policy
-	Timing     Timing
+	// Budget is this fabric domain's part of the weight budget.
+	Budget rules.WeightBudget
+	Policy Policy
+	Timing Timing
 }
 
 // Action is the kind of an order.
@@ -178,7 +177,8 @@
 	p.retireSurplus()
 	p.repairGroups()
 	p.createGroups()
-	return Output{Plan: p.plan, Changed: !proto.Equal(p.plan, in.Plan), Orders: p.missingOrders()}
+	orders := p.missingOrders() // Also records the loads in the plan.
+	return Output{Plan: p.plan, Changed: !proto.Equal(p.plan, in.Plan), Orders: orders}
 }
 
 func (p *planner) groupIDs() []string { return slices.Sorted(maps.Keys(p.plan.Groups)) }
@@ -615,6 +615,41 @@
 	}
 }
 
+// loadPeriod is the period for which rules.WeightBudget.PerMinute limits the loads.
+const loadPeriod = time.Minute
+
+// loadKey identifies an order that makes an engine load weights, however often it is sent.
+func loadKey(vm string, r Report, g *schema.Group) string {
+	return fmt.Sprintf("%s/%s/%s/%d", vm, r.Incarnation, g.Id, g.Number)
+}
+
+// startedLoad reports whether a load with a key of the plan's load starts was ordered within the last loadPeriod. The time may be of
+// another controller's clock.
+func (p *planner) startedLoad(key string) bool {
+	start, ok := p.plan.LoadStartUnixMs[key]
+	return ok && p.input.Now.Sub(time.UnixMilli(start)).Abs() < loadPeriod
+}
+
+// mayLoad reports whether the budget allows a load, and records it in the plan, so that a new controller counts it too. An order that is
+// sent again is no other load.
+func (p *planner) mayLoad(key string) bool {
+	if p.startedLoad(key) {
+		return true
+	}
+	recent := map[string]int64{}
+	for k, start := range p.plan.LoadStartUnixMs {
+		if p.startedLoad(k) {
+			recent[k] = start
+		}
+	}
+	if len(recent) >= p.input.Budget.PerMinute {
+		return false
+	}
+	recent[key] = p.input.Now.UnixMilli()
+	p.plan.LoadStartUnixMs = recent
+	return true
+}
+
 // missingOrders returns the orders that engines have not carried out yet according to fresh reports. Orders that load
 // weights are left out beyond the weight budget.
 func (p *planner) missingOrders() []Order {
@@ -625,7 +660,6 @@
 			loads++
 		}
 	}
-	starts := p.input.LoadStarts
 	for _, id := range p.groupIDs() {
 		g := p.plan.Groups[id]
 		names := members(p.plan, g)
@@ -646,11 +680,10 @@
 			}
 			load := !slices.Contains(r.Weights, g.Model)
 			if load && !r.Loading {
-				if loads >= p.input.Budget.AtOnce || starts >= p.input.Budget.PerMinute {
+				if loads >= p.input.Budget.AtOnce || !p.mayLoad(loadKey(vm, r, g)) {
 					continue
 				}
 				loads++
-				starts++
 			}
 			orders = append(orders, Order{
 				VM: vm, Address: p.vms[vm].Address, Action: Join, Group: g.Id, Number: g.Number, Rank: uint32(rank),
--- a/internal/groups/send.go
+++ b/internal/groups/send.go
@@ -41,9 +41,6 @@
 		return false
 	}
 	v.unanswered = true
-	if o.Load {
-		state.loadStarts = append(state.loadStarts, now)
-	}
 	return true
 }
 
