--- /dev/null
+++ b/internal/placement/emulator_planner_test.go
@@ -0,0 +1,309 @@
+package placement
+
+import (
+	"maps"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+const (
+	tick = 100 * time.Millisecond
+	// replyTimeout is the time after which the planner gives up the answer to an order. It sends no other order to the replica before.
+	replyTimeout = 400 * time.Millisecond
+	// queryInterval is the time after which a replica that hasn't answered a query is queried again.
+	queryInterval = 400 * time.Millisecond
+	// leaseWait is the time without a planner before another node takes over, and settleTime that for which it only queries replicas.
+	leaseWait  = 2 * time.Second
+	settleTime = 400 * time.Millisecond
+	// The members of a group are probed if its head, at which requests run, is silent for probeAfterSilence, or one isn't listed.
+	probeAfterSilence   = 250 * time.Millisecond
+	probeInterval       = 700 * time.Millisecond
+	failedProbeInterval = 300 * time.Millisecond
+)
+
+// plannerState is what the emulated planner node keeps beside its plan. Another planner starts without it.
+type plannerState struct {
+	termStart    clock.Time // When its term began; 0 for the first planner.
+	counts       map[fleet.Incarnation]int64
+	uncertain    map[fleet.Incarnation]bool // Replicas that must be asked for their count.
+	confirmed    map[fleet.Incarnation]int64
+	queriedAt    map[fleet.Incarnation]clock.Time
+	observations map[fleet.Incarnation]observation
+	nextProbe    map[string]clock.Time
+	waiting      []waitingOrder
+	plannedAt    clock.Time // When the order that is being sent was planned.
+	unanswered   []unansweredOrder
+}
+
+// observation is what a replica answered to a query, and the entry that was listed then.
+type observation struct{ reported, listed *fleet.Replica }
+
+// waitingOrder is an order that waits for an earlier one to the same replica.
+type waitingOrder struct {
+	Order
+	plannedAt clock.Time
+}
+
+// unansweredOrder is an order whose answer is given up at a time.
+type unansweredOrder struct {
+	due   clock.Time
+	order Order
+}
+
+func newPlannerState() plannerState {
+	return plannerState{counts: map[fleet.Incarnation]int64{}, uncertain: map[fleet.Incarnation]bool{}, confirmed: map[fleet.Incarnation]int64{},
+		queriedAt: map[fleet.Incarnation]clock.Time{}, observations: map[fleet.Incarnation]observation{}, nextProbe: map[string]clock.Time{}}
+}
+
+// takeOver returns the plan of another planner after a time without any, in which the former one's orders are still carried out.
+// newNode tells that its node has just been started, so that it doesn't know the entries that lapsed before.
+func (m *emulator) takeOver(term int64, newNode bool, eachTick func()) *Plan {
+	m.planner = newPlannerState()
+	m.note("the planner stops")
+	m.wait(leaseWait, eachTick)
+	if newNode {
+		m.lastEntries = map[string]*fleet.Replica{}
+	}
+	m.planner.termStart = m.clock.Now()
+	m.wait(settleTime, eachTick)
+	m.note("another planner begins, term %d, new node: %t", term, newNode)
+	return New(term)
+}
+
+// wait simulates without a planner.
+func (m *emulator) wait(d time.Duration, eachTick func()) {
+	for range int(d / tick) {
+		m.advance(tick)
+		if eachTick != nil {
+			eachTick()
+		}
+		entries := m.listed()
+		m.lapsed(entries)
+		m.queryReplicas(entries)
+	}
+}
+
+// uncertain reports whether entries may be outdated.
+func (m *emulator) uncertain() bool {
+	start := m.planner.termStart
+	return m.mayBeOutdated || start != 0 && m.clock.Now().Sub(start) < m.entryTTL+settleTime
+}
+
+// queryUnconfirmed returns the listed replicas that have answered a query, and queries the others for the next step.
+func (m *emulator) queryUnconfirmed(listed map[string]*fleet.Replica) map[fleet.Incarnation]bool {
+	s, answered := &m.planner, map[fleet.Incarnation]bool{}
+	if !m.uncertain() {
+		clear(s.confirmed)
+		clear(s.queriedAt)
+		return nil
+	}
+	for _, r := range listed {
+		start := r.Incarnation()
+		epoch, confirmed := s.confirmed[start]
+		if answered[start] = confirmed && epochOf(r) >= epoch; answered[start] && m.storedEntries == nil {
+			continue
+		}
+		if !answered[start] {
+			delete(s.confirmed, start)
+		}
+		v := m.vms[r.ID]
+		if at, queried := s.queriedAt[start]; queried && m.clock.Now().Sub(at) < queryInterval {
+			continue
+		}
+		s.queriedAt[start] = m.clock.Now()
+		if v.failedAt != 0 || !v.reached() || v.startedAt != r.StartedUnixMs {
+			continue
+		}
+		reported := v.entry()
+		if m.isNewer(reported, r) {
+			s.observations[start] = observation{reported, r}
+		}
+		s.confirmed[start] = epochOf(reported)
+		if _, known := m.orderCount(r); !known {
+			m.counted(start, v.ordersBegun)
+		}
+	}
+	return answered
+}
+
+// isNewer reports whether an answer replaces an entry. While the store answers, it must state a later epoch, as an entry may be newer.
+func (m *emulator) isNewer(reported, listed *fleet.Replica) bool {
+	if m.storedEntries != nil {
+		return reported.Group == nil || epochOf(reported) >= epochOf(listed)
+	}
+	return epochOf(reported) > epochOf(listed)
+}
+
+func epochOf(r *fleet.Replica) int64 {
+	if r.Group == nil {
+		return 0
+	}
+	return r.Group.Epoch
+}
+
+// withObservations returns the entries with those replaced that are older than what their replicas have answered.
+func (m *emulator) withObservations(entries map[string]*fleet.Replica) map[string]*fleet.Replica {
+	entries = maps.Clone(entries)
+	for start, o := range m.planner.observations {
+		r := entries[start.ID]
+		if r == nil || r.Incarnation() != start {
+			delete(m.planner.observations, start)
+			continue
+		}
+		if !m.isNewer(o.reported, r) || m.storedEntries == nil && r.Group == nil && o.listed.Group != nil {
+			delete(m.planner.observations, start)
+			continue
+		}
+		merged := *r
+		merged.Group, merged.Models, merged.Staged = o.reported.Group, o.reported.Models, o.reported.Staged
+		entries[start.ID] = &merged
+	}
+	return entries
+}
+
+// orderCount returns the number of orders that a replica has begun as far as the planner knows it.
+func (m *emulator) orderCount(r *fleet.Replica) (n int64, known bool) {
+	n, known = m.planner.counts[r.Incarnation()]
+	return n, known || !m.planner.uncertain[r.Incarnation()] && r.Group == nil && len(r.Models) == 0 && len(r.Staged) == 0
+}
+
+func (m *emulator) counted(start fleet.Incarnation, n int64) {
+	m.planner.counts[start] = n
+	delete(m.planner.uncertain, start)
+}
+
+// recordReplies records that orders haven't been answered in time.
+func (m *emulator) recordReplies(p *Plan) {
+	due := m.planner.unanswered
+	m.planner.unanswered = nil
+	for _, u := range due {
+		if m.clock.Now() >= u.due {
+			p.RecordOutcome(u.order, Unknown)
+		} else {
+			m.planner.unanswered = append(m.planner.unanswered, u)
+		}
+	}
+}
+
+// sendInTurn sends orders, each once the one before to the same replica has been answered or given up.
+func (m *emulator) sendInTurn(p *Plan, orders []Order) {
+	busy := map[string]bool{}
+	for _, u := range m.planner.unanswered {
+		busy[u.order.To.ID] = true
+	}
+	waiting := m.planner.waiting
+	m.planner.waiting = nil
+	for _, o := range orders {
+		waiting = append(waiting, waitingOrder{o, m.clock.Now()})
+	}
+	for _, w := range waiting {
+		o := w.Order
+		if busy[o.To.ID] {
+			m.planner.waiting = append(m.planner.waiting, w)
+			continue
+		}
+		if !p.StillWants(o) {
+			continue
+		}
+		m.planner.plannedAt = w.plannedAt
+		outcome, sent := m.sendCounted(o)
+		switch {
+		case !sent:
+		case outcome == Unknown:
+			busy[o.To.ID] = true
+			m.planner.unanswered = append(m.planner.unanswered, unansweredOrder{m.clock.Now().Add(replyTimeout), o})
+		default:
+			p.RecordOutcome(o, outcome)
+		}
+	}
+}
+
+// sendCounted sends an order, which states the number of orders that the replica has begun unless it is an order to leave. The replica is
+// asked for the number if it isn't known or the order is refused. An order to a replica that has moved isn't sent.
+func (m *emulator) sendCounted(o Order) (outcome Outcome, sent bool) {
+	n, known := m.orderCount(o.To)
+	if o.Action == Leave {
+		return m.sendOnce(o, nil), true
+	}
+	if known {
+		outcome = m.sendOnce(o, &n)
+		if outcome != Refused || o.Action == Stage {
+			return outcome, true
+		}
+	}
+	v := m.vms[o.To.ID]
+	if v.failedAt != 0 || !v.reached() {
+		return Unknown, true
+	}
+	if v.startedAt != o.To.StartedUnixMs || o.Action == Join && o.HasMoved(v.entry().Group) {
+		return Unknown, false
+	}
+	n = v.ordersBegun
+	m.counted(o.To.Incarnation(), n)
+	return m.sendOnce(o, &n), true
+}
+
+// sendOnce sends an order once, and records what its reply tells of the number of orders that the replica has begun.
+func (m *emulator) sendOnce(o Order, expected *int64) Outcome {
+	start, v := o.To.Incarnation(), m.vms[o.To.ID]
+	before := v.ordersBegun
+	outcome := m.transmit(o, expected)
+	n, known := m.orderCount(o.To)
+	switch begun := v.ordersBegun > before; {
+	case outcome == Accepted && o.Action != Stage && begun && known:
+		m.planner.counts[start] = n + 1
+	case outcome == Accepted && !begun, outcome == Outdated, outcome == Refused && o.Action == Leave, outcome == Accepted && o.Action != Stage:
+	default:
+		delete(m.planner.counts, start)
+		m.planner.uncertain[start] = true
+	}
+	return outcome
+}
+
+// probeInTime probes the members of the groups that seem to have stopped.
+func (m *emulator) probeInTime(p *Plan, listed map[string]*fleet.Replica) {
+	now := m.clock.Now()
+	for name, members := range p.Groups() {
+		if now < m.planner.nextProbe[name] || !p.AwaitsAnswers(name) && !m.seemsStopped(members, listed) {
+			continue
+		}
+		m.planner.nextProbe[name] = now.Add(probeInterval)
+		for _, member := range members {
+			if member.LastEntry != nil && !m.probeMember(p, member.Incarnation) {
+				m.planner.nextProbe[name] = now.Add(failedProbeInterval)
+			}
+		}
+	}
+}
+
+// seemsStopped reports whether a member isn't listed, the group is broken, or its head is silent though requests run there.
+func (m *emulator) seemsStopped(members []Member, listed map[string]*fleet.Replica) bool {
+	for _, member := range members {
+		if listed[member.Incarnation.ID] == nil {
+			return true
+		}
+	}
+	head := listed[members[0].Incarnation.ID]
+	if head.Group == nil {
+		return false
+	}
+	a := m.activity(head)
+	return head.Group.State == fleet.GroupBroken || head.Head() && a.Begun > 0 && m.clock.Now().Sub(a.LastEvent) > probeAfterSilence
+}
+
+// probeMember probes a replica and reports whether it answers.
+func (m *emulator) probeMember(p *Plan, start fleet.Incarnation) bool {
+	v, now := m.vms[start.ID], m.clock.Now()
+	switch {
+	case v == nil || v.failedAt != 0 || !v.reached():
+		p.RecordProbeFailure(start, now)
+		return false
+	case v.startedAt != start.StartedUnixMs:
+		p.RecordEnd(start, now)
+		return false
+	}
+	p.RecordProbeAnswer(start, now)
+	return true
+}
--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +40,15 @@
 	unheard            map[string]bool                      // Those of them that haven't stated it yet.
 	aloneSince         clock.Time                           // When the planner was cut off from all other nodes; 0 if it isn't.
 	activityInterval   time.Duration                        // How old what nodes report of their requests may be.
+	// detailed makes heads whose members are gone break, lets events come only from heads at which requests run, and gives the planner the
+	// order counts, delays, queries and probes of package planner.
+	detailed           bool
+	lateBy             func(Order) time.Duration // After which an order whose answer is lost is carried out; 4 s if nil.
+	planner            plannerState
+	strictViolations   []string
+	soundInterruptions []string // Orders that ended requests at sound heads.
+	timeline           []string
+	givenUpDark        map[groupKey]bool // Epochs that the plan doesn't hold any more, and whether their heads were dark when they were given up.
 }
 
 // snapshot holds the entries of the replicas at one time.
@@ -49,17 +59,21 @@
 
 // lateOrder is an order that is carried out after its answer was given up.
 type lateOrder struct {
-	due   clock.Time
-	order Order
+	due       clock.Time
+	plannedAt clock.Time
+	order     Order
+	expected  *int64 // Number of orders that the replica must have begun; nil if it doesn't matter.
 }
 
 // vm is one emulated replica.
 type vm struct {
 	id, fabric   string
 	startedAt    int64
-	failedAt     clock.Time // When it stopped answering; 0 while it runs.
-	unlistedAt   clock.Time // When its entry was removed, though it runs; 0 while it is listed.
-	cutOff       bool       // No node reaches it, though it runs, is listed and reaches the other members of its group.
+	failedAt     clock.Time     // When it stopped answering; 0 while it runs.
+	unlistedAt   clock.Time     // When its entry was removed, though it runs; 0 while it is listed.
+	storeCutAt   clock.Time     // Since when it can't write its entry; 0 if it can.
+	storedEntry  *fleet.Replica // Its entry at storeCutAt.
+	cutOff       bool           // No node reaches it, though it runs, is listed and reaches the other members of its group.
 	draining     bool
 	staged       []string
 	staging      string
@@ -74,17 +88,29 @@
 	openAt       clock.Time // When an accepted open order takes effect; 0 if there is none.
 	highestEpoch int64      // Highest epoch that it has joined.
 	busyUntil    clock.Time // The head has running requests until then.
+	busyFrom     clock.Time // When the oldest of them was sent; 0 if that doesn't matter.
 	lastEvent    clock.Time // When a node last received an event from the head.
 	silent       bool       // No data go in or out of it for a while, though it runs.
 	hidden       bool       // The planner doesn't reach it, other nodes do.
+	stalledSince clock.Time // Since when the group that it heads stands still; 0 if it doesn't.
+	ordersBegun  int64
+	lastGroup    groupKey // The epoch that it joined last, also if it has left it since.
+	lastHead     string   // The head of lastGroup.
+	leftDark     bool     // The head of lastGroup was dark when it left.
 }
 
+// emulatorStart is the time at which an emulator starts.
+const emulatorStart = clock.Time(time.Hour)
+
+// stallAfter is the time after the loss of a member after which a head breaks its group.
+const stallAfter = 4 * time.Second
+
 // aloneTimeout is the time after which a planner that hears of no other node knows it.
 const aloneTimeout = 1200 * time.Millisecond
 
 func newEmulator(t testing.TB, domains, size int, e *fleet.Engine) *emulator {
-	m := &emulator{t: t, clock: clock.NewManual(time.Hour), engine: e, vms: map[string]*vm{}, readyOnce: map[string]map[string]bool{},
-		loadedBy: map[string]int{}, lastEntries: map[string]*fleet.Replica{},
+	m := &emulator{t: t, clock: clock.NewManual(time.Duration(emulatorStart)), engine: e, vms: map[string]*vm{}, readyOnce: map[string]map[string]bool{},
+		loadedBy: map[string]int{}, lastEntries: map[string]*fleet.Replica{}, planner: newPlannerState(), givenUpDark: map[groupKey]bool{},
 		reportLag: 200 * time.Millisecond, entryTTL: 3600 * time.Millisecond, beforeFirstRequest: true}
 	for d := range domains {
 		for i := range size {
@@ -106,7 +132,7 @@
 	now := m.clock.Now()
 	for _, l := range m.lateOrders {
 		if now >= l.due {
-			m.execute(l.order)
+			m.executeLate(l)
 		}
 	}
 	m.lateOrders = slices.DeleteFunc(m.lateOrders, func(l lateOrder) bool { return now >= l.due })
@@ -133,22 +159,48 @@
 		}
 	}
 	for _, v := range m.vms {
-		if servesGroup(&fleet.Replica{Group: &fleet.Membership{State: v.state}}) && m.sendsEvents(v) {
+		if v.failedAt != 0 || !v.serves() {
+			v.stalledSince = 0
+			continue
+		}
+		if m.detailed {
+			m.breakStalled(v)
+		}
+		if v.serves() && m.sendsEvents(v) && (!m.detailed || now < v.busyUntil) {
 			v.lastEvent = now
 		}
 	}
 	m.history = append(m.history, snapshot{now, m.entries()})
 }
 
-// sendsEvents reports whether events of a serving head reach nodes: no member of its group is lost or silent.
-func (m *emulator) sendsEvents(head *vm) bool {
+// serves reports whether the VM is a head whose group is open or closing. It may stand still.
+func (v *vm) serves() bool { return v.state == fleet.GroupOpen || v.state == fleet.GroupClosing }
+
+// breakStalled breaks the group of a serving head that has stood still for stallAfter.
+func (m *emulator) breakStalled(head *vm) {
+	now := m.clock.Now()
+	switch {
+	case m.complete(head):
+		head.stalledSince = 0
+	case head.stalledSince == 0:
+		head.stalledSince = now
+	case now.Sub(head.stalledSince) >= stallAfter:
+		head.state, head.busyUntil = fleet.GroupBroken, min(head.busyUntil, now)
+	}
+}
+
+// sendsEvents reports whether events of a serving head reach nodes.
+func (m *emulator) sendsEvents(head *vm) bool { return m.complete(head) && !head.cutOff }
+
+// complete reports whether no member of the group of a head is lost or silent, so that the group doesn't stand still.
+func (m *emulator) complete(head *vm) bool {
 	for _, id := range head.members {
 		v := m.vms[id]
 		if v == nil || v.failedAt != 0 || v.silent || v.group != head.group || v.epoch != head.epoch {
 			return false
 		}
 	}
-	return !head.cutOff
+	return true
 }
 
 // activity returns what the nodes know of the requests at a head. A planner that is alone knows what was reported before.
@@ -156,7 +208,10 @@
 	v := m.vms[r.ID]
 	a := Activity{LastEvent: v.lastEvent}
 	if m.clock.Now() < v.busyUntil {
-		a.Running, a.Begun = 1, 1
+		a.Running = 1
+		if v.lastEvent >= v.busyFrom {
+			a.Begun = 1
+		}
 	}
 	if interval := m.activityInterval; interval > 0 {
 		a.LastEvent = min(a.LastEvent, m.clock.Now()/clock.Time(interval)*clock.Time(interval))
@@ -172,30 +227,51 @@
 }
 
 // reached reports whether a replica that runs answers the planner.
-func (v *vm) reached() bool { return !v.cutOff && !v.silent && !v.hidden }
+func (v *vm) reached() bool { return !v.dark() && !v.hidden }
+
+// dark reports whether no node reaches a replica.
+func (v *vm) dark() bool { return v.cutOff || v.silent }
+
+// entry returns the state that a replica reports.
+func (v *vm) entry() *fleet.Replica {
+	r := &fleet.Replica{ID: v.id, Service: "pool", Address: v.id + ":1", Fabric: v.fabric, Zone: v.fabric, StartedUnixMs: v.startedAt,
+		Draining: v.draining, Staged: slices.Clone(v.staged)}
+	if v.group != "" {
+		r.Group = &fleet.Membership{Name: v.group, Epoch: v.epoch, Rank: v.rank, State: v.state}
+	}
+	if v.model != "" {
+		r.Models = []string{v.model}
+	}
+	return r
+}
 
-// entries returns the current entries of the replicas by ID. The entry of a stopped VM stays for entryTTL.
+// entries returns the current entries of the replicas by ID. The entry of a VM that has stopped or can't reach the store stays for
+// entryTTL.
 func (m *emulator) entries() map[string]*fleet.Replica {
 	now, list := m.clock.Now(), map[string]*fleet.Replica{}
 	for id, v := range m.vms {
-		if v.failedAt != 0 && now.Sub(v.failedAt) > m.entryTTL || v.unlistedAt != 0 && now >= v.unlistedAt {
-			continue
-		}
-		r := &fleet.Replica{ID: id, Service: "pool", Address: id + ":1", Fabric: v.fabric, Zone: v.fabric, StartedUnixMs: v.startedAt,
-			Draining: v.draining, Staged: slices.Clone(v.staged)}
-		if v.group != "" {
-			r.Group = &fleet.Membership{Name: v.group, Epoch: v.epoch, Rank: v.rank, State: v.state}
+		switch {
+		case v.failedAt != 0 && now.Sub(v.failedAt) > m.entryTTL, v.unlistedAt != 0 && now >= v.unlistedAt:
+		case v.storeCutAt == 0:
+			list[id] = v.entry()
+		case now.Sub(v.storeCutAt) <= m.entryTTL:
+			list[id] = v.storedEntry
 		}
-		if v.model != "" {
-			r.Models = []string{v.model}
-		}
-		list[id] = r
 	}
 	return list
 }
 
+// cutFromStore lets a replica write its entry no more.
+func (m *emulator) cutFromStore(v *vm) {
+	v.storeCutAt, v.storedEntry = m.clock.Now(), v.entry()
+	m.note("%s (%s/%d, rank %d, %s) is cut off from the store", v.id, v.group, v.epoch, v.rank, v.state)
+}
+
 // listed returns the entries that the planner reads: older by reportLag, or the outdated list of the store changed by reports.
 func (m *emulator) listed() map[string]*fleet.Replica {
+	if m.storedEntries != nil && m.detailed {
+		return m.withObservations(m.storedEntries)
+	}
 	if m.storedEntries != nil {
 		list := maps.Clone(m.storedEntries)
 		for incarnation, r := range m.reports {
@@ -208,20 +284,38 @@
 	now := m.clock.Now()
 	for i := len(m.history) - 1; i >= 0; i-- {
 		if now.Sub(m.history[i].takenAt) >= m.reportLag {
-			return m.history[i].replicas
+			return m.withObservations(m.history[i].replicas)
 		}
 	}
 	return map[string]*fleet.Replica{}
 }
 
-// execute carries out an order and returns its outcome.
-func (m *emulator) execute(o Order) Outcome {
+// execute carries out an order of the planner and returns its outcome.
+func (m *emulator) execute(o Order, expected *int64) Outcome {
 	v := m.vms[o.To.ID]
 	if v == nil || v.failedAt != 0 || !v.reached() {
 		return Unknown
 	}
+	if v.startedAt != o.To.StartedUnixMs {
+		return Refused
+	}
+	return m.carryOut(v, o, expected, m.planner.plannedAt)
+}
+
+// executeLate carries out an order that has reached the replica, or its network, before.
+func (m *emulator) executeLate(l lateOrder) {
+	if v := m.vms[l.order.To.ID]; v != nil && v.failedAt == 0 && !v.dark() && v.startedAt == l.order.To.StartedUnixMs {
+		outcome := m.carryOut(v, l.order, l.expected, l.plannedAt)
+		m.note("late %s of %s/%d to %s: outcome %d", l.order.Action, l.order.Group, l.order.Epoch, v.id, outcome)
+	}
+}
+
+func (m *emulator) carryOut(v *vm, o Order, expected *int64, plannedAt clock.Time) Outcome {
 	now := m.clock.Now()
-	if (v.state == fleet.GroupOpen || v.state == fleet.GroupClosing) && now < v.busyUntil && (o.Action == Join || o.Action == Leave) {
+	if expected != nil && *expected != v.ordersBegun {
+		return Refused
+	}
+	if v.serves() && now < v.busyUntil && (o.Action == Join || o.Action == Leave) {
 		m.interruptions = append(m.interruptions, fmt.Sprintf("%s to %s (%s)", o.Action, v.id, o.Reason))
 	}
 	switch o.Action {
@@ -229,26 +323,30 @@
 		v.staging, v.stagingDone = o.Model, now.Add(m.loadTime(o.Model))
 		m.loads = append(m.loads, now)
 		m.loadedBy[v.id]++
+		v.ordersBegun++
 		return Accepted
 	case Join:
-		return m.join(v, o)
+		return m.join(v, o, plannedAt)
 	}
 	if v.group != o.Group || v.epoch != o.Epoch {
 		return Refused
 	}
 	switch {
 	case o.Action == Leave:
+		m.noteInterruption(v, o, plannedAt)
+		v.leftDark = m.headIsDark(v.lastHead)
 		v.group, v.epoch, v.state, v.members = "", 0, "", nil
-	case o.Action == Open && v.state == fleet.GroupReady:
+	case o.Action == Open && v.state == fleet.GroupReady && v.openAt == 0:
 		m.checkMembersReady(v)
 		v.openAt = now.Add(m.engine.OpenTime)
 	case o.Action == CloseGroup && v.state == fleet.GroupOpen:
 		v.state = fleet.GroupClosing
-	case o.Action == CloseGroup && v.state == fleet.GroupClosing:
-	case o.Action == Open && v.state == fleet.GroupOpen:
+	case o.Action == CloseGroup && v.state == fleet.GroupClosing, o.Action == Open && (v.state == fleet.GroupOpen || v.openAt != 0):
+		return Accepted
 	default:
 		return Refused
 	}
+	v.ordersBegun++
 	return Accepted
 }
 
@@ -261,7 +359,7 @@
 	return load
 }
 
-func (m *emulator) join(v *vm, o Order) Outcome {
+func (m *emulator) join(v *vm, o Order, plannedAt clock.Time) Outcome {
 	if o.Epoch < v.highestEpoch || o.Epoch == v.epoch && o.Group == v.group && !slices.Equal(o.Members, v.members) {
 		return Outdated
 	}
@@ -271,6 +369,8 @@
 	if v.group != "" && (v.group != o.Group || o.Epoch != v.epoch) {
 		m.checkHeadReleased(v, o)
 	}
+	m.checkFormerHead(v, o)
+	m.noteInterruption(v, o, plannedAt)
 	ready := 200 * time.Millisecond
 	now := m.clock.Now()
 	switch {
@@ -287,6 +387,8 @@
 	}
 	v.group, v.epoch, v.highestEpoch, v.model = o.Group, o.Epoch, o.Epoch, o.Model
 	v.members, v.rank, v.state, v.readyAt, v.openAt = slices.Clone(o.Members), slices.Index(o.Members, v.id), fleet.GroupJoining, now.Add(ready), 0
+	v.lastGroup, v.lastHead, v.leftDark = groupKey{o.Group, o.Epoch}, o.Members[0], false
+	v.ordersBegun++
 	return Accepted
 }
 
@@ -295,11 +397,86 @@
 func (m *emulator) checkHeadReleased(v *vm, o Order) {
 	head := m.vms[v.members[0]]
 	if head != nil && (head != v || o.Group != v.group) && head.failedAt == 0 && head.group == v.group && head.epoch == v.epoch &&
-		(head.state == fleet.GroupOpen || head.state == fleet.GroupClosing) {
+		head.serves() {
 		m.violations = append(m.violations, fmt.Sprintf("%s was joined to %s while %s of %s was %s", v.id, o.Group, v.group, head.id, head.state))
 	}
 }
 
+// checkFormerHead records a strict violation if a replica is joined to another group or epoch while the head of the one that it joined last
+// serves, or stands still and isn't broken yet, also if the replica has left it on an order. A head that was dark when its group was given up
+// is allowed: nobody could tell it from one that has ended, and its members must be used again some time.
+func (m *emulator) checkFormerHead(v *vm, o Order) {
+	head := m.vms[v.lastHead]
+	if head == nil || head == v && o.Group == v.lastGroup.name || head.failedAt != 0 || !head.serves() ||
+		(groupKey{head.group, head.epoch}) != v.lastGroup || m.excused(v) {
+		return
+	}
+	m.strictViolations = append(m.strictViolations, fmt.Sprintf("%.2f: %s was joined to %s/%d while %s/%d of %s was %s (stalled: %t)",
+		m.clock.Now().Sub(emulatorStart).Seconds(), v.id, o.Group, o.Epoch, v.lastGroup.name, v.lastGroup.epoch, head.id, head.state, head.stalledSince != 0))
+}
+
+// excused reports whether the head of the group that a replica joined last was dark when the group was given up, or, if no plan of the
+// present planner held the group, when the replica left it or now.
+func (m *emulator) excused(v *vm) bool {
+	dark, givenUp := m.givenUpDark[v.lastGroup]
+	return givenUp && dark || !givenUp && (v.leftDark || m.headIsDark(v.lastHead))
+}
+
+// headIsDark reports whether no node reaches a head, or it has ended.
+func (m *emulator) headIsDark(id string) bool {
+	head := m.vms[id]
+	return head == nil || head.failedAt != 0 || head.dark()
+}
+
+// noteGivenUp records for the epochs that a step of the planner has given up whether their heads were dark.
+func (m *emulator) noteGivenUp(before, after map[groupKey]bool) {
+	for key := range before {
+		if !after[key] {
+			m.givenUpDark[key] = m.headIsDark(m.headOf(key))
+		}
+	}
+	for key := range after {
+		delete(m.givenUpDark, key)
+	}
+}
+
+// headOf returns the ID of the head of an epoch, which the planner may not know, or "" if no replica has joined the epoch.
+func (m *emulator) headOf(key groupKey) string {
+	for _, v := range m.vms {
+		if v.lastGroup == key {
+			return v.lastHead
+		}
+	}
+	return ""
+}
+
+// plannedEpochs returns the planned epochs, and the earlier ones that heads may still serve.
+func (p *Plan) plannedEpochs() map[groupKey]bool {
+	epochs := map[groupKey]bool{}
+	for name, g := range p.groups {
+		epochs[groupKey{name, g.epoch}] = true
+		if g.formerEpoch != 0 {
+			epochs[groupKey{name, g.formerEpoch}] = true
+		}
+	}
+	return epochs
+}
+
+// noteInterruption records an order that ends requests at a sound head: all members of its group are in it and run, nodes receive its
+// events, and the requests were sent before the order was planned.
+func (m *emulator) noteInterruption(v *vm, o Order, plannedAt clock.Time) {
+	if v.group == "" {
+		return
+	}
+	head := m.vms[v.lastHead]
+	if head == nil || head.failedAt != 0 || !head.serves() || head.group != v.group || head.epoch != v.epoch || m.clock.Now() >= head.busyUntil || head.busyFrom >= plannedAt ||
+		!m.sendsEvents(head) || m.excused(v) {
+		return
+	}
+	m.soundInterruptions = append(m.soundInterruptions, fmt.Sprintf("%.2f: %s to %s, which is in %s/%d of %s (%s)", m.clock.Now().Sub(emulatorStart).Seconds(), o.Action, v.id,
+		v.group, v.epoch, head.id, o.Reason))
+}
+
 // checkMembersReady records a violation if a group is opened with a member that was never ready or with the wrong size.
 func (m *emulator) checkMembersReady(head *vm) {
 	key := fmt.Sprintf("%s/%d", head.group, head.epoch)
@@ -351,28 +528,61 @@
 		need[model.Name] = model.Share
 	}
 	entries := m.listed()
-	m.probe(p, entries)
+	if m.detailed {
+		m.recordReplies(p)
+		m.probeInTime(p, entries)
+	} else {
+		m.probe(p, entries)
+	}
 	m.probeFormerMembers(p, entries)
-	for _, o := range p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
-		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.mayBeOutdated, Confirmed: m.queryReplicas(),
-		LoadWindow: 5 * time.Second, StallAfter: 4 * time.Second, HeadActivity: m.activity,
-		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }}) {
-		if m.refuse != nil && m.refuse(o) {
-			p.RecordOutcome(o, Refused)
-			continue
-		}
-		if m.loseAnswer != nil && m.loseAnswer(o) {
-			p.RecordOutcome(o, Unknown)
-			m.lateOrders = append(m.lateOrders, lateOrder{m.clock.Now().Add(4 * time.Second), o})
-			continue
+	planned := p.plannedEpochs()
+	orders := p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
+		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.uncertain(), Confirmed: m.queryReplicas(entries),
+		LoadWindow: 5 * time.Second, StallAfter: stallAfter, HeadActivity: m.activity,
+		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }})
+	m.noteGivenUp(planned, p.plannedEpochs())
+	if m.detailed {
+		m.sendInTurn(p, orders)
+		return
+	}
+	for _, o := range orders {
+		m.planner.plannedAt = m.clock.Now()
+		p.RecordOutcome(o, m.transmit(o, nil))
+	}
+}
+
+// note adds a line to the timeline that a failed test prints.
+func (m *emulator) note(format string, values ...any) {
+	m.timeline = append(m.timeline, fmt.Sprintf("%7.2f ", m.clock.Now().Sub(emulatorStart).Seconds())+fmt.Sprintf(format, values...))
+}
+
+// transmit sends an order, which may be refused or lost on the way as the test says, and returns its outcome.
+func (m *emulator) transmit(o Order, expected *int64) Outcome {
+	if m.refuse != nil && m.refuse(o) {
+		return Refused
+	}
+	if m.loseAnswer != nil && m.loseAnswer(o) {
+		late := 4 * time.Second
+		if m.lateBy != nil {
+			late = m.lateBy(o)
 		}
-		p.RecordOutcome(o, m.execute(o))
+		m.lateOrders = append(m.lateOrders, lateOrder{m.clock.Now().Add(late), m.planner.plannedAt, o, expected})
+		m.note("%s of %s/%d %v to %s: no answer, carried out %v later (%s)", o.Action, o.Group, o.Epoch, o.Members, o.To.ID, late, o.Reason)
+		return Unknown
 	}
+	outcome := m.execute(o, expected)
+	if o.Action != Stage && !strings.HasPrefix(o.Group, standbyPrefix) {
+		m.note("%s of %s/%d %v to %s: outcome %d (%s)", o.Action, o.Group, o.Epoch, o.Members, o.To.ID, outcome, o.Reason)
+	}
+	return outcome
 }
 
 // queryReplicas returns the replicas that answered the planner's last direct queries, and queries all for its next step. It
 // does nothing unless Input.MayBeOutdated is set.
-func (m *emulator) queryReplicas() map[fleet.Incarnation]bool {
+func (m *emulator) queryReplicas(listed map[string]*fleet.Replica) map[fleet.Incarnation]bool {
+	if m.detailed {
+		return m.queryUnconfirmed(listed)
+	}
 	if !m.mayBeOutdated {
 		m.reports = nil
 		return nil
@@ -383,7 +593,7 @@
 	}
 	m.reports = map[fleet.Incarnation]*fleet.Replica{}
 	for id, r := range m.entries() {
-		if m.vms[id].failedAt == 0 {
+		if v := m.vms[id]; v.failedAt == 0 && v.reached() {
 			m.reports[r.Incarnation()] = r
 		}
 	}
@@ -441,6 +651,14 @@
 	}
 }
 
+// assertNoStrictViolations fails the test if a replica was used in another group although the head of its former one could still serve.
+func (m *emulator) assertNoStrictViolations() {
+	m.t.Helper()
+	if len(m.strictViolations) > 0 {
+		m.t.Fatalf("replicas were joined to other groups before their heads had ended: %v", m.strictViolations)
+	}
+}
+
 // kill stops a VM: it never answers again.
 func (m *emulator) kill(id string) { m.vms[id].failedAt = m.clock.Now() }
 
@@ -459,3 +677,12 @@
 func (m *emulator) incarnation(v *vm) fleet.Incarnation {
 	return fleet.Incarnation{ID: v.id, StartedUnixMs: v.startedAt}
 }
+
+// logTimelineOnFailure prints the timeline at the end of the test if it has failed.
+func (m *emulator) logTimelineOnFailure(t *testing.T) {
+	t.Cleanup(func() {
+		if t.Failed() || testing.Verbose() {
+			t.Logf("timeline (seconds since the start of the system):\n%s", strings.Join(m.timeline, "\n"))
+		}
+	})
+}
--- /dev/null
+++ b/internal/placement/unlisted_test.go
@@ -0,0 +1,163 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/fleet"
+)
+
+// startedDetailedSystem is startedSystem with all details of the planner's node and of breaking heads.
+func startedDetailedSystem(t *testing.T, domains, size int) (*emulator, *Plan) {
+	m, p := newEmulator(t, domains, size, testEngine()), New(1)
+	m.detailed = true
+	m.logTimelineOnFailure(t)
+	m.run(p, 8*time.Second, nil)
+	m.beforeFirstRequest = false
+	return m, p
+}
+
+// takeOverCase is a change of the planner while some members of a group have no entries.
+type takeOverCase struct {
+	ranks   []int // Members without entries.
+	busy    bool  // Requests run at the head.
+	hidden  bool  // The new planner doesn't reach the members without entries, nor the head.
+	newNode bool  // The new planner's node has been started after the entries lapsed.
+}
+
+func (c takeOverCase) String() string {
+	return fmt.Sprintf("ranks %v, busy %t, hidden %t, new node %t", c.ranks, c.busy, c.hidden, c.newNode)
+}
+
+func takeOverCases() []takeOverCase {
+	var list []takeOverCase
+	for _, ranks := range [][]int{{0, 1}, {1, 2}, {0}} {
+		for i := range 8 {
+			list = append(list, takeOverCase{ranks, i&1 != 0, i&2 != 0, i&4 != 0})
+		}
+	}
+	return list
+}
+
+// takeOverWithoutEntries cuts members of a group of four off from the store, and lets another planner take over once their entries have
+// lapsed. They return to the store 12 s later.
+func takeOverWithoutEntries(t *testing.T, test takeOverCase) (m *emulator, head *vm, orders *[]Order) {
+	m, p := startedDetailedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	if test.busy {
+		head.busyUntil = m.clock.Now().Add(time.Minute)
+	}
+	for _, rank := range test.ranks {
+		m.cutFromStore(members[rank])
+	}
+	m.run(p, 3*time.Second, nil)
+	if test.hidden {
+		head.hidden = true
+		for _, rank := range test.ranks {
+			members[rank].hidden = true
+		}
+	}
+	p = m.takeOver(2, test.newNode, nil)
+	orders = &[]Order{}
+	m.loseAnswer = func(o Order) bool {
+		if o.InGroup() || o.Action == Join {
+			*orders = append(*orders, o)
+		}
+		return false
+	}
+	m.run(p, 12*time.Second, nil)
+	for _, v := range members {
+		v.storeCutAt, v.hidden = 0, false
+	}
+	m.run(p, 10*time.Second, nil)
+	return m, head, orders
+}
+
+// Guards against a new planner that breaks up a serving group because some of its members have no entries: they are cut off from the store,
+// but answer the planner, or nodes receive events from the head.
+func TestNewPlannerKeepsGroupsOfUnlistedMembers(t *testing.T) {
+	for _, test := range takeOverCases() {
+		if test.hidden && !test.busy {
+			continue // See TestMembersOfAnIdleHeadThatThePlannerCannotReachWait.
+		}
+		t.Run(test.String(), func(t *testing.T) {
+			c := quicktest.New(t)
+			m, head, orders := takeOverWithoutEntries(t, test)
+			m.assertNoViolations()
+			m.assertNoStrictViolations()
+			if headUnlisted := test.ranks[0] == 0; !test.busy && headUnlisted {
+				// A head that isn't listed gets no requests, so it is replaced once it has left.
+				c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+				return
+			}
+			c.Assert(m.interruptions, quicktest.HasLen, 0)
+			c.Assert(m.soundInterruptions, quicktest.HasLen, 0)
+			c.Assert(head.state, quicktest.Equals, fleet.GroupOpen)
+			for _, o := range *orders {
+				c.Check(o.Group == head.group && (o.Action == Leave || o.Action == Join), quicktest.IsFalse, quicktest.Commentf("%s to %s: %s", o.Action, o.To.ID, o.Reason))
+			}
+		})
+	}
+}
+
+// Guards against members that are joined elsewhere while the head of their group stands still: only the planner can't reach it, and no
+// requests run there, so that it seems to have ended. It breaks some time after they have left.
+func TestMembersOfAnIdleHeadThatThePlannerCannotReachWait(t *testing.T) {
+	for _, test := range takeOverCases() {
+		if !test.hidden || test.busy {
+			continue
+		}
+		t.Run(test.String(), func(t *testing.T) {
+			c := quicktest.New(t)
+			m, _, _ := takeOverWithoutEntries(t, test)
+			m.assertNoViolations()
+			m.assertNoStrictViolations()
+			c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+		})
+	}
+}
+
+// Guards against members that are joined elsewhere while the head of their group serves: the former planner's order to open it is carried out
+// after another planner has taken over, and the head has no entry.
+func TestMembersOfALateOpenedHeadStay(t *testing.T) {
+	for _, newNode := range []bool{false, true} {
+		for _, openedAfter := range []time.Duration{5500, 6500, 7500, 8500} {
+			openedAfter := openedAfter * time.Millisecond
+			t.Run(fmt.Sprintf("%v, new node %t", openedAfter, newNode), func(t *testing.T) {
+				c := quicktest.New(t)
+				m, p := startedDetailedSystem(t, 1, 10)
+				group := m.openHeads("large")[0].group
+				m.openHeads("large")[0].draining = true
+				var head *vm
+				m.lateBy = func(Order) time.Duration { return openedAfter }
+				m.loseAnswer = func(o Order) bool {
+					if o.Action != Open || o.Group != group || head != nil {
+						return false
+					}
+					head = m.vms[o.To.ID]
+					return true
+				}
+				for range 80 {
+					if m.run(p, tick, nil); head != nil {
+						break
+					}
+				}
+				c.Assert(head, quicktest.IsNotNil)
+				m.cutFromStore(head)
+				m.wait(m.entryTTL-leaseWait+time.Second, nil)
+				p = m.takeOver(2, newNode, nil)
+				m.run(p, 12*time.Second, nil)
+				m.assertNoViolations()
+				m.assertNoStrictViolations()
+				head.storeCutAt = 0
+				m.run(p, 10*time.Second, nil)
+				m.assertNoViolations()
+				m.assertNoStrictViolations()
+				c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+			})
+		}
+	}
+}
