--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -226,6 +226,16 @@
 	return a
 }
 
+// groupActivity returns what the nodes know of the requests at the head of an epoch of a group.
+func (m *emulator) groupActivity(name string, epoch int64) Activity {
+	for _, v := range m.vms {
+		if v.group == name && v.epoch == epoch && v.rank == 0 {
+			return m.activity(&fleet.Replica{ID: v.id})
+		}
+	}
+	return Activity{}
+}
+
 // reached reports whether a replica that runs answers the planner.
 func (v *vm) reached() bool { return !v.dark() && !v.hidden }
 
@@ -538,7 +548,7 @@
 	planned := p.plannedEpochs()
 	orders := p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.uncertain(), Confirmed: m.queryReplicas(entries),
-		LoadWindow: 5 * time.Second, StallAfter: stallAfter, HeadActivity: m.activity,
+		LoadWindow: 5 * time.Second, StallAfter: stallAfter, HeadActivity: m.activity, GroupActivity: m.groupActivity,
 		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }})
 	m.noteGivenUp(planned, p.plannedEpochs())
 	if m.detailed {
@@ -571,7 +581,7 @@
 		return Unknown
 	}
 	outcome := m.execute(o, expected)
-	if o.Action != Stage && !strings.HasPrefix(o.Group, standbyPrefix) {
+	if o.Action != Stage && !strings.HasPrefix(o.Group, StandbyPrefix) {
 		m.note("%s of %s/%d %v to %s: outcome %d (%s)", o.Action, o.Group, o.Epoch, o.Members, o.To.ID, outcome, o.Reason)
 	}
 	return outcome
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -17,13 +17,15 @@
 	reported, known := map[groupKey][]*fleet.Replica{}, map[groupKey]bool{}
 	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
 		r := s.Replicas[id]
-		if r.Group == nil || strings.HasPrefix(r.Group.Name, standbyPrefix) {
+		if r.Group == nil || strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 			continue
 		}
 		key := groupKey{r.Group.Name, r.Group.Epoch}
 		g := s.groups[key.name]
 		if g != nil && g.epoch == key.epoch && !s.plannedElsewhere(r) {
-			g.addReportedMember(r, s.Now)
+			if g.addReportedMember(r, s.Now) {
+				s.changed(g.fabric)
+			}
 		}
 		if s.isDissolved(key) && !s.stillServes(key) || g != nil && g.epoch >= key.epoch || s.plannedElsewhere(r) {
 			continue
@@ -52,7 +54,11 @@
 			g.addReportedMember(r, s.Now)
 		}
 		g.wasOpen = true // An earlier planner may have opened it.
+		if former := s.groups[key.name]; former != nil {
+			s.giveUp(former)
+		}
 		s.groups[key.name] = g
+		s.changed(g.fabric)
 	}
 }
 
@@ -117,16 +123,17 @@
 	return false
 }
 
-// addReportedMember sets the member of a rank from the entry of a replica that reports the group, unless it is already set.
-func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) {
+// addReportedMember sets the member of a rank from the entry of a replica that reports the group. It reports false if it is already set.
+func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) bool {
 	if r.Group.Rank >= len(g.members) || g.members[r.Group.Rank].incarnation.ID != "" {
-		return
+		return false
 	}
 	g.members[r.Group.Rank] = member{incarnation: r.Incarnation(), lastEntry: r, joinAccepted: true, joinSentAt: now}
 	g.fabric = r.Fabric
 	if r.Group.Rank == 0 {
 		g.head = r
 	}
+	return true
 }
 
 // reportedModel returns the first configured model that a member reports as loaded, or nil.
@@ -175,6 +182,7 @@
 		// The list of replicas may be incomplete; the group is checked again in the next step.
 	case s.headServes(g, head):
 		g.wasOpen = true
+		s.noteServing(g)
 		if reason != "" {
 			s.closeForRepair(g, head, reason)
 		} else if head.Group.State == fleet.GroupOpen {
@@ -308,7 +316,7 @@
 		if reports && i == 0 {
 			s.headJoined(g)
 		}
-		if m.joinAccepted && !reports && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
+		if m.joinAccepted && !reports && s.stateKnown(r) && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
 			return fmt.Sprintf("member %d (%s) reports another group", i, m.incarnation.ID)
 		}
 		if reports && r.Group.State == fleet.GroupBroken {
@@ -475,8 +483,9 @@
 }
 
 // releaseMembers tells whether the members of a group may be planned in another group or epoch. A head that may still serve this epoch or
-// an earlier one is ordered to leave first, unless it is silent. If it doesn't answer, the members are released once it counts as lost. Since
-// it may serve all the same, joinMembers then lets each member leave before it joins.
+// an earlier one is ordered to leave first, unless it is silent. An entry that may be outdated doesn't show that it has ended. If it doesn't
+// answer, the members are released once it counts as lost. Since it may serve all the same, joinMembers then lets each member leave before
+// it joins.
 func (s *step) releaseMembers(g *group, reason string) bool {
 	head := s.Replicas[g.members[0].incarnation.ID]
 	failures, unresponsive := s.unresponsive[g.members[0].incarnation]
@@ -484,13 +493,13 @@
 		return false // A single probe fails too easily to give up a group that may work.
 	}
 	if head != nil && !unresponsive {
-		if head.StartedUnixMs != g.members[0].incarnation.StartedUnixMs || head.Group == nil || head.Group.Name != g.name ||
-			head.Group.Epoch != g.epoch && head.Group.Epoch != g.formerEpoch || head.Group.State == fleet.GroupBroken {
+		if serves := g.mayBeServedBy(head); !serves && s.stateKnown(head) {
 			s.headEnded(g.name, g.epoch)
 			s.headEnded(g.name, g.formerEpoch)
 			return true
+		} else if serves {
+			g.head = head
 		}
-		g.head = head
 	}
 	if g.formerEpoch == 0 && (g.headReleased || !g.wasOpen && g.openSentAt == 0) {
 		s.headEnded(g.name, g.epoch)
@@ -502,7 +511,10 @@
 		g.headReleased = true
 		return true
 	}
-	if (head == nil || unresponsive) && g.headMissingSince == 0 {
+	switch missing := head == nil || unresponsive; {
+	case !missing:
+		g.headMissingSince = 0
+	case g.headMissingSince == 0:
 		g.headMissingSince = s.Now
 		if unresponsive {
 			g.headMissingSince = failures.first
@@ -525,6 +537,12 @@
 	return false
 }
 
+// mayBeServedBy reports whether the entry of the group's head allows that it serves the planned epoch or the former one.
+func (g *group) mayBeServedBy(head *fleet.Replica) bool {
+	return head.Incarnation() == g.members[0].incarnation && head.Group != nil && head.Group.Name == g.name &&
+		(head.Group.Epoch == g.epoch || head.Group.Epoch == g.formerEpoch) && head.Group.State != fleet.GroupBroken
+}
+
 // sortLimitedLast moves replicas that limit their rate of requests to the end of the members of a group that gets a new head: as the
 // head, one would limit the whole group.
 func (s *step) sortLimitedLast(members []*fleet.Replica) {
@@ -547,13 +565,14 @@
 		s.formerHeads[key] = formerHead{sentAt: s.Now, left: true}
 	}
 	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, head: g.members[0].incarnation,
-		headEntry: g.head, returnedAt: map[fleet.Incarnation]clock.Time{}}
+		headEntry: g.head, fabric: g.fabric, model: g.model, members: slices.Clone(g.members), returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for _, m := range g.members[1:] {
 		if s.usableReplica(m.incarnation) == nil {
 			d.returnedAt[m.incarnation] = 0
 		}
 	}
 	s.dissolved[key] = d
+	s.changed(g.fabric)
 }
 
 // awaitsHead reports whether a replica of a group that was given up must wait for its head: both were unreachable, so they were
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -36,9 +36,9 @@
 	// there any more. minHeadSilence is the least time for which it must be missing or unresponsive.
 	idleHeadSilence = time.Second
 	minHeadSilence  = 500 * time.Millisecond
-	// standbyPrefix begins the names of standby groups. Each has a spare as its only real member, so that the spare loads its
+	// StandbyPrefix begins the names of standby groups. Each has a spare as its only real member, so that the spare loads its
 	// staged weights, and is never opened.
-	standbyPrefix = "standby-"
+	StandbyPrefix = "standby-"
 	// standbyTimeout is the time after which the join order is sent again to a spare that doesn't report its standby group.
 	standbyTimeout = 3 * time.Second
 	// minHeadProbeFailures is the number of successive probes that a listed head must fail before its group may be repaired
@@ -114,7 +114,7 @@
 
 // HasMoved reports whether a replica that is in the current group has joined it, or begun to serve it, since the order was planned.
 func (o Order) HasMoved(current *fleet.Membership) bool {
-	if current == nil || strings.HasPrefix(current.Name, standbyPrefix) || current.Name == o.Group && current.Epoch == o.Epoch {
+	if current == nil || strings.HasPrefix(current.Name, StandbyPrefix) || current.Name == o.Group && current.Epoch == o.Epoch {
 		return false
 	}
 	planned := o.To.Group
@@ -148,6 +148,8 @@
 	Confirmed     map[fleet.Incarnation]bool
 	// HeadActivity returns what all nodes know of the requests at a head. Nil if it isn't known for any.
 	HeadActivity func(*fleet.Replica) Activity
+	// GroupActivity returns the same for an epoch of a group whose head isn't known. Nil if it isn't known for any.
+	GroupActivity func(name string, epoch int64) Activity
 	// Limited tells whether a replica has stated a limit on its rate of requests. The limit of a group is that of its head. Nil if not
 	// known.
 	Limited func(*fleet.Replica) bool
@@ -162,7 +164,7 @@
 	Accepted                         // Begun or completed.
 	Refused                          // The order doesn't fit the replica's state, or another replica has the address.
 	Outdated                         // The replica has seen a higher epoch.
-	ConnectionRefused                // Nothing listens at the address.
+	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
 )
 
 // member is one VM of a planned group.
@@ -194,9 +196,11 @@
 	dissolveReason string     // Why the group is being dissolved; empty if it isn't.
 	// head is the last known entry of the head. A head whose entry was removed may still serve.
 	head             *fleet.Replica
-	headReleased     bool       // A leave order was answered, or refused by an address without a listener: the head doesn't serve.
+	headReleased     bool       // The head doesn't serve: it has answered an order to leave, or has ended.
 	headMissingSince clock.Time // When the head was first unlisted or unresponsive; 0 if it isn't.
-	adoptedAt        clock.Time // When the group was adopted from the replicas' entries; 0 if this planner formed it.
+	adoptedAt        clock.Time // When the group was adopted from entries or a record; 0 if this planner formed it.
+	// restored is set while only the record of an earlier planner says that the members were ordered to join.
+	restored bool
 }
 
 // staging is an order to stage weights that isn't known to be completed.
@@ -211,9 +215,11 @@
 	at clock.Time
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
-	headUnheard bool
-	head        fleet.Incarnation
-	headEntry   *fleet.Replica // Last known entry of the head; nil if there was none.
+	headUnheard   bool
+	head          fleet.Incarnation
+	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
+	fabric, model string
+	members       []member // By rank.
 	// returnedAt holds the members that were unreachable too, with the time when they were first usable again; 0 if they weren't.
 	returnedAt map[fleet.Incarnation]clock.Time
 }
@@ -252,19 +258,22 @@
 	term         int64
 	epochCounter int64
 
-	groups       map[string]*group
-	dissolved    map[groupKey]dissolution
-	staging      map[fleet.Incarnation]staging
-	loadStarts   []clock.Time // Starts of weight loads within the window.
-	unresponsive map[fleet.Incarnation]probeFailures
-	probeAnswers map[fleet.Incarnation]clock.Time // When a replica, listed or not, last answered a probe.
-	slowUntil    map[fleet.Incarnation]clock.Time // Time until which a replica counts as slow.
-	standbyJoins map[fleet.Incarnation]clock.Time // When a spare was last ordered to join its standby group.
-	domains      map[string]domainSize            // By fabric domain.
-	formerHeads  map[groupKey]formerHead          // Heads of groups that are no longer planned, as far as they were ordered to leave.
-	ended        map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
-	memberLeaves map[membership]memberLeave       // Members that were ordered to leave their group just before.
-	now          clock.Time                       // Time of the last step.
+	groups          map[string]*group
+	dissolved       map[groupKey]dissolution
+	staging         map[fleet.Incarnation]staging
+	loadStarts      []clock.Time // Starts of weight loads within the window.
+	unresponsive    map[fleet.Incarnation]probeFailures
+	probeAnswers    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last answered a probe.
+	slowUntil       map[fleet.Incarnation]clock.Time // Time until which a replica counts as slow.
+	standbyJoins    map[fleet.Incarnation]clock.Time // When a spare was last ordered to join its standby group.
+	domains         map[string]domainSize            // By fabric domain.
+	formerHeads     map[groupKey]formerHead          // Heads of groups that are no longer planned, as far as they were ordered to leave.
+	ended           map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
+	memberLeaves    map[membership]memberLeave       // Members that were ordered to leave their group just before.
+	outdatedRecords map[string]bool                  // Fabric domains whose Record has changed.
+	now             clock.Time                       // Time of the last step.
+	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
+	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -274,9 +283,10 @@
 func New(term int64) *Plan {
 	return &Plan{term: term, groups: map[string]*group{}, dissolved: map[groupKey]dissolution{}, staging: map[fleet.Incarnation]staging{},
 		unresponsive: map[fleet.Incarnation]probeFailures{}, probeAnswers: map[fleet.Incarnation]clock.Time{},
-		slowUntil: map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
+		probeSilence: map[fleet.Incarnation]clock.Time{},
+		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
-		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}}
+		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
@@ -302,6 +312,7 @@
 	}
 	f.until, f.newest, f.count = now.Add(unresponsiveFor), now, f.count+1
 	p.unresponsive[incarnation] = f
+	p.probeSilence[incarnation] = now
 }
 
 // RecordEnd records that a probe has shown that this start of a replica has ended.
@@ -318,6 +329,12 @@
 	p.probeAnswers[incarnation] = now
 }
 
+// answersProbes reports whether a replica, listed or not, has lately answered a probe, and none later than that has failed.
+func (p *Plan) answersProbes(incarnation fleet.Incarnation) bool {
+	answeredAt, answered := p.probeAnswers[incarnation]
+	return answered && answeredAt >= p.probeSilence[incarnation]
+}
+
 // RecordSlowdown records by what factor a replica reports to be slower than usual; 0 if it reports none.
 func (p *Plan) RecordSlowdown(incarnation fleet.Incarnation, slowdown float64, now clock.Time) {
 	if slowdown >= minSlowdown {
@@ -380,6 +397,7 @@
 		g.formerEpoch = g.epoch
 	}
 	g.epoch = p.nextEpoch()
+	p.changed(g.fabric)
 	for i := range g.members {
 		g.members[i].joinAccepted, g.members[i].joinSentAt, g.members[i].joinAttempts = false, 0, 0
 	}
@@ -484,10 +502,11 @@
 // Step compares the plan with the entries of the replicas, changes the plan where it can no longer be carried out, and returns
 // the orders to send now.
 func (p *Plan) Step(in Input) []Order {
-	p.now = in.Now
+	p.now, p.entries = in.Now, in.Replicas
 	s := &step{Plan: p, Input: in, used: map[string]bool{}, served: map[groupKey]bool{}}
 	s.expire()
 	s.expireLeaves()
+	s.dropSupersededGroups()
 	s.adoptReportedGroups()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		for _, m := range p.groups[name].members {
@@ -518,6 +537,7 @@
 			delete(s.probeAnswers, incarnation)
 		}
 	}
+	maps.DeleteFunc(s.probeSilence, func(_ fleet.Incarnation, at clock.Time) bool { return s.Now.Sub(at) > probeAnswerValidity })
 	for g, d := range s.dissolved {
 		if s.Now.Sub(d.at) > dissolvedRetention {
 			delete(s.dissolved, g)
