--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -59,6 +59,7 @@
 		}
 		s.groups[key.name] = g
 		s.changed(g.fabric)
+		s.noteGroup("a group is adopted from entries", g, fmt.Sprintf("%d entries show it", len(members)))
 	}
 }
 
@@ -315,6 +316,7 @@
 		reports := r.Group != nil && r.Group.Name == g.name && r.Group.Epoch == g.epoch
 		if reports && i == 0 {
 			s.headJoined(g)
+			m.joinAccepted = true
 		}
 		if m.joinAccepted && !reports && s.stateKnown(r) && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
 			return fmt.Sprintf("member %d (%s) reports another group", i, m.incarnation.ID)
@@ -377,7 +379,7 @@
 
 // joinMembers orders members that don't report the group yet to join it. If the group had a head in an older epoch that stays,
 // the head joins first: no member may be taken from a group whose head still serves. Where that isn't known, a member leaves its own
-// group before it joins.
+// group before it joins, and waits until the engine must have broken that group unless its head counts as lost.
 func (s *step) joinMembers(g *group) {
 	for i := range g.members {
 		m := &g.members[i]
@@ -397,6 +399,8 @@
 				m.joinAttempts++
 			}
 			continue
+		} else if !keepsHead && s.awaitsBreak(r) {
+			continue
 		}
 		if m.joinSentAt == 0 || s.Now.Sub(m.joinSentAt) > reportTimeout && !m.joinAccepted {
 			m.joinSentAt = s.Now
@@ -494,20 +498,26 @@
 	}
 	if head != nil && !unresponsive {
 		if serves := g.mayBeServedBy(head); !serves && s.stateKnown(head) {
-			s.headEnded(g.name, g.epoch)
-			s.headEnded(g.name, g.formerEpoch)
+			if !s.mayJoinLate(g) {
+				s.headEnded(g.name, g.epoch, showing(head))
+			}
+			s.headEnded(g.name, g.formerEpoch, showing(head))
+			g.headReleased = true
 			return true
 		} else if serves {
 			g.head = head
 		}
 	}
-	if g.formerEpoch == 0 && (g.headReleased || !g.wasOpen && g.openSentAt == 0) {
-		s.headEnded(g.name, g.epoch)
+	if g.formerEpoch == 0 && g.headReleased {
+		return true
+	}
+	if g.formerEpoch == 0 && !g.wasOpen && g.openSentAt == 0 {
+		s.headEnded(g.name, g.epoch, "it was never ordered to open")
 		return true
 	}
 	if unresponsive && s.hasEnded(g.members[0].incarnation) {
-		s.headEnded(g.name, g.epoch)
-		s.headEnded(g.name, g.formerEpoch)
+		s.headEnded(g.name, g.epoch, "its process has ended")
+		s.headEnded(g.name, g.formerEpoch, "its process has ended")
 		g.headReleased = true
 		return true
 	}
@@ -571,7 +581,18 @@
 			d.returnedAt[m.incarnation] = 0
 		}
 	}
+	if g.headReleased {
+		d.headLost = true
+	} else if g.head == nil {
+		d.headLost = len(d.returnedAt) > 0 // The group lacks other members too.
+	} else {
+		d.headLost = g.headMissingSince != 0 && s.headLost(g)
+	}
+	s.noteGroup("an epoch of a group is given up", g, s.releaseCause(g, d))
 	s.dissolved[key] = d
+	if g.formerEpoch != 0 {
+		s.dissolved[groupKey{g.name, g.formerEpoch}] = d
+	}
 	s.changed(g.fabric)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -167,6 +167,12 @@
 	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
 )
 
+var outcomeNames = map[Outcome]string{Unknown: "not answered", Accepted: "accepted", Refused: "refused", Outdated: "refused as outdated",
+	ConnectionRefused: "refused by an address at which nothing listens"}
+
+// String returns the outcome as it is logged.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // member is one VM of a planned group.
 type member struct {
 	incarnation  fleet.Incarnation
@@ -216,6 +222,7 @@
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
 	headUnheard   bool
+	headLost      bool // The head counted as lost: no node heard from it, or it was never known and the group lacked other members too.
 	head          fleet.Incarnation
 	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
 	fabric, model string
@@ -271,9 +278,11 @@
 	ended           map[groupKey]clock.Time          // When the head of an epoch was last known not to serve it.
 	memberLeaves    map[membership]memberLeave       // Members that were ordered to leave their group just before.
 	outdatedRecords map[string]bool                  // Fabric domains whose Record has changed.
+	events          []Event                          // Not yet taken.
 	now             clock.Time                       // Time of the last step.
 	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
 	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
+	departures      map[fleet.Incarnation]departure  // Members that have left a group whose head may have served it.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -286,7 +295,8 @@
 		probeSilence: map[fleet.Incarnation]clock.Time{},
 		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
-		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{}}
+		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{},
+		departures: map[fleet.Incarnation]departure{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
@@ -389,7 +399,7 @@
 func (p *Plan) startEpoch(g *group, headStays bool) {
 	opened := g.wasOpen || g.openSentAt != 0
 	if !opened {
-		p.headEnded(g.name, g.epoch)
+		p.headEnded(g.name, g.epoch, "it was never ordered to open")
 	}
 	if !headStays {
 		g.formerEpoch = 0
