--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -104,9 +104,6 @@
 // emulatorStart is the time at which an emulator starts.
 const emulatorStart = clock.Time(time.Hour)
 
-// stallAfter is the time after the loss of a member after which a head breaks its group.
-const stallAfter = 4 * time.Second
-
 // aloneTimeout is the time after which a planner that hears of no other node knows it.
 const aloneTimeout = 1200 * time.Millisecond
 
@@ -303,7 +300,10 @@
 }
 
 // execute carries out an order of the planner and returns its outcome.
-func (m *emulator) execute(o Order, expected *int64) Outcome {
+func (m *emulator) execute(o Order) Outcome { return m.executeCounted(o, nil) }
+
+// executeCounted carries out an order unless the replica has begun another number of orders than expected, if that is stated.
+func (m *emulator) executeCounted(o Order, expected *int64) Outcome {
 	v := m.vms[o.To.ID]
 	if v == nil || v.failedAt != 0 || !v.reached() {
 		return Unknown
@@ -583,7 +583,7 @@
 		m.note("%s of %s/%d %v to %s: no answer, carried out %v later (%s)", o.Action, o.Group, o.Epoch, o.Members, o.To.ID, late, o.Reason)
 		return Unknown
 	}
-	outcome := m.execute(o, expected)
+	outcome := m.executeCounted(o, expected)
 	if o.Action != Stage && !strings.HasPrefix(o.Group, StandbyPrefix) {
 		m.note("%s of %s/%d %v to %s: outcome %d (%s)", o.Action, o.Group, o.Epoch, o.Members, o.To.ID, outcome, o.Reason)
 	}
