Replace an unlisted member at once if its reports are missed too

Cause: absence from the list counted only after Timing.Lost, whatever else was known of the VM.

Change: a member that the list lacks and that has missed minMissed reports isn't a member any more in the next plan, as before for all that the list lacks.

Evidence: TestUnlistedMemberThatMissesReportsIsReplacedAtOnce failed before ("the member isn't replaced").

--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -420,7 +420,7 @@
 	}
 	now := c.options.Now()
 	for _, vm := range vms {
-		if vm.FabricDomain == fabric {
+		if vm.FabricDomain == fabric && !(vm.Unlisted && c.options.Report(vm.Name).Missed >= minMissed) {
 			vm.Leaving = vm.Leaving || c.options.Report(vm.Name).Leaving
 			in.VMs = append(in.VMs, vm)
 			if vm.Address != "" {
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -45,7 +45,8 @@
 	nodes         []*controllerNode
 	violation     string // Found by Send, outside the test's goroutine.
 	nextVM        int
-	ordersArrived int // Also counts orders to engines that are down or refuse them.
+	missed        string // VM whose last reports are missed.
+	ordersArrived int    // Also counts orders to engines that are down or refuse them.
 	// outdatedOrders counts the orders that engines have carried out after one of a later plan.
 	outdatedOrders int
 	// unchecked is true while orders are sent or arrive whose sender had its lease only before a pause. Nothing can keep engines that ignore
@@ -244,6 +245,9 @@
 	if e == nil || e.down {
 		return Report{Age: time.Hour, Missed: minMissed}
 	}
+	if vm == m.missed {
+		return Report{Age: time.Second, Missed: minMissed}
+	}
 	return e.Report
 }
 
@@ -721,6 +725,25 @@
 	}
 }
 
+// Guards against a removed VM that is replaced late because its last report isn't old yet: the list lacks it, and its reports are missed.
+func TestUnlistedMemberThatMissesReportsIsReplacedAtOnce(t *testing.T) {
+	m := newControllerModel(t, true)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	m.missed = "vm01"
+	for range 4 {
+		m.advance(250 * time.Millisecond)
+		plan, _ := decodePlan(*m.planObject)
+		must(t, plan.Assignments["vm01"] != nil, "a listed member was replaced though its last report is new")
+	}
+	m.setListed("vm01", false)
+	for range 2 {
+		m.advance(250 * time.Millisecond)
+	}
+	plan, _ := decodePlan(*m.planObject)
+	must(t, plan.Assignments["vm01"] == nil, "the member isn't replaced")
+}
+
 // Guards against a new controller that ends a group because a member isn't in its list of the VMs, which it can't read again: the member was
 // listed later.
 func TestOldListOfVMsEndsNoGroup(t *testing.T) {
--- a/internal/groups/plan.go
+++ b/internal/groups/plan.go
@@ -23,6 +23,8 @@
 	FabricDomain  string
 	FailureDomain string
 	Leaving       bool
+	// Unlisted is set for a member that the last list lacks.
+	Unlisted bool
 }
 
 // Report is the last state that the engine of a VM reported.
--- a/internal/groups/vms.go
+++ b/internal/groups/vms.go
@@ -14,7 +14,7 @@
 
 // vms returns the VM list with the members that recent lists lack; ok is false until the list is known. One list is no evidence of a
 // member's end: lists are late, differ between nodes, and may have entries that can't be read. A member counts as listed until the lists
-// that were read for Timing.Lost have lacked it.
+// that were read for Timing.Lost have lacked it, or its reports are missed as well.
 func (c *Controllers) vms() (list []VM, ok bool) {
 	list, age, ok := c.options.VMs()
 	if !ok {
@@ -38,6 +38,7 @@
 			}
 			known[name] = member
 			if _, isListed := listed[name]; !isListed && readAt-member.readAt < c.options.Timing.Lost {
+				member.Unlisted = true
 				list = append(list, member.VM)
 			}
 		}
