Don't take a record as held after a write without an answer

A group that was given up and adopted again before the write was answered counted as recorded. The write was carried out late, and a later planner read the group as given up.

--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -52,6 +52,12 @@
 	return true
 }
 
+// Common returns the groups that both records have.
+func (r Record) Common(other Record) Record {
+	groups := slices.Clone(r.Groups)
+	return Record{slices.DeleteFunc(groups, func(g RecordedGroup) bool { return !slices.ContainsFunc(other.Groups, g.equal) })}
+}
+
 // Holds reports whether the record has the epoch of the group.
 func (r Record) Holds(name string, epoch int64) bool {
 	return slices.ContainsFunc(r.Groups, func(g RecordedGroup) bool { return g.key() == groupKey{name, epoch} })
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -85,7 +85,7 @@
 type domainRecord struct {
 	at      position // Of the object in the store; its revision is 0 if there is none or it isn't known.
 	wanted  placement.Record
-	written placement.Record // What the store is known to hold.
+	written placement.Record // What the store is known to hold, whichever write without an answer is carried out.
 	behind  bool             // The store isn't known to hold what is wanted.
 	writing bool             // A goroutine writes the record until it isn't behind.
 }
@@ -229,6 +229,8 @@
 			r.finish(d, positionOf(object), record)
 		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
 			err = r.resolveConflict(ctx, d, stored, record)
+		default:
+			r.mayHold(d, record)
 		}
 		if err == nil {
 			retry.reset()
@@ -293,6 +295,14 @@
 	r.wakeLocked()
 }
 
+// mayHold notes that the store may hold a record, now or later, whose write wasn't answered.
+func (r *recorder) mayHold(d *domainRecord, record placement.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.written = d.written.Common(record)
+	d.behind = !d.written.Covers(d.wanted)
+}
+
 // resolveConflict reads the object after a conflict, which may come from an earlier write of the same record whose answer was lost.
 func (r *recorder) resolveConflict(ctx context.Context, d *domainRecord, stored storedRecord, record placement.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, recordCallTimeout)
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -121,6 +121,18 @@
 	change()
 }
 
+// carryOutLate carries out a write that wasn't answered, if its condition still holds.
+func (s *objectStore) carryOutLate(c *quicktest.C, name string, revision int64, record storedRecord) {
+	spec, err := json.Marshal(record)
+	c.Assert(err, quicktest.IsNil)
+	s.update(func() {
+		if o := s.objects[recordKind+"/"+name]; o["metadata"].(map[string]any)["revision"] == revision {
+			s.revision++
+			s.objects[recordKind+"/"+name] = map[string]any{"metadata": map[string]any{"name": name, "revision": s.revision}, "spec": json.RawMessage(spec)}
+		}
+	})
+}
+
 // recordTest is a planner that keeps its record in an objectStore and sends orders to one replica.
 type recordTest struct {
 	c       *quicktest.C
--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/placement"
 )
 
 // Guards against a planner that never plans, because its lease had ended for a moment while it read the record and was renewed later.
@@ -103,3 +105,35 @@
 	<-done
 	r.c.Assert(calls() <= 12, quicktest.IsTrue, quicktest.Commentf("%d calls in 3 s", calls()))
 }
+
+// Guards against a record that the planner takes for what the store holds, although a later write without an answer was carried out late.
+func TestRecordWithoutAnAnswerIsntTakenForUnwritten(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	r.await(r.send(r.plan(300001)))
+	first := recordOf(r.entry, 300001)
+	givenUp := recordOf(r.entry, 300001)
+	givenUp.Groups[0].GivenUp = true
+	attempted := make(chan struct{})
+	r.store.update(func() {
+		r.store.onRecord = func() (bool, bool) {
+			select {
+			case <-attempted:
+				return true, true
+			default:
+				close(attempted)
+				r.failing.Store(true)
+				return false, false // Carried out late.
+			}
+		}
+	})
+	recorder := r.planner.recorder
+	recorder.keep(context.Background(), map[string]placement.Record{r.entry.Fabric: givenUp})
+	<-attempted
+	recorder.keep(context.Background(), map[string]placement.Record{r.entry.Fabric: first}) // The group was adopted again.
+	r.failing.Store(false)
+	time.Sleep(4 * recordRetryInterval)
+	late := storedRecord{Term: 3, Fabric: r.entry.Fabric, Write: 2, Groups: encodeRecord(givenUp)}
+	r.store.carryOutLate(r.c, recordNamePrefix+r.entry.Fabric, 1, late)
+	time.Sleep(4 * recordRetryInterval)
+	r.c.Assert(r.stored(), quicktest.DeepEquals, first)
+}
