--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -164,6 +164,7 @@
 	Accepted                         // Begun or completed.
 	Refused                          // The order doesn't fit the replica's state, or another replica has the address.
 	Outdated                         // The replica has seen a higher epoch.
+	NotSent                          // Dropped before it was sent.
 	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
 )
 
@@ -370,6 +371,10 @@
 		if m.incarnation != incarnation {
 			continue
 		}
+		if outcome == NotSent {
+			m.joinAttempts-- // Says nothing about the member.
+			return
+		}
 		m.joinAccepted = m.joinAccepted || outcome == Accepted
 		if i == 0 && outcome == Accepted {
 			p.headJoined(g)
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -98,6 +98,7 @@
 	if p.recorder != nil {
 		if err := p.recorder.await(ctx, o); err != nil {
 			p.opt.Log.WithError(err).WithFields(logrus.Fields{"replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).Info("an order to join is dropped")
+			p.recordOutcome(o, placement.NotSent)
 			return
 		}
 	}
@@ -124,6 +125,10 @@
 	if errors.Is(err, errReplicaMoved) || errors.Is(err, errNotPlanner) {
 		return // The plan orders anew once the replica's entry shows its group.
 	}
+	p.recordOutcome(o, outcome)
+}
+
+func (p *Planner) recordOutcome(o placement.Order, outcome placement.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.plan.RecordOutcome(o, outcome)
--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/placement"
 )
 
@@ -137,3 +138,32 @@
 	time.Sleep(4 * recordRetryInterval)
 	r.c.Assert(r.stored(), quicktest.DeepEquals, first)
 }
+
+// Guards against sound members that count as unreachable because the orders to join wait for their record.
+func TestJoinsThatWaitForTheirRecordAreNoFailedAttempts(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	p := r.planner
+	p.addRecords(nil, 3)
+	other := *r.entry
+	other.ID = "i-2"
+	input := placement.Input{Engine: &fleet.Engine{Models: []fleet.Model{{Name: "small", Size: 2, Share: 1}}}, Need: map[string]float64{"small": 1},
+		Replicas: map[string]*fleet.Replica{"i-1": r.entry, "i-2": &other}, LoadWindow: time.Second, StallAfter: time.Second}
+	for _, replica := range input.Replicas {
+		replica.Staged = []string{"small"}
+	}
+	r.refuseAll()
+	names := map[string]bool{}
+	for range 8 {
+		input.Now = r.clock.Now()
+		for _, o := range p.plan.Step(input) {
+			p.recordPlan(context.Background())
+			go p.send(context.Background(), o)
+			time.Sleep(recordRetryInterval)
+		}
+		for name := range p.plan.Groups() {
+			names[name] = true
+		}
+		r.clock.Advance(time.Second)
+	}
+	r.c.Assert(names, quicktest.HasLen, 1)
+}
