Limit the given-up epochs that a planner takes over

Each planner kept those of its predecessor for two more minutes, so they were never forgotten if the planner changed more often, and the record grew towards the largest size of an object.

--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -129,11 +129,31 @@
 	return RecordedMember{incarnation, entry.Address}
 }
 
+// maxRestoredGivenUp is the number of given-up epochs of a fabric domain that a planner takes over from the one before. When they were given
+// up isn't recorded, so they would never be forgotten if the planner changed often.
+const maxRestoredGivenUp = 64
+
+// withoutOldGivenUp returns the groups without the oldest given-up epochs above maxRestoredGivenUp.
+func (r Record) withoutOldGivenUp() []RecordedGroup {
+	var epochs []int64
+	for _, g := range r.Groups {
+		if g.GivenUp {
+			epochs = append(epochs, g.Epoch)
+		}
+	}
+	if len(epochs) <= maxRestoredGivenUp {
+		return r.Groups
+	}
+	slices.Sort(epochs)
+	oldest := epochs[len(epochs)-maxRestoredGivenUp]
+	return slices.DeleteFunc(slices.Clone(r.Groups), func(g RecordedGroup) bool { return g.GivenUp && g.Epoch < oldest })
+}
+
 // Restore adds the groups in the records of an earlier planner that this plan doesn't have. Their members are known also if they have no
 // entries.
 func (p *Plan) Restore(records map[string]Record, now clock.Time) {
 	for _, fabric := range slices.Sorted(maps.Keys(records)) {
-		for _, r := range records[fabric].Groups {
+		for _, r := range records[fabric].withoutOldGivenUp() {
 			if len(r.Members) == 0 || r.Members[0].Incarnation.ID == "" && r.GivenUp {
 				continue
 			}
--- a/internal/placement/review43_test.go
+++ b/internal/placement/review43_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,3 +56,19 @@
 	g := p.groups[name]
 	return g != nil && g.epoch == epoch
 }
+
+// Guards against a record that grows for ever: each planner hands on what was given up before, and begins anew to wait for its heads.
+func TestRestoredPlanForgetsTheOldestGivenUpEpochs(t *testing.T) {
+	c := quicktest.New(t)
+	var r Record
+	for epoch := range int64(10 * maxRestoredGivenUp) {
+		member := RecordedMember{fleet.Incarnation{ID: fmt.Sprint(epoch), StartedUnixMs: 1}, "10.0.0.1:1"}
+		r.Groups = append(r.Groups, RecordedGroup{Name: fmt.Sprintf("g%d", epoch), Epoch: epoch, Model: "small", GivenUp: true, Members: []RecordedMember{member}})
+	}
+	p := New(1)
+	p.Restore(map[string]Record{"domain-0": r}, 1)
+	kept := p.Records()["domain-0"]
+	c.Assert(kept.Groups, quicktest.HasLen, maxRestoredGivenUp)
+	newest := int64(10*maxRestoredGivenUp - 1)
+	c.Assert(kept.Holds(fmt.Sprintf("g%d", newest), newest), quicktest.IsTrue)
+}
