Don't count a head as lost while nodes receive events from it

Members of a group whose head had no entry, and which the planner couldn't reach, were taken after the stall time although other nodes received events from the head.

Cause: headLost counted every head that was missing for the stall time and its margin, whatever was heard of it.

Heads from which nobody hears are lost as before: the tests of their times pass unchanged.

--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -91,6 +91,9 @@
 		return false
 	}
 	missingFor, a := s.Now.Sub(g.headMissingSince), s.activity(g)
+	if !a.Unknown && a.LastEvent != 0 && s.Now.Sub(a.LastEvent) <= idleHeadSilence {
+		return false // Only this node can't reach it.
+	}
 	if missingFor > s.StallAfter+stallMargin {
 		return true
 	}
