Don't take unknown members for lost ones, nor an unknown head for ended

Where the record of the plan lacks an epoch, as after an outage in which the former planner went on and died, a new planner broke up idle groups of which two members had no entry: "member 1 () is not listed", or joined the members of an unknown head elsewhere while that was open.

Cause: a member that isn't known counted as lost, and a head that was never known as ended if the group lacked other members too.

Change: while the head of an adopted group serves, unknown members are trusted, since the engine breaks the group without them; unless this plan has given the group up before and may have planned them elsewhere. After a restored record, an unknown head isn't taken for lost: members leave, and wait until it must have broken.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -41,13 +41,15 @@
 		if !known[key] {
 			continue
 		}
+		adoptedAgain := s.isDissolved(key)
 		delete(s.dissolved, key)
 		delete(s.ended, key)
 		model := reportedModel(members, s.Engine)
 		if model == nil {
 			continue // No member reports loaded weights yet, so the model isn't known; tried again in the next step.
 		}
-		g := &group{name: key.name, epoch: key.epoch, model: model.Name, members: make([]member, model.Size), adoptedAt: s.Now}
+		g := &group{name: key.name, epoch: key.epoch, model: model.Name, members: make([]member, model.Size), adoptedAt: s.Now,
+			adoptedAgain: adoptedAgain}
 		for _, r := range s.Lapsed {
 			if r.Group != nil && r.Group.Name == key.name && r.Group.Epoch == key.epoch {
 				g.addReportedMember(r, s.Now)
@@ -328,6 +330,9 @@
 		m := &g.members[i]
 		r := s.usableReplica(m.incarnation)
 		if r == nil {
+			if m.incarnation.ID == "" && !g.adoptedAgain && head != nil && s.headServes(g, head) {
+				continue // Not known, which isn't lost: the engine breaks the group if the member is.
+			}
 			if reason := s.missingReason(m, i); reason != "" && !s.mayOnlyBeSilent(g, m) {
 				return reason
 			}
@@ -611,7 +616,7 @@
 	if g.headReleased {
 		d.headLost = true
 	} else if g.head == nil {
-		d.headLost = len(d.returnedAt) > 0 // The group lacks other members too.
+		d.headLost = !s.restoredRecords && len(d.returnedAt) > 0 // The group lacks other members too.
 	} else {
 		d.headLost = g.headMissingSince != 0 && s.headLost(g)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -206,6 +206,7 @@
 	headReleased     bool       // The head doesn't serve: it has answered an order to leave, or has ended.
 	headMissingSince clock.Time // When the head was first unlisted or unresponsive; 0 if it isn't.
 	adoptedAt        clock.Time // When the group was adopted from entries or a record; 0 if this planner formed it.
+	adoptedAgain     bool       // This plan gave the group up before, and may have planned members of it elsewhere.
 	// restored is set while only the record of an earlier planner says that the members were ordered to join.
 	restored bool
 }
@@ -223,7 +224,7 @@
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
 	headUnheard   bool
-	headLost      bool // The head counted as lost: no node heard from it, or it was never known and the group lacked other members too.
+	headLost      bool // The head counted as lost: no node heard from it, or it was never known, without a record, and the group lacked other members too.
 	restored      bool // Only the record of an earlier planner tells that it was given up.
 	head          fleet.Incarnation
 	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
@@ -281,6 +282,7 @@
 	memberLeaves    map[membership]memberLeave       // Members that were ordered to leave their group just before.
 	outdatedRecords map[string]bool                  // Fabric domains whose Record has changed.
 	events          []Event                          // Not yet taken.
+	restoredRecords bool                             // Restore was called: a group that it didn't add was formed after the record was written.
 	now             clock.Time                       // Time of the last step.
 	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
 	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -155,6 +155,7 @@
 // Restore adds the groups in the records of an earlier planner that this plan doesn't have. Their members are known also if they have no
 // entries.
 func (p *Plan) Restore(records map[string]Record, now clock.Time) {
+	p.restoredRecords = true
 	for _, fabric := range slices.Sorted(maps.Keys(records)) {
 		for _, r := range records[fabric].withoutOldGivenUp() {
 			if len(r.Members) == 0 || r.Members[0].Incarnation.ID == "" && r.GivenUp {
