Test that no member moves from a serving head across planners

A seeded test of changes of the planner with unlisted, lost and draining replicas and late orders, where nothing runs: no member that has left a group may join another within the time in which the engine breaks the group, while its head serves.

--- a/internal/placement/takeover_test.go
+++ b/internal/placement/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -363,3 +364,43 @@
 		})
 	}
 }
+
+// Guards against members that join another group while the head of their own serves, after changes of the planner with unlisted, lost and
+// draining replicas and late orders. Nothing runs, and new planners have no earlier entries.
+func TestNoMemberMovesFromAServingHeadAcrossPlanners(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := quicktest.New(t)
+			r := rand.New(rand.NewPCG(seed, 3))
+			m, p := startedSystem(t, 3, 8)
+			m.watchMoves(c)
+			m.activityInterval = time.Hour
+			term := int64(1)
+			loss := r.IntN(4)
+			m.loseAnswer = func(Order) bool { return r.IntN(10) < loss }
+			for range 8 {
+				v := m.vms[fmt.Sprintf("vm-%d-%02d", r.IntN(3), r.IntN(8))]
+				switch r.IntN(6) {
+				case 0:
+					m.kill(v.id)
+					p.RecordProbeFailure(m.incarnation(v), m.clock.Now())
+				case 1:
+					v.draining = true
+				case 2:
+					v.unlistedAt = m.clock.Now()
+				case 3:
+					v.unlistedAt = 0
+				case 4:
+					term++
+					p = New(term)
+					m.lastEntries = map[string]*fleet.Replica{}
+				case 5:
+					v.unlistedAt = m.clock.Now()
+					m.vms[fmt.Sprintf("vm-%d-%02d", r.IntN(3), r.IntN(8))].unlistedAt = m.clock.Now()
+				}
+				m.run(p, time.Duration(r.IntN(60))*100*time.Millisecond, nil)
+			}
+			m.assertNoViolations()
+		})
+	}
+}
