--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -344,8 +344,8 @@
 	defer r.stopWaiting(key)
 	for {
 		r.mu.Lock()
-		d, notify, term := r.domain(o.To.Fabric), r.notify, r.term
-		written, wanted := d.written.Holds(o.Group, o.Epoch), d.wanted.Holds(o.Group, o.Epoch)
+		notify, term := r.notify, r.term
+		written, wanted := r.holds(o.Group, o.Epoch)
 		r.mu.Unlock()
 		switch {
 		case written:
@@ -365,6 +365,16 @@
 	}
 }
 
+// holds reports whether the store holds an epoch, and whether it is planned. An epoch is in the record of one fabric domain, which needn't be
+// that of a member's newest entry. The lock is held.
+func (r *recorder) holds(group string, epoch int64) (written, wanted bool) {
+	for _, d := range r.domains {
+		written = written || d.written.Holds(group, epoch)
+		wanted = wanted || d.wanted.Holds(group, epoch)
+	}
+	return written, wanted
+}
+
 func (r *recorder) startWaiting(key waitingOrder) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -167,3 +167,14 @@
 	}
 	r.c.Assert(names, quicktest.HasLen, 1)
 }
+
+// Guards against joins that are never sent because the entry of a member names another fabric domain than that of its group.
+func TestJoinOfAReplicaThatHasMovedIsSent(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	o := r.plan(300001)
+	moved := *o.To
+	moved.Fabric = "f/2"
+	o.To = &moved
+	r.await(r.send(o))
+	r.c.Assert(r.orders(), quicktest.Equals, 1)
+}
