Keep joins waiting while a late renewal may make the lease valid again

At the beginning of an outage the lease ends before it is known that the store answers no node. Joins that waited for their record were dropped then, and planned again only 0.9 s after the first attempt.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -134,8 +134,8 @@
 	p.plan.RecordOutcome(o, outcome)
 }
 
-// mayOrder reports whether this node is the planner now. Its lease may have ended since the last tick, as when this process was paused.
-func (p *Planner) mayOrder() bool { return p.Active() && p.opt.Lease.Valid() }
+// mayOrder reports whether this node is the planner now, which may have changed since the last tick.
+func (p *Planner) mayOrder() bool { return p.opt.Lease.Valid() }
 
 // stillWants reports whether an order should still be sent, and logs it if not.
 func (p *Planner) stillWants(o placement.Order) bool {
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -348,10 +348,11 @@
 		written, wanted := r.holds(o.Group, o.Epoch)
 		r.mu.Unlock()
 		switch {
+		case !wanted && !written || !r.lease.Holds(term):
+			return errNotRecorded
+		case !r.lease.Valid(): // A late renewal or an outage may make it valid again.
 		case written:
 			return nil
-		case !wanted || !r.current(term):
-			return errNotRecorded
 		case r.lease.PlansInOutage():
 			r.log.WithFields(logrus.Fields{"replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).Info("an order is sent before its epoch is recorded: the store answers no node")
 			return nil
