--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -348,14 +348,15 @@
 	defer r.stopWaiting(key)
 	for {
 		r.mu.Lock()
-		d, notify, term := r.domain(o.To.Fabric), r.notify, r.term
-		written, wanted := d.written.Holds(o.Group, o.Epoch), d.wanted.Holds(o.Group, o.Epoch)
+		notify, term := r.notify, r.term
+		written, wanted := r.holds(o.Group, o.Epoch)
 		r.mu.Unlock()
 		switch {
+		case !wanted && !written || !r.lease.Holds(term):
+			return errNotRecorded
+		case !r.lease.Valid(): // A late renewal or an outage may make it valid again.
 		case written:
 			return nil
-		case !wanted || !r.current(term):
-			return errNotRecorded
 		case r.lease.PlansInOutage():
 			r.log.WithFields(logrus.Fields{"replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).Info("an order is sent before its epoch is recorded: the store answers no node")
 			return nil
@@ -369,6 +370,16 @@
 	}
 }
 
+// holds reports whether the store holds an epoch, and whether it is planned. An epoch is in the record of one fabric domain, which needn't be
+// that of a member's newest entry. The lock is held.
+func (r *recorder) holds(group string, epoch int64) (written, wanted bool) {
+	for _, d := range r.domains {
+		written = written || d.written.Holds(group, epoch)
+		wanted = wanted || d.wanted.Holds(group, epoch)
+	}
+	return written, wanted
+}
+
 func (r *recorder) startWaiting(key waitingOrder) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
