Leave room at a target for the requests of its former holder

A node that became the holder of a target whose former holder had stopped sent up to the cold limit, and more with each completion, on top of what the target still ran for the former one. A process that is frozen, or a VM that is lost without closing its connections, leaves its requests at the target: one with a full limit of 8 that ran 8 got further ones. Only a holder in doubt counted them, and it forgot one of them with each request of its own, since the last report was set against the requests that it had in flight by now: with a cold limit of 4 and 3 requests of another node it sent 2.

The requests of others are now counted when a report arrives, and limit every holder that hasn't warmed the target itself: to what they leave of the cold limit in doubt, and of the full limit otherwise. Targets that the node has warmed are limited as before, and so are plain services, which report no load.

TestNewHolderLeavesRoomForRequestsOfItsPredecessor failed before in 7 of 11 cases, for example with 8 requests of the former holder: got 4 slots, want 0; in doubt with 3: got 2, want 1.

--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -199,6 +199,9 @@
 		t.resetToColdLocked(tgt, "missed_probe")
 	}
 	m.report, m.reportValid, m.reportSentAt = report, sentAt >= tgt.connectionLostAt, sentAt
+	if m == tgt.members[0] {
+		tgt.othersInFlight = max(0, report.Running+report.Waiting-tgt.inFlight)
+	}
 	if now := t.options.Now(); t.unusableReason(tgt, now) == "" {
 		tgt.lastUsableAt = now
 	}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -104,9 +104,12 @@
 }
 
 type target struct {
-	spec             Spec
-	members          []*member
-	inFlight         int
+	spec     Spec
+	members  []*member
+	inFlight int
+	// othersInFlight is the number of requests at the target that this node hasn't sent, by the last report of rank 0 or of the back end.
+	// After a takeover they are those of a former holder, for example one that was paused while it had requests in flight.
+	othersInFlight   int
 	limit            int           // Requests that may be in flight; between the cold and the full limit.
 	completions      int           // Completed requests since limit was last raised or reset.
 	warm             bool          // limit has reached the full limit through completed requests.
@@ -266,13 +269,17 @@
 	tgt.changed = make(chan struct{})
 }
 
-// effectiveLimit returns the number of requests that this node may have in flight at the target. If another node may still
-// be sending and the target isn't warm, it is half the cold limit, or what the requests of others leave of the cold limit
-// if that is less.
+// effectiveLimit returns the number of requests that this node may have in flight at the target. Until this node has warmed the target, it
+// is at most what the requests of others, for example of a former holder, leave of the full limit. If another node may still be sending,
+// it is half the cold limit, or what the requests of others leave of the cold limit if that is less.
 func (tgt *target) effectiveLimit() int {
 	limit := tgt.limit
-	if tgt.spec.InDoubt && !tgt.warm {
-		limit = max(0, min(tgt.spec.Limits.Cold/2, tgt.spec.Limits.Cold-tgt.inFlightOfOthers()))
+	switch {
+	case tgt.warm:
+	case tgt.spec.InDoubt:
+		limit = max(0, min(tgt.spec.Limits.Cold/2, tgt.spec.Limits.Cold-tgt.othersInFlight))
+	default:
+		limit = max(0, min(limit, tgt.spec.Limits.Full-tgt.othersInFlight))
 	}
 	if tgt.spec.InFlightCap > 0 {
 		limit = min(limit, tgt.spec.InFlightCap)
@@ -280,17 +287,6 @@
 	return limit
 }
 
-// inFlightOfOthers returns the number of requests at the target that this node has not sent, according to the last report
-// of rank 0 or of the back end. After a takeover in doubt they are those of a previous holder, for example one that was
-// paused while it had requests in flight.
-func (tgt *target) inFlightOfOthers() int {
-	if len(tgt.members) == 0 {
-		return 0
-	}
-	r := tgt.members[0].report
-	return max(0, r.Running+r.Waiting-tgt.inFlight)
-}
-
 // unusableReason returns why no request may be sent to the target, or "" if requests may be sent.
 func (t *Table) unusableReason(tgt *target, now time.Duration) string {
 	switch {
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -277,6 +277,43 @@
 	qt.Assert(t, f.limit("t1"), qt.Equals, 3) // This node warmed the target itself.
 }
 
+// Guards against a target that gets more than its full limit from two holders: the former one has stopped, so nothing is in doubt, but the
+// target still runs its requests.
+func TestNewHolderLeavesRoomForRequestsOfItsPredecessor(t *testing.T) {
+	const cold, full = 4, 8
+	for _, tc := range []struct {
+		inDoubt                bool
+		running, waiting, want int
+	}{
+		{false, 0, 0, 4}, {false, 4, 0, 4}, {false, 5, 0, 3}, {false, 7, 0, 1}, {false, 8, 0, 0}, {false, 6, 2, 0}, {false, 8, 3, 0},
+		{true, 0, 0, 2}, {true, 2, 0, 2}, {true, 3, 0, 1}, {true, 4, 0, 0}, // Half of the cold limit at most.
+	} {
+		t.Run(fmt.Sprintf("in doubt %v, %d run, %d wait", tc.inDoubt, tc.running, tc.waiting), func(t *testing.T) {
+			spec := poolSpec("t1", cold, full)
+			spec.InDoubt = tc.inDoubt
+			f := newFixture(t, nil, spec)
+			f.recordAllReady("t1")
+			report := readyReport
+			report.Running, report.Waiting = tc.running, tc.waiting
+			f.recordReport("t1", 0, report, 0, nil)
+			slots := f.acquireAll()
+			qt.Check(t, len(slots), qt.Equals, tc.want)
+			report.Running += len(slots)
+			f.recordReport("t1", 0, report, 0, nil)
+			qt.Check(t, len(f.acquireAll()), qt.Equals, 0)
+			for _, slot := range slots {
+				slot.Release(Outcome{Completed: true})
+			}
+			bound := full // Completions raise the limit of a target that isn't in doubt.
+			if tc.inDoubt {
+				bound = cold
+			}
+			others := tc.running + tc.waiting
+			qt.Check(t, others+len(f.acquireAll()) <= max(bound, others), qt.IsTrue)
+		})
+	}
+}
+
 // Guards against a wrong order of service, starvation of low priorities, and slots leaked to waiters that were cancelled.
 func TestQueueOrder(t *testing.T) {
 	s := poolSpec("t1", 1, 1)
