Write each record once at a change of the planner

A write by the former planner that got no answer could be carried out after its successor had read the record. If the successor died before it had changed anything in that fabric domain, the next planner read groups that no order had formed, and broke up those that served.

--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -153,6 +153,7 @@
 // entries.
 func (p *Plan) Restore(records map[string]Record, now clock.Time) {
 	for _, fabric := range slices.Sorted(maps.Keys(records)) {
+		p.changed(fabric) // Also written if it holds nothing of use any more.
 		for _, r := range records[fabric].withoutOldGivenUp() {
 			if len(r.Members) == 0 || r.Members[0].Incarnation.ID == "" && r.GivenUp {
 				continue
@@ -181,7 +182,6 @@
 		headFirst: r.FormerEpoch != 0, adoptedAt: now, restored: true, wasOpen: true} // The earlier planner may have opened it.
 	g.addRecordedMembers(r, fabric)
 	p.groups[r.Name] = g
-	p.changed(fabric)
 }
 
 // plansAny reports whether a member of the recorded group is planned in any group.
@@ -236,7 +236,6 @@
 		}
 	}
 	p.dissolved[r.key()] = d
-	p.changed(fabric)
 }
 
 // dropSupersededGroups gives up restored groups of which a member has reported a later epoch of another group that isn't planned: the
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -18,8 +18,8 @@
 )
 
 // The plan is kept in the store, one object for each fabric domain, as groups don't extend over several. An epoch is written before its
-// first order to join is sent, so that a later planner knows all members of each group that may serve. Objects aren't fenced: a write by a
-// former planner that is carried out late holds epochs of which it has sent no order.
+// first order to join is sent, so that a later planner knows all members of each group that may serve. A new planner writes all records once:
+// a write by a former one that is carried out later then has no effect. It would hold epochs of which no order was sent.
 
 const (
 	recordKind       = "cassiadeal-plan"
@@ -86,10 +86,15 @@
 	at      position // Of the object in the store; its revision is 0 if there is none or it isn't known.
 	wanted  placement.Record
 	written placement.Record // What the store is known to hold, whichever write without an answer is carried out.
+	foreign bool             // The object is that of an earlier planner, of which a write may still be carried out.
 	behind  bool             // The store isn't known to hold what is wanted.
 	writing bool             // A goroutine writes the record until it isn't behind.
 }
 
+// isBehind reports whether the record must be written. One of an earlier planner is written again in any case: a write of it that is
+// carried out late then finds another revision.
+func (d *domainRecord) isBehind() bool { return d.foreign || !d.written.Covers(d.wanted) }
+
 // waitingOrder identifies an order to join that waits for the record of its epoch.
 type waitingOrder struct {
 	to    fleet.Incarnation
@@ -172,7 +177,7 @@
 		}
 		records[stored.Fabric] = stored.decode()
 		if d := r.domain(stored.Fabric); d.at.revision == 0 {
-			d.at, d.written = positionOf(o), records[stored.Fabric]
+			d.at, d.written, d.foreign = positionOf(o), records[stored.Fabric], true
 		}
 	}
 	return records, nil
@@ -189,13 +194,14 @@
 	return stored, nil
 }
 
-// keep writes the records unless the store already holds their groups, and resumes writes that ended while the lease wasn't valid.
+// keep writes the records unless the store already holds their groups as this planner has written them, and resumes writes that ended while the lease wasn't valid.
 func (r *recorder) keep(ctx context.Context, records map[string]placement.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for fabric, record := range records {
 		d := r.domain(fabric)
-		d.wanted, d.behind = record, !d.written.Covers(record)
+		d.wanted = record
+		d.behind = d.isBehind()
 	}
 	for fabric, d := range r.domains {
 		r.startWriting(ctx, fabric, d)
@@ -291,7 +297,8 @@
 func (r *recorder) finish(d *domainRecord, at position, record placement.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d.at, d.written, d.behind = at, record, !record.Covers(d.wanted)
+	d.at, d.written, d.foreign = at, record, false
+	d.behind = d.isBehind()
 	r.wakeLocked()
 }
 
@@ -300,7 +307,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d.written = d.written.Common(record)
-	d.behind = !d.written.Covers(d.wanted)
+	d.behind = d.isBehind()
 }
 
 // resolveConflict reads the object after a conflict, which may come from an earlier write of the same record whose answer was lost.
--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -142,6 +142,22 @@
 	r.c.Assert(r.stored(), quicktest.DeepEquals, first)
 }
 
+// Guards against a record by a former planner that is carried out after its successor has read the record, and outlasts that planner.
+func TestLateRecordOfAFormerPlannerIsRefusedAfterATakeover(t *testing.T) {
+	store := newObjectStore()
+	r := newRecordTest(t, store)
+	r.await(r.send(r.plan(300001)))
+	next := newRecordTest(t, store)
+	next.entry = r.entry
+	next.planner.restorePlan(context.Background(), 3)
+	next.planner.recordPlan(context.Background())
+	time.Sleep(4 * recordRetryInterval)
+	late := storedRecord{Term: 2, Fabric: r.entry.Fabric, Write: 2, Groups: encodeRecord(recordOf(r.entry, 300002))}
+	store.carryOutLate(next.c, recordNamePrefix+r.entry.Fabric, 1, late)
+	time.Sleep(4 * recordRetryInterval)
+	next.c.Assert(next.stored(), quicktest.DeepEquals, recordOf(r.entry, 300001))
+}
+
 // Guards against sound members that count as unreachable because the orders to join wait for their record.
 func TestJoinsThatWaitForTheirRecordAreNoFailedAttempts(t *testing.T) {
 	r := newRecordTest(t, newObjectStore())
