--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -176,7 +176,7 @@
 			continue
 		}
 		records[stored.Fabric] = stored.decode()
-		if d := r.domain(stored.Fabric); d.at.revision == 0 {
+		if d := r.domain(stored.Fabric); d.at.revision == 0 && o.Era == r.store.Era() {
 			d.at, d.written, d.foreign = positionOf(o), records[stored.Fabric], true
 		}
 	}
@@ -297,6 +297,9 @@
 func (r *recorder) finish(d *domainRecord, at position, record placement.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if at.era < r.store.Era() {
+		at, record = position{}, placement.Record{} // The store may have lost it since.
+	}
 	d.at, d.written, d.foreign = at, record, false
 	d.behind = d.isBehind()
 	r.wakeLocked()
--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -215,3 +215,20 @@
 	r.await(done)
 	r.c.Assert(r.orders(), quicktest.Equals, 1)
 }
+
+// Guards against records that count as written although the store has come back from an older copy since.
+func TestAnswerOfAFormerEraDoesntCountAsRecorded(t *testing.T) {
+	r := newRecordTest(t, newObjectStore())
+	r.await(r.send(r.plan(300001)))
+	r.refuseAll()
+	recorder := r.planner.recorder
+	recorder.store.LearnEra(2)
+	r.planner.StoreRestored()
+	recorder.mu.Lock()
+	d := recorder.domains[r.entry.Fabric]
+	recorder.mu.Unlock()
+	recorder.finish(d, position{era: 1, revision: 1}, recordOf(r.entry, 300001)) // The answer came just before.
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	r.c.Assert(d.behind, quicktest.IsTrue)
+}
