Drop a waiting join once the head of the member's group serves again

A join waits for its record, up to seconds while the store answers slowly. Meanwhile an order that is carried out late can make the former head serve again; the plan then orders it to leave, but the join that waited took its member first.

--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -35,13 +35,13 @@
 
 // mustLeave reports whether a replica must leave the group that it reports before it joins another one, since the head of that group may
 // still serve it.
-func (s *step) mustLeave(r *fleet.Replica) bool {
+func (p *Plan) mustLeave(r *fleet.Replica) bool {
 	if r.Group == nil || strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 		return false
 	}
 	key := groupKey{r.Group.Name, r.Group.Epoch}
-	_, ended := s.ended[key]
-	return !ended && !s.memberLeaves[membership{key, r.Incarnation()}].answered
+	_, ended := p.ended[key]
+	return !ended && !p.memberLeaves[membership{key, r.Incarnation()}].answered
 }
 
 // orderMemberToLeave orders a member to leave the group that it reports, unless it was ordered to just before. It reports whether the
--- a/internal/placement/review43_test.go
+++ b/internal/placement/review43_test.go
@@ -72,3 +72,37 @@
 	newest := int64(10*maxRestoredGivenUp - 1)
 	c.Assert(kept.Holds(fmt.Sprintf("g%d", newest), newest), quicktest.IsTrue)
 }
+
+// Guards against a join that has waited for its record, and takes a member from a head that serves again since.
+func TestWaitingJoinIsDroppedOnceTheHeadServesAgain(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	epoch := head.epoch
+	var waiting []Order
+	m.loseAnswer = func(o Order) bool {
+		if o.Action == Join && o.Epoch > epoch {
+			waiting = append(waiting, o)
+			return true
+		}
+		return false
+	}
+	head.draining = true // It leaves, and its members join a later epoch.
+	for range 40 {
+		if len(waiting) == 0 {
+			m.run(p, 100*time.Millisecond, func() { m.lateOrders = nil })
+		}
+	}
+	c.Assert(waiting, quicktest.Not(quicktest.HasLen), 0)
+	o := waiting[0]
+	c.Assert(o.To.Group.Epoch, quicktest.Equals, epoch)
+	m.reportLag = 0
+	m.run(p, 100*time.Millisecond, nil) // The head's entry shows that it has left.
+	c.Assert(p.StillWants(o), quicktest.IsTrue)
+	head.group, head.epoch, head.rank, head.state = o.To.Group.Name, epoch, 0, fleet.GroupOpen // Orders were carried out late.
+	head.members = []string{head.id, members[1].id, members[2].id, members[3].id}
+	m.loseAnswer = func(Order) bool { return true }
+	m.run(p, 100*time.Millisecond, nil)
+	c.Assert(p.groups[o.Group].epoch, quicktest.Equals, o.Epoch)
+	c.Assert(p.StillWants(o), quicktest.IsFalse)
+}
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -102,8 +102,8 @@
 }
 
 // StillWants reports whether an order that has waited since it was planned, for an earlier one to the same replica, should still be sent. An
-// order to leave isn't if the head of the group has answered since, and no order is that concerns a group which has been planned
-// under a later epoch or given up.
+// order to leave isn't if the head of the group has answered since, one to join isn't if the head of the replica's own group serves again, and
+// no order is that concerns a group which has been planned under a later epoch or given up.
 func (p *Plan) StillWants(o Order) bool {
 	key := groupKey{o.Group, o.Epoch}
 	if _, ordered := p.memberLeaves[membership{key, o.To.Incarnation()}]; ordered && o.Action == Leave {
@@ -119,5 +119,15 @@
 	case o.Action == Leave:
 		return g.epoch != o.Epoch && g.formerEpoch != o.Epoch || g.leaveSentAt != 0
 	}
-	return g.epoch == o.Epoch
+	return g.epoch == o.Epoch && (o.Action != Join || !p.headMayServeAgain(o))
+}
+
+// headMayServeAgain reports whether the replica that an order to join is for is still in a group whose head isn't known to have ended any more.
+// The head that a group had in an earlier epoch leaves that by joining the later one.
+func (p *Plan) headMayServeAgain(o Order) bool {
+	r := p.entries[o.To.ID]
+	if r == nil || r.Incarnation() != o.To.Incarnation() || r.Group == nil || r.Group.Name == o.Group && (r.Group.Epoch == o.Epoch || r.Group.Rank == 0) {
+		return false
+	}
+	return p.mustLeave(r)
 }
