--- a/internal/planner/review43_test.go
+++ b/internal/planner/review43_test.go
@@ -174,14 +174,17 @@
 	names := map[string]bool{}
 	for range 8 {
 		input.Now = r.clock.Now()
-		for _, o := range p.plan.Step(input) {
-			p.recordPlan(context.Background())
-			go p.send(context.Background(), o)
-			time.Sleep(recordRetryInterval)
-		}
+		p.mu.Lock()
+		orders := p.plan.Step(input)
 		for name := range p.plan.Groups() {
 			names[name] = true
 		}
+		p.mu.Unlock()
+		p.recordPlan(context.Background())
+		for _, o := range orders {
+			go p.send(context.Background(), o)
+		}
+		time.Sleep(recordRetryInterval)
 		r.clock.Advance(time.Second)
 	}
 	r.c.Assert(names, quicktest.HasLen, 1)
