Merge a late read record with what was adopted before it

A planner that had planned from entries, in an outage of the store, dropped recorded epochs of which it had planned a member: their heads were unknown, and a newer epoch gave way to a former one. The former are now kept as given up, and the newer one replaces the former.

--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -155,7 +155,7 @@
 	for _, fabric := range slices.Sorted(maps.Keys(records)) {
 		p.changed(fabric) // Also written if it holds nothing of use any more.
 		for _, r := range records[fabric].withoutOldGivenUp() {
-			if len(r.Members) == 0 || r.Members[0].Incarnation.ID == "" && r.GivenUp {
+			if len(r.Members) == 0 {
 				continue
 			}
 			if r.GivenUp {
@@ -175,18 +175,28 @@
 		}
 		return
 	}
-	if _, dissolved := p.dissolved[r.key()]; dissolved || p.plansAny(r) {
+	if _, dissolved := p.dissolved[r.key()]; dissolved {
+		return
+	}
+	if p.plansAny(r) {
+		p.restoreDissolution(fabric, r, now) // Its head may serve all the same.
 		return
 	}
 	g := &group{name: r.Name, epoch: r.Epoch, model: r.Model, fabric: fabric, formerEpoch: r.FormerEpoch, members: make([]member, len(r.Members)),
 		headFirst: r.FormerEpoch != 0, adoptedAt: now, restored: true, wasOpen: true} // The earlier planner may have opened it.
 	g.addRecordedMembers(r, fabric)
 	p.groups[r.Name] = g
+	if known != nil {
+		p.restoreDissolution(known.fabric, known.recorded(), now)
+	}
 }
 
-// plansAny reports whether a member of the recorded group is planned in any group.
+// plansAny reports whether a member of the recorded group is planned in a group with another name.
 func (p *Plan) plansAny(r RecordedGroup) bool {
-	for _, g := range p.groups {
+	for name, g := range p.groups {
+		if name == r.Name {
+			continue
+		}
 		for _, m := range g.members {
 			if m.incarnation.ID != "" && slices.ContainsFunc(r.Members, func(o RecordedMember) bool { return o.Incarnation == m.incarnation }) {
 				return true
@@ -217,7 +227,7 @@
 }
 
 func (p *Plan) restoreDissolution(fabric string, r RecordedGroup, now clock.Time) {
-	if _, known := p.dissolved[r.key()]; known {
+	if _, known := p.dissolved[r.key()]; known || r.Members[0].Incarnation.ID == "" {
 		return
 	}
 	if g := p.groups[r.Name]; g != nil && g.epoch == r.Epoch {
--- a/internal/placement/review43_test.go
+++ b/internal/placement/review43_test.go
@@ -106,3 +106,33 @@
 	c.Assert(p.groups[o.Group].epoch, quicktest.Equals, o.Epoch)
 	c.Assert(p.StillWants(o), quicktest.IsFalse)
 }
+
+// Guards against a head that a planner doesn't know although it is recorded, because the planner has planned one of its members in another
+// group before it could read the record.
+func TestRestoredEpochWithAMemberPlannedElsewhereIsKept(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	key := groupKey{head.group, head.epoch}
+	next := New(2)
+	next.groups["g200001"] = &group{name: "g200001", epoch: 200001, model: "small", fabric: head.fabric, members: []member{{incarnation: m.incarnation(members[3])}}}
+	next.Restore(p.Records(), m.clock.Now())
+	c.Assert(next.isPlanned(key.name, key.epoch), quicktest.IsFalse)
+	c.Assert(next.Records()[head.fabric].Holds(key.name, key.epoch), quicktest.IsTrue)
+	c.Assert(next.dissolved[key].headEntry.Address, quicktest.Equals, head.id+":1")
+}
+
+// Guards against an epoch that gives way to a former one, because the planner has adopted that from outdated entries before it could read the
+// record.
+func TestRestoredEpochReplacesAFormerOne(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	next := New(2)
+	next.groups[head.group] = &group{name: head.group, epoch: head.epoch - 1, model: "large", fabric: head.fabric, members: []member{
+		{incarnation: m.incarnation(members[1])}, {incarnation: m.incarnation(head)}, {}, {}}}
+	next.Restore(p.Records(), m.clock.Now())
+	c.Assert(next.isPlanned(head.group, head.epoch), quicktest.IsTrue)
+	c.Assert(next.Records()[head.fabric].Holds(head.group, head.epoch-1), quicktest.IsTrue)
+	assertPlannedOnce(c, next)
+}
