--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -66,7 +66,8 @@
 	EntryTTL time.Duration
 	// Candidate tells whether this node should try to become the planner now.
 	Candidate func() bool
-	// StoreAccess returns what is known about the store's answers, and StoreFailing whether the last call of this node got none.
+	// StoreAccess returns what is known about the store's answers, and StoreFailing whether the last list or watch of this node got none.
+	// Other calls don't change it.
 	StoreAccess  func() StoreAccess
 	StoreFailing func() bool
 	// LoadAge returns how old what other nodes report of their requests may be.
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -38,7 +38,7 @@
 type storedRecord struct {
 	Term   int64         `json:"term"`
 	Fabric string        `json:"fabric"`
-	Write  int64         `json:"write"` // Differs in each write of a term, so that a planner recognizes its own.
+	Write  int64         `json:"write"` // Differs in each write of a term, so that each one raises the revision.
 	Groups []storedGroup `json:"groups"`
 }
 
@@ -221,7 +221,7 @@
 func (r *recorder) write(ctx context.Context, fabric string, d *domainRecord, term int64) {
 	var retry retryDelay
 	for {
-		// After a failed call, the renewals of the lease show when the store answers again.
+		// While this node's watches of the store fail, they show when it answers again.
 		for ctx.Err() == nil && r.storeFailing() && r.current(term) {
 			sleep(ctx, recordRetryInterval)
 		}
