Write the plan's record while only the planner's watches fail

Writes and reads of the record waited until a list or watch of this node was answered, although the store answered the renewals of its lease: after an outage for up to a fifth of the time in which a change must be known, and at times while answers are lost. They wait now only while the planner keeps planning in an outage.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -251,7 +251,7 @@
 func (p *Planner) restorePlan(ctx context.Context, term int64) {
 	var retry retryDelay
 	for ctx.Err() == nil && p.opt.Lease.Holds(term) {
-		if !p.opt.Lease.Valid() || p.opt.StoreFailing() && !p.opt.Lease.PlansInOutage() {
+		if !p.opt.Lease.Valid() {
 			sleep(ctx, recordRetryInterval)
 			continue
 		}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -221,8 +221,8 @@
 func (r *recorder) write(ctx context.Context, fabric string, d *domainRecord, term int64) {
 	var retry retryDelay
 	for {
-		// While this node's watches of the store fail, they show when it answers again.
-		for ctx.Err() == nil && r.storeFailing() && r.current(term) {
+		// In an outage of the store, this node's watches show when it answers again.
+		for ctx.Err() == nil && r.storeFailing() && r.lease.PlansInOutage() && r.current(term) {
 			sleep(ctx, recordRetryInterval)
 		}
 		stored, record, at, needed := r.next(fabric, d, term)
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -349,7 +349,7 @@
 // Guards against orders of a term that has ended, and against two copies of an order that waits.
 func TestWaitingJoinsAreDropped(t *testing.T) {
 	r := newRecordTest(t, newObjectStore())
-	r.failing.Store(true)
+	r.store.update(func() { r.store.down = true })
 	o := r.plan(300001)
 	first := r.send(o)
 	r.awaitWaitingOrder()
