--- a/internal/placement/review43_test.go
+++ b/internal/placement/review43_test.go
@@ -72,3 +72,67 @@
 	newest := int64(10*maxRestoredGivenUp - 1)
 	c.Assert(kept.Holds(fmt.Sprintf("g%d", newest), newest), quicktest.IsTrue)
 }
+
+// Guards against a join that has waited for its record, and takes a member from a head that serves again since.
+func TestWaitingJoinIsDroppedOnceTheHeadServesAgain(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	epoch := head.epoch
+	var waiting []Order
+	m.loseAnswer = func(o Order) bool {
+		if o.Action == Join && o.Epoch > epoch {
+			waiting = append(waiting, o)
+			return true
+		}
+		return false
+	}
+	head.draining = true // It leaves, and its members join a later epoch.
+	for range 40 {
+		if len(waiting) == 0 {
+			m.run(p, 100*time.Millisecond, func() { m.lateOrders = nil })
+		}
+	}
+	c.Assert(waiting, quicktest.Not(quicktest.HasLen), 0)
+	o := waiting[0]
+	c.Assert(o.To.Group.Epoch, quicktest.Equals, epoch)
+	m.reportLag = 0
+	m.run(p, 100*time.Millisecond, nil) // The head's entry shows that it has left.
+	c.Assert(p.StillWants(o), quicktest.IsTrue)
+	head.group, head.epoch, head.rank, head.state = o.To.Group.Name, epoch, 0, fleet.GroupOpen // Orders were carried out late.
+	head.members = []string{head.id, members[1].id, members[2].id, members[3].id}
+	m.loseAnswer = func(Order) bool { return true }
+	m.run(p, 100*time.Millisecond, nil)
+	c.Assert(p.groups[o.Group].epoch, quicktest.Equals, o.Epoch)
+	c.Assert(p.StillWants(o), quicktest.IsFalse)
+}
+
+// Guards against a head that a planner doesn't know although it is recorded, because the planner has planned one of its members in another
+// group before it could read the record.
+func TestRestoredEpochWithAMemberPlannedElsewhereIsKept(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	key := groupKey{head.group, head.epoch}
+	next := New(2)
+	next.groups["g200001"] = &group{name: "g200001", epoch: 200001, model: "small", fabric: head.fabric, members: []member{{incarnation: m.incarnation(members[3])}}}
+	next.Restore(p.Records(), m.clock.Now())
+	c.Assert(next.isPlanned(key.name, key.epoch), quicktest.IsFalse)
+	c.Assert(next.Records()[head.fabric].Holds(key.name, key.epoch), quicktest.IsTrue)
+	c.Assert(next.dissolved[key].headEntry.Address, quicktest.Equals, head.id+":1")
+}
+
+// Guards against an epoch that gives way to a former one, because the planner has adopted that from outdated entries before it could read the
+// record.
+func TestRestoredEpochReplacesAFormerOne(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	next := New(2)
+	next.groups[head.group] = &group{name: head.group, epoch: head.epoch - 1, model: "large", fabric: head.fabric, members: []member{
+		{incarnation: m.incarnation(members[1])}, {incarnation: m.incarnation(head)}, {}, {}}}
+	next.Restore(p.Records(), m.clock.Now())
+	c.Assert(next.isPlanned(head.group, head.epoch), quicktest.IsTrue)
+	c.Assert(next.Records()[head.fabric].Holds(head.group, head.epoch-1), quicktest.IsTrue)
+	assertPlannedOnce(c, next)
+}
