Ask a head again that was ordered to join its epoch once more

Members were joined elsewhere while their head served: it had left the planned epoch on an order, was listed again, and was ordered to join and open the same epoch.

Cause: that a head is known not to serve an epoch was never forgotten, although the plan may order it to serve that again.

Change: an order to the head to join or open an epoch ends what was known of its end.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -220,6 +220,7 @@
 	case s.allReady(g):
 		if s.Now.Sub(g.openSentAt) > openTimeout || g.openSentAt == 0 {
 			g.openSentAt = s.Now
+			s.mayServeFromNowOn(g)
 			s.addOrder(head, Open, g, "all members are ready")
 		}
 	default:
@@ -440,6 +441,9 @@
 			if !s.BeforeFirstRequest && !r.HasStaged(g.model) {
 				s.loadStarts = append(s.loadStarts, s.Now)
 			}
+			if i == 0 {
+				s.mayServeFromNowOn(g)
+			}
 			s.addOrder(r, Join, g, "a member of the group")
 		}
 		if i == 0 && g.headFirst && !m.joinAccepted {
@@ -448,6 +452,12 @@
 	}
 }
 
+// mayServeFromNowOn forgets that the head of a group is known not to serve the planned epoch, as it is ordered to join or open it.
+func (s *step) mayServeFromNowOn(g *group) {
+	g.headReleased = false
+	delete(s.ended, groupKey{g.name, g.epoch})
+}
+
 // headedBefore reports whether a replica is the head of the epoch of the group that it reports. One that a repair made the head may still
 // be a member of an epoch whose own head serves.
 func (s *step) headedBefore(g *group, r *fleet.Replica) bool {
