Take over given-up epochs of which the head isn't known

Members joined another group while the head of the one that they had left on an order still waited for them: the planner had changed meanwhile, and the head was known to neither planner.

Cause: given-up epochs with an unknown head weren't taken over from the record, so that nothing told which members had just left.

--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -231,24 +231,26 @@
 }
 
 func (p *Plan) restoreDissolution(fabric string, r RecordedGroup, now clock.Time) {
-	if _, known := p.dissolved[r.key()]; known || r.Members[0].Incarnation.ID == "" {
+	if _, known := p.dissolved[r.key()]; known {
 		return
 	}
 	if g := p.groups[r.Name]; g != nil && g.epoch == r.Epoch {
 		return
 	}
 	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: !r.Ended, headLost: r.HeadLost, restored: true, head: r.Members[0].Incarnation,
-		headEntry: r.Members[0].entry(r, 0, fabric), returnedAt: map[fleet.Incarnation]clock.Time{}}
+		returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for rank, m := range r.Members {
 		if m.Incarnation.ID == "" {
 			d.members = append(d.members, member{})
 			continue
 		}
 		d.members = append(d.members, member{incarnation: m.Incarnation, lastEntry: m.entry(r, rank, fabric)})
-		if rank > 0 {
-			d.returnedAt[m.Incarnation] = 0
-			p.departures[m.Incarnation] = departure{r.key(), now} // It may just have left.
+		if rank == 0 {
+			d.headEntry = d.members[0].lastEntry
+			continue
 		}
+		d.returnedAt[m.Incarnation] = 0
+		p.departures[m.Incarnation] = departure{r.key(), now} // It may just have left.
 	}
 	p.dissolved[r.key()] = d
 	if r.Ended {
