--- a/internal/placement/unlisted_test.go
+++ b/internal/placement/unlisted_test.go
@@ -168,11 +168,11 @@
 // Guards against members that are joined elsewhere while their head stands still: it isn't known, and the planner changes after they have
 // left it on an order.
 func TestMembersOfAnUnknownHeadWaitAcrossPlanners(t *testing.T) {
-	m, p := startedDetailedSystem(t, 1, 10)
+	m, _ := startedDetailedSystem(t, 1, 10)
 	head, members := busyHead(m, 0)
 	m.cutFromStore(head)
 	m.wait(m.entryTTL, nil)
-	p = m.takeOver(2, true, noRecords, nil)
+	p := m.takeOver(2, true, noRecords, nil)
 	for range 60 {
 		if m.run(p, tick, nil); members[1].group != head.group {
 			break
@@ -218,3 +218,18 @@
 	m.assertNoViolations()
 	m.assertNoStrictViolations()
 }
+
+// Guards against a member that is joined elsewhere while its head, which isn't known, stands still: it has left on an order whose answer was
+// lost.
+func TestMemberWhoseLeaveIsNotAnsweredWaits(t *testing.T) {
+	m, _ := startedDetailedSystem(t, 1, 10)
+	head, _ := busyHead(m, 0)
+	m.cutFromStore(head)
+	m.wait(m.entryTTL, nil)
+	p := m.takeOver(2, true, noRecords, nil)
+	m.lateBy = func(Order) time.Duration { return 0 }
+	m.loseAnswer = func(o Order) bool { return o.Action == Leave }
+	m.run(p, 12*time.Second, nil)
+	m.assertNoViolations()
+	m.assertNoStrictViolations()
+}
