Take a recorded head that has sent events as one that has joined its epoch

Cause: the head of a restored group without an entry counted as one that may not have joined the epoch yet, so that its order to leave didn't end that for good.

Change: events that nodes have received from it in the epoch show that it has.

Evidence: TestHeadThatHasServedIsKnownToHaveJoined failed before ("vm-0-01 is ordered to leave: it is needed in another group, ...").

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -178,6 +178,9 @@
 // advance adds the orders that one group needs next, and repairs or dissolves it if it can't serve.
 func (s *step) advance(g *group) {
 	s.forgetOutdatedFailures(g)
+	if g.formerEpoch == 0 && s.activity(g).LastEvent != 0 {
+		s.noteServing(g) // Events name the epoch of the head.
+	}
 	head := s.usableReplica(g.members[0].incarnation)
 	if head != nil && !g.headReleased && s.headServes(g, head) {
 		// What spoke against the group is checked again: the head, or other members, may only have been silent.
--- a/internal/placement/record_test.go
+++ b/internal/placement/record_test.go
@@ -134,6 +134,27 @@
 	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
 }
 
+// Guards against members that are ordered to leave a group whose head has just left it on an order: the new planner has no entry of the head,
+// but nodes have received events from it in that epoch.
+func TestHeadThatHasServedIsKnownToHaveJoined(t *testing.T) {
+	c := quicktest.New(t)
+	m, p := startedSystem(t, 1, 10)
+	head, members := busyHead(m, 0)
+	epoch := head.epoch
+	head.unlistedAt = m.clock.Now()
+	m.run(p, 400*time.Millisecond, nil)
+	p = m.successor(p)
+	m.watch(func(o Order) {
+		again := o.Action == Leave && o.Epoch == epoch && o.To.ID != head.id
+		c.Check(again, quicktest.IsFalse, quicktest.Commentf("%s is ordered to leave: %s", o.To.ID, o.Reason))
+	})
+	m.run(p, 3*time.Second, nil)
+	m.assertNoViolations()
+	c.Assert(head.epoch, quicktest.Not(quicktest.Equals), epoch)
+	c.Assert(members[1].epoch > epoch, quicktest.IsTrue)
+	c.Assert(m.openGroups()["large"], quicktest.Equals, 1)
+}
+
 // Guards against a member that has left a group on the former planner's order, and joins another one while its head, which the new planner
 // can't reach, still waits for it.
 func TestNewPlannerKnowsWhoHasJustLeft(t *testing.T) {
