Count only events of the planned epoch for a recorded head

The lookup is made only for an entry of the planned epoch. The emulator of the tests knows events by the epoch in which they were sent, as nodes do.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -92,6 +92,7 @@
 	busyUntil    clock.Time // The head has running requests until then.
 	busyFrom     clock.Time // When the oldest of them was sent; 0 if that doesn't matter.
 	lastEvent    clock.Time // When a node last received an event from the head.
+	eventEpoch   int64      // Epoch in which it was sent.
 	silent       bool       // No data go in or out of it for a while, though it runs.
 	hidden       bool       // The planner doesn't reach it, other nodes do.
 	lastDark     clock.Time // When it was last silent or cut off.
@@ -170,7 +171,7 @@
 			m.breakStalled(v)
 		}
 		if v.serves() && m.sendsEvents(v) && (!m.detailed || now < v.busyUntil) {
-			v.lastEvent = now
+			v.lastEvent, v.eventEpoch = now, v.epoch
 		}
 	}
 	m.history = append(m.history, snapshot{now, m.entries()})
@@ -210,6 +211,9 @@
 func (m *emulator) activity(r *fleet.Replica) Activity {
 	v := m.vms[r.ID]
 	a := Activity{LastEvent: v.lastEvent}
+	if r.Group != nil && r.Group.Epoch != v.eventEpoch {
+		a.LastEvent = 0 // Events are known by the epoch of their head.
+	}
 	if m.clock.Now() < v.busyUntil {
 		a.Running = 1
 		if v.lastEvent >= v.busyFrom {
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -178,8 +178,8 @@
 // advance adds the orders that one group needs next, and repairs or dissolves it if it can't serve.
 func (s *step) advance(g *group) {
 	s.forgetOutdatedFailures(g)
-	if g.formerEpoch == 0 && s.activity(g).LastEvent != 0 {
-		s.noteServing(g) // Events name the epoch of the head.
+	if g.restored && g.head != nil && (groupKey{g.name, g.epoch}).reportedBy(g.head, g.members[0].incarnation) && s.activity(g).LastEvent != 0 {
+		s.noteServing(g) // Events are known by the epoch in which they were sent.
 	}
 	head := s.usableReplica(g.members[0].incarnation)
 	if head != nil && !g.headReleased && s.headServes(g, head) {
