Let a member wait for its former head after an unanswered order to leave

A member joined another group while its head, which the planner didn't know, stood still: it had left on an order whose answer was lost.

Cause: only an answer counted as the time at which the member left.

Change: after an order without an answer, the member's entry without a group tells when it left.

--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -25,6 +25,8 @@
 type departure struct {
 	group groupKey
 	at    clock.Time
+	// unanswered is set until the member's entry shows that it has left on an order that wasn't answered.
+	unanswered bool
 }
 
 // headEnded records by what the head of an epoch of a group is known not to serve it, so that its members may be joined to others at once.
@@ -111,10 +113,14 @@
 	} else if ordered {
 		p.memberLeaves[m] = memberLeave{at: p.now, answered: true}
 	}
+	leftByMember := key.reportedBy(o.To, to) && o.To.Group.Rank > 0
 	if outcome == Unknown {
+		if leftByMember {
+			p.departures[to] = departure{key, p.now, true}
+		}
 		return
 	}
-	if key.reportedBy(o.To, to) && o.To.Group.Rank > 0 {
+	if leftByMember {
 		p.memberLeft(m, outcome)
 		return
 	}
@@ -140,7 +146,7 @@
 	if d, known := p.departures[m.member]; known && d.group == m.group && outcome != Accepted {
 		return
 	}
-	p.departures[m.member] = departure{m.group, p.now}
+	p.departures[m.member] = departure{m.group, p.now, false}
 }
 
 // worksWithoutListening reports whether a head may work on what runs in its group although nothing listens at its address, because it drains.
@@ -163,8 +169,23 @@
 		}
 	}
 	for incarnation, d := range s.departures {
-		if s.Now.Sub(d.at) > s.StallAfter+stallMargin {
+		if d.unanswered {
+			s.noteDeparture(incarnation, d)
+		} else if s.Now.Sub(d.at) > s.StallAfter+stallMargin {
 			delete(s.departures, incarnation)
 		}
 	}
 }
+
+// noteDeparture looks for the effect of an order to leave that wasn't answered, which may be carried out late.
+func (s *step) noteDeparture(incarnation fleet.Incarnation, d departure) {
+	r := s.Replicas[incarnation.ID]
+	switch {
+	case s.Now.Sub(d.at) > dissolvedRetention, r != nil && r.Incarnation() != incarnation:
+		delete(s.departures, incarnation)
+	case r != nil && r.Group == nil:
+		s.departures[incarnation] = departure{d.group, s.Now, false}
+	case r != nil && !d.group.reportedBy(r, incarnation):
+		delete(s.departures, incarnation) // It has joined another group since.
+	}
+}
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -250,7 +250,7 @@
 			continue
 		}
 		d.returnedAt[m.Incarnation] = 0
-		p.departures[m.Incarnation] = departure{r.key(), now} // It may just have left.
+		p.departures[m.Incarnation] = departure{r.key(), now, false} // It may just have left.
 	}
 	p.dissolved[r.key()] = d
 	if r.Ended {
