--- a/internal/groups/controller.go
+++ b/internal/groups/controller.go
@@ -16,6 +16,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/holder"
 	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
@@ -78,10 +79,14 @@
 	Members       []Member // By rank.
 }
 
-// cachedPlan is the last known plan of a fabric domain, with its object version.
+// cachedPlan is the last known plan of a fabric domain, with the version of the stored object, 0 if there is none.
 type cachedPlan struct {
 	version uint64
 	plan    *schema.FabricDomain
+	// writtenAt is the version at which plan was written. A restore of the store changes version only.
+	writtenAt uint64
+	// unstored is true if a restore has taken plan. The controller that the stored object names then writes plan again.
+	unstored bool
 }
 
 // controlState is a node's state for a fabric domain that it controls.
@@ -276,8 +281,20 @@
 
 // mayControl reports whether this node may write plans and send orders now. Contact with a majority of the nodes is not
 // enough, because another node takes over as soon as this node's lease in the platform has ended.
-func (c *Controllers) mayControl() bool {
-	return c.options.Members.RightToServe() && c.options.Members.PlatformReachable()
+func (c *Controllers) mayControl() bool { return c.options.Members.HasLease() }
+
+// AfterRenew makes a lease depend on the plans where they may name another controller than this node knows: after a gap between leases, in
+// which other nodes may have taken fabric domains over, and after a restore of the store. It then reads them again. version is that of this
+// node's renewed record; an older list is an error.
+func (c *Controllers) AfterRenew(ctx context.Context, version uint64) error {
+	if c.options.Members.HasLease() && platform.EraOf(version) == c.knownEra() {
+		return nil // No other node can have found the lease lapsed.
+	}
+	listed, err := c.listPlans(ctx)
+	if err == nil && listed < version {
+		err = eris.Errorf("list of %s has version %d, below %d: stale", Kind, listed, version)
+	}
+	return err
 }
 
 // step plans one fabric domain once, or takes it over.
@@ -304,7 +321,7 @@
 		return nil // Orders of the previous controller may still arrive.
 	}
 	out := Plan(in)
-	if out.Changed {
+	if out.Changed || current.unstored {
 		var err error
 		if current, err = c.write(ctx, fabric, current.version, out.Plan); err != nil {
 			return err
@@ -459,14 +476,13 @@
 // nonce in the stored object shows whether the write succeeded.
 func (c *Controllers) write(ctx context.Context, fabric string, version uint64, plan *schema.FabricDomain) (cachedPlan, error) {
 	plan = proto.CloneOf(plan)
-	plan.Nonce = uuid.NewString()
+	plan.Nonce, plan.StoreEra = uuid.NewString(), c.knownEra()
 	data, err := protojson.Marshal(plan)
 	if err != nil {
 		return cachedPlan{}, eris.Wrapf(err, "encode plan of fabric domain %q", fabric)
 	}
 	if !c.mayControl() {
-		return cachedPlan{}, eris.Errorf("write plan of fabric domain %q: node has no right to serve or cannot reach the platform",
-			fabric)
+		return cachedPlan{}, eris.Errorf("write plan of fabric domain %q: node has no lease", fabric)
 	}
 	o := Object{Kind: Kind, Name: fabric, Version: version, Data: data}
 	var written Object
@@ -482,7 +498,7 @@
 		return cachedPlan{}, eris.Wrapf(err, "write plan of fabric domain %q from version %d", fabric, version)
 	}
 	o.Version = written.Version
-	return cachedPlan{written.Version, plan}, c.cachePlan(o)
+	return storedPlan(o.Version, plan), c.cachePlan(o)
 }
 
 // readBack reads a plan after a write whose outcome is unknown, or that failed because the plan has changed.
--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
@@ -18,6 +19,7 @@
 	"cassiadeal.example/cassiadeal/internal/orders"
 	"cassiadeal.example/cassiadeal/internal/platform"
 	"cassiadeal.example/cassiadeal/internal/rules"
+	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
 const (
@@ -35,12 +37,18 @@
 	planObject    *Object
 	loseNextReply bool
 	fenced        bool
+	rules         *rules.Rules
 	vmList        []VM
 	engines       map[string]*engineState
 	nodes         []*controllerNode
 	violation     string // Found by Send, outside the test's goroutine.
 	nextVM        int
 	ordersArrived int // Also counts orders to engines that are down or refuse them.
+	// outdatedOrders counts the orders that engines have carried out after one of a later plan.
+	outdatedOrders int
+	// unchecked is true while orders are sent or arrive whose sender had its lease only before a pause. Nothing can keep engines that ignore
+	// fencing numbers from carrying them out.
+	unchecked bool
 	// delayNextOrder delays the next order to the end of its delivery time; its sender learns no outcome.
 	delayNextOrder bool
 	delayedOrders  map[string]delayedOrder // By VM.
@@ -71,12 +79,14 @@
 
 type delayedOrder struct {
 	orders.Order
-	due time.Duration
+	due       time.Duration
+	unchecked bool
 }
 
 type engineState struct {
 	Report
 	fence   uint64
+	members []string // Addresses by rank, as in the last join.
 	down    bool
 	leaving bool
 }
@@ -87,8 +97,14 @@
 	*Controllers
 	name      string
 	paused    bool
-	renewedAt time.Duration // When its lease was last renewed.
-	// staleRight makes RightToServe return true, as if it had been called just before the process was paused.
+	renewedAt time.Duration // When its record was last written.
+	// leaseStart is the start of its last lease: a renewal counts once the plans were read after it.
+	leaseStart time.Duration
+	// cutOff is true while the node has no path to the platform. Its peers go on to answer its heartbeats.
+	cutOff bool
+	// watchSilent is true while the connection of its watch of the plans is silent, though others work.
+	watchSilent bool
+	// staleRight makes HasLease return true, as if it had been called just before the process was paused.
 	staleRight bool
 }
 
@@ -104,8 +120,9 @@
 	return list
 }
 
-func (n *controllerNode) RightToServe() bool      { return n.staleRight || n.model.now-n.renewedAt < term }
-func (n *controllerNode) PlatformReachable() bool { return true }
+func (n *controllerNode) HasLease() bool { return n.staleRight || n.model.now-n.leaseStart < term }
+
+var errNoPath = errors.New("no path to the platform")
 
 // platformClient is the platform API as used by one node, the author of its writes.
 type platformClient struct {
@@ -114,6 +131,9 @@
 }
 
 func (c platformClient) Get(context.Context, string, string) (Object, error) {
+	if c.node.cutOff {
+		return Object{}, errNoPath
+	}
 	if c.model.planObject == nil {
 		return Object{}, ErrNotFound
 	}
@@ -147,6 +167,9 @@
 
 // put accepts a write and checks that only the controller, or the successor of one whose lease has ended, changes a plan.
 func (c platformClient) put(o Object) (Object, error) {
+	if c.node.cutOff {
+		return Object{}, errNoPath
+	}
 	if c.model.planObject != nil {
 		previous, err := decodePlan(*c.model.planObject)
 		must(c.model.t, err == nil, "%v", err)
@@ -180,7 +203,7 @@
 	}
 	if m.delayNextOrder {
 		m.delayNextOrder = false
-		m.delayedOrders[address] = delayedOrder{o, m.now + defaultOrderDelivery}
+		m.delayedOrders[address] = delayedOrder{o, m.now + defaultOrderDelivery, m.unchecked}
 		return fmt.Errorf("%w: %s", orders.ErrOutcomeUnknown, address)
 	}
 	return m.receiveOrder(address, o)
@@ -195,12 +218,16 @@
 	if m.fenced && o.Fence < e.fence {
 		return &orders.FencedError{Sent: o.Fence, Current: e.fence}
 	}
+	if o.Fence < e.fence && !m.unchecked {
+		m.outdatedOrders++
+	}
 	e.fence = o.Fence
 	if o.Action == orders.Leave {
 		e.Report = Report{Incarnation: e.Incarnation, Seen: true, Weights: e.Weights}
 		return nil
 	}
 	e.Group, e.Number, e.Rank, e.Size, e.Model, e.Ready = o.Group, o.Number, o.Rank, o.Size, o.Model, true
+	e.members = o.Members
 	e.Weights = []string{o.Model}
 	return nil
 }
@@ -219,8 +246,7 @@
 	m := &controllerModel{t: t, fenced: fenced, engines: map[string]*engineState{},
 		delayedOrders: map[string]delayedOrder{}, now: time.Hour}
 	pool := rules.Pool{Name: "p", Model: "m", VMs: 3, Replicas: 2, FencedOrders: fenced}
-	currentRules := &rules.Rules{Pools: map[string]rules.Pool{"p": pool},
-		Weights: rules.WeightBudget{AtOnce: 100, PerMinute: 1000}}
+	m.rules = &rules.Rules{Pools: map[string]rules.Pool{"p": pool}, Weights: rules.WeightBudget{AtOnce: 100, PerMinute: 1000}}
 	for range 8 {
 		m.addVM()
 	}
@@ -228,11 +254,11 @@
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	for _, name := range []string{"a", "b", "c"} {
-		n := &controllerNode{model: m, name: name, renewedAt: m.now}
+		n := &controllerNode{model: m, name: name, renewedAt: m.now, leaseStart: m.now}
 		n.Controllers = New(Options{
 			Self: Identity{Name: name, Incarnation: "1"}, Platform: platformClient{m, n}, Members: n, Orders: m,
 			VMs:    func() ([]VM, bool) { return slices.Clone(m.vmList), true },
-			Report: m.report, Rules: func() *rules.Rules { return currentRules },
+			Report: m.report, Rules: func() *rules.Rules { return m.rules },
 			WallClock: func() time.Time { return time.Unix(0, int64(m.now)) }, Now: func() time.Duration { return m.now },
 			Term: term, Margin: margin, Log: log,
 		})
@@ -267,7 +293,9 @@
 	for vm, o := range m.delayedOrders {
 		if m.now >= o.due {
 			delete(m.delayedOrders, vm)
+			m.unchecked = o.unchecked
 			_ = m.receiveOrder(vm, o.Order) // The sender has already got an unknown outcome.
+			m.unchecked = false
 		}
 	}
 	m.stepNodes()
@@ -280,9 +308,16 @@
 		if n.paused {
 			continue
 		}
-		n.renewedAt = m.now
-		_, err := n.listPlans(ctx)
-		must(m.t, err == nil, "%v", err)
+		if !n.cutOff {
+			n.renewedAt = m.now
+			err := n.AfterRenew(ctx, m.version)
+			must(m.t, err == nil, "%v", err)
+			n.leaseStart = m.now
+		}
+		if !n.cutOff && !n.watchSilent {
+			_, err := n.listPlans(ctx)
+			must(m.t, err == nil, "%v", err)
+		}
 		m.stepNode(n)
 	}
 	m.checkInvariants()
@@ -296,6 +331,7 @@
 // checkInvariants verifies the plan in the platform and the groups to which requests would be dispatched.
 func (m *controllerModel) checkInvariants() {
 	must(m.t, m.violation == "", "%s", m.violation)
+	must(m.t, m.outdatedOrders == 0, "%d orders were carried out after one of a later plan", m.outdatedOrders)
 	if m.planObject == nil {
 		return
 	}
@@ -314,16 +350,47 @@
 			}
 		}
 		must(m.t, len(ranks) == int(g.Size), "ready group %s has %d of %d members", g.Id, len(ranks), g.Size)
+		for vm, a := range plan.Assignments {
+			if e := m.engines[vm]; a.Group == g.Id && e != nil && confirmsMembership(e.Report, g, a.Rank) {
+				want := members(plan, g)
+				must(m.t, slices.Equal(e.members, want), "%s was joined to number %d of %s with the members %v, but the plan has %v", vm, g.Number, g.Id, e.members, want)
+			}
+		}
 	}
 	for vm, a := range plan.Assignments {
 		must(m.t, plan.Groups[a.Group] != nil, "%s is in group %s, which does not exist", vm, a.Group)
 	}
 }
 
+// controller returns the node that the stored plan names as the controller.
+func (m *controllerModel) controller() *controllerNode {
+	plan, err := decodePlan(*m.planObject)
+	must(m.t, err == nil, "%v", err)
+	i := slices.IndexFunc(m.nodes, func(n *controllerNode) bool { return n.name == plan.Controller })
+	must(m.t, i >= 0, "the controller %q is no node", plan.Controller)
+	return m.nodes[i]
+}
+
+// advanceUntilServing advances until the given number of groups serves.
+func (m *controllerModel) advanceUntilServing(groups int) {
+	for deadline := m.now + time.Minute; m.planObject == nil || m.servingGroups() != groups; {
+		m.advance(250 * time.Millisecond)
+		must(m.t, m.now < deadline, "%d of %d groups serve after a minute", m.servingGroups(), groups)
+	}
+}
+
 // servingGroups counts the ready groups whose members all report what the plan says.
 func (m *controllerModel) servingGroups() int {
+	if m.planObject == nil {
+		return 0
+	}
+	return m.servingGroupsAt(m.controller())
+}
+
+// servingGroupsAt is servingGroups by the plan that a node knows.
+func (m *controllerModel) servingGroupsAt(node *controllerNode) int {
 	n := 0
-	for _, v := range m.nodes[0].Groups() {
+	for _, v := range node.Groups() {
 		whole := v.State == ready
 		for rank, member := range v.Members {
 			r := m.report(member.VM)
@@ -359,6 +426,10 @@
 			"delay order": func(*rapid.T) { m.delayNextOrder = true },
 			"pause":       func(*rapid.T) { node().paused = true },
 			"resume":      func(*rapid.T) { node().paused = false },
+			"cut off":     func(*rapid.T) { node().cutOff = true },
+			"reconnect":   func(*rapid.T) { node().cutOff = false },
+			"hang watch":  func(*rapid.T) { node().watchSilent = true },
+			"watch again": func(*rapid.T) { node().watchSilent = false },
 			"remove": func(t *rapid.T) {
 				if len(m.engines) <= 4 {
 					t.Skip("few VMs are left")
@@ -373,9 +444,9 @@
 					t.Skip("no paused node or no plan")
 				}
 				before := m.version
-				n.staleRight = true
+				n.staleRight, m.unchecked = true, true
 				m.stepNode(n)
-				n.staleRight = false
+				n.staleRight, m.unchecked = false, false
 				d, err := decodePlan(*m.planObject)
 				must(t, err == nil, "%v", err)
 				must(t, d.Controller == n.name || m.version == before, "write of %s accepted, which is not the controller", n.name)
@@ -383,7 +454,7 @@
 			"": func(*rapid.T) { m.checkInvariants() },
 		})
 		for _, n := range m.nodes {
-			n.paused = false
+			n.paused, n.cutOff, n.watchSilent = false, false, false
 		}
 		for range 8 {
 			m.addVM()
@@ -459,3 +530,153 @@
 		})
 	}
 }
+
+// Guards against orders by a plan that another controller has replaced: a node whose lease has lapsed renews its record, its peers have
+// answered it throughout, and it hasn't read the plans yet. Its orders to leave would end a group that the other controller has formed.
+func TestReturningControllerOrdersNothingByAnOldPlan(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("fenced=%v", fenced), func(t *testing.T) {
+			m := newControllerModel(t, fenced)
+			m.advanceUntilServing(2)
+			former := m.controller()
+			former.cutOff = true
+			pool := m.rules.Pools["p"]
+			pool.Replicas = 3
+			m.rules.Pools["p"] = pool
+			m.addVM()
+			m.publishVMList()
+			m.advanceUntilServing(3)
+			must(t, m.controller() != former, "%s is still the controller", former.name)
+
+			former.cutOff = false
+			arrived := m.ordersArrived
+			former.renewedAt = m.now
+			m.stepNode(former)
+			must(t, m.ordersArrived == arrived, "%d orders arrived before it read the plans", m.ordersArrived-arrived)
+			must(t, former.AfterRenew(context.Background(), m.version+1) != nil, "a list older than its renewal was accepted")
+			must(t, former.AfterRenew(context.Background(), m.version) == nil, "the plans could not be read")
+			former.leaseStart = m.now
+			m.stepNode(former)
+			must(t, m.ordersArrived == arrived, "%d orders arrived after its return", m.ordersArrived-arrived)
+			for range 40 {
+				m.advance(250 * time.Millisecond)
+				must(t, m.servingGroups() == 3, "%d of 3 groups serve after its return", m.servingGroups())
+			}
+		})
+	}
+}
+
+// Guards against a group that serves although its members know different compositions: a restore of the store takes a repair, and the next
+// one got the number of the first, which members that had carried out the first confirm at once.
+func TestNumbersOfCompositionsAreNotGivenTwice(t *testing.T) {
+	m := newControllerModel(t, true)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	plan, _ := decodePlan(*m.planObject)
+	copied := len(m.copies)
+	repaired := slices.Min(slices.Collect(engineNames(m.engines)))
+	group := plan.Assignments[repaired].GetGroup()
+	must(t, group != "", "%s is in no group", repaired)
+	m.engines[repaired].down = true
+	m.advanceUntilServing(1)
+	m.advanceUntilServing(2)
+	m.engines[repaired].down = false
+	m.restore(len(m.copies) - copied)
+	for range 60 {
+		m.advance(250 * time.Millisecond)
+	}
+	must(t, m.servingGroups() == 2, "%d of 2 groups serve after the restore", m.servingGroups())
+}
+
+// Guards against orders that end the requests of groups because a restore of the store has taken their latest plan, or the whole plan: the
+// nodes know it, the engines serve by it, and its groups get requests until it is written again.
+func TestGroupsServeOnAfterARestoreTookTheirPlan(t *testing.T) {
+	for _, fenced := range []bool{false, true} {
+		for _, copied := range []string{"before the repair", "before any plan"} {
+			t.Run(fmt.Sprintf("fenced=%v/copy %s", fenced, copied), func(t *testing.T) {
+				m := newControllerModel(t, fenced)
+				m.advanceUntilServing(2)
+				m.advance(250 * time.Millisecond)
+				beforeRepair := len(m.copies)
+				m.engines["vm01"].down = true
+				m.advanceUntilServing(1)
+				m.advanceUntilServing(2)
+				m.advance(250 * time.Millisecond) // All nodes read the last plan.
+				if copied == "before any plan" {
+					m.restore(len(m.copies) + 1)
+				} else {
+					m.restore(len(m.copies) - beforeRepair)
+				}
+				arrived := m.ordersArrived
+				for range 120 {
+					m.advance(250 * time.Millisecond)
+					serving := m.servingGroupsAt(m.nodes[0])
+					must(t, serving == 2, "%d of 2 groups serve after the restore, %d orders", serving, m.ordersArrived-arrived)
+				}
+				must(t, m.ordersArrived == arrived, "%d orders arrived after the restore", m.ordersArrived-arrived)
+				must(t, m.servingGroups() == 2, "%d of 2 groups are in the stored plan and serve", m.servingGroups())
+			})
+		}
+	}
+}
+
+// Guards against a node that keeps the plan that a restore has taken although a later one was written since, and against one that trades it
+// for the older copy.
+func TestLaterWrittenPlanIsKept(t *testing.T) {
+	at := platform.VersionIn
+	for _, tc := range []struct {
+		name                string
+		knownEra, storedEra uint64 // In which the plan was written.
+		known, stored       uint64 // Version of the stored object.
+		keep                bool
+	}{
+		{"no restore", 0, 0, at(0, 5), at(0, 6), false},
+		{"restored as it was", 0, 0, at(0, 5), at(1, 5), false},
+		{"restored before the plan", 0, 0, at(0, 5), at(1, 4), true},
+		{"written since the restore", 0, 1, at(0, 5), at(1, 3), false},
+		{"written in an era that this node has missed", 0, 1, at(0, 5), at(2, 3), false},
+		{"written in the last era, restored before", 1, 0, at(1, 3), at(2, 5), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			known := storedPlan(tc.known, &schema.FabricDomain{Nonce: "known", Controller: "former", StoreEra: tc.knownEra})
+			stored := storedPlan(tc.stored, &schema.FabricDomain{Nonce: "stored", Controller: "present", StoreEra: tc.storedEra})
+			got := known.over(stored)
+			c.Check(got.version, qt.Equals, tc.stored)
+			c.Check(got.plan.Controller, qt.Equals, "present")
+			c.Check(got.unstored, qt.Equals, tc.keep)
+			c.Check(got.plan.Nonce == "known", qt.Equals, tc.keep)
+			c.Check(known.plan.Controller, qt.Equals, "former")
+		})
+	}
+}
+
+// Guards against a controller that orders by a plan that a restore of the store has taken, beside the controller that the restored plan names:
+// its lease is renewed, but the connection of its watch is silent, so that it hasn't read the plans since.
+func TestControllerReadsThePlansAfterARestore(t *testing.T) {
+	m := newControllerModel(t, false)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	copied, restored := len(m.copies), m.controller()
+	restored.cutOff = true
+	pool := m.rules.Pools["p"]
+	pool.Replicas = 3
+	m.rules.Pools["p"] = pool
+	m.rules.Weights.PerMinute = 1 // The third group waits for weights.
+	m.addVM()
+	m.publishVMList()
+	ordered := m.ordersArrived
+	for deadline := m.now + time.Minute; m.ordersArrived == ordered; m.advance(250 * time.Millisecond) {
+		must(t, m.now < deadline, "nothing was ordered for the third group")
+	}
+	present := m.controller()
+	must(t, present != restored, "%s is still the controller", restored.name)
+
+	m.restore(len(m.copies) - copied)
+	present.watchSilent, restored.cutOff = true, false
+	for range 60 {
+		m.advance(250 * time.Millisecond)
+	}
+	must(t, m.controller() == restored, "%s is the controller, want %s", m.controller().name, restored.name)
+	must(t, m.outdatedOrders == 0, "%d orders were carried out after one of a later plan", m.outdatedOrders)
+}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -17,13 +17,18 @@
 	reported, known := map[groupKey][]*fleet.Replica{}, map[groupKey]bool{}
 	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
 		r := s.Replicas[id]
-		if r.Group == nil || strings.HasPrefix(r.Group.Name, standbyPrefix) {
+		if r.Group == nil || strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 			continue
 		}
 		key := groupKey{r.Group.Name, r.Group.Epoch}
 		g := s.groups[key.name]
+		if s.stateKnown(r) {
+			s.dropFormerMemberships(r)
+		}
 		if g != nil && g.epoch == key.epoch && !s.plannedElsewhere(r) {
-			g.addReportedMember(r, s.Now)
+			if g.addReportedMember(r, s.Now) {
+				s.changed(g.fabric)
+			}
 		}
 		if s.isDissolved(key) && !s.stillServes(key) || g != nil && g.epoch >= key.epoch || s.plannedElsewhere(r) {
 			continue
@@ -52,7 +57,33 @@
 			g.addReportedMember(r, s.Now)
 		}
 		g.wasOpen = true // An earlier planner may have opened it.
+		if former := s.groups[key.name]; former != nil {
+			s.giveUp(former)
+		}
 		s.groups[key.name] = g
+		s.changed(g.fabric)
+		s.noteGroup("a group is adopted from entries", g, fmt.Sprintf("%d entries show it", len(members)))
+	}
+}
+
+// dropFormerMemberships removes a replica from the groups that were adopted from an older entry of it: it has reported a later epoch since, and
+// this plan hasn't ordered it to join those groups.
+func (s *step) dropFormerMemberships(r *fleet.Replica) {
+	for name, g := range s.groups {
+		if name == r.Group.Name || g.adoptedAt == 0 || g.epoch >= r.Group.Epoch {
+			continue
+		}
+		for i, m := range g.members {
+			if m.incarnation != r.Incarnation() || m.joinAttempts > 0 {
+				continue
+			}
+			g.members[i] = member{}
+			if i == 0 {
+				s.headEnded(g.name, g.epoch)
+				s.headEnded(g.name, g.formerEpoch)
+				g.headReleased = true
+			}
+		}
 	}
 }
 
@@ -117,16 +148,17 @@
 	return false
 }
 
-// addReportedMember sets the member of a rank from the entry of a replica that reports the group, unless it is already set.
-func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) {
+// addReportedMember sets the member of a rank from the entry of a replica that reports the group. It reports false if it is already set.
+func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) bool {
 	if r.Group.Rank >= len(g.members) || g.members[r.Group.Rank].incarnation.ID != "" {
-		return
+		return false
 	}
 	g.members[r.Group.Rank] = member{incarnation: r.Incarnation(), lastEntry: r, joinAccepted: true, joinSentAt: now}
 	g.fabric = r.Fabric
 	if r.Group.Rank == 0 {
 		g.head = r
 	}
+	return true
 }
 
 // reportedModel returns the first configured model that a member reports as loaded, or nil.
@@ -175,6 +207,7 @@
 		// The list of replicas may be incomplete; the group is checked again in the next step.
 	case s.headServes(g, head):
 		g.wasOpen = true
+		s.noteServing(g)
 		if reason != "" {
 			s.closeForRepair(g, head, reason)
 		} else if head.Group.State == fleet.GroupOpen {
@@ -307,8 +340,9 @@
 		reports := r.Group != nil && r.Group.Name == g.name && r.Group.Epoch == g.epoch
 		if reports && i == 0 {
 			s.headJoined(g)
+			m.joinAccepted = true
 		}
-		if m.joinAccepted && !reports && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
+		if m.joinAccepted && !reports && s.stateKnown(r) && s.Now.Sub(m.joinSentAt) > 3*reportTimeout {
 			return fmt.Sprintf("member %d (%s) reports another group", i, m.incarnation.ID)
 		}
 		if reports && r.Group.State == fleet.GroupBroken {
@@ -353,11 +387,11 @@
 	return missing
 }
 
-// allReady tells whether all members report the group's epoch as ready.
+// allReady tells whether all members report the group's epoch as ready, in entries that aren't outdated.
 func (s *step) allReady(g *group) bool {
 	for _, m := range g.members {
 		r := s.usableReplica(m.incarnation)
-		if r == nil || r.Group == nil || r.Group.Name != g.name || r.Group.Epoch != g.epoch {
+		if r == nil || r.Group == nil || r.Group.Name != g.name || r.Group.Epoch != g.epoch || !s.stateKnown(r) {
 			return false
 		}
 		if r.Group.State != fleet.GroupReady {
@@ -369,7 +403,7 @@
 
 // joinMembers orders members that don't report the group yet to join it. If the group had a head in an older epoch that stays,
 // the head joins first: no member may be taken from a group whose head still serves. Where that isn't known, a member leaves its own
-// group before it joins.
+// group before it joins, and waits until the engine must have broken that group unless its head counts as lost.
 func (s *step) joinMembers(g *group) {
 	for i := range g.members {
 		m := &g.members[i]
@@ -389,6 +423,8 @@
 				m.joinAttempts++
 			}
 			continue
+		} else if !keepsHead && s.awaitsBreak(r) {
+			continue
 		}
 		if m.joinSentAt == 0 || s.Now.Sub(m.joinSentAt) > reportTimeout && !m.joinAccepted {
 			m.joinSentAt = s.Now
@@ -475,8 +511,9 @@
 }
 
 // releaseMembers tells whether the members of a group may be planned in another group or epoch. A head that may still serve this epoch or
-// an earlier one is ordered to leave first, unless it is silent. If it doesn't answer, the members are released once it counts as lost. Since
-// it may serve all the same, joinMembers then lets each member leave before it joins.
+// an earlier one is ordered to leave first, unless it is silent. An entry that may be outdated doesn't show that it has ended. If it doesn't
+// answer, the members are released once it counts as lost. Since it may serve all the same, joinMembers then lets each member leave before
+// it joins.
 func (s *step) releaseMembers(g *group, reason string) bool {
 	head := s.Replicas[g.members[0].incarnation.ID]
 	failures, unresponsive := s.unresponsive[g.members[0].incarnation]
@@ -484,25 +521,34 @@
 		return false // A single probe fails too easily to give up a group that may work.
 	}
 	if head != nil && !unresponsive {
-		if head.StartedUnixMs != g.members[0].incarnation.StartedUnixMs || head.Group == nil || head.Group.Name != g.name ||
-			head.Group.Epoch != g.epoch && head.Group.Epoch != g.formerEpoch || head.Group.State == fleet.GroupBroken {
-			s.headEnded(g.name, g.epoch)
-			s.headEnded(g.name, g.formerEpoch)
+		if serves := g.mayBeServedBy(head); !serves && s.stateKnown(head) {
+			if !s.mayJoinLate(g) {
+				s.headEnded(g.name, g.epoch, showing(head))
+			}
+			s.headEnded(g.name, g.formerEpoch, showing(head))
+			g.headReleased = true
 			return true
+		} else if serves {
+			g.head = head
 		}
-		g.head = head
 	}
-	if g.formerEpoch == 0 && (g.headReleased || !g.wasOpen && g.openSentAt == 0) {
-		s.headEnded(g.name, g.epoch)
+	if g.formerEpoch == 0 && g.headReleased {
+		return true
+	}
+	if g.formerEpoch == 0 && !g.wasOpen && g.openSentAt == 0 {
+		s.headEnded(g.name, g.epoch, "it was never ordered to open")
 		return true
 	}
 	if unresponsive && s.hasEnded(g.members[0].incarnation) {
-		s.headEnded(g.name, g.epoch)
-		s.headEnded(g.name, g.formerEpoch)
+		s.headEnded(g.name, g.epoch, "its process has ended")
+		s.headEnded(g.name, g.formerEpoch, "its process has ended")
 		g.headReleased = true
 		return true
 	}
-	if (head == nil || unresponsive) && g.headMissingSince == 0 {
+	switch missing := head == nil || unresponsive; {
+	case !missing:
+		g.headMissingSince = 0
+	case g.headMissingSince == 0:
 		g.headMissingSince = s.Now
 		if unresponsive {
 			g.headMissingSince = failures.first
@@ -525,6 +571,12 @@
 	return false
 }
 
+// mayBeServedBy reports whether the entry of the group's head allows that it serves the planned epoch or the former one.
+func (g *group) mayBeServedBy(head *fleet.Replica) bool {
+	return head.Incarnation() == g.members[0].incarnation && head.Group != nil && head.Group.Name == g.name &&
+		(head.Group.Epoch == g.epoch || head.Group.Epoch == g.formerEpoch) && head.Group.State != fleet.GroupBroken
+}
+
 // sortLimitedLast moves replicas that limit their rate of requests to the end of the members of a group that gets a new head: as the
 // head, one would limit the whole group.
 func (s *step) sortLimitedLast(members []*fleet.Replica) {
@@ -547,13 +599,25 @@
 		s.formerHeads[key] = formerHead{sentAt: s.Now, left: true}
 	}
 	d := dissolution{at: s.Now, headUnheard: g.headMissingSince != 0 && !g.headReleased, head: g.members[0].incarnation,
-		headEntry: g.head, returnedAt: map[fleet.Incarnation]clock.Time{}}
+		headEntry: g.head, fabric: g.fabric, model: g.model, members: slices.Clone(g.members), returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for _, m := range g.members[1:] {
 		if s.usableReplica(m.incarnation) == nil {
 			d.returnedAt[m.incarnation] = 0
 		}
 	}
+	if g.headReleased {
+		d.headLost = true
+	} else if g.head == nil {
+		d.headLost = len(d.returnedAt) > 0 // The group lacks other members too.
+	} else {
+		d.headLost = g.headMissingSince != 0 && s.headLost(g)
+	}
+	s.noteGroup("an epoch of a group is given up", g, s.releaseCause(g, d))
 	s.dissolved[key] = d
+	if g.formerEpoch != 0 {
+		s.dissolved[groupKey{g.name, g.formerEpoch}] = d
+	}
+	s.changed(g.fabric)
 }
 
 // awaitsHead reports whether a replica of a group that was given up must wait for its head: both were unreachable, so they were
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -18,10 +18,13 @@
 
 // activity returns what the nodes know of the requests at the head of a group.
 func (s *step) activity(g *group) Activity {
-	if s.HeadActivity == nil || g.head == nil {
-		return Activity{}
+	switch {
+	case g.head != nil && s.HeadActivity != nil:
+		return s.HeadActivity(g.head)
+	case g.head == nil && s.GroupActivity != nil:
+		return s.GroupActivity(g.name, g.epoch)
 	}
-	return s.HeadActivity(g.head)
+	return Activity{}
 }
 
 // silentFor returns for how long a group has sent no event although it had to, or 0 if that isn't known. Requests that wait for
@@ -74,15 +77,19 @@
 	return s.unresponsive[incarnation].ended && (r == nil || !r.Draining)
 }
 
-// restarted reports whether another start of the replica is listed.
+// restarted reports whether another start of the replica is listed. An entry that may be outdated can be that of an earlier start.
 func (s *step) restarted(incarnation fleet.Incarnation) bool {
 	r := s.Replicas[incarnation.ID]
-	return r != nil && r.StartedUnixMs != incarnation.StartedUnixMs
+	return r != nil && r.StartedUnixMs != incarnation.StartedUnixMs && s.stateKnown(r)
 }
 
 // headLost reports whether the head of a group, which is missing or doesn't answer, counts as lost: the engine must have broken the
-// group by now, or no node has received an event from the head for long enough.
+// group by now, or no node has received an event from the head for long enough. A head that isn't listed but answers probes is sound, and
+// may send no events because nothing runs there.
 func (s *step) headLost(g *group) bool {
+	if s.answersProbes(g.members[0].incarnation) {
+		return false
+	}
 	missingFor, a := s.Now.Sub(g.headMissingSince), s.activity(g)
 	if missingFor > s.StallAfter+stallMargin {
 		return true
