--- a/internal/groups/controller_test.go
+++ b/internal/groups/controller_test.go
@@ -39,11 +39,14 @@
 	fenced        bool
 	rules         *rules.Rules
 	vmList        []VM
+	listAge       time.Duration   // Time since vmList was read.
+	loads         []time.Duration // When engines began to load weights.
 	engines       map[string]*engineState
 	nodes         []*controllerNode
 	violation     string // Found by Send, outside the test's goroutine.
 	nextVM        int
-	ordersArrived int // Also counts orders to engines that are down or refuse them.
+	missed        string // VM whose last reports are missed.
+	ordersArrived int    // Also counts orders to engines that are down or refuse them.
 	// outdatedOrders counts the orders that engines have carried out after one of a later plan.
 	outdatedOrders int
 	// unchecked is true while orders are sent or arrive whose sender had its lease only before a pause. Nothing can keep engines that ignore
@@ -228,6 +231,9 @@
 	}
 	e.Group, e.Number, e.Rank, e.Size, e.Model, e.Ready = o.Group, o.Number, o.Rank, o.Size, o.Model, true
 	e.members = o.Members
+	if !slices.Contains(e.Weights, o.Model) {
+		m.loads = append(m.loads, m.now)
+	}
 	e.Weights = []string{o.Model}
 	return nil
 }
@@ -239,6 +245,9 @@
 	if e == nil || e.down {
 		return Report{Age: time.Hour, Missed: minMissed}
 	}
+	if vm == m.missed {
+		return Report{Age: time.Second, Missed: minMissed}
+	}
 	return e.Report
 }
 
@@ -257,7 +266,7 @@
 		n := &controllerNode{model: m, name: name, renewedAt: m.now, leaseStart: m.now}
 		n.Controllers = New(Options{
 			Self: Identity{Name: name, Incarnation: "1"}, Platform: platformClient{m, n}, Members: n, Orders: m,
-			VMs:    func() ([]VM, bool) { return slices.Clone(m.vmList), true },
+			VMs:    func() ([]VM, time.Duration, bool) { return slices.Clone(m.vmList), m.listAge, true },
 			Report: m.report, Rules: func() *rules.Rules { return m.rules },
 			WallClock: func() time.Time { return time.Unix(0, int64(m.now)) }, Now: func() time.Duration { return m.now },
 			Term: term, Margin: margin, Log: log,
@@ -680,3 +689,129 @@
 	must(t, m.controller() == restored, "%s is the controller, want %s", m.controller().name, restored.name)
 	must(t, m.outdatedOrders == 0, "%d orders were carried out after one of a later plan", m.outdatedOrders)
 }
+
+// Guards against orders that end the requests of a group because one list of the VMs lacks a member that serves: the list is late, or an entry
+// of it can't be read. A new controller doesn't know that the VM was listed before.
+func TestMemberThatOneListLacksStays(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		t.Run(fmt.Sprintf("successor=%v", successor), func(t *testing.T) {
+			m := newControllerModel(t, true)
+			m.advanceUntilServing(2)
+			m.advance(250 * time.Millisecond)
+			former := m.controller()
+			for former.paused = successor; m.controller() == former && successor; m.advance(250 * time.Millisecond) {
+				must(t, m.now < 2*time.Hour, "nobody took over")
+				m.setListed("vm01", m.now < former.renewedAt+term+margin)
+			}
+			arrived, stored := m.ordersArrived, m.version
+			m.setListed("vm01", false)
+			for range 8 {
+				m.advance(250 * time.Millisecond)
+				must(t, m.servingGroups() == 2, "%d of 2 groups serve while a list lacks a member", m.servingGroups())
+			}
+			m.setListed("vm01", true)
+			for range 40 {
+				m.advance(250 * time.Millisecond)
+				must(t, m.servingGroups() == 2, "%d of 2 groups serve after the list", m.servingGroups())
+			}
+			must(t, m.ordersArrived == arrived && m.version == stored, "%d orders and %d writes", m.ordersArrived-arrived, m.version-stored)
+
+			m.setListed("vm01", false)
+			m.advanceUntilServing(1)
+			m.advanceUntilServing(2)
+			plan, _ := decodePlan(*m.planObject)
+			must(t, plan.Assignments["vm01"] == nil, "a VM that is listed no more is still a member")
+		})
+	}
+}
+
+// Guards against a removed VM that is replaced late because its last report isn't old yet: the list lacks it, and its reports are missed.
+func TestUnlistedMemberThatMissesReportsIsReplacedAtOnce(t *testing.T) {
+	m := newControllerModel(t, true)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	m.missed = "vm01"
+	for range 4 {
+		m.advance(250 * time.Millisecond)
+		plan, _ := decodePlan(*m.planObject)
+		must(t, plan.Assignments["vm01"] != nil, "a listed member was replaced though its last report is new")
+	}
+	m.setListed("vm01", false)
+	for range 2 {
+		m.advance(250 * time.Millisecond)
+	}
+	plan, _ := decodePlan(*m.planObject)
+	must(t, plan.Assignments["vm01"] == nil, "the member isn't replaced")
+}
+
+// Guards against a new controller that ends a group because a member isn't in its list of the VMs, which it can't read again: the member was
+// listed later.
+func TestOldListOfVMsEndsNoGroup(t *testing.T) {
+	m := newControllerModel(t, true)
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	former, arrived := m.controller(), m.ordersArrived
+	former.paused = true
+	for _, n := range m.nodes {
+		clear(n.memberVMs) // As in a process that has just started.
+	}
+	m.setListed("vm01", false)
+	for range 120 {
+		m.listAge += 250 * time.Millisecond
+		m.advance(250 * time.Millisecond)
+		must(t, m.servingGroups() == 2, "%d of 2 groups serve while the list can't be read", m.servingGroups())
+	}
+	must(t, m.controller() != former, "nobody took over")
+	m.setListed("vm01", true)
+	m.listAge = 0
+	for range 40 {
+		m.advance(250 * time.Millisecond)
+		must(t, m.servingGroups() == 2, "%d of 2 groups serve after the list was read", m.servingGroups())
+	}
+	must(t, m.ordersArrived == arrived, "%d orders arrived", m.ordersArrived-arrived)
+}
+
+// Guards against a group that retires because the VMs of a list that lacks a member are too few for all groups.
+func TestOneListThatLacksAMemberRetiresNoGroup(t *testing.T) {
+	m := newControllerModel(t, true)
+	delete(m.engines, "vm07")
+	delete(m.engines, "vm08")
+	m.publishVMList()
+	m.advanceUntilServing(2)
+	m.advance(250 * time.Millisecond)
+	stored := m.version
+	for i := range 40 {
+		m.setListed("vm01", i >= 8)
+		m.advance(250 * time.Millisecond)
+		must(t, m.servingGroups() == 2, "%d of 2 groups serve", m.servingGroups())
+	}
+	must(t, m.version == stored, "the plan changed")
+}
+
+// setListed publishes the VM list with or without a VM.
+func (m *controllerModel) setListed(vm string, listed bool) {
+	m.publishVMList()
+	if !listed {
+		m.vmList = slices.DeleteFunc(m.vmList, func(v VM) bool { return v.Name == vm })
+	}
+}
+
+// Guards against more loads in a minute than the weight store allows: a new controller doesn't know of those that its predecessor has ordered.
+func TestNewControllerKeepsToTheLoadsOfAMinute(t *testing.T) {
+	const perMinute = 3
+	m := newControllerModel(t, true)
+	m.rules.Weights.PerMinute = perMinute
+	for len(m.loads) < perMinute {
+		m.advance(250 * time.Millisecond)
+		must(t, m.now < 2*time.Hour, "no weights were loaded within an hour")
+	}
+	former := m.controller()
+	former.paused = true
+	for end := m.now + 2*time.Minute; m.now < end; {
+		m.advance(250 * time.Millisecond)
+		last := slices.DeleteFunc(slices.Clone(m.loads), func(at time.Duration) bool { return m.now-at >= time.Minute })
+		must(t, len(last) <= perMinute, "%d loads began within a minute, the budget has %d", len(last), perMinute)
+	}
+	must(t, m.controller() != former, "nobody took over")
+	must(t, m.servingGroups() == 2, "%d of 2 groups serve", m.servingGroups())
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -164,6 +164,7 @@
 	Accepted                         // Begun or completed.
 	Refused                          // The order doesn't fit the replica's state, or another replica has the address.
 	Outdated                         // The replica has seen a higher epoch.
+	NotSent                          // Dropped before it was sent.
 	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
 )
 
@@ -223,6 +224,7 @@
 	// it.
 	headUnheard   bool
 	headLost      bool // The head counted as lost: no node heard from it, or it was never known and the group lacked other members too.
+	restored      bool // Only the record of an earlier planner tells that it was given up.
 	head          fleet.Incarnation
 	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
 	fabric, model string
@@ -379,6 +381,10 @@
 		if m.incarnation != incarnation {
 			continue
 		}
+		if outcome == NotSent {
+			m.joinAttempts-- // Says nothing about the member.
+			return
+		}
 		m.joinAccepted = m.joinAccepted || outcome == Accepted
 		if i == 0 && outcome == Accepted {
 			p.headJoined(g)
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -53,6 +53,12 @@
 	return true
 }
 
+// Common returns the groups that both records have.
+func (r Record) Common(other Record) Record {
+	groups := slices.Clone(r.Groups)
+	return Record{slices.DeleteFunc(groups, func(g RecordedGroup) bool { return !slices.ContainsFunc(other.Groups, g.equal) })}
+}
+
 // Holds reports whether the record has the epoch of the group.
 func (r Record) Holds(name string, epoch int64) bool {
 	return slices.ContainsFunc(r.Groups, func(g RecordedGroup) bool { return g.key() == groupKey{name, epoch} })
@@ -126,11 +132,31 @@
 	return RecordedMember{incarnation, entry.Address}
 }
 
+// maxRestoredGivenUp is the number of given-up epochs of a fabric domain that a planner takes over from the one before. When they were given
+// up isn't recorded, so they would never be forgotten if the planner changed often.
+const maxRestoredGivenUp = 64
+
+// withoutOldGivenUp returns the groups without the oldest given-up epochs above maxRestoredGivenUp.
+func (r Record) withoutOldGivenUp() []RecordedGroup {
+	var epochs []int64
+	for _, g := range r.Groups {
+		if g.GivenUp {
+			epochs = append(epochs, g.Epoch)
+		}
+	}
+	if len(epochs) <= maxRestoredGivenUp {
+		return r.Groups
+	}
+	slices.Sort(epochs)
+	oldest := epochs[len(epochs)-maxRestoredGivenUp]
+	return slices.DeleteFunc(slices.Clone(r.Groups), func(g RecordedGroup) bool { return g.GivenUp && g.Epoch < oldest })
+}
+
 // Restore adds the groups in the records of an earlier planner that this plan doesn't have. Their members are known also if they have no
 // entries.
 func (p *Plan) Restore(records map[string]Record, now clock.Time) {
 	for _, fabric := range slices.Sorted(maps.Keys(records)) {
-		for _, r := range records[fabric].Groups {
+		for _, r := range records[fabric].withoutOldGivenUp() {
 			if len(r.Members) == 0 || r.Members[0].Incarnation.ID == "" && r.GivenUp {
 				continue
 			}
@@ -200,7 +226,7 @@
 	if g := p.groups[r.Name]; g != nil && g.epoch == r.Epoch {
 		return
 	}
-	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: !r.Ended, headLost: r.HeadLost, head: r.Members[0].Incarnation,
+	d := dissolution{at: now, fabric: fabric, model: r.Model, headUnheard: !r.Ended, headLost: r.HeadLost, restored: true, head: r.Members[0].Incarnation,
 		headEntry: r.Members[0].entry(r, 0, fabric), returnedAt: map[fleet.Incarnation]clock.Time{}}
 	for rank, m := range r.Members {
 		if m.Incarnation.ID == "" {
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -98,13 +98,14 @@
 	if p.recorder != nil {
 		if err := p.recorder.await(ctx, o); err != nil {
 			p.opt.Log.WithError(err).WithFields(logrus.Fields{"replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).Info("an order to join is dropped")
+			p.recordOutcome(o, placement.NotSent)
 			return
 		}
 	}
 	lock := p.orderLock(o.To.ID)
 	lock.Lock()
 	defer lock.Unlock()
-	if !p.Active() || !p.stillWants(o) {
+	if !p.mayOrder() || !p.stillWants(o) {
 		return
 	}
 	message := platform.Order{Operation: operations[o.Action], Group: o.Group, Epoch: o.Epoch}
@@ -124,11 +125,18 @@
 	if errors.Is(err, errReplicaMoved) || errors.Is(err, errNotPlanner) {
 		return // The plan orders anew once the replica's entry shows its group.
 	}
+	p.recordOutcome(o, outcome)
+}
+
+func (p *Planner) recordOutcome(o placement.Order, outcome placement.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.plan.RecordOutcome(o, outcome)
 }
 
+// mayOrder reports whether this node is the planner now. Its lease may have ended since the last tick, as when this process was paused.
+func (p *Planner) mayOrder() bool { return p.Active() && p.opt.Lease.Valid() }
+
 // stillWants reports whether an order should still be sent, and logs it if not.
 func (p *Planner) stillWants(o placement.Order) bool {
 	p.mu.Lock()
@@ -190,7 +198,7 @@
 	if report.StartedUnixMs != o.To.StartedUnixMs || o.Action == placement.Join && o.HasMoved(report.Group) {
 		return nil, true, errReplicaMoved
 	}
-	if !p.Active() {
+	if !p.mayOrder() {
 		return nil, true, errNotPlanner
 	}
 	p.mu.Lock()
