--- a/internal/placement/faults_test.go
+++ b/internal/placement/faults_test.go
@@ -148,6 +148,8 @@
 // useOutdatedList lets the planner read an older list of the store.
 func (d *faultyDay) useOutdatedList() {
 	d.note("the list of the store is outdated from now on")
+	clear(d.planner.confirmed) // As Planner.StoreRestored does.
+	clear(d.planner.queriedAt)
 	d.storedEntries, d.mayBeOutdated, d.incomplete = d.history[max(0, len(d.history)-d.random.IntN(30)-1)].replicas, true, true
 	d.run(d.plan, d.duration(500*time.Millisecond, 2*time.Second), d.eachTick)
 	d.storedEntries, d.mayBeOutdated, d.incomplete = nil, false, false
