--- a/internal/planner/observe.go
+++ b/internal/planner/observe.go
@@ -99,7 +99,7 @@
 	defer p.mu.Unlock()
 	p.restoredAt = p.opt.Clock.Now()
 	if p.recorder != nil {
-		p.recorder.storeRestored(context.Background())
+		p.recorder.storeRestored()
 	}
 	clear(p.queriedAt)
 	clear(p.confirmed)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -87,9 +87,9 @@
 
 	mu   sync.Mutex // Guards the fields below. No network call is made while it is held.
 	plan *placement.Plan
-	// restored is set once the plan holds what earlier planners have recorded. Nothing is planned before.
-	restored bool
-	term     int64 // Lease term of the plan.
+	// recordRead is set once the plan holds what earlier planners have recorded. Nothing is planned before.
+	recordRead bool
+	term       int64 // Lease term of the plan.
 	// confirmed holds the replicas that have answered a query since their entries became uncertain, and the epochs that they stated; 0
 	// for no group.
 	confirmed map[fleet.Incarnation]int64
@@ -179,7 +179,7 @@
 	p.term = p.opt.Lease.Term()
 	p.plan = placement.New(p.term)
 	p.termStart = p.opt.Clock.Now()
-	p.restored = p.recorder == nil
+	p.recordRead = p.recorder == nil
 	if p.recorder != nil {
 		p.recorder.startTerm(p.term)
 	}
@@ -233,7 +233,7 @@
 	}
 	confirmed := p.confirmedReplicas(replicas)
 	queries = p.replicasToQuery(replicas, uncertain, now)
-	if !p.restored || !beforeFirstRequest && now.Sub(p.termStart) < settleTime {
+	if !p.recordRead || !beforeFirstRequest && now.Sub(p.termStart) < settleTime {
 		return nil, nil, queries
 	}
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
@@ -278,14 +278,14 @@
 		return
 	}
 	p.plan.Restore(records, p.opt.Clock.Now())
-	p.restored = true
+	p.recordRead = true
 }
 
 // recordPlan writes what has changed in the plan to the store.
 func (p *Planner) recordPlan(ctx context.Context) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.recorder != nil && p.plan != nil && p.restored {
+	if p.recorder != nil && p.plan != nil && p.recordRead {
 		p.recorder.keep(ctx, p.plan.TakeRecords())
 	}
 }
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -31,8 +31,10 @@
 	maxRecordRetryInterval = 400 * time.Millisecond
 )
 
-// errNotRecorded means that an order wasn't sent because its epoch isn't in the store.
-var errNotRecorded = eris.New("the epoch is no longer planned, or the same order waits already for its record")
+var (
+	errNotWanted = eris.New("its epoch is no longer planned, or the lease was lost")
+	errWaiting   = eris.New("the same order waits already for its record")
+)
 
 // storedRecord is the plan of a fabric domain as stored.
 type storedRecord struct {
@@ -134,13 +136,12 @@
 	r.wakeLocked()
 }
 
-// storeRestored notes that the store has come back from an older copy, so that all records must be written again.
-func (r *recorder) storeRestored(ctx context.Context) {
+// storeRestored notes that the store has come back from an older copy, so that the next call of keep writes all records again.
+func (r *recorder) storeRestored() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for fabric, d := range r.domains {
+	for _, d := range r.domains {
 		d.at, d.written, d.behind = position{}, placement.Record{}, true
-		r.startWriting(ctx, fabric, d)
 	}
 }
 
@@ -353,7 +354,7 @@
 	}
 	key := waitingOrder{o.To.Incarnation(), o.Epoch}
 	if !r.startWaiting(key) {
-		return errNotRecorded
+		return errWaiting
 	}
 	defer r.stopWaiting(key)
 	for {
@@ -363,7 +364,7 @@
 		r.mu.Unlock()
 		switch {
 		case !wanted && !written || !r.lease.Holds(term):
-			return errNotRecorded
+			return errNotWanted
 		case !r.lease.Valid(): // A late renewal or an outage may make it valid again.
 		case written:
 			return nil
