--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -223,8 +223,10 @@
 	at clock.Time
 	// headUnheard is set if the head wasn't heard to have left: it was unreachable, and may still serve if only the nodes can't reach
 	// it.
-	headUnheard   bool
-	headLost      bool // The head counted as lost: no node heard from it, or it was never known, without a record, and the group lacked other members too.
+	headUnheard bool
+	// headLost is set if members that leave needn't wait for the head: it didn't serve, counted as lost, or was never known, without a
+	// record, and the group lacked other members too.
+	headLost      bool
 	restored      bool // Only the record of an earlier planner tells that it was given up.
 	head          fleet.Incarnation
 	headEntry     *fleet.Replica // Last known entry of the head; nil if there was none.
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -199,7 +199,8 @@
 	return stored, nil
 }
 
-// keep writes the records unless the store already holds their groups as this planner has written them, and resumes writes that ended while the lease wasn't valid.
+// keep writes the records unless the store already holds their groups as this planner has written them. It also resumes writes that ended
+// while the lease wasn't valid, and those of records that a restore has taken.
 func (r *recorder) keep(ctx context.Context, records map[string]placement.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
