Open connections to replicas through other nodes

Package reach opens a connection to a replica directly or, where that takes longer or fails, by a tunnel through another node. It keeps which of this node's own paths are lost, and its errors tell whether another node has confirmed that a replica can't be reached. Nothing uses it yet.

--- /dev/null
+++ b/internal/reach/errors.go
@@ -0,0 +1,104 @@
+package reach
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+)
+
+// ErrUnconfirmed means that a connection to a replica was refused, or not opened in time, and that no other node has confirmed it: only this
+// node's own path may be at fault.
+var ErrUnconfirmed = errors.New("no other node has confirmed that the replica can't be reached")
+
+// Errors of a node that was asked for a tunnel.
+var (
+	errPeerNotReached = errors.New("the node doesn't reach the replica either")
+	errPeerDeclined   = errors.New("the node opens no tunnel to the replica")
+)
+
+// PeerError is the error of one node that was asked for a tunnel.
+type PeerError struct {
+	Peer string
+	Err  error
+}
+
+// DialError means that no connection to a replica opened, neither directly nor through another node.
+type DialError struct {
+	Direct error // Nil if no direct connection was tried.
+	Peers  []PeerError
+	// Alone is set if there was no other node to ask.
+	Alone bool
+}
+
+// Error implements error.
+func (e *DialError) Error() string {
+	parts := []string{}
+	if e.Direct != nil {
+		parts = append(parts, e.Direct.Error())
+	}
+	for _, p := range e.Peers {
+		parts = append(parts, fmt.Sprintf("through %s: %v", p.Peer, p.Err))
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Confirmed reports whether another node has found that it doesn't reach the replica either, or there is none to ask.
+func (e *DialError) Confirmed() bool {
+	if e.Alone {
+		return true
+	}
+	for _, p := range e.Peers {
+		if errors.Is(p.Err, errPeerNotReached) || errors.Is(p.Err, syscall.ECONNREFUSED) {
+			return true
+		}
+	}
+	return false
+}
+
+// refused reports whether every node that tried found that nothing listens at the address.
+func (e *DialError) refused() bool {
+	if e.Direct != nil && !errors.Is(e.Direct, syscall.ECONNREFUSED) || !e.Confirmed() {
+		return false
+	}
+	for _, p := range e.Peers {
+		if errors.Is(p.Err, errPeerNotReached) {
+			return false
+		}
+	}
+	return e.Direct != nil || len(e.Peers) > 0
+}
+
+// Is reports whether the error means the same as target. It is ECONNREFUSED only if nothing listens at the address as far as all nodes that
+// tried can tell, and ErrUnconfirmed if none but this node has tried.
+func (e *DialError) Is(target error) bool {
+	switch target {
+	case syscall.ECONNREFUSED:
+		return e.refused()
+	case ErrUnconfirmed:
+		return !e.Confirmed()
+	}
+	return false
+}
+
+// Timeout implements net.Error: it reports whether a connection wasn't opened in time.
+func (e *DialError) Timeout() bool {
+	for _, err := range append([]error{e.Direct}, e.peerErrors()...) {
+		if timeout, ok := errors.AsType[net.Error](err); ok && timeout.Timeout() || errors.Is(err, errPeerNotReached) {
+			return true
+		}
+	}
+	return false
+}
+
+// Temporary implements net.Error.
+func (e *DialError) Temporary() bool { return e.Timeout() }
+
+func (e *DialError) peerErrors() []error {
+	list := make([]error, 0, len(e.Peers))
+	for _, p := range e.Peers {
+		list = append(list, p.Err)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,214 @@
+// Package reach opens connections to replicas, directly or by a tunnel through another node that reaches them. A node that has lost its own
+// paths to replicas can so go on serving, and doesn't take its loss of paths for a loss of the replicas.
+package reach
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/recovery"
+)
+
+const (
+	// trialInterval is the time between two direct connections to a replica to which this node's own path is lost.
+	trialInterval = 500 * time.Millisecond
+	// pathMemory is the time for which the outcome of a direct connection counts for MostLost.
+	pathMemory = 3 * time.Second
+	// minLostPaths is the number of lost paths below which a node doesn't count as cut off.
+	minLostPaths = 3
+	// peerAvoidance is the time for which a node through which no connection opened is asked after all others.
+	peerAvoidance = time.Second
+	// idleRetention is the time for which a path without connections is remembered.
+	idleRetention = time.Minute
+)
+
+// Target is one start of a replica and the address at which it listens.
+type Target struct {
+	fleet.Incarnation
+	Address string
+}
+
+// TargetOf returns the target of a replica's entry.
+func TargetOf(r *fleet.Replica) Target { return Target{r.Incarnation(), r.Address} }
+
+// Peer is another node that opens tunnels to replicas.
+type Peer struct {
+	Name    string
+	Address string // host:port at which it accepts tunnels.
+	Near    bool   // In this node's failure domain.
+	// PathsLost is set if the node has stated that it lacks most of its own paths.
+	PathsLost bool
+}
+
+// Options configures Paths.
+type Options struct {
+	Clock clock.Clock
+	Log   logrus.FieldLogger
+	Meter metric.Meter // Nil for none.
+	// Peers returns the nodes that may be asked for a tunnel; nil if there never are any.
+	Peers  func() []Peer
+	Panics recovery.Recoverer
+	// Direct opens a TCP connection of this node's own; nil for net.Dialer. Tests cut paths with it.
+	Direct func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// path is what is known of this node's own path to a replica.
+type path struct {
+	usedAt    clock.Time // Last call of Dial.
+	outcomeAt clock.Time // When the last direct connection opened or failed; 0 if none has.
+	lostSince clock.Time // When a direct connection first failed while another node reached the replica; 0 if the last one opened.
+	triedAt   clock.Time // When a direct connection was last tried.
+}
+
+// Paths opens connections to replicas and keeps what is known of this node's own paths to them. It is safe for concurrent use; its lock is
+// never held during a call to another node or a replica.
+type Paths struct {
+	opt     Options
+	counter metric.Int64Counter
+
+	mu      sync.Mutex
+	paths   map[Target]*path
+	avoided map[string]clock.Time // Until when a node is asked after all others, by its name.
+}
+
+// New returns Paths that are all unknown.
+func New(opt Options) (*Paths, error) {
+	if opt.Direct == nil {
+		opt.Direct = func(ctx context.Context, address string) (net.Conn, error) {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	p := &Paths{opt: opt, paths: map[Target]*path{}, avoided: map[string]clock.Time{}}
+	if opt.Meter == nil {
+		return p, nil
+	}
+	counter, err := opt.Meter.Int64Counter("cassiadeal_tunnels", metric.WithDescription("Tunnels to replicas through other nodes by outcome."))
+	p.counter = counter
+	return p, eris.Wrap(err, "create the tunnel counter")
+}
+
+// Lost reports whether this node's own path to a target is lost, though another node reaches it, and since when.
+func (p *Paths) Lost(to Target) (since clock.Time, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.paths[to]
+	if known == nil || known.lostSince == 0 {
+		return 0, false
+	}
+	return known.lostSince, true
+}
+
+// MostLost reports whether this node lacks its own paths to most of the replicas to which it has lately opened connections.
+func (p *Paths) MostLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, lost, working := p.opt.Clock.Now(), 0, 0
+	for to, known := range p.paths {
+		switch {
+		case now.Sub(known.usedAt) > idleRetention:
+			delete(p.paths, to)
+		case known.outcomeAt == 0 || now.Sub(known.outcomeAt) > pathMemory:
+		case known.lostSince != 0:
+			lost++
+		default:
+			working++
+		}
+	}
+	return lost >= minLostPaths && lost > working
+}
+
+// begin notes a call of Dial. It reports whether a direct connection is to be tried, and whether the path is known to be lost.
+func (p *Paths) begin(to Target) (direct, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, known := p.opt.Clock.Now(), p.paths[to]
+	if known == nil {
+		known = &path{}
+		p.paths[to] = known
+	}
+	known.usedAt = now
+	lost = known.lostSince != 0
+	if lost && now.Sub(known.triedAt) < trialInterval {
+		return false, true
+	}
+	known.triedAt = now
+	return true, lost
+}
+
+// directOpened records that a direct connection has opened.
+func (p *Paths) directOpened(to Target) {
+	p.mu.Lock()
+	known, now := p.paths[to], p.opt.Clock.Now()
+	restored := false
+	if known != nil {
+		restored = known.lostSince != 0
+		known.outcomeAt, known.lostSince = now, 0
+	}
+	p.mu.Unlock()
+	if restored {
+		p.opt.Log.WithFields(logrus.Fields{"replica": to.ID, "address": to.Address}).Info("this node's own path to a replica works again")
+	}
+}
+
+// directFailed records that no direct connection opened although the target was reached through a peer.
+func (p *Paths) directFailed(to Target, peer string, err error) {
+	p.mu.Lock()
+	known, now := p.paths[to], p.opt.Clock.Now()
+	lost := false
+	if known != nil {
+		known.outcomeAt = now
+		if lost = known.lostSince == 0; lost {
+			known.lostSince = now
+		}
+	}
+	p.mu.Unlock()
+	if lost {
+		p.opt.Log.WithError(err).WithFields(logrus.Fields{"replica": to.ID, "address": to.Address, "through": peer}).
+			Info("this node has lost its own path to a replica that another node reaches")
+	}
+}
+
+// avoid lets a node be asked after all others for a while.
+func (p *Paths) avoid(peer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoided[peer] = p.opt.Clock.Now().Add(peerAvoidance)
+}
+
+// peers returns the nodes to ask for a tunnel, the preferred ones first.
+func (p *Paths) peers() []Peer {
+	if p.opt.Peers == nil {
+		return nil
+	}
+	list := p.opt.Peers()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opt.Clock.Now()
+	rank := func(peer Peer) int {
+		r := 0
+		if !peer.Near {
+			r++
+		}
+		if until, avoided := p.avoided[peer.Name]; avoided && now < until {
+			r += 2
+		}
+		if peer.PathsLost {
+			r += 4
+		}
+		return r
+	}
+	slices.SortStableFunc(list, func(a, b Peer) int { return rank(a) - rank(b) })
+	return list
+}
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,290 @@
+package reach
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/recovery"
+)
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// testRequest is how the tests open connections.
+var testRequest = Request{Timeout: 2 * time.Second, PeerDelay: 20 * time.Millisecond, Lifetime: 10 * time.Second}
+
+// listen returns a listener on loopback that hands each connection to serve.
+func listen(t *testing.T, serve func(*net.TCPConn)) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn.(*net.TCPConn))
+		}
+	}()
+	return l
+}
+
+// deadAddress returns an address at which nothing listens.
+func deadAddress(t *testing.T) string {
+	l := listen(t, func(*net.TCPConn) {})
+	l.Close()
+	return l.Addr().String()
+}
+
+// startPeer starts a node that opens tunnels, to the given address whatever address is asked for.
+func startPeer(t *testing.T, name, reaches string) (Peer, *Server) {
+	s := &Server{Log: quietLog(), Panics: recovery.Recoverer{Log: quietLog()}, Allowed: func(Target, bool) bool { return true }}
+	h := s.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		query.Set("address", reaches)
+		r.URL.RawQuery = query.Encode()
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return Peer{Name: name, Address: server.Listener.Addr().String()}, s
+}
+
+func newPaths(t *testing.T, c clock.Clock, peers ...Peer) *Paths {
+	p, err := New(Options{Clock: c, Log: quietLog(), Peers: func() []Peer { return append([]Peer(nil), peers...) }, Panics: recovery.Recoverer{Log: quietLog()}})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return p
+}
+
+func targetAt(address string) Target {
+	return Target{fleet.Incarnation{ID: "r", StartedUnixMs: 1}, address}
+}
+
+func echo(conn *net.TCPConn) {
+	defer conn.Close()
+	_, _ = io.Copy(conn, conn)
+}
+
+// Guards against a replica that counts as unreachable because only this node's own path to it is lost.
+func TestReplicaIsReachedThroughAnotherNode(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	peer, _ := startPeer(t, "b", replica.Addr().String())
+	now := clock.NewManual(time.Hour)
+	p, to := newPaths(t, now, peer), targetAt(deadAddress(t))
+	conn, err := p.Dial(t.Context(), to, testRequest)
+	c.Assert(err, quicktest.IsNil)
+	defer conn.Close()
+	c.Check(conn.Through, quicktest.Equals, "b")
+	_, lost := p.Lost(to)
+	c.Check(lost, quicktest.IsTrue)
+	_, err = io.WriteString(conn, "ping")
+	c.Assert(err, quicktest.IsNil)
+	buffer := make([]byte, 4)
+	_, err = io.ReadFull(conn, buffer)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(string(buffer), quicktest.Equals, "ping")
+}
+
+// Guards against tunnels where the direct path works.
+func TestDirectPathIsUsedWhereItWorks(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	asked := atomic.Int64{}
+	peer := Peer{Name: "b", Address: listen(t, func(conn *net.TCPConn) { asked.Add(1); conn.Close() }).Addr().String()}
+	p := newPaths(t, clock.NewManual(time.Hour), peer)
+	request := testRequest
+	request.PeerDelay = time.Second
+	conn, err := p.Dial(t.Context(), targetAt(replica.Addr().String()), request)
+	c.Assert(err, quicktest.IsNil)
+	conn.Close()
+	c.Check(conn.Through, quicktest.Equals, "")
+	c.Check(asked.Load(), quicktest.Equals, int64(0))
+}
+
+// Guards against an answer that looks complete although the node between, or the replica, broke it off.
+func TestEndOfATunnelTellsHowTheReplicaEnded(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(*net.TCPConn)
+		want error
+	}{
+		"the replica closes": {func(conn *net.TCPConn) { conn.Close() }, io.EOF},
+		"the replica resets": {func(conn *net.TCPConn) { _ = conn.SetLinger(0); conn.Close() }, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			replica := listen(t, func(conn *net.TCPConn) {
+				buffer := make([]byte, 4)
+				_, _ = io.ReadFull(conn, buffer)
+				_, _ = conn.Write([]byte("part"))
+				time.Sleep(50 * time.Millisecond) // A reset may overtake data that haven't been read.
+				test.end(conn)
+			})
+			peer, _ := startPeer(t, "b", replica.Addr().String())
+			conn, err := newPaths(t, clock.NewManual(time.Hour), peer).Dial(t.Context(), targetAt(deadAddress(t)), testRequest)
+			c.Assert(err, quicktest.IsNil)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "send")
+			c.Assert(err, quicktest.IsNil)
+			got, err := io.ReadAll(conn)
+			c.Check(string(got), quicktest.Equals, "part")
+			if test.want == io.EOF {
+				c.Check(err, quicktest.IsNil)
+			} else {
+				c.Check(errors.Is(err, test.want), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			}
+		})
+	}
+	t.Run("the node between ends", func(t *testing.T) {
+		c := quicktest.New(t)
+		peer := Peer{Name: "b", Address: listen(t, func(conn *net.TCPConn) {
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n\x00\x04part")
+			conn.Close()
+		}).Addr().String()}
+		conn, err := newPaths(t, clock.NewManual(time.Hour), peer).Dial(t.Context(), targetAt(deadAddress(t)), testRequest)
+		c.Assert(err, quicktest.IsNil)
+		defer conn.Close()
+		got, err := io.ReadAll(conn)
+		c.Check(string(got), quicktest.Equals, "part")
+		c.Check(err, quicktest.Equals, io.ErrUnexpectedEOF)
+	})
+}
+
+// Guards against replicas that go on with a request whose client has left: the connection to the replica ends with the tunnel.
+func TestReplicaSeesThatTheTunnelIsClosed(t *testing.T) {
+	c := quicktest.New(t)
+	ended := make(chan error, 1)
+	replica := listen(t, func(conn *net.TCPConn) {
+		_, err := io.ReadAll(conn)
+		ended <- err
+	})
+	peer, server := startPeer(t, "b", replica.Addr().String())
+	conn, err := newPaths(t, clock.NewManual(time.Hour), peer).Dial(t.Context(), targetAt(deadAddress(t)), testRequest)
+	c.Assert(err, quicktest.IsNil)
+	_, err = io.WriteString(conn, "request")
+	c.Assert(err, quicktest.IsNil)
+	conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection to the replica is still open")
+	}
+	for end := time.Now().Add(5 * time.Second); server.Open() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Check(server.Open(), quicktest.Equals, int64(0))
+}
+
+// Guards against a replica that counts as ended because this node's own connections to it are refused.
+func TestRefusalIsConfirmedByAnotherNode(t *testing.T) {
+	c := quicktest.New(t)
+	dead := deadAddress(t)
+	refuses, _ := startPeer(t, "b", dead)
+	silent := Peer{Name: "c", Address: listen(t, func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) }).Addr().String()}
+	short := testRequest
+	short.Timeout = 300 * time.Millisecond
+	for _, test := range []struct {
+		name               string
+		peers              []Peer
+		confirmed, refused bool
+	}{
+		{"no other node", nil, true, true},
+		{"another node", []Peer{refuses}, true, true},
+		{"a node that doesn't answer", []Peer{silent}, false, false},
+		{"one of two nodes answers", []Peer{silent, refuses}, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := newPaths(t, clock.NewManual(time.Hour), test.peers...).Dial(t.Context(), targetAt(dead), short)
+			c.Check(errors.Is(err, syscall.ECONNREFUSED), quicktest.Equals, test.refused, quicktest.Commentf("%v", err))
+			c.Check(errors.Is(err, ErrUnconfirmed), quicktest.Equals, !test.confirmed, quicktest.Commentf("%v", err))
+		})
+	}
+}
+
+// Guards against a node that goes on to use tunnels after its own path works again, and against a direct connection before each of them.
+func TestLostPathIsTriedAgain(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	address := deadAddress(t)
+	peer, _ := startPeer(t, "b", replica.Addr().String())
+	now := clock.NewManual(time.Hour)
+	p, to := newPaths(t, now, peer), targetAt(address)
+	dial := func() string {
+		conn, err := p.Dial(t.Context(), to, testRequest)
+		c.Assert(err, quicktest.IsNil)
+		conn.Close()
+		return conn.Through
+	}
+	c.Assert(dial(), quicktest.Equals, "b")
+	back, err := net.Listen("tcp", address)
+	c.Assert(err, quicktest.IsNil)
+	defer back.Close()
+	c.Check(dial(), quicktest.Equals, "b") // Not tried again yet.
+	now.Advance(trialInterval)
+	dial()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, lost := p.Lost(to); !lost {
+			break
+		}
+	}
+	_, lost := p.Lost(to)
+	c.Check(lost, quicktest.IsFalse)
+	c.Check(dial(), quicktest.Equals, "")
+}
+
+// Guards against a node that counts as cut off because some replicas have ended, or that doesn't know that it is.
+func TestMostLost(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	p := newPaths(t, now)
+	note := func(id string, lost bool) {
+		to := Target{fleet.Incarnation{ID: id, StartedUnixMs: 1}, "a"}
+		p.begin(to)
+		if lost {
+			p.directFailed(to, "b", errors.New("timeout"))
+		} else {
+			p.directOpened(to)
+		}
+	}
+	note("a", true)
+	note("b", true)
+	c.Check(p.MostLost(), quicktest.IsFalse)
+	note("c", true)
+	c.Check(p.MostLost(), quicktest.IsTrue)
+	for _, id := range []string{"d", "e", "f"} {
+		note(id, false)
+	}
+	c.Check(p.MostLost(), quicktest.IsFalse)
+	now.Advance(pathMemory + time.Millisecond)
+	c.Check(p.MostLost(), quicktest.IsFalse)
+}
+
+// Guards against connections that stay open after the one that was used.
+func TestClientThatLeavesEndsTheDial(t *testing.T) {
+	c := quicktest.New(t)
+	silent := Peer{Name: "c", Address: listen(t, func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) }).Addr().String()}
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	started := time.Now()
+	_, err := newPaths(t, clock.NewManual(time.Hour), silent).Dial(ctx, targetAt(deadAddress(t)), testRequest)
+	c.Check(errors.Is(err, context.Canceled), quicktest.IsTrue)
+	c.Check(time.Since(started) < time.Second, quicktest.IsTrue)
+}
