Count failures that only this node has seen against a replica once they repeat

A probe that failed while no other node had said whether it reaches the replica counted like one that another node confirmed: where the nodes that are asked for a tunnel are silent, or a call ends before they answer, one loss of an own path again made a head count as lost. Such a failure counts from the third in a row on, and not while this node lacks most of its own paths. Confirmed failures count at once as before, also where the first of two nodes is silent: a head that no node reaches is given up in the same tick as by a planner that is alone. An unconfirmed failure doesn't make this node suspect the head, which it told the other nodes.

Probes and orders log "confirmed", answers "through", and failures "paths_lost", which tells a planner's own loss from one that others confirm.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -171,7 +171,7 @@
 		logEntry = logEntry.WithField("expected_count", *message.ExpectedCount)
 	}
 	if err != nil {
-		logEntry = logEntry.WithError(err)
+		logEntry = logEntry.WithError(err).WithField("confirmed", confirmed(err))
 	}
 	logEntry.Info("order: " + o.Reason)
 	p.mu.Lock()
--- a/internal/planner/paths_test.go
+++ b/internal/planner/paths_test.go
@@ -86,11 +86,19 @@
 }
 
 // losePath lets the planner's connections to a replica go to another address than those of other nodes.
-func (p *pathsTest) losePath(r *fleet.Replica, address string) {
+func (p *pathsTest) losePath(i int, address string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reached[address] = r.Address
-	r.Address = address
+	p.reached[address] = p.entries[i].Address
+	p.mu.Unlock()
+	p.setAddress(i, address)
+}
+
+// setAddress replaces the entry of a replica by one with another address.
+func (p *pathsTest) setAddress(i int, address string) {
+	entry := *p.entries[i]
+	entry.Address = address
+	p.entries[i] = &entry
+	p.planner.opt.Registry.Replace(p.entries)
 }
 
 func (p *pathsTest) listPeers() []reach.Peer {
@@ -246,7 +254,7 @@
 					p.addPeer(t, "b")
 					p.run(tickInterval) // The group is adopted.
 					for _, rank := range ranks {
-						p.losePath(p.entries[rank], lossesOfOwnPaths[kind](t))
+						p.losePath(rank, lossesOfOwnPaths[kind](t))
 					}
 					p.suspectIdleHead(1300 * time.Millisecond)
 					orders := p.run(4 * time.Second)
@@ -263,3 +271,109 @@
 		}
 	}
 }
+
+// ticksUntilGivenUp plans until an epoch is given up, and returns the number of ticks; 0 if none is within the time.
+func (p *pathsTest) ticksUntilGivenUp(d time.Duration) int {
+	for n := range int(d / tickInterval) {
+		if p.run(tickInterval); len(p.causes()) > 0 {
+			return n + 1
+		}
+	}
+	return 0
+}
+
+// Guards against a lost head that is replaced later because other nodes are asked before it counts as lost.
+func TestHeadThatNoNodeReachesIsReplacedAsSoonAsByOneNode(t *testing.T) {
+	for _, kind := range slices.Sorted(maps.Keys(lossesOfOwnPaths)) {
+		t.Run(kind, func(t *testing.T) {
+			givenUpAfter := func(peers func(*pathsTest)) int {
+				p := newPathsTest(t)
+				peers(p)
+				p.run(tickInterval)
+				p.setAddress(0, lossesOfOwnPaths[kind](t))
+				p.suspectIdleHead(1300 * time.Millisecond)
+				return p.ticksUntilGivenUp(4 * time.Second)
+			}
+			c := quicktest.New(t)
+			direct := givenUpAfter(func(p *pathsTest) { p.planner.opt.Replicas.Paths = nil })
+			c.Assert(direct > 0, quicktest.IsTrue)
+			c.Check(givenUpAfter(func(*pathsTest) {}), quicktest.Equals, direct, quicktest.Commentf("no other node"))
+			c.Check(givenUpAfter(func(p *pathsTest) { p.addPeer(t, "b") }), quicktest.Equals, direct, quicktest.Commentf("another node"))
+			c.Check(givenUpAfter(func(p *pathsTest) {
+				p.addSilentPeer(t, "a")
+				p.addPeer(t, "b")
+			}), quicktest.Equals, direct, quicktest.Commentf("the first of two other nodes is silent"))
+		})
+	}
+}
+
+// Guards against a head that counts as lost because one or two connections of only this node failed: no other node has said whether it
+// reaches the head.
+func TestFailuresThatNoOtherNodeHasConfirmedHaveToRepeat(t *testing.T) {
+	for _, kind := range slices.Sorted(maps.Keys(lossesOfOwnPaths)) {
+		t.Run(kind, func(t *testing.T) {
+			p := newPathsTest(t)
+			p.addSilentPeer(t, "a")
+			p.addSilentPeer(t, "b")
+			p.run(tickInterval)
+			own := p.entries[0].Address
+			p.losePath(0, lossesOfOwnPaths[kind](t))
+			p.suspectIdleHead(1300 * time.Millisecond)
+			p.run(2 * failedProbeInterval) // Two probes.
+			p.setAddress(0, own)
+			p.c.Check(p.causes(), quicktest.DeepEquals, []string{})
+			p.run(4 * time.Second)
+			p.c.Check(p.causes(), quicktest.DeepEquals, []string{})
+			p.losePath(0, lossesOfOwnPaths[kind](t))
+			p.suspectIdleHead(1300 * time.Millisecond)
+			p.c.Check(p.ticksUntilGivenUp(6*time.Second) > 0, quicktest.IsTrue)
+		})
+	}
+}
+
+// Guards against a planner that has lost most of its own paths and takes what it can't reach for lost as soon as other nodes don't answer.
+func TestPlannerWithoutPathsTakesNothingForLost(t *testing.T) {
+	for _, kind := range slices.Sorted(maps.Keys(lossesOfOwnPaths)) {
+		t.Run(kind, func(t *testing.T) {
+			p := newPathsTest(t)
+			p.addPeer(t, "b")
+			p.run(tickInterval)
+			for i := range p.entries {
+				p.losePath(i, lossesOfOwnPaths[kind](t))
+			}
+			p.suspectIdleHead(1300 * time.Millisecond)
+			p.run(failedProbeInterval)
+			for end := time.Now().Add(recordWait); !p.planner.opt.Replicas.PathsLost() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond) // A direct connection may fail later than one through the other node opens.
+			}
+			p.c.Assert(p.planner.opt.Replicas.PathsLost(), quicktest.IsTrue)
+			p.mu.Lock()
+			p.peers = nil
+			p.mu.Unlock()
+			p.addSilentPeer(t, "a")
+			p.suspectIdleHead(1300 * time.Millisecond)
+			p.run(2500 * time.Millisecond)
+			p.c.Check(p.causes(), quicktest.DeepEquals, []string{})
+		})
+	}
+}
+
+// Guards against members of a head that are used elsewhere because its address refused an order of this node only.
+func TestOrderThatOnlyThisNodeIsRefusedIsNotAnswered(t *testing.T) {
+	p := newPathsTest(t)
+	p.losePath(0, refusingAddress(t))
+	o := placement.Order{To: p.entries[0], Action: placement.Leave, Group: "g", Epoch: pathsEpoch}
+	outcome := func() placement.Outcome {
+		outcome, _, _ := p.planner.sendCounted(context.Background(), o, platform.Order{Operation: platform.OpLeave, Group: "g", Epoch: pathsEpoch})
+		return outcome
+	}
+	p.addSilentPeer(t, "a")
+	p.c.Check(outcome(), quicktest.Equals, placement.Unknown)
+	p.addPeer(t, "b")
+	p.c.Check(outcome(), quicktest.Equals, placement.Accepted)
+	p.c.Check(p.replicas["r0"].groupOf(), quicktest.IsNil)
+	p.mu.Lock()
+	p.reached, p.peers = map[string]string{}, p.peers[1:]
+	p.mu.Unlock()
+	p.c.Check(outcome(), quicktest.Equals, placement.ConnectionRefused)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -97,6 +96,7 @@
 	// reportAskedAt holds when the newest report in use was requested.
 	reportAskedAt map[fleet.Incarnation]clock.Time
 	termStart     clock.Time
+	unconfirmed   unconfirmedFailures
 	nextProbe     map[string]clock.Time  // When a group may be probed again, by group name.
 	orderLocks    map[string]*sync.Mutex // By replica ID; see orderLock.
 	counts        orderCounts
@@ -108,7 +108,7 @@
 // New returns a Planner.
 func New(opt Options) *Planner {
 	p := &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
-		orderLocks: map[string]*sync.Mutex{}, counts: newOrderCounts()}
+		unconfirmed: unconfirmedFailures{}, orderLocks: map[string]*sync.Mutex{}, counts: newOrderCounts()}
 	if opt.Store != nil {
 		p.recorder = newRecorder(opt.Store, opt.Lease, opt.StoreFailing, opt.Log)
 	}
@@ -187,6 +187,7 @@
 	clear(p.queriedAt)
 	clear(p.reportAskedAt)
 	clear(p.confirmed)
+	clear(p.unconfirmed)
 	p.counts = newOrderCounts()
 }
 
@@ -414,32 +415,16 @@
 	head, replica, started := task.head, task.replica, time.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	answers := make(chan error, 2)
-	var reportedSlowdown atomic.Value
-	sendProbe := func() {
-		report, err := p.opt.Replicas.Report(ctx, replica.Incarnation(), replica.Address)
-		if err == nil {
-			reportedSlowdown.Store(report.Slowdown)
-		}
-		if err == nil && report.StartedUnixMs != 0 && report.StartedUnixMs != replica.StartedUnixMs {
-			err = eris.Wrapf(errRestarted, "replica %s was started at %d, not at %d", replica.ID, report.StartedUnixMs, replica.StartedUnixMs)
-		}
-		answers <- err
-	}
-	go sendProbe()
-	secondProbe := time.AfterFunc(secondProbeDelay, sendProbe)
-	err := <-answers
-	if err != nil && !secondProbe.Stop() {
-		err = <-answers
-	}
+	report, err := p.requestReport(ctx, replica)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	log := p.opt.Log.WithFields(logrus.Fields{"replica": replica.ID, "group": replica.Group})
 	if err == nil {
-		now, slowdown := p.opt.Clock.Now(), reportedSlowdown.Load().(float64)
+		now := p.opt.Clock.Now()
+		delete(p.unconfirmed, replica.Incarnation())
 		p.plan.RecordProbeAnswer(replica.Incarnation(), now)
-		p.plan.RecordSlowdown(replica.Incarnation(), slowdown, now)
-		log.WithField("pace", slowdown).Info("a probed group member answers")
+		p.plan.RecordSlowdown(replica.Incarnation(), report.Slowdown, now)
+		log.WithFields(logrus.Fields{"pace": report.Slowdown, "through": report.Through}).Info("a probed group member answers")
 		return
 	}
 	if overrun := time.Since(started) - probeTimeout; overrun > probeTimeoutTolerance {
@@ -447,14 +432,47 @@
 		return
 	}
 	now := p.opt.Clock.Now()
+	p.nextProbe[task.group] = min(p.nextProbe[task.group], now.Add(failedProbeInterval))
+	pathsLost := p.opt.Replicas.PathsLost()
+	log = log.WithError(err).WithFields(logrus.Fields{"confirmed": confirmed(err), "paths_lost": pathsLost})
+	if !p.unconfirmed.provesFailure(replica.Incarnation(), err, pathsLost, now) {
+		log.Info("a failed probe is ignored, since no other node has tried to reach the group member")
+		return
+	}
 	if errors.Is(err, errRestarted) || errors.Is(err, syscall.ECONNREFUSED) {
 		p.plan.RecordEnd(replica.Incarnation(), now)
 	} else {
 		p.plan.RecordProbeFailure(replica.Incarnation(), now)
 	}
-	p.nextProbe[task.group] = min(p.nextProbe[task.group], now.Add(failedProbeInterval))
 	if head != nil && head.Group != nil {
 		p.opt.Table.Suspect(balance.KeyOf(head))
 	}
-	log.WithError(err).Warning("a probed group member doesn't answer")
+	log.Warning("a probed group member doesn't answer")
+}
+
+// requestReport requests a replica's report, and a second time if there is no answer after secondProbeDelay. If both fail, the error is that
+// of the second, unless only the first tells of the replica.
+func (p *Planner) requestReport(ctx context.Context, replica *fleet.Replica) (*platform.Report, error) {
+	type answer struct {
+		report *platform.Report
+		err    error
+	}
+	answers := make(chan answer, 2)
+	request := func() {
+		report, err := p.opt.Replicas.Report(ctx, replica.Incarnation(), replica.Address)
+		if err == nil && report.StartedUnixMs != 0 && report.StartedUnixMs != replica.StartedUnixMs {
+			err = eris.Wrapf(errRestarted, "replica %s was started at %d, not at %d", replica.ID, report.StartedUnixMs, replica.StartedUnixMs)
+		}
+		answers <- answer{report, err}
+	}
+	go request()
+	second := time.AfterFunc(secondProbeDelay, request)
+	first := <-answers
+	if first.err == nil || second.Stop() {
+		return first.report, first.err
+	}
+	if last := <-answers; confirmed(last.err) || !confirmed(first.err) {
+		return last.report, last.err
+	}
+	return nil, first.err
 }
