Let nodes reach replicas through each other on the users' platform

Each node listens for tunnels on the third of its internal ports, tells the others the address and whether it lacks most of its own paths, and asks live nodes of its own region, near ones first. Tunnels lead only to the registered address of a replica and, for requests, to one that takes them here. A draining node opens no more tunnels and waits for the open ones.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/internal/mirror"
 	"cassiadeal.example/cassiadeal/internal/planner"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/schema"
@@ -77,6 +78,8 @@
 	lease      *planner.Lease
 	planner    *planner.Planner
 	replicas   *platform.ReplicaClient
+	paths      *reach.Paths
+	tunnels    *reach.Server
 
 	followers      []*follower // Not modified after New.
 	incarnation    int64
@@ -133,6 +136,9 @@
 	}
 	n.statements = statement.New(statement.Options{Divided: true, Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
 	n.registry.FollowStatements(n.statements)
+	if err := n.newPaths(); err != nil {
+		return nil, err
+	}
 	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
@@ -438,7 +444,7 @@
 	own := n.table.LocalState()
 	msg := &schema.NodeGossip{Node: n.settings.Node, Incarnation: n.incarnation, Zone: n.settings.Zone, FrontAddress: n.settings.Front,
 		PeerAddress: n.settings.Peer, Draining: n.draining.Load(), Ready: n.ready(), Planner: n.planner.Active(), Capacity: uint32(n.settings.Capacity), MirrorAddress: n.mirrorAddress(),
-		StoreContactMs: n.storeContact.directAnswerAge().Milliseconds()}
+		TunnelAddress: n.settings.Tunnel, PathsLost: n.paths.MostLost(), StoreContactMs: n.storeContact.directAnswerAge().Milliseconds()}
 	if msg.Planner && n.storeContact.failing() {
 		msg.Observed = encodeObservations(n.registry.Observations())
 	}
@@ -504,7 +510,7 @@
 	}{
 		{"front", n.settings.Front, n.edge}, {"readiness", n.settings.Readiness, n.readinessHandler()},
 		{"directory", n.settings.Directory, n.directoryHandler()}, {"metrics", n.settings.Metrics, n.metricsHandler()},
-		{"mirror", n.settings.Mirror, n.mirrorHandler()},
+		{"mirror", n.settings.Mirror, n.mirrorHandler()}, {"tunnel", n.settings.Tunnel, n.tunnels.Handler()},
 	} {
 		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
--- /dev/null
+++ b/internal/entry/reach.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/gossip"
+	"cassiadeal.example/cassiadeal/internal/reach"
+	"cassiadeal.example/cassiadeal/internal/recovery"
+	"cassiadeal.example/cassiadeal/internal/statement"
+)
+
+// newPaths sets up connections to replicas through other nodes, and those of other nodes through this one.
+func (n *Node) newPaths() (err error) {
+	peers := func() []reach.Peer { return n.tunnelPeers(n.mesh.Alive()) }
+	panics := recovery.Recoverer{Where: "tunnel", Log: n.log, Metrics: n.metrics}
+	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached}
+	n.paths, err = reach.New(reach.Options{Clock: n.clock, Log: n.log, Meter: n.metrics.Meter(), Peers: peers, Panics: panics})
+	return err
+}
+
+// tunnelPeers returns the live nodes that may be asked for a tunnel. Requests stay in this node's region, since some may not leave it.
+func (n *Node) tunnelPeers(alive []gossip.Peer) []reach.Peer {
+	var list []reach.Peer
+	for _, p := range alive {
+		if p.TunnelAddress != "" && !p.Draining && n.sameRegion(p) {
+			list = append(list, reach.Peer{Name: p.Node, Address: p.TunnelAddress, Near: p.Zone == n.settings.Zone, PathsLost: p.PathsLost})
+		}
+	}
+	return list
+}
+
+func (n *Node) sameRegion(p gossip.Peer) bool {
+	return n.settings.Regions[p.Zone] == n.settings.Regions[n.settings.Zone]
+}
+
+// mayBeReached reports whether other nodes may connect to a replica through this one. Its address must be the one that the replica has
+// registered. Requests of clients get no further than those that this node takes itself.
+func (n *Node) mayBeReached(to reach.Target, control bool) bool {
+	view := n.registry.View()
+	isTarget := func(r *fleet.Replica) bool {
+		return r != nil && r.Incarnation() == to.Incarnation && r.Address == to.Address
+	}
+	r := view.Replicas[to.ID]
+	if control {
+		return isTarget(r) || isTarget(view.Lapsed[to.ID])
+	}
+	return isTarget(r) && !r.Draining && !view.Evacuated[r.Zone] && n.statements.Barred(to.Incarnation.Target()) == statement.NotRefused
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -31,6 +31,8 @@
 	// before it in which requests that can't be completed get their answers.
 	exitReserve   = 300 * time.Millisecond
 	answerReserve = 100 * time.Millisecond
+	// tunnelPollInterval is how often a draining node checks whether the tunnels through it are closed.
+	tunnelPollInterval = 20 * time.Millisecond
 	// minZoneAddresses is the number of nodes in the client's failure domain from which on the directory names only these.
 	minZoneAddresses = 2
 )
@@ -116,6 +118,7 @@
 	n.draining.Store(true)
 	limit := n.settings.Bounds.Grace - exitReserve
 	n.edge.Drain(started.Add(limit - answerReserve))
+	n.tunnels.Drain()
 	n.log.WithField("in_flight", n.edge.InFlight()).Info("draining")
 	time.Sleep(min(clientTTLFactor*n.answerTTL()+gossip.Interval, limit/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
@@ -124,6 +127,7 @@
 	if err := front.Shutdown(ctx); err != nil && n.edge.InFlight() > 0 {
 		n.log.WithError(err).WithField("in_flight", n.edge.InFlight()).Warning("requests were still in flight at the end of the shutdown grace period")
 	}
+	n.awaitTunnels(ctx)
 	for _, s := range servers {
 		if err := s.Close(); err != nil {
 			n.log.WithError(err).Debug("could not close an HTTP server")
@@ -131,6 +135,20 @@
 	}
 }
 
+// awaitTunnels waits until the tunnels of other nodes through this one are closed, or the context is done.
+func (n *Node) awaitTunnels(ctx context.Context) {
+	ticker := time.NewTicker(tunnelPollInterval)
+	defer ticker.Stop()
+	for n.tunnels.Open() > 0 {
+		select {
+		case <-ctx.Done():
+			n.log.WithField("tunnels", n.tunnels.Open()).Warning("tunnels of other nodes were still open at the end of the shutdown grace period")
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // callCounter counts the calls to the store.
 type callCounter struct {
 	counter metric.Int64Counter
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -35,8 +35,6 @@
 	Panics recovery.Recoverer
 	// Allowed reports whether a replica may be connected to for another node; for control, if no request of a client is sent.
 	Allowed func(to Target, control bool) bool
-	// Outcome is called when a connection to a replica opens or fails; nil for none.
-	Outcome func(to Target, err error)
 
 	open     atomic.Int64
 	draining atomic.Bool
@@ -75,9 +73,6 @@
 	}
 	dialer := net.Dialer{Timeout: number("timeout_ms", maxTunnelDial)}
 	replica, err := dialer.DialContext(r.Context(), "tcp", to.Address)
-	if s.Outcome != nil && r.Context().Err() == nil {
-		s.Outcome(to, err)
-	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		w.WriteHeader(http.StatusBadGateway)
