--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,6 +143,7 @@
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
+	n.replicas.Paths = n.paths
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
 	n.lease.FirstRun = s.FirstRun
 	n.planner = planner.New(planner.Options{Lease: n.lease, Store: n.store, StoreAccess: n.storeReachability, StoreFailing: n.storeContact.failing, Registry: n.registry,
