Leave planning to a node that has its own paths to replicas

A node that lacked most of its own paths became the planner although others had theirs: all of its probes and orders then go by way of others. It isn't a candidate while a ready node is alive that hasn't stated lost paths, and nodes that have stated them aren't waited for by others. A planner that loses its paths goes on: it reaches replicas through other nodes.

TestNodeWithoutPathsLeavesPlanningToOthers failed with the former rule.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -367,20 +367,18 @@
 // isPlannerCandidate returns whether this node should try to become the planner: no live node reports that it is the planner,
 // and the nodes that precede this one have had time to try.
 func (n *Node) isPlannerCandidate() bool {
-	now, rank, plannerFound := n.clock.Now(), 0, false
+	now, plannerFound := n.clock.Now(), false
 	alive := n.mesh.Alive()
 	for _, p := range alive {
 		plannerFound = plannerFound || n.announcesPlanner(p, alive)
-		if p.Ready && !p.Draining && n.precedes(p) {
-			rank++
-		}
 	}
+	rank, yields := n.plannerRank(alive, n.paths.MostLost())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if plannerFound {
 		n.plannerLastSeen = now
 	}
-	if plannerFound || n.storeContact.failing() || n.draining.Load() || n.registry.View().Config == nil {
+	if plannerFound || yields || n.storeContact.failing() || n.draining.Load() || n.registry.View().Config == nil {
 		return false
 	}
 	if rank == 0 && n.firstRunWithoutRequests() && !n.firstRunPlanAttempted {
@@ -390,6 +388,21 @@
 	return now.Sub(n.plannerLastSeen) > min(time.Duration(rank)*plannerRankDelay, maxPlannerDelay)
 }
 
+// plannerRank returns the number of live nodes that may become the planner before this one, and whether this one leaves it to others: one that
+// lacks most of its own paths to replicas does while another one is ready that doesn't, since it reaches replicas only by way of others.
+func (n *Node) plannerRank(alive []gossip.Peer, pathsLost bool) (rank int, yields bool) {
+	for _, p := range alive {
+		if !p.Ready || p.Draining || p.PathsLost && !pathsLost {
+			continue
+		}
+		yields = yields || pathsLost && !p.PathsLost
+		if n.precedes(p) {
+			rank++
+		}
+	}
+	return rank, yields
+}
+
 // sweepTargets regularly checks for stalled targets, drops expired entries from the registry and logs a summary.
 func (n *Node) sweepTargets(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
