--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -12,8 +12,12 @@
 	"cassiadeal.example/cassiadeal/internal/recovery"
 )
 
-// maxPeersPerDial bounds the nodes that are asked for one connection.
-const maxPeersPerDial = 2
+// maxPeersPerDial bounds the nodes that are asked for one connection, and maxPeersForControl for one that carries no request of a client: what
+// is found by it decides about the replica.
+const (
+	maxPeersPerDial    = 2
+	maxPeersForControl = 3
+)
 
 // Request says how a connection is opened and what it is for.
 type Request struct {
@@ -53,6 +57,7 @@
 	to       Target
 	request  Request
 	peers    []Peer // Not asked yet.
+	maxPeers int
 	asked    int
 	pending  int
 	attempts chan attempt
@@ -61,9 +66,12 @@
 
 // Dial opens a connection to a replica. The error is a *DialError, or that of the context.
 func (p *Paths) Dial(ctx context.Context, to Target, request Request) (*Conn, error) {
-	peers := p.peers()
 	direct, lost := p.begin(to)
-	r := &race{paths: p, to: to, request: request, peers: peers, attempts: make(chan attempt, 1+maxPeersPerDial)}
+	peers, maxPeers := p.peersFor(to), maxPeersPerDial
+	if request.Control {
+		maxPeers = maxPeersForControl
+	}
+	r := &race{paths: p, to: to, request: request, peers: peers, maxPeers: maxPeers, attempts: make(chan attempt, 1+maxPeers)}
 	r.failure.Alone = len(peers) == 0
 	if direct || len(peers) == 0 {
 		r.start(context.WithoutCancel(ctx), "", r.dialDirectly)
@@ -109,7 +117,7 @@
 
 // askPeer asks the next node for a tunnel, if there is one.
 func (r *race) askPeer(ctx context.Context) {
-	if len(r.peers) == 0 || r.asked >= maxPeersPerDial {
+	if len(r.peers) == 0 || r.asked >= r.maxPeers {
 		return
 	}
 	peer := r.peers[0]
@@ -160,6 +168,7 @@
 		return
 	}
 	r.paths.count("opened")
+	r.paths.notePeer(r.to, a.through, true)
 	if r.failure.Direct != nil {
 		r.paths.directFailed(r.to, a.through, r.failure.Direct)
 	}
@@ -172,7 +181,7 @@
 		return
 	}
 	r.paths.count("failed")
-	r.paths.avoid(a.through)
+	r.paths.notePeer(r.to, a.through, false)
 	r.failure.Peers = append(r.failure.Peers, PeerError{a.through, a.err})
 }
 
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -26,8 +26,8 @@
 	pathMemory = 3 * time.Second
 	// minLostPaths is the number of lost paths below which a node doesn't count as cut off.
 	minLostPaths = 3
-	// peerAvoidance is the time for which a node through which no connection opened is asked after all others.
-	peerAvoidance = time.Second
+	// peerMemory is the time for which it counts whether a node has reached a replica.
+	peerMemory = 3 * time.Second
 	// idleRetention is the time for which a path without connections is remembered.
 	idleRetention = time.Minute
 )
@@ -68,6 +68,13 @@
 	outcomeAt clock.Time // When the last direct connection opened or failed; 0 if none has.
 	lostSince clock.Time // When a direct connection first failed while another node reached the replica; 0 if the last one opened.
 	triedAt   clock.Time // When a direct connection was last tried.
+	peers     map[string]peerOutcome
+}
+
+// peerOutcome tells whether a tunnel through a node opened.
+type peerOutcome struct {
+	opened bool
+	at     clock.Time
 }
 
 // Paths opens connections to replicas and keeps what is known of this node's own paths to them. It is safe for concurrent use; its lock is
@@ -76,9 +83,8 @@
 	opt     Options
 	counter metric.Int64Counter
 
-	mu      sync.Mutex
-	paths   map[Target]*path
-	avoided map[string]clock.Time // Until when a node is asked after all others, by its name.
+	mu    sync.Mutex
+	paths map[Target]*path
 }
 
 // New returns Paths that are all unknown.
@@ -89,7 +95,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	p := &Paths{opt: opt, paths: map[Target]*path{}, avoided: map[string]clock.Time{}}
+	p := &Paths{opt: opt, paths: map[Target]*path{}}
 	if opt.Meter == nil {
 		return p, nil
 	}
@@ -134,7 +140,7 @@
 	defer p.mu.Unlock()
 	now, known := p.opt.Clock.Now(), p.paths[to]
 	if known == nil {
-		known = &path{}
+		known = &path{peers: map[string]peerOutcome{}}
 		p.paths[to] = known
 	}
 	known.usedAt = now
@@ -179,15 +185,18 @@
 	}
 }
 
-// avoid lets a node be asked after all others for a while.
-func (p *Paths) avoid(peer string) {
+// notePeer records whether a tunnel through a node opened.
+func (p *Paths) notePeer(to Target, peer string, opened bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.avoided[peer] = p.opt.Clock.Now().Add(peerAvoidance)
+	if known := p.paths[to]; known != nil {
+		known.peers[peer] = peerOutcome{opened, p.opt.Clock.Now()}
+	}
 }
 
-// peers returns the nodes to ask for a tunnel, the preferred ones first.
-func (p *Paths) peers() []Peer {
+// peersFor returns the nodes to ask for a tunnel, the preferred ones first: those that have lately reached the replica, and last those
+// that haven't.
+func (p *Paths) peersFor(to Target) []Peer {
 	if p.opt.Peers == nil {
 		return nil
 	}
@@ -195,20 +204,34 @@
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.opt.Clock.Now()
-	rank := func(peer Peer) int {
-		r := 0
-		if !peer.Near {
-			r++
-		}
-		if until, avoided := p.avoided[peer.Name]; avoided && now < until {
-			r += 2
-		}
-		if peer.PathsLost {
-			r += 4
-		}
-		return r
+	ranks := map[string]int{}
+	for _, peer := range list {
+		ranks[peer.Name] = p.rankLocked(to, peer)
 	}
-	slices.SortStableFunc(list, func(a, b Peer) int { return rank(a) - rank(b) })
+	slices.SortStableFunc(list, func(a, b Peer) int { return ranks[a.Name] - ranks[b.Name] })
 	return list
 }
+
+// rankLocked returns a number that is lower for nodes that are preferred.
+func (p *Paths) rankLocked(to Target, peer Peer) int {
+	rank := 0
+	if !peer.Near {
+		rank++
+	}
+	if peer.PathsLost {
+		rank += 2
+	}
+	known := p.paths[to]
+	if known == nil {
+		return rank
+	}
+	outcome, asked := known.peers[peer.Name]
+	switch {
+	case !asked || p.opt.Clock.Now().Sub(outcome.at) > peerMemory:
+	case outcome.opened:
+		rank -= 4
+	default:
+		rank += 4
+	}
+	return rank
+}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -288,3 +288,36 @@
 	c.Check(errors.Is(err, context.Canceled), quicktest.IsTrue)
 	c.Check(time.Since(started) < time.Second, quicktest.IsTrue)
 }
+
+// Guards against connections that fail because nodes are asked again which don't reach the replica either, while another one does.
+func TestNodesThatReachTheReplicaAreAskedFirst(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	address := deadAddress(t)
+	var peers []Peer
+	for _, name := range []string{"b", "c", "d", "e"} {
+		peer, _ := startPeer(t, name, address)
+		peer.Near = true
+		peers = append(peers, peer)
+	}
+	far, _ := startPeer(t, "far", replica.Addr().String())
+	p := newPaths(t, clock.NewManual(time.Hour), append(peers, far)...)
+	dial := func() (string, error) {
+		conn, err := p.Dial(t.Context(), targetAt(address), testRequest)
+		if err != nil {
+			return "", err
+		}
+		conn.Close()
+		return conn.Through, nil
+	}
+	failed := 0
+	for _, err := dial(); err != nil; _, err = dial() {
+		failed++
+		c.Assert(failed < 3, quicktest.IsTrue, quicktest.Commentf("%v", err))
+	}
+	for range 5 {
+		through, err := dial()
+		c.Assert(err, quicktest.IsNil)
+		c.Check(through, quicktest.Equals, "far")
+	}
+}
