--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -1,9 +1,9 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"io"
-	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -53,7 +53,7 @@
 // recordCrash records this request with the replica that it was sent to, if the replica has ended, and reports whether it has.
 // A replica that still listens broke off only this exchange. One that doesn't respond at all may be cut off from this node.
 func (c *call) recordCrash(replica *fleet.Replica) bool {
-	conn, err := net.DialTimeout("tcp", replica.Address, crashCheckTimeout)
+	conn, err := c.dial(context.Background(), replica, crashCheckTimeout)
 	if err == nil {
 		conn.Close()
 		return false
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -67,6 +68,8 @@
 	Crashes  *crash.Table
 	// Statements holds what replicas state about themselves in their responses.
 	Statements *statement.Table
+	// Paths opens the connections to replicas; nil for direct ones only.
+	Paths *reach.Paths
 	// OnBlocked is called when a crash has been recorded after which requests are refused. It must not block.
 	OnBlocked func()
 	Clock     clock.Clock
@@ -111,6 +114,11 @@
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// Sweep looks for silent targets as Table.Sweep does, and returns those that became suspected of having stalled. It is called every interval.
+func (s *Server) Sweep(interval time.Duration, gap func(balance.Key, balance.Load) time.Duration) []balance.Key {
+	return s.opt.Table.Sweep(interval, gap)
+}
+
 // HasReceivedRequest tells whether a request has arrived whose route and, unless the route is public, key are known.
 func (s *Server) HasReceivedRequest() bool {
 	s.mu.Lock()
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -62,8 +62,7 @@
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
 func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
-	dialer := net.Dialer{Timeout: min(dialTimeout, max(c.timeLeft()/2, time.Millisecond))}
-	conn, err := dialer.DialContext(ctx, "tcp", replica.Address)
+	conn, err := c.dial(ctx, replica, min(dialTimeout, max(c.timeLeft()/2, time.Millisecond)))
 	if err != nil {
 		return nil, false, err
 	}
@@ -102,6 +101,15 @@
 	return &replicaResponse{resp, header, conn}, true, nil
 }
 
+// dial opens a connection to the replica.
+func (c *call) dial(ctx context.Context, replica *fleet.Replica, timeout time.Duration) (net.Conn, error) {
+	if c.opt.Paths != nil {
+		return c.opt.Paths.DialDirectly(ctx, replica.Address, timeout)
+	}
+	dialer := net.Dialer{Timeout: timeout}
+	return dialer.DialContext(ctx, "tcp", replica.Address)
+}
+
 // refusedByStatement reports whether the replica gets no request now because of what it has stated.
 func (c *call) refusedByStatement(r *fleet.Replica) bool {
 	return c.opt.Statements.Check(r.Incarnation().Target(), 1) != statement.NotRefused
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -410,7 +410,7 @@
 		n.logDepartures()
 		returned.start(ctx)
 		view := n.registry.View()
-		for _, k := range n.table.Sweep(sweepInterval, func(balance.Key, balance.Load) time.Duration { return n.longestEventGap(view) }) {
+		for _, k := range n.edge.Sweep(sweepInterval, func(balance.Key, balance.Load) time.Duration { return n.longestEventGap(view) }) {
 			n.log.WithFields(logrus.Fields{"target": string(k), "load": n.table.Load(k)}).Warning("target suspected of a stall: it runs requests but sends no events")
 		}
 	}
