Open connections for requests through other nodes where own paths are lost

A failure that no other node confirms doesn't count against the replica, and the replica may be tried again. Log lines name the node through which a connection leads.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -53,7 +54,7 @@
 // recordCrash records this request with the replica that it was sent to, if the replica has ended, and reports whether it has.
 // A replica that still listens broke off only this exchange. One that doesn't respond at all may be cut off from this node.
 func (c *call) recordCrash(replica *fleet.Replica) bool {
-	conn, err := c.dial(context.Background(), replica, crashCheckTimeout)
+	conn, err := c.dialDirectly(replica)
 	if err == nil {
 		conn.Close()
 		return false
@@ -70,6 +71,14 @@
 	return true
 }
 
+// dialDirectly opens a connection of this node's own to the replica.
+func (c *call) dialDirectly(replica *fleet.Replica) (net.Conn, error) {
+	if c.opt.Paths != nil {
+		return c.opt.Paths.DialDirectly(context.Background(), replica.Address, crashCheckTimeout)
+	}
+	return net.DialTimeout("tcp", replica.Address, crashCheckTimeout)
+}
+
 // crashRefusal returns the refusal of a request whose copies have crashed replicas, or nil.
 func (c *call) crashRefusal() *result.Error {
 	wait := c.opt.Crashes.BlockedFor(c.suspect)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -386,6 +386,7 @@
 	}
 	if c.attempts.lastTarget != "" {
 		fields["target"], fields["why"] = c.attempts.lastTarget, c.attempts.lastFailure
+		c.attempts.heard.AddThrough(fields, "")
 	}
 	return fields
 }
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -16,6 +16,7 @@
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -23,9 +24,6 @@
 )
 
 const (
-	// dialTimeout limits the wait for a connection to a replica. TCP resends a lost SYN only after a second, and another
-	// replica is reached sooner.
-	dialTimeout = 300 * time.Millisecond
 	// maxSends limits the sends of one request, including those that a replica refuses.
 	maxSends = 4
 	// maxResponseHeaderBytes limits the header of a response.
@@ -62,12 +60,11 @@
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
 func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
-	conn, err := c.dial(ctx, replica, min(dialTimeout, max(c.timeLeft()/2, time.Millisecond)))
+	conn, through, err := c.dial(ctx, replica)
 	if err != nil {
 		return nil, false, err
 	}
-	h.Note()
-	h.Reach(lastheard.Connection)
+	h.Connect(through)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
@@ -101,15 +98,6 @@
 	return &replicaResponse{resp, header, conn}, true, nil
 }
 
-// dial opens a connection to the replica.
-func (c *call) dial(ctx context.Context, replica *fleet.Replica, timeout time.Duration) (net.Conn, error) {
-	if c.opt.Paths != nil {
-		return c.opt.Paths.DialDirectly(ctx, replica.Address, timeout)
-	}
-	dialer := net.Dialer{Timeout: timeout}
-	return dialer.DialContext(ctx, "tcp", replica.Address)
-}
-
 // refusedByStatement reports whether the replica gets no request now because of what it has stated.
 func (c *call) refusedByStatement(r *fleet.Replica) bool {
 	return c.opt.Statements.Check(r.Incarnation().Target(), 1) != statement.NotRefused
@@ -244,10 +232,12 @@
 	if errors.Is(err, recovery.ErrPanic) {
 		return // A failure of this node, not of the replica.
 	}
-	c.opt.Table.RecordOutcome(key, true)
+	if !errors.Is(err, reach.ErrUnconfirmed) {
+		c.opt.Table.RecordOutcome(key, true)
+	}
 	if !sent {
 		c.opt.Table.Avoid(key)
-		if timeout, ok := errors.AsType[net.Error](err); ok && timeout.Timeout() {
+		if mayOpenLater(err) {
 			c.attempts.unreached = append(c.attempts.unreached, key)
 		}
 	}
--- a/internal/edge/incomplete.go
+++ b/internal/edge/incomplete.go
@@ -22,6 +22,7 @@
 	if a.other != "" {
 		fields["other"] = a.other
 		a.otherHeard.AddTo(fields, "other_")
+		a.otherHeard.AddThrough(fields, "other_")
 	}
 	return fields
 }
--- a/internal/lastheard/lastheard.go
+++ b/internal/lastheard/lastheard.go
@@ -22,9 +22,10 @@
 
 // Record is what was last heard of the target of one send. It is safe for concurrent use. A nil *Record records nothing.
 type Record struct {
-	mu    sync.Mutex
-	stage Stage
-	at    time.Time
+	mu      sync.Mutex
+	stage   Stage
+	at      time.Time
+	through string // The node through which the connection leads; empty for a direct one.
 }
 
 // New returns a record of a send that starts now.
@@ -40,6 +41,16 @@
 	r.at = time.Now()
 }
 
+// Connect records that the target has accepted a connection, which leads through the given node, or is a direct one if that is empty.
+func (r *Record) Connect(through string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stage, r.at, r.through = Connection, time.Now(), through
+}
+
 // Reach records how far the target has come.
 func (r *Record) Reach(s Stage) {
 	if r == nil {
@@ -60,6 +71,18 @@
 	fields[prefix+"last_heard"], fields[prefix+"silent_ms"] = string(r.stage), time.Since(r.at).Milliseconds()
 }
 
+// AddThrough adds the node through which the connection leads to the fields of a log line, if there is one.
+func (r *Record) AddThrough(fields logrus.Fields, prefix string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.through != "" {
+		fields[prefix+"through"] = r.through
+	}
+}
+
 // Reader records when bytes arrive from a target.
 type Reader struct {
 	io.Reader
