Count a refused connection as a crash only if another node confirms it

The check goes by reach.Paths now, whose error is ECONNREFUSED only if all nodes that tried were refused. The direct dial of the seam isn't needed any more.

TestLostPathsAreNoCrashes failed before with 503, crashing_request; TestCrashSeenThroughAnotherNodeCounts guards the other side and passed.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -15,6 +15,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/result"
 )
 
@@ -54,12 +55,7 @@
 // recordCrash records this request with the replica that it was sent to, if the replica has ended, and reports whether it has.
 // A replica that still listens broke off only this exchange. One that doesn't respond at all may be cut off from this node.
 func (c *call) recordCrash(replica *fleet.Replica) bool {
-	conn, err := c.dialDirectly(replica)
-	if err == nil {
-		conn.Close()
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !c.hasEnded(replica) {
 		return false
 	}
 	c.opt.Crashes.Record(crash.Crash{Request: c.suspect, Target: replica.ID, Incarnation: strconv.FormatInt(replica.StartedUnixMs, 10), Began: c.attempts.began})
@@ -71,12 +67,22 @@
 	return true
 }
 
-// dialDirectly opens a connection of this node's own to the replica.
-func (c *call) dialDirectly(replica *fleet.Replica) (net.Conn, error) {
-	if c.opt.Paths != nil {
-		return c.opt.Paths.DialDirectly(context.Background(), replica.Address, crashCheckTimeout)
+// hasEnded reports whether nothing listens at the replica's address. Another node has to confirm it where there is one: connections of this
+// node may be refused because its own path is lost.
+func (c *call) hasEnded(replica *fleet.Replica) bool {
+	conn, err := c.dialToCheck(replica)
+	if err == nil {
+		conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (c *call) dialToCheck(replica *fleet.Replica) (net.Conn, error) {
+	if c.opt.Paths == nil {
+		return net.DialTimeout("tcp", replica.Address, crashCheckTimeout)
 	}
-	return net.DialTimeout("tcp", replica.Address, crashCheckTimeout)
+	return c.opt.Paths.Dial(context.Background(), reach.TargetOf(replica),
+		reach.Request{Timeout: crashCheckTimeout, PeerDelay: peerDelay, Lifetime: crashCheckTimeout, Control: true})
 }
 
 // crashRefusal returns the refusal of a request whose copies have crashed replicas, or nil.
--- a/internal/edge/paths_test.go
+++ b/internal/edge/paths_test.go
@@ -162,6 +162,7 @@
 	gap    time.Duration // Between two events.
 	events int
 	ended  chan time.Time // Receives when the client of a stream has left.
+	held   chan struct{}  // Answers that aren't streams wait until it is closed; nil for never.
 }
 
 const (
@@ -183,6 +184,9 @@
 	w.Header().Set("X-Cassiadeal-Request-Id", q.Header.Get("X-Cassiadeal-Request-Id"))
 	w.Header().Set("X-Cassiadeal-Response-Seal", "s")
 	if q.Header.Get("X-Cassiadeal-Model") == "" {
+		if r.held != nil {
+			<-r.held
+		}
 		fmt.Fprint(w, "done")
 		return
 	}
@@ -447,3 +451,51 @@
 		c.Check(status < 300 || statesNotRun(status), quicktest.IsFalse, quicktest.Commentf("status %d with %q", status, body))
 	}
 }
+
+// Guards against requests that are refused because they count as having crashed the replicas to which this node has lost its paths.
+func TestLostPathsAreNoCrashes(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	a, b, d := newPathReplica(t), newPathReplica(t), newPathReplica(t)
+	s := newCutServer(t, fleet.RepeatNever, a, b, d)
+	release := make(chan struct{})
+	for _, r := range []*pathReplica{a, b, d} {
+		r.held = release
+	}
+	const requests = 6 // All have the same fingerprint.
+	var running sync.WaitGroup
+	for i := range requests {
+		running.Go(func() {
+			status, _, err := s.request("")
+			c.Check(err, quicktest.IsNil)
+			c.Check(status < 300 || statesNotRun(status), quicktest.IsFalse, quicktest.Commentf("status %d", status))
+		})
+		for a.runs.Load()+b.runs.Load()+d.runs.Load() == int32(i) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	s.own.lose(reset)
+	running.Wait()
+	close(release)
+	status, body, err := s.request("")
+	c.Check(err, quicktest.IsNil)
+	c.Check(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", body))
+}
+
+// Guards against requests that go on to crash replicas because this node reaches these through another node only.
+func TestCrashSeenThroughAnotherNodeCounts(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	replicas, ended := crashReplicas(t, maxCrashes+2, "", func(*http.Request, string) bool { return true })
+	var list []*pathReplica
+	for _, r := range replicas {
+		list = append(list, &pathReplica{replica: replica{address: r.address}})
+	}
+	s := newCutServer(t, fleet.RepeatSafe, list...)
+	s.own.lose(live)
+	for range maxCrashes + 2 {
+		_, _, err := s.request("")
+		c.Check(err, quicktest.IsNil)
+	}
+	c.Check(ended.Load(), quicktest.Equals, int32(maxCrashes))
+}
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -81,13 +81,6 @@
 	return conn, err
 }
 
-// DialDirectly opens a connection of this node's own.
-func (p *Paths) DialDirectly(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return p.opt.Direct(ctx, address)
-}
-
 // start runs one way to open the connection in its own goroutine.
 func (r *race) start(ctx context.Context, through string, open func(context.Context) (*Conn, error)) {
 	r.pending++
