Let a request return to a replica to which only its own path was lost

The check after a lost connection now tells whether only another node reaches the replica: it may be asked again then, and the failure doesn't count against it. Such sends are counted as own_path_lost.

Two cases of TestNodeThatHasLostItsPathsServes failed before: a stream of the only head, and a safe request at the only replica, whose connections are reset. A stream whose connection hangs still fails.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -52,37 +52,56 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// recordCrash records this request with the replica that it was sent to, if the replica has ended, and reports whether it has.
-// A replica that still listens broke off only this exchange. One that doesn't respond at all may be cut off from this node.
-func (c *call) recordCrash(replica *fleet.Replica) bool {
-	if !c.hasEnded(replica) {
-		return false
-	}
+// recordCrash records this request with the replica that it was sent to.
+func (c *call) recordCrash(replica *fleet.Replica) {
 	c.opt.Crashes.Record(crash.Crash{Request: c.suspect, Target: replica.ID, Incarnation: strconv.FormatInt(replica.StartedUnixMs, 10), Began: c.attempts.began})
 	if wait := c.opt.Crashes.BlockedFor(c.suspect); wait > 0 {
 		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": replica.ID, "fingerprint": c.suspect.Fingerprint,
 			"prompt_parts": c.suspect.Parts, "blocked_ms": wait.Milliseconds()}).Warning("requests like this one crash replicas and are refused")
 		c.opt.OnBlocked()
 	}
-	return true
 }
 
-// hasEnded reports whether nothing listens at the replica's address. Another node has to confirm it where there is one: connections of this
-// node may be refused because its own path is lost.
-func (c *call) hasEnded(replica *fleet.Replica) bool {
-	conn, err := c.dialToCheck(replica)
-	if err == nil {
-		conn.Close()
+// finding is what a connection that is opened after a lost one tells of the replica.
+type finding int
+
+const (
+	// replicaListens means that the replica broke off only this exchange, or may be cut off from all nodes.
+	replicaListens finding = iota
+	replicaEnded
+	// ownPathLost means that another node reaches the replica, and this one doesn't.
+	ownPathLost
+)
+
+// check finds out why a connection to the replica was lost. That the replica has ended has to be confirmed by another node where there is one:
+// connections of this node may be refused because its own path is lost.
+func (c *call) check(replica *fleet.Replica) finding {
+	through, err := c.dialToCheck(replica)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return replicaEnded
+	case through != "":
+		return ownPathLost
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return replicaListens
 }
 
-func (c *call) dialToCheck(replica *fleet.Replica) (net.Conn, error) {
+// dialToCheck opens and closes a connection to the replica, and names the node through which it leads, if there is one.
+func (c *call) dialToCheck(replica *fleet.Replica) (through string, err error) {
 	if c.opt.Paths == nil {
-		return net.DialTimeout("tcp", replica.Address, crashCheckTimeout)
+		conn, err := net.DialTimeout("tcp", replica.Address, crashCheckTimeout)
+		if err == nil {
+			conn.Close()
+		}
+		return "", err
 	}
-	return c.opt.Paths.Dial(context.Background(), reach.TargetOf(replica),
+	conn, err := c.opt.Paths.Dial(context.Background(), reach.TargetOf(replica),
 		reach.Request{Timeout: crashCheckTimeout, PeerDelay: peerDelay, Lifetime: crashCheckTimeout, Control: true})
+	if err != nil {
+		return "", err
+	}
+	conn.Close()
+	return conn.Through, nil
 }
 
 // crashRefusal returns the refusal of a request whose copies have crashed replicas, or nil.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -163,7 +164,9 @@
 	otherHeard             *lastheard.Record
 	// unreached holds targets to which no connection opened in time.
 	unreached []balance.Key
-	granted   int // Retries that the budget granted for sends that reached no target.
+	// cutOff holds targets that may have run the request, and to which this node's own path was lost meanwhile. Another node reaches them.
+	cutOff  []balance.Key
+	granted int // Retries that the budget granted for sends that reached no target.
 }
 
 // startSend counts a send to the target.
@@ -173,14 +176,15 @@
 }
 
 // readmit takes the targets that weren't reached in time out of the excluded ones, and takes back the sends to them: a target that is only
-// silent for a while opens connections later. A request that hasn't run is refused instead if there is no other target.
+// silent for a while opens connections later. A request that hasn't run is refused instead if there is no other target. Targets to which the
+// own path was lost are reached through another node.
 func (a *attempts) readmit(exclude map[balance.Key]bool) {
-	for _, key := range a.unreached {
+	for _, key := range slices.Concat(a.unreached, a.cutOff) {
 		delete(exclude, key)
 	}
 	a.sends -= len(a.unreached)
 	a.granted += len(a.unreached)
-	a.unreached = nil
+	a.unreached, a.cutOff = nil, nil
 }
 
 // mayHaveRun tells whether any send may have run or may still run. Only if not may the request be refused as not run.
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -232,23 +232,30 @@
 	if errors.Is(err, recovery.ErrPanic) {
 		return // A failure of this node, not of the replica.
 	}
-	if !errors.Is(err, reach.ErrUnconfirmed) {
+	found := replicaListens
+	if sent && connectionLost(err) {
+		found = c.check(replica)
+	}
+	reason := "target_failed"
+	switch {
+	case found == replicaEnded:
+		c.recordCrash(replica)
+		reason = "target_crashed"
+	case found == ownPathLost:
+		c.attempts.cutOff = append(c.attempts.cutOff, key)
+		reason = "own_path_lost"
+	case !sent && mayOpenLater(err):
+		c.attempts.unreached = append(c.attempts.unreached, key)
+	}
+	if found != ownPathLost && !errors.Is(err, reach.ErrUnconfirmed) {
 		c.opt.Table.RecordOutcome(key, true)
 	}
 	if !sent {
 		c.opt.Table.Avoid(key)
-		if mayOpenLater(err) {
-			c.attempts.unreached = append(c.attempts.unreached, key)
-		}
-	}
-	crashed := sent && connectionLost(err) && c.recordCrash(replica)
-	reason := "target_failed"
-	if crashed {
-		reason = "target_crashed"
 	}
 	c.opt.Metrics.Retry(reason)
-	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.suspect.Fingerprint, "prompt_parts": c.suspect.Parts, "crashed": crashed}).
-		WithError(err).Info("send got no usable response")
+	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.suspect.Fingerprint, "prompt_parts": c.suspect.Parts,
+		"crashed": found == replicaEnded, "own_path_lost": found == ownPathLost}).WithError(err).Info("send got no usable response")
 }
 
 // giveUp ends a request for which no further send is possible.
--- a/internal/edge/paths_test.go
+++ b/internal/edge/paths_test.go
@@ -339,6 +339,7 @@
 			})
 		}
 	}
+	t.Run("reset, a safe request runs", testSafeRequestRunsDuringACut)
 	t.Run("the client leaves", testClientLeavesDuringACut)
 	for _, repeat := range []fleet.Repeat{fleet.RepeatStream, fleet.RepeatNever} {
 		t.Run(fmt.Sprintf("the node between ends, kind %v", repeat), func(t *testing.T) { testNodeBetweenEnds(t, repeat) })
@@ -383,6 +384,25 @@
 	c.Check(string(body), quicktest.Equals, events(1, pathEvents))
 }
 
+func testSafeRequestRunsDuringACut(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	r := newPathReplica(t)
+	r.held = make(chan struct{})
+	s := newCutServer(t, fleet.RepeatSafe, r)
+	go func() {
+		for r.runs.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		s.own.lose(reset)
+		close(r.held)
+	}()
+	status, body, err := s.request("")
+	c.Check(err, quicktest.IsNil)
+	c.Check(status, quicktest.Equals, http.StatusOK)
+	c.Check(body, quicktest.Equals, "done")
+}
+
 func testClientLeavesDuringACut(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
