Tell a lost way to a target from a stall, and send its streams again

The silence of a head was taken for its stall, whatever way the events came.

Each request now knows the way on which it was sent. Where all requests on a way are silent, the path is checked in the background, once per target at a time; other nodes aren't told of the suspicion before. If only another node reaches the target, or the node between is gone, the requests on that way leave the load, the unconfirmed suspicion ends, and their streams may ask a head again, also the same one.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -61,12 +61,14 @@
 	lastActivity  clock.Time    // Last event, or the send that ended an idle time.
 	lastEvent     clock.Time    // Last event; 0 if there was none.
 	suspectUntil  clock.Time    // Until when the target is suspected of having stalled.
+	suspicionHeld bool          // The suspicion isn't reported to other nodes until it is confirmed.
 	avoidUntil    clock.Time    // Until when the target is avoided.
 	fullUntil     clock.Time    // Until when the target is treated as full.
 	failureShare  float64       // Share of failed exchanges, weighted towards the newest.
 	expectedFirst time.Duration // Expected time to the first event of the newest request; see Begin.
 	model         string        // Empty for plain replicas.
 	slowdown      slowdown
+	wayEvents     map[string]clock.Time // Last event by the node through which it came.
 }
 
 // overhead is the measured time that first events of a model take beyond the prediction: network delay, and what the published
@@ -93,6 +95,7 @@
 	targets   map[Key]*targetState
 	peers     peerReports
 	lastSweep clock.Time
+	resumedAt clock.Time              // When this process last went on after a pause; 0 for never.
 	heard     map[Key]clock.Time      // When any node last received an event from a target, as far as this node knows.
 	coldSends map[string][]clock.Time // Sends to cold replicas within the last second, by ID.
 	overheads map[string]*overhead    // By model.
@@ -113,8 +116,13 @@
 	promptTokens int
 	started      bool // No longer counted as waiting.
 	ended        bool
-	setAside     bool // Not counted in the load; see YieldTo.
+	setAside     bool // Not counted in the load; see YieldTo and Strand.
+	stranded     bool // See Strand.
 	sentAt       clock.Time
+	// Set by Connected; connectedAt is 0 before.
+	replica     *fleet.Replica
+	through     string
+	connectedAt clock.Time
 	// readBy is when the prompt is predicted to be read; 0 if there is no prediction.
 	readBy clock.Time
 	// expectedFirst is the time given to Begin; 0 if none was given.
@@ -129,7 +137,7 @@
 func (s *targetState) localLoad(now clock.Time) Load {
 	l := s.load
 	for ticket := range s.tickets {
-		if !ticket.started && (ticket.readBy == 0 || now < ticket.readBy) {
+		if !ticket.started && !ticket.stranded && (ticket.readBy == 0 || now < ticket.readBy) {
 			l.UnreadTokens += ticket.promptTokens
 		}
 	}
@@ -139,7 +147,7 @@
 func (t *Table) stateLocked(k Key) *targetState {
 	s := t.targets[k]
 	if s == nil {
-		s = &targetState{tickets: map[*Ticket]struct{}{}}
+		s = &targetState{tickets: map[*Ticket]struct{}{}, wayEvents: map[string]clock.Time{}}
 		t.targets[k] = s
 	}
 	return s
@@ -189,9 +197,12 @@
 	s, now := k.table.stateLocked(k.key), k.table.clock.Now()
 	k.countAgainLocked(s)
 	s.lastActivity, s.lastEvent, s.suspectUntil = now, now, 0
+	s.wayEvents[k.through] = now
 	k.table.heard[k.key] = now
 	k.markStartedLocked(s)
-	if k.lastEvent != 0 && k.engine != nil {
+	stranded := k.stranded
+	k.stranded = false
+	if k.lastEvent != 0 && k.engine != nil && !stranded {
 		expected := k.timeFactor * passMillis(k.engine, k.table.loadLocked(k.key, now).Running)
 		s.slowdown.record(float64(now.Sub(k.lastEvent))/float64(time.Millisecond)/max(expected, 1), now)
 	}
@@ -200,7 +211,7 @@
 
 func (k *Ticket) markStartedLocked(s *targetState) {
 	if !k.started && !k.ended {
-		if now := k.table.clock.Now(); k.promptTokens > 0 && k.expectedFirst > 0 && k.table.slowFactorLocked(k.key, now) == 1 {
+		if now := k.table.clock.Now(); k.promptTokens > 0 && k.expectedFirst > 0 && k.through == "" && !k.stranded && k.table.slowFactorLocked(k.key, now) == 1 {
 			k.table.updateOverheadLocked(s.model, now.Sub(k.sentAt)-k.expectedFirst)
 		}
 		k.started = true
@@ -254,21 +265,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !k.setAside && !k.ended && !other.ended && t.heard[other.key] >= other.sentAt.Add(refusalTime) {
-		s := t.stateLocked(k.key)
-		s.load.Running--
-		if !k.started {
-			s.load.Waiting--
-		}
-		k.setAside = true
+		k.setAsideLocked(t.stateLocked(k.key))
 	}
 	return k.setAside
 }
 
-// CountAgain brings a request that YieldTo took out of the load of its target back into it.
+func (k *Ticket) setAsideLocked(s *targetState) {
+	if k.setAside {
+		return
+	}
+	k.setAside = true
+	s.load.Running--
+	if !k.started {
+		s.load.Waiting--
+	}
+}
+
+// CountAgain brings a request that YieldTo took out of the load of its target back into it, unless it is stranded.
 func (k *Ticket) CountAgain() {
 	k.table.mu.Lock()
 	defer k.table.mu.Unlock()
-	k.countAgainLocked(k.table.stateLocked(k.key))
+	if !k.stranded {
+		k.countAgainLocked(k.table.stateLocked(k.key))
+	}
 }
 
 func (k *Ticket) countAgainLocked(s *targetState) {
@@ -312,17 +331,30 @@
 func (t *Table) Suspect(k Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stateLocked(k).suspectUntil = t.clock.Now().Add(suspicionDuration)
+	s := t.stateLocked(k)
+	s.suspectUntil, s.suspicionHeld = t.clock.Now().Add(suspicionDuration), false
 }
 
 // Sweep suspects targets that run requests but have sent no event for too long, and returns those that became suspected. It
 // also drops what is known of targets that have been idle for idleRetention. It is called every interval; after a longer pause of this process
 // silence proves nothing, since events may wait unread.
 func (t *Table) Sweep(interval time.Duration, gap func(Key, Load) time.Duration) []Key {
+	return t.sweep(interval, gap, false)
+}
+
+// SweepHeld is Sweep, but other nodes aren't told of a suspicion before ConfirmSuspicion is called.
+func (t *Table) SweepHeld(interval time.Duration, gap func(Key, Load) time.Duration) []Key {
+	return t.sweep(interval, gap, true)
+}
+
+func (t *Table) sweep(interval time.Duration, gap func(Key, Load) time.Duration, hold bool) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	paused := now.Sub(t.lastSweep) > 3*interval
+	if paused {
+		t.resumedAt = now
+	}
 	t.lastSweep = now
 	maps.DeleteFunc(t.heard, func(_ Key, at clock.Time) bool { return now.Sub(at) > idleRetention })
 	var suspected []Key
@@ -337,18 +369,24 @@
 			s.lastActivity = now
 			continue
 		}
-		limit := max(minStallSilence, time.Duration(stallGaps*t.slowFactorLocked(k, now)*float64(gap(k, s.load))))
-		if s.load.Running == s.load.Waiting {
-			limit = max(limit, s.expectedFirst+minStallSilence)
-		}
+		limit := t.stallLimitLocked(k, s, s.load.Running == s.load.Waiting, gap, now)
 		if now.Sub(s.lastActivity) > limit && now > s.suspectUntil {
-			s.suspectUntil = now.Add(suspicionDuration)
+			s.suspectUntil, s.suspicionHeld = now.Add(suspicionDuration), hold
 			suspected = append(suspected, k)
 		}
 	}
 	return suspected
 }
 
+// stallLimitLocked returns how long the requests at a target may be silent; allWait tells that none of them has had an event yet.
+func (t *Table) stallLimitLocked(k Key, s *targetState, allWait bool, gap func(Key, Load) time.Duration, now clock.Time) time.Duration {
+	limit := max(minStallSilence, time.Duration(stallGaps*t.slowFactorLocked(k, now)*float64(gap(k, s.load))))
+	if allWait {
+		limit = max(limit, s.expectedFirst+minStallSilence)
+	}
+	return limit
+}
+
 // SetPeerState stores the state that another node reported.
 func (t *Table) SetPeerState(node string, state PeerState) {
 	t.mu.Lock()
@@ -373,7 +411,7 @@
 				local.EventAges[k] = now.Sub(s.lastEvent)
 			}
 		}
-		if now < s.suspectUntil {
+		if now < s.suspectUntil && !s.suspicionHeld {
 			local.Suspected[k] = true
 		}
 		if slow := t.localSlowFactorLocked(s, now); slow > 1 {
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -93,7 +93,7 @@
 
 // exchange sends the request once and reads the response.
 func (c *call) exchange(ctx context.Context, s *bufferedSend) {
-	s.response, s.sent, s.err = c.send(ctx, s.replica, "", s.heard)
+	s.response, s.sent, s.err = c.send(ctx, s.replica, "", s.ticket, s.heard)
 	if s.err != nil || s.response.header.NotRun {
 		return
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -97,6 +97,7 @@
 	stopped   context.Context
 	stop      context.CancelFunc
 	durations drain.Durations // By route.
+	checks    pathChecks
 
 	mu sync.Mutex
 	// longestWait holds the longest deadline that clients have stated, by route. It is taken as the deadline of a first
@@ -107,7 +108,8 @@
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{}}
+	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{},
+		checks: pathChecks{running: map[reach.Target]bool{}, endedAt: map[reach.Target]clock.Time{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
 }
@@ -115,11 +117,6 @@
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
-// Sweep looks for silent targets as Table.Sweep does, and returns those that became suspected of having stalled. It is called every interval.
-func (s *Server) Sweep(interval time.Duration, gap func(balance.Key, balance.Load) time.Duration) []balance.Key {
-	return s.opt.Table.Sweep(interval, gap)
-}
-
 // HasReceivedRequest tells whether a request has arrived whose route and, unless the route is public, key are known.
 func (s *Server) HasReceivedRequest() bool {
 	s.mu.Lock()
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -59,12 +59,13 @@
 
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
-func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
+func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, ticket *balance.Ticket, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
 	conn, through, err := c.dial(ctx, replica)
 	if err != nil {
 		return nil, false, err
 	}
 	h.Connect(through)
+	ticket.Connected(replica, through)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
--- a/internal/edge/paths_test.go
+++ b/internal/edge/paths_test.go
@@ -248,6 +248,7 @@
 	own   *ownPaths
 	front *httptest.Server
 	peer  *tunnelNode
+	peers atomic.Pointer[[]reach.Peer] // Those that count as alive.
 }
 
 func newCutServer(t testing.TB, repeat fleet.Repeat, replicas ...*pathReplica) *cutServer {
@@ -257,13 +258,14 @@
 	}
 	s := &cutServer{Server: newServerWithBudget(t, 10, repeat, list...).(*Server), own: newOwnPaths(t)}
 	s.peer = newTunnelNode(t, "b", s.opt.Log)
+	s.peers.Store(&[]reach.Peer{s.peer.Peer})
 	cfg := *s.opt.Registry.View().Config
 	cfg.Version++
 	cfg.Routes = slices.Clone(cfg.Routes)
 	cfg.Routes[0].Timeout = cutTimeLimit
 	s.opt.Registry.SetConfig(&cfg)
 	paths, err := reach.New(reach.Options{Clock: s.opt.Clock, Log: s.opt.Log, Panics: recovery.Recoverer{Log: s.opt.Log}, Direct: s.own.dial,
-		Peers: func() []reach.Peer { return []reach.Peer{s.peer.Peer} }})
+		Peers: func() []reach.Peer { return slices.Clone(*s.peers.Load()) }})
 	quicktest.Assert(t, err, quicktest.IsNil)
 	s.opt.Paths = paths
 	stop := make(chan struct{})
@@ -519,3 +521,75 @@
 	}
 	c.Check(ended.Load(), quicktest.Equals, int32(maxCrashes))
 }
+
+// suspectsReported reports whether the server tells other nodes that it suspects a target.
+func (s *cutServer) suspectsReported() bool { return len(s.opt.Table.LocalState().Suspected) > 0 }
+
+// Guards against sound heads that all other nodes avoid because one node has lost its own paths to them.
+func TestLostPathIsNotReportedAsAStall(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	r := newPathReplica(t)
+	r.events = 1 << 20
+	s := newCutServer(t, fleet.RepeatStream, r)
+	resp, err := s.open(t.Context(), "m")
+	c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	_, err = reader.Peek(1)
+	c.Assert(err, quicktest.IsNil)
+	s.own.lose(hanging)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		c.Assert(s.suspectsReported(), quicktest.IsFalse)
+	}
+	c.Check(len(r.ended) == 0 && r.runs.Load() == 2, quicktest.IsTrue, quicktest.Commentf("%d runs, the stream goes on through the other node", r.runs.Load()))
+}
+
+// Guards against a stalled head that other nodes go on to use because this node doesn't tell them.
+func TestStallIsReportedWhereThePathWorks(t *testing.T) {
+	t.Parallel()
+	for _, how := range []cut{"", live} {
+		t.Run(string(how), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			r := newPathReplica(t)
+			r.gap = time.Minute
+			s := newCutServer(t, fleet.RepeatStream, r)
+			if how != "" {
+				s.own.lose(how) // The stream then leads through the other node.
+			}
+			resp, err := s.open(t.Context(), "m")
+			c.Assert(err, quicktest.IsNil)
+			defer resp.Body.Close()
+			end := time.Now().Add(10 * time.Second)
+			for !s.suspectsReported() && time.Now().Before(end) {
+				time.Sleep(5 * time.Millisecond)
+			}
+			c.Check(s.suspectsReported(), quicktest.IsTrue)
+		})
+	}
+}
+
+// Guards against a stream that never ends because the node through which it is received is frozen.
+func TestStreamLeavesAFrozenNodeBetween(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	r := newPathReplica(t)
+	s := newCutServer(t, fleet.RepeatStream, r)
+	other, link := newTunnelNode(t, "c", s.opt.Log), newOwnPaths(t)
+	relay, err := link.relay(s.peer.Address)
+	c.Assert(err, quicktest.IsNil)
+	s.peers.Store(&[]reach.Peer{{Name: "b", Address: relay}})
+	s.own.lose(live)
+	resp, err := s.open(t.Context(), "m")
+	c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	_, err = reader.Peek(1)
+	c.Assert(err, quicktest.IsNil)
+	link.lose(hanging)
+	s.peers.Store(&[]reach.Peer{other.Peer})
+	body, err := io.ReadAll(reader)
+	c.Check(err, quicktest.IsNil)
+	c.Check(string(body), quicktest.Equals, events(1, pathEvents))
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -191,12 +191,17 @@
 }
 
 // alternative selects a head that may go on with a stream for which only the given targets, one or more, are still asked, and counts it as a
-// retry. It returns nil if there is none, or if one of them isn't suspected of having stalled.
+// retry. It returns nil if there is none, or if one of them may still send events: it isn't suspected of having stalled, and the way to it isn't
+// lost. One to which the way is lost may be asked again, on another way.
 func (c *call) alternative(asked []*streamSend, exclude map[balance.Key]bool, p *progress) *balance.Selection {
 	for _, s := range asked {
-		if !c.opt.Table.Suspected(s.head.Key) {
+		stranded := s.ticket.Stranded()
+		if !stranded && !c.opt.Table.Suspected(s.head.Key) {
 			return nil
 		}
+		if stranded {
+			delete(exclude, s.head.Key)
+		}
 	}
 	c.attempts.readmit(exclude)
 	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked) >= c.route.MaxAttempts ||
@@ -293,8 +298,8 @@
 	r.exclude[head.Key] = true
 	r.attempts.sends++
 	r.opt.Metrics.Retry("target_stalled")
-	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events}).
-		Info("the target of a stream has stalled; asking another one as well")
+	r.opt.Log.WithFields(logrus.Fields{"request_id": r.req.ID, "target": string(r.current.head.Key), "other": string(head.Key), "events": r.p.events,
+		"way_lost": r.current.ticket.Stranded()}).Info("the target of a stream has stalled; asking another one as well")
 	other := r.startStream(head, r.p, r.steps)
 	r.others = append(r.others, other)
 	r.attempts.othersAsked++
@@ -356,6 +361,7 @@
 func (r *streamRelay) use(s *streamSend) {
 	r.removeOther(s)
 	r.current = s
+	r.exclude[s.head.Key] = true // It may be the target that was left, on another way.
 	r.attempts.takeovers++
 	r.attempts.lastTarget, r.attempts.began, r.attempts.heard = string(s.head.Key), false, s.heard
 }
@@ -377,6 +383,7 @@
 		r.leave(s)
 	}
 	r.others = nil
+	r.exclude[r.current.head.Key] = true // One of the others may have asked the same target on another way.
 	r.current.ticket.CountAgain()
 }
 
@@ -505,7 +512,7 @@
 			return false
 		}
 	}
-	r, sent, err := c.send(ctx, send.head.Replica, lastEventID, send.heard)
+	r, sent, err := c.send(ctx, send.head.Replica, lastEventID, send.ticket, send.heard)
 	defer r.close()
 	if err != nil {
 		emit(streamStep{sent: sent, err: err})
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -98,6 +98,11 @@
 	return p, eris.Wrap(err, "create the tunnel counter")
 }
 
+// HasPeer reports whether a node may be asked for tunnels now.
+func (p *Paths) HasPeer(name string) bool {
+	return p.opt.Peers != nil && slices.ContainsFunc(p.opt.Peers(), func(peer Peer) bool { return peer.Name == name })
+}
+
 // Lost reports whether this node's own path to a target is lost, though another node reaches it, and since when.
 func (p *Paths) Lost(to Target) (since clock.Time, lost bool) {
 	p.mu.Lock()
