--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,8 @@
 	replicas   *platform.ReplicaClient
 	paths      *reach.Paths
 	tunnels    *reach.Server
+	// dialDirectly opens a connection of this node's own to a replica. Tests replace it before Run.
+	dialDirectly func(ctx context.Context, address string) (net.Conn, error)
 
 	followers      []*follower // Not modified after New.
 	incarnation    int64
@@ -117,6 +119,10 @@
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
 		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c, maxGap: maxConfigAge(s.Bounds)},
 		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), recordOutdated: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
+	n.dialDirectly = func(ctx context.Context, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, "tcp", address)
+	}
 	if n.storeCalls, err = newCallCounter(metrics.Meter()); err != nil {
 		return nil, err
 	}
@@ -139,7 +145,7 @@
 	if err := n.newPaths(); err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, OnBlocked: n.announceBlocked, Clock: c, Log: log,
+	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"net"
+
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/internal/reach"
@@ -13,7 +16,8 @@
 	peers := func() []reach.Peer { return n.tunnelPeers(n.mesh.Alive()) }
 	panics := recovery.Recoverer{Where: "tunnel", Log: n.log, Metrics: n.metrics}
 	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached}
-	n.paths, err = reach.New(reach.Options{Clock: n.clock, Log: n.log, Meter: n.metrics.Meter(), Peers: peers, Panics: panics})
+	direct := func(ctx context.Context, address string) (net.Conn, error) { return n.dialDirectly(ctx, address) }
+	n.paths, err = reach.New(reach.Options{Clock: n.clock, Log: n.log, Meter: n.metrics.Meter(), Peers: peers, Panics: panics, Direct: direct})
 	return err
 }
 
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -22,6 +22,8 @@
 	name  string // Of their failure domain.
 	port  int    // The first of the internal ports.
 	nodes int    // Started so far.
+	// prepare is called with each node before it runs; nil for none.
+	prepare func(*Node)
 	// running counts the nodes that haven't stopped. All are told to stop before the first is waited for.
 	running *sync.WaitGroup
 }
@@ -46,6 +48,9 @@
 	text := strings.NewReplacer("10.200.1.7:8223", z.store, `"zone":"z"`, fmt.Sprintf(`"zone":%q`, z.name), `"node_name":"n"`, fmt.Sprintf(`"bootstrap":%v,"node_name":"n%d"`, firstRun, i),
 		"127.0.0.1:0", ip+":0", `"ip":"127.0.0.1"`, fmt.Sprintf(`"ip":%q`, ip), `[0,9]`, fmt.Sprintf("[%d,%d]", z.port, z.port+9)).Replace(testSettings)
 	n := newNode(c, text)
+	if z.prepare != nil {
+		z.prepare(n)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.Cleanup(cancel)
 	z.running.Go(func() { c.Check(n.Run(ctx), quicktest.IsNil) })
