Ignore the suspicions of nodes that have lost their own paths

A node that states that most of its paths are lost can't tell a stall, so its suspicions don't count.

TestSuspicionsOfANodeWithoutPathsDoNotCount failed before: the head was suspected.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -485,8 +485,10 @@
 	if msg.Zone == n.settings.Zone || !n.table.KnowsZone(msg.Zone) {
 		state.Loads, state.EventAges = decodeLoads(msg.Loads)
 	}
-	for _, k := range msg.Suspects {
-		state.Suspected[balance.Key(k)] = true
+	if !msg.PathsLost { // Otherwise its own paths are at fault.
+		for _, k := range msg.Suspects {
+			state.Suspected[balance.Key(k)] = true
+		}
 	}
 	for _, t := range msg.Slow {
 		state.SlowFactors[balance.Key(t.Target)] = float64(t.Permille) / 1000
--- a/internal/entry/paths_test.go
+++ b/internal/entry/paths_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/platform"
 )
@@ -87,3 +89,19 @@
 	}
 	waitFor(c, 20*time.Second, func() bool { return !isCutOff() })
 }
+
+// Guards against sound heads that all nodes avoid because a node that has lost its own paths takes them for stalled.
+func TestSuspicionsOfANodeWithoutPathsDoNotCount(t *testing.T) {
+	c := quicktest.New(t)
+	a, b := newNode(c, testSettings), newNode(c, testSettings)
+	b.settings.Node = "b"
+	key := balance.KeyOf(&fleet.Replica{ID: "head", Group: &fleet.Membership{Name: "g", Epoch: 1}})
+	b.table.Suspect(key)
+	msg := b.localGossip()
+	msg.PathsLost = true
+	a.applyPeerGossip(msg)
+	c.Check(a.table.Suspected(key), quicktest.IsFalse)
+	msg.PathsLost = false
+	a.applyPeerGossip(msg)
+	c.Check(a.table.Suspected(key), quicktest.IsTrue)
+}
