End the suspicion of a head once a node is found that reaches it

A check without a connection is now repeated at once, two in a row confirm, and a lost way ends any suspicion that is due to silence.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -62,6 +62,7 @@
 	lastEvent     clock.Time    // Last event; 0 if there was none.
 	suspectUntil  clock.Time    // Until when the target is suspected of having stalled.
 	suspicionHeld bool          // The suspicion isn't reported to other nodes until it is confirmed.
+	suspicionTold bool          // The suspicion is due to a response, and not to silence.
 	avoidUntil    clock.Time    // Until when the target is avoided.
 	fullUntil     clock.Time    // Until when the target is treated as full.
 	failureShare  float64       // Share of failed exchanges, weighted towards the newest.
@@ -327,12 +328,12 @@
 	t.stateLocked(k).fullUntil = t.clock.Now().Add(fullDuration)
 }
 
-// Suspect records that the target seems to have stalled.
+// Suspect records that a response told that the target has stalled.
 func (t *Table) Suspect(k Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stateLocked(k)
-	s.suspectUntil, s.suspicionHeld = t.clock.Now().Add(suspicionDuration), false
+	s.suspectUntil, s.suspicionHeld, s.suspicionTold = t.clock.Now().Add(suspicionDuration), false, true
 }
 
 // Sweep suspects targets that run requests but have sent no event for too long, and returns those that became suspected. It
@@ -371,7 +372,7 @@
 		}
 		limit := t.stallLimitLocked(k, s, s.load.Running == s.load.Waiting, gap, now)
 		if now.Sub(s.lastActivity) > limit && now > s.suspectUntil {
-			s.suspectUntil, s.suspicionHeld = now.Add(suspicionDuration), hold
+			s.suspectUntil, s.suspicionHeld, s.suspicionTold = now.Add(suspicionDuration), hold, false
 			suspected = append(suspected, k)
 		}
 	}
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -76,7 +76,7 @@
 }
 
 // Strand records that a way is lost, though the target isn't: its silent requests are out of the load until an event comes after all, and the
-// silence of the others counts from now. A suspicion that hasn't been confirmed ends. It returns the number of these requests.
+// silence of the others counts from now. A suspicion that is due to silence ends. It returns the number of these requests.
 func (t *Table) Strand(w Way) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,14 +93,15 @@
 	}
 	if stranded > 0 {
 		s.lastActivity = now
-		if s.suspicionHeld {
+		if !s.suspicionTold {
 			s.suspectUntil = 0
 		}
 	}
 	return stranded
 }
 
-// ConfirmSuspicion lets the suspicion of a target, if there is one, be reported to the other nodes: its silence isn't due to a lost way.
+// ConfirmSuspicion lets the suspicion of a target, if there is one, be reported to the other nodes: no lost way was found that explains its
+// silence.
 func (t *Table) ConfirmSuspicion(k Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,7 +109,7 @@
 // New returns a Server.
 func New(opt Options) *Server {
 	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{},
-		checks: pathChecks{running: map[reach.Target]bool{}, endedAt: map[reach.Target]clock.Time{}}}
+		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -17,41 +17,60 @@
 const (
 	// pathCheckTimeout limits the wait for a direct connection that shows whether this node's own path to a silent target works.
 	pathCheckTimeout = 200 * time.Millisecond
-	// pathCheckInterval is the time between two such checks of a target.
+	// pathCheckInterval is the time between two such checks of a target if the first one found that the path works.
 	pathCheckInterval = time.Second
+	// confirmingChecks is the number of checks in a row without a connection after which a silent target counts as unreachable for all.
+	confirmingChecks = 2
 )
 
 // pathChecks are the checks of this node's own paths to silent targets. A target is checked once at a time.
 type pathChecks struct {
-	mu      sync.Mutex
-	running map[reach.Target]bool
-	endedAt map[reach.Target]clock.Time // Checks that ended within pathCheckInterval and needn't be repeated at once.
+	mu       sync.Mutex
+	byTarget map[reach.Target]*pathCheck
+}
+
+type pathCheck struct {
+	running  bool
+	endedAt  clock.Time // Of the last check.
+	opened   bool       // The last check opened a direct connection.
+	failures int        // Checks in a row after which no node was found to reach the target, and another one found that it doesn't.
 }
 
 // begin reports whether a check of the target is to start.
 func (p *pathChecks) begin(to reach.Target, now clock.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for checked, at := range p.endedAt {
-		if now.Sub(at) >= pathCheckInterval {
-			delete(p.endedAt, checked)
+	for checked, known := range p.byTarget {
+		if !known.running && now.Sub(known.endedAt) >= pathCheckInterval {
+			delete(p.byTarget, checked)
 		}
 	}
-	if _, recent := p.endedAt[to]; recent || p.running[to] {
+	known := p.byTarget[to]
+	if known == nil {
+		known = &pathCheck{}
+		p.byTarget[to] = known
+	}
+	if known.running || known.opened {
 		return false
 	}
-	p.running[to] = true
+	known.running = true
 	return true
 }
 
-// end records the end of a check, and whether it tells why the target is silent.
-func (p *pathChecks) end(to reach.Target, now clock.Time, conclusive bool) {
+// end records the end of a check, and reports whether the target's own silence counts now. Nodes that have lost their paths too may have
+// been asked at first.
+func (p *pathChecks) end(to reach.Target, now clock.Time, conn *reach.Conn, err error) (stalled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.running, to)
-	if conclusive {
-		p.endedAt[to] = now
+	known := p.byTarget[to]
+	known.running, known.endedAt = false, now
+	known.opened = err == nil && conn.Through == ""
+	if err == nil || errors.Is(err, reach.ErrUnconfirmed) {
+		known.failures = 0
+	} else {
+		known.failures++
 	}
+	return known.opened || known.failures >= confirmingChecks
 }
 
 // Sweep looks for silent targets as Table.Sweep does, and returns those that became suspected of having stalled. Where only the way to a
@@ -92,18 +111,17 @@
 // checkPath finds out whether the silence of a target may be due to this node's own path. If only the path is lost, Paths.Lost tells so soon
 // after it.
 func (s *Server) checkPath(key balance.Key, to reach.Target) {
-	conclusive := false
-	defer func() { s.checks.end(to, s.opt.Clock.Now(), conclusive) }()
-	conn, err := s.opt.Paths.Dial(context.Background(), to,
+	var conn *reach.Conn
+	err := recovery.ErrPanic
+	defer func() { // Also after a panic.
+		if s.checks.end(to, s.opt.Clock.Now(), conn, err) {
+			s.opt.Table.ConfirmSuspicion(key)
+		}
+	}()
+	conn, err = s.opt.Paths.Dial(context.Background(), to,
 		reach.Request{Timeout: pathCheckTimeout, PeerDelay: peerDelay, Lifetime: pathCheckTimeout, Control: true})
 	if err == nil {
 		conn.Close()
-		conclusive = conn.Through == ""
-	} else {
-		conclusive = !errors.Is(err, reach.ErrUnconfirmed)
-	}
-	if conclusive {
-		s.opt.Table.ConfirmSuspicion(key)
 	}
 }
 
--- a/internal/edge/paths_test.go
+++ b/internal/edge/paths_test.go
@@ -593,3 +593,30 @@
 	c.Check(err, quicktest.IsNil)
 	c.Check(string(body), quicktest.Equals, events(1, pathEvents))
 }
+
+// Guards against sound heads that this node and others avoid for seconds because the nodes that were asked first had lost their paths too.
+func TestSuspicionEndsOnceASoundNodeIsFound(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	r := newPathReplica(t)
+	r.events = 1 << 20
+	s := newCutServer(t, fleet.RepeatStream, r)
+	alsoCut := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGatewayTimeout) }))
+	t.Cleanup(alsoCut.Close)
+	s.peers.Store(&[]reach.Peer{{Name: "c", Address: alsoCut.Listener.Addr().String()}})
+	resp, err := s.open(t.Context(), "m")
+	c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	_, err = reader.Peek(1)
+	c.Assert(err, quicktest.IsNil)
+	s.own.lose(hanging)
+	wait := func(limit time.Duration, condition func() bool) {
+		for end := time.Now().Add(limit); !condition(); time.Sleep(time.Millisecond) {
+			c.Assert(time.Now().Before(end), quicktest.IsTrue, quicktest.Commentf("not within %v", limit))
+		}
+	}
+	wait(10*time.Second, s.suspectsReported)
+	s.peers.Store(&[]reach.Peer{s.peer.Peer})
+	wait(3*time.Second, func() bool { return !s.suspectsReported() && r.runs.Load() == 2 })
+}
