--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -16,6 +16,7 @@
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -23,9 +24,6 @@
 )
 
 const (
-	// dialTimeout limits the wait for a connection to a replica. TCP resends a lost SYN only after a second, and another
-	// replica is reached sooner.
-	dialTimeout = 300 * time.Millisecond
 	// maxSends limits the sends of one request, including those that a replica refuses.
 	maxSends = 4
 	// maxResponseHeaderBytes limits the header of a response.
@@ -61,14 +59,13 @@
 
 // send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
 // received a byte of the request. The connection is closed when the context ends.
-func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
-	dialer := net.Dialer{Timeout: min(dialTimeout, max(c.timeLeft()/2, time.Millisecond))}
-	conn, err := dialer.DialContext(ctx, "tcp", replica.Address)
+func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, ticket *balance.Ticket, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
+	conn, through, err := c.dial(ctx, replica)
 	if err != nil {
 		return nil, false, err
 	}
-	h.Note()
-	h.Reach(lastheard.Connection)
+	h.Connect(through)
+	ticket.Connected(replica, through)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
@@ -236,21 +233,30 @@
 	if errors.Is(err, recovery.ErrPanic) {
 		return // A failure of this node, not of the replica.
 	}
-	c.opt.Table.RecordOutcome(key, true)
-	if !sent {
-		c.opt.Table.Avoid(key)
-		if timeout, ok := errors.AsType[net.Error](err); ok && timeout.Timeout() {
-			c.attempts.unreached = append(c.attempts.unreached, key)
-		}
+	found := replicaListens
+	if sent && connectionLost(err) {
+		found = c.check(replica)
 	}
-	crashed := sent && connectionLost(err) && c.recordCrash(replica)
 	reason := "target_failed"
-	if crashed {
+	switch {
+	case found == replicaEnded:
+		c.recordCrash(replica)
 		reason = "target_crashed"
+	case found == ownPathLost:
+		c.attempts.cutOff = append(c.attempts.cutOff, key)
+		reason = "own_path_lost"
+	case !sent && mayOpenLater(err):
+		c.attempts.unreached = append(c.attempts.unreached, key)
+	}
+	if found != ownPathLost && !errors.Is(err, reach.ErrUnconfirmed) {
+		c.opt.Table.RecordOutcome(key, true)
+	}
+	if !sent {
+		c.opt.Table.Avoid(key)
 	}
 	c.opt.Metrics.Retry(reason)
-	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.suspect.Fingerprint, "prompt_parts": c.suspect.Parts, "crashed": crashed}).
-		WithError(err).Info("send got no usable response")
+	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.suspect.Fingerprint, "prompt_parts": c.suspect.Parts,
+		"crashed": found == replicaEnded, "own_path_lost": found == ownPathLost}).WithError(err).Info("send got no usable response")
 }
 
 // giveUp ends a request for which no further send is possible.
