Don't take an ended node's refusal for that of the replica

The finding of the other node has an error of its own now.

The new case of TestRefusalIsConfirmedByAnotherNode failed before: refused and confirmed.

--- a/internal/reach/errors.go
+++ b/internal/reach/errors.go
@@ -15,6 +15,7 @@
 // Errors of a node that was asked for a tunnel.
 var (
 	errPeerNotReached = errors.New("the node doesn't reach the replica either")
+	errPeerRefused    = errors.New("the node found that nothing listens there")
 	errPeerDeclined   = errors.New("the node opens no tunnel to the replica")
 )
 
@@ -50,7 +51,7 @@
 		return true
 	}
 	for _, p := range e.Peers {
-		if errors.Is(p.Err, errPeerNotReached) || errors.Is(p.Err, syscall.ECONNREFUSED) {
+		if errors.Is(p.Err, errPeerNotReached) || errors.Is(p.Err, errPeerRefused) {
 			return true
 		}
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -209,6 +209,7 @@
 		{"no other node", nil, true, true},
 		{"another node", []Peer{refuses}, true, true},
 		{"a node that doesn't answer", []Peer{silent}, false, false},
+		{"a node that has ended", []Peer{{Name: "d", Address: dead}}, false, false},
 		{"one of two nodes answers", []Peer{silent, refuses}, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -68,7 +68,7 @@
 	case http.StatusSwitchingProtocols:
 		return reader, nil
 	case http.StatusBadGateway:
-		return nil, eris.Wrap(syscall.ECONNREFUSED, "the node found that nothing listens there")
+		return nil, errPeerRefused
 	case http.StatusGatewayTimeout:
 		return nil, errPeerNotReached
 	}
