Try a lost path again where no other node opens a tunnel

The path is tried now when there is no other node left to ask and none has found that it doesn't reach the replica either.

TestLostPathIsTriedWhereNoOtherNodeHelps failed before in both cases.

--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -60,6 +60,7 @@
 	maxPeers int
 	asked    int
 	pending  int
+	direct   bool // A direct connection is tried.
 	attempts chan attempt
 	failure  DialError
 }
@@ -74,7 +75,7 @@
 	r := &race{paths: p, to: to, request: request, peers: peers, maxPeers: maxPeers, attempts: make(chan attempt, 1+maxPeers)}
 	r.failure.Alone = len(peers) == 0
 	if direct || len(peers) == 0 {
-		r.start(context.WithoutCancel(ctx), "", r.dialDirectly)
+		r.startDirectly(ctx)
 	}
 	peerContext, cancel := context.WithTimeout(ctx, request.Timeout)
 	conn, err := r.run(ctx, peerContext, lost)
@@ -100,6 +101,12 @@
 	}()
 }
 
+// startDirectly tries a direct connection. It goes on when another one is used, since it tells whether the path works.
+func (r *race) startDirectly(ctx context.Context) {
+	r.direct = true
+	r.start(context.WithoutCancel(ctx), "", r.dialDirectly)
+}
+
 func (r *race) dialDirectly(ctx context.Context) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.request.Timeout)
 	defer cancel()
@@ -115,9 +122,13 @@
 	return &Conn{Conn: tcp, tcp: tcp}, nil
 }
 
-// askPeer asks the next node for a tunnel, if there is one.
+// askPeer asks the next node for a tunnel, if there is one. Otherwise a path that is known to be lost is tried, unless a node has found that it
+// doesn't reach the replica either.
 func (r *race) askPeer(ctx context.Context) {
 	if len(r.peers) == 0 || r.asked >= r.maxPeers {
+		if !r.direct && !r.failure.Confirmed() {
+			r.startDirectly(ctx)
+		}
 		return
 	}
 	peer := r.peers[0]
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -278,6 +278,38 @@
 	c.Check(p.MostLost(), quicktest.IsFalse)
 }
 
+// Guards against a replica that isn't reached because the other nodes are gone, though this node's own path, which was lost, works again.
+func TestLostPathIsTriedWhereNoOtherNodeHelps(t *testing.T) {
+	for name, gone := range map[string]func(*net.TCPConn){
+		"the node ends":    func(conn *net.TCPConn) { conn.Close() },
+		"the node freezes": func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			replica := listen(t, echo)
+			address := deadAddress(t)
+			peer, _ := startPeer(t, "b", replica.Addr().String())
+			var present atomic.Pointer[Peer]
+			present.Store(&peer)
+			p := newPaths(t, clock.NewManual(time.Hour))
+			p.opt.Peers = func() []Peer { return []Peer{*present.Load()} }
+			conn, err := p.Dial(t.Context(), targetAt(address), testRequest)
+			c.Assert(err, quicktest.IsNil)
+			conn.Close()
+			c.Assert(conn.Through, quicktest.Equals, "b")
+
+			back, err := net.Listen("tcp", address)
+			c.Assert(err, quicktest.IsNil)
+			defer back.Close()
+			present.Store(&Peer{Name: "b", Address: listen(t, gone).Addr().String()})
+			conn, err = p.Dial(t.Context(), targetAt(address), testRequest)
+			c.Assert(err, quicktest.IsNil)
+			conn.Close()
+			c.Check(conn.Through, quicktest.Equals, "")
+		})
+	}
+}
+
 // Guards against connections that stay open after the one that was used.
 func TestClientThatLeavesEndsTheDial(t *testing.T) {
 	c := quicktest.New(t)
