Let nodes without paths of their own confirm nothing, and ask silent ones last

A planner whose paths are lost asks other nodes whether they reach a replica. One that has lost its paths too answered that it doesn't, which counted as a confirmation; it declines now. A node that hadn't answered within the time of a connection was asked first again. Both tests failed before (the first: not ErrUnconfirmed, but ECONNREFUSED; the second: no connection).

--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -15,7 +15,8 @@
 func (n *Node) newPaths() (err error) {
 	peers := func() []reach.Peer { return n.tunnelPeers(n.mesh.Alive()) }
 	panics := recovery.Recoverer{Where: "tunnel", Log: n.log, Metrics: n.metrics}
-	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached}
+	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached,
+		PathsLost: func() bool { return n.paths.MostLost() }}
 	direct := func(ctx context.Context, address string) (net.Conn, error) { return n.dialDirectly(ctx, address) }
 	n.paths, err = reach.New(reach.Options{Clock: n.clock, Log: n.log, Meter: n.metrics.Meter(), Peers: peers, Panics: panics, Direct: direct})
 	return err
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -213,6 +213,8 @@
 			a.conn.Close()
 		case a.through == "" && used != nil:
 			r.paths.directFailed(r.to, used.Through, a.err)
+		case a.through != "" && used == nil:
+			r.paths.notePeer(r.to, a.through, false) // It hasn't answered in time.
 		}
 	}
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -354,3 +354,35 @@
 		c.Check(through, quicktest.Equals, "far")
 	}
 }
+
+// Guards against a replica that counts as unreachable because a node that has lost its own paths too was asked.
+func TestNodeWithoutPathsConfirmsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	dead := deadAddress(t)
+	for _, pathsLost := range []bool{false, true} {
+		peer, server := startPeer(t, "b", dead)
+		server.PathsLost = func() bool { return pathsLost }
+		_, err := newPaths(t, clock.NewManual(time.Hour), peer).Dial(t.Context(), targetAt(dead), testRequest)
+		c.Check(errors.Is(err, ErrUnconfirmed), quicktest.Equals, pathsLost, quicktest.Commentf("%v", err))
+		c.Check(errors.Is(err, syscall.ECONNREFUSED), quicktest.Equals, !pathsLost, quicktest.Commentf("%v", err))
+	}
+}
+
+// Guards against a node that has stopped answering and is asked first again and again.
+func TestNodeThatDoesNotAnswerIsAskedLast(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	silent := Peer{Name: "silent", Near: true, Address: listen(t, func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) }).Addr().String()}
+	sound, _ := startPeer(t, "sound", replica.Addr().String())
+	p, to := newPaths(t, clock.NewManual(time.Hour), silent, sound), targetAt(deadAddress(t))
+	request := testRequest
+	request.Timeout, request.PeerDelay = 100*time.Millisecond, 200*time.Millisecond
+	_, err := p.Dial(t.Context(), to, request)
+	c.Assert(err, quicktest.IsNotNil)
+	for end := time.Now().Add(5 * time.Second); p.peersFor(to)[0].Name != "sound" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	conn, err := p.Dial(t.Context(), to, request)
+	c.Assert(err, quicktest.IsNil)
+	conn.Close()
+	c.Check(conn.Through, quicktest.Equals, "sound")
+}
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -35,6 +35,8 @@
 	Panics recovery.Recoverer
 	// Allowed reports whether a replica may be connected to for another node; for control, if no request of a client is sent.
 	Allowed func(to Target, control bool) bool
+	// PathsLost reports whether this node lacks most of its own paths, so that its failures tell nothing of a replica; nil for never.
+	PathsLost func() bool
 
 	open     atomic.Int64
 	draining atomic.Bool
@@ -74,6 +76,8 @@
 	dialer := net.Dialer{Timeout: number("timeout_ms", maxTunnelDial)}
 	replica, err := dialer.DialContext(r.Context(), "tcp", to.Address)
 	switch {
+	case err != nil && s.PathsLost != nil && s.PathsLost():
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		w.WriteHeader(http.StatusBadGateway)
 	case err != nil:
