--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -67,6 +69,8 @@
 	Crashes  *crash.Table
 	// Statements holds what replicas state about themselves in their responses.
 	Statements *statement.Table
+	// Paths opens the connections to replicas; nil for direct ones only.
+	Paths *reach.Paths
 	// OnBlocked is called when a crash has been recorded after which requests are refused. It must not block.
 	OnBlocked func()
 	Clock     clock.Clock
@@ -93,6 +97,7 @@
 	stopped   context.Context
 	stop      context.CancelFunc
 	durations drain.Durations // By route.
+	checks    pathChecks
 
 	mu sync.Mutex
 	// longestWait holds the longest deadline that clients have stated, by route. It is taken as the deadline of a first
@@ -103,7 +108,8 @@
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{}}
+	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{},
+		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
 }
@@ -155,7 +161,9 @@
 	otherHeard             *lastheard.Record
 	// unreached holds targets to which no connection opened in time.
 	unreached []balance.Key
-	granted   int // Retries that the budget granted for sends that reached no target.
+	// cutOff holds targets that may have run the request, and to which this node's own path was lost meanwhile. Another node reaches them.
+	cutOff  []balance.Key
+	granted int // Retries that the budget granted for sends that reached no target.
 }
 
 // startSend counts a send to the target.
@@ -165,14 +173,15 @@
 }
 
 // readmit takes the targets that weren't reached in time out of the excluded ones, and takes back the sends to them: a target that is only
-// silent for a while opens connections later. A request that hasn't run is refused instead if there is no other target.
+// silent for a while opens connections later. A request that hasn't run is refused instead if there is no other target. Targets to which the
+// own path was lost are reached through another node.
 func (a *attempts) readmit(exclude map[balance.Key]bool) {
-	for _, key := range a.unreached {
+	for _, key := range slices.Concat(a.unreached, a.cutOff) {
 		delete(exclude, key)
 	}
 	a.sends -= len(a.unreached)
 	a.granted += len(a.unreached)
-	a.unreached = nil
+	a.unreached, a.cutOff = nil, nil
 }
 
 // mayHaveRun tells whether any send may have run or may still run. Only if not may the request be refused as not run.
@@ -378,6 +387,7 @@
 	}
 	if c.attempts.lastTarget != "" {
 		fields["target"], fields["why"] = c.attempts.lastTarget, c.attempts.lastFailure
+		c.attempts.heard.AddThrough(fields, "")
 	}
 	return fields
 }
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -12,8 +12,12 @@
 	"cassiadeal.example/cassiadeal/internal/recovery"
 )
 
-// maxPeersPerDial bounds the nodes that are asked for one connection.
-const maxPeersPerDial = 2
+// maxPeersPerDial bounds the nodes that are asked for one connection, and maxPeersForControl for one that carries no request of a client: what
+// is found by it decides about the replica.
+const (
+	maxPeersPerDial    = 2
+	maxPeersForControl = 3
+)
 
 // Request says how a connection is opened and what it is for.
 type Request struct {
@@ -53,20 +57,25 @@
 	to       Target
 	request  Request
 	peers    []Peer // Not asked yet.
+	maxPeers int
 	asked    int
 	pending  int
+	direct   bool // A direct connection is tried.
 	attempts chan attempt
 	failure  DialError
 }
 
 // Dial opens a connection to a replica. The error is a *DialError, or that of the context.
 func (p *Paths) Dial(ctx context.Context, to Target, request Request) (*Conn, error) {
-	peers := p.peers()
 	direct, lost := p.begin(to)
-	r := &race{paths: p, to: to, request: request, peers: peers, attempts: make(chan attempt, 1+maxPeersPerDial)}
+	peers, maxPeers := p.peersFor(to), maxPeersPerDial
+	if request.Control {
+		maxPeers = maxPeersForControl
+	}
+	r := &race{paths: p, to: to, request: request, peers: peers, maxPeers: maxPeers, attempts: make(chan attempt, 1+maxPeers)}
 	r.failure.Alone = len(peers) == 0
 	if direct || len(peers) == 0 {
-		r.start(context.WithoutCancel(ctx), "", r.dialDirectly)
+		r.startDirectly(ctx)
 	}
 	peerContext, cancel := context.WithTimeout(ctx, request.Timeout)
 	conn, err := r.run(ctx, peerContext, lost)
@@ -92,6 +101,12 @@
 	}()
 }
 
+// startDirectly tries a direct connection. It goes on when another one is used, since it tells whether the path works.
+func (r *race) startDirectly(ctx context.Context) {
+	r.direct = true
+	r.start(context.WithoutCancel(ctx), "", r.dialDirectly)
+}
+
 func (r *race) dialDirectly(ctx context.Context) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.request.Timeout)
 	defer cancel()
@@ -107,9 +122,13 @@
 	return &Conn{Conn: tcp, tcp: tcp}, nil
 }
 
-// askPeer asks the next node for a tunnel, if there is one.
+// askPeer asks the next node for a tunnel, if there is one. Otherwise a path that is known to be lost is tried, unless a node has found that it
+// doesn't reach the replica either.
 func (r *race) askPeer(ctx context.Context) {
-	if len(r.peers) == 0 || r.asked >= maxPeersPerDial {
+	if len(r.peers) == 0 || r.asked >= r.maxPeers {
+		if !r.direct && !r.failure.Confirmed() {
+			r.startDirectly(ctx)
+		}
 		return
 	}
 	peer := r.peers[0]
@@ -160,6 +179,7 @@
 		return
 	}
 	r.paths.count("opened")
+	r.paths.notePeer(r.to, a.through, true)
 	if r.failure.Direct != nil {
 		r.paths.directFailed(r.to, a.through, r.failure.Direct)
 	}
@@ -172,7 +192,7 @@
 		return
 	}
 	r.paths.count("failed")
-	r.paths.avoid(a.through)
+	r.paths.notePeer(r.to, a.through, false)
 	r.failure.Peers = append(r.failure.Peers, PeerError{a.through, a.err})
 }
 
@@ -193,6 +213,8 @@
 			a.conn.Close()
 		case a.through == "" && used != nil:
 			r.paths.directFailed(r.to, used.Through, a.err)
+		case a.through != "" && used == nil:
+			r.paths.notePeer(r.to, a.through, false) // It hasn't answered in time.
 		}
 	}
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -209,6 +209,7 @@
 		{"no other node", nil, true, true},
 		{"another node", []Peer{refuses}, true, true},
 		{"a node that doesn't answer", []Peer{silent}, false, false},
+		{"a node that has ended", []Peer{{Name: "d", Address: dead}}, false, false},
 		{"one of two nodes answers", []Peer{silent, refuses}, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -277,6 +278,38 @@
 	c.Check(p.MostLost(), quicktest.IsFalse)
 }
 
+// Guards against a replica that isn't reached because the other nodes are gone, though this node's own path, which was lost, works again.
+func TestLostPathIsTriedWhereNoOtherNodeHelps(t *testing.T) {
+	for name, gone := range map[string]func(*net.TCPConn){
+		"the node ends":    func(conn *net.TCPConn) { conn.Close() },
+		"the node freezes": func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			replica := listen(t, echo)
+			address := deadAddress(t)
+			peer, _ := startPeer(t, "b", replica.Addr().String())
+			var present atomic.Pointer[Peer]
+			present.Store(&peer)
+			p := newPaths(t, clock.NewManual(time.Hour))
+			p.opt.Peers = func() []Peer { return []Peer{*present.Load()} }
+			conn, err := p.Dial(t.Context(), targetAt(address), testRequest)
+			c.Assert(err, quicktest.IsNil)
+			conn.Close()
+			c.Assert(conn.Through, quicktest.Equals, "b")
+
+			back, err := net.Listen("tcp", address)
+			c.Assert(err, quicktest.IsNil)
+			defer back.Close()
+			present.Store(&Peer{Name: "b", Address: listen(t, gone).Addr().String()})
+			conn, err = p.Dial(t.Context(), targetAt(address), testRequest)
+			c.Assert(err, quicktest.IsNil)
+			conn.Close()
+			c.Check(conn.Through, quicktest.Equals, "")
+		})
+	}
+}
+
 // Guards against connections that stay open after the one that was used.
 func TestClientThatLeavesEndsTheDial(t *testing.T) {
 	c := quicktest.New(t)
@@ -288,3 +321,68 @@
 	c.Check(errors.Is(err, context.Canceled), quicktest.IsTrue)
 	c.Check(time.Since(started) < time.Second, quicktest.IsTrue)
 }
+
+// Guards against connections that fail because nodes are asked again which don't reach the replica either, while another one does.
+func TestNodesThatReachTheReplicaAreAskedFirst(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	address := deadAddress(t)
+	var peers []Peer
+	for _, name := range []string{"b", "c", "d", "e"} {
+		peer, _ := startPeer(t, name, address)
+		peer.Near = true
+		peers = append(peers, peer)
+	}
+	far, _ := startPeer(t, "far", replica.Addr().String())
+	p := newPaths(t, clock.NewManual(time.Hour), append(peers, far)...)
+	dial := func() (string, error) {
+		conn, err := p.Dial(t.Context(), targetAt(address), testRequest)
+		if err != nil {
+			return "", err
+		}
+		conn.Close()
+		return conn.Through, nil
+	}
+	failed := 0
+	for _, err := dial(); err != nil; _, err = dial() {
+		failed++
+		c.Assert(failed < 3, quicktest.IsTrue, quicktest.Commentf("%v", err))
+	}
+	for range 5 {
+		through, err := dial()
+		c.Assert(err, quicktest.IsNil)
+		c.Check(through, quicktest.Equals, "far")
+	}
+}
+
+// Guards against a replica that counts as unreachable because a node that has lost its own paths too was asked.
+func TestNodeWithoutPathsConfirmsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	dead := deadAddress(t)
+	for _, pathsLost := range []bool{false, true} {
+		peer, server := startPeer(t, "b", dead)
+		server.PathsLost = func() bool { return pathsLost }
+		_, err := newPaths(t, clock.NewManual(time.Hour), peer).Dial(t.Context(), targetAt(dead), testRequest)
+		c.Check(errors.Is(err, ErrUnconfirmed), quicktest.Equals, pathsLost, quicktest.Commentf("%v", err))
+		c.Check(errors.Is(err, syscall.ECONNREFUSED), quicktest.Equals, !pathsLost, quicktest.Commentf("%v", err))
+	}
+}
+
+// Guards against a node that has stopped answering and is asked first again and again.
+func TestNodeThatDoesNotAnswerIsAskedLast(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	silent := Peer{Name: "silent", Near: true, Address: listen(t, func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) }).Addr().String()}
+	sound, _ := startPeer(t, "sound", replica.Addr().String())
+	p, to := newPaths(t, clock.NewManual(time.Hour), silent, sound), targetAt(deadAddress(t))
+	request := testRequest
+	request.Timeout, request.PeerDelay = 100*time.Millisecond, 200*time.Millisecond
+	_, err := p.Dial(t.Context(), to, request)
+	c.Assert(err, quicktest.IsNotNil)
+	for end := time.Now().Add(5 * time.Second); p.peersFor(to)[0].Name != "sound" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	conn, err := p.Dial(t.Context(), to, request)
+	c.Assert(err, quicktest.IsNil)
+	conn.Close()
+	c.Check(conn.Through, quicktest.Equals, "sound")
+}
