Ask a node of another failure domain about a replica where all near ones may lack the same paths

A connection without a request of a client asked up to three nodes of the own domain first. Where a whole domain was cut off from replicas, their answers confirmed a loss that there wasn't. The second node asked is now of another domain, if one hasn't lost its paths or failed to reach the replica.

TestNodeOfAnotherDomainIsAskedAboutTheReplica failed before: "connection refused; through c: ...; through b: ...; through e: the node found that nothing listens there".

--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -68,7 +68,7 @@
 // Dial opens a connection to a replica. The error is a *DialError, or that of the context.
 func (p *Paths) Dial(ctx context.Context, to Target, request Request) (*Conn, error) {
 	direct, lost := p.begin(to)
-	peers, maxPeers := p.peersFor(to), maxPeersPerDial
+	peers, maxPeers := p.peersFor(to, request.Control), maxPeersPerDial
 	if request.Control {
 		maxPeers = maxPeersForControl
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -200,8 +200,8 @@
 }
 
 // peersFor returns the nodes to ask for a tunnel, the preferred ones first: those that have lately reached the replica, and last those
-// that haven't.
-func (p *Paths) peersFor(to Target) []Peer {
+// that haven't. For control, the second one is of another failure domain if the first is near: a whole domain may lack the same paths.
+func (p *Paths) peersFor(to Target, control bool) []Peer {
 	if p.opt.Peers == nil {
 		return nil
 	}
@@ -214,17 +214,29 @@
 		ranks[peer.Name] = p.rankLocked(to, peer)
 	}
 	slices.SortStableFunc(list, func(a, b Peer) int { return ranks[a.Name] - ranks[b.Name] })
+	far := slices.IndexFunc(list, func(peer Peer) bool { return !peer.Near && ranks[peer.Name] < pathsLostRank })
+	if control && far > 1 && list[0].Near {
+		peer := list[far]
+		list = slices.Insert(slices.Delete(list, far, far+1), 1, peer)
+	}
 	return list
 }
 
+// Ranks of nodes, lower for those that are preferred; see rankLocked.
+const (
+	farRank       = 1
+	pathsLostRank = 2
+	outcomeRank   = 4 // Added for a node that has lately failed to reach the replica, subtracted for one that has reached it.
+)
+
 // rankLocked returns a number that is lower for nodes that are preferred.
 func (p *Paths) rankLocked(to Target, peer Peer) int {
 	rank := 0
 	if !peer.Near {
-		rank++
+		rank += farRank
 	}
 	if peer.PathsLost {
-		rank += 2
+		rank += pathsLostRank
 	}
 	known := p.paths[to]
 	if known == nil {
@@ -234,9 +246,9 @@
 	switch {
 	case !asked || p.opt.Clock.Now().Sub(outcome.at) > peerMemory:
 	case outcome.opened:
-		rank -= 4
+		rank -= outcomeRank
 	default:
-		rank += 4
+		rank += outcomeRank
 	}
 	return rank
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -355,6 +355,28 @@
 	}
 }
 
+// Guards against a replica that counts as lost because all nodes that were asked lack the same paths: a failure domain that is cut off.
+func TestNodeOfAnotherDomainIsAskedAboutTheReplica(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	address := deadAddress(t)
+	var peers []Peer
+	for _, name := range []string{"b", "c", "d", "e"} {
+		peer, _ := startPeer(t, name, address)
+		peer.Near = true
+		peers = append(peers, peer)
+	}
+	far, _ := startPeer(t, "far", replica.Addr().String())
+	request := testRequest
+	request.Control = true
+	for range 5 {
+		conn, err := newPaths(t, clock.NewManual(time.Hour), append(peers, far)...).Dial(t.Context(), targetAt(address), request)
+		c.Assert(err, quicktest.IsNil)
+		conn.Close()
+		c.Check(conn.Through, quicktest.Equals, "far")
+	}
+}
+
 // Guards against a replica that counts as unreachable because a node that has lost its own paths too was asked.
 func TestNodeWithoutPathsConfirmsNothing(t *testing.T) {
 	c := quicktest.New(t)
@@ -379,7 +401,7 @@
 	request.Timeout, request.PeerDelay = 100*time.Millisecond, 200*time.Millisecond
 	_, err := p.Dial(t.Context(), to, request)
 	c.Assert(err, quicktest.IsNotNil)
-	for end := time.Now().Add(5 * time.Second); p.peersFor(to)[0].Name != "sound" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); p.peersFor(to, false)[0].Name != "sound" && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
 	conn, err := p.Dial(t.Context(), to, request)
 	c.Assert(err, quicktest.IsNil)
