Drop what a tunnel reads after its lifetime

A node that is stopped for a while may have received an order that its sender has given up meanwhile; when it went on, it could read the data before it noticed the deadline of the tunnel, and deliver them. TestDataReadAfterTheLifetimeAreDropped failed before ("order" was received).

--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -408,3 +408,45 @@
 	conn.Close()
 	c.Check(conn.Through, quicktest.Equals, "sound")
 }
+
+// heldConn is a connection whose data are read some time after they have arrived, as by a process that was stopped.
+type heldConn struct {
+	net.Conn
+	until time.Time
+}
+
+func (c heldConn) Read(p []byte) (int, error) {
+	time.Sleep(time.Until(c.until))
+	return c.Conn.Read(p)
+}
+
+// Guards against an order that a node which was stopped for a while delivers after its sender has given it up.
+func TestDataReadAfterTheLifetimeAreDropped(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		c := quicktest.New(t)
+		received := make(chan struct{})
+		var data string
+		replica, err := net.Dial("tcp", listen(t, func(conn *net.TCPConn) {
+			buffer := make([]byte, 16)
+			n, _ := conn.Read(buffer)
+			data = string(buffer[:n])
+			close(received)
+		}).Addr().String())
+		c.Assert(err, quicktest.IsNil)
+		node, sender := net.Pipe()
+		now := time.Now()
+		held, until := heldConn{node, now}, now.Add(10*time.Second)
+		if late {
+			until = now.Add(10 * time.Millisecond)
+			held.until = until.Add(time.Millisecond)
+		}
+		go func() {
+			_, _ = io.WriteString(sender, "order")
+			<-received
+			_ = sender.Close()
+		}()
+		copyToReplica(replica, held, until)
+		<-received
+		c.Check(data, quicktest.Equals, map[bool]string{false: "order", true: ""}[late])
+	}
+}
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -121,7 +121,7 @@
 	go func() {
 		defer s.Panics.Recover(nil)
 		defer cancel()
-		copyToReplica(replica, node)
+		copyToReplica(replica, node, until)
 	}()
 	copyFrames(node, replica)
 	node.Close()
@@ -129,11 +129,16 @@
 }
 
 // copyToReplica copies what the other node sends. When that node has ended, the connection to the replica is reset, so that a request that
-// is still held up on its way is lost, and one that runs ends.
-func copyToReplica(replica, node net.Conn) {
+// is still held up on its way is lost, and one that runs ends. The same holds after the lifetime of the tunnel, also for what has arrived
+// before while this process was stopped.
+func copyToReplica(replica, node net.Conn, until time.Time) {
 	buffer := make([]byte, requestBytes)
 	for {
 		n, err := node.Read(buffer)
+		if time.Now().After(until) {
+			reset(replica)
+			return
+		}
 		if n > 0 {
 			if _, writeErr := replica.Write(buffer[:n]); writeErr != nil {
 				return // What the replica has answered may still be read.
