Let a request return to its replica when the tunnel to it is lost

The error of the connection between the nodes can be told from that of the replica now (reach.ErrTunnelLost); where the replica is reached, only the way was lost.

TestStreamOutlastsTheNodeBetween failed before where the own path works again, in 3 of 3 runs. The test of reach checks the new error and the former one.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -69,19 +69,19 @@
 	// replicaListens means that the replica broke off only this exchange, or may be cut off from all nodes.
 	replicaListens finding = iota
 	replicaEnded
-	// ownPathLost means that another node reaches the replica, and this one doesn't.
-	ownPathLost
+	// wayLost means that only the way to the replica was lost, and that it is reached on another one.
+	wayLost
 )
 
-// check finds out why a connection to the replica was lost. That the replica has ended has to be confirmed by another node where there is one:
+// check finds out why a connection to the replica was lost with the error. That the replica has ended has to be confirmed by another node where there is one:
 // connections of this node may be refused because its own path is lost.
-func (c *call) check(replica *fleet.Replica) finding {
+func (c *call) check(replica *fleet.Replica, lost error) finding {
 	through, err := c.dialToCheck(replica)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return replicaEnded
-	case through != "":
-		return ownPathLost
+	case through != "", err == nil && errors.Is(lost, reach.ErrTunnelLost):
+		return wayLost
 	}
 	return replicaListens
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -161,7 +161,7 @@
 	otherHeard             *lastheard.Record
 	// unreached holds targets to which no connection opened in time.
 	unreached []balance.Key
-	// cutOff holds targets that may have run the request, and to which this node's own path was lost meanwhile. Another node reaches them.
+	// cutOff holds targets that may have run the request, and to which only the way was lost meanwhile.
 	cutOff  []balance.Key
 	granted int // Retries that the budget granted for sends that reached no target.
 }
@@ -173,8 +173,8 @@
 }
 
 // readmit takes the targets that weren't reached in time out of the excluded ones, and takes back the sends to them: a target that is only
-// silent for a while opens connections later. A request that hasn't run is refused instead if there is no other target. Targets to which the
-// own path was lost are reached through another node.
+// silent for a while opens connections later. A request that hasn't run is refused instead if there is no other target. Targets to which
+// only the way was lost are reached on another one.
 func (a *attempts) readmit(exclude map[balance.Key]bool) {
 	for _, key := range slices.Concat(a.unreached, a.cutOff) {
 		delete(exclude, key)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -235,20 +235,20 @@
 	}
 	found := replicaListens
 	if sent && connectionLost(err) {
-		found = c.check(replica)
+		found = c.check(replica, err)
 	}
 	reason := "target_failed"
 	switch {
 	case found == replicaEnded:
 		c.recordCrash(replica)
 		reason = "target_crashed"
-	case found == ownPathLost:
+	case found == wayLost:
 		c.attempts.cutOff = append(c.attempts.cutOff, key)
-		reason = "own_path_lost"
+		reason = "way_lost"
 	case !sent && mayOpenLater(err):
 		c.attempts.unreached = append(c.attempts.unreached, key)
 	}
-	if found != ownPathLost && !errors.Is(err, reach.ErrUnconfirmed) {
+	if found != wayLost && !errors.Is(err, reach.ErrUnconfirmed) {
 		c.opt.Table.RecordOutcome(key, true)
 	}
 	if !sent {
@@ -256,7 +256,7 @@
 	}
 	c.opt.Metrics.Retry(reason)
 	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key), "sent": sent, "fingerprint": c.suspect.Fingerprint, "prompt_parts": c.suspect.Parts,
-		"crashed": found == replicaEnded, "own_path_lost": found == ownPathLost}).WithError(err).Info("send got no usable response")
+		"crashed": found == replicaEnded, "way_lost": found == wayLost}).WithError(err).Info("send got no usable response")
 }
 
 // giveUp ends a request for which no further send is possible.
--- a/internal/edge/paths_test.go
+++ b/internal/edge/paths_test.go
@@ -620,3 +620,32 @@
 	s.peers.Store(&[]reach.Peer{s.peer.Peer})
 	wait(3*time.Second, func() bool { return !s.suspectsReported() && r.runs.Load() == 2 })
 }
+
+// Guards against a stream that breaks off although its only head is sound: the node through which it was received has ended.
+func TestStreamOutlastsTheNodeBetween(t *testing.T) {
+	t.Parallel()
+	for name, next := range map[string]func(*cutServer, reach.Peer){
+		"the own path works again": func(s *cutServer, _ reach.Peer) { s.own.heal() },
+		"another node is there":    func(s *cutServer, other reach.Peer) { s.peers.Store(&[]reach.Peer{other}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			r := newPathReplica(t)
+			s := newCutServer(t, fleet.RepeatStream, r)
+			other := newTunnelNode(t, "c", s.opt.Log)
+			s.own.lose(live)
+			resp, err := s.open(t.Context(), "m")
+			c.Assert(err, quicktest.IsNil)
+			defer resp.Body.Close()
+			reader := bufio.NewReader(resp.Body)
+			_, err = reader.Peek(1)
+			c.Assert(err, quicktest.IsNil)
+			next(s, other.Peer)
+			s.peer.end()
+			body, err := io.ReadAll(reader)
+			c.Check(err, quicktest.IsNil)
+			c.Check(string(body), quicktest.Equals, events(1, pathEvents))
+		})
+	}
+}
--- a/internal/reach/errors.go
+++ b/internal/reach/errors.go
@@ -12,6 +12,21 @@
 // node's own path may be at fault.
 var ErrUnconfirmed = errors.New("no other node has confirmed that the replica can't be reached")
 
+// ErrTunnelLost means that the connection between the nodes has ended, and that of the replica hasn't as far as is known.
+var ErrTunnelLost = errors.New("the tunnel to the replica is lost")
+
+// tunnelError is the error of the connection between the nodes.
+type tunnelError struct{ err error }
+
+// Error implements error.
+func (e *tunnelError) Error() string { return ErrTunnelLost.Error() + ": " + e.err.Error() }
+
+// Unwrap returns the error of the connection.
+func (e *tunnelError) Unwrap() error { return e.err }
+
+// Is reports whether target is ErrTunnelLost.
+func (e *tunnelError) Is(target error) bool { return target == ErrTunnelLost }
+
 // Errors of a node that was asked for a tunnel.
 var (
 	errPeerNotReached = errors.New("the node doesn't reach the replica either")
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -149,6 +149,7 @@
 				c.Check(err, quicktest.IsNil)
 			} else {
 				c.Check(errors.Is(err, test.want), quicktest.IsTrue, quicktest.Commentf("%v", err))
+				c.Check(errors.Is(err, ErrTunnelLost), quicktest.IsFalse)
 			}
 		})
 	}
@@ -164,7 +165,8 @@
 		defer conn.Close()
 		got, err := io.ReadAll(conn)
 		c.Check(string(got), quicktest.Equals, "part")
-		c.Check(err, quicktest.Equals, io.ErrUnexpectedEOF)
+		c.Check(errors.Is(err, io.ErrUnexpectedEOF), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		c.Check(errors.Is(err, ErrTunnelLost), quicktest.IsTrue, quicktest.Commentf("%v", err))
 	})
 }
 
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -114,10 +114,13 @@
 	return c.ended
 }
 
-// unexpected turns the end of the connection between the nodes into an error: the replica may have more to send.
+// unexpected turns the end of the connection between the nodes into a *tunnelError: the replica may have more to send.
 func (c *tunnelConn) unexpected(err error) error {
-	if err == io.EOF {
-		return io.ErrUnexpectedEOF
+	switch err {
+	case nil:
+		return nil
+	case io.EOF:
+		err = io.ErrUnexpectedEOF
 	}
-	return err
+	return &tunnelError{err}
 }
