Count crashes that only another node can see

For this check the finding of another node is enough, if none has found that it doesn't reach the replica. What ECONNREFUSED means stays as it is.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -78,7 +78,7 @@
 func (c *call) check(replica *fleet.Replica, lost error) finding {
 	through, err := c.dialToCheck(replica)
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case isRefusal(err):
 		return replicaEnded
 	case through != "", err == nil && errors.Is(lost, reach.ErrTunnelLost):
 		return wayLost
@@ -86,6 +86,13 @@
 	return replicaListens
 }
 
+// isRefusal reports whether an error of dialToCheck shows that nothing listens at the replica's address. A connection of this node that isn't
+// opened in time doesn't speak against what another node has found.
+func isRefusal(err error) bool {
+	failure, ok := errors.AsType[*reach.DialError](err)
+	return errors.Is(err, syscall.ECONNREFUSED) || ok && failure.RefusedElsewhere()
+}
+
 // dialToCheck opens and closes a connection to the replica, and names the node through which it leads, if there is one.
 func (c *call) dialToCheck(replica *fleet.Replica) (through string, err error) {
 	if c.opt.Paths == nil {
--- a/internal/edge/paths_test.go
+++ b/internal/edge/paths_test.go
@@ -507,19 +507,24 @@
 // Guards against requests that go on to crash replicas because this node reaches these through another node only.
 func TestCrashSeenThroughAnotherNodeCounts(t *testing.T) {
 	t.Parallel()
-	c := quicktest.New(t)
-	replicas, ended := crashReplicas(t, maxCrashes+2, "", func(*http.Request, string) bool { return true })
-	var list []*pathReplica
-	for _, r := range replicas {
-		list = append(list, &pathReplica{replica: replica{address: r.address}})
-	}
-	s := newCutServer(t, fleet.RepeatSafe, list...)
-	s.own.lose(live)
-	for range maxCrashes + 2 {
-		_, _, err := s.request("")
-		c.Check(err, quicktest.IsNil)
+	for _, how := range []cut{hanging, live} {
+		t.Run(string(how), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			replicas, ended := crashReplicas(t, maxCrashes+2, "", func(*http.Request, string) bool { return true })
+			var list []*pathReplica
+			for _, r := range replicas {
+				list = append(list, &pathReplica{replica: replica{address: r.address}})
+			}
+			s := newCutServer(t, fleet.RepeatSafe, list...)
+			s.own.lose(how)
+			for range maxCrashes + 2 {
+				_, _, err := s.request("")
+				c.Check(err, quicktest.IsNil)
+			}
+			c.Check(ended.Load(), quicktest.Equals, int32(maxCrashes))
+		})
 	}
-	c.Check(ended.Load(), quicktest.Equals, int32(maxCrashes))
 }
 
 // suspectsReported reports whether the server tells other nodes that it suspects a target.
--- a/internal/reach/errors.go
+++ b/internal/reach/errors.go
@@ -73,6 +73,19 @@
 	return false
 }
 
+// RefusedElsewhere reports whether another node found that nothing listens at the address, and none that it doesn't reach the replica. This
+// node's own connection may not have opened in time.
+func (e *DialError) RefusedElsewhere() bool {
+	refused := false
+	for _, p := range e.Peers {
+		if errors.Is(p.Err, errPeerNotReached) {
+			return false
+		}
+		refused = refused || errors.Is(p.Err, errPeerRefused)
+	}
+	return refused
+}
+
 // refused reports whether every node that tried found that nothing listens at the address.
 func (e *DialError) refused() bool {
 	if e.Direct != nil && !errors.Is(e.Direct, syscall.ECONNREFUSED) || !e.Confirmed() {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -222,6 +222,26 @@
 	}
 }
 
+// Guards against an ended replica that counts as unreachable because this node's own path to it hangs, and against the opposite.
+func TestRefusalFoundByAnotherNode(t *testing.T) {
+	refused, unreached, gone := PeerError{"b", errPeerRefused}, PeerError{"c", errPeerNotReached}, PeerError{"d", syscall.ECONNREFUSED}
+	for _, test := range []struct {
+		direct error
+		peers  []PeerError
+		want   bool
+	}{
+		{context.DeadlineExceeded, []PeerError{refused}, true},
+		{context.DeadlineExceeded, []PeerError{gone, refused}, true},
+		{nil, []PeerError{refused}, true},
+		{context.DeadlineExceeded, []PeerError{refused, unreached}, false},
+		{context.DeadlineExceeded, []PeerError{gone}, false},
+		{syscall.ECONNREFUSED, nil, false},
+	} {
+		failure := &DialError{Direct: test.direct, Peers: test.peers}
+		quicktest.Check(t, failure.RefusedElsewhere(), quicktest.Equals, test.want, quicktest.Commentf("%v", failure))
+	}
+}
+
 // Guards against a node that goes on to use tunnels after its own path works again, and against a direct connection before each of them.
 func TestLostPathIsTriedAgain(t *testing.T) {
 	c := quicktest.New(t)
