--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -69,23 +69,30 @@
 	// replicaListens means that the replica broke off only this exchange, or may be cut off from all nodes.
 	replicaListens finding = iota
 	replicaEnded
-	// ownPathLost means that another node reaches the replica, and this one doesn't.
-	ownPathLost
+	// wayLost means that only the way to the replica was lost, and that it is reached on another one.
+	wayLost
 )
 
-// check finds out why a connection to the replica was lost. That the replica has ended has to be confirmed by another node where there is one:
+// check finds out why a connection to the replica was lost with the error. That the replica has ended has to be confirmed by another node where there is one:
 // connections of this node may be refused because its own path is lost.
-func (c *call) check(replica *fleet.Replica) finding {
+func (c *call) check(replica *fleet.Replica, lost error) finding {
 	through, err := c.dialToCheck(replica)
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case isRefusal(err):
 		return replicaEnded
-	case through != "":
-		return ownPathLost
+	case through != "", err == nil && errors.Is(lost, reach.ErrTunnelLost):
+		return wayLost
 	}
 	return replicaListens
 }
 
+// isRefusal reports whether an error of dialToCheck shows that nothing listens at the replica's address. A connection of this node that isn't
+// opened in time doesn't speak against what another node has found.
+func isRefusal(err error) bool {
+	failure, ok := errors.AsType[*reach.DialError](err)
+	return errors.Is(err, syscall.ECONNREFUSED) || ok && failure.RefusedElsewhere()
+}
+
 // dialToCheck opens and closes a connection to the replica, and names the node through which it leads, if there is one.
 func (c *call) dialToCheck(replica *fleet.Replica) (through string, err error) {
 	if c.opt.Paths == nil {
--- a/internal/reach/errors.go
+++ b/internal/reach/errors.go
@@ -12,6 +12,21 @@
 // node's own path may be at fault.
 var ErrUnconfirmed = errors.New("no other node has confirmed that the replica can't be reached")
 
+// ErrTunnelLost means that the connection between the nodes has ended, and that of the replica hasn't as far as is known.
+var ErrTunnelLost = errors.New("the tunnel to the replica is lost")
+
+// tunnelError is the error of the connection between the nodes.
+type tunnelError struct{ err error }
+
+// Error implements error.
+func (e *tunnelError) Error() string { return ErrTunnelLost.Error() + ": " + e.err.Error() }
+
+// Unwrap returns the error of the connection.
+func (e *tunnelError) Unwrap() error { return e.err }
+
+// Is reports whether target is ErrTunnelLost.
+func (e *tunnelError) Is(target error) bool { return target == ErrTunnelLost }
+
 // Errors of a node that was asked for a tunnel.
 var (
 	errPeerNotReached = errors.New("the node doesn't reach the replica either")
@@ -58,6 +73,19 @@
 	return false
 }
 
+// RefusedElsewhere reports whether another node found that nothing listens at the address, and none that it doesn't reach the replica. This
+// node's own connection may not have opened in time.
+func (e *DialError) RefusedElsewhere() bool {
+	refused := false
+	for _, p := range e.Peers {
+		if errors.Is(p.Err, errPeerNotReached) {
+			return false
+		}
+		refused = refused || errors.Is(p.Err, errPeerRefused)
+	}
+	return refused
+}
+
 // refused reports whether every node that tried found that nothing listens at the address.
 func (e *DialError) refused() bool {
 	if e.Direct != nil && !errors.Is(e.Direct, syscall.ECONNREFUSED) || !e.Confirmed() {
