--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -27,6 +27,7 @@
 // exchange holds the only connection of one HTTP/1.1 exchange. It refuses to dial a second one, so that http.Transport can
 // never send a request twice, and records whether a byte of the request may have been sent.
 type exchange struct {
+	open        func(ctx context.Context, address string) (net.Conn, error)
 	idleTimeout time.Duration // Timeout of each read and write; 0 for none.
 	checkTarget func() error  // Called right before the first byte is written; an error closes the exchange. May be nil.
 	onPanic     func(any)     // Reports a panic of checkTarget.
@@ -40,6 +41,10 @@
 	checkError error // Returned by checkTarget.
 }
 
+func dialDirectly(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // transport returns an http.Transport that serves only this exchange.
 func (ex *exchange) transport() *http.Transport {
 	return &http.Transport{
@@ -50,7 +55,7 @@
 	}
 }
 
-func (ex *exchange) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (ex *exchange) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	ex.mu.Lock()
 	second := ex.dialed || ex.closed
 	ex.dialed = true
@@ -58,8 +63,9 @@
 	if second {
 		return nil, errSecondDial
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := ex.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -54,6 +55,8 @@
 	Log            logrus.FieldLogger
 	Meter          metric.Meter
 	Panics         recovery.Metrics // Counts recovered panics. May be nil.
+	// Dial opens a TCP connection to a target; nil for net.Dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Runner runs exchanges. Its methods may be called concurrently.
@@ -81,6 +84,9 @@
 	if opt.MaxAnswerBytes <= 0 {
 		opt.MaxAnswerBytes = DefaultMaxAnswerBytes
 	}
+	if opt.Dial == nil {
+		opt.Dial = dialDirectly
+	}
 	if opt.Log == nil {
 		discard := logrus.New()
 		discard.SetOutput(io.Discard)
@@ -185,7 +191,7 @@
 
 // runService runs one exchange with a back end of a service.
 func (r *Runner) runService(ctx context.Context, slot *target.Slot, req *schema.DispatchRequest, sink Sink, heard *lastheard.Record) exchangeEnd {
-	ex := &exchange{checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }, heard: heard}
+	ex := &exchange{open: r.options.Dial, checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }, heard: heard}
 	defer ex.close()
 	httpReq, err := newRequest(ctx, req.GetMethod(), slot.Address, req.GetPath(), req.GetRequestId(), req.GetHeaders(), req.GetBody())
 	if err != nil {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -62,7 +62,7 @@
 		return notRunEnd(result.BadRequest, "generate request: %v", err)
 	}
 	s := &stream{runner: r, slot: slot, req: req, sink: sink, heard: heard}
-	ex := &exchange{idleTimeout: r.options.IdleTimeout, checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }, heard: heard}
+	ex := &exchange{open: r.options.Dial, idleTimeout: r.options.IdleTimeout, checkTarget: slot.Check, onPanic: func(value any) { r.reportPanic(value, slot, req) }, heard: heard}
 	err = s.runExchange(ctx, ex, "/v1/generate", body)
 	if !ex.close() {
 		return notSentEnd(ctx, ex, slot, err)
@@ -72,7 +72,7 @@
 		resumes++
 		r.resumeCounter.Add(ctx, 1)
 		nextBefore := s.nextOffset
-		if err = s.runExchange(ctx, &exchange{idleTimeout: r.options.IdleTimeout, heard: heard}, "/v1/resume", s.controlBody()); s.nextOffset > nextBefore {
+		if err = s.runExchange(ctx, &exchange{open: r.options.Dial, idleTimeout: r.options.IdleTimeout, heard: heard}, "/v1/resume", s.controlBody()); s.nextOffset > nextBefore {
 			tries = -1
 		}
 	}
@@ -261,7 +261,7 @@
 func (s *stream) cancelAtEngine(ctx context.Context) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
 	defer stop()
-	ex := &exchange{idleTimeout: cancelTimeout}
+	ex := &exchange{open: s.runner.options.Dial, idleTimeout: cancelTimeout}
 	defer ex.close()
 	headers := []*schema.Header{{Name: "Content-Type", Value: "application/json"}}
 	httpReq, err := newRequest(ctx, http.MethodPost, s.slot.Address, "/v1/cancel", s.req.GetRequestId(), headers, s.controlBody())
--- a/internal/dispatch/panic_test.go
+++ b/internal/dispatch/panic_test.go
@@ -78,7 +78,7 @@
 	c := qt.New(t)
 	s := newRawServer(t, nil, func(conn net.Conn, _ *http.Request, _ string) {})
 	reported := make(chan any, 1)
-	ex := &exchange{checkTarget: func() error { panic("test") }, onPanic: func(value any) { reported <- value }}
+	ex := &exchange{open: dialDirectly, checkTarget: func() error { panic("test") }, onPanic: func(value any) { reported <- value }}
 	req, err := newRequest(context.Background(), http.MethodPost, s.address, "/x", "r1", nil, []byte("body"))
 	c.Assert(err, qt.IsNil)
 	resp, err := ex.transport().RoundTrip(req)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,8 @@
 	self     *schema.Node
 	clock    clock.Clock
 	metrics  *telemetry.Metrics
+	// direct opens a TCP connection to an engine or a service by this node's own path.
+	direct func(ctx context.Context, address string) (net.Conn, error)
 
 	platform   *platform.Client
 	peers      *peer.Client
@@ -107,11 +109,18 @@
 
 // New binds the listeners and assembles a node. It serves nothing before Run.
 func New(cfg *settings.Settings, log *logrus.Entry) (*Node, error) {
+	return newNode(cfg, log, func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	})
+}
+
+// newNode is New with another way to open connections to engines and services.
+func newNode(cfg *settings.Settings, log *logrus.Entry, direct func(context.Context, string) (net.Conn, error)) (*Node, error) {
 	metrics, err := telemetry.New(cfg.Node.Name)
 	if err != nil {
 		return nil, eris.Wrap(err, "setting up metrics")
 	}
-	node := &Node{settings: cfg, log: log, metrics: metrics, clock: clock.Boottime()}
+	node := &Node{settings: cfg, log: log, metrics: metrics, clock: clock.Boottime(), direct: direct}
 	node.requestContext, node.cancelRequests = context.WithCancelCause(context.Background())
 	if node.listeners, err = bind(&cfg.Listen); err != nil {
 		return nil, err
@@ -236,7 +245,7 @@
 		OnTakeover: n.membership.SendHeartbeats,
 	})
 	n.statements = statement.New(statement.Options{Now: n.now, Log: n.log, Meter: meter})
-	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery, Heard: func(address string, resp *http.Response) {
+	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery, Dial: n.direct, Heard: func(address string, resp *http.Response) {
 		n.statements.RecordResponse(address, "", resp, 0)
 	}})
 	n.reports = newVMReports(orderClient, n.statements, n.now, n.vms.address, timing.Freshness)
@@ -252,7 +261,7 @@
 	limits := n.settings.Limits
 	meter := n.metrics.Meter()
 	n.targets = target.New(target.Options{
-		ProbeInterval: timing.Probe, Freshness: timing.Freshness, Prober: target.NewHTTPProber(), Statements: n.statements, Now: n.now, Log: n.log, Meter: meter,
+		ProbeInterval: timing.Probe, Freshness: timing.Freshness, Prober: target.NewHTTPProber(n.direct), Statements: n.statements, Now: n.now, Log: n.log, Meter: meter,
 	})
 	n.crashes = crash.New(crash.Options{Now: n.now})
 	n.budget = retry.New(retry.Options{Now: n.now, Log: n.log, Meter: meter})
@@ -265,7 +274,7 @@
 	n.executor = executor.New(executor.Options{
 		Answers: answers, Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash,
 		Holds: n.holdsTarget, Clock: n.now, Log: n.log,
-		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter, Panics: n.metrics}),
+		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter, Panics: n.metrics, Dial: n.direct}),
 	})
 	n.router = router.New(n.self.FailureDomain, n.routableNodes)
 	n.gateway = gateway.New(gateway.Options{
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -89,6 +89,8 @@
 	Timeout time.Duration // Limit for one call, including connecting; 2 s if zero.
 	// Heard is called with each response of the engine at an address, whatever its status, before its body is read; nil for none.
 	Heard func(address string, resp *http.Response)
+	// Dial opens a TCP connection to an engine; nil for net.Dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Client calls engines over HTTP. Every call has its own connection, because http.Transport may send a request again if a
@@ -106,17 +108,40 @@
 	if o.Heard == nil {
 		o.Heard = func(string, *http.Response) {}
 	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
 	return &Client{heard: o.Heard, http: &http.Client{
 		Timeout: o.Timeout,
 		Transport: &http.Transport{
 			DisableKeepAlives:      true,
-			DialContext:            (&net.Dialer{Timeout: o.Timeout}).DialContext,
+			DialContext:            dialEngine(o),
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
+// dialError means that no connection to an engine was opened, so that nothing was sent.
+type dialError struct{ error }
+
+// Unwrap supports errors.Is and errors.As.
+func (e *dialError) Unwrap() error { return e.error }
+
+func dialEngine(o Options) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+		defer cancel()
+		conn, err := o.Dial(ctx, address)
+		if err != nil {
+			return nil, &dialError{err}
+		}
+		return conn, nil
+	}
+}
+
 // singleUseBody hides the type of the reader, so that net/http sets no GetBody and cannot replay the request.
 type singleUseBody struct{ io.Reader }
 
@@ -136,8 +161,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		var opErr *net.OpError
-		if errors.As(err, &opErr) && opErr.Op == "dial" {
+		if _, notConnected := errors.AsType[*dialError](err); notConnected {
 			return fmt.Errorf("%w: connect to engine %s: %w", ErrNotSent, address, err)
 		}
 		return fmt.Errorf("%w: engine %s: %w", ErrOutcomeUnknown, address, err)
--- a/internal/target/endless_test.go
+++ b/internal/target/endless_test.go
@@ -15,7 +15,7 @@
 	for _, answer := range endless.Answers {
 		t.Run(answer.Name, func(t *testing.T) {
 			c := quicktest.New(t)
-			prober := NewHTTPProber()
+			prober := NewHTTPProber(nil)
 			peak, err := endless.Calls(answer, members, DefaultFreshness/2, func(ctx context.Context, address string) {
 				if r, err := prober.Probe(ctx, false, address); err == nil {
 					c.Errorf("the probe returned %v", r)
--- a/internal/target/probe.go
+++ b/internal/target/probe.go
@@ -50,11 +50,16 @@
 	client *http.Client
 }
 
-// NewHTTPProber returns an HTTPProber that shares no connections with other clients.
-func NewHTTPProber() *HTTPProber {
+// NewHTTPProber returns an HTTPProber that shares no connections with other clients. dial opens a TCP connection to a member; nil for
+// net.Dialer.
+func NewHTTPProber(dial func(ctx context.Context, address string) (net.Conn, error)) *HTTPProber {
+	dialContext := (&net.Dialer{}).DialContext
+	if dial != nil {
+		dialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
+	}
 	return &HTTPProber{client: &http.Client{
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{}).DialContext,
+			DialContext:            dialContext,
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        probeIdleTimeout,
 			MaxResponseHeaderBytes: maxProbeHeader,
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -150,7 +150,7 @@
 		opt.Meter = noop.NewMeterProvider().Meter("target")
 	}
 	if opt.Prober == nil {
-		opt.Prober = NewHTTPProber()
+		opt.Prober = NewHTTPProber(nil)
 	}
 	t := &Table{options: opt, targets: map[string]*target{}, queues: map[string]*queue{}}
 	t.probeCounter = t.newCounter("cassiadeal_target_probes_total", "Probes of target members by result.")
--- a/test/measure/affinity_test.go
+++ b/test/measure/affinity_test.go
@@ -108,7 +108,7 @@
 		t.Fatal(err)
 	}
 	client := orders.New(orders.Options{})
-	table := target.New(target.Options{Prober: target.NewHTTPProber(), Policy: policy})
+	table := target.New(target.Options{Prober: target.NewHTTPProber(nil), Policy: policy})
 	var specs []target.Spec
 	for name, address := range server.Addrs() {
 		if err := client.Send(context.Background(), address, orders.Order{
--- a/test/measure/holder_test.go
+++ b/test/measure/holder_test.go
@@ -113,7 +113,7 @@
 	}
 	var tables []*target.Table
 	for n := range entryNodes {
-		table := target.New(target.Options{Prober: target.NewHTTPProber(), Log: log})
+		table := target.New(target.Options{Prober: target.NewHTTPProber(nil), Log: log})
 		var specs []target.Spec
 		for i, s := range servers {
 			if divided || i%entryNodes == n {
