--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"cassiadeal.example/cassiadeal/internal/orders"
 	"cassiadeal.example/cassiadeal/internal/peer"
 	"cassiadeal.example/cassiadeal/internal/platform"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
@@ -64,6 +65,8 @@
 
 	platform   *platform.Client
 	peers      *peer.Client
+	paths      *reach.Paths
+	tunnels    *reach.Server
 	membership *membership.Membership
 	config     *configsync.Sync
 	holders    *holder.Holders
@@ -199,6 +202,9 @@
 	if err != nil {
 		return err
 	}
+	if err := n.assembleReach(); err != nil {
+		return err
+	}
 	n.assembleControl()
 	n.assembleRequests()
 	n.platform.OnRestore(n.storeRestored)
@@ -261,7 +267,7 @@
 	limits := n.settings.Limits
 	meter := n.metrics.Meter()
 	n.targets = target.New(target.Options{
-		ProbeInterval: timing.Probe, Freshness: timing.Freshness, Prober: target.NewHTTPProber(n.direct), Statements: n.statements, Now: n.now, Log: n.log, Meter: meter,
+		ProbeInterval: timing.Probe, Freshness: timing.Freshness, Prober: target.NewHTTPProber(n.dialer(timing.Freshness*2/5, probeTunnelLifetime, true)), Statements: n.statements, Now: n.now, Log: n.log, Meter: meter,
 	})
 	n.crashes = crash.New(crash.Options{Now: n.now})
 	n.budget = retry.New(retry.Options{Now: n.now, Log: n.log, Meter: meter})
@@ -274,7 +280,8 @@
 	n.executor = executor.New(executor.Options{
 		Answers: answers, Targets: n.targets, Claims: n.claims, Crashes: n.crashes, MayServe: n.mayRun, OnCrash: n.reportCrash,
 		Holds: n.holdsTarget, Clock: n.now, Log: n.log,
-		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter, Panics: n.metrics, Dial: n.direct}),
+		Runner: dispatch.New(dispatch.Options{IdleTimeout: timing.StreamIdle, MaxAnswerBytes: limits.MaxAnswerBytes, Log: n.log, Meter: meter, Panics: n.metrics,
+			Dial: n.dialer(requestDialTimeout, requestTunnelLifetime, false)}),
 	})
 	n.router = router.New(n.self.FailureDomain, n.routableNodes)
 	n.gateway = gateway.New(gateway.Options{
@@ -315,9 +322,10 @@
 	}
 	callerServer := n.callerServer()
 	operatorServer := n.operatorServer()
-	start("peer listener", func(ctx context.Context) error {
-		return peer.Serve(ctx, n.listeners.peer, handler{n}, n.recoverer("peer"))
-	})
+	peers, tunnelServer := peer.NewMux(n.listeners.peer), n.tunnelServer()
+	start("peer listener", peers.Run)
+	start("peer RPCs", func(ctx context.Context) error { return peer.Serve(ctx, peers.RPCs, handler{n}, n.recoverer("peer")) })
+	start("tunnels", serveHTTP(tunnelServer, peers.Tunnels))
 	start("caller listener", serveHTTP(callerServer, n.listeners.caller))
 	start("operator listener", serveHTTP(operatorServer, n.listeners.operator))
 	start("membership", n.membership.Run)
@@ -343,6 +351,7 @@
 	stop()
 	_ = callerServer.Close()
 	_ = operatorServer.Close()
+	_ = tunnelServer.Close()
 	n.listeners.close()
 	wg.Wait()
 	_ = n.peers.Close()
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -245,7 +245,13 @@
 	if err != nil {
 		return err
 	}
-	return s.call(http.MethodPost, base+"/v1/services/bookings/confirm", `{}`, http.Header{"Idempotency-Key": {key.String()}})
+	if err := s.call(http.MethodPost, base+"/v1/services/bookings/confirm", `{}`, http.Header{"Idempotency-Key": {key.String()}}); err != nil {
+		return err
+	}
+	if runs := s.service.Record().ByKey[key.String()]; runs != 1 {
+		return fmt.Errorf("a booking ran %d times", runs)
+	}
+	return nil
 }
 
 // targets returns the addresses of all engines and back ends.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -40,6 +40,7 @@
 	defer cancel()
 
 	n.membership.SetState(schema.NodeState_NODE_STATE_DRAINING)
+	n.tunnels.Drain()
 	handedOver := make(chan struct{})
 	go func() {
 		defer close(handedOver)
@@ -52,6 +53,7 @@
 	n.mu.Unlock()
 	err := callerServer.Shutdown(ctx)
 	n.waitForwarded(ctx)
+	n.waitTunnels(ctx)
 	<-handedOver // The handover ends with ctx at the latest.
 	if ctx.Err() != nil {
 		n.cancelRemaining(ctx, callerServer)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -54,11 +54,16 @@
 // Close closes all pooled connections.
 func (c *Client) Close() error { return c.pool.Close() }
 
-func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (c *Client) connect(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: c.localAddress}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
+	return conn, eris.Wrapf(err, "connecting to node at %s", address)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	conn, err := c.connect(ctx, address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "connecting to node at %s", address)
+		return nil, err
 	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -134,7 +134,7 @@
 	peer := r.peers[0]
 	r.peers = r.peers[1:]
 	r.asked++
-	r.start(ctx, peer.Name, func(ctx context.Context) (*Conn, error) { return openTunnel(ctx, peer, r.to, r.request) })
+	r.start(ctx, peer.Name, func(ctx context.Context) (*Conn, error) { return r.paths.openTunnel(ctx, peer, r.to, r.request) })
 }
 
 // run waits for the first connection that opens, or until none can any more.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -60,6 +60,8 @@
 	Panics recovery.Recoverer
 	// Direct opens a TCP connection of this node's own; nil for net.Dialer. Tests cut paths with it.
 	Direct func(ctx context.Context, address string) (net.Conn, error)
+	// DialPeer opens the TCP connection to a node for a tunnel; nil for net.Dialer.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // path is what is known of this node's own path to a replica.
@@ -89,11 +91,15 @@
 
 // New returns Paths that are all unknown.
 func New(opt Options) (*Paths, error) {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, "tcp", address)
+	}
 	if opt.Direct == nil {
-		opt.Direct = func(ctx context.Context, address string) (net.Conn, error) {
-			var dialer net.Dialer
-			return dialer.DialContext(ctx, "tcp", address)
-		}
+		opt.Direct = dial
+	}
+	if opt.DialPeer == nil {
+		opt.DialPeer = dial
 	}
 	p := &Paths{opt: opt, paths: map[Target]*path{}}
 	if opt.Meter == nil {
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -29,9 +29,8 @@
 )
 
 // openTunnel asks a node for a tunnel to a replica.
-func openTunnel(ctx context.Context, peer Peer, to Target, request Request) (*Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", peer.Address)
+func (p *Paths) openTunnel(ctx context.Context, peer Peer, to Target, request Request) (*Conn, error) {
+	conn, err := p.opt.DialPeer(ctx, peer.Address)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to the node")
 	}
