--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -251,7 +251,7 @@
 		OnTakeover: n.membership.SendHeartbeats,
 	})
 	n.statements = statement.New(statement.Options{Now: n.now, Log: n.log, Meter: meter})
-	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery, Dial: n.direct, Heard: func(address string, resp *http.Response) {
+	orderClient := orders.New(orders.Options{Timeout: timing.OrderDelivery, Dial: n.dialer(timing.Freshness*3/4, timing.OrderDelivery, true), Heard: func(address string, resp *http.Response) {
 		n.statements.RecordResponse(address, "", resp, 0)
 	}})
 	n.reports = newVMReports(orderClient, n.statements, n.now, n.vms.address, timing.Freshness)
