--- a/internal/node/reports_test.go
+++ b/internal/node/reports_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/groups"
 	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
@@ -111,3 +113,29 @@
 		t.Logf("%s: %d reads were missed at an age of %v", vm, missed, reports.get(vm).Age)
 	}
 }
+
+// Guards against engines that count as lost, whose groups then end all requests, because this node has lost its paths to them and to the
+// other nodes as well. What another node has found too counts, so does what the only node finds, and a silence that goes on for long.
+func TestReadsThatNoOtherNodeConfirmsAreNotMissed(t *testing.T) {
+	confirmed := []reach.PeerError{{Peer: "b", Err: syscall.ECONNREFUSED}}
+	for name, test := range map[string]struct {
+		failure reach.DialError
+		silence time.Duration
+		missed  int
+	}{
+		"unconfirmed":          {reach.DialError{Direct: context.DeadlineExceeded}, 10 * time.Second, 0},
+		"unconfirmed for long": {reach.DialError{Direct: context.DeadlineExceeded}, unconfirmedLimit, 1},
+		"only node":            {reach.DialError{Direct: context.DeadlineExceeded, Alone: true}, 0, 1},
+		"confirmed":            {reach.DialError{Direct: context.DeadlineExceeded, Peers: confirmed}, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := orders.New(orders.Options{Dial: func(context.Context, string) (net.Conn, error) { return nil, &test.failure }})
+			now := func() time.Duration { return time.Hour + test.silence }
+			address := func(string) (string, bool) { return "127.0.0.1:1", true }
+			reports := newVMReports(client, statement.New(statement.Options{Now: now}), now, address, time.Second)
+			report := &vmReport{readSentAt: time.Hour, hasState: true, reads: 1}
+			reports.read(t.Context(), "vm", report)
+			qt.Check(t, report.missed, qt.Equals, test.missed)
+		})
+	}
+}
