Ask a node of another failure domain second for a tunnel

Of a site with many nodes in each failure domain, a whole domain may lose its paths to replicas. Its nodes then asked only each other for tunnels, for a third of them or more per replica before one of another domain was asked: requests failed (for each target, a node that failed was only asked later there), and the planner took replicas for ended that such nodes had been refused.

TestNodesOfOtherDomainsAreAskedAtOnce failed before (go test -run OtherDomains ./internal/reach): no connection, "through near12: the node found that nothing listens there; through near8: ...".

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -199,6 +199,14 @@
 	}
 }
 
+// Ranks of nodes to ask, to be added. Lower ones are preferred.
+const (
+	rankReached     = -4 // It has lately reached the replica.
+	rankOtherDomain = 1
+	rankPathsLost   = 2
+	rankNotReached  = 4
+)
+
 // peersFor returns the nodes to ask for a tunnel, the preferred ones first: those that have lately reached the replica, and last those
 // that haven't.
 func (p *Paths) peersFor(to Target) []Peer {
@@ -214,6 +222,12 @@
 		ranks[peer.Name] = p.rankLocked(to, peer)
 	}
 	slices.SortStableFunc(list, func(a, b Peer) int { return ranks[a.Name] - ranks[b.Name] })
+	if i := slices.IndexFunc(list, func(peer Peer) bool { return !peer.Near }); i > 1 && ranks[list[i].Name] <= rankOtherDomain {
+		// This node's domain may have lost its paths as a whole.
+		other := list[i]
+		copy(list[2:i+1], list[1:i])
+		list[1] = other
+	}
 	return list
 }
 
@@ -221,10 +235,10 @@
 func (p *Paths) rankLocked(to Target, peer Peer) int {
 	rank := 0
 	if !peer.Near {
-		rank++
+		rank += rankOtherDomain
 	}
 	if peer.PathsLost {
-		rank += 2
+		rank += rankPathsLost
 	}
 	known := p.paths[to]
 	if known == nil {
@@ -234,9 +248,9 @@
 	switch {
 	case !asked || p.opt.Clock.Now().Sub(outcome.at) > peerMemory:
 	case outcome.opened:
-		rank -= 4
+		rank += rankReached
 	default:
-		rank += 4
+		rank += rankNotReached
 	}
 	return rank
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -386,3 +387,27 @@
 	conn.Close()
 	c.Check(conn.Through, quicktest.Equals, "sound")
 }
+
+// Guards against connections that fail, and replicas that count as lost, because only nodes of this node's failure domain are asked, which
+// has lost its paths as a whole.
+func TestNodesOfOtherDomainsAreAskedAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	address := deadAddress(t)
+	var peers []Peer
+	for i := range 20 {
+		peer, _ := startPeer(t, fmt.Sprint("near", i), address)
+		peer.Near = true
+		peers = append(peers, peer)
+	}
+	far, _ := startPeer(t, "far", replica.Addr().String())
+	p := newPaths(t, clock.NewManual(time.Hour), append(peers, far)...)
+	for i := range 5 {
+		to := targetAt(address)
+		to.ID = fmt.Sprint("r", i)
+		conn, err := p.Dial(t.Context(), to, testRequest)
+		c.Assert(err, quicktest.IsNil)
+		conn.Close()
+		c.Check(conn.Through, quicktest.Equals, "far")
+	}
+}
