Let a late failure of a direct connection say nothing about a path that works since

A direct connection goes on after one through another node is used. Where it hung and the path came back, a newer one opened, and the failure of the first then marked the path as lost: requests went through other nodes for up to 500 ms more, and the node could count as cut off.

TestDirectConnectionThatFailsLateSaysNothingAboutTheTimeAfterItBegan failed before (go test -run FailsLate ./internal/reach): lost.

--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 )
 
@@ -61,6 +62,7 @@
 	asked    int
 	pending  int
 	direct   bool // A direct connection is tried.
+	begun    clock.Time
 	attempts chan attempt
 	failure  DialError
 }
@@ -72,7 +74,7 @@
 	if request.Control {
 		maxPeers = maxPeersForControl
 	}
-	r := &race{paths: p, to: to, request: request, peers: peers, maxPeers: maxPeers, attempts: make(chan attempt, 1+maxPeers)}
+	r := &race{paths: p, to: to, request: request, peers: peers, maxPeers: maxPeers, begun: p.opt.Clock.Now(), attempts: make(chan attempt, 1+maxPeers)}
 	r.failure.Alone = len(peers) == 0
 	if direct || len(peers) == 0 {
 		r.startDirectly(ctx)
@@ -181,7 +183,7 @@
 	r.paths.count("opened")
 	r.paths.notePeer(r.to, a.through, true)
 	if r.failure.Direct != nil {
-		r.paths.directFailed(r.to, a.through, r.failure.Direct)
+		r.paths.directFailed(r.to, a.through, r.begun, r.failure.Direct)
 	}
 }
 
@@ -212,7 +214,7 @@
 			}
 			a.conn.Close()
 		case a.through == "" && used != nil:
-			r.paths.directFailed(r.to, used.Through, a.err)
+			r.paths.directFailed(r.to, used.Through, r.begun, a.err)
 		case a.through != "" && used == nil:
 			r.paths.notePeer(r.to, a.through, false) // It hasn't answered in time.
 		}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -66,6 +66,7 @@
 type path struct {
 	usedAt    clock.Time // Last call of Dial.
 	outcomeAt clock.Time // When the last direct connection opened or failed; 0 if none has.
+	openedAt  clock.Time // When the last direct connection opened; 0 if none has.
 	lostSince clock.Time // When a direct connection first failed while another node reached the replica; 0 if the last one opened.
 	triedAt   clock.Time // When a direct connection was last tried.
 	peers     map[string]peerOutcome
@@ -164,7 +165,7 @@
 	restored := false
 	if known != nil {
 		restored = known.lostSince != 0
-		known.outcomeAt, known.lostSince = now, 0
+		known.outcomeAt, known.openedAt, known.lostSince = now, now, 0
 	}
 	p.mu.Unlock()
 	if restored {
@@ -172,12 +173,13 @@
 	}
 }
 
-// directFailed records that no direct connection opened although the target was reached through a peer.
-func (p *Paths) directFailed(to Target, peer string, err error) {
+// directFailed records that no direct connection opened although the target was reached through a peer. One that began before another opened
+// says nothing any more.
+func (p *Paths) directFailed(to Target, peer string, begun clock.Time, err error) {
 	p.mu.Lock()
 	known, now := p.paths[to], p.opt.Clock.Now()
 	lost := false
-	if known != nil {
+	if known != nil && known.openedAt <= begun {
 		known.outcomeAt = now
 		if lost = known.lostSince == 0; lost {
 			known.lostSince = now
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -261,7 +261,7 @@
 		to := Target{fleet.Incarnation{ID: id, StartedUnixMs: 1}, "a"}
 		p.begin(to)
 		if lost {
-			p.directFailed(to, "b", errors.New("timeout"))
+			p.directFailed(to, "b", now.Now(), errors.New("timeout"))
 		} else {
 			p.directOpened(to)
 		}
@@ -411,3 +411,35 @@
 		c.Check(conn.Through, quicktest.Equals, "far")
 	}
 }
+
+// Guards against a path that counts as lost because an older direct connection failed after a newer one had opened.
+func TestDirectConnectionThatFailsLateSaysNothingAboutTheTimeAfterItBegan(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	peer, _ := startPeer(t, "b", replica.Addr().String())
+	now := clock.NewManual(time.Hour)
+	p := newPaths(t, now, peer)
+	to := targetAt(replica.Addr().String())
+	hang := make(chan struct{})
+	var calls atomic.Int64
+	p.opt.Direct = func(ctx context.Context, address string) (net.Conn, error) {
+		if calls.Add(1) == 1 {
+			<-hang
+			return nil, context.DeadlineExceeded
+		}
+		return net.Dial("tcp", address)
+	}
+	first, err := p.Dial(t.Context(), to, testRequest)
+	c.Assert(err, quicktest.IsNil)
+	first.Close()
+	c.Assert(first.Through, quicktest.Equals, "b")
+	now.Advance(50 * time.Millisecond)
+	second, err := p.Dial(t.Context(), to, Request{Timeout: testRequest.Timeout, PeerDelay: time.Second, Lifetime: testRequest.Lifetime})
+	c.Assert(err, quicktest.IsNil)
+	second.Close()
+	c.Assert(second.Through, quicktest.Equals, "")
+	close(hang)
+	time.Sleep(100 * time.Millisecond)
+	_, lost := p.Lost(to)
+	c.Check(lost, quicktest.IsFalse)
+}
