Don't pass on what a tunnel's other node has given up

A node that gives an order up resets its tunnel, so that the order is lost if it is still held up. On Linux what arrived before the reset is still read after it: a node between that stood still (stopped, or without a processor) passed the order on when it went on, and the replica carried it out late. An order to leave states no count of orders begun before, so nothing refused it.

TestBytesOfATunnelThatHasEndedAreNotPassedOn failed before (go test -run BytesOfATunnel ./internal/reach): the replica got 5 bytes after the reset.

--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -443,3 +443,41 @@
 	_, lost := p.Lost(to)
 	c.Check(lost, quicktest.IsFalse)
 }
+
+// Guards against orders that were given up and are sent to the replica later by a node that stood still meanwhile.
+func TestBytesOfATunnelThatHasEndedAreNotPassedOn(t *testing.T) {
+	for name, test := range map[string]struct {
+		until time.Duration
+		reset bool
+	}{"reset by the other node": {time.Minute, true}, "its lifetime has ended": {-time.Millisecond, false}} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			got := make(chan int64, 1)
+			replica := listen(t, func(conn *net.TCPConn) {
+				n, _ := io.Copy(io.Discard, conn)
+				got <- n
+			})
+			accepted := make(chan net.Conn, 1)
+			node := listen(t, func(conn *net.TCPConn) { accepted <- conn })
+			other, err := net.Dial("tcp", node.Addr().String())
+			c.Assert(err, quicktest.IsNil)
+			defer other.Close()
+			held := <-accepted
+			defer held.Close()
+			_, err = io.WriteString(other, "order")
+			c.Assert(err, quicktest.IsNil)
+			if test.reset {
+				c.Assert(other.(*net.TCPConn).SetLinger(0), quicktest.IsNil)
+				other.Close()
+			}
+			time.Sleep(50 * time.Millisecond) // This node stands still.
+			toReplica, err := net.Dial("tcp", replica.Addr().String())
+			c.Assert(err, quicktest.IsNil)
+			for _, conn := range []net.Conn{held, toReplica} {
+				c.Assert(conn.SetDeadline(time.Now().Add(test.until)), quicktest.IsNil)
+			}
+			copyToReplica(toReplica, held)
+			c.Check(<-got, quicktest.Equals, int64(0))
+		})
+	}
+}
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -134,6 +134,10 @@
 	buffer := make([]byte, requestBytes)
 	for {
 		n, err := node.Read(buffer)
+		if n > 0 && wasReset(node) {
+			reset(replica)
+			return
+		}
 		if n > 0 {
 			if _, writeErr := replica.Write(buffer[:n]); writeErr != nil {
 				return // What the replica has answered may still be read.
@@ -146,6 +150,21 @@
 	}
 }
 
+// wasReset reports whether the other end has reset the connection. What arrived before is still read then, though it was given up.
+func wasReset(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true // It has been closed here.
+	}
+	code, codeErr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { code, codeErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	return err != nil || codeErr != nil || code != 0
+}
+
 // copyFrames copies what the replica sends, in frames, and then how it has ended.
 func copyFrames(node, replica net.Conn) {
 	buffer := make([]byte, frameBytes)
