--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -68,6 +68,7 @@
 type path struct {
 	usedAt    clock.Time // Last call of Dial.
 	outcomeAt clock.Time // When the last direct connection opened or failed; 0 if none has.
+	openedAt  clock.Time // When the last direct connection opened; 0 if none has.
 	lostSince clock.Time // When a direct connection first failed while another node reached the replica; 0 if the last one opened.
 	triedAt   clock.Time // When a direct connection was last tried.
 	peers     map[string]peerOutcome
@@ -170,7 +171,7 @@
 	restored := false
 	if known != nil {
 		restored = known.lostSince != 0
-		known.outcomeAt, known.lostSince = now, 0
+		known.outcomeAt, known.openedAt, known.lostSince = now, now, 0
 	}
 	p.mu.Unlock()
 	if restored {
@@ -178,12 +179,13 @@
 	}
 }
 
-// directFailed records that no direct connection opened although the target was reached through a peer.
-func (p *Paths) directFailed(to Target, peer string, err error) {
+// directFailed records that no direct connection opened although the target was reached through a peer. One that began before another opened
+// says nothing any more.
+func (p *Paths) directFailed(to Target, peer string, begun clock.Time, err error) {
 	p.mu.Lock()
 	known, now := p.paths[to], p.opt.Clock.Now()
 	lost := false
-	if known != nil {
+	if known != nil && known.openedAt <= begun {
 		known.outcomeAt = now
 		if lost = known.lostSince == 0; lost {
 			known.lostSince = now
@@ -205,9 +207,17 @@
 	}
 }
 
+// Ranks of nodes to ask, to be added. Lower ones are preferred.
+const (
+	rankReached     = -4 // It has lately reached the replica.
+	rankOtherDomain = 1
+	rankPathsLost   = 2
+	rankNotReached  = 4
+)
+
 // peersFor returns the nodes to ask for a tunnel, the preferred ones first: those that have lately reached the replica, and last those
-// that haven't. For control, the second one is of another failure domain if the first is near: a whole domain may lack the same paths.
-func (p *Paths) peersFor(to Target, control bool) []Peer {
+// that haven't. The second one is of another failure domain if the first is near: a whole domain may lack the same paths.
+func (p *Paths) peersFor(to Target) []Peer {
 	if p.opt.Peers == nil {
 		return nil
 	}
@@ -220,29 +230,23 @@
 		ranks[peer.Name] = p.rankLocked(to, peer)
 	}
 	slices.SortStableFunc(list, func(a, b Peer) int { return ranks[a.Name] - ranks[b.Name] })
-	far := slices.IndexFunc(list, func(peer Peer) bool { return !peer.Near && ranks[peer.Name] < pathsLostRank })
-	if control && far > 1 && list[0].Near {
-		peer := list[far]
-		list = slices.Insert(slices.Delete(list, far, far+1), 1, peer)
+	if i := slices.IndexFunc(list, func(peer Peer) bool { return !peer.Near }); i > 1 && ranks[list[i].Name] <= rankOtherDomain {
+		// This node's domain may have lost its paths as a whole.
+		other := list[i]
+		copy(list[2:i+1], list[1:i])
+		list[1] = other
 	}
 	return list
 }
 
-// Ranks of nodes, lower for those that are preferred; see rankLocked.
-const (
-	farRank       = 1
-	pathsLostRank = 2
-	outcomeRank   = 4 // Added for a node that has lately failed to reach the replica, subtracted for one that has reached it.
-)
-
 // rankLocked returns a number that is lower for nodes that are preferred.
 func (p *Paths) rankLocked(to Target, peer Peer) int {
 	rank := 0
 	if !peer.Near {
-		rank += farRank
+		rank += rankOtherDomain
 	}
 	if peer.PathsLost {
-		rank += pathsLostRank
+		rank += rankPathsLost
 	}
 	known := p.paths[to]
 	if known == nil {
@@ -252,9 +256,9 @@
 	switch {
 	case !asked || p.opt.Clock.Now().Sub(outcome.at) > peerMemory:
 	case outcome.opened:
-		rank -= outcomeRank
+		rank += rankReached
 	default:
-		rank += outcomeRank
+		rank += rankNotReached
 	}
 	return rank
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -282,7 +283,7 @@
 		to := Target{fleet.Incarnation{ID: id, StartedUnixMs: 1}, "a"}
 		p.begin(to)
 		if lost {
-			p.directFailed(to, "b", errors.New("timeout"))
+			p.directFailed(to, "b", now.Now(), errors.New("timeout"))
 		} else {
 			p.directOpened(to)
 		}
@@ -423,7 +424,7 @@
 	request.Timeout, request.PeerDelay = 100*time.Millisecond, 200*time.Millisecond
 	_, err := p.Dial(t.Context(), to, request)
 	c.Assert(err, quicktest.IsNotNil)
-	for end := time.Now().Add(5 * time.Second); p.peersFor(to, false)[0].Name != "sound" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); p.peersFor(to)[0].Name != "sound" && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
 	conn, err := p.Dial(t.Context(), to, request)
 	c.Assert(err, quicktest.IsNil)
@@ -472,3 +473,97 @@
 		c.Check(data, quicktest.Equals, map[bool]string{false: "order", true: ""}[late])
 	}
 }
+
+// Guards against connections that fail, and replicas that count as lost, because only nodes of this node's failure domain are asked, which
+// has lost its paths as a whole.
+func TestNodesOfOtherDomainsAreAskedAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	address := deadAddress(t)
+	var peers []Peer
+	for i := range 20 {
+		peer, _ := startPeer(t, fmt.Sprint("near", i), address)
+		peer.Near = true
+		peers = append(peers, peer)
+	}
+	far, _ := startPeer(t, "far", replica.Addr().String())
+	p := newPaths(t, clock.NewManual(time.Hour), append(peers, far)...)
+	for i := range 5 {
+		to := targetAt(address)
+		to.ID = fmt.Sprint("r", i)
+		conn, err := p.Dial(t.Context(), to, testRequest)
+		c.Assert(err, quicktest.IsNil)
+		conn.Close()
+		c.Check(conn.Through, quicktest.Equals, "far")
+	}
+}
+
+// Guards against a path that counts as lost because an older direct connection failed after a newer one had opened.
+func TestDirectConnectionThatFailsLateSaysNothingAboutTheTimeAfterItBegan(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	peer, _ := startPeer(t, "b", replica.Addr().String())
+	now := clock.NewManual(time.Hour)
+	p := newPaths(t, now, peer)
+	to := targetAt(replica.Addr().String())
+	hang := make(chan struct{})
+	var calls atomic.Int64
+	p.opt.Direct = func(ctx context.Context, address string) (net.Conn, error) {
+		if calls.Add(1) == 1 {
+			<-hang
+			return nil, context.DeadlineExceeded
+		}
+		return net.Dial("tcp", address)
+	}
+	first, err := p.Dial(t.Context(), to, testRequest)
+	c.Assert(err, quicktest.IsNil)
+	first.Close()
+	c.Assert(first.Through, quicktest.Equals, "b")
+	now.Advance(50 * time.Millisecond)
+	second, err := p.Dial(t.Context(), to, Request{Timeout: testRequest.Timeout, PeerDelay: time.Second, Lifetime: testRequest.Lifetime})
+	c.Assert(err, quicktest.IsNil)
+	second.Close()
+	c.Assert(second.Through, quicktest.Equals, "")
+	close(hang)
+	time.Sleep(100 * time.Millisecond)
+	_, lost := p.Lost(to)
+	c.Check(lost, quicktest.IsFalse)
+}
+
+// Guards against orders that were given up and are sent to the replica later by a node that stood still meanwhile.
+func TestBytesOfATunnelThatHasEndedAreNotPassedOn(t *testing.T) {
+	for name, test := range map[string]struct {
+		until time.Duration
+		reset bool
+	}{"reset by the other node": {time.Minute, true}, "its lifetime has ended": {-time.Millisecond, false}} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			got := make(chan int64, 1)
+			replica := listen(t, func(conn *net.TCPConn) {
+				n, _ := io.Copy(io.Discard, conn)
+				got <- n
+			})
+			accepted := make(chan net.Conn, 1)
+			node := listen(t, func(conn *net.TCPConn) { accepted <- conn })
+			other, err := net.Dial("tcp", node.Addr().String())
+			c.Assert(err, quicktest.IsNil)
+			defer other.Close()
+			held := <-accepted
+			defer held.Close()
+			_, err = io.WriteString(other, "order")
+			c.Assert(err, quicktest.IsNil)
+			if test.reset {
+				c.Assert(other.(*net.TCPConn).SetLinger(0), quicktest.IsNil)
+				other.Close()
+			}
+			time.Sleep(50 * time.Millisecond) // This node stands still.
+			toReplica, err := net.Dial("tcp", replica.Addr().String())
+			c.Assert(err, quicktest.IsNil)
+			for _, conn := range []net.Conn{held, toReplica} {
+				c.Assert(conn.SetDeadline(time.Now().Add(test.until)), quicktest.IsNil)
+			}
+			copyToReplica(toReplica, held, time.Now().Add(test.until))
+			c.Check(<-got, quicktest.Equals, int64(0))
+		})
+	}
+}
