Ask further nodes for a tunnel where some decline at once

Nodes that decline don't count towards the two now, up to a bound.

TestNodesThatDeclineDoNotCount failed before.

--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -17,6 +17,8 @@
 const (
 	maxPeersPerDial    = 2
 	maxPeersForControl = 3
+	// maxDeclines bounds the nodes that are asked beside these because others declined.
+	maxDeclines = 8
 )
 
 // Request says how a connection is opened and what it is for.
@@ -58,7 +60,8 @@
 	request  Request
 	peers    []Peer // Not asked yet.
 	maxPeers int
-	asked    int
+	asked    int // Without those that declined.
+	declined int
 	pending  int
 	direct   bool // A direct connection is tried.
 	attempts chan attempt
@@ -193,6 +196,10 @@
 	}
 	r.paths.count("failed")
 	r.paths.notePeer(r.to, a.through, false)
+	if errors.Is(a.err, errPeerDeclined) && r.declined < maxDeclines {
+		r.declined++
+		r.asked-- // It has cost hardly any time.
+	}
 	r.failure.Peers = append(r.failure.Peers, PeerError{a.through, a.err})
 }
 
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -344,6 +344,25 @@
 	c.Check(time.Since(started) < time.Second, quicktest.IsTrue)
 }
 
+// Guards against connections that fail because the nodes that were asked first decline at once, while another one reaches the replica.
+func TestNodesThatDeclineDoNotCount(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	address := deadAddress(t)
+	var peers []Peer
+	for _, name := range []string{"b", "c", "d", "e"} {
+		peer, server := startPeer(t, name, replica.Addr().String())
+		server.Allowed = func(Target, bool) bool { return false }
+		peer.Near = true
+		peers = append(peers, peer)
+	}
+	far, _ := startPeer(t, "far", replica.Addr().String())
+	conn, err := newPaths(t, clock.NewManual(time.Hour), append(peers, far)...).Dial(t.Context(), targetAt(address), testRequest)
+	c.Assert(err, quicktest.IsNil)
+	conn.Close()
+	c.Check(conn.Through, quicktest.Equals, "far")
+}
+
 // Guards against connections that fail because nodes are asked again which don't reach the replica either, while another one does.
 func TestNodesThatReachTheReplicaAreAskedFirst(t *testing.T) {
 	c := quicktest.New(t)
