--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/groups"
 	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
@@ -18,6 +20,9 @@
 	reportExpiry        = 2 * time.Second
 	maxScheduleInterval = 50 * time.Millisecond // Between two checks for due reads.
 	maxReads            = 4                     // Reads of one engine at a time.
+	// unconfirmedLimit is the silence of an engine after which reads count as missed although no other node has confirmed that it can't be
+	// reached. The others may be of a version that can't be asked.
+	unconfirmedLimit = 30 * time.Second
 )
 
 // vmReports reads the states of engines for the group controllers. It reads an engine repeatedly while controllers request its
@@ -43,7 +48,7 @@
 	lastRequested  time.Duration // When a controller last requested the state.
 	reads          int           // In progress.
 	nextRead       time.Duration // Earliest start of the next read.
-	missed         int           // Reads that were sent after readSentAt and have failed.
+	missed         int           // Reads that were sent after readSentAt and have failed, unless only this node's own path may be at fault.
 }
 
 func newVMReports(client *orders.Client, statements *statement.Table, now func() time.Duration, address func(string) (string, bool), freshness time.Duration) *vmReports {
@@ -80,6 +85,14 @@
 	}
 }
 
+// lastKnown returns when the state was last known, or when it was first requested.
+func (r *vmReport) lastKnown() time.Duration {
+	if r.hasState {
+		return r.readSentAt
+	}
+	return r.firstRequested
+}
+
 // run schedules reads until ctx ends. Each read has its own goroutine, so that reads of silent engines don't delay those of others.
 func (v *vmReports) run(ctx context.Context) {
 	ticker := time.NewTicker(min(v.readInterval, maxScheduleInterval))
@@ -120,7 +133,10 @@
 	if report.hasState && sentAt < report.readSentAt || ctx.Err() != nil {
 		return
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, reach.ErrUnconfirmed) && v.now()-report.lastKnown() < unconfirmedLimit:
+		return
+	case err != nil:
 		report.missed++
 		return
 	}
--- a/internal/node/reports_test.go
+++ b/internal/node/reports_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,9 +11,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/groups"
 	"cassiadeal.example/cassiadeal/internal/orders"
+	"cassiadeal.example/cassiadeal/internal/reach"
+	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/statement"
 )
 
@@ -111,3 +117,48 @@
 		t.Logf("%s: %d reads were missed at an age of %v", vm, missed, reports.get(vm).Age)
 	}
 }
+
+// confirmedLoss returns the error of a connection to an address at which nothing listens, which another node has found too.
+func confirmedLoss(t *testing.T) error {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	other := &reach.Server{Log: log, Panics: recovery.Recoverer{Log: log}, Allowed: func(reach.Target, bool) bool { return true }}
+	server := httptest.NewServer(other.Handler())
+	t.Cleanup(server.Close)
+	paths, err := reach.New(reach.Options{Clock: clock.Boottime(), Log: log, Panics: recovery.Recoverer{Log: log}, Peers: func() []reach.Peer {
+		return []reach.Peer{{Name: "b", Address: server.Listener.Addr().String()}}
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	ended := httptest.NewServer(nil)
+	ended.Close()
+	request := reach.Request{Timeout: 5 * time.Second, PeerDelay: time.Millisecond, Lifetime: time.Second, Control: true}
+	_, err = paths.Dial(t.Context(), reach.Target{Address: ended.Listener.Addr().String(), Incarnation: fleet.Incarnation{ID: "ended"}}, request)
+	qt.Assert(t, err, qt.IsNotNil)
+	return err
+}
+
+// Guards against engines that count as lost, whose groups then end all requests, because this node has lost its paths to them and to the
+// other nodes as well. What another node has found too counts, so does what the only node finds, and a silence that goes on for long.
+func TestReadsThatNoOtherNodeConfirmsAreNotMissed(t *testing.T) {
+	unconfirmed, alone := &reach.DialError{Direct: context.DeadlineExceeded}, &reach.DialError{Direct: context.DeadlineExceeded, Alone: true}
+	for name, test := range map[string]struct {
+		failure error
+		silence time.Duration
+		missed  int
+	}{
+		"unconfirmed":          {unconfirmed, 10 * time.Second, 0},
+		"unconfirmed for long": {unconfirmed, unconfirmedLimit, 1},
+		"only node":            {alone, 0, 1},
+		"confirmed":            {confirmedLoss(t), 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := orders.New(orders.Options{Dial: func(context.Context, string) (net.Conn, error) { return nil, test.failure }})
+			now := func() time.Duration { return time.Hour + test.silence }
+			address := func(string) (string, bool) { return "127.0.0.1:1", true }
+			reports := newVMReports(client, statement.New(statement.Options{Now: now}), now, address, time.Second)
+			report := &vmReport{readSentAt: time.Hour, hasState: true, reads: 1}
+			reports.read(t.Context(), "vm", report)
+			qt.Check(t, report.missed, qt.Equals, test.missed)
+		})
+	}
+}
