--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/rules"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -502,7 +503,7 @@
 
 // TargetLost probes all members again and reports whether the target that the slot was granted for no longer runs: a member
 // fails the probe, is silent for lostSilence or has another incarnation, or the members were replaced. It returns false if ctx ends
-// before that is known.
+// before that is known, also if the probes fail only for this node as far as is known.
 func (s *Slot) TargetLost(ctx context.Context) bool {
 	t := s.table
 	requestedAt := t.options.Now()
@@ -521,6 +522,8 @@
 			case isTimeout(m.lastProbeError) && t.options.Now()-m.reportSentAt < lostSilence:
 				allProbed = false
 				m.requestProbe()
+			case errors.Is(m.lastProbeError, reach.ErrUnconfirmed):
+				allProbed = false // The next regular probe may tell more.
 			case m.lastProbeError != nil:
 				t.mu.Unlock()
 				return true
--- a/internal/target/silence_test.go
+++ b/internal/target/silence_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/rules"
 )
@@ -105,3 +107,29 @@
 		})
 	}
 }
+
+// Guards against requests that are blocked everywhere as ones that crash targets, because their node has lost its paths to the targets and no
+// other node can be asked.
+func TestLossThatNoOtherNodeConfirmsIsNoCrash(t *testing.T) {
+	refused := reach.DialError{Direct: syscall.ECONNREFUSED}
+	onlyNode := reach.DialError{Direct: syscall.ECONNREFUSED, Alone: true}
+	for name, test := range map[string]struct {
+		failure *reach.DialError
+		lost    bool
+	}{"unconfirmed": {&refused, false}, "only node": {&onlyNode, true}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil, poolSpec("t", 1, 1))
+			f.recordAllReady("t")
+			slot, code := f.tryAcquire(SlotRequest{})
+			qt.Assert(t, code, qt.Equals, result.OK)
+			f.advance(time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			lost := make(chan bool, 1)
+			go func() { lost <- slot.TargetLost(ctx) }()
+			f.recordReport("t", 0, Report{}, -time.Millisecond, fmt.Errorf("probe: %w", test.failure))
+			f.recordReport("t", 1, readyReport, -time.Millisecond, nil)
+			qt.Check(t, <-lost, qt.Equals, test.lost)
+		})
+	}
+}
