Let a node confirm that a replica is lost only if it reaches another one

A planner that had lost its own paths asked three other nodes whether they reach a head. A node that had lost its paths too confirmed that the head is lost or ended: it knew of its loss only after it had found, for three replicas, a node that reaches them, which those that ask each other don't. Such a node declines now unless a connection to one of three other replicas opens.

TestNodeThatReachesNoReplicaConfirmsNothing failed before (go test -run ReachesNoReplica ./internal/entry, with Server.Direct only): all refuse, all hang. TestNodesWithoutPathsDoNotConfirmThatAHeadIsLost failed in each of three runs before with 5 of 6 other nodes without paths. With 12 of 13 it still fails at times: failures that nobody confirms count after three.

--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -15,13 +15,46 @@
 func (n *Node) newPaths() (err error) {
 	peers := func() []reach.Peer { return n.tunnelPeers(n.mesh.Alive()) }
 	panics := recovery.Recoverer{Where: "tunnel", Log: n.log, Metrics: n.metrics}
-	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached,
-		PathsLost: func() bool { return n.paths.MostLost() }}
 	direct := func(ctx context.Context, address string) (net.Conn, error) { return n.dialDirectly(ctx, address) }
+	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached, Direct: direct, ReachesOther: n.reachesOther,
+		PathsLost: func() bool { return n.paths.MostLost() }}
 	n.paths, err = reach.New(reach.Options{Clock: n.clock, Log: n.log, Meter: n.metrics.Meter(), Peers: peers, Panics: panics, Direct: direct})
 	return err
 }
 
+// maxWitnesses bounds the replicas to which connections are tried to find out whether this node reaches any.
+const maxWitnesses = 3
+
+// reachesOther reports whether this node reaches one of some replicas other than the given one, or knows of none.
+func (n *Node) reachesOther(ctx context.Context, than reach.Target) bool {
+	var others []*fleet.Replica // The order of a map is random enough.
+	for id, r := range n.registry.View().Replicas {
+		if id != than.ID && !r.Draining && len(others) < maxWitnesses {
+			others = append(others, r)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	opened := make(chan bool, len(others))
+	for _, r := range others {
+		go func() {
+			found := false
+			defer func() { opened <- found }()
+			defer recovery.Recoverer{Where: "tunnel", Log: n.log, Metrics: n.metrics}.Recover(nil)
+			conn, err := n.dialDirectly(ctx, r.Address)
+			if found = err == nil; found {
+				conn.Close()
+			}
+		}()
+	}
+	for range others {
+		if <-opened {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // tunnelPeers returns the live nodes that may be asked for a tunnel. Requests stay in this node's region, since some may not leave it.
 func (n *Node) tunnelPeers(alive []gossip.Peer) []reach.Peer {
 	var list []reach.Peer
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -1,7 +1,14 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -49,3 +56,63 @@
 	}
 	c.Check(n.tunnelPeers(alive), quicktest.DeepEquals, []reach.Peer{{Name: "near", Address: "near:1", Near: true}, {Name: "far", Address: "far:1", PathsLost: true}})
 }
+
+// Guards against a node that has just lost its paths, or doesn't know it yet, and confirms to another one that a replica has ended: its own
+// connections are refused, or hang.
+func TestNodeThatReachesNoReplicaConfirmsNothing(t *testing.T) {
+	refuse := func(context.Context) error { return syscall.ECONNREFUSED }
+	hang := func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for _, test := range []struct {
+		name              string
+		replicas          int
+		target, others    func(context.Context) error // How connections fail; nil if they open.
+		confirms, reached bool
+	}{
+		{"the target refuses", 3, refuse, nil, true, false},
+		{"the target hangs", 3, hang, nil, true, false},
+		{"all refuse", 3, refuse, refuse, false, false},
+		{"all hang", 3, hang, hang, false, false},
+		{"the only replica refuses", 1, refuse, nil, true, false},
+		{"the target opens, the others hang", 3, nil, hang, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, quicktest.IsNil)
+			defer listener.Close()
+			n := newNode(c, testSettings)
+			var list []*fleet.Replica
+			for i := range test.replicas {
+				list = append(list, &fleet.Replica{ID: fmt.Sprint("r", i), Address: fmt.Sprint("a:", i), Zone: "z", StartedUnixMs: 1})
+			}
+			n.registry.Replace(list)
+			n.dialDirectly = func(ctx context.Context, address string) (net.Conn, error) {
+				fails := test.others
+				if address == list[0].Address {
+					fails = test.target
+				}
+				if fails != nil {
+					return nil, fails(ctx)
+				}
+				return net.Dial("tcp", listener.Addr().String())
+			}
+			server := httptest.NewServer(n.tunnels.Handler())
+			defer server.Close()
+			peer := reach.Peer{Name: "n", Address: server.Listener.Addr().String()}
+			own, err := reach.New(reach.Options{Clock: n.clock, Log: n.log, Peers: func() []reach.Peer { return []reach.Peer{peer} },
+				Direct: func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }})
+			c.Assert(err, quicktest.IsNil)
+			conn, err := own.Dial(t.Context(), reach.TargetOf(list[0]), reach.Request{Timeout: 400 * time.Millisecond, PeerDelay: 40 * time.Millisecond,
+				Lifetime: time.Second, Control: true})
+			c.Assert(err == nil, quicktest.Equals, test.reached)
+			if test.reached {
+				conn.Close()
+				return
+			}
+			c.Check(errors.Is(err, reach.ErrUnconfirmed), quicktest.Equals, !test.confirms, quicktest.Commentf("%v", err))
+		})
+	}
+}
--- a/internal/planner/paths_test.go
+++ b/internal/planner/paths_test.go
@@ -377,3 +377,42 @@
 	p.mu.Unlock()
 	p.c.Check(outcome(), quicktest.Equals, placement.ConnectionRefused)
 }
+
+// addPeerWithoutPaths adds a node whose own connections to all replicas fail as well, and that is asked first.
+func (p *pathsTest) addPeerWithoutPaths(t *testing.T, name, address string, near bool) {
+	s := &reach.Server{Log: logrus.New(), Panics: recovery.Recoverer{Log: logrus.New()}, Allowed: func(reach.Target, bool) bool { return true },
+		ReachesOther: func(context.Context, reach.Target) bool { return false }}
+	h := s.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		query := r.URL.Query()
+		query.Set("address", address)
+		r.URL.RawQuery = query.Encode()
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	p.peers = append(p.peers, reach.Peer{Name: name, Address: server.Listener.Addr().String(), Near: near})
+}
+
+// Guards against a head that counts as lost, or ended, because the nodes that were asked about it have lost their own paths as well as the
+// planner: another node reaches the head.
+func TestNodesWithoutPathsDoNotConfirmThatAHeadIsLost(t *testing.T) {
+	for _, kind := range slices.Sorted(maps.Keys(lossesOfOwnPaths)) {
+		for _, without := range []int{2, 5, 12} {
+			t.Run(fmt.Sprintf("%s, %d nodes without paths", kind, without), func(t *testing.T) {
+				p := newPathsTest(t)
+				for i := range without {
+					p.addPeerWithoutPaths(t, fmt.Sprint("a", i), lossesOfOwnPaths[kind](t), i%2 == 0)
+				}
+				p.addPeer(t, "b")
+				p.run(tickInterval) // The group is adopted.
+				for i := range p.entries {
+					p.losePath(i, lossesOfOwnPaths[kind](t))
+				}
+				p.suspectIdleHead(1300 * time.Millisecond)
+				orders := p.run(4 * time.Second)
+				p.c.Check(p.causes(), quicktest.DeepEquals, []string{})
+				p.c.Check(p.ordersToMembers(orders), quicktest.DeepEquals, []string{})
+			})
+		}
+	}
+}
--- a/internal/reach/errors.go
+++ b/internal/reach/errors.go
@@ -17,6 +17,7 @@
 	errPeerNotReached = errors.New("the node doesn't reach the replica either")
 	errPeerRefused    = errors.New("the node found that nothing listens there")
 	errPeerDeclined   = errors.New("the node opens no tunnel to the replica")
+	errOwnPaths       = errors.New("this node may have lost its own paths to all replicas")
 )
 
 // PeerError is the error of one node that was asked for a tunnel.
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,6 +26,8 @@
 	// maxTunnelDial and maxLifetime bound what a node may ask for.
 	maxTunnelDial = 400 * time.Millisecond
 	maxLifetime   = 2 * time.Minute
+	// checkDelay is the time without a connection to a replica after which a node checks whether it reaches any.
+	checkDelay = 20 * time.Millisecond
 	// requestBytes is the size of the pieces in which the bytes for a replica are copied.
 	requestBytes = 4 << 10
 )
@@ -35,8 +38,13 @@
 	Panics recovery.Recoverer
 	// Allowed reports whether a replica may be connected to for another node; for control, if no request of a client is sent.
 	Allowed func(to Target, control bool) bool
+	// Direct opens a connection of this node's own; nil for net.Dialer.
+	Direct func(ctx context.Context, address string) (net.Conn, error)
 	// PathsLost reports whether this node lacks most of its own paths, so that its failures tell nothing of a replica; nil for never.
 	PathsLost func() bool
+	// ReachesOther reports whether this node reaches a replica other than the given one, or knows of none; nil for always. Where it doesn't,
+	// that it doesn't reach the given one tells nothing.
+	ReachesOther func(ctx context.Context, than Target) bool
 
 	open     atomic.Int64
 	draining atomic.Bool
@@ -73,10 +81,9 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	dialer := net.Dialer{Timeout: number("timeout_ms", maxTunnelDial)}
-	replica, err := dialer.DialContext(r.Context(), "tcp", to.Address)
+	replica, err := s.dial(r.Context(), to, number("timeout_ms", maxTunnelDial))
 	switch {
-	case err != nil && s.PathsLost != nil && s.PathsLost():
+	case errors.Is(err, errOwnPaths):
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		w.WriteHeader(http.StatusBadGateway)
@@ -88,6 +95,42 @@
 	}
 }
 
+// dial connects to a replica. The error is errOwnPaths if this node may reach no replica at all.
+func (s *Server) dial(ctx context.Context, to Target, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reaches := make(chan bool, 1)
+	check := sync.OnceFunc(func() {
+		go func() {
+			found := false
+			defer func() { reaches <- found }()
+			defer s.Panics.Recover(nil)
+			found = s.ReachesOther == nil || s.ReachesOther(ctx, to)
+		}()
+	})
+	timer := time.AfterFunc(checkDelay, check) // A connection that hangs leaves no time for it.
+	defer timer.Stop()
+	conn, err := s.direct(ctx, to.Address)
+	if err == nil {
+		return conn, nil
+	}
+	if s.PathsLost != nil && s.PathsLost() {
+		return nil, errOwnPaths
+	}
+	if check(); !<-reaches {
+		return nil, errOwnPaths
+	}
+	return nil, err
+}
+
+func (s *Server) direct(ctx context.Context, address string) (net.Conn, error) {
+	if s.Direct != nil {
+		return s.Direct(ctx, address)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // targetOf returns the target that a request names.
 func (s *Server) targetOf(r *http.Request) Target {
 	started, err := strconv.ParseInt(r.URL.Query().Get("started"), 10, 64)
