--- a/internal/planner/paths_test.go
+++ b/internal/planner/paths_test.go
@@ -145,25 +145,28 @@
 	p.peers = append(p.peers, reach.Peer{Name: name, Address: l.Addr().String(), Near: true})
 }
 
-// refusingAddress returns an address at which nothing listens.
+// refusingAddress returns an address at which nothing listens. No other listener gets it during the test.
 func refusingAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	quicktest.Assert(t, err, quicktest.IsNil)
-	quicktest.Assert(t, l.Close(), quicktest.IsNil)
-	return l.Addr().String()
+	_, address := boundSocket(t)
+	return address
 }
 
-// hangingAddress returns an address to which connections are neither opened nor refused: its backlog is full.
-func hangingAddress(t *testing.T) string {
-	const tries, timeout = 8, 100 * time.Millisecond
+// boundSocket returns a socket that is bound to an address and doesn't listen.
+func boundSocket(t *testing.T) (fd int, address string) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	t.Cleanup(func() { _ = syscall.Close(fd) }) // The test has ended.
 	quicktest.Assert(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), quicktest.IsNil)
-	quicktest.Assert(t, syscall.Listen(fd, 0), quicktest.IsNil)
 	bound, err := syscall.Getsockname(fd)
 	quicktest.Assert(t, err, quicktest.IsNil)
-	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	return fd, fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+}
+
+// hangingAddress returns an address to which connections are neither opened nor refused: its backlog is full.
+func hangingAddress(t *testing.T) string {
+	const tries, timeout = 8, 100 * time.Millisecond
+	fd, address := boundSocket(t)
+	quicktest.Assert(t, syscall.Listen(fd, 0), quicktest.IsNil)
 	for range tries {
 		conn, err := net.DialTimeout("tcp", address, timeout)
 		if err != nil {
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -114,6 +114,7 @@
 	defer cancel()
 	conn, err := r.paths.opt.Direct(ctx, r.to.Address)
 	if err != nil {
+		r.paths.noteFailure(r.to)
 		return nil, err
 	}
 	tcp, ok := conn.(*net.TCPConn)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -67,9 +67,12 @@
 	usedAt    clock.Time // Last call of Dial.
 	outcomeAt clock.Time // When the last direct connection opened or failed; 0 if none has.
 	openedAt  clock.Time // When the last direct connection opened; 0 if none has.
-	lostSince clock.Time // When a direct connection first failed while another node reached the replica; 0 if the last one opened.
-	triedAt   clock.Time // When a direct connection was last tried.
-	peers     map[string]peerOutcome
+	// failingSince is when the first of the direct connections failed that have failed in a row, and failedAt when the last did; 0 if the last
+	// one opened.
+	failingSince, failedAt clock.Time
+	lostSince              clock.Time // When a direct connection first failed while another node reached the replica; 0 if the last one opened.
+	triedAt                clock.Time // When a direct connection was last tried.
+	peers                  map[string]peerOutcome
 }
 
 // peerOutcome tells whether a tunnel through a node opened.
@@ -140,6 +143,36 @@
 	return lost >= minLostPaths && lost > working
 }
 
+// NoneOpens reports whether this node's own connections fail to several replicas, and none has opened since to another. Its own paths may be
+// lost then, although no other node is known to reach the replicas.
+func (p *Paths) NoneOpens() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, failing := p.opt.Clock.Now(), 0
+	var lastOpened, lastBegan clock.Time
+	for _, known := range p.paths {
+		lastOpened = max(lastOpened, known.openedAt)
+		if known.failedAt != 0 && now.Sub(known.failedAt) <= pathMemory {
+			failing++
+			lastBegan = max(lastBegan, known.failingSince)
+		}
+	}
+	return failing >= minLostPaths && lastOpened < lastBegan
+}
+
+// noteFailure records that a direct connection has failed.
+func (p *Paths) noteFailure(to Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, now := p.paths[to], p.opt.Clock.Now()
+	if known == nil {
+		return
+	}
+	if known.failedAt = now; known.failingSince == 0 {
+		known.failingSince = now
+	}
+}
+
 // begin notes a call of Dial. It reports whether a direct connection is to be tried, and whether the path is known to be lost.
 func (p *Paths) begin(to Target) (direct, lost bool) {
 	p.mu.Lock()
@@ -165,7 +198,7 @@
 	restored := false
 	if known != nil {
 		restored = known.lostSince != 0
-		known.outcomeAt, known.openedAt, known.lostSince = now, now, 0
+		known.outcomeAt, known.openedAt, known.lostSince, known.failingSince, known.failedAt = now, now, 0, 0, 0
 	}
 	p.mu.Unlock()
 	if restored {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -481,3 +481,43 @@
 		})
 	}
 }
+
+// Guards against a node that takes what it can't reach for lost although none of its own connections opens, while it has found no other node
+// that reaches the replicas.
+func TestNoneOpens(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.NewManual(time.Hour)
+	replica := listen(t, echo)
+	dead := deadAddress(t)
+	p := newPaths(t, now)
+	cut := false
+	p.opt.Direct = func(context.Context, string) (net.Conn, error) {
+		if cut {
+			return nil, syscall.ECONNREFUSED
+		}
+		return net.Dial("tcp", replica.Addr().String())
+	}
+	dial := func(id string) {
+		to := targetAt(dead)
+		to.ID = id
+		if conn, err := p.Dial(t.Context(), to, testRequest); err == nil {
+			conn.Close()
+		}
+		now.Advance(time.Millisecond)
+	}
+	dial("a")
+	cut = true
+	dial("b")
+	dial("c")
+	c.Check(p.NoneOpens(), quicktest.IsFalse)
+	dial("d")
+	c.Check(p.NoneOpens(), quicktest.IsTrue)
+	cut = false
+	dial("a")
+	c.Check(p.NoneOpens(), quicktest.IsFalse)
+	cut = true
+	dial("a")
+	c.Check(p.NoneOpens(), quicktest.IsTrue)
+	now.Advance(pathMemory + time.Millisecond)
+	c.Check(p.NoneOpens(), quicktest.IsFalse)
+}
