Choose the nodes to ask for a tunnel only where one is needed

Each connection to a replica ranked all other nodes, also where the direct one opened at once: 162 us and 40 KB for 330 nodes (benchmark of peersFor on a busy machine), for each request without a kept connection.

TestNodesAreChosenOnlyWhereTheyAreNeeded failed before (go test -run ChosenOnly ./internal/reach): 1 choice instead of 0.

--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -57,7 +57,8 @@
 	paths    *Paths
 	to       Target
 	request  Request
-	peers    []Peer // Not asked yet.
+	peers    []Peer // Not asked yet; see choosePeers.
+	chosen   bool
 	maxPeers int
 	asked    int
 	pending  int
@@ -70,13 +71,15 @@
 // Dial opens a connection to a replica. The error is a *DialError, or that of the context.
 func (p *Paths) Dial(ctx context.Context, to Target, request Request) (*Conn, error) {
 	direct, lost := p.begin(to)
-	peers, maxPeers := p.peersFor(to), maxPeersPerDial
+	maxPeers := maxPeersPerDial
 	if request.Control {
 		maxPeers = maxPeersForControl
 	}
-	r := &race{paths: p, to: to, request: request, peers: peers, maxPeers: maxPeers, begun: p.opt.Clock.Now(), attempts: make(chan attempt, 1+maxPeers)}
-	r.failure.Alone = len(peers) == 0
-	if direct || len(peers) == 0 {
+	r := &race{paths: p, to: to, request: request, maxPeers: maxPeers, begun: p.opt.Clock.Now(), attempts: make(chan attempt, 1+maxPeers)}
+	if !direct {
+		r.choosePeers()
+	}
+	if direct || r.failure.Alone {
 		r.startDirectly(ctx)
 	}
 	peerContext, cancel := context.WithTimeout(ctx, request.Timeout)
@@ -125,9 +128,18 @@
 	return &Conn{Conn: tcp, tcp: tcp}, nil
 }
 
+// choosePeers sets the nodes to ask. Most connections need none, and the choice among many nodes takes longer than the rest.
+func (r *race) choosePeers() {
+	if !r.chosen {
+		r.chosen, r.peers = true, r.paths.peersFor(r.to)
+		r.failure.Alone = len(r.peers) == 0
+	}
+}
+
 // askPeer asks the next node for a tunnel, if there is one. Otherwise a path that is known to be lost is tried, unless a node has found that it
 // doesn't reach the replica either.
 func (r *race) askPeer(ctx context.Context) {
+	r.choosePeers()
 	if len(r.peers) == 0 || r.asked >= r.maxPeers {
 		if !r.direct && !r.failure.Confirmed() {
 			r.startDirectly(ctx)
@@ -156,6 +168,7 @@
 			if r.failure.Direct == nil {
 				r.failure.Direct = context.DeadlineExceeded
 			}
+			r.choosePeers() // It tells whether there is any.
 			return nil, &r.failure
 		case <-next.C:
 			r.askPeer(peerContext)
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -521,3 +521,22 @@
 	now.Advance(pathMemory + time.Millisecond)
 	c.Check(p.NoneOpens(), quicktest.IsFalse)
 }
+
+// Guards against connections that cost the choice among hundreds of other nodes although none is needed.
+func TestNodesAreChosenOnlyWhereTheyAreNeeded(t *testing.T) {
+	c := quicktest.New(t)
+	replica := listen(t, echo)
+	p := newPaths(t, clock.NewManual(time.Hour))
+	chosen := 0
+	p.opt.Peers = func() []Peer { chosen++; return nil }
+	request := testRequest
+	request.PeerDelay = time.Second
+	conn, err := p.Dial(t.Context(), targetAt(replica.Addr().String()), request)
+	c.Assert(err, quicktest.IsNil)
+	conn.Close()
+	c.Check(chosen, quicktest.Equals, 0)
+	_, err = p.Dial(t.Context(), targetAt(deadAddress(t)), request)
+	c.Check(errors.Is(err, syscall.ECONNREFUSED), quicktest.IsTrue)
+	c.Check(errors.Is(err, ErrUnconfirmed), quicktest.IsFalse)
+	c.Check(chosen, quicktest.Equals, 1)
+}
