Let a node without paths plan where no other node does in time

A node that lacks its own paths to replicas left planning to the others for as long as one of them had its paths. The store may refuse these (or they may not become the planner for another reason): nobody planned then, and lost servers weren't replaced. It waits now for as long as they may take, and then for its own rank.

--- a/internal/entry/candidate_test.go
+++ b/internal/entry/candidate_test.go
@@ -1,11 +1,19 @@
 package entry
 
 import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/gossip"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
@@ -44,3 +52,37 @@
 		c.Check(yields, quicktest.Equals, test.yields, quicktest.Commentf(test.name))
 	}
 }
+
+// Guards against a system without a planner: nodes that lack their own paths to replicas leave planning to others, which the store refuses.
+func TestNodeWithoutPathsPlansIfNoOtherDoes(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, testSettings)
+	n.registry.SetConfig(&fleet.Config{Version: 1})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer listener.Close()
+	server := httptest.NewServer((&reach.Server{Log: n.log, Allowed: func(reach.Target, bool) bool { return true }}).Handler())
+	defer server.Close()
+	peer := reach.Peer{Name: "x", Address: server.Listener.Addr().String()}
+	n.paths, err = reach.New(reach.Options{Clock: n.clock, Log: n.log, Peers: func() []reach.Peer { return []reach.Peer{peer} },
+		Direct: func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }})
+	c.Assert(err, quicktest.IsNil)
+	lose := func() {
+		for _, id := range []string{"a", "b", "c"} {
+			to := reach.Target{Incarnation: fleet.Incarnation{ID: id, StartedUnixMs: 1}, Address: listener.Addr().String()}
+			conn, err := n.paths.Dial(t.Context(), to, reach.Request{Timeout: time.Second, PeerDelay: time.Second, Lifetime: time.Second})
+			c.Assert(err, quicktest.IsNil)
+			conn.Close()
+		}
+		c.Assert(n.paths.MostLost(), quicktest.IsTrue)
+	}
+	other := &schema.NodeGossip{Node: "x", Zone: n.settings.Zone, Ready: true, Capacity: uint32(n.settings.Capacity)}
+	alive := []gossip.Peer{{NodeGossip: other}}
+	lose()
+	n.plannerLastSeen = n.clock.Now()
+	c.Check(n.mayPlan(alive), quicktest.IsFalse)
+	n.plannerLastSeen = n.clock.Now() - clock.Time(maxPlannerDelay/2)
+	c.Check(n.mayPlan(alive), quicktest.IsFalse)
+	n.plannerLastSeen = n.clock.Now() - clock.Time(2*maxPlannerDelay)
+	c.Check(n.mayPlan(alive), quicktest.IsTrue)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -372,9 +372,10 @@
 
 // isPlannerCandidate returns whether this node should try to become the planner: no live node reports that it is the planner,
 // and the nodes that precede this one have had time to try.
-func (n *Node) isPlannerCandidate() bool {
+func (n *Node) isPlannerCandidate() bool { return n.mayPlan(n.mesh.Alive()) }
+
+func (n *Node) mayPlan(alive []gossip.Peer) bool {
 	now, plannerFound := n.clock.Now(), false
-	alive := n.mesh.Alive()
 	for _, p := range alive {
 		plannerFound = plannerFound || n.announcesPlanner(p, alive)
 	}
@@ -384,18 +385,23 @@
 	if plannerFound {
 		n.plannerLastSeen = now
 	}
-	if plannerFound || yields || n.storeContact.failing() || n.draining.Load() || n.registry.View().Config == nil {
+	if plannerFound || n.storeContact.failing() || n.draining.Load() || n.registry.View().Config == nil {
 		return false
 	}
-	if rank == 0 && n.firstRunWithoutRequests() && !n.firstRunPlanAttempted {
+	if rank == 0 && !yields && n.firstRunWithoutRequests() && !n.firstRunPlanAttempted {
 		n.firstRunPlanAttempted = true
 		return true
 	}
-	return now.Sub(n.plannerLastSeen) > min(time.Duration(rank)*plannerRankDelay, maxPlannerDelay)
+	delay := min(time.Duration(rank)*plannerRankDelay, maxPlannerDelay)
+	if yields {
+		delay += maxPlannerDelay // The store may refuse the others.
+	}
+	return now.Sub(n.plannerLastSeen) > delay
 }
 
-// plannerRank returns the number of live nodes that may become the planner before this one, and whether this one leaves it to others: one that
-// lacks most of its own paths to replicas does while another one is ready that doesn't, since it reaches replicas only by way of others.
+// plannerRank returns the number of live nodes that may become the planner before this one, and whether this one leaves it to others for as
+// long as they may take: one that lacks most of its own paths to replicas does while another one is ready that doesn't, since it reaches
+// replicas only by way of others.
 func (n *Node) plannerRank(alive []gossip.Peer, pathsLost bool) (rank int, yields bool) {
 	for _, p := range alive {
 		if !p.Ready || p.Draining || p.PathsLost && !pathsLost {
