Ask nodes that don't answer last for all replicas

Nodes that don't answer (stopped, or ended just before) were asked last only for the replica for which they had been asked, and after one that had answered that it doesn't reach the replica. A node isn't silent because the caller left first.

--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -63,6 +63,7 @@
 	asked    int
 	pending  int
 	direct   bool // A direct connection is tried.
+	timedOut bool
 	begun    clock.Time
 	attempts chan attempt
 	failure  DialError
@@ -168,6 +169,7 @@
 			if r.failure.Direct == nil {
 				r.failure.Direct = context.DeadlineExceeded
 			}
+			r.timedOut = true
 			r.choosePeers() // It tells whether there is any.
 			return nil, &r.failure
 		case <-next.C:
@@ -208,7 +210,11 @@
 		return
 	}
 	r.paths.count("failed")
-	r.paths.notePeer(r.to, a.through, false)
+	if answered(a.err) {
+		r.paths.notePeer(r.to, a.through, false)
+	} else {
+		r.paths.noteSilence(a.through)
+	}
 	r.failure.Peers = append(r.failure.Peers, PeerError{a.through, a.err})
 }
 
@@ -229,8 +235,8 @@
 			a.conn.Close()
 		case a.through == "" && used != nil:
 			r.paths.directFailed(r.to, used.Through, r.begun, a.err)
-		case a.through != "" && used == nil:
-			r.paths.notePeer(r.to, a.through, false) // It hasn't answered in time.
+		case a.through != "" && r.timedOut:
+			r.paths.noteSilence(a.through)
 		}
 	}
 }
--- a/internal/reach/errors.go
+++ b/internal/reach/errors.go
@@ -20,6 +20,11 @@
 	errOwnPaths       = errors.New("this node may have lost its own paths to all replicas")
 )
 
+// answered reports whether the error of a node that was asked for a tunnel is its answer.
+func answered(err error) bool {
+	return errors.Is(err, errPeerNotReached) || errors.Is(err, errPeerRefused) || errors.Is(err, errPeerDeclined)
+}
+
 // PeerError is the error of one node that was asked for a tunnel.
 type PeerError struct {
 	Peer string
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -87,8 +88,9 @@
 	opt     Options
 	counter metric.Int64Counter
 
-	mu    sync.Mutex
-	paths map[Target]*path
+	mu     sync.Mutex
+	paths  map[Target]*path
+	silent map[string]clock.Time // When a node last didn't answer, by name.
 }
 
 // New returns Paths that are all unknown.
@@ -99,7 +101,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	p := &Paths{opt: opt, paths: map[Target]*path{}}
+	p := &Paths{opt: opt, paths: map[Target]*path{}, silent: map[string]clock.Time{}}
 	if opt.Meter == nil {
 		return p, nil
 	}
@@ -225,21 +227,32 @@
 	}
 }
 
-// notePeer records whether a tunnel through a node opened.
+// notePeer records whether a tunnel through a node opened; it has answered.
 func (p *Paths) notePeer(to Target, peer string, opened bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.silent, peer)
 	if known := p.paths[to]; known != nil {
 		known.peers[peer] = peerOutcome{opened, p.opt.Clock.Now()}
 	}
 }
 
+// noteSilence records that a node hasn't answered.
+func (p *Paths) noteSilence(peer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opt.Clock.Now()
+	maps.DeleteFunc(p.silent, func(_ string, at clock.Time) bool { return now.Sub(at) > peerMemory })
+	p.silent[peer] = now
+}
+
 // Ranks of nodes to ask, to be added. Lower ones are preferred.
 const (
 	rankReached     = -4 // It has lately reached the replica.
 	rankOtherDomain = 1
 	rankPathsLost   = 2
 	rankNotReached  = 4
+	rankSilent      = 8 // It has lately not answered, whichever replica it was asked about.
 )
 
 // peersFor returns the nodes to ask for a tunnel, the preferred ones first: those that have lately reached the replica, and last those
@@ -275,6 +288,9 @@
 	if peer.PathsLost {
 		rank += rankPathsLost
 	}
+	if at, silent := p.silent[peer.Name]; silent && p.opt.Clock.Now().Sub(at) <= peerMemory {
+		rank += rankSilent
+	}
 	known := p.paths[to]
 	if known == nil {
 		return rank
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -540,3 +540,44 @@
 	c.Check(errors.Is(err, ErrUnconfirmed), quicktest.IsFalse)
 	c.Check(chosen, quicktest.Equals, 1)
 }
+
+// Guards against lost replicas whose loss isn't confirmed because nodes that don't answer are asked before one that does, for each replica anew.
+func TestNodesThatDoNotAnswerAreAskedLastForAllReplicas(t *testing.T) {
+	c := quicktest.New(t)
+	address := deadAddress(t)
+	var peers []Peer
+	for i := range 3 {
+		peers = append(peers, Peer{Name: fmt.Sprint("silent", i), Near: true, Address: listen(t, func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) }).Addr().String()})
+	}
+	sound, _ := startPeer(t, "sound", address)
+	sound.Near = true
+	p := newPaths(t, clock.NewManual(time.Hour), append(peers, sound)...)
+	request := testRequest
+	request.Control, request.Timeout, request.PeerDelay = true, 200*time.Millisecond, 20*time.Millisecond
+	confirmed := 0
+	for i := range 6 {
+		to := targetAt(address)
+		to.ID = fmt.Sprint("r", i)
+		if _, err := p.Dial(t.Context(), to, request); !errors.Is(err, ErrUnconfirmed) {
+			confirmed++
+		}
+		time.Sleep(20 * time.Millisecond) // The nodes that haven't answered are noted.
+	}
+	c.Check(confirmed >= 5, quicktest.IsTrue, quicktest.Commentf("%d of 6", confirmed))
+}
+
+// Guards against a node that counts as silent because a client left before it could answer.
+func TestNodeThatWasNotWaitedForIsNotSilent(t *testing.T) {
+	c := quicktest.New(t)
+	slow := Peer{Name: "slow", Near: true, Address: listen(t, func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) }).Addr().String()}
+	far := Peer{Name: "far", Address: slow.Address}
+	p, to := newPaths(t, clock.NewManual(time.Hour), slow, far), targetAt(deadAddress(t))
+	request := testRequest
+	request.PeerDelay = time.Second
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err := p.Dial(ctx, to, request)
+	c.Assert(errors.Is(err, context.Canceled), quicktest.IsTrue)
+	time.Sleep(50 * time.Millisecond)
+	c.Check(p.peersFor(to)[0].Name, quicktest.Equals, "slow")
+}
