Test that members of an idle head which is silent for a second stay (known red)

A sound replica may fall silent for a second or so. The emulator's strict check allows it, so no test showed it.

--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -348,3 +348,31 @@
 		c.Check(v.epoch, quicktest.Equals, epoch, quicktest.Commentf("%s", v.id))
 	}
 }
+
+// Guards against members that are joined to another group while the head of their own serves: it was idle, and silent to all nodes for no
+// longer than a sound replica may be.
+func TestMembersOfAnIdleHeadThatIsSilentForASecondStay(t *testing.T) {
+	for _, silentFor := range []time.Duration{900, 1000, 1100, 1200, 1300, 1400, 1500} {
+		for _, spares := range []int{0, 2} {
+			silentFor := silentFor * time.Millisecond
+			t.Run(fmt.Sprintf("%v, %d spares", silentFor, spares), func(t *testing.T) {
+				c := quicktest.New(t)
+				m, p := startedSystem(t, 1, 8+spares)
+				head, members := busyHead(m, 0)
+				own, taken := groupKey{head.group, head.epoch}, []string{}
+				check := func() {
+					for _, v := range members[1:] {
+						if now := (groupKey{v.group, v.epoch}); head.serves() && (groupKey{head.group, head.epoch}) == own && now != own && v.group != "" {
+							taken = append(taken, fmt.Sprintf("%v: %s is in %s/%d", m.clock.Now().Sub(emulatorStart), v.id, v.group, v.epoch))
+						}
+					}
+				}
+				head.silent = true
+				m.run(p, silentFor, check)
+				head.silent = false
+				m.run(p, 3*time.Second, check)
+				c.Check(taken, quicktest.DeepEquals, []string{})
+			})
+		}
+	}
+}
