Check a node's paths for tunnels at most each 100 ms where they work

A node that doesn't reach a replica for another one connects to up to three others to see whether it reaches any. For a lost head that many requests are sent to, this was done for each of them at two nodes.

TestPathsAreNotCheckedForEachTunnel failed without the memory: 5 dials for 5 questions instead of 1.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,8 @@
 	replicas   *platform.ReplicaClient
 	paths      *reach.Paths
 	tunnels    *reach.Server
+	// reachedAt is when a connection began that showed that this node reaches replicas, as a clock.Time; 0 if none has.
+	reachedAt atomic.Int64
 	// dialDirectly opens a connection of this node's own to a replica. Tests replace it before Run.
 	dialDirectly func(ctx context.Context, address string) (net.Conn, error)
 
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"time"
 
+	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/internal/reach"
@@ -22,11 +24,19 @@
 	return err
 }
 
-// maxWitnesses bounds the replicas to which connections are tried to find out whether this node reaches any.
-const maxWitnesses = 3
+const (
+	// maxWitnesses bounds the replicas to which connections are tried to find out whether this node reaches any.
+	maxWitnesses = 3
+	// reachedMemory is the time for which it counts that one opened. A planner that has lost its paths with this node asks later than that.
+	reachedMemory = 100 * time.Millisecond
+)
 
 // reachesOther reports whether this node reaches one of some replicas other than the given one, or knows of none.
 func (n *Node) reachesOther(ctx context.Context, than reach.Target) bool {
+	started := n.clock.Now()
+	if at := n.reachedAt.Load(); at != 0 && started.Sub(clock.Time(at)) <= reachedMemory {
+		return true
+	}
 	var others []*fleet.Replica // The order of a map is random enough.
 	for id, r := range n.registry.View().Replicas {
 		if id != than.ID && !r.Draining && len(others) < maxWitnesses {
@@ -49,6 +59,7 @@
 	}
 	for range others {
 		if <-opened {
+			n.reachedAt.Store(int64(started))
 			return true
 		}
 	}
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -116,3 +117,26 @@
 		})
 	}
 }
+
+// Guards against connections to three sound replicas for each connection to a lost one that is asked for.
+func TestPathsAreNotCheckedForEachTunnel(t *testing.T) {
+	c := quicktest.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer listener.Close()
+	n := newNode(c, testSettings)
+	n.registry.Replace([]*fleet.Replica{{ID: "a", Address: "a:1", StartedUnixMs: 1}, {ID: "b", Address: "a:2", StartedUnixMs: 1}})
+	var dials atomic.Int64
+	n.dialDirectly = func(context.Context, string) (net.Conn, error) {
+		dials.Add(1)
+		return net.Dial("tcp", listener.Addr().String())
+	}
+	to := reach.Target{Incarnation: fleet.Incarnation{ID: "a", StartedUnixMs: 1}, Address: "a:1"}
+	for range 5 {
+		c.Check(n.reachesOther(t.Context(), to), quicktest.IsTrue)
+	}
+	c.Check(dials.Load(), quicktest.Equals, int64(1))
+	time.Sleep(reachedMemory + 20*time.Millisecond)
+	c.Check(n.reachesOther(t.Context(), to), quicktest.IsTrue)
+	c.Check(dials.Load(), quicktest.Equals, int64(2))
+}
