--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -352,7 +352,6 @@
 // Guards against members that are joined to another group while the head of their own serves: it was idle, and silent to all nodes for no
 // longer than a sound replica may be.
 func TestMembersOfAnIdleHeadThatIsSilentForASecondStay(t *testing.T) {
-	const step = 100 * time.Millisecond
 	for _, silentFor := range []time.Duration{900, 1000, 1100, 1200, 1300, 1400, 1500} {
 		for _, spares := range []int{0, 2} {
 			silentFor := silentFor * time.Millisecond
--- a/internal/reach/dial.go
+++ b/internal/reach/dial.go
@@ -66,6 +66,7 @@
 	declined int
 	pending  int
 	direct   bool // A direct connection is tried.
+	timedOut bool
 	begun    clock.Time
 	attempts chan attempt
 	failure  DialError
@@ -171,6 +172,7 @@
 			if r.failure.Direct == nil {
 				r.failure.Direct = context.DeadlineExceeded
 			}
+			r.timedOut = true
 			r.choosePeers() // It tells whether there is any.
 			return nil, &r.failure
 		case <-next.C:
@@ -211,7 +213,11 @@
 		return
 	}
 	r.paths.count("failed")
-	r.paths.notePeer(r.to, a.through, false)
+	if answered(a.err) {
+		r.paths.notePeer(r.to, a.through, false)
+	} else {
+		r.paths.noteSilence(a.through)
+	}
 	if errors.Is(a.err, errPeerDeclined) && r.declined < maxDeclines {
 		r.declined++
 		r.asked-- // It has cost hardly any time.
@@ -236,8 +242,8 @@
 			a.conn.Close()
 		case a.through == "" && used != nil:
 			r.paths.directFailed(r.to, used.Through, r.begun, a.err)
-		case a.through != "" && used == nil:
-			r.paths.notePeer(r.to, a.through, false) // It hasn't answered in time.
+		case a.through != "" && r.timedOut:
+			r.paths.noteSilence(a.through)
 		}
 	}
 }
