Let orders of the test of random faults state how many orders were begun (a known red)

The emulator carried out late orders that the planner's replicas refuse: all its orders but those to leave state the number of orders that the replica has begun (TestLateOrdersAreRefusedAfterNewerOnes of package planner). The kept draws of TestGroupRulesHoldUnderRandomFaults were such a case: a join that came 4 s late took a member, although the replica had begun others since.

Tests that need such late orders, as TestHeadThatLateOrdersReopenIsReleasedFirst, go on without counts.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -44,6 +44,7 @@
 	// order counts, delays, queries and probes of package planner.
 	detailed           bool
 	lateBy             func(Order) time.Duration // After which an order whose answer is lost is carried out; 4 s if nil.
+	stateCounts        bool                      // Orders state how many the replica has begun, as those of package planner, also without the detailed mode.
 	otherWay           bool                      // In the detailed mode: the planner reaches hidden replicas by way of other nodes.
 	seed               uint64                    // Of what happens on the way through other nodes.
 	planner            plannerState
@@ -589,6 +590,10 @@
 		return Refused
 	}
 	if m.loseAnswer != nil && m.loseAnswer(o) {
+		if v := m.vms[o.To.ID]; m.stateCounts && v != nil && expected == nil && o.Action != Leave {
+			n := v.ordersBegun
+			expected = &n
+		}
 		late := 4 * time.Second
 		if m.lateBy != nil {
 			late = m.lateBy(o)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -672,6 +672,7 @@
 func TestGroupRulesHoldUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m, p := startedSystem(t, 3, 8)
+		m.stateCounts = true
 		term := int64(1)
 		lossTenths := rapid.IntRange(0, 3).Draw(rt, "lost answers in ten")
 		m.loseAnswer = func(Order) bool { return rapid.IntRange(0, 9).Draw(rt, "answer") < lossTenths }
