--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -566,7 +566,8 @@
 		g.headReleased = true
 		return true
 	}
-	switch missing := head == nil || unresponsive; {
+	_, refused := s.refusals[g.members[0].incarnation]
+	switch missing := head == nil || unresponsive || refused; {
 	case !missing:
 		g.headMissingSince = 0
 	case g.headMissingSince == 0:
--- a/internal/placement/leaves.go
+++ b/internal/placement/leaves.go
@@ -105,7 +105,10 @@
 func (p *Plan) recordLeave(o Order, outcome Outcome) {
 	key, to := groupKey{o.Group, o.Epoch}, o.To.Incarnation()
 	m := membership{key, to}
-	if outcome == ConnectionRefused && p.worksWithoutListening(m) {
+	if outcome == ConnectionRefused && !p.leftAsPlanned(o.To) {
+		if !p.worksWithoutListening(m) {
+			p.refusals[to] = p.now
+		}
 		outcome = Unknown
 	}
 	if _, ordered := p.memberLeaves[m]; ordered && outcome == Unknown {
@@ -124,7 +127,7 @@
 		p.memberLeft(m, outcome)
 		return
 	}
-	if g := p.groups[o.Group]; g == nil || o.Epoch != g.epoch || outcome == ConnectionRefused || !p.mayJoinLate(g) {
+	if g := p.groups[o.Group]; g == nil || o.Epoch != g.epoch || !p.mayJoinLate(g) {
 		p.headEnded(o.Group, o.Epoch, "its order to leave was "+outcome.String())
 	}
 	if h, former := p.formerHeads[key]; former {
@@ -149,6 +152,11 @@
 	p.departures[m.member] = departure{m.group, p.now, false}
 }
 
+// leftAsPlanned reports whether a replica that refuses connections drained before its entry was removed, as it does when it ends.
+func (p *Plan) leftAsPlanned(last *fleet.Replica) bool {
+	return last.Draining && p.entries[last.ID] == nil
+}
+
 // worksWithoutListening reports whether a head may work on what runs in its group although nothing listens at its address, because it drains.
 // One whose entry was removed has ended.
 func (p *Plan) worksWithoutListening(m membership) bool {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -36,6 +36,9 @@
 	// there any more. minHeadSilence is the least time for which it must be missing or unresponsive.
 	idleHeadSilence = time.Second
 	minHeadSilence  = 500 * time.Millisecond
+	// refusalSilence is how long before a refused connection the last event of the group must have been for the refusal to count. Events that
+	// other nodes receive are known here after some hundred milliseconds.
+	refusalSilence = 300 * time.Millisecond
 	// StandbyPrefix begins the names of standby groups. Each has a spare as its only real member, so that the spare loads its
 	// staged weights, and is never opened.
 	StandbyPrefix = "standby-"
@@ -165,11 +168,11 @@
 	Refused                          // The order doesn't fit the replica's state, or another replica has the address.
 	Outdated                         // The replica has seen a higher epoch.
 	NotSent                          // Dropped before it was sent.
-	ConnectionRefused                // Nothing listens at the address. A draining head may still work on what runs in its group.
+	ConnectionRefused                // As RecordRefusal. A draining head may still work on what runs in its group.
 )
 
 var outcomeNames = map[Outcome]string{Unknown: "not answered", Accepted: "accepted", Refused: "refused", Outdated: "refused as outdated",
-	ConnectionRefused: "refused by an address at which nothing listens"}
+	ConnectionRefused: "not received, since connections were refused"}
 
 // String returns the outcome as it is logged.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -289,6 +292,7 @@
 	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
 	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
 	departures      map[fleet.Incarnation]departure  // Members that have left a group whose head may have served it.
+	refusals        map[fleet.Incarnation]clock.Time // When a replica, listed or not, was last found to refuse connections.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -302,7 +306,7 @@
 		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
 		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{},
-		departures: map[fleet.Incarnation]departure{}}
+		departures: map[fleet.Incarnation]departure{}, refusals: map[fleet.Incarnation]clock.Time{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
@@ -317,7 +321,7 @@
 	count  int
 	first  clock.Time // When the first of them failed.
 	newest clock.Time // When the newest of them failed.
-	ended  bool       // The replica is known to have ended: nothing listens at its address, or it has been started anew.
+	ended  bool       // The replica is known to have ended: it has been started anew.
 }
 
 // RecordProbeFailure records that a replica did not answer a probe.
@@ -331,7 +335,7 @@
 	p.probeSilence[incarnation] = now
 }
 
-// RecordEnd records that a probe has shown that this start of a replica has ended.
+// RecordEnd records that a probe has shown that this start of a replica has ended: another start has answered.
 func (p *Plan) RecordEnd(incarnation fleet.Incarnation, now clock.Time) {
 	p.RecordProbeFailure(incarnation, now)
 	f := p.unresponsive[incarnation]
@@ -339,9 +343,17 @@
 	p.unresponsive[incarnation] = f
 }
 
+// RecordRefusal records that connections to a replica were refused. It may have ended, or be cut off from the nodes by what refuses connections
+// in its place.
+func (p *Plan) RecordRefusal(incarnation fleet.Incarnation, now clock.Time) {
+	p.RecordProbeFailure(incarnation, now)
+	p.refusals[incarnation] = now
+}
+
 // RecordProbeAnswer records that a replica has answered a probe.
 func (p *Plan) RecordProbeAnswer(incarnation fleet.Incarnation, now clock.Time) {
 	delete(p.unresponsive, incarnation)
+	delete(p.refusals, incarnation)
 	p.probeAnswers[incarnation] = now
 }
 
@@ -557,6 +569,7 @@
 			delete(s.probeAnswers, incarnation)
 		}
 	}
+	maps.DeleteFunc(s.refusals, func(_ fleet.Incarnation, at clock.Time) bool { return s.Now.Sub(at) > probeAnswerValidity })
 	maps.DeleteFunc(s.probeSilence, func(_ fleet.Incarnation, at clock.Time) bool { return s.Now.Sub(at) > probeAnswerValidity })
 	for g, d := range s.dissolved {
 		if s.Now.Sub(d.at) > dissolvedRetention {
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -64,19 +64,33 @@
 		return false
 	}
 	a := s.activity(g)
+	if s.refuses(m.incarnation, a) {
+		return false
+	}
 	if a.Unknown {
 		return s.Now.Sub(doubtSince) <= s.StallAfter+stallMargin
 	}
 	return a.Running > 0 && s.silentFor(a, doubtSince) <= maxSoundSilence
 }
 
-// hasEnded reports whether a probe has shown that this start of a replica has ended. A draining replica may refuse connections and still
-// work on what runs in its group.
+// hasEnded reports whether a probe has shown that this start of a replica has ended. A draining replica may still work on what runs in its
+// group.
 func (s *step) hasEnded(incarnation fleet.Incarnation) bool {
 	r := s.Replicas[incarnation.ID]
 	return s.unresponsive[incarnation].ended && (r == nil || !r.Draining)
 }
 
+// refuses reports whether connections to a replica have lately been refused and no event of its group speaks against its end. This doesn't show
+// that it has ended: its members have to leave before they join another group. A draining replica may refuse connections and still work, unless
+// it is a head whose entry shows that it doesn't serve.
+func (s *step) refuses(incarnation fleet.Incarnation, a Activity) bool {
+	at, refused := s.refusals[incarnation]
+	if r := s.Replicas[incarnation.ID]; r != nil && r.Draining && (r.Group == nil || r.Group.Rank > 0 || r.Group.Serves()) {
+		return false
+	}
+	return refused && !a.Unknown && (a.LastEvent == 0 || at.Sub(a.LastEvent) >= refusalSilence)
+}
+
 // restarted reports whether another start of the replica is listed. An entry that may be outdated can be that of an earlier start.
 func (s *step) restarted(incarnation fleet.Incarnation) bool {
 	r := s.Replicas[incarnation.ID]
@@ -91,6 +105,9 @@
 		return false
 	}
 	missingFor, a := s.Now.Sub(g.headMissingSince), s.activity(g)
+	if s.refuses(g.members[0].incarnation, a) {
+		return true
+	}
 	if !a.Unknown && a.LastEvent != 0 && s.Now.Sub(a.LastEvent) <= idleHeadSilence {
 		return false // Only this node can't reach it.
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -439,9 +439,12 @@
 		log.Info("a failed probe is ignored, since no other node has tried to reach the group member")
 		return
 	}
-	if errors.Is(err, errRestarted) || errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, errRestarted):
 		p.plan.RecordEnd(replica.Incarnation(), now)
-	} else {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p.plan.RecordRefusal(replica.Incarnation(), now)
+	default:
 		p.plan.RecordProbeFailure(replica.Incarnation(), now)
 	}
 	if head != nil && head.Group != nil {
