--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -280,14 +280,22 @@
 
 // Guards against requests that fail, at all nodes, because the holder of the targets has lost its own paths to them.
 func TestRequestsAreServedIfTheHolderHasLostItsPaths(t *testing.T) {
-	s := startPathsSystem(t)
-	s.paths[0].setLost(s.targets()...)
-	for i := range s.nodes {
-		qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d", i))
-	}
-	s.paths[0].setLost()
-	for i := range s.nodes {
-		qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d, after the paths have returned", i))
+	for name, cut := range map[string][]int{"holder": {0}, "all but one": {0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			s := startPathsSystem(t)
+			for _, node := range cut {
+				s.paths[node].setLost(s.targets()...)
+			}
+			for i := range s.nodes {
+				qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d", i))
+			}
+			for _, node := range cut {
+				s.paths[node].setLost()
+			}
+			for i := range s.nodes {
+				qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d, after the paths have returned", i))
+			}
+		})
 	}
 }
 
@@ -346,16 +354,33 @@
 
 // Guards against an engine that has ended and isn't replaced because the controller of its fabric domain has lost its own paths.
 func TestLostEngineIsReplacedIfTheControllerHasLostItsPaths(t *testing.T) {
-	for name, lost := range map[string]bool{"paths work": false, "paths lost": true} {
+	for name, test := range map[string]struct {
+		pathsLost bool
+		dark      bool // The engine refuses no connections, but no node reaches it.
+	}{
+		"paths work": {false, false}, "paths lost": {true, false}, "paths work, dark engine": {false, true}, "paths lost, dark engine": {true, true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			s := startPathsSystem(t)
-			if lost {
-				s.paths[0].setLost(s.targets()...)
+			var lost []string
+			if test.pathsLost {
+				lost = s.targets()
+				s.paths[0].setLost(lost...)
 				s.await("the node reaches engines through others", func() error { return s.served(0) })
 			}
 			ended := s.nodes[1].groups.Groups()[0].Members[1].VM
 			down, began := true, time.Now()
-			qt.Assert(t, s.engines.SetFaults(engine.Faults{VM: ended, Down: &down}), qt.IsNil)
+			if test.dark {
+				for i, paths := range s.paths {
+					also := []string{s.engines.Addrs()[ended]}
+					if i == 0 {
+						also = append(also, lost...)
+					}
+					paths.setLost(also...)
+				}
+			} else {
+				qt.Assert(t, s.engines.SetFaults(engine.Faults{VM: ended, Down: &down}), qt.IsNil)
+			}
 			s.await("the engine is replaced", func() error {
 				for _, g := range s.nodes[1].groups.Groups() {
 					if g.State != schema.GroupState_GROUP_STATE_READY || hasMember(g, ended) {
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -35,7 +35,7 @@
 func (n *Node) assembleReach() (err error) {
 	panics := n.recoverer("tunnel")
 	peers := &peerList{now: n.now, read: func() []reach.Peer { return tunnelPeers(n.self, n.membership.Nodes()) }}
-	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached, PathsLost: func() bool { return n.paths.MostLost() }}
+	n.tunnels = &reach.Server{Log: n.log, Panics: panics, Allowed: n.mayBeReached, PathsLost: func() bool { return n.paths.MostLost() }, Direct: n.direct}
 	n.paths, err = reach.New(reach.Options{
 		Clock: n.clock, Log: n.log, Meter: n.metrics.Meter(), Peers: peers.get, Panics: panics, Direct: n.direct, DialPeer: n.peers.DialTunnel,
 	})
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -37,6 +37,8 @@
 	Allowed func(to Target, control bool) bool
 	// PathsLost reports whether this node lacks most of its own paths, so that its failures tell nothing of a replica; nil for never.
 	PathsLost func() bool
+	// Direct opens a TCP connection of this node's own; nil for net.Dialer. Tests cut paths with it.
+	Direct func(ctx context.Context, address string) (net.Conn, error)
 
 	open     atomic.Int64
 	draining atomic.Bool
@@ -73,8 +75,7 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	dialer := net.Dialer{Timeout: number("timeout_ms", maxTunnelDial)}
-	replica, err := dialer.DialContext(r.Context(), "tcp", to.Address)
+	replica, err := s.dial(r.Context(), to.Address, number("timeout_ms", maxTunnelDial))
 	switch {
 	case err != nil && s.PathsLost != nil && s.PathsLost():
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -88,6 +89,16 @@
 	}
 }
 
+func (s *Server) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if s.Direct != nil {
+		return s.Direct(ctx, address)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // targetOf returns the target that a request names.
 func (s *Server) targetOf(r *http.Request) Target {
 	started, err := strconv.ParseInt(r.URL.Query().Get("started"), 10, 64)
