--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -164,7 +165,7 @@
 	cfg.Listen = settings.Addresses{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Operator: "127.0.0.1:0"}
 	cfg.Advertise = cfg.Listen
 	cfg.Platform.URL = "http://" + platformAddress
-	cfg.Timing.AddressKeep, cfg.Timing.ShutdownLimit = 100*time.Millisecond, time.Second
+	cfg.Timing.AddressKeep, cfg.Timing.ShutdownLimit, cfg.Timing.StreamIdle = 100*time.Millisecond, time.Second, time.Second
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	paths := &ownPaths{proxies: map[string]*faultproxy.Proxy{}}
@@ -259,6 +260,15 @@
 	return append(slices.Collect(maps.Values(s.engines.Addrs())), s.service.Addr())
 }
 
+// generated counts the requests that engines have got.
+func (s *pathsSystem) generated() int {
+	count := 0
+	for _, vm := range s.engines.Record().VMs {
+		count += len(vm.Generates)
+	}
+	return count
+}
+
 // orders counts the orders that the engines have got.
 func (s *pathsSystem) orders() int {
 	count := 0
@@ -270,15 +280,52 @@
 
 // Guards against requests that fail, at all nodes, because the holder of the targets has lost its own paths to them.
 func TestRequestsAreServedIfTheHolderHasLostItsPaths(t *testing.T) {
+	for name, cut := range map[string][]int{"holder": {0}, "all but one": {0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			s := startPathsSystem(t)
+			for _, node := range cut {
+				s.paths[node].setLost(s.targets()...)
+			}
+			for i := range s.nodes {
+				qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d", i))
+			}
+			for _, node := range cut {
+				s.paths[node].setLost()
+			}
+			for i := range s.nodes {
+				qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d, after the paths have returned", i))
+			}
+		})
+	}
+}
+
+// Guards against streams that end, and bookings that run twice, because their holder loses its paths while they run.
+func TestRequestsInFlightWhenTheHolderLosesItsPaths(t *testing.T) {
+	c := qt.New(t)
 	s := startPathsSystem(t)
+	delay := int64(1000)
+	c.Assert(s.service.SetFaults(service.Faults{DelayMS: &delay}), qt.IsNil)
+	base := "http://" + s.nodes[1].CallerAddress()
+	booked := http.Header{"Idempotency-Key": {uuid.Must(uuid.NewV7()).String()}, "X-Timeout-Ms": {"3000"}}
+	runs := func() int { return s.service.Record().ByKey[booked.Get("Idempotency-Key")] }
+	book := func() error { return s.call(http.MethodPost, base+"/v1/services/bookings/confirm", `{}`, booked) }
+	stream, booking := make(chan error, 1), make(chan error, 1)
+	generated := s.generated()
+	go func() {
+		stream <- s.call(http.MethodPost, base+"/v1/pools/drafts/generate", `{"prompt":"long","max_tokens":2000}`, nil)
+	}()
+	go func() { booking <- book() }()
+	s.await("both requests run", func() error {
+		if runs() == 0 || s.generated() == generated {
+			return errors.New("not yet")
+		}
+		return nil
+	})
 	s.paths[0].setLost(s.targets()...)
-	for i := range s.nodes {
-		qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d", i))
-	}
-	s.paths[0].setLost()
-	for i := range s.nodes {
-		qt.Check(t, s.served(i), qt.IsNil, qt.Commentf("node %d, after the paths have returned", i))
-	}
+	c.Check(<-stream, qt.IsNil)
+	c.Check(<-booking, qt.ErrorMatches, `(?s).* 502 .*outcome_unknown.*`)
+	c.Check(book(), qt.ErrorMatches, `(?s).* 502 .*outcome_unknown.*`)
+	c.Check(runs(), qt.Equals, 1)
 }
 
 // Guards against groups that are given up, and engines that are ordered elsewhere, because the controller of their fabric domain has lost
@@ -307,16 +354,33 @@
 
 // Guards against an engine that has ended and isn't replaced because the controller of its fabric domain has lost its own paths.
 func TestLostEngineIsReplacedIfTheControllerHasLostItsPaths(t *testing.T) {
-	for name, lost := range map[string]bool{"paths work": false, "paths lost": true} {
+	for name, test := range map[string]struct {
+		pathsLost bool
+		dark      bool // The engine refuses no connections, but no node reaches it.
+	}{
+		"paths work": {false, false}, "paths lost": {true, false}, "paths work, dark engine": {false, true}, "paths lost, dark engine": {true, true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			s := startPathsSystem(t)
-			if lost {
-				s.paths[0].setLost(s.targets()...)
+			var lost []string
+			if test.pathsLost {
+				lost = s.targets()
+				s.paths[0].setLost(lost...)
 				s.await("the node reaches engines through others", func() error { return s.served(0) })
 			}
 			ended := s.nodes[1].groups.Groups()[0].Members[1].VM
 			down, began := true, time.Now()
-			qt.Assert(t, s.engines.SetFaults(engine.Faults{VM: ended, Down: &down}), qt.IsNil)
+			if test.dark {
+				for i, paths := range s.paths {
+					also := []string{s.engines.Addrs()[ended]}
+					if i == 0 {
+						also = append(also, lost...)
+					}
+					paths.setLost(also...)
+				}
+			} else {
+				qt.Assert(t, s.engines.SetFaults(engine.Faults{VM: ended, Down: &down}), qt.IsNil)
+			}
 			s.await("the engine is replaced", func() error {
 				for _, g := range s.nodes[1].groups.Groups() {
 					if g.State != schema.GroupState_GROUP_STATE_READY || hasMember(g, ended) {
