--- a/internal/placement/faults_test.go
+++ b/internal/placement/faults_test.go
@@ -219,3 +219,14 @@
 		})
 	}
 }
+
+// Simulates the same with the strict check.
+func TestGroupRulesHoldStrictlyWhereNoOtherNodeAnswersThePlanner(t *testing.T) {
+	for seed := *firstFault; seed < *firstFault+*faultSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			day := newFaultyDay(t, seed, true)
+			day.otherWay = false
+			day.runAndCheck()
+		})
+	}
+}
--- a/internal/placement/unlisted_test.go
+++ b/internal/placement/unlisted_test.go
@@ -115,9 +115,19 @@
 // Guards against members that are joined elsewhere while the head of their group stands still: the planner can't reach it directly, and no
 // requests run there, so that it seems to have ended. It breaks some time after they have left. Other nodes reach it.
 func TestMembersOfAnIdleHeadThatThePlannerCannotReachWait(t *testing.T) {
+	testMembersOfAnUnreachedIdleHeadWait(t, true)
+}
+
+// Guards against the same where no other node answers the planner either.
+func TestMembersOfAnIdleHeadThatNoNodeAnswersForWait(t *testing.T) {
+	testMembersOfAnUnreachedIdleHeadWait(t, false)
+}
+
+// testMembersOfAnUnreachedIdleHeadWait plays the cases in which the planner reaches the head by way of other nodes, or doesn't.
+func testMembersOfAnUnreachedIdleHeadWait(t *testing.T, others bool) {
 	for _, test := range takeOverCases() {
-		if !test.hidden || !test.others || test.busy {
-			continue // Without an answer through another node, such a head can't be told from a lost one.
+		if !test.hidden || test.others != others || test.busy {
+			continue
 		}
 		t.Run(test.String(), func(t *testing.T) {
 			c := quicktest.New(t)
