End the watches of a mirror when its node drains

Cause: a node that drains states no mirror address any more, but it went on holding the pending watches of its readers. The node that is to follow it as the mirror became one only once its own watches had ended, up to 4 s later (nodesWatchWait). Meanwhile the other nodes of the failure domain had no source, learnt of no change for up to 2.25 s and then all read the store. Change: the copies of a draining node are closed, so that readers turn to the next mirror at once.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -116,6 +116,9 @@
 func (n *Node) drain(servers []*http.Server) {
 	started := time.Now()
 	n.draining.Store(true)
+	for _, f := range n.followers {
+		f.mirrorCopy.Close()
+	}
 	limit := n.settings.Bounds.Grace - exitReserve
 	n.edge.Drain(started.Add(limit - answerReserve))
 	n.tunnels.Drain()
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -109,6 +110,33 @@
 	c.Check(readers(nodes[1:], platform.KindReplicas), quicktest.DeepEquals, []string{"n1"})
 }
 
+// Pattern: the nodes of a failure domain are stopped and started in turn. Guards against a failure domain without a mirror: the next node's
+// watches of the stopping mirror lasted up to nodesWatchWait, and meanwhile the other nodes learnt of no change, and then all read the store.
+func TestNextMirrorServesSoonAfterTheFirstDrains(t *testing.T) {
+	c := quicktest.New(t)
+	store := newFakeStore()
+	nodes, stop := startZone(c, store, 3, true)
+	waitFor(c, 5*time.Second, func() bool { return nodes[0].mirrorAddress() != "" && nodes[2].replicasListed.Load() })
+	waitFor(c, 5*time.Second, func() bool {
+		return nodes[1].watchesMirror() && nodes[2].watchesMirror() && nodes[1].mirrorAddress() == ""
+	})
+
+	stop[0]()
+	waitFor(c, 1500*time.Millisecond, func() bool { return nodes[1].mirrorAddress() != "" })
+	waitFor(c, 3*time.Second, func() bool {
+		return nodes[2].mirrorSource() == nodes[1].settings.Mirror && nodes[2].watchesMirror()
+	})
+}
+
+// watchesMirror reports whether all followers of the node wait for changes at a mirror that they have listed.
+func (n *Node) watchesMirror() bool {
+	return !slices.ContainsFunc(n.followers, func(f *follower) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return !f.listed || !f.watching || n.mirrorSource() == ""
+	})
+}
+
 func waitFor(c *quicktest.C, limit time.Duration, condition func() bool) {
 	c.Helper()
 	for end := time.Now().Add(limit); !condition(); time.Sleep(5 * time.Millisecond) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,6 +33,7 @@
 type Copy struct {
 	mu       sync.Mutex
 	fresh    bool
+	closed   bool // See Close.
 	objects  map[string]platform.Object
 	position platform.Position
 	era      int64         // Lowest era that the copy may be from.
@@ -59,7 +60,7 @@
 	for _, o := range list {
 		c.objects[o.Name] = o
 	}
-	c.position, c.batches, c.fresh = at, nil, true
+	c.position, c.batches, c.fresh = at, nil, !c.closed
 	c.notifyReaders()
 }
 
@@ -70,7 +71,7 @@
 	if at.Era < c.era {
 		return
 	}
-	c.fresh = true
+	c.fresh = !c.closed
 	if at == c.position {
 		return
 	}
@@ -101,6 +102,15 @@
 	}
 }
 
+// Close makes the copy stale for good, since its node is about to stop. Its readers then turn to another source while this node still
+// serves their requests, and don't wait for the end of their watches.
+func (c *Copy) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.MarkStale()
+}
+
 // Restored records that the store has come back from an older copy, in the given era. The contents aren't handed on any more until they
 // are replaced by a list of that era or a later one.
 func (c *Copy) Restored(era int64) {
