Tell other nodes of replicas that leave by their entries

Cause: a node that changes its mirror may learn of an entry that drains seconds after the store has acknowledged it: it waits up to 2.25 s for a source and then lists, with 0.134 of a core. Change: nodes that read the store themselves state departures of the last datagrams (field 29); the others count these replicas as draining until an entry of a later check-in arrives. The planner decides by what it reads itself. Nodes of the previous version ignore the field. At 330 nodes a departure costs about 40 bytes in the datagrams of the six nodes or so that read the store, for three intervals.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -478,7 +478,7 @@
 	}
 	msg.StoreEra, msg.StoreEraMs = n.store.Era(), n.storeEra.age().Milliseconds()
 	msg.LeaseRevision, msg.Resigned = n.lease.Announcement(msg.StoreEra)
-	msg.ConfigVersion = n.configVersion()
+	msg.ConfigVersion, msg.Departing = n.configVersion(), n.departing()
 	msg.Crashes, msg.Answers = n.crashes.Reports(max(minCrashReportFor, crashReportIntervals*n.mesh.OtherZoneInterval()))
 	msg.Statements = n.statements.Reports(n.mesh.OtherZoneInterval())
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
@@ -497,6 +497,7 @@
 	n.storeEra.noteAge(msg.StoreEra, time.Duration(msg.StoreEraMs)*time.Millisecond)
 	n.newest.notePeer(msg.ConfigVersion, n.clock.Now())
 	n.applyZoneLoads(msg)
+	n.applyDeparting(msg.Departing)
 	n.crashes.Merge(msg.Crashes, msg.Answers)
 	if msg.StoreContactMs >= 0 {
 		n.registry.StoreAnsweredOther(time.Duration(msg.StoreContactMs) * time.Millisecond)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -59,6 +59,8 @@
 	observations map[string]*activeObservation
 	statements   *statement.Table // What replicas have stated in responses; nil if there is none.
 	departures   Departures       // Since they were last taken.
+	// recentDepartures holds the last departures that entries have shown, the oldest first.
+	recentDepartures []datedDeparture
 }
 
 // Departures are replicas whose entries have shown that they leave since the last call of TakeDepartures.
@@ -283,6 +285,7 @@
 	}
 	if known := r.replicas[entry.ID]; entry.Draining && known != nil && !known.Draining {
 		r.departures.Draining = append(r.departures.Draining, entry.ID)
+		r.noteDeparture(entry, entry.Sequence)
 	}
 	entry = r.restored.withNewerGroup(entry, r.replicas[entry.ID], now)
 	r.dropSuperseded(entry)
@@ -324,6 +327,7 @@
 
 func (r *Registry) removeEntry(id string) {
 	r.departures.Removed = append(r.departures.Removed, id)
+	r.noteDeparture(r.replicas[id], r.replicas[id].Sequence+1)
 	now := r.clock.Now()
 	r.lapsed[id] = lapsedEntry{replica: r.withObservation(r.replicas[id]), newestAt: now, removedAt: now}
 	delete(r.replicas, id)
