Keep connections to replicas for later requests

Cause: each request opened a connection, of which replicas accept a limited number and which may hold a slot for a short time.

Change: the first send of a request that may be repeated takes a kept connection to its replica if there is one (internal/connpool, internal/edge/kept.go). Responses that are complete, framed and carry the request's ID leave theirs for later ones.

--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/entry"
 	"cassiadeal.example/cassiadeal/internal/node"
 	"cassiadeal.example/cassiadeal/internal/settings"
@@ -22,6 +23,7 @@
 	Config   string `arg:"--config" help:"settings file of this node (INI)"`
 	Platform bool   `arg:"--platform" help:"serve on the users' platform, with the settings file that it provides"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warning or error"`
+	MaxIdle  int    `arg:"--max-idle-connections" help:"connections to replicas that --platform keeps for later requests; 0 opens one for each request"`
 }
 
 // Description is shown in the help text.
@@ -29,8 +31,11 @@
 	return "cassiadeald serves callers of model replicas and services on one entry VM."
 }
 
+// maxIdleLimit is a third of the descriptors of the smallest machines (2,870), which requests need too.
+const maxIdleLimit = 950
+
 func main() {
-	var args arguments
+	args := arguments{MaxIdle: connpool.DefaultMaxIdle}
 	arg.MustParse(&args)
 	serve := run
 	if args.Platform {
@@ -39,6 +44,10 @@
 		fmt.Fprintln(os.Stderr, "either --config or --platform must be given")
 		os.Exit(2)
 	}
+	if args.MaxIdle < 0 || args.MaxIdle > maxIdleLimit {
+		fmt.Fprintf(os.Stderr, "--max-idle-connections must be from 0 to %d\n", maxIdleLimit)
+		os.Exit(2)
+	}
 	if err := serve(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -74,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	s.MaxIdleConnections = args.MaxIdle
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close(logFlushTimeout)
 	log, err := telemetry.NewLogger(output, s.Node, args.LogLevel)
--- a/internal/connpool/counters.go
+++ b/internal/connpool/counters.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -50,8 +49,10 @@
 
 // Stats counts events since the last call of TakeStats.
 type Stats struct {
-	Opened, Reused int
-	Closed         map[Reason]int
+	Opened int            `json:"opened"`
+	Reused int            `json:"reused"`
+	Closed map[Reason]int `json:"closed"`
+	Idle   int            `json:"idle"` // At the time of the call.
 }
 
 func newStats() Stats { return Stats{Closed: map[Reason]int{}} }
@@ -83,7 +84,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	taken := p.sinceLast
-	taken.Closed = maps.Clone(taken.Closed)
+	taken.Idle = p.total
 	p.sinceLast = newStats()
 	return taken
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -49,6 +49,7 @@
 	limit     time.Duration // For which it may be idle; 0 until the replica has stated it.
 	idleSince clock.Time    // A time at which the last response was incomplete.
 	checkedAt clock.Time
+	probed    bool // The kernel probes it while it is idle.
 }
 
 // NewConn returns a connection that has just been opened to the target.
@@ -97,6 +98,11 @@
 	return p, eris.Wrap(err, "create the counter of connections to replicas")
 }
 
+// Disabled returns a Pool that keeps nothing.
+func Disabled(c clock.Clock) *Pool {
+	return &Pool{opt: Options{Clock: c}, idle: map[Target][]*Conn{}, avoided: map[Target]clock.Time{}, sinceLast: newStats()}
+}
+
 // Enabled reports whether the pool keeps any connections.
 func (p *Pool) Enabled() bool { return p.opt.MaxIdle > 0 }
 
@@ -149,8 +155,8 @@
 	now := p.opt.Clock.Now()
 	conn.idleSince, conn.checkedAt = usage.IdleSince, now
 	reason := p.unusable(conn, now)
-	if reason == "" {
-		reason = probe(conn.TCPConn)
+	if reason == "" && !conn.probed {
+		reason, conn.probed = probe(conn.TCPConn), true
 	}
 	if reason != "" {
 		p.close(conn, reason)
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -106,7 +106,9 @@
 	}
 	if problem := c.unusableReason(s.response); problem != "" {
 		s.err = errors.New(problem)
+		return
 	}
+	s.response.release()
 }
 
 // askAnother sends the request to one more replica if that is possible, and returns the time until the next one may be asked.
@@ -114,6 +116,7 @@
 	if b.route.Repeat != fleet.RepeatSafe || b.ctx.Err() != nil || b.crashRefusal() != nil {
 		return stallCheckInterval
 	}
+	b.repeat.close()
 	b.attempts.readmit(b.exclude)
 	if b.availableReplica(b.exclude) == nil || !b.allowRetry(retry.ReasonTargetFailed) {
 		return stallCheckInterval
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
@@ -71,6 +72,8 @@
 	Statements *statement.Table
 	// Paths opens the connections to replicas; nil for direct ones only.
 	Paths *reach.Paths
+	// Pool keeps connections to replicas for later requests; nil to keep none.
+	Pool *connpool.Pool
 	// OnBlocked is called when a crash has been recorded after which requests are refused. It must not block.
 	OnBlocked func()
 	Clock     clock.Clock
@@ -92,6 +95,7 @@
 	opt      Options
 	inFlight atomic.Int64
 	buffers  *buffer.Budget
+	pool     *connpool.Pool
 	// drainEnd is when a draining server ends; nil before it drains. stopped ends at that time.
 	drainEnd  atomic.Pointer[time.Time]
 	stopped   context.Context
@@ -108,7 +112,10 @@
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{},
+	if opt.Pool == nil {
+		opt.Pool = connpool.Disabled(opt.Clock)
+	}
+	s := &Server{opt: opt, pool: opt.Pool, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{},
 		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
@@ -142,6 +149,7 @@
 	deadline time.Time     // The final response is due by then.
 	waited   time.Duration // Estimated time that the client spent on earlier attempts.
 	attempts attempts
+	repeat   repeatState
 	progress *progress // Of a stream; nil for other requests.
 }
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/reach"
@@ -35,19 +35,6 @@
 	retryAfterUnready = 500 * time.Millisecond
 )
 
-// replicaResponse is the response of a replica, whose body is still to be read, with its connection.
-type replicaResponse struct {
-	resp   *http.Response
-	header fleet.Answer
-	conn   net.Conn
-}
-
-func (r *replicaResponse) close() {
-	if r != nil && r.conn != nil {
-		r.conn.Close()
-	}
-}
-
 var (
 	// errRequestIDMismatch means that the response belongs to another request.
 	errRequestIDMismatch = errors.New("the response carries the ID of another request")
@@ -57,37 +44,58 @@
 	errBarred = errors.New("the target has stated meanwhile that it takes no requests")
 )
 
-// send opens a connection, sends the request once and reads the response header. sent tells whether the replica may have
-// received a byte of the request. The connection is closed when the context ends.
+// send sends the request and reads the response header. sent tells whether the replica may have received a byte of the request. The
+// connection is closed when the context ends, unless it was released before.
 func (c *call) send(ctx context.Context, replica *fleet.Replica, lastEventID string, ticket *balance.Ticket, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
-	conn, through, err := c.dial(ctx, replica)
+	if c.repeat.begin() {
+		if l := c.takeKept(replica); l != nil {
+			return c.sendKept(ctx, l, replica, lastEventID, ticket, h)
+		}
+	}
+	return c.sendNew(ctx, replica, lastEventID, ticket, h)
+}
+
+// sendNew is send on a connection of its own.
+func (c *call) sendNew(ctx context.Context, replica *fleet.Replica, lastEventID string, ticket *balance.Ticket, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
+	l, err := c.openLink(ctx, replica)
 	if err != nil {
 		return nil, false, err
 	}
-	h.Connect(through)
-	ticket.Connected(replica, through)
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	return c.sendOn(ctx, l, replica, lastEventID, ticket, h)
+}
+
+// sendOn is send on the given connection, once.
+func (c *call) sendOn(ctx context.Context, l *link, replica *fleet.Replica, lastEventID string, ticket *balance.Ticket, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
+	h.Connect(l.through)
+	ticket.Connected(replica, l.through)
+	stop := context.AfterFunc(ctx, func() { l.Close() })
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
-		conn.Close()
+		l.Close()
+		c.pool.Closed(connpool.ReasonUnused)
 		return nil, sent, err
 	}
 	if c.opt.Statements.Barred(replica.Incarnation().Target()) != statement.NotRefused {
 		return fail(false, errBarred)
 	}
 	sentAt := c.opt.Statements.Now()
-	if _, err := conn.Write(c.encodeRequest(replica, lastEventID)); err != nil {
-		return fail(true, err)
+	reader, err := c.newLinkReader(l, h)
+	if err != nil {
+		return fail(true, reader.failure(err))
 	}
-	limited := &io.LimitedReader{R: lastheard.Reader{Reader: conn, Record: h}, N: maxResponseHeaderBytes}
-	resp, err := http.ReadResponse(bufio.NewReaderSize(limited, 4096), &http.Request{Method: c.req.Method})
+	if _, err := l.Write(c.encodeRequest(replica, lastEventID, l.kept != nil)); err != nil {
+		return fail(true, reader.failure(err))
+	}
+	limited := &io.LimitedReader{R: reader, N: maxResponseHeaderBytes}
+	buffered := bufio.NewReaderSize(limited, 4096)
+	resp, err := http.ReadResponse(buffered, &http.Request{Method: c.req.Method})
 	if err != nil {
-		return fail(true, err)
+		return fail(true, reader.failure(err))
 	}
 	limited.N = 1 << 62
 	h.Reach(lastheard.Header)
 	header := c.opt.Codec.DecodeAnswer(resp)
-	if header.RequestID != "" && header.RequestID != c.req.ID {
+	if header.RequestID != c.req.ID && (header.RequestID != "" || l.reused) {
 		return fail(true, errRequestIDMismatch)
 	}
 	if header.NotRun && header.RequestID != c.req.ID {
@@ -96,7 +104,15 @@
 	if header.IsFrom(replica.ID, resp.StatusCode) {
 		c.opt.Statements.RecordAnswer(replica.Incarnation().Target(), header.Statement, resp.StatusCode, sentAt)
 	}
-	return &replicaResponse{resp, header, conn}, true, nil
+	if l.reused && c.opt.Paths != nil {
+		c.opt.Paths.NoteReached(reach.TargetOf(replica))
+	}
+	if header.NotRun {
+		c.pool.Drop(poolTarget(replica), connpool.ReasonRefused)
+	}
+	body := &bodyEnd{ReadCloser: resp.Body}
+	resp.Body = body
+	return &replicaResponse{resp: resp, header: header, call: c, link: l, stop: stop, reader: reader, buffered: buffered, body: body}, true, nil
 }
 
 // refusedByStatement reports whether the replica gets no request now because of what it has stated.
@@ -115,8 +131,8 @@
 	return c.opt.Statements.Admit(r.Incarnation().Target(), 1) == statement.NotRefused
 }
 
-// encodeRequest returns the HTTP/1.1 request for the replica.
-func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string) []byte {
+// encodeRequest returns the HTTP/1.1 request for the replica, which is asked to close the connection afterwards unless it may be kept.
+func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string, keep bool) []byte {
 	var b bytes.Buffer
 	b.WriteString(c.req.Method + " " + c.req.URI + " HTTP/1.1\r\nHost: " + c.req.Host + "\r\n")
 	header := c.opt.Codec.EncodeHeader(c.req, fleet.SendOptions{Replica: replica.ID, Tenant: c.tenant, TimeLeft: c.timeLeft(), LastEventID: lastEventID})
@@ -125,7 +141,10 @@
 	if len(c.req.Body) > 0 || c.req.Method != http.MethodGet && c.req.Method != http.MethodHead {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(c.req.Body)) + "\r\n")
 	}
-	b.WriteString("Connection: close\r\n\r\n")
+	if !keep {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
 	b.Write(c.req.Body)
 	return b.Bytes()
 }
@@ -187,7 +206,7 @@
 
 // availableReplica returns a replica that another send may go to, or nil.
 func (c *call) availableReplica(exclude map[balance.Key]bool) *fleet.Replica {
-	if c.attempts.sends >= maxSends || c.attempts.maybeRun+c.attempts.running >= c.route.MaxAttempts {
+	if c.attempts.sends >= maxSends || c.attempts.maybeRun+c.attempts.running+c.repeat.arrivals() >= c.route.MaxAttempts {
 		return nil
 	}
 	if c.model == nil {
--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -76,6 +76,7 @@
 // Sweep looks for silent targets as Table.Sweep does, and returns those that became suspected of having stalled. Where only the way to a
 // target is lost, it ends the suspicion and lets the requests on that way be sent again. It is called every interval.
 func (s *Server) Sweep(interval time.Duration, gap func(balance.Key, balance.Load) time.Duration) []balance.Key {
+	s.sweepPool()
 	if s.opt.Paths == nil {
 		return s.opt.Table.Sweep(interval, gap)
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -108,7 +108,7 @@
 // admit selects the target of the next send. It returns nil if there is none; the refusal, if any, applies only while no send
 // may have run.
 func (c *call) admit(exclude map[balance.Key]bool, p *progress) (*balance.Selection, *result.Error) {
-	if c.attempts.sends >= maxSends || c.attempts.maybeRun >= c.route.MaxAttempts {
+	if c.attempts.sends >= maxSends || c.attempts.maybeRun+c.repeat.arrivals() >= c.route.MaxAttempts {
 		return nil, nil
 	}
 	if c.model == nil {
@@ -203,8 +203,9 @@
 			delete(exclude, s.head.Key)
 		}
 	}
+	c.repeat.close()
 	c.attempts.readmit(exclude)
-	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked) >= c.route.MaxAttempts ||
+	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked)+c.repeat.arrivals() >= c.route.MaxAttempts ||
 		c.attempts.sends >= maxSends || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
 		!c.allowRetry(retry.ReasonStreamIncomplete) {
 		return nil
@@ -533,6 +534,7 @@
 			emit(streamStep{sent: true, err: err})
 			return
 		}
+		r.release()
 		if emit(streamStep{response: r, body: body.Bytes(), sent: true}) {
 			<-ctx.Done() // The body is being written until then.
 		}
@@ -557,6 +559,9 @@
 		}
 		if err != nil {
 			event.Release()
+			if errors.Is(err, io.EOF) {
+				r.release()
+			}
 			emit(streamStep{sent: true, err: err})
 			return
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/edge"
 	"cassiadeal.example/cassiadeal/internal/fleet"
@@ -79,6 +80,7 @@
 	planner    *planner.Planner
 	replicas   *platform.ReplicaClient
 	paths      *reach.Paths
+	pool       *connpool.Pool
 	tunnels    *reach.Server
 	// reachedAt is when a connection began that showed that this node reaches replicas, as a clock.Time; 0 if none has.
 	reachedAt atomic.Int64
@@ -147,7 +149,10 @@
 	if err := n.newPaths(); err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
+	if n.pool, err = connpool.New(connpool.Options{Clock: c, MaxIdle: s.MaxIdleConnections, Meter: metrics.Meter()}); err != nil {
+		return nil, err
+	}
+	n.edge = edge.New(edge.Options{Pool: n.pool, Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
@@ -432,7 +437,7 @@
 		if now := n.clock.Now(); now.Sub(lastSummary) >= summaryInterval {
 			lastSummary = now
 			n.log.WithFields(logrus.Fields{"store_calls": n.storeCalls.summary(), "mirror": n.mirrorSource(), "planner": n.planner.Active(),
-				"nodes": len(n.mesh.Alive()) + 1, "in_flight": n.edge.InFlight()}).Info("summary")
+				"nodes": len(n.mesh.Alive()) + 1, "in_flight": n.edge.InFlight(), "replica_connections": n.pool.TakeStats()}).Info("summary")
 		}
 		n.mesh.SetFrequent(n.frequentPeers(n.mesh.Alive()), relayInterval)
 		if n.nodesListed.Load() {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -214,6 +214,17 @@
 	}
 }
 
+// NoteReached records that a response came on a direct connection that had been open for a while. It counts for MostLost as an opened one
+// does, but says nothing against new connections that fail.
+func (p *Paths) NoteReached(to Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.paths[to]; known != nil && known.lostSince == 0 {
+		known.usedAt = p.opt.Clock.Now()
+		known.outcomeAt = known.usedAt
+	}
+}
+
 // directFailed records that no direct connection opened although the target was reached through a peer. One that began before another opened
 // says nothing any more.
 func (p *Paths) directFailed(to Target, peer string, begun clock.Time, err error) {
