--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -116,13 +116,12 @@
 	if b.route.Repeat != fleet.RepeatSafe || b.ctx.Err() != nil || b.crashRefusal() != nil {
 		return stallCheckInterval
 	}
-	b.repeat.close()
-	b.attempts.readmit(b.exclude)
-	if b.availableReplica(b.exclude) == nil || !b.allowRetry(retry.ReasonTargetFailed) {
-		return stallCheckInterval
-	}
-	replica := b.chooseReplica(b.exclude)
+	closed := b.repeat.close()
+	replica := b.chooseAnother()
 	if replica == nil {
+		if closed {
+			b.repeat.reopen()
+		}
 		return stallCheckInterval
 	}
 	for _, s := range b.running {
@@ -137,6 +136,15 @@
 	return b.timeLeft() / 2
 }
 
+// chooseAnother returns a replica to be asked beside those that are silent, which counts as a retry, or nil.
+func (b *bufferedSends) chooseAnother() *fleet.Replica {
+	b.attempts.readmit(b.exclude)
+	if b.availableReplica(b.exclude) == nil || !b.allowRetry(retry.ReasonTargetFailed) {
+		return nil
+	}
+	return b.chooseReplica(b.exclude)
+}
+
 // handleEnd handles the end of one send.
 func (b *bufferedSends) handleEnd(s *bufferedSend) (done, retryable bool) {
 	b.remove(s)
--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -86,9 +86,10 @@
 
 func poolTarget(r *fleet.Replica) connpool.Target { return connpool.Target(reach.TargetOf(r)) }
 
-// takeKept returns a kept connection for the first send of a request that may be repeated, or nil.
+// takeKept returns a kept connection for the first send of a request that may be repeated, or nil. A route without a latency target doesn't
+// tell when a kept connection counts as silent.
 func (c *call) takeKept(replica *fleet.Replica) *link {
-	if !c.mayKeep() || !c.route.Idempotent() || len(c.req.Body) > maxKeptBody || c.dropReason(c.opt.Registry.View(), poolTarget(replica)) != "" {
+	if !c.mayKeep() || !c.route.Idempotent() || c.route.LatencyTarget <= 0 || len(c.req.Body) > maxKeptBody || c.dropReason(c.opt.Registry.View(), poolTarget(replica)) != "" {
 		return nil
 	}
 	conn := c.pool.Take(poolTarget(replica))
@@ -161,7 +162,7 @@
 
 // mayRepeat reports whether the request may be sent to the same replica again, which then counts as a retry.
 func (c *call) mayRepeat(replica *fleet.Replica) bool {
-	if c.route.MaxAttempts < 2 || c.timeLeft() <= 0 || c.opt.Table.Suspected(balance.KeyOf(replica)) || !c.repeat.claim() {
+	if c.route.MaxAttempts < 2 || c.timeLeft() <= 0 || !c.repeat.claim() {
 		return false
 	}
 	if !c.admittedByStatement(replica) || !c.opt.Budget.Allow(c.service.Name, retry.ReasonTargetFailed) {
@@ -174,11 +175,7 @@
 
 // silenceLimit returns the time after which a request without a response on a kept connection is repeated on a new one.
 func (c *call) silenceLimit() time.Duration {
-	longest := c.timeLeft() / silenceShare
-	if c.route.LatencyTarget <= 0 {
-		return longest
-	}
-	return min(max(silenceTargets*c.route.LatencyTarget, minSilence), longest)
+	return min(max(silenceTargets*c.route.LatencyTarget, minSilence), c.timeLeft()/silenceShare)
 }
 
 // linkReader reads a response and notes when.
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -21,6 +21,7 @@
 	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/statement"
 	"cassiadeal.example/cassiadeal/platform"
@@ -567,3 +568,40 @@
 		quicktest.Check(t, stated, quicktest.Equals, test.stated, quicktest.Commentf("%q", test.values))
 	}
 }
+
+// Guards against requests that wait on connections which were kept before this node lost its own paths, and against a loss that isn't
+// found because requests don't open connections.
+func TestPathsThatAreLostWhileConnectionsAreKept(t *testing.T) {
+	for _, how := range []cut{hanging, reset, live} {
+		for _, repeat := range []fleet.Repeat{fleet.RepeatStream, fleet.RepeatSafe} {
+			t.Run(fmt.Sprintf("%s, kind %v", how, repeat), func(t *testing.T) {
+				t.Parallel()
+				c := quicktest.New(t)
+				r := newPathReplica(t)
+				pool, err := connpool.New(connpool.Options{Clock: clock.Boottime(), MaxIdle: connpool.DefaultMaxIdle})
+				c.Assert(err, quicktest.IsNil)
+				s := newCutServerWithPool(t, pool, repeat, r)
+				ask := func() time.Duration {
+					started := time.Now()
+					status, body, err := s.request(modelOf(repeat))
+					c.Check(err, quicktest.IsNil)
+					c.Check(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", body))
+					return time.Since(started)
+				}
+				ask()
+				c.Assert(pool.Idle(), quicktest.Equals, 1)
+				s.own.lose(how)
+				for range 3 {
+					took := ask()
+					c.Check(took < 3*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", took))
+				}
+				c.Check(r.runs.Load(), quicktest.Equals, int32(4))
+				lost := false
+				for end := time.Now().Add(2 * time.Second); !lost && how != live && time.Now().Before(end); time.Sleep(time.Millisecond) {
+					_, lost = s.opt.Paths.Lost(reach.TargetOf(s.opt.Registry.View().Replicas["i-0"])) // Attempts under way tell.
+				}
+				c.Check(lost, quicktest.Equals, how != live) // Kept connections live on then.
+			})
+		}
+	}
+}
--- a/internal/edge/paths_test.go
+++ b/internal/edge/paths_test.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
@@ -252,6 +253,11 @@
 }
 
 func newCutServer(t testing.TB, repeat fleet.Repeat, replicas ...*pathReplica) *cutServer {
+	return newCutServerWithPool(t, nil, repeat, replicas...)
+}
+
+// newCutServerWithPool returns a server that keeps connections in the pool, or none if that is nil.
+func newCutServerWithPool(t testing.TB, pool *connpool.Pool, repeat fleet.Repeat, replicas ...*pathReplica) *cutServer {
 	var list []*replica
 	for _, r := range replicas {
 		list = append(list, &r.replica)
@@ -263,6 +269,9 @@
 	cfg.Version++
 	cfg.Routes = slices.Clone(cfg.Routes)
 	cfg.Routes[0].Timeout = cutTimeLimit
+	if pool != nil {
+		s.pool, cfg.Routes[0].LatencyTarget = pool, 250*time.Millisecond
+	}
 	s.opt.Registry.SetConfig(&cfg)
 	paths, err := reach.New(reach.Options{Clock: s.opt.Clock, Log: s.opt.Log, Panics: recovery.Recoverer{Log: s.opt.Log}, Direct: s.own.dial,
 		Peers: func() []reach.Peer { return slices.Clone(*s.peers.Load()) }})
--- a/internal/edge/repeat.go
+++ b/internal/edge/repeat.go
@@ -23,8 +23,12 @@
 	return false
 }
 
-// close forbids the repetition, unless it has happened. It is called before another send is admitted.
-func (s *repeatState) close() { s.value.CompareAndSwap(repeatOpen, repeatClosed) }
+// close forbids the repetition, unless it has happened. It is called before another send is admitted, and reports whether reopen may follow
+// if none is.
+func (s *repeatState) close() bool { return s.value.CompareAndSwap(repeatOpen, repeatClosed) }
+
+// reopen allows the repetition again after close has reported true.
+func (s *repeatState) reopen() { s.value.CompareAndSwap(repeatClosed, repeatOpen) }
 
 // claim reports whether the first send may repeat the request now, which counts as one more arrival then.
 func (s *repeatState) claim() bool { return s.value.CompareAndSwap(repeatOpen, repeatClaimed) }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -193,7 +193,7 @@
 // alternative selects a head that may go on with a stream for which only the given targets, one or more, are still asked, and counts it as a
 // retry. It returns nil if there is none, or if one of them may still send events: it isn't suspected of having stalled, and the way to it isn't
 // lost. One to which the way is lost may be asked again, on another way.
-func (c *call) alternative(asked []*streamSend, exclude map[balance.Key]bool, p *progress) *balance.Selection {
+func (c *call) alternative(asked []*streamSend, exclude map[balance.Key]bool, p *progress) (head *balance.Selection) {
 	for _, s := range asked {
 		stranded := s.ticket.Stranded()
 		if !stranded && !c.opt.Table.Suspected(s.head.Key) {
@@ -203,7 +203,13 @@
 			delete(exclude, s.head.Key)
 		}
 	}
-	c.repeat.close()
+	if c.repeat.close() {
+		defer func() {
+			if head == nil {
+				c.repeat.reopen()
+			}
+		}()
+	}
 	c.attempts.readmit(exclude)
 	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked)+c.repeat.arrivals() >= c.route.MaxAttempts ||
 		c.attempts.sends >= maxSends || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
