--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -106,7 +106,9 @@
 	}
 	if problem := c.unusableReason(s.response); problem != "" {
 		s.err = errors.New(problem)
+		return
 	}
+	s.response.release()
 }
 
 // askAnother sends the request to one more replica if that is possible, and returns the time until the next one may be asked.
@@ -114,12 +116,12 @@
 	if b.route.Repeat != fleet.RepeatSafe || b.ctx.Err() != nil || b.crashRefusal() != nil {
 		return stallCheckInterval
 	}
-	b.attempts.readmit(b.exclude)
-	if b.availableReplica(b.exclude) == nil || !b.allowRetry(retry.ReasonTargetFailed) {
-		return stallCheckInterval
-	}
-	replica := b.chooseReplica(b.exclude)
+	closed := b.repeat.close()
+	replica := b.chooseAnother()
 	if replica == nil {
+		if closed {
+			b.repeat.reopen()
+		}
 		return stallCheckInterval
 	}
 	for _, s := range b.running {
@@ -134,6 +136,15 @@
 	return b.timeLeft() / 2
 }
 
+// chooseAnother returns a replica to be asked beside those that are silent, which counts as a retry, or nil.
+func (b *bufferedSends) chooseAnother() *fleet.Replica {
+	b.attempts.readmit(b.exclude)
+	if b.availableReplica(b.exclude) == nil || !b.allowRetry(retry.ReasonTargetFailed) {
+		return nil
+	}
+	return b.chooseReplica(b.exclude)
+}
+
 // handleEnd handles the end of one send.
 func (b *bufferedSends) handleEnd(s *bufferedSend) (done, retryable bool) {
 	b.remove(s)
