Report the work that clients offer by model and priority

The nodes know each other's work at replicas, but not what clients ask for: refused requests leave no trace, so a model that lacks capacity looks the same as one that has just enough.

internal/demand counts the requests that arrive at a node, averaged over 2 s, and sums the reports of all nodes; reports older than 5 s or five intervals of the datagrams between failure domains don't count. Datagrams carry them in field 28. A node without requests sends an entry without a model, so that it differs from a node of the version before. Nothing decides by the sums yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/demand"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
@@ -67,6 +68,8 @@
 	Table    *balance.Table
 	Budget   *retry.Budget
 	Crashes  *crash.Table
+	// Demand counts the requests that arrive; nil if they aren't counted.
+	Demand *demand.Table
 	// Statements holds what replicas state about themselves in their responses.
 	Statements *statement.Table
 	// Paths opens the connections to replicas; nil for direct ones only.
@@ -205,6 +208,7 @@
 		c.refuse(e)
 		return
 	}
+	c.offerDemand()
 	if e := c.limitToDrain(); e != nil {
 		c.refuse(e)
 		return
--- /dev/null
+++ b/internal/entry/demand_test.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/demand"
+	"cassiadeal.example/cassiadeal/internal/schema"
+)
+
+// Guards against a node without requests that counts as one of an earlier version, and the other way round: needs follow demand only
+// while most nodes report.
+func TestDemandIsReportedWithoutRequests(t *testing.T) {
+	c := quicktest.New(t)
+	n := &Node{demand: demand.New(clock.NewManual(time.Hour))}
+	n.applyDemand(&schema.NodeGossip{Node: "earlier-version"})
+	c.Check(n.demand.Reporting(), quicktest.Equals, 0)
+	n.applyDemand(&schema.NodeGossip{Node: "idle", Demand: encodeDemand(nil)})
+	c.Check(n.demand.Reporting(), quicktest.Equals, 1)
+	c.Check(n.demand.Total(), quicktest.HasLen, 0)
+	work := map[demand.Class]demand.Work{{Model: "large", Priority: 1}: {Requests: 2.125, ReadTokens: 3100, WriteTokens: 430}}
+	n.applyDemand(&schema.NodeGossip{Node: "busy", Demand: encodeDemand(work)})
+	c.Check(n.demand.Total(), quicktest.DeepEquals, work)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/demand"
 	"cassiadeal.example/cassiadeal/internal/edge"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/gossip"
@@ -70,6 +71,7 @@
 	store      *platform.Store
 	registry   *fleet.Registry
 	table      *balance.Table
+	demand     *demand.Table
 	budget     *retry.Budget
 	crashes    *crash.Table
 	statements *statement.Table
@@ -119,7 +121,7 @@
 	}
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
-		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c, maxGap: maxConfigAge(s.Bounds)},
+		table: balance.NewTable(c), demand: demand.New(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c, maxGap: maxConfigAge(s.Bounds)},
 		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), recordOutdated: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
 	n.dialDirectly = func(ctx context.Context, address string) (net.Conn, error) {
 		var dialer net.Dialer
@@ -142,12 +144,13 @@
 	if err != nil {
 		return nil, err
 	}
+	n.demand.SetReportInterval(n.mesh.OtherZoneInterval)
 	n.statements = statement.New(statement.Options{Divided: true, Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
 	n.registry.FollowStatements(n.statements)
 	if err := n.newPaths(); err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
+	n.edge = edge.New(edge.Options{Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Demand: n.demand, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
@@ -481,6 +484,7 @@
 	msg.ConfigVersion = n.configVersion()
 	msg.Crashes, msg.Answers = n.crashes.Reports(max(minCrashReportFor, crashReportIntervals*n.mesh.OtherZoneInterval()))
 	msg.Statements = n.statements.Reports(n.mesh.OtherZoneInterval())
+	msg.Demand = encodeDemand(n.demand.Local())
 	msg.Loads, msg.ZoneLoads = encodeLoads(own.Loads, own.EventAges), n.zoneLoads()
 	for k := range own.Suspected {
 		msg.Suspects = append(msg.Suspects, string(k))
@@ -497,6 +501,7 @@
 	n.storeEra.noteAge(msg.StoreEra, time.Duration(msg.StoreEraMs)*time.Millisecond)
 	n.newest.notePeer(msg.ConfigVersion, n.clock.Now())
 	n.applyZoneLoads(msg)
+	n.applyDemand(msg)
 	n.crashes.Merge(msg.Crashes, msg.Answers)
 	if msg.StoreContactMs >= 0 {
 		n.registry.StoreAnsweredOther(time.Duration(msg.StoreContactMs) * time.Millisecond)
