Wait for slow replicas on kept connections as on new ones

Where nothing of the repeated request could be sent, the stream wasn't sent to another head either, as the repetition counted. Change: after silence a request is repeated only if it may be, otherwise the response is awaited; the least silence is 1 s, and none counts if it would take more than half of the time left. A repetition of which nothing was sent doesn't count.

--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -27,11 +27,12 @@
 
 const (
 	// minSilence is the shortest time without a response on a kept connection after which the request is repeated on a new one, and
-	// silenceTargets that time in latency targets. A response that takes longer has missed its target anyway.
-	minSilence     = 500 * time.Millisecond
+	// silenceTargets that time in latency targets. A replica that has acknowledged the request mostly works on it: its queue is shorter than
+	// that, as requests are refused before it gets so long.
+	minSilence     = time.Second
 	silenceTargets = 2
-	// silenceShare is the longest such time as a share of the time left, so that the repeated request has twice that time.
-	silenceShare = 3
+	// silenceShare is the longest such time as a share of the time left, so that the repeated request has as much.
+	silenceShare = 2
 	// ackTimeout is the time without an acknowledgement of the request's bytes after which the path is taken for lost. It is the time
 	// after which a new connection that doesn't open makes dial ask another node for a tunnel.
 	ackTimeout = peerDelay
@@ -62,6 +63,7 @@
 	through string         // The node through which it leads; empty for a direct one.
 	kept    *connpool.Conn // Nil if it can't be kept.
 	reused  bool
+	replica *fleet.Replica
 }
 
 // mayKeep reports whether connections of this request may be kept: its responses can be told from those of others by its ID.
@@ -74,7 +76,7 @@
 		return nil, err
 	}
 	c.pool.Opened()
-	l := &link{Conn: conn, through: through}
+	l := &link{Conn: conn, through: through, replica: replica}
 	if direct, ok := conn.(*reach.Conn); ok && through == "" {
 		conn = direct.Conn
 	}
@@ -96,7 +98,7 @@
 	if conn == nil {
 		return nil
 	}
-	return &link{Conn: conn, kept: conn, reused: true}
+	return &link{Conn: conn, kept: conn, reused: true, replica: replica}
 }
 
 // dropReason returns why no connections to a target are kept, or "".
@@ -140,7 +142,7 @@
 	} else {
 		c.pool.Drop(poolTarget(replica), connpool.ReasonFailed)
 	}
-	repeated := c.mayRepeat(replica)
+	repeated := c.repeat.claimed() || c.mayRepeat(replica)
 	c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(balance.KeyOf(replica)), "repeated": repeated}).WithError(err).
 		Info("a kept connection failed before a response")
 	if !repeated {
@@ -150,6 +152,7 @@
 	switch {
 	case errAgain != nil && !sent:
 		// Nothing of the repeated request was sent, so that the first failure tells what may have happened.
+		c.repeat.withdraw()
 		return nil, true, errors.Join(err, errAgain)
 	case errAgain != nil:
 		return nil, true, errAgain
@@ -173,9 +176,14 @@
 	return true
 }
 
-// silenceLimit returns the time after which a request without a response on a kept connection is repeated on a new one.
+// silenceLimit returns the time after which a request without a response on a kept connection is repeated on a new one, if it may be; 0 for
+// never, if too little time would be left.
 func (c *call) silenceLimit() time.Duration {
-	return min(max(silenceTargets*c.route.LatencyTarget, minSilence), c.timeLeft()/silenceShare)
+	limit := max(silenceTargets*c.route.LatencyTarget, minSilence)
+	if limit > c.timeLeft()/silenceShare {
+		return 0
+	}
+	return limit
 }
 
 // linkReader reads a response and notes when.
@@ -184,7 +192,9 @@
 	record   *lastheard.Record
 	clock    clock.Clock
 	received bool      // A byte has arrived.
-	giveUpAt time.Time // When a kept connection without a response counts as silent.
+	giveUpAt time.Time // When a kept connection without a response counts as silent; zero for never.
+	// claimRepeat reports whether the request is to be repeated on a new connection after silence. Otherwise the response is awaited.
+	claimRepeat func() bool
 	// incompleteAt is a time at which the replica hadn't sent the last bytes that were read, drainedAt the last one at which all that had
 	// arrived had been read.
 	incompleteAt, drainedAt clock.Time
@@ -198,9 +208,11 @@
 	if !l.reused {
 		return r, nil
 	}
-	limit := c.silenceLimit()
-	r.giveUpAt = time.Now().Add(limit)
-	return r, l.SetDeadline(time.Now().Add(min(ackTimeout, limit)))
+	if limit := c.silenceLimit(); limit > 0 {
+		r.giveUpAt = time.Now().Add(limit)
+	}
+	r.claimRepeat = func() bool { return c.mayRepeat(l.replica) }
+	return r, l.SetDeadline(time.Now().Add(ackTimeout))
 }
 
 // Read implements io.Reader.
@@ -225,11 +237,17 @@
 }
 
 // awaitLonger reports whether a kept connection on which nothing came until its deadline is read for longer: the replica's host has
-// acknowledged the request, and there is time left.
+// acknowledged the request, and the replica may still answer it, or the request can't be repeated.
 func (r *linkReader) awaitLonger(err error) bool {
-	if r.received || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(r.giveUpAt) || r.link.kept.Unacknowledged() {
+	if r.received || !errors.Is(err, os.ErrDeadlineExceeded) || r.link.kept.Unacknowledged() {
 		return false
 	}
+	if !r.giveUpAt.IsZero() && !time.Now().Before(r.giveUpAt) {
+		if r.claimRepeat() {
+			return false
+		}
+		r.giveUpAt = time.Time{}
+	}
 	return r.link.SetDeadline(r.giveUpAt) == nil
 }
 
--- a/internal/edge/repeat.go
+++ b/internal/edge/repeat.go
@@ -33,6 +33,9 @@
 // claim reports whether the first send may repeat the request now, which counts as one more arrival then.
 func (s *repeatState) claim() bool { return s.value.CompareAndSwap(repeatOpen, repeatClaimed) }
 
+// claimed reports whether the first send repeats the request.
+func (s *repeatState) claimed() bool { return s.value.Load() == repeatClaimed }
+
 // withdraw takes back a claim after which nothing was sent.
 func (s *repeatState) withdraw() { s.value.CompareAndSwap(repeatClaimed, repeatClosed) }
 
