Choose heads by the requests that arrive at all nodes

Cause: a node estimated the arrivals at all nodes from its own sends of the last second. With less than one request a second at a node, that is mostly none, so that the nodes chose the same head with the lowest reported load at the same time. Change: the arrivals and the mean prompt by model come from the reports of offered work; the node's own rate counts if it shows more.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -56,11 +56,11 @@
 	return fromMillis(timeFactor * total)
 }
 
-// delayPerRequest returns by how much one more request of the usual size at a head delays the first event of the next request:
+// delayPerRequest returns by how much one more request with the prompt at a head delays the first event of the next request:
 // its prompt is read first, and it lengthens each pass. The value is the same for all heads of a model, so that chunk
 // boundaries have no effect.
-func delayPerRequest(e *fleet.Engine, timeFactor float64) time.Duration {
-	return fromMillis(timeFactor * (float64(e.MeanPromptTokens)/max(e.PromptTokensPerMs, 1e-9) + 2.5*(passMillis(e, 1)-passMillis(e, 0))))
+func delayPerRequest(e *fleet.Engine, timeFactor float64, promptTokens int) time.Duration {
+	return fromMillis(timeFactor * (float64(promptTokens)/max(e.PromptTokensPerMs, 1e-9) + 2.5*(passMillis(e, 1)-passMillis(e, 0))))
 }
 
 // ReadTime predicts the time from the arrival of a prompt at the head until it is read.
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/demand"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
@@ -540,6 +541,8 @@
 	LoadAge time.Duration
 	// GapTarget is the longest time between two events at which a response is on time; 0 for none.
 	GapTarget time.Duration
+	// Arrivals are the requests for the model at all nodes, as far as they report them.
+	Arrivals demand.Arrivals
 	// Suspected makes PickHead consider heads that are suspected of having stalled as well.
 	Suspected bool
 }
@@ -570,16 +573,6 @@
 	return choose(candidates, t.arrivalsLocked(q, now))
 }
 
-// arrivalsLocked estimates how many requests all nodes send to the heads of the model within half of LoadAge, if each node
-// sends as many as this one.
-func (t *Table) arrivalsLocked(q Query, now clock.Time) float64 {
-	r := t.rates[q.Model.Name]
-	if r == nil || q.ColdShare <= 0 {
-		return 0
-	}
-	return r.perSecond(now) / q.ColdShare * q.LoadAge.Seconds() / 2
-}
-
 // candidateLocked predicts the first event of the request at the head and its cost.
 func (t *Table) candidateLocked(r *fleet.Replica, k Key, q Query, now clock.Time) candidate {
 	load, slowFactor := t.loadLocked(k, now), t.slowFactorLocked(k, now)
@@ -601,7 +594,7 @@
 		}
 		cost += time.Duration(s.failureShare * float64(time.Second))
 	}
-	costPerRequest := time.Duration(slowFactor * float64(delayPerRequest(q.Service.Engine, q.Model.TimeFactor)))
+	costPerRequest := time.Duration(slowFactor * float64(delayPerRequest(q.Service.Engine, q.Model.TimeFactor, q.meanPromptTokens())))
 	return candidate{&Selection{Replica: r, Key: k, Load: load, FirstEvent: first, QueueDelay: first - predict(Load{}), SlowFactor: slowFactor,
 		engine: q.Service.Engine, model: q.Model.Name, timeFactor: q.Model.TimeFactor}, cost, costPerRequest, q.limits(r)}
 }
--- a/internal/demand/table.go
+++ b/internal/demand/table.go
@@ -78,6 +78,7 @@
 	interval func() time.Duration // Longest usual time between two reports of a node; nil if not known.
 	local    map[Class]*slots
 	peers    map[string]report // By node.
+	arrivals arrivalsCache
 }
 
 // New returns an empty table.
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -21,3 +21,11 @@
 	}
 	return c.route.Priority
 }
+
+// arrivals returns the requests for the model at all nodes, as far as they are known.
+func (c *call) arrivals() demand.Arrivals {
+	if c.opt.Demand == nil || c.model == nil {
+		return demand.Arrivals{}
+	}
+	return c.opt.Demand.Arrivals(c.model.Name)
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -154,7 +154,7 @@
 	c.view = c.opt.Registry.View()
 	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
 		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
-		GapTarget: c.route.GapTarget}
+		GapTarget: c.route.GapTarget, Arrivals: c.arrivals()}
 }
 
 // serveBuffered serves a request whose response is buffered until it is complete, so that an incomplete one can be replaced.
