Pass no invalid status of a replica on to clients

Cause: net/http accepts status lines with any three digits, signs or more than one blank. Statuses from 600 to 999 were forwarded as answers, and any status with X-Cassiadeal-Not-Executed counted as the statement that the request has not run. internal/edge took an interim response for the final one.

Change: internal/respstatus checks the status line and the status. Such a response is a failure after which the request may have run, in internal/edge for all kinds of requests and in internal/dispatch. internal/edge skips interim responses; one that has what only final responses have counts as final.

--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -11,6 +11,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/recovery"
+	"cassiadeal.example/cassiadeal/internal/respstatus"
 )
 
 const (
@@ -98,6 +99,7 @@
 type exchangeConn struct {
 	net.Conn
 	exchange *exchange
+	start    []byte // The first bytes of the response, up to respstatus.PrefixLen.
 }
 
 func (c *exchangeConn) Read(p []byte) (int, error) {
@@ -106,7 +108,14 @@
 			return 0, err
 		}
 	}
-	return lastheard.Reader{Reader: c.Conn, Record: c.exchange.heard}.Read(p)
+	n, err := lastheard.Reader{Reader: c.Conn, Record: c.exchange.heard}.Read(p)
+	if missing := respstatus.PrefixLen - len(c.start); missing > 0 && n > 0 {
+		c.start = append(c.start, p[:min(n, missing)]...)
+		if invalid := respstatus.CheckLine(c.start); invalid != nil {
+			return 0, invalid
+		}
+	}
+	return n, err
 }
 
 func (c *exchangeConn) Write(p []byte) (int, error) {
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -18,6 +18,7 @@
 	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
+	"cassiadeal.example/cassiadeal/internal/respstatus"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -88,7 +89,7 @@
 	}
 	limited := &io.LimitedReader{R: reader, N: maxResponseHeaderBytes}
 	buffered := bufio.NewReaderSize(limited, 4096)
-	resp, err := http.ReadResponse(buffered, &http.Request{Method: c.req.Method})
+	resp, err := c.readFinal(buffered)
 	if err != nil {
 		return fail(true, reader.failure(err))
 	}
@@ -224,8 +225,8 @@
 func (c *call) unusableReason(r *replicaResponse) string {
 	status := r.resp.StatusCode
 	switch {
-	case status < 200:
-		return "status " + strconv.Itoa(status) + " is not a final response"
+	case !respstatus.Final(status):
+		return "status " + strconv.Itoa(status) + " is not one of a final response"
 	case status < 300 && !r.header.Sealed:
 		return "success status without the replica's seal"
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout:
