Bound what clients make a platform node hold

Cause: the configured limits of heads were used nowhere, and bodies were read whole without a bound on all of them together.

Change: package intake accounts for each connection, head and body of the front, directory, readiness, mirror and metrics listeners. Bounds derive from limits.memory_mb and limits.max_fds of the settings. The configured limits of head, time and body are read for each request. When room lacks, the partly received requests with the least progress are ended first. Refusals are 413, 431, 408, and 503 (new code no_room) with Retry-After; all are sent before a request reaches a replica. The tunnel listener, whose connections are taken over, gets a lower limit of net/http. The Go runtime gets a soft memory limit of 3/4 of the stated memory.

--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"cassiadeal.example/cassiadeal/internal/entry"
+	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/node"
 	"cassiadeal.example/cassiadeal/internal/settings"
 	"cassiadeal.example/cassiadeal/internal/telemetry"
@@ -64,6 +66,13 @@
 	return n.Run(ctx)
 }
 
+// limitMemory makes the garbage collector run more often when the heap approaches the memory of the machine, if the settings state it.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(intake.SoftMemoryLimit(memoryMB))
+	}
+}
+
 // logFlushTimeout limits the time for writing the last log lines when the process ends.
 const logFlushTimeout = 200 * time.Millisecond
 
@@ -74,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(s.MemoryMB)
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close(logFlushTimeout)
 	log, err := telemetry.NewLogger(output, s.Node, args.LogLevel)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -24,6 +22,7 @@
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
@@ -226,16 +225,12 @@
 		limit = c.view.Config.Limits.BodyBytes
 	}
 	stopped := c.endReadWhenStopped()
-	body, err := io.ReadAll(http.MaxBytesReader(recovery.Unwrap(c.w), r.Body, limit))
+	body, err := intake.ReadBody(r, limit, c.bodyTime())
 	if stopped() {
 		return c.stoppingRefusal()
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.New(result.BodyTooLarge, "the body has more than %d bytes", limit)
-	}
 	if err != nil {
-		return result.New(result.BodyIncomplete, "the body could not be read: %v", err)
+		return intake.Refusal(err, limit)
 	}
 	c.req.Body = body
 	return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"cassiadeal.example/cassiadeal/internal/edge"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/gossip"
+	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/mirror"
 	"cassiadeal.example/cassiadeal/internal/planner"
 	"cassiadeal.example/cassiadeal/internal/reach"
@@ -75,6 +76,7 @@
 	statements *statement.Table
 	mesh       *gossip.Mesh
 	edge       *edge.Server
+	intake     *intake.Limiter
 	lease      *planner.Lease
 	planner    *planner.Planner
 	replicas   *platform.ReplicaClient
@@ -142,6 +144,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := n.newIntake(); err != nil {
+		return nil, err
+	}
 	n.statements = statement.New(statement.Options{Divided: true, Now: func() time.Duration { return time.Duration(c.Now()) }, Log: log, Meter: metrics.Meter()})
 	n.registry.FollowStatements(n.statements)
 	if err := n.newPaths(); err != nil {
@@ -527,8 +532,10 @@
 // newServer returns the HTTP server of one listener.
 func (n *Node) newServer(listener string, h http.Handler) *http.Server {
 	recoverer := recovery.Recoverer{Where: listener, Log: n.log, Metrics: n.metrics}
-	return &http.Server{Handler: recoverer.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	server := &http.Server{Handler: recoverer.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: telemetry.ServerErrorLog(n.log, listener)}
+	n.limitServer(server, listener)
+	return server
 }
 
 // startServers binds the node's HTTP addresses and serves them.
@@ -546,6 +553,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "bind the %s address", s.name)
 		}
+		listener = n.limitListener(listener, s.name)
 		server := n.newServer(s.name, s.handler)
 		servers = append(servers, server)
 		go func() {
--- /dev/null
+++ b/internal/intake/conn.go
@@ -0,0 +1,310 @@
+package intake
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/result"
+)
+
+const (
+	// RetryAfter is the Retry-After delay of requests that are refused for want of room: requests that stall are ended after minStall.
+	RetryAfter = minStall
+	// DefaultHeadBytes and DefaultHeadTime apply until a configuration sets the limits, and on listeners for other nodes.
+	DefaultHeadBytes = 64 << 10
+	DefaultHeadTime  = 10 * time.Second
+	// refusalTime limits the writing of a refusal, and the reading of what the client has still sent: if the connection were closed with
+	// unread bytes, the client might lose the refusal. lingerBytes limits the latter too.
+	refusalTime = 250 * time.Millisecond
+	lingerBytes = 64 << 10
+)
+
+// HeadLimits are the limits of the head of a request.
+type HeadLimits struct {
+	Bytes int // Of the request line, and of all header lines together.
+	Time  time.Duration
+}
+
+// orDefaults replaces values that aren't set.
+func (h HeadLimits) orDefaults() HeadLimits {
+	if h.Bytes <= 0 {
+		h.Bytes = DefaultHeadBytes
+	}
+	if h.Time <= 0 {
+		h.Time = DefaultHeadTime
+	}
+	return h
+}
+
+// Listening configures a listener.
+type Listening struct {
+	// Client is set for listeners that clients use. Their connections are bounded.
+	Client bool
+	// HeadLimits returns the limits in force. It is called for each request. Nil for the defaults.
+	HeadLimits func() HeadLimits
+	// Refused is called with the code of each refusal that package intake sends itself. It may be nil.
+	Refused func(result.Code)
+}
+
+// Listen returns a listener whose connections are accounted for.
+func (l *Limiter) Listen(inner net.Listener, o Listening) net.Listener {
+	return &listener{Listener: inner, limiter: l, opt: o}
+}
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+	opt     Listening
+}
+
+// Accept implements net.Listener. Connections for which there is no room are refused.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		c := &Conn{TCPConn: tcp, listener: l}
+		account, refused := l.limiter.Open(l.opt.Client, c.interrupt)
+		if account == nil {
+			c.refuse(noRoom(string(refused)))
+			_ = tcp.Close() // Nothing more is sent on it.
+			continue
+		}
+		c.account = account
+		return c, nil
+	}
+}
+
+type phase int
+
+const (
+	phaseIdle    phase = iota // Before the first byte of a request.
+	phaseHead                 // Until the handler is called.
+	phaseBody                 // Until the body has been read.
+	phaseServing              // Until the handler returns.
+	phaseClosing              // The rest of a body is unread. No other request follows.
+)
+
+// Conn is an accepted connection that counts what it holds before its request is complete.
+type Conn struct {
+	*net.TCPConn
+	listener *listener
+	account  *Account
+
+	mu           sync.Mutex
+	phase        phase
+	head         head
+	limits       HeadLimits // Of the present head.
+	headDeadline time.Time
+	charged      int64 // Bytes of the head that the account holds.
+	unmarked     int   // Bytes since the last progress.
+	ended        Reason
+	writeLimited bool // A write deadline is set.
+}
+
+// errClosed makes net/http close the connection without a response: it takes it as a failed read.
+var errClosed = &net.OpError{Op: "read", Net: "tcp", Err: ErrEnded}
+
+// interrupt makes the present or next read fail.
+func (c *Conn) interrupt(why Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = why
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
+}
+
+// SetReadDeadline implements net.Conn. While a head is received, its own deadline holds if it is earlier.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended != reasonNothing || c.phase == phaseClosing {
+		return nil // Reads fail for good.
+	}
+	if c.phase == phaseHead && !c.head.done && (t.IsZero() || t.After(c.headDeadline)) {
+		t = c.headDeadline
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeLimited = !t.IsZero()
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.account.Close()
+	return c.TCPConn.Close()
+}
+
+// Read implements net.Conn. Bytes of a head are passed on only if there is room for them.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.mu.Lock()
+	at, ended := c.phase, c.ended
+	c.mu.Unlock()
+	switch {
+	case ended != reasonNothing:
+		return 0, c.endRead(at)
+	case at == phaseIdle && n > 0:
+		return c.beginHead(p[:n], err)
+	case at == phaseHead:
+		return c.readHead(p[:n], err)
+	case at == phaseBody:
+		c.noteProgress(n)
+	}
+	return n, err
+}
+
+// endRead ends a connection that was interrupted. If a head was being received, it answers the client. The handler does so for a body.
+func (c *Conn) endRead(at phase) error {
+	if at == phaseHead {
+		c.refuse(noRoom(string(c.ended)))
+	}
+	return errClosed
+}
+
+// beginHead takes the first bytes of a request.
+func (c *Conn) beginHead(p []byte, err error) (int, error) {
+	var limits HeadLimits
+	if c.listener.opt.HeadLimits != nil {
+		limits = c.listener.opt.HeadLimits()
+	}
+	limits = limits.orDefaults()
+	c.mu.Lock()
+	if c.writeLimited { // For the response to the request before.
+		c.writeLimited = false
+		_ = c.TCPConn.SetWriteDeadline(time.Time{}) // An error shows at the next write.
+	}
+	c.phase, c.head, c.limits, c.charged, c.unmarked = phaseHead, head{}, limits, 0, 0
+	c.headDeadline = time.Now().Add(limits.Time)
+	c.mu.Unlock()
+	if beginErr := c.account.Begin(); beginErr != nil {
+		return 0, c.refuseRead(noRoom(beginErr.Error()))
+	}
+	return c.readHead(p, err)
+}
+
+// readHead takes bytes of a head. The deadline is set only if the head isn't complete, which is rare.
+func (c *Conn) readHead(p []byte, err error) (int, error) {
+	if c.head.done {
+		return len(p), err // net/http found it malformed, and is closing the connection.
+	}
+	if len(p) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(c.headDeadline) {
+		c.listener.limiter.count(HeadTooSlow)
+		return 0, c.refuseRead(result.New(result.BodyIncomplete, "the head of the request did not arrive within %v", c.limits.Time))
+	}
+	first := c.head.largest() == 0
+	c.scan(p)
+	if c.head.largest() > c.limits.Bytes {
+		c.listener.limiter.count(HeadTooLarge)
+		return 0, c.refuseRead(result.New(result.HeadersTooLarge, "the head of the request has more than %d bytes", c.limits.Bytes))
+	}
+	if growErr := c.chargeHead(); growErr != nil {
+		return 0, c.refuseRead(noRoom(growErr.Error()))
+	}
+	if !c.head.done {
+		c.noteProgress(len(p))
+		if first {
+			_ = c.SetReadDeadline(time.Time{}) // That of the head. An error shows at the next read.
+		}
+	}
+	return len(p), err
+}
+
+func (c *Conn) scan(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.scan(p)
+}
+
+// chargeHead charges what the head takes once it is parsed.
+func (c *Conn) chargeHead() error {
+	total := int64(c.head.requestLine + c.head.fields + c.head.lines*lineBytes)
+	more := total - c.charged
+	if more <= 0 {
+		return nil
+	}
+	c.charged = total
+	return c.account.Grow(more)
+}
+
+func (c *Conn) noteProgress(n int) {
+	c.unmarked += n
+	if c.unmarked >= progressBytes {
+		c.unmarked = 0
+		c.account.Progress()
+	}
+}
+
+// refuseRead answers a request whose head is not complete, and returns the error of the read.
+func (c *Conn) refuseRead(e *result.Error) error {
+	c.refuse(e)
+	c.mu.Lock()
+	c.phase = phaseClosing
+	c.mu.Unlock()
+	return errClosed
+}
+
+// noRoom returns a refusal that any request may be sent again after: it was not sent to a replica.
+func noRoom(why string) *result.Error {
+	return result.New(result.NoRoom, "this node has no room for the request: %s", why).WithRetryAfter(RetryAfter)
+}
+
+// refuse writes a refusal to a client whose request has not reached a handler, and takes what the client has sent until then.
+func (c *Conn) refuse(e *result.Error) {
+	c.noteRefusal(e)
+	end := time.Now().Add(refusalTime)
+	// Errors mean that the client is gone.
+	_ = c.TCPConn.SetDeadline(end)
+	if _, err := c.TCPConn.Write(encodeRefusal(e)); err != nil {
+		return
+	}
+	_ = c.CloseWrite()
+	if c.account == nil {
+		return // Accept must go on.
+	}
+	var buffer [512]byte
+	for read := 0; read < lingerBytes; {
+		n, err := c.TCPConn.Read(buffer[:])
+		if err != nil {
+			return
+		}
+		read += n
+	}
+}
+
+func (c *Conn) noteRefusal(e *result.Error) {
+	if c.listener.opt.Refused != nil {
+		c.listener.opt.Refused(e.Code)
+	}
+}
+
+// encodeRefusal returns the response for a refusal.
+func encodeRefusal(e *result.Error) []byte {
+	body, err := json.Marshal(e.Body())
+	if err != nil {
+		body = nil // The status tells enough.
+	}
+	retry := ""
+	if e.RetryAfter > 0 {
+		retry = fmt.Sprintf("Retry-After: %d\r\n", (e.RetryAfter+time.Second-1)/time.Second)
+	}
+	status := e.Code.HTTPStatus()
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), retry, len(body), body)
+}
--- /dev/null
+++ b/internal/intake/head.go
@@ -0,0 +1,66 @@
+package intake
+
+import "bytes"
+
+// head follows the head of a request as its bytes arrive. Blank lines before the request line count as part of that.
+type head struct {
+	requestLine int // Bytes before the header lines.
+	fields      int // Bytes of the header lines.
+	lines       int // Header lines.
+	inFields    bool
+	done        bool // The blank line at the end has arrived.
+
+	lineLength int  // Of the present line so far.
+	onlyCR     bool // The present line has been a carriage return so far.
+}
+
+// largest returns the size of the request line or that of the header lines, whichever is larger. The blank line at the end counts towards
+// neither.
+func (h *head) largest() int { return max(h.requestLine, h.fields) }
+
+// scan takes the next bytes. Those after the head are ignored.
+func (h *head) scan(p []byte) {
+	for len(p) > 0 && !h.done {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			h.add(p)
+			return
+		}
+		h.add(p[:end])
+		h.endLine()
+		p = p[end+1:]
+	}
+}
+
+func (h *head) add(p []byte) {
+	if len(p) == 0 {
+		return
+	}
+	h.onlyCR = h.lineLength == 0 && len(p) == 1 && p[0] == '\r'
+	h.lineLength += len(p)
+	h.grow(len(p))
+}
+
+func (h *head) grow(n int) {
+	if h.inFields {
+		h.fields += n
+	} else {
+		h.requestLine += n
+	}
+}
+
+func (h *head) endLine() {
+	blank := h.lineLength == 0 || h.onlyCR
+	switch {
+	case h.inFields && blank:
+		h.fields -= h.lineLength
+		h.done = true
+	case h.inFields:
+		h.lines++
+		h.grow(1)
+	default:
+		h.grow(1)
+		h.inFields = !blank
+	}
+	h.lineLength, h.onlyCR = 0, false
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -46,6 +46,7 @@
 	NodeUnreachable     Code = 2011
 	TargetsLimited      Code = 2012
 	TargetRefused       Code = 2013
+	NoRoom              Code = 2014
 
 	OutcomeUnknown    Code = 3001
 	AnswerNotKept     Code = 3002
@@ -101,6 +102,7 @@
 	NodeUnreachable:     {"node_unreachable", http.StatusBadGateway, true},
 	TargetsLimited:      {"targets_limited", http.StatusServiceUnavailable, true},
 	TargetRefused:       {"target_refused", http.StatusServiceUnavailable, true},
+	NoRoom:              {"no_room", http.StatusServiceUnavailable, true},
 
 	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, false},
 	AnswerNotKept:    {"answer_not_kept", http.StatusConflict, false},
