Bound what callers make a node of the own interface hold

Cause: net/http accepted heads of four times max_header_bytes, and all heads together had no bound. A stated Content-Length took its whole room from MaxBufferedBytes at once, so callers that sent nothing starved others.

Change: the caller and operator listeners use package intake, with the configured limits of heads. The gateway reserves the room of a body as it arrives; MaxBufferedBytes derives from the memory of the machine. New settings [limits] memory_mb and max_fds, 0 (not stated) by default. Connections of checks and operators have a bound of their own, so callers can't keep them out.

--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(int(s.Limits.MemoryMB))
 	log, err := telemetry.NewLogger(os.Stdout, s.Node.Name, args.LogLevel)
 	if err != nil {
 		return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -225,7 +225,7 @@
 		limit = c.view.Config.Limits.BodyBytes
 	}
 	stopped := c.endReadWhenStopped()
-	body, err := intake.ReadBody(r, limit, c.bodyTime())
+	body, err := intake.ReadBody(r, limit, c.bodyTime(), nil)
 	if stopped() {
 		return c.stoppingRefusal()
 	}
--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -24,7 +24,7 @@
 			}
 			return 0
 		}})
-	n.log.WithFields(logrus.Fields{"request_bytes": bounds.Bytes, "client_connections": bounds.Clients, "partly_received": bounds.Parts}).Info("limits on what clients send")
+	n.log.WithFields(logrus.Fields{"request_bytes": bounds.Bytes, "client_connections": bounds.Clients, "check_connections": bounds.Checks, "partly_received": bounds.Parts}).Info("limits on what clients send")
 	return nil
 }
 
@@ -47,9 +47,9 @@
 	case "tunnel":
 		return inner
 	case "front", "directory":
-		o.Client, o.HeadLimits = true, n.configuredHead
+		o.From, o.HeadLimits = intake.Clients, n.configuredHead
 	case "readiness":
-		o.Client = true
+		o.From = intake.Checks
 	}
 	return n.intake.Listen(inner, o)
 }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"cassiadeal.example/cassiadeal/internal/recovery"
+	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/result"
 )
 
@@ -15,50 +15,39 @@
 // truncated or slow body is refused as not run. The caller calls release when it no longer needs the body; its size then no
 // longer counts towards MaxBufferedBytes.
 func (g *Gateway) readBody(w http.ResponseWriter, req *http.Request) (body []byte, release func(), err *result.Error) {
-	release, err = g.reserveBuffer(req.ContentLength)
+	var reserved int64
+	release = func() { g.bufferedBytes.Add(-reserved) }
+	body, err = g.readLimited(w, req, func(n int64) error {
+		if g.bufferedBytes.Add(n) > g.opts.MaxBufferedBytes {
+			g.bufferedBytes.Add(-n)
+			return result.New(result.QueueFull, "the body would exceed this node's limit of %d bytes for buffered bodies", g.opts.MaxBufferedBytes).
+				WithRetryAfter(time.Second)
+		}
+		reserved += n
+		return nil
+	})
 	if err != nil {
-		return nil, nil, err
-	}
-	if body, err = g.readLimited(w, req); err != nil {
 		release()
 		return nil, nil, err
 	}
 	return body, release, nil
 }
 
-// reserveBuffer counts the Content-Length of a body towards MaxBufferedBytes, or MaxBodyBytes if the length is unknown.
-func (g *Gateway) reserveBuffer(length int64) (release func(), err *result.Error) {
-	if length > g.opts.MaxBodyBytes {
-		return nil, g.bodyTooLarge()
-	}
-	if length < 0 {
-		length = g.opts.MaxBodyBytes
-	}
-	if g.bufferedBytes.Add(length) > g.opts.MaxBufferedBytes {
-		g.bufferedBytes.Add(-length)
-		return nil, result.New(result.QueueFull, "the body would exceed this node's limit of %d bytes for buffered bodies", g.opts.MaxBufferedBytes).
-			WithRetryAfter(time.Second)
-	}
-	return func() { g.bufferedBytes.Add(-length) }, nil
-}
-
-func (g *Gateway) bodyTooLarge() *result.Error {
-	return result.New(result.BodyTooLarge, "the body is larger than %d bytes", g.opts.MaxBodyBytes)
-}
-
-func (g *Gateway) readLimited(w http.ResponseWriter, req *http.Request) ([]byte, *result.Error) {
+func (g *Gateway) readLimited(w http.ResponseWriter, req *http.Request, reserve func(int64) error) ([]byte, *result.Error) {
 	response := http.NewResponseController(w)
 	// If the ResponseWriter doesn't support deadlines (in tests), the server's read timeout applies.
 	_ = response.SetReadDeadline(time.Now().Add(g.opts.BodyReadTimeout))
 
-	body, err := io.ReadAll(http.MaxBytesReader(recovery.Unwrap(w), req.Body, g.opts.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := intake.ReadBody(req, g.opts.MaxBodyBytes, g.opts.BodyReadTimeout, reserve)
+	var refusal *result.Error
 	switch {
 	case err == nil:
 		_ = response.SetReadDeadline(time.Time{})
 		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, g.bodyTooLarge()
+	case errors.As(err, &refusal):
+		return nil, refusal
+	case errors.Is(err, intake.ErrBodyTooLarge), errors.Is(err, intake.ErrNoRoom), errors.Is(err, intake.ErrEnded):
+		return nil, intake.Refusal(err, g.opts.MaxBodyBytes)
 	default:
 		return nil, result.New(result.BodyIncomplete, "the body was not received completely within %s", g.opts.BodyReadTimeout).WithCause(err)
 	}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -44,8 +44,8 @@
 
 // Listening configures a listener.
 type Listening struct {
-	// Client is set for listeners that clients use. Their connections are bounded.
-	Client bool
+	// From tells who uses the listener.
+	From Origin
 	// HeadLimits returns the limits in force. It is called for each request. Nil for the defaults.
 	HeadLimits func() HeadLimits
 	// Refused is called with the code of each refusal that package intake sends itself. It may be nil.
@@ -75,7 +75,7 @@
 			return conn, nil
 		}
 		c := &Conn{TCPConn: tcp, listener: l}
-		account, refused := l.limiter.Open(l.opt.Client, c.interrupt)
+		account, refused := l.limiter.Open(l.opt.From, c.interrupt)
 		if account == nil {
 			c.refuse(noRoom(string(refused)))
 			_ = tcp.Close() // Nothing more is sent on it.
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -120,17 +120,25 @@
 
 // ReadBody reads the body of a request that a handler of Serve got. It reserves room as the body arrives, and keeps it until the handler
 // returns. The body must arrive within the given time and have at most limit bytes. If ReadBody fails, nothing more can be read, and the
-// connection ends after the response.
-func ReadBody(r *http.Request, limit int64, within time.Duration) ([]byte, error) {
-	c := connOf(r)
+// connection ends after the response. reserve, which may be nil, is called before the body takes further bytes; its error ends the read.
+func ReadBody(r *http.Request, limit int64, within time.Duration, reserve func(bytes int64) error) ([]byte, error) {
+	c, grow := connOf(r), func(n int64) error { return nil }
+	if reserve != nil {
+		grow = reserve
+	}
 	if c == nil {
-		return collect(r.Body, r.ContentLength, limit, func(int64) error { return nil })
+		return collect(r.Body, r.ContentLength, limit, grow)
 	}
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
 	_ = c.SetReadDeadline(time.Now().Add(within)) // An error shows at the next read.
-	data, err := collect(r.Body, r.ContentLength, limit, c.account.Grow)
+	data, err := collect(r.Body, r.ContentLength, limit, func(n int64) error {
+		if err := grow(n); err != nil {
+			return err
+		}
+		return c.account.Grow(n)
+	})
 	if err == nil {
 		err = c.complete()
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,9 @@
 const (
 	// DefaultMemoryMB is the memory of a machine whose settings state none; the control plane is designed for it.
 	DefaultMemoryMB = 256
+	// minMemoryMB and minFDs replace lower values, with which the process itself couldn't run.
+	minMemoryMB = 64
+	minFDs      = 64
 	// roomTenths is the part of the memory, in tenths, that connections, heads and bodies may use. The control plane, responses, garbage
 	// and the program use the rest.
 	roomTenths = 3
@@ -24,6 +27,8 @@
 	// clientEighths is the part of the descriptors, in eighths, that connections of clients may use. Each request needs another one to a
 	// replica, and the control plane has some hundred.
 	clientEighths = 3
+	// checkDivisor is the part of the client connections, as a divisor, that checks of the platform and operators have for themselves.
+	checkDivisor = 8
 	// partDivisor is the part of the client connections, as a divisor, that may have a partly received request.
 	partDivisor = 2
 	// endingDivisor is the part of the room, and of the connections, as a divisor, that ended requests may still hold while their
@@ -72,6 +77,7 @@
 type Bounds struct {
 	Bytes   int64 // For connections, heads and bodies together.
 	Clients int   // Connections of clients.
+	Checks  int   // Connections of the platform's checks, and of operators.
 	Parts   int   // Partly received requests.
 }
 
@@ -84,8 +90,10 @@
 	if maxFDs <= 0 {
 		maxFDs = descriptorLimit()
 	}
+	memoryMB, maxFDs = max(memoryMB, minMemoryMB), max(maxFDs, minFDs)
 	clients := max(maxFDs*clientEighths/8, 1)
-	return Bounds{Bytes: int64(memoryMB) << 20 * roomTenths / 10, Clients: clients, Parts: max(clients/partDivisor, 1)}
+	return Bounds{Bytes: int64(memoryMB) << 20 * roomTenths / 10, Clients: clients, Checks: max(clients/checkDivisor, 1),
+		Parts: max(clients/partDivisor, 1)}
 }
 
 // defaultDescriptors is used if the limit of the process can't be read; it is the usual soft limit.
@@ -121,25 +129,56 @@
 type Limiter struct {
 	opt Options
 
-	mu      sync.Mutex
-	held    int64 // Bytes of accounts that haven't been ended.
-	ending  int64 // Bytes of accounts that have been ended and not yet finished.
-	clients int   // Open connections of clients, including endingConns.
-	// endingConns is the number of client connections that were ended and aren't closed yet.
-	endingConns int
-	parts       int // Partly received requests of up to smallBytes and above.
-	// small and large hold partly received requests in the order of their last progress, fresh and idle the connections without a request
-	// in the order in which they became idle; those in fresh have sent nothing yet.
-	small, large, fresh, idle list
+	mu     sync.Mutex
+	held   int64 // Bytes of accounts that haven't been ended.
+	ending int64 // Bytes of accounts that have been ended and not yet closed.
+	parts  int   // Partly received requests.
+	// small and large hold the partly received requests of up to smallBytes and above, in the order of their last progress.
+	small, large list
+	clients      group
+	checks       group
+	peers        group
+}
+
+// Origin tells who uses a connection.
+type Origin int
+
+// Origins.
+const (
+	Peers   Origin = iota // Other nodes. Their connections aren't bounded.
+	Clients               // Clients that the system doesn't control.
+	Checks                // The platform's checks, and operators.
+)
+
+// group holds the connections of an origin.
+type group struct {
+	bound int // 0 for none.
+	open  int // Including those that end.
+	// ending is the number of connections that were ended and aren't closed yet.
+	ending int
+	// fresh and idle hold the connections without a request in the order in which they became idle; those in fresh have sent nothing yet.
+	fresh, idle list
 }
 
 // New returns a Limiter.
-func New(opt Options) *Limiter { return &Limiter{opt: opt} }
+func New(opt Options) *Limiter {
+	return &Limiter{opt: opt, clients: group{bound: opt.Bounds.Clients}, checks: group{bound: opt.Bounds.Checks}}
+}
+
+func (l *Limiter) group(o Origin) *group {
+	switch o {
+	case Clients:
+		return &l.clients
+	case Checks:
+		return &l.checks
+	}
+	return &l.peers
+}
 
 // Account is what one connection holds.
 type Account struct {
 	limiter *Limiter
-	client  bool // Counts towards Bounds.Clients.
+	group   *group
 	// end makes the connection return from its read. It is called with the limiter's lock held, must not block and must not call the limiter.
 	end func(Reason)
 
@@ -154,24 +193,25 @@
 }
 
 // Open takes up a connection. It returns nil and the reason if there is no room for it.
-func (l *Limiter) Open(client bool, end func(Reason)) (*Account, Reason) {
+func (l *Limiter) Open(from Origin, end func(Reason)) (*Account, Reason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := &Account{limiter: l, client: client, end: end, since: l.opt.Now()}
-	if !client {
-		// Connections of other nodes and of the platform are few, and are never refused.
+	a := &Account{limiter: l, group: l.group(from), end: end, since: l.opt.Now()}
+	if from == Peers {
+		// They are never refused.
 		a.held = connBytes
 		l.held += connBytes
+		a.group.open++
 		return a, reasonNothing
 	}
-	if !l.roomForClient() {
+	if !l.roomIn(a.group) {
 		return nil, l.count(NoConnection)
 	}
 	if !l.takeLocked(a, connBytes) {
 		return nil, l.count(NoMemory)
 	}
-	l.clients++
-	l.fresh.add(a)
+	a.group.open++
+	a.group.fresh.add(a)
 	return a, reasonNothing
 }
 
@@ -182,18 +222,35 @@
 	return r
 }
 
-// roomForClient ends a connection if there are too many. Those that were ended may be open for a while longer.
-func (l *Limiter) roomForClient() bool {
-	if l.clients < l.opt.Bounds.Clients {
+// roomIn ends a connection of a group if there are too many. Those that were ended may be open for a while longer.
+func (l *Limiter) roomIn(g *group) bool {
+	if g.open < g.bound {
 		return true
 	}
-	if l.endingConns > 0 && l.endingConns >= l.opt.Bounds.Clients/endingDivisor {
+	if g.ending > 0 && g.ending >= g.bound/endingDivisor {
 		return false
 	}
-	if l.clients-l.endingConns < l.opt.Bounds.Clients {
+	if g.open-g.ending < g.bound {
 		return true // Some are being closed.
 	}
-	return l.endStalled(nil) || l.endIdle(&l.fresh, minUnused) || l.endIdle(&l.idle, l.reusedFor())
+	return l.endStalledOf(g) || l.endFirst(&g.fresh, minUnused, EndedIdle, nil) || l.endFirst(&g.idle, l.reusedFor(), EndedIdle, nil)
+}
+
+// maxSearched bounds the search for a stalled request of a group among those of other groups.
+const maxSearched = 64
+
+// endStalledOf ends the partly received request of a group that has made the least progress, if it has stalled.
+func (l *Limiter) endStalledOf(g *group) bool {
+	for _, in := range []*list{&l.large, &l.small} {
+		a := in.first
+		for i := 0; a != nil && a.group != g && i < maxSearched; i++ {
+			a = a.next
+		}
+		if a != nil && a.group == g && l.end(a, minStall, EndedStalled) {
+			return true
+		}
+	}
+	return false
 }
 
 // reusedFor is the time for which clients may reuse idle connections: four fifths of the configured time.
@@ -217,26 +274,25 @@
 	return false
 }
 
-func (l *Limiter) endIdle(in *list, least time.Duration) bool {
-	return l.endFirst(in, least, EndedIdle, nil)
-}
-
 // endFirst ends the first account of a list if it has been there, or without progress, for at least the given time.
 func (l *Limiter) endFirst(in *list, least time.Duration, why Reason, except *Account) bool {
 	a := in.first
 	if a != nil && a == except {
 		a = a.next
 	}
-	if a == nil || l.opt.Now()-a.since < least {
+	return a != nil && l.end(a, least, why)
+}
+
+// end ends an account if it has been idle, or without progress, for at least the given time.
+func (l *Limiter) end(a *Account, least time.Duration, why Reason) bool {
+	if l.opt.Now()-a.since < least {
 		return false
 	}
 	l.leaveList(a)
 	a.ended = true
 	l.held -= a.held
 	l.ending += a.held
-	if a.client {
-		l.endingConns++
-	}
+	a.group.ending++
 	l.count(why)
 	a.end(why)
 	return true
@@ -354,9 +410,7 @@
 	l.leaveList(a)
 	l.held -= a.held - connBytes
 	a.held, a.since = connBytes, l.opt.Now()
-	if a.client {
-		l.idle.add(a)
-	}
+	a.group.idle.add(a)
 }
 
 // Close records the end of the connection. It may be called more than once.
@@ -374,26 +428,24 @@
 	} else {
 		l.held -= a.held
 	}
-	if a.client {
-		l.clients--
-		if a.ended {
-			l.endingConns--
-		}
+	a.group.open--
+	if a.ended {
+		a.group.ending--
 	}
 	a.held = 0
 }
 
 // Usage is what a Limiter accounts for.
 type Usage struct {
-	Bytes          int64
-	Clients, Parts int
+	Bytes                  int64
+	Clients, Checks, Parts int
 }
 
 // Usage returns what is held now.
 func (l *Limiter) Usage() Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Usage{Bytes: l.held + l.ending, Clients: l.clients, Parts: l.parts}
+	return Usage{Bytes: l.held + l.ending, Clients: l.clients.open, Checks: l.checks.open, Parts: l.parts}
 }
 
 // list is a list of accounts, those with the oldest since first.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"cassiadeal.example/cassiadeal/internal/gateway"
 	"cassiadeal.example/cassiadeal/internal/groups"
 	"cassiadeal.example/cassiadeal/internal/holder"
+	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/membership"
 	"cassiadeal.example/cassiadeal/internal/operator"
 	"cassiadeal.example/cassiadeal/internal/orders"
@@ -48,9 +49,6 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	writeTimeout      = 30 * time.Second
-	// maxBufferedBytes bounds the buffered request bodies. It leaves most of a node's 256 MB to responses, streams and the
-	// control components.
-	maxBufferedBytes = 64 << 20
 )
 
 // Node is one instance of the daemon.
@@ -100,6 +98,7 @@
 	// forwardedInFlight counts the requests in flight that other nodes forwarded to this one.
 	forwardedInFlight atomic.Int64
 	listeners         listeners
+	intake            *intake.Limiter
 	// requestContext is the parent context of all requests. cancelRequests cancels it at the shutdown limit.
 	requestContext context.Context
 	cancelRequests context.CancelCauseFunc
@@ -206,6 +205,9 @@
 		return err
 	}
 	n.assembleControl()
+	if err := n.newIntake(); err != nil {
+		return err
+	}
 	n.assembleRequests()
 	n.platform.OnRestore(n.storeRestored)
 	return nil
@@ -288,7 +290,7 @@
 		Node: n.self.Name, Admission: n.admission, Router: n.router, Execute: n.execute, Crashes: n.crashes, Budget: n.budget,
 		Rules:    func() (*rules.Rules, uint64) { c, r := n.config.Current(); return r, c.GetRevision() },
 		MayServe: n.mayAccept, EndsAt: n.endsAt, Addresses: n.addresses, Metrics: n.metrics, Log: n.log,
-		MaxHeaderBytes: int(limits.MaxHeaderBytes), MaxBodyBytes: limits.MaxBodyBytes, MaxBufferedBytes: maxBufferedBytes,
+		MaxHeaderBytes: int(limits.MaxHeaderBytes), MaxBodyBytes: limits.MaxBodyBytes, MaxBufferedBytes: n.bounds().Bytes,
 		MaxAnswerBytes: int(limits.MaxAnswerBytes), Answers: answers, MaxInFlight: int(limits.MaxInFlight),
 		BodyReadTimeout: limits.BodyReadTimeout, WriteTimeout: writeTimeout,
 	})
@@ -326,8 +328,8 @@
 	start("peer listener", peers.Run)
 	start("peer RPCs", func(ctx context.Context) error { return peer.Serve(ctx, peers.RPCs, handler{n}, n.recoverer("peer")) })
 	start("tunnels", serveHTTP(tunnelServer, peers.Tunnels))
-	start("caller listener", serveHTTP(callerServer, n.listeners.caller))
-	start("operator listener", serveHTTP(operatorServer, n.listeners.operator))
+	start("caller listener", serveHTTP(callerServer, n.limitCallers(callerServer)))
+	start("operator listener", serveHTTP(operatorServer, n.limitOperators(operatorServer)))
 	start("membership", n.membership.Run)
 	start("configuration", n.config.Run)
 	start("holders", withoutError(n.holders.Run))
@@ -380,10 +382,8 @@
 		IdleTimeout:       idleTimeout,
 		// The gateway sets the write deadline before each part of a response; this one resets it between requests.
 		WriteTimeout: writeTimeout,
-		// The gateway refuses large headers with a result code; net/http refuses only those above four times the limit.
-		MaxHeaderBytes: 4 * int(n.settings.Limits.MaxHeaderBytes),
-		ErrorLog:       telemetry.ServerErrorLog(n.log, "caller"),
-		BaseContext:    func(net.Listener) context.Context { return n.requestContext },
+		ErrorLog:     telemetry.ServerErrorLog(n.log, "caller"),
+		BaseContext:  func(net.Listener) context.Context { return n.requestContext },
 	}
 }
 
--- a/internal/settings/entries.go
+++ b/internal/settings/entries.go
@@ -51,6 +51,8 @@
 		{settingID{"limits", "max_header_bytes"}, false, int64Setter(&limits.MaxHeaderBytes, 1<<10, 1<<20)},
 		{settingID{"limits", "max_answer_bytes"}, false, int64Setter(&limits.MaxAnswerBytes, 1<<10, 1<<30)},
 		{settingID{"limits", "max_in_flight"}, false, int64Setter(&limits.MaxInFlight, 1, 1_000_000)},
+		{settingID{"limits", "memory_mb"}, false, int64Setter(&limits.MemoryMB, 0, 1<<24)},
+		{settingID{"limits", "max_fds"}, false, int64Setter(&limits.MaxFDs, 0, 1<<24)},
 		{settingID{"limits", "body_read_timeout"}, false, durationSetter(&limits.BodyReadTimeout)},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,6 +64,9 @@
 	MaxAnswerBytes  int64 // Of one answer that is buffered in memory.
 	MaxInFlight     int64 // Requests in flight.
 	BodyReadTimeout time.Duration
+	// MemoryMB is the memory of the machine, and MaxFDs the number of descriptors that this process may have open. The bounds on what
+	// clients send derive from them. 0 for the defaults of package intake.
+	MemoryMB, MaxFDs int64
 }
 
 // Defaults returns the values of keys that the file leaves out. Addresses, names and the platform URL have no default.
