Write large bodies to replicas without a copy

Cause: each send copied the whole body behind the encoded head, so a body of 4 MB took 8 MB while it was written, half of it outside the bound.

The effect on peak memory was not measured apart from the bound.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -76,7 +76,7 @@
 		return fail(false, errBarred)
 	}
 	sentAt := c.opt.Statements.Now()
-	if _, err := conn.Write(c.encodeRequest(replica, lastEventID)); err != nil {
+	if err := c.writeRequest(conn, c.encodeRequest(replica, lastEventID)); err != nil {
 		return fail(true, err)
 	}
 	limited := &io.LimitedReader{R: lastheard.Reader{Reader: conn, Record: h}, N: maxResponseHeaderBytes}
@@ -115,7 +115,7 @@
 	return c.opt.Statements.Admit(r.Incarnation().Target(), 1) == statement.NotRefused
 }
 
-// encodeRequest returns the HTTP/1.1 request for the replica.
+// encodeRequest returns the HTTP/1.1 request for the replica, with the body if it is small.
 func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string) []byte {
 	var b bytes.Buffer
 	b.WriteString(c.req.Method + " " + c.req.URI + " HTTP/1.1\r\nHost: " + c.req.Host + "\r\n")
@@ -126,7 +126,7 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(c.req.Body)) + "\r\n")
 	}
 	b.WriteString("Connection: close\r\n\r\n")
-	b.Write(c.req.Body)
+	b.Write(c.inlineBody())
 	return b.Bytes()
 }
 
