Cut off clients that don't read their responses

Cause: a client that didn't read held its request and what was buffered for it without limit, and a replica that cut off such a stream was recorded as failing.

Change: writes to a client fail from 1 s after the request's deadline on; cassiadeal_intake_refusals_total{reason="write_too_slow"} counts them. A stream whose client kept a write waiting for 1 s records no failure of its replica. A target whose only stream waits for its client may still be suspected of a stall, as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -208,6 +208,7 @@
 		c.refuse(e)
 		return
 	}
+	c.limitWrites()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(s.stopped, cancel)()
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -225,6 +225,10 @@
 	if c.ctx.Err() != nil {
 		return // The client disconnected or its deadline passed, which is no failure of the replica.
 	}
+	if sent && c.clientBlocked() {
+		c.opt.Metrics.Retry("client_blocked")
+		return // The replica may have cut off what the client didn't read.
+	}
 	if errors.Is(err, errBarred) {
 		c.opt.Metrics.Retry("target_barred")
 		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key)}).Info(err.Error())
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -53,6 +53,7 @@
 	lastEventAt     time.Time     // Of the newest event.
 	unnumbered      bool          // An event without an ID was forwarded, so that another target can't go on after it.
 	longestGap      time.Duration // The longest between two events.
+	longestWrite    time.Duration // The longest for which the client has kept a write waiting.
 }
 
 // serveStream serves a request whose response is forwarded event by event.
@@ -457,6 +458,7 @@
 		p.headerWritten, p.firstEventAfter, p.lastEventAt = true, time.Since(c.start), time.Now()
 	}
 	p.longestGap, p.lastEventAt = max(p.longestGap, time.Since(p.lastEventAt)), time.Now()
+	defer p.noteWrite(p.lastEventAt)
 	if _, err := c.w.Write(step.data); err != nil {
 		return clientGone
 	}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -151,6 +151,15 @@
 	return c.TCPConn.Close()
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.listener.limiter.count(WriteTooSlow)
+	}
+	return n, err
+}
+
 // Read implements net.Conn. Bytes of a head are passed on only if there is room for them.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -64,12 +64,13 @@
 	HeadTooSlow   Reason = "head_too_slow"
 	BodyTooLarge  Reason = "body_too_large"
 	BodyTooSlow   Reason = "body_too_slow"
-	NoMemory      Reason = "no_memory"     // Refused for want of memory.
-	NoConnection  Reason = "no_connection" // Refused for want of descriptors.
-	NoPart        Reason = "no_part"       // Refused because too many requests are partly received.
-	EndedMemory   Reason = "ended_memory"  // Ended so that others get its memory.
-	EndedStalled  Reason = "ended_stalled" // Ended so that others get its connection, or its place among the partly received requests.
-	EndedIdle     Reason = "ended_idle"    // An idle connection that was closed for another one.
+	NoMemory      Reason = "no_memory"      // Refused for want of memory.
+	NoConnection  Reason = "no_connection"  // Refused for want of descriptors.
+	NoPart        Reason = "no_part"        // Refused because too many requests are partly received.
+	WriteTooSlow  Reason = "write_too_slow" // The client didn't read its response in time.
+	EndedMemory   Reason = "ended_memory"   // Ended so that others get its memory.
+	EndedStalled  Reason = "ended_stalled"  // Ended so that others get its connection, or its place among the partly received requests.
+	EndedIdle     Reason = "ended_idle"     // An idle connection that was closed for another one.
 	reasonNothing Reason = ""
 )
 
