--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/entry"
+	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/node"
 	"cassiadeal.example/cassiadeal/internal/settings"
 	"cassiadeal.example/cassiadeal/internal/telemetry"
@@ -60,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(int(s.Limits.MemoryMB))
 	log, err := telemetry.NewLogger(os.Stdout, s.Node.Name, args.LogLevel)
 	if err != nil {
 		return err
@@ -73,6 +76,13 @@
 	return n.Run(ctx)
 }
 
+// limitMemory makes the garbage collector run more often when the heap approaches the memory of the machine, if the settings state it.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(intake.SoftMemoryLimit(memoryMB))
+	}
+}
+
 // logFlushTimeout limits the time for writing the last log lines when the process ends.
 const logFlushTimeout = 200 * time.Millisecond
 
@@ -84,6 +94,7 @@
 		return err
 	}
 	s.MaxIdleConnections = args.MaxIdle
+	limitMemory(s.MemoryMB)
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close(logFlushTimeout)
 	log, err := telemetry.NewLogger(output, s.Node, args.LogLevel)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -26,6 +24,7 @@
 	"cassiadeal.example/cassiadeal/internal/demand"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
+	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
@@ -221,6 +220,7 @@
 		c.refuse(e)
 		return
 	}
+	c.limitWrites()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(s.stopped, cancel)()
@@ -238,16 +238,12 @@
 		limit = c.view.Config.Limits.BodyBytes
 	}
 	stopped := c.endReadWhenStopped()
-	body, err := io.ReadAll(http.MaxBytesReader(recovery.Unwrap(c.w), r.Body, limit))
+	body, err := intake.ReadBody(r, limit, c.bodyTime(), nil)
 	if stopped() {
 		return c.stoppingRefusal()
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return result.New(result.BodyTooLarge, "the body has more than %d bytes", limit)
-	}
 	if err != nil {
-		return result.New(result.BodyIncomplete, "the body could not be read: %v", err)
+		return intake.Refusal(err, limit)
 	}
 	c.req.Body = body
 	return nil
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return fail(true, reader.failure(err))
 	}
-	if _, err := l.Write(c.encodeRequest(replica, lastEventID, l.kept != nil)); err != nil {
+	if err := c.writeRequest(l, c.encodeRequest(replica, lastEventID, l.kept != nil)); err != nil {
 		return fail(true, reader.failure(err))
 	}
 	limited := &io.LimitedReader{R: reader, N: maxResponseHeaderBytes}
@@ -132,7 +132,8 @@
 	return c.opt.Statements.Admit(r.Incarnation().Target(), 1) == statement.NotRefused
 }
 
-// encodeRequest returns the HTTP/1.1 request for the replica, which is asked to close the connection afterwards unless it may be kept.
+// encodeRequest returns the HTTP/1.1 request for the replica, with the body if it is small. The replica is asked to close the connection
+// afterwards unless that may be kept.
 func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string, keep bool) []byte {
 	var b bytes.Buffer
 	b.WriteString(c.req.Method + " " + c.req.URI + " HTTP/1.1\r\nHost: " + c.req.Host + "\r\n")
@@ -146,7 +147,7 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(c.req.Body)
+	b.Write(c.inlineBody())
 	return b.Bytes()
 }
 
@@ -245,6 +246,10 @@
 	if c.ctx.Err() != nil {
 		return // The client disconnected or its deadline passed, which is no failure of the replica.
 	}
+	if sent && c.clientBlocked() {
+		c.opt.Metrics.Retry("client_blocked")
+		return // The replica may have cut off what the client didn't read.
+	}
 	if errors.Is(err, errBarred) {
 		c.opt.Metrics.Retry("target_barred")
 		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key)}).Info(err.Error())
