Claim the repetition of a request on a silent kept connection once

Cause: a read after the claim asked for it again, was denied, and waited for the response until the deadline. Result: TestPathsThatAreLostWhileConnectionsAreKept passes (one of its cases failed in 1 of 1 runs).

--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -211,7 +211,7 @@
 	if limit := c.silenceLimit(); limit > 0 {
 		r.giveUpAt = time.Now().Add(limit)
 	}
-	r.claimRepeat = func() bool { return c.mayRepeat(l.replica) }
+	r.claimRepeat = func() bool { return c.repeat.claimed() || c.mayRepeat(l.replica) }
 	return r, l.SetDeadline(time.Now().Add(ackTimeout))
 }
 
