Give up idle connections to a replica that takes no new ones

Cause: a replica resets new connections while it has too many, and idle ones of this node count among them.

Change: a new connection that fails drops the idle ones to that replica. The line that ends a request has repeated if it was sent again on a new connection.

Measured: tests of kept connections pass with -race.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -393,6 +393,9 @@
 	if c.route != nil {
 		fields["route"], fields["tenant"], fields["waited_ms"] = c.route.Name, c.tenant, c.waited.Milliseconds()
 	}
+	if c.repeat.arrivals() > 0 {
+		fields["repeated"] = true
+	}
 	if c.attempts.lastTarget != "" {
 		fields["target"], fields["why"] = c.attempts.lastTarget, c.attempts.lastFailure
 		c.attempts.heard.AddThrough(fields, "")
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -59,10 +59,14 @@
 // sendNew is send on a connection of its own.
 func (c *call) sendNew(ctx context.Context, replica *fleet.Replica, lastEventID string, ticket *balance.Ticket, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
 	l, err := c.openLink(ctx, replica)
-	if err != nil {
-		return nil, false, err
+	if err == nil {
+		r, sent, err = c.sendOn(ctx, l, replica, lastEventID, ticket, h)
+	}
+	if err != nil && ctx.Err() == nil && !errors.Is(err, errBarred) {
+		// A replica that has too many connections resets new ones, and gets on without the idle ones.
+		c.pool.Drop(poolTarget(replica), connpool.ReasonRefused)
 	}
-	return c.sendOn(ctx, l, replica, lastEventID, ticket, h)
+	return r, sent, err
 }
 
 // sendOn is send on the given connection, once.
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -82,6 +82,7 @@
 	otherID          = "the ID of another request"
 	restarts         = "refuses later requests as another replica"
 	neverAnswers     = "never answers"
+	resetsBeyondOne  = "resets connections beyond the first"
 	// The following end a later request without a response. What comes after it is the request once more, on a new connection.
 	cutsThenRefuses    = "cuts a later request and refuses the next"
 	cutsThenMisdirects = "cuts a later request and answers the next as another replica"
@@ -125,12 +126,16 @@
 const keepAlive5 = "Keep-Alive: timeout=5\r\n"
 
 func (r *keepingReplica) serve(conn *net.TCPConn) {
-	r.open.Add(1)
+	first := r.open.Add(1) == 1
 	defer func() {
 		r.open.Add(-1)
 		r.closedAt.Store(time.Now().UnixNano())
 		conn.Close()
 	}()
+	if r.fault == resetsBeyondOne && !first {
+		_ = conn.SetLinger(0)
+		return
+	}
 	from, previous := bufio.NewReader(conn), ""
 	for later := false; ; later = true {
 		id, stream, err := r.run(from)
@@ -438,14 +443,15 @@
 		t.Run(fmt.Sprintf("reused %v", reused), func(t *testing.T) {
 			t.Parallel()
 			c := quicktest.New(t)
-			fault := silentLater
+			fault := neverAnswers
+			if reused {
+				fault = silentLater
+			}
 			r := newKeepingReplica(t, fault)
 			s := newKeepingServer(t, []*keepingReplica{r}, nil)
 			if reused {
 				_, err := s.ask("stream")
 				c.Assert(err, quicktest.IsNil)
-			} else {
-				r.fault = neverAnswers
 			}
 			conn, err := net.Dial("tcp", s.front.Listener.Addr().String())
 			c.Assert(err, quicktest.IsNil)
@@ -605,3 +611,20 @@
 		}
 	}
 }
+
+// Guards against idle connections that keep a replica from accepting new ones: it resets these while it has too many.
+func TestIdleConnectionsGiveWayToNewOnes(t *testing.T) {
+	c := quicktest.New(t)
+	r := newKeepingReplica(t, resetsBeyondOne)
+	s := newKeepingServer(t, nil, []*keepingReplica{r})
+	_, err := s.ask("safe")
+	c.Assert(err, quicktest.IsNil)
+	_, err = s.ask("unsafe") // It isn't sent on the kept connection.
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(s.pool.Idle(), quicktest.Equals, 0)
+	for r.open.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = s.ask("unsafe")
+	c.Check(err, quicktest.IsNil)
+}
