Limit the Go heap softly where the settings state no memory, too

Change: the soft memory limit is 224 MB without a stated memory, below which no more processor time than before is used. GOMEMLIMIT takes precedence.

--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -67,9 +67,10 @@
 	return n.Run(ctx)
 }
 
-// limitMemory makes the garbage collector run more often when the heap approaches the memory of the machine, if the settings state it.
+// limitMemory makes the garbage collector run more often when the heap approaches the memory of the machine; 0 if the settings state none.
+// GOMEMLIMIT takes precedence.
 func limitMemory(memoryMB int) {
-	if memoryMB > 0 {
+	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(intake.SoftMemoryLimit(memoryMB))
 	}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -108,10 +108,11 @@
 	return int(min(limit.Cur, 1<<20))
 }
 
-// SoftMemoryLimit returns the limit for the Go runtime on a machine: the rest is for the program's own pages and for peaks.
+// SoftMemoryLimit returns the limit for the Go runtime on a machine: the rest is for the program's own pages and for peaks. If the memory isn't
+// stated, it is 7/8 of the default: below that, no more processor time than before is used for garbage.
 func SoftMemoryLimit(memoryMB int) int64 {
 	if memoryMB <= 0 {
-		memoryMB = DefaultMemoryMB
+		return DefaultMemoryMB << 20 * 7 / 8
 	}
 	return int64(memoryMB) << 20 * 3 / 4
 }
