Limit requests that arrive in one piece with an earlier one

Cause: net/http reads up to 4 KB ahead, so Conn.Read doesn't see the head of a request that arrived together with the one before it. Its lines weren't charged, and a body behind it that stalled was neither counted nor ended.

Change: the head is checked and charged again as it was parsed, and a request with a body counts as partly received when its handler starts. TestRequestsBehindOthersAreLimitedToo covers both.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -189,11 +189,7 @@
 
 // beginHead takes the first bytes of a request.
 func (c *Conn) beginHead(p []byte, err error) (int, error) {
-	var limits HeadLimits
-	if c.listener.opt.HeadLimits != nil {
-		limits = c.listener.opt.HeadLimits()
-	}
-	limits = limits.orDefaults()
+	limits := c.headLimits()
 	c.mu.Lock()
 	if c.writeLimited { // For the response to the request before.
 		c.writeLimited = false
@@ -208,6 +204,13 @@
 	return c.readHead(p, err)
 }
 
+func (c *Conn) headLimits() HeadLimits {
+	if c.listener.opt.HeadLimits == nil {
+		return HeadLimits{}.orDefaults()
+	}
+	return c.listener.opt.HeadLimits().orDefaults()
+}
+
 // readHead takes bytes of a head. The deadline is set only if the head isn't complete, which is rare.
 func (c *Conn) readHead(p []byte, err error) (int, error) {
 	if c.head.done {
@@ -223,7 +226,7 @@
 		c.listener.limiter.count(HeadTooLarge)
 		return 0, c.refuseRead(result.New(result.HeadersTooLarge, "the head of the request has more than %d bytes", c.limits.Bytes))
 	}
-	if growErr := c.chargeHead(); growErr != nil {
+	if growErr := c.chargeHead(int64(c.head.requestLine + c.head.fields + c.head.lines*lineBytes)); growErr != nil {
 		return 0, c.refuseRead(noRoom(growErr.Error()))
 	}
 	if !c.head.done {
@@ -241,9 +244,8 @@
 	c.head.scan(p)
 }
 
-// chargeHead charges what the head takes once it is parsed.
-func (c *Conn) chargeHead() error {
-	total := int64(c.head.requestLine + c.head.fields + c.head.lines*lineBytes)
+// chargeHead charges what the head takes in all once it is parsed.
+func (c *Conn) chargeHead(total int64) error {
 	more := total - c.charged
 	if more <= 0 {
 		return nil
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -43,10 +43,10 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if err := c.startRequest(w, r, bodies); err != nil {
-			refusal := noRoom(err.Error())
+		if refusal := c.startRequest(w, r, bodies); refusal != nil {
 			c.noteRefusal(refusal)
 			w.Header().Set("Connection", "close")
+			c.abandon()
 			result.Write(w, refusal)
 			return
 		}
@@ -60,11 +60,45 @@
 	return c
 }
 
-// startRequest records that the head of a request is complete.
-func (c *Conn) startRequest(w http.ResponseWriter, r *http.Request, bodies Bodies) error {
+// startRequest records that the head of a request is complete, and returns a refusal if there is no room for the request.
+func (c *Conn) startRequest(w http.ResponseWriter, r *http.Request, bodies Bodies) *result.Error {
+	if refusal := c.checkParsed(r); refusal != nil {
+		return refusal
+	}
+	if err := c.admit(w, r, bodies); err != nil {
+		return noRoom(err.Error())
+	}
+	return nil
+}
+
+// checkParsed checks and charges a head by what was parsed. Heads that arrived together with an earlier request have not been seen by Read.
+func (c *Conn) checkParsed(r *http.Request) *result.Error {
+	size, lines := 0, 0
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(":\r\n")
+			lines++
+		}
+	}
+	limit := c.headLimits().Bytes
+	if size > limit {
+		c.listener.limiter.count(HeadTooLarge)
+		return result.New(result.HeadersTooLarge, "the head of the request has more than %d bytes", limit)
+	}
+	if err := c.chargeHead(int64(size + lines*lineBytes)); err != nil {
+		return noRoom(err.Error())
+	}
+	return nil
+}
+
+// admit records whether the request is complete.
+func (c *Conn) admit(w http.ResponseWriter, r *http.Request, bodies Bodies) error {
 	hasBody := r.Body != nil && r.Body != http.NoBody
 	if hasBody && bodies != NoBodies {
 		c.setPhase(phaseBody)
+		if err := c.account.Begin(); err != nil {
+			return err
+		}
 		if bodies == AnyBodies {
 			r.Body = &chargedBody{r.Body, c}
 		}
@@ -97,6 +131,7 @@
 	c.account.Finish()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.charged = 0
 	if c.phase == phaseBody { // The body was not read to its end.
 		c.phase = phaseClosing
 		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // As in abandon.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -337,7 +337,7 @@
 	}
 }
 
-// Begin records the first byte of a request.
+// Begin records the first byte of a request. It may be called again while the request is partly received.
 func (a *Account) Begin() error {
 	l := a.limiter
 	l.mu.Lock()
@@ -345,6 +345,9 @@
 	if a.ended || a.closed {
 		return ErrEnded
 	}
+	if a.part {
+		return nil
+	}
 	if l.parts >= l.opt.Bounds.Parts && !l.endStalled(a) {
 		l.count(NoPart)
 		return ErrNoRoom
