Measure the time that a request has waited at this node instead of guessing it

Cause: recordWait took the longest deadline stated for a route minus the present one as the time that the client had waited. First attempts of different clients state deadlines that differ by up to 700 ms, so first attempts counted as late ones. Change: admission uses the time since the request arrived, and waited_ms is the time to the last choice of a target before the first send. The table of longest deadlines is gone. Conclusion: earlier attempts of a client aren't known to a node; nothing on the wire states them.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -84,7 +84,7 @@
 )
 
 // Admission tells whether a request should be refused, because its first event would miss the target latency and its work would
-// delay other requests, and after which delay its client may retry. waited is the time that the client has waited so far, delay
+// delay other requests, and after which delay its client may retry. waited is the time since the request arrived at this node, delay
 // the part of the predicted time that is due to other requests, and unloaded the predicted time for a request of the usual size
 // on an idle group. The size of the request itself doesn't count: otherwise the largest requests would be refused first under
 // load, and never served.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -99,16 +98,12 @@
 	durations drain.Durations // By route.
 	checks    pathChecks
 
-	mu sync.Mutex
-	// longestWait holds the longest deadline that clients have stated, by route. It is taken as the deadline of a first
-	// attempt.
-	longestWait     map[string]time.Duration
-	receivedRequest bool // A request with a known route and key has arrived.
+	receivedRequest atomic.Bool // A request with a known route and key has arrived.
 }
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{},
+	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes),
 		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
@@ -118,11 +113,7 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // HasReceivedRequest tells whether a request has arrived whose route and, unless the route is public, key are known.
-func (s *Server) HasReceivedRequest() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.receivedRequest
-}
+func (s *Server) HasReceivedRequest() bool { return s.receivedRequest.Load() }
 
 // call is the state of one client request.
 type call struct {
@@ -139,8 +130,9 @@
 	// suspect identifies the request apart from its ID: all copies of a request have the same fingerprint.
 	suspect  crash.Request
 	start    time.Time
-	deadline time.Time     // The final response is due by then.
-	waited   time.Duration // Estimated time that the client spent on earlier attempts.
+	deadline time.Time // The final response is due by then.
+	// waited is the time from the arrival of the request at this node to the last choice of a target before its first send.
+	waited   time.Duration
 	attempts attempts
 	progress *progress // Of a stream; nil for other requests.
 }
@@ -263,7 +255,7 @@
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
-	c.waited = c.recordWait(wait)
+	c.receivedRequest.Store(true)
 	if c.route.Timeout > 0 {
 		wait = min(wait, c.route.Timeout)
 	}
@@ -295,18 +287,6 @@
 	return result.New(result.PlatformUnavailable, "%s, and %s", e.Message, doubt).WithRetryAfter(retryAfterUnready)
 }
 
-// recordWait records the stated deadline and returns an estimate of how long the client has waited in earlier attempts. Each
-// attempt states the time that is left, so the estimate is the difference to the longest deadline stated for the route.
-func (c *call) recordWait(wait time.Duration) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.receivedRequest = true
-	if wait > c.longestWait[c.route.Name] {
-		c.longestWait[c.route.Name] = wait
-	}
-	return c.longestWait[c.route.Name] - wait
-}
-
 // pickBackend draws a service at random by the weights of the route.
 func (c *call) pickBackend() string {
 	backends := c.route.Backends
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -133,6 +133,9 @@
 // balanceQuery updates the view of the registry and returns the query to the balance table without the excluded targets.
 func (c *call) balanceQuery(exclude map[balance.Key]bool) balance.Query {
 	c.view = c.opt.Registry.View()
+	if c.attempts.sends == 0 {
+		c.waited = time.Since(c.start)
+	}
 	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
 		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
 		GapTarget: c.route.GapTarget}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -146,7 +146,7 @@
 		return nil, c.unavailable()
 	}
 	unloaded := c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)
-	if wait, late := balance.Admission(c.route.LatencyTarget, c.waited+time.Since(c.start), head.QueueDelay, unloaded); late {
+	if wait, late := balance.Admission(c.route.LatencyTarget, time.Since(c.start), head.QueueDelay, unloaded); late {
 		return nil, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the selected target",
 			c.req.Model, head.FirstEvent.Round(time.Millisecond), head.QueueDelay.Round(time.Millisecond), head.Load.Running, head.Load.UnreadTokens).WithRetryAfter(wait)
 	}
