Let less urgent requests and large accounts give way while a model lacks capacity

Cause: admission knew only the latency target, so that requests with long targets filled the queues of a model until urgent ones were refused. Change: internal/precedence divides the capacity of a model, from the engine's figures, among priorities and accounts. Requests beyond their share are refused early unless they can be served at once; each priority keeps a tenth. Retry-After follows the time in which the excess of the queue drains. Without reports of other nodes this node's counts stand for its share, and the mean queue of the shared loads shows a model that lacks capacity. A counter tells the verdicts by reason. Real replicas: not run. The counts of accounts are a node's own, so verdicts near an account's share differ between nodes; those by priority don't.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/precedence"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
@@ -82,6 +83,8 @@
 	ConfigDoubt func() string
 	// Nodes returns the number of serving nodes, including this one.
 	Nodes func() int
+	// Offered returns the work that clients offer to all nodes; nil to take this node's own for its share of it.
+	Offered func() precedence.Offered
 	// LoadAge returns how old the loads reported by nodes of other failure domains may be.
 	LoadAge func() time.Duration
 }
@@ -97,13 +100,14 @@
 	stop      context.CancelFunc
 	durations drain.Durations // By route.
 	checks    pathChecks
+	offered   *precedence.Counter
 
 	receivedRequest atomic.Bool // A request with a known route and key has arrived.
 }
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes),
+	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), offered: precedence.NewCounter(opt.Clock),
 		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
--- /dev/null
+++ b/internal/edge/precedence.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"time"
+
+	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/precedence"
+	"cassiadeal.example/cassiadeal/internal/result"
+)
+
+// class returns the class of the request. Where the priorities of the routes to the service don't differ, all requests for a model are
+// of one class.
+func (c *call) class() precedence.Class {
+	if !c.hasUrgency {
+		return precedence.Class{Model: c.model.Name}
+	}
+	return precedence.Class{Model: c.model.Name, Priority: c.priority}
+}
+
+// offer counts the request towards what clients offer.
+func (c *call) offer() {
+	if c.model == nil {
+		return
+	}
+	output := c.expectedOutput()
+	work := precedence.Work{ReadTokens: float64(c.req.PromptTokens), WriteTokens: float64(output)}
+	c.offered.Offer(c.class(), c.tenant, c.req.PromptTokens, output, work.Millis(c.service.Engine, c.model.TimeFactor))
+}
+
+// expectedOutput returns the number of output tokens that the response is expected to have.
+func (c *call) expectedOutput() int {
+	expected := int(c.service.Engine.MeanOutputTokens)
+	if c.req.MaxOutput > 0 {
+		expected = min(expected, c.req.MaxOutput)
+	}
+	return expected
+}
+
+// precede decides whether the request gives way to others that are to be served first.
+func (c *call) precede(head *balance.Selection) precedence.Verdict {
+	r := precedence.Request{Class: c.class(), Account: c.tenant, Draw: precedence.DrawOf(c.req.ID), Delay: head.QueueDelay, Target: c.route.LatencyTarget,
+		Unloaded: c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)}
+	if c.hasUrgency {
+		r.UrgentTarget, r.LongestUrgentTarget = c.urgentTargets()
+	}
+	var verdict precedence.Verdict
+	if r.AtOnce() {
+		verdict.Reason = precedence.ReasonAtOnce
+	} else {
+		groups, delay := c.opt.Table.Pressure(c.balanceQuery(nil))
+		verdict = precedence.Decide(r, precedence.Model{Engine: c.service.Engine, TimeFactor: c.model.TimeFactor, Groups: groups, MeanDelay: delay,
+			Offered: c.offeredByAll(), Accounts: c.offered.Accounts(r.Class), OnePriority: !c.hasUrgency})
+	}
+	c.opt.Metrics.Verdict(verdict.Reason)
+	return verdict
+}
+
+// offeredByAll returns the work that clients offer to all nodes.
+func (c *call) offeredByAll() precedence.Offered {
+	if c.opt.Offered != nil {
+		return c.opt.Offered()
+	}
+	return precedence.Offered{Work: c.offered.Local(), Scale: float64(max(c.opt.Nodes(), 1))}
+}
+
+// urgentTargets returns the shortest and the longest latency target of the routes to the service that are more urgent than the request.
+func (c *call) urgentTargets() (shortest, longest time.Duration) {
+	routes := c.view.Config.Routes
+	for i := range routes {
+		r := &routes[i]
+		if r.Priority >= c.priority || r.LatencyTarget <= 0 || !r.LeadsTo(c.service.Name) {
+			continue
+		}
+		longest = max(longest, r.LatencyTarget)
+		if shortest == 0 || r.LatencyTarget < shortest {
+			shortest = r.LatencyTarget
+		}
+	}
+	return shortest, longest
+}
+
+// precedenceRefusal returns the refusal of a request that gives way.
+func (c *call) precedenceRefusal(v precedence.Verdict, head *balance.Selection) *result.Error {
+	return result.New(result.DeadlineUnreachable, "model %q lacks capacity, and the request gives way (%s, priority %d): its first event would be delayed by %v",
+		c.req.Model, v.Reason, c.priority, head.QueueDelay.Round(time.Millisecond)).WithRetryAfter(v.RetryAfter)
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -17,6 +17,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/precedence"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 )
@@ -61,6 +62,7 @@
 	p := &progress{lastEventID: c.req.LastEventID}
 	c.progress = p
 	c.opt.Budget.RecordRequest(c.service.Name)
+	c.offer()
 	for {
 		if refusal := c.crashRefusal(); refusal != nil {
 			c.failStream(p, refusal)
@@ -145,6 +147,12 @@
 	if head == nil {
 		return nil, c.unavailable()
 	}
+	switch verdict := c.precede(head); verdict.Action {
+	case precedence.Go:
+		return head, nil
+	case precedence.Refuse:
+		return nil, c.precedenceRefusal(verdict, head)
+	}
 	unloaded := c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)
 	if wait, late := balance.Admission(c.route.LatencyTarget, time.Since(c.start), head.QueueDelay, unloaded); late {
 		return nil, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the selected target",
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -38,6 +38,16 @@
 	return r.Repeat == RepeatSafe || r.Repeat == RepeatStream && r.Resumable
 }
 
+// LeadsTo tells whether the service gets requests of the route.
+func (r *Route) LeadsTo(service string) bool {
+	for _, b := range r.Backends {
+		if b.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Backend is a service that gets a share of a route's requests.
 type Backend struct {
 	Service string
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -37,13 +37,14 @@
 // targets of 33 ms and 0.42 s.
 var latencyBucketsSeconds = []float64{0.001, 0.0025, 0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.2, 0.3, 0.42, 0.6, 1, 2, 5, 10, 30, 60}
 
-// Metrics holds the metric instruments of one daemon. It is safe for concurrent use. Refusal, Retry, Request and Panic do nothing on a
+// Metrics holds the metric instruments of one daemon. It is safe for concurrent use. Refusal, Retry, Verdict, Request and Panic do nothing on a
 // nil *Metrics.
 type Metrics struct {
 	registry  *prometheus.Registry
 	provider  *sdkmetric.MeterProvider
 	refusals  metric.Int64Counter
 	retries   metric.Int64Counter
+	verdicts  metric.Int64Counter
 	requests  metric.Int64Counter
 	panics    metric.Int64Counter
 	latencies metric.Float64Histogram
@@ -65,6 +66,9 @@
 	if m.retries, err = meter.Int64Counter("cassiadeal_retries", metric.WithDescription("Repeated attempts by reason.")); err != nil {
 		return nil, eris.Wrap(err, "create retries counter")
 	}
+	if m.verdicts, err = meter.Int64Counter("cassiadeal_precedence_verdicts", metric.WithDescription("Decisions on precedence by reason.")); err != nil {
+		return nil, eris.Wrap(err, "create precedence verdicts counter")
+	}
 	if m.requests, err = meter.Int64Counter("cassiadeal_requests", metric.WithDescription("Finished requests by destination and result code.")); err != nil {
 		return nil, eris.Wrap(err, "create requests counter")
 	}
@@ -114,6 +118,13 @@
 	}
 }
 
+// Verdict counts one decision on precedence. The reason must be a constant, as for Retry.
+func (m *Metrics) Verdict(reason string) {
+	if m != nil {
+		m.verdicts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+	}
+}
+
 // Panic counts one recovered panic by the part of the daemon, which must be a constant.
 func (m *Metrics) Panic(where string) {
 	if m != nil {
