Learn how many output tokens requests have

Cause: every request counted as one of the mean length in the configuration, whatever the route, the account or the prompt. Change: internal/cost learns means by route, account and first prompt part, each level starting at the one above it. Hints are weighed by the errors that they have had for the account. Memory is bounded by LRU eviction. edge observes complete streams and uses the expectation in the work that it counts as offered; the log line of a stream has expected_tokens. Conclusion: the choice of heads doesn't use the expectation yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/cost"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
@@ -101,13 +102,14 @@
 	durations drain.Durations // By route.
 	checks    pathChecks
 	offered   *precedence.Counter
+	costs     *cost.Table
 
 	receivedRequest atomic.Bool // A request with a known route and key has arrived.
 }
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), offered: precedence.NewCounter(opt.Clock),
+	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), offered: precedence.NewCounter(opt.Clock), costs: cost.New(0),
 		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
@@ -135,6 +137,7 @@
 	priority   int
 	urgency    int // For replicas; valid if hasUrgency is set.
 	hasUrgency bool
+	output     int // Expected output tokens of a stream of a model.
 	// suspect identifies the request apart from its ID: all copies of a request have the same fingerprint.
 	suspect  crash.Request
 	start    time.Time
--- a/internal/edge/precedence.go
+++ b/internal/edge/precedence.go
@@ -17,23 +17,14 @@
 	return precedence.Class{Model: c.model.Name, Priority: c.priority}
 }
 
-// offer counts the request towards what clients offer.
+// offer estimates the cost of the request and counts it towards what clients offer.
 func (c *call) offer() {
 	if c.model == nil {
 		return
 	}
-	output := c.expectedOutput()
-	work := precedence.Work{ReadTokens: float64(c.req.PromptTokens), WriteTokens: float64(output)}
-	c.offered.Offer(c.class(), c.tenant, c.req.PromptTokens, output, work.Millis(c.service.Engine, c.model.TimeFactor))
-}
-
-// expectedOutput returns the number of output tokens that the response is expected to have.
-func (c *call) expectedOutput() int {
-	expected := int(c.service.Engine.MeanOutputTokens)
-	if c.req.MaxOutput > 0 {
-		expected = min(expected, c.req.MaxOutput)
-	}
-	return expected
+	c.output = c.expectedOutput()
+	work := precedence.Work{ReadTokens: float64(c.req.PromptTokens), WriteTokens: float64(c.output)}
+	c.offered.Offer(c.class(), c.tenant, c.req.PromptTokens, c.output, work.Millis(c.service.Engine, c.model.TimeFactor))
 }
 
 // precede decides whether the request gives way to others that are to be served first.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -86,7 +86,8 @@
 		case streamComplete:
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 			c.durations.Record(c.route.Name, time.Since(c.start))
-			c.logOutcome(outcomeAnswered, "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.FirstEvent.Milliseconds(),
+			c.observeOutput(p.events)
+			c.logOutcome(outcomeAnswered, "the stream is complete", logrus.Fields{"events": p.events, "expected_tokens": c.output, "predicted_ms": head.FirstEvent.Milliseconds(),
 				"first_ms": p.firstEventAfter.Milliseconds(), "gap_ms": p.longestGap.Milliseconds(), "prompt": c.req.PromptTokens,
 				"delay_ms": head.QueueDelay.Milliseconds(), "load": head.Load.Running, "unread": head.Load.UnreadTokens, "model": c.req.Model, "slow": head.SlowFactor})
 			return
