Count the tokens that are left and held at each target

Cause: all running requests of a target counted alike, so that a head whose answers are nearly done looked like one whose answers have just begun, and nothing bounded the memory that prompts and answers take. Change: tickets count the tokens that they expect and have got. TargetLoad has remaining_tokens and held_tokens. The wait for a slot follows the tokens that are left, and a head whose KV cache memory (kv_capacity_tokens) the request would exceed is passed over while another has room. Loads of nodes that report no tokens count with the mean as before. Measured: tests of balance, gossip and platform pass, those of loads and relays in entry too; not run under load.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -14,6 +14,7 @@
 	cost           time.Duration // Predicted time to the first event, plus penalties.
 	costPerRequest time.Duration // What one more request at the head adds to the cost.
 	limited        bool          // Only a few nodes may send to the head, and few requests.
+	memoryFull     bool          // The request would exceed the memory of the group.
 }
 
 // choose draws a head at random. All nodes choose concurrently from loads that lag behind, and would all choose the head with
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -15,11 +15,16 @@
 	Running      int // Requests, including those whose prompt isn't read yet.
 	Waiting      int // Requests without a first event.
 	UnreadTokens int // Prompt tokens of the waiting requests that are predicted not to be read yet.
+	// Measured is the number of Running for which the following tokens are counted; nodes of earlier versions report none.
+	Measured        int
+	RemainingTokens int // Output tokens that are still expected.
+	HeldTokens      int // Tokens of prompts and answers that are held in memory.
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
-	return Load{l.Running + other.Running, l.Waiting + other.Waiting, l.UnreadTokens + other.UnreadTokens}
+	return Load{l.Running + other.Running, l.Waiting + other.Waiting, l.UnreadTokens + other.UnreadTokens, l.Measured + other.Measured,
+		l.RemainingTokens + other.RemainingTokens, l.HeldTokens + other.HeldTokens}
 }
 
 // passMillis returns the milliseconds of the token steps of one pass while the given number of requests generate tokens.
@@ -43,14 +48,14 @@
 
 // FirstEvent predicts the time from the arrival of a request at the head to its first event, from the engine's published
 // figures. Prompts that aren't read yet are read first. Requests beyond the engine's slots wait for a slot, which becomes free
-// when a request of the usual length ends.
+// when a request ends; see answerTokens.
 func FirstEvent(e *fleet.Engine, timeFactor float64, load Load, promptTokens int) time.Duration {
 	generating := min(max(load.Running-load.Waiting, 0), e.Slots)
 	// The request arrives in the middle of a pass, its prompt is read in the next one, and its first event is complete one pass
 	// later.
 	total := readMillis(e, generating, load.UnreadTokens+promptTokens) + float64(promptTokens)*float64(promptTokens)/2e6*e.MsPerMillionPairs + 2.5*passMillis(e, generating)
 	if excess := load.Running + 1 - e.Slots; excess > 0 && e.Slots > 0 {
-		answerMillis := e.MeanOutputTokens / float64(e.Stride) * passMillis(e, e.Slots)
+		answerMillis := answerTokens(e, load) / float64(e.Stride) * passMillis(e, e.Slots)
 		total += answerMillis * float64(excess) / float64(e.Slots)
 	}
 	return fromMillis(timeFactor * total)
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -88,7 +88,7 @@
 func (p *peerReports) add(node string, state PeerState, sign int) {
 	for k, load := range state.Loads {
 		s := p.sumOf(k)
-		s.load = s.load.Add(Load{sign * load.Running, sign * load.Waiting, sign * load.UnreadTokens})
+		s.load = s.load.Add(load.times(sign))
 		if load.Running > 0 || state.SlowFactors[k] > 0 {
 			s.users += sign
 		}
--- a/internal/balance/peers_test.go
+++ b/internal/balance/peers_test.go
@@ -21,7 +21,7 @@
 			state := PeerState{Loads: map[Key]Load{}, Suspected: map[Key]bool{}, SlowFactors: map[Key]float64{}}
 			for _, k := range keys {
 				if rapid.Bool().Draw(rt, "has load") {
-					state.Loads[k] = Load{rapid.IntRange(0, 2).Draw(rt, "running"), 1, 100}
+					state.Loads[k] = Load{Running: rapid.IntRange(0, 2).Draw(rt, "running"), Waiting: 1, UnreadTokens: 100}
 				}
 				if rapid.IntRange(0, 3).Draw(rt, "suspected") == 0 {
 					state.Suspected[k] = true
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -132,12 +132,16 @@
 	engine     *fleet.Engine
 	timeFactor float64
 	lastEvent  clock.Time // Newest event; 0 before the first.
+	answer     answer
 }
 
 // localLoad returns the load that this node has put on the target.
 func (s *targetState) localLoad(now clock.Time) Load {
 	l := s.load
 	for ticket := range s.tickets {
+		if !ticket.setAside {
+			ticket.addWork(&l)
+		}
 		if !ticket.started && !ticket.stranded && (ticket.readBy == 0 || now < ticket.readBy) {
 			l.UnreadTokens += ticket.promptTokens
 		}
@@ -201,6 +205,9 @@
 	s.wayEvents[k.through] = now
 	k.table.heard[k.key] = now
 	k.markStartedLocked(s)
+	if k.engine != nil {
+		k.answer.written += k.engine.Stride // An event holds the tokens of one pass.
+	}
 	stranded := k.stranded
 	k.stranded = false
 	if k.lastEvent != 0 && k.engine != nil && !stranded {
@@ -526,6 +533,7 @@
 	Service      *fleet.Service
 	Model        *fleet.Model
 	PromptTokens int
+	OutputTokens int    // Expected; 0 if unknown.
 	Zone         string // Failure domain of this node.
 	Exclude      map[Key]bool
 	// Refused reports whether what a replica has stated in responses keeps the request from it; nil for never.
@@ -567,7 +575,7 @@
 		}
 		candidates = append(candidates, t.candidateLocked(r, k, q, now))
 	}
-	return choose(candidates, t.arrivalsLocked(q, now))
+	return choose(withRoom(candidates), t.arrivalsLocked(q, now))
 }
 
 // arrivalsLocked estimates how many requests all nodes send to the heads of the model within half of LoadAge, if each node
@@ -603,7 +611,8 @@
 	}
 	costPerRequest := time.Duration(slowFactor * float64(delayPerRequest(q.Service.Engine, q.Model.TimeFactor)))
 	return candidate{&Selection{Replica: r, Key: k, Load: load, FirstEvent: first, QueueDelay: first - predict(Load{}), SlowFactor: slowFactor,
-		engine: q.Service.Engine, model: q.Model.Name, timeFactor: q.Model.TimeFactor}, cost, costPerRequest, q.limits(r)}
+		engine: q.Service.Engine, model: q.Model.Name, timeFactor: q.Model.TimeFactor}, cost, costPerRequest, q.limits(r),
+		exceedsMemory(q.Service.Engine, load, q.PromptTokens, q.OutputTokens)}
 }
 
 // PickPlain returns the plain replica with the least load for its slots, preferably in this failure domain, or nil.
@@ -637,39 +646,6 @@
 	return selected
 }
 
-// coldLimitReachedLocked tells whether this node's share of a cold replica's request rate is used up.
-func (t *Table) coldLimitReachedLocked(r *fleet.Replica, q Query, now clock.Time) bool {
-	until, cold := q.View.ColdUntil[r.ID]
-	if !cold || now >= until || q.Service.ColdPerSecond <= 0 {
-		return false
-	}
-	return float64(len(t.recentColdSendsLocked(r.ID, now)))+1 > q.Service.ColdPerSecond*q.ColdShare
-}
-
-func (t *Table) recentColdSendsLocked(id string, now clock.Time) []clock.Time {
-	sends := t.coldSends[id]
-	for len(sends) > 0 && now.Sub(sends[0]) > time.Second {
-		sends = sends[1:]
-	}
-	if len(sends) == 0 {
-		delete(t.coldSends, id)
-		return nil
-	}
-	t.coldSends[id] = sends
-	return sends
-}
-
-// CountColdSend counts a send towards the rate limit of the replica if it is cold.
-func (t *Table) CountColdSend(r *fleet.Replica, v *fleet.View) {
-	if _, cold := v.ColdUntil[r.ID]; !cold {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	t.coldSends[r.ID] = append(t.recentColdSendsLocked(r.ID, now), now)
-}
-
 // UnloadedFirstEvent returns the predicted time to the first event for a request of the usual size on an idle group.
 func (t *Table) UnloadedFirstEvent(e *fleet.Engine, m *fleet.Model) time.Duration {
 	t.mu.Lock()
--- a/internal/edge/cost.go
+++ b/internal/edge/cost.go
@@ -1,6 +1,9 @@
 package edge
 
-import "cassiadeal.example/cassiadeal/internal/cost"
+import (
+	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/cost"
+)
 
 // costKind returns what the length of the answer is expected from.
 func (c *call) costKind() cost.Kind {
@@ -23,3 +26,15 @@
 		c.costs.Observe(c.costKind(), events*c.service.Engine.Stride)
 	}
 }
+
+// expectRest tells the ticket of a send which part of the answer is still to come.
+func (c *call) expectRest(ticket *balance.Ticket, p *progress) {
+	if c.model == nil || c.output <= 0 {
+		return
+	}
+	written, maxOutput := p.events*c.service.Engine.Stride, c.req.MaxOutput
+	if maxOutput > 0 {
+		maxOutput = max(maxOutput-written, 1)
+	}
+	ticket.ExpectOutput(max(c.output-written, 1), maxOutput)
+}
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -137,7 +137,7 @@
 	if c.attempts.sends == 0 {
 		c.waited = time.Since(c.start)
 	}
-	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
+	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, OutputTokens: c.output, Zone: c.opt.Zone,
 		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
 		GapTarget: c.route.GapTarget}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -189,6 +189,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.opt.Table.CountColdSend(head.Replica, c.view)
 	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), heard: lastheard.New(), cancel: cancel}
+	c.expectRest(s.ticket, p)
 	go c.receiveRecovered(ctx, s, p.lastEventID, p.headerWritten, steps)
 	return s
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -166,8 +166,9 @@
 		if age, heard := ages[k]; heard {
 			heardMs = uint32(min(age.Milliseconds(), neverHeardMs-1))
 		}
+		remaining, held := l.ReportedTokens()
 		list = append(list, &schema.TargetLoad{Target: string(k), Running: uint32(l.Running), Waiting: uint32(l.Waiting),
-			UnreadTokens: uint32(l.UnreadTokens), HeardMs: heardMs})
+			UnreadTokens: uint32(l.UnreadTokens), HeardMs: heardMs, RemainingTokens: uint32(remaining), HeldTokens: uint32(held)})
 	}
 	return list
 }
@@ -176,7 +177,8 @@
 	loads, ages := make(map[balance.Key]balance.Load, len(list)), make(map[balance.Key]time.Duration, len(list))
 	for _, l := range list {
 		k := balance.Key(l.Target)
-		loads[k] = balance.Load{Running: int(l.Running), Waiting: int(l.Waiting), UnreadTokens: int(l.UnreadTokens)}
+		loads[k] = balance.Load{Running: int(l.Running), Waiting: int(l.Waiting), UnreadTokens: int(l.UnreadTokens)}.
+			WithReported(int(l.RemainingTokens), int(l.HeldTokens))
 		if l.HeardMs < neverHeardMs {
 			ages[k] = time.Duration(l.HeardMs) * time.Millisecond
 		}
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -98,3 +98,13 @@
 	c.Check(decoded, quicktest.DeepEquals, loads)
 	c.Check(ages, quicktest.DeepEquals, map[balance.Key]time.Duration{"heard": 340 * time.Millisecond})
 }
+
+// Guards against tokens that are lost between nodes, and against a node of the previous version whose requests count as finished.
+func TestLoadsTellOfTheTokensLeft(t *testing.T) {
+	c := quicktest.New(t)
+	loads := map[balance.Key]balance.Load{"new": {Running: 2, Waiting: 1, Measured: 2, RemainingTokens: 300, HeldTokens: 2900}, "old": {Running: 3}}
+	decoded, _ := decodeLoads(encodeLoads(loads, nil))
+	c.Check(decoded, quicktest.DeepEquals, loads)
+	decoded, _ = decodeLoads([]*schema.TargetLoad{{Target: "old", Running: 3, Waiting: 1, UnreadTokens: 700, HeardMs: 10}})
+	c.Check(decoded["old"], quicktest.Equals, balance.Load{Running: 3, Waiting: 1, UnreadTokens: 700})
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -79,6 +79,7 @@
 	LoadsAtOnce       int           // Weight loads that can run in parallel without slowing each other down.
 	MeanPromptTokens  int           // Mean prompt tokens of a request.
 	MeanOutputTokens  float64       // Mean output tokens of a request.
+	KVCapacityTokens  int           // Tokens that a group can hold in memory (KV cache); 0 if it isn't stated.
 }
 
 // Model returns the model with the name, or nil.
