Predict passes that read several chunks

Cause: each chunk of unread prompts counted as a further step before the first event, although the steps of one pass read up to stride chunks; Gap counted one chunk a pass. Change: a prompt that is read in the same pass as others costs their reading time, and a further pass beyond stride chunks. Gap counts up to stride chunks. The time until a prompt is read still counts steps.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -32,18 +32,22 @@
 	return float64(e.Stride) * (e.StepMs + e.StepMsPerRequest*float64(generating))
 }
 
-// Gap returns the time between two events of a stream under the load. An event holds the tokens of one pass. Here and in the
+// Gap returns the time between two events of a stream under the load. An event holds the tokens of one pass, which reads up to stride chunks
+// of prompts while the generating requests wait. Here and in the
 // other predictions, timeFactor is the factor of the model, times the slow factor of the target where that is considered.
 func Gap(e *fleet.Engine, timeFactor float64, load Load) time.Duration {
-	promptMillis := math.Min(float64(load.UnreadTokens), float64(e.Chunk)) / max(e.PromptTokensPerMs, 1e-9)
+	promptMillis := readMillis(e, min(load.UnreadTokens, e.Stride*e.Chunk))
 	return fromMillis(timeFactor * (promptMillis + passMillis(e, load.Running)))
 }
 
-// readMillis returns the milliseconds that a group takes to read the tokens while the given number of requests generate tokens.
-// Each step reads at most one chunk.
-func readMillis(e *fleet.Engine, generating, tokens int) float64 {
-	steps := math.Ceil(float64(tokens) / float64(e.Chunk))
-	return float64(tokens)/max(e.PromptTokensPerMs, 1e-9) + max(steps-1, 0)*passMillis(e, generating)/float64(e.Stride)
+// readMillis returns the milliseconds that a group takes to read the tokens.
+func readMillis(e *fleet.Engine, tokens int) float64 {
+	return float64(tokens) / max(e.PromptTokensPerMs, 1e-9)
+}
+
+// chunksBefore returns the number of whole chunks that are read before the last of the tokens.
+func chunksBefore(e *fleet.Engine, tokens int) float64 {
+	return max(math.Ceil(float64(tokens)/float64(e.Chunk))-1, 0)
 }
 
 // FirstEvent predicts the time from the arrival of a request at the head to its first event, from the engine's published
@@ -52,8 +56,10 @@
 func FirstEvent(e *fleet.Engine, timeFactor float64, load Load, promptTokens int) time.Duration {
 	generating := min(max(load.Running-load.Waiting, 0), e.Slots)
 	// The request arrives in the middle of a pass, its prompt is read in the next one, and its first event is complete one pass
-	// later.
-	total := readMillis(e, generating, load.UnreadTokens+promptTokens) + float64(promptTokens)*float64(promptTokens)/2e6*e.MsPerMillionPairs + 2.5*passMillis(e, generating)
+	// later. Each step of a pass reads a chunk, so that further passes are needed only beyond stride chunks.
+	tokens := load.UnreadTokens + promptTokens
+	passes := 2.5 + math.Floor(chunksBefore(e, tokens)/float64(e.Stride))
+	total := readMillis(e, tokens) + float64(promptTokens)*float64(promptTokens)/2e6*e.MsPerMillionPairs + passes*passMillis(e, generating)
 	if excess := load.Running + 1 - e.Slots; excess > 0 && e.Slots > 0 {
 		answerMillis := answerTokens(e, load) / float64(e.Stride) * passMillis(e, e.Slots)
 		total += answerMillis * float64(excess) / float64(e.Slots)
@@ -71,7 +77,9 @@
 // ReadTime predicts the time from the arrival of a prompt at the head until it is read.
 func ReadTime(e *fleet.Engine, timeFactor float64, load Load, promptTokens int) time.Duration {
 	generating := min(max(load.Running-load.Waiting, 0), e.Slots)
-	return fromMillis(timeFactor * (readMillis(e, generating, load.UnreadTokens+promptTokens) + passMillis(e, generating)/2))
+	tokens := load.UnreadTokens + promptTokens
+	steps := chunksBefore(e, tokens) + float64(e.Stride)/2 // The request arrives in the middle of a pass.
+	return fromMillis(timeFactor * (readMillis(e, tokens) + steps*passMillis(e, generating)/float64(e.Stride)))
 }
 
 func fromMillis(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
