Let small differences of speed count a little in the choice of heads

Cause: a target that is less than 1.6 times slower than the median of its model counted as equal to the others. Change: a slowdown over more events (weight 0.01 in place of 0.05), without those between which prompts were read, adds half of a difference from 1.1 to 1.6 to the cost of a head at the node that measured it. Predictions, admission and reports to other nodes don't depend on it.

--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -31,12 +31,16 @@
 	ratio     float64
 	events    int
 	lastEvent clock.Time // Newest event.
+	steady    steadySlowdown
 }
 
-func (s *slowdown) record(ratio float64, now clock.Time) {
+func (s *slowdown) record(ratio float64, reading bool, now clock.Time) {
 	s.events++
 	s.lastEvent = now
 	s.ratio += (ratio - s.ratio) * max(slowdownWeight, 1/float64(s.events))
+	if !reading {
+		s.steady.record(ratio)
+	}
 }
 
 func (s *slowdown) known(now clock.Time) bool {
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -102,12 +102,13 @@
 	overheads map[string]*overhead    // By model.
 	rates     map[string]*rate        // Of this node's sends, by model.
 	medians   map[string]median       // Of the measured slowdowns, by model.
+	steady    map[string]median       // The same of the steady ones.
 }
 
 // NewTable returns an empty table.
 func NewTable(c clock.Clock) *Table {
 	return &Table{clock: c, targets: map[Key]*targetState{}, peers: newPeerReports(), lastSweep: c.Now(), heard: map[Key]clock.Time{},
-		coldSends: map[string][]clock.Time{}, overheads: map[string]*overhead{}, medians: map[string]median{}, rates: map[string]*rate{}}
+		coldSends: map[string][]clock.Time{}, overheads: map[string]*overhead{}, medians: map[string]median{}, steady: map[string]median{}, rates: map[string]*rate{}}
 }
 
 // Ticket is one request at a target, from its sending to its end.
@@ -211,8 +212,9 @@
 	stranded := k.stranded
 	k.stranded = false
 	if k.lastEvent != 0 && k.engine != nil && !stranded {
-		expected := k.timeFactor * passMillis(k.engine, k.table.loadLocked(k.key, now).Running)
-		s.slowdown.record(float64(now.Sub(k.lastEvent))/float64(time.Millisecond)/max(expected, 1), now)
+		load := k.table.loadLocked(k.key, now)
+		expected := k.timeFactor * passMillis(k.engine, load.Running)
+		s.slowdown.record(float64(now.Sub(k.lastEvent))/float64(time.Millisecond)/max(expected, 1), load.UnreadTokens > 0, now)
 	}
 	k.lastEvent = now
 }
@@ -596,7 +598,7 @@
 		return time.Duration(slowFactor * float64(first))
 	}
 	first := predict(load)
-	cost := first
+	cost := time.Duration(t.smallFactorLocked(k, now) * float64(first))
 	if gap := Gap(q.Service.Engine, slowFactor*q.Model.TimeFactor, load); slowFactor > 1 && q.GapTarget > 0 && gap > q.GapTarget {
 		cost += gap // The response would be late even if its first event is on time.
 	}
