Decide precedence for requests without an ID, account or reading speed

Cause: requests without an ID had one draw for all, those of public routes counted as one large account, an engine without a configured reading speed was always short, and the floor of the most urgent work of a model went on beyond its own target. Change: a random draw without an ID; public requests aren't levelled; an unknown speed weighs nothing; only less urgent work has the longer limit of the floor. Measured: tests of precedence pass, and those of edge for precedence, urgency, lengths and waiting time.

--- a/internal/edge/precedence.go
+++ b/internal/edge/precedence.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
@@ -29,7 +30,7 @@
 
 // precede decides whether the request gives way to others that are to be served first.
 func (c *call) precede(head *balance.Selection) precedence.Verdict {
-	r := precedence.Request{Class: c.class(), Account: c.tenant, Draw: precedence.DrawOf(c.req.ID), Delay: head.QueueDelay, Target: c.route.LatencyTarget,
+	r := precedence.Request{Class: c.class(), Account: c.tenant, Draw: c.draw(), Delay: head.QueueDelay, Target: c.route.LatencyTarget,
 		Unloaded: c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)}
 	if c.hasUrgency {
 		r.UrgentTarget, r.LongestUrgentTarget = c.urgentTargets()
@@ -46,6 +47,14 @@
 	return verdict
 }
 
+// draw returns the request's draw. Requests without an ID would all have the same one.
+func (c *call) draw() float64 {
+	if c.req.ID == "" {
+		return rand.Float64()
+	}
+	return precedence.DrawOf(c.req.ID)
+}
+
 // offeredByAll returns the work that clients offer to all nodes.
 func (c *call) offeredByAll() precedence.Offered {
 	if c.opt.Offered != nil {
--- a/internal/precedence/precedence.go
+++ b/internal/precedence/precedence.go
@@ -123,7 +123,7 @@
 	}
 	share, overAccount := accountShare(r.Account, m.Accounts, class)
 	switch {
-	case r.Draw < class.floor && r.Delay <= time.Duration(toleratedDelay*float64(r.LongestUrgentTarget)):
+	case r.Draw < class.floor && !class.first && r.Delay <= time.Duration(toleratedDelay*float64(r.LongestUrgentTarget)):
 		return Verdict{Action: Go, Reason: ReasonFloor}
 	case r.Draw < class.floor:
 		return Verdict{Reason: ReasonFloor}
--- a/internal/precedence/precedence_test.go
+++ b/internal/precedence/precedence_test.go
@@ -138,3 +138,28 @@
 	manual.Advance(2*accountRetention + time.Second)
 	c.Check(counter.Accounts(largeTrail), qt.HasLen, 0)
 }
+
+// Guards against requests of public routes that count as one large account, and against a speed of reading that isn't configured.
+func TestRequestsWithoutAccount(t *testing.T) {
+	c := qt.New(t)
+	accounts := []AccountWork{{"", 1000, 90_000}, {"a", 10, 900}, {"b", 10, 900}}
+	share, over := accountShare("", accounts, classShare{short: true, first: true, share: 0.5})
+	c.Check(share, qt.Equals, 1.0)
+	c.Check(over, qt.IsFalse)
+	share, over = accountShare("c", append(accounts, AccountWork{"c", 1000, 90_000}), classShare{short: true, share: 0.5})
+	c.Check(share < 0.5, qt.IsTrue)
+	c.Check(over, qt.IsTrue)
+	c.Check(Work{ReadTokens: 1000}.Millis(&fleet.Engine{}, 1), qt.Equals, 0.0)
+}
+
+// Load: the most urgent priority alone at twice the capacity, on a model that the routes with more urgent priorities don't use. Guards against
+// requests of it that go on beyond their own target, or give way to none.
+func TestMostUrgentWorkOfAModelIsDecidedByItsQueue(t *testing.T) {
+	for draw := 0.0; draw < 1; draw += 0.05 {
+		r := Request{Class: largeTrail, Account: "a", Draw: draw, Delay: 260 * time.Millisecond, Target: 300 * time.Millisecond, Unloaded: 120 * time.Millisecond,
+			UrgentTarget: 250 * time.Millisecond, LongestUrgentTarget: 250 * time.Millisecond}
+		v := Decide(r, Model{Engine: testEngine(), TimeFactor: 1, Groups: 6, MeanDelay: 260 * time.Millisecond,
+			Offered: Offered{map[Class]Work{largeTrail: offered(170, 1460, 175), largeDigest: offered(16, 2000, 21)}, 1}})
+		qt.Assert(t, v.Action, qt.Equals, Default, qt.Commentf("draw %g: %s", draw, v.Reason))
+	}
+}
--- a/internal/precedence/share.go
+++ b/internal/precedence/share.go
@@ -29,7 +29,11 @@
 func (w Work) Millis(e *fleet.Engine, timeFactor float64) float64 {
 	slots := float64(max(e.Slots, 1))
 	perToken := (e.StepMs + e.StepMsPerRequest*slots) / slots
-	return timeFactor * (w.ReadTokens/max(e.PromptTokensPerMs, 1e-9) + w.WriteTokens*perToken)
+	read := 0.0
+	if e.PromptTokensPerMs > 0 { // Otherwise the configuration states no speed, and reading can't be weighed.
+		read = w.ReadTokens / e.PromptTokensPerMs
+	}
+	return timeFactor * (read + w.WriteTokens*perToken)
 }
 
 // classShare is what the priorities of a model get of its capacity.
@@ -144,7 +148,7 @@
 			own = a
 		}
 	}
-	if own.Millis <= 0 {
+	if account == "" || own.Millis <= 0 { // Requests on public routes belong to no account.
 		return unaffected, false
 	}
 	level := fairLevel(accounts, class.share*total)
