--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,8 +20,10 @@
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/clock"
+	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/cost"
 	"cassiadeal.example/cassiadeal/internal/crash"
+	"cassiadeal.example/cassiadeal/internal/demand"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
@@ -68,10 +70,14 @@
 	Table    *balance.Table
 	Budget   *retry.Budget
 	Crashes  *crash.Table
+	// Demand counts the requests that arrive; nil if they aren't counted.
+	Demand *demand.Table
 	// Statements holds what replicas state about themselves in their responses.
 	Statements *statement.Table
 	// Paths opens the connections to replicas; nil for direct ones only.
 	Paths *reach.Paths
+	// Pool keeps connections to replicas for later requests; nil to keep none.
+	Pool *connpool.Pool
 	// OnBlocked is called when a crash has been recorded after which requests are refused. It must not block.
 	OnBlocked func()
 	Clock     clock.Clock
@@ -84,8 +90,6 @@
 	ConfigDoubt func() string
 	// Nodes returns the number of serving nodes, including this one.
 	Nodes func() int
-	// Offered returns the work that clients offer to all nodes; nil to take this node's own for its share of it.
-	Offered func() precedence.Offered
 	// LoadAge returns how old the loads reported by nodes of other failure domains may be.
 	LoadAge func() time.Duration
 }
@@ -95,6 +99,7 @@
 	opt      Options
 	inFlight atomic.Int64
 	buffers  *buffer.Budget
+	pool     *connpool.Pool
 	// drainEnd is when a draining server ends; nil before it drains. stopped ends at that time.
 	drainEnd  atomic.Pointer[time.Time]
 	stopped   context.Context
@@ -109,7 +114,10 @@
 
 // New returns a Server.
 func New(opt Options) *Server {
-	s := &Server{opt: opt, buffers: buffer.NewBudget(sharedBufferBytes), offered: precedence.NewCounter(opt.Clock), costs: cost.New(0),
+	if opt.Pool == nil {
+		opt.Pool = connpool.Disabled(opt.Clock)
+	}
+	s := &Server{opt: opt, pool: opt.Pool, buffers: buffer.NewBudget(sharedBufferBytes), offered: precedence.NewCounter(opt.Clock), costs: cost.New(0),
 		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
@@ -133,11 +141,11 @@
 	service *fleet.Service
 	model   *fleet.Model // Nil for plain services.
 	tenant  string
-	// priority is that of the client account, if it has one, and otherwise the route's; 0 is the most urgent one.
-	priority   int
-	urgency    int // For replicas; valid if hasUrgency is set.
-	hasUrgency bool
-	output     int // Expected output tokens of a stream of a model.
+	// effectivePriority is that of the client account, if it has one, and otherwise the route's; 0 is the most urgent one.
+	effectivePriority int
+	urgency           int // For replicas; valid if hasUrgency is set.
+	hasUrgency        bool
+	output            int // Expected output tokens of a stream of a model.
 	// suspect identifies the request apart from its ID: all copies of a request have the same fingerprint.
 	suspect  crash.Request
 	start    time.Time
@@ -145,6 +153,7 @@
 	// waited is the time from the arrival of the request at this node to the last choice of a target before its first send.
 	waited   time.Duration
 	attempts attempts
+	repeat   repeatState
 	progress *progress // Of a stream; nil for other requests.
 }
 
@@ -208,6 +217,7 @@
 		c.refuse(e)
 		return
 	}
+	c.offerDemand()
 	if e := c.limitToDrain(); e != nil {
 		c.refuse(e)
 		return
@@ -254,13 +264,13 @@
 	if c.route == nil {
 		return c.refusalForUnknown(result.New(result.NotFound, "no route for host %q and path %q in configuration version %d", c.req.Host, c.req.Path, cfg.Version))
 	}
-	c.priority = c.route.Priority
+	c.effectivePriority = c.route.Priority
 	if cfg.Tenants != nil && !c.route.Public {
 		account, known := cfg.Tenants[c.req.Key]
 		if !known {
 			return c.refusalForUnknown(result.New(result.UnknownAccount, "the API key belongs to no client account in configuration version %d", cfg.Version))
 		}
-		c.tenant, c.priority = account.Name, fleet.EffectivePriority(c.route, account)
+		c.tenant, c.effectivePriority = account.Name, fleet.EffectivePriority(c.route, account)
 	}
 	c.suspect = suspectOf(c.tenant, c.req)
 	wait := c.req.Deadline
@@ -276,7 +286,7 @@
 	if c.service == nil {
 		return result.New(result.NoTarget, "the configuration has no service for route %q", c.route.Name).WithRetryAfter(retryAfterUnready)
 	}
-	c.urgency, c.hasUrgency = fleet.Urgency(cfg.Priorities(c.service.Name), c.priority)
+	c.urgency, c.hasUrgency = fleet.Urgency(cfg.Priorities(c.service.Name), c.effectivePriority)
 	if e := c.service.Engine; e != nil {
 		if c.model = e.Model(c.req.Model); c.model == nil {
 			return result.New(result.BadRequest, "service %q has no model %q", c.service.Name, c.req.Model)
--- a/internal/edge/precedence.go
+++ b/internal/edge/precedence.go
@@ -15,7 +15,7 @@
 	if !c.hasUrgency {
 		return precedence.Class{Model: c.model.Name}
 	}
-	return precedence.Class{Model: c.model.Name, Priority: c.priority}
+	return precedence.Class{Model: c.model.Name, Priority: c.effectivePriority}
 }
 
 // offer estimates the cost of the request and counts it towards what clients offer.
@@ -55,12 +55,17 @@
 	return precedence.DrawOf(c.req.ID)
 }
 
-// offeredByAll returns the work that clients offer to all nodes.
+// offeredByAll returns the work that clients offer to all nodes, as far as they report it.
 func (c *call) offeredByAll() precedence.Offered {
-	if c.opt.Offered != nil {
-		return c.opt.Offered()
+	nodes := float64(max(c.opt.Nodes(), 1))
+	if c.opt.Demand == nil {
+		return precedence.Offered{Work: c.offered.Local(), Scale: nodes}
 	}
-	return precedence.Offered{Work: c.offered.Local(), Scale: float64(max(c.opt.Nodes(), 1))}
+	work := map[precedence.Class]precedence.Work{}
+	for class, w := range c.opt.Demand.Total() {
+		work[precedence.Class(class)] = precedence.Work(w)
+	}
+	return precedence.Offered{Work: work, Scale: max(nodes/float64(c.opt.Demand.Reporting()+1), 1)}
 }
 
 // urgentTargets returns the shortest and the longest latency target of the routes to the service that are more urgent than the request.
@@ -68,7 +73,7 @@
 	routes := c.view.Config.Routes
 	for i := range routes {
 		r := &routes[i]
-		if r.Priority >= c.priority || r.LatencyTarget <= 0 || !r.LeadsTo(c.service.Name) {
+		if r.Priority >= c.effectivePriority || r.LatencyTarget <= 0 || !r.LeadsTo(c.service.Name) {
 			continue
 		}
 		longest = max(longest, r.LatencyTarget)
@@ -82,5 +87,5 @@
 // precedenceRefusal returns the refusal of a request that gives way.
 func (c *call) precedenceRefusal(v precedence.Verdict, head *balance.Selection) *result.Error {
 	return result.New(result.DeadlineUnreachable, "model %q lacks capacity, and the request gives way (%s, priority %d): its first event would be delayed by %v",
-		c.req.Model, v.Reason, c.priority, head.QueueDelay.Round(time.Millisecond)).WithRetryAfter(v.RetryAfter)
+		c.req.Model, v.Reason, c.effectivePriority, head.QueueDelay.Round(time.Millisecond)).WithRetryAfter(v.RetryAfter)
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -111,7 +111,7 @@
 // admit selects the target of the next send. It returns nil if there is none; the refusal, if any, applies only while no send
 // may have run.
 func (c *call) admit(exclude map[balance.Key]bool, p *progress) (*balance.Selection, *result.Error) {
-	if c.attempts.sends >= maxSends || c.attempts.maybeRun >= c.route.MaxAttempts {
+	if c.attempts.sends >= maxSends || c.attempts.maybeRun+c.repeat.arrivals() >= c.route.MaxAttempts {
 		return nil, nil
 	}
 	if c.model == nil {
@@ -203,7 +203,7 @@
 // alternative selects a head that may go on with a stream for which only the given targets, one or more, are still asked, and counts it as a
 // retry. It returns nil if there is none, or if one of them may still send events: it isn't suspected of having stalled, and the way to it isn't
 // lost. One to which the way is lost may be asked again, on another way.
-func (c *call) alternative(asked []*streamSend, exclude map[balance.Key]bool, p *progress) *balance.Selection {
+func (c *call) alternative(asked []*streamSend, exclude map[balance.Key]bool, p *progress) (head *balance.Selection) {
 	for _, s := range asked {
 		stranded := s.ticket.Stranded()
 		if !stranded && !c.opt.Table.Suspected(s.head.Key) {
@@ -213,8 +213,15 @@
 			delete(exclude, s.head.Key)
 		}
 	}
+	if c.repeat.close() {
+		defer func() {
+			if head == nil {
+				c.repeat.reopen()
+			}
+		}()
+	}
 	c.attempts.readmit(exclude)
-	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked) >= c.route.MaxAttempts ||
+	if c.model == nil || p.unnumbered || !c.route.Idempotent() || c.attempts.maybeRun+len(asked)+c.repeat.arrivals() >= c.route.MaxAttempts ||
 		c.attempts.sends >= maxSends || c.opt.Table.PickHead(c.balanceQuery(exclude)) == nil ||
 		!c.allowRetry(retry.ReasonStreamIncomplete) {
 		return nil
@@ -543,6 +550,7 @@
 			emit(streamStep{sent: true, err: err})
 			return
 		}
+		r.release()
 		if emit(streamStep{response: r, body: body.Bytes(), sent: true}) {
 			<-ctx.Done() // The body is being written until then.
 		}
@@ -567,6 +575,9 @@
 		}
 		if err != nil {
 			event.Release()
+			if errors.Is(err, io.EOF) {
+				r.release()
+			}
 			emit(streamStep{sent: true, err: err})
 			return
 		}
--- a/internal/precedence/precedence.go
+++ b/internal/precedence/precedence.go
@@ -37,8 +37,8 @@
 // Offered is the work that clients offer.
 type Offered struct {
 	Work map[Class]Work
-	// Scale is the factor from Work to the work of all nodes: 1 if all nodes have reported, and the number of nodes if only this node's
-	// own requests are counted.
+	// Scale is the factor from Work to the work of all nodes: 1 if all nodes have reported, and the number of nodes if only this node
+	// has.
 	Scale float64
 }
 
