Explain where a request would go now, and why

Cause: operators could only tell afterwards, from logs, why a request went to a target or was refused. Change: cassiadeal explain asks a node at its metrics listener. The node decides with the same functions as for clients (PickHead, judge) and sends and counts nothing; it also lists the heads with their loads and why some are left out. selectHead's decision is judge now, which counts nothing itself, and PickHead takes the reasons to leave a head out from the function that explains them. Measured: tests of edge for explanations, of cli and of balance pass. One run of internal/cli failed because another process accepted connections at 127.0.0.1:1 for a while, which the tests take as unreachable; three later runs passed. Conclusion: the answer holds for one node and moment.

--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -575,7 +575,7 @@
 			continue
 		}
 		k := KeyOf(r)
-		if s := t.targets[k]; q.Exclude[k] || q.refuses(r) || !q.Suspected && t.suspectedLocked(k, now) || t.coldLimitReachedLocked(r, q, now) || s != nil && now < s.fullUntil {
+		if t.leftOutLocked(r, k, q, now) != "" {
 			continue
 		}
 		candidates = append(candidates, t.candidateLocked(r, k, q, now))
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,14 +46,15 @@
 }
 
 type arguments struct {
-	Check     *checkCommand  `arg:"subcommand:check" help:"check a rules file, and with --node against the VM list"`
-	Diff      *diffCommand   `arg:"subcommand:diff" help:"show how a rules file differs from the one in force, or from another file"`
-	Apply     *applyCommand  `arg:"subcommand:apply" help:"put a rules file into force everywhere"`
-	Status    *statusCommand `arg:"subcommand:status" help:"show nodes, pools, services and targets"`
-	Why       *whyCommand    `arg:"subcommand:why" help:"show a rule, who asked for it and what depends on it"`
-	DrainPlan *drainCommand  `arg:"subcommand:drain-plan" help:"show what is lost if a failure domain or VM is taken out"`
-	Load      *toolCommand   `arg:"subcommand:load" help:"send requests at a fixed rate and measure"`
-	Demo      *toolCommand   `arg:"subcommand:demo" help:"run three nodes and stand-ins in one process"`
+	Check     *checkCommand   `arg:"subcommand:check" help:"check a rules file, and with --node against the VM list"`
+	Diff      *diffCommand    `arg:"subcommand:diff" help:"show how a rules file differs from the one in force, or from another file"`
+	Apply     *applyCommand   `arg:"subcommand:apply" help:"put a rules file into force everywhere"`
+	Status    *statusCommand  `arg:"subcommand:status" help:"show nodes, pools, services and targets"`
+	Why       *whyCommand     `arg:"subcommand:why" help:"show a rule, who asked for it and what depends on it"`
+	DrainPlan *drainCommand   `arg:"subcommand:drain-plan" help:"show what is lost if a failure domain or VM is taken out"`
+	Explain   *explainCommand `arg:"subcommand:explain" help:"show where a request would go now, and why; --node names metrics listeners of nodes with --platform"`
+	Load      *toolCommand    `arg:"subcommand:load" help:"send requests at a fixed rate and measure"`
+	Demo      *toolCommand    `arg:"subcommand:demo" help:"run three nodes and stand-ins in one process"`
 
 	Node    string        `arg:"--node,env:CASSIADEAL_NODE" placeholder:"ADDRESS[,ADDRESS]" help:"operator addresses of nodes, tried in order"`
 	Timeout time.Duration `arg:"--timeout" default:"15s" placeholder:"TIME" help:"longest wait for a node, and again for the outcome of a lost reply"`
@@ -172,6 +173,8 @@
 		return a.why(ctx, a.args.Why)
 	case a.args.DrainPlan != nil:
 		return a.drainPlan(ctx, a.args.DrainPlan)
+	case a.args.Explain != nil:
+		return a.explain(ctx, a.args.Explain)
 	default:
 		return exitf(ExitUsage, "load and demo must be the first argument")
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -282,6 +282,12 @@
 		wait = min(wait, c.route.Timeout)
 	}
 	c.deadline = c.start.Add(wait)
+	return c.resolveService()
+}
+
+// resolveService finds the service and the model of the request.
+func (c *call) resolveService() *result.Error {
+	cfg := c.view.Config
 	c.service = cfg.Services[c.pickBackend()]
 	if c.service == nil {
 		return result.New(result.NoTarget, "the configuration has no service for route %q", c.route.Name).WithRetryAfter(retryAfterUnready)
--- a/internal/edge/precedence.go
+++ b/internal/edge/precedence.go
@@ -35,16 +35,12 @@
 	if c.hasUrgency {
 		r.UrgentTarget, r.LongestUrgentTarget = c.urgentTargets()
 	}
-	var verdict precedence.Verdict
 	if r.AtOnce() {
-		verdict.Reason = precedence.ReasonAtOnce
-	} else {
-		groups, delay := c.opt.Table.Pressure(c.balanceQuery(nil))
-		verdict = precedence.Decide(r, precedence.Model{Engine: c.service.Engine, TimeFactor: c.model.TimeFactor, Groups: groups, MeanDelay: delay,
-			Offered: c.offeredByAll(), Accounts: c.offered.Accounts(r.Class), OnePriority: !c.hasUrgency})
+		return precedence.Verdict{Reason: precedence.ReasonAtOnce}
 	}
-	c.opt.Metrics.Verdict(verdict.Reason)
-	return verdict
+	groups, delay := c.opt.Table.Pressure(c.balanceQuery(nil))
+	return precedence.Decide(r, precedence.Model{Engine: c.service.Engine, TimeFactor: c.model.TimeFactor, Groups: groups, MeanDelay: delay,
+		Offered: c.offeredByAll(), Accounts: c.offered.Accounts(r.Class), OnePriority: !c.hasUrgency})
 }
 
 // draw returns the request's draw. Requests without an ID would all have the same one.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -148,18 +148,29 @@
 	if head == nil {
 		return nil, c.unavailable()
 	}
-	switch verdict := c.precede(head); verdict.Action {
+	verdict, refusal := c.judge(head)
+	c.opt.Metrics.Verdict(verdict.Reason)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return head, nil
+}
+
+// judge decides whether a request that hasn't been sent goes to the selected head or is refused. It counts nothing.
+func (c *call) judge(head *balance.Selection) (precedence.Verdict, *result.Error) {
+	verdict := c.precede(head)
+	switch verdict.Action {
 	case precedence.Go:
-		return head, nil
+		return verdict, nil
 	case precedence.Refuse:
-		return nil, c.precedenceRefusal(verdict, head)
+		return verdict, c.precedenceRefusal(verdict, head)
 	}
 	unloaded := c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)
 	if wait, late := balance.Admission(c.route.LatencyTarget, time.Since(c.start), head.QueueDelay, unloaded); late {
-		return nil, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the selected target",
+		return verdict, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the selected target",
 			c.req.Model, head.FirstEvent.Round(time.Millisecond), head.QueueDelay.Round(time.Millisecond), head.Load.Running, head.Load.UnreadTokens).WithRetryAfter(wait)
 	}
-	return head, nil
+	return verdict, nil
 }
 
 // failStream ends a stream that can't be completed.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"cassiadeal.example/cassiadeal/internal/explain"
 	"cassiadeal.example/cassiadeal/internal/gossip"
 	"cassiadeal.example/cassiadeal/platform"
 )
@@ -101,10 +102,11 @@
 	return platform.MirrorHandler(sources, n.newest.inForce.Load, n.learnEra)
 }
 
-// metricsHandler serves metrics.
+// metricsHandler serves metrics, and tells where requests would go.
 func (n *Node) metricsHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Handle("/metrics", n.metrics.Handler())
+	r.Get(explain.Path, n.serveExplain)
 	return r
 }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -129,6 +129,16 @@
 	HasPriority bool
 }
 
+// Account returns the client account with the name.
+func (c *Config) Account(name string) (Tenant, bool) {
+	for _, t := range c.Tenants {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Tenant{}, false
+}
+
 // Index prepares the configuration for Match.
 func (c *Config) Index() {
 	c.indexPriorities()
