--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -103,12 +103,13 @@
 	overheads map[string]*overhead    // By model.
 	rates     map[string]*rate        // Of this node's sends, by model.
 	medians   map[string]median       // Of the measured slowdowns, by model.
+	steady    map[string]median       // The same of the steady ones.
 }
 
 // NewTable returns an empty table.
 func NewTable(c clock.Clock) *Table {
 	return &Table{clock: c, targets: map[Key]*targetState{}, peers: newPeerReports(), lastSweep: c.Now(), heard: map[Key]clock.Time{},
-		coldSends: map[string][]clock.Time{}, overheads: map[string]*overhead{}, medians: map[string]median{}, rates: map[string]*rate{}}
+		coldSends: map[string][]clock.Time{}, overheads: map[string]*overhead{}, medians: map[string]median{}, steady: map[string]median{}, rates: map[string]*rate{}}
 }
 
 // Ticket is one request at a target, from its sending to its end.
@@ -133,12 +134,16 @@
 	engine     *fleet.Engine
 	timeFactor float64
 	lastEvent  clock.Time // Newest event; 0 before the first.
+	answer     answer
 }
 
 // localLoad returns the load that this node has put on the target.
 func (s *targetState) localLoad(now clock.Time) Load {
 	l := s.load
 	for ticket := range s.tickets {
+		if !ticket.setAside {
+			ticket.addWork(&l)
+		}
 		if !ticket.started && !ticket.stranded && (ticket.readBy == 0 || now < ticket.readBy) {
 			l.UnreadTokens += ticket.promptTokens
 		}
@@ -202,11 +207,15 @@
 	s.wayEvents[k.through] = now
 	k.table.heard[k.key] = now
 	k.markStartedLocked(s)
+	if k.engine != nil {
+		k.answer.written += k.engine.Stride // An event holds the tokens of one pass.
+	}
 	stranded := k.stranded
 	k.stranded = false
 	if k.lastEvent != 0 && k.engine != nil && !stranded {
-		expected := k.timeFactor * passMillis(k.engine, k.table.loadLocked(k.key, now).Running)
-		s.slowdown.record(float64(now.Sub(k.lastEvent))/float64(time.Millisecond)/max(expected, 1), now)
+		load := k.table.loadLocked(k.key, now)
+		expected := k.timeFactor * passMillis(k.engine, load.Running)
+		s.slowdown.record(float64(now.Sub(k.lastEvent))/float64(time.Millisecond)/max(expected, 1), load.UnreadTokens > 0, now)
 	}
 	k.lastEvent = now
 }
@@ -527,6 +536,7 @@
 	Service      *fleet.Service
 	Model        *fleet.Model
 	PromptTokens int
+	OutputTokens int    // Expected; 0 if unknown.
 	Zone         string // Failure domain of this node.
 	Exclude      map[Key]bool
 	// Refused reports whether what a replica has stated in responses keeps the request from it; nil for never.
@@ -565,12 +575,12 @@
 			continue
 		}
 		k := KeyOf(r)
-		if s := t.targets[k]; q.Exclude[k] || q.refuses(r) || !q.Suspected && t.suspectedLocked(k, now) || t.coldLimitReachedLocked(r, q, now) || s != nil && now < s.fullUntil {
+		if t.leftOutLocked(r, k, q, now) != "" {
 			continue
 		}
 		candidates = append(candidates, t.candidateLocked(r, k, q, now))
 	}
-	return choose(candidates, t.arrivalsLocked(q, now))
+	return choose(withRoom(candidates), t.arrivalsLocked(q, now))
 }
 
 // candidateLocked predicts the first event of the request at the head and its cost.
@@ -581,7 +591,7 @@
 		return time.Duration(slowFactor * float64(first))
 	}
 	first := predict(load)
-	cost := first
+	cost := time.Duration(t.smallFactorLocked(k, now) * float64(first))
 	if gap := Gap(q.Service.Engine, slowFactor*q.Model.TimeFactor, load); slowFactor > 1 && q.GapTarget > 0 && gap > q.GapTarget {
 		cost += gap // The response would be late even if its first event is on time.
 	}
@@ -596,7 +606,8 @@
 	}
 	costPerRequest := time.Duration(slowFactor * float64(delayPerRequest(q.Service.Engine, q.Model.TimeFactor, q.meanPromptTokens())))
 	return candidate{&Selection{Replica: r, Key: k, Load: load, FirstEvent: first, QueueDelay: first - predict(Load{}), SlowFactor: slowFactor,
-		engine: q.Service.Engine, model: q.Model.Name, timeFactor: q.Model.TimeFactor}, cost, costPerRequest, q.limits(r)}
+		engine: q.Service.Engine, model: q.Model.Name, timeFactor: q.Model.TimeFactor}, cost, costPerRequest, q.limits(r),
+		exceedsMemory(q.Service.Engine, load, q.PromptTokens, q.OutputTokens)}
 }
 
 // PickPlain returns the plain replica with the least load for its slots, preferably in this failure domain, or nil.
@@ -630,39 +641,6 @@
 	return selected
 }
 
-// coldLimitReachedLocked tells whether this node's share of a cold replica's request rate is used up.
-func (t *Table) coldLimitReachedLocked(r *fleet.Replica, q Query, now clock.Time) bool {
-	until, cold := q.View.ColdUntil[r.ID]
-	if !cold || now >= until || q.Service.ColdPerSecond <= 0 {
-		return false
-	}
-	return float64(len(t.recentColdSendsLocked(r.ID, now)))+1 > q.Service.ColdPerSecond*q.ColdShare
-}
-
-func (t *Table) recentColdSendsLocked(id string, now clock.Time) []clock.Time {
-	sends := t.coldSends[id]
-	for len(sends) > 0 && now.Sub(sends[0]) > time.Second {
-		sends = sends[1:]
-	}
-	if len(sends) == 0 {
-		delete(t.coldSends, id)
-		return nil
-	}
-	t.coldSends[id] = sends
-	return sends
-}
-
-// CountColdSend counts a send towards the rate limit of the replica if it is cold.
-func (t *Table) CountColdSend(r *fleet.Replica, v *fleet.View) {
-	if _, cold := v.ColdUntil[r.ID]; !cold {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	t.coldSends[r.ID] = append(t.recentColdSendsLocked(r.ID, now), now)
-}
-
 // UnloadedFirstEvent returns the predicted time to the first event for a request of the usual size on an idle group.
 func (t *Table) UnloadedFirstEvent(e *fleet.Engine, m *fleet.Model) time.Duration {
 	t.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,12 +19,14 @@
 	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/clock"
 	"cassiadeal.example/cassiadeal/internal/connpool"
+	"cassiadeal.example/cassiadeal/internal/cost"
 	"cassiadeal.example/cassiadeal/internal/crash"
 	"cassiadeal.example/cassiadeal/internal/demand"
 	"cassiadeal.example/cassiadeal/internal/drain"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/intake"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/precedence"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
 	"cassiadeal.example/cassiadeal/internal/result"
@@ -104,12 +105,10 @@
 	stop      context.CancelFunc
 	durations drain.Durations // By route.
 	checks    pathChecks
+	offered   *precedence.Counter
+	costs     *cost.Table
 
-	mu sync.Mutex
-	// longestWait holds the longest deadline that clients have stated, by route. It is taken as the deadline of a first
-	// attempt.
-	longestWait     map[string]time.Duration
-	receivedRequest bool // A request with a known route and key has arrived.
+	receivedRequest atomic.Bool // A request with a known route and key has arrived.
 }
 
 // New returns a Server.
@@ -117,7 +116,7 @@
 	if opt.Pool == nil {
 		opt.Pool = connpool.Disabled(opt.Clock)
 	}
-	s := &Server{opt: opt, pool: opt.Pool, buffers: buffer.NewBudget(sharedBufferBytes), longestWait: map[string]time.Duration{},
+	s := &Server{opt: opt, pool: opt.Pool, buffers: buffer.NewBudget(sharedBufferBytes), offered: precedence.NewCounter(opt.Clock), costs: cost.New(0),
 		checks: pathChecks{byTarget: map[reach.Target]*pathCheck{}}}
 	s.stopped, s.stop = context.WithCancel(context.Background())
 	return s
@@ -127,11 +126,7 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // HasReceivedRequest tells whether a request has arrived whose route and, unless the route is public, key are known.
-func (s *Server) HasReceivedRequest() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.receivedRequest
-}
+func (s *Server) HasReceivedRequest() bool { return s.receivedRequest.Load() }
 
 // call is the state of one client request.
 type call struct {
@@ -145,11 +140,17 @@
 	service *fleet.Service
 	model   *fleet.Model // Nil for plain services.
 	tenant  string
+	// effectivePriority is that of the client account, if it has one, and otherwise the route's; 0 is the most urgent one.
+	effectivePriority int
+	urgency           int // For replicas; valid if hasUrgency is set.
+	hasUrgency        bool
+	output            int // Expected output tokens of a stream of a model.
 	// suspect identifies the request apart from its ID: all copies of a request have the same fingerprint.
 	suspect  crash.Request
 	start    time.Time
-	deadline time.Time     // The final response is due by then.
-	waited   time.Duration // Estimated time that the client spent on earlier attempts.
+	deadline time.Time // The final response is due by then.
+	// waited is the time from the arrival of the request at this node to the last choice of a target before its first send.
+	waited   time.Duration
 	attempts attempts
 	repeat   repeatState
 	progress *progress // Of a stream; nil for other requests.
@@ -259,27 +260,35 @@
 	if c.route == nil {
 		return c.refusalForUnknown(result.New(result.NotFound, "no route for host %q and path %q in configuration version %d", c.req.Host, c.req.Path, cfg.Version))
 	}
+	c.effectivePriority = c.route.Priority
 	if cfg.Tenants != nil && !c.route.Public {
 		account, known := cfg.Tenants[c.req.Key]
 		if !known {
 			return c.refusalForUnknown(result.New(result.UnknownAccount, "the API key belongs to no client account in configuration version %d", cfg.Version))
 		}
-		c.tenant = account.Name
+		c.tenant, c.effectivePriority = account.Name, fleet.EffectivePriority(c.route, account)
 	}
 	c.suspect = suspectOf(c.tenant, c.req)
 	wait := c.req.Deadline
 	if wait <= 0 {
 		wait = defaultDeadline
 	}
-	c.waited = c.recordWait(wait)
+	c.receivedRequest.Store(true)
 	if c.route.Timeout > 0 {
 		wait = min(wait, c.route.Timeout)
 	}
 	c.deadline = c.start.Add(wait)
+	return c.resolveService()
+}
+
+// resolveService finds the service and the model of the request.
+func (c *call) resolveService() *result.Error {
+	cfg := c.view.Config
 	c.service = cfg.Services[c.pickBackend()]
 	if c.service == nil {
 		return result.New(result.NoTarget, "the configuration has no service for route %q", c.route.Name).WithRetryAfter(retryAfterUnready)
 	}
+	c.urgency, c.hasUrgency = fleet.Urgency(cfg.Priorities(c.service.Name), c.effectivePriority)
 	if e := c.service.Engine; e != nil {
 		if c.model = e.Model(c.req.Model); c.model == nil {
 			return result.New(result.BadRequest, "service %q has no model %q", c.service.Name, c.req.Model)
@@ -303,18 +312,6 @@
 	return result.New(result.PlatformUnavailable, "%s, and %s", e.Message, doubt).WithRetryAfter(retryAfterUnready)
 }
 
-// recordWait records the stated deadline and returns an estimate of how long the client has waited in earlier attempts. Each
-// attempt states the time that is left, so the estimate is the difference to the longest deadline stated for the route.
-func (c *call) recordWait(wait time.Duration) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.receivedRequest = true
-	if wait > c.longestWait[c.route.Name] {
-		c.longestWait[c.route.Name] = wait
-	}
-	return c.longestWait[c.route.Name] - wait
-}
-
 // pickBackend draws a service at random by the weights of the route.
 func (c *call) pickBackend() string {
 	backends := c.route.Backends
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -141,7 +141,8 @@
 func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string, keep bool) []byte {
 	var b bytes.Buffer
 	b.WriteString(c.req.Method + " " + c.req.URI + " HTTP/1.1\r\nHost: " + c.req.Host + "\r\n")
-	header := c.opt.Codec.EncodeHeader(c.req, fleet.SendOptions{Replica: replica.ID, Tenant: c.tenant, TimeLeft: c.timeLeft(), LastEventID: lastEventID})
+	header := c.opt.Codec.EncodeHeader(c.req, fleet.SendOptions{Replica: replica.ID, Tenant: c.tenant, TimeLeft: c.timeLeft(), LastEventID: lastEventID,
+		Urgency: c.urgency, HasUrgency: c.hasUrgency})
 	// Writing to a buffer can't fail.
 	_ = header.Write(&b)
 	if len(c.req.Body) > 0 || c.req.Method != http.MethodGet && c.req.Method != http.MethodHead {
@@ -158,7 +159,10 @@
 // balanceQuery updates the view of the registry and returns the query to the balance table without the excluded targets.
 func (c *call) balanceQuery(exclude map[balance.Key]bool) balance.Query {
 	c.view = c.opt.Registry.View()
-	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
+	if c.attempts.sends == 0 {
+		c.waited = time.Since(c.start)
+	}
+	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, OutputTokens: c.output, Zone: c.opt.Zone,
 		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
 		GapTarget: c.route.GapTarget, Arrivals: c.arrivals()}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -17,6 +17,7 @@
 
 	"cassiadeal.example/cassiadeal/internal/balance"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
+	"cassiadeal.example/cassiadeal/internal/precedence"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 )
@@ -62,6 +63,7 @@
 	p := &progress{lastEventID: c.req.LastEventID}
 	c.progress = p
 	c.opt.Budget.RecordRequest(c.service.Name)
+	c.offer()
 	for {
 		if refusal := c.crashRefusal(); refusal != nil {
 			c.failStream(p, refusal)
@@ -85,7 +87,8 @@
 		case streamComplete:
 			c.opt.Metrics.Request(c.service.Name, result.OK, time.Since(c.start))
 			c.durations.Record(c.route.Name, time.Since(c.start))
-			c.logOutcome(outcomeAnswered, "the stream is complete", logrus.Fields{"events": p.events, "predicted_ms": head.FirstEvent.Milliseconds(),
+			c.observeOutput(p.events)
+			c.logOutcome(outcomeAnswered, "the stream is complete", logrus.Fields{"events": p.events, "expected_tokens": c.output, "predicted_ms": head.FirstEvent.Milliseconds(),
 				"first_ms": p.firstEventAfter.Milliseconds(), "gap_ms": p.longestGap.Milliseconds(), "prompt": c.req.PromptTokens,
 				"delay_ms": head.QueueDelay.Milliseconds(), "load": head.Load.Running, "unread": head.Load.UnreadTokens, "model": c.req.Model, "slow": head.SlowFactor})
 			return
@@ -146,12 +149,29 @@
 	if head == nil {
 		return nil, c.unavailable()
 	}
+	verdict, refusal := c.judge(head)
+	c.opt.Metrics.Verdict(verdict.Reason)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return head, nil
+}
+
+// judge decides whether a request that hasn't been sent goes to the selected head or is refused. It counts nothing.
+func (c *call) judge(head *balance.Selection) (precedence.Verdict, *result.Error) {
+	verdict := c.precede(head)
+	switch verdict.Action {
+	case precedence.Go:
+		return verdict, nil
+	case precedence.Refuse:
+		return verdict, c.precedenceRefusal(verdict, head)
+	}
 	unloaded := c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)
-	if wait, late := balance.Admission(c.route.LatencyTarget, c.waited+time.Since(c.start), head.QueueDelay, unloaded); late {
-		return nil, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the selected target",
+	if wait, late := balance.Admission(c.route.LatencyTarget, time.Since(c.start), head.QueueDelay, unloaded); late {
+		return verdict, result.New(result.DeadlineUnreachable, "the first event of model %q is predicted in %v, %v of it due to %d requests with %d unread tokens at the selected target",
 			c.req.Model, head.FirstEvent.Round(time.Millisecond), head.QueueDelay.Round(time.Millisecond), head.Load.Running, head.Load.UnreadTokens).WithRetryAfter(wait)
 	}
-	return head, nil
+	return verdict, nil
 }
 
 // failStream ends a stream that can't be completed.
@@ -181,6 +201,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.opt.Table.CountColdSend(head.Replica, c.view)
 	s := &streamSend{head: head, ticket: c.opt.Table.BeginHead(head, c.req.PromptTokens), heard: lastheard.New(), cancel: cancel}
+	c.expectRest(s.ticket, p)
 	go c.receiveRecovered(ctx, s, p.lastEventID, p.headerWritten, steps)
 	return s
 }
