Move groups between two models, with weights staged ahead

A surge of one model lasts 14 s and a load 12 to 16 s, so replicas can follow it only with weights that are on their hosts before.

The replicas that a domain has moved are in its record from the step in which its last group is given up. Without Input.Follow nothing of this has an effect. Members that have loaded another model than their hosts have staged count for the loaded one; a domain forms no groups beyond its division, since restarted hosts would all form groups of what was staged last.

--- a/internal/placement/emulator_test.go
+++ b/internal/placement/emulator_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -53,6 +54,8 @@
 	strictViolations   []string
 	soundInterruptions []string // Orders that ended requests at sound heads.
 	timeline           []string
+	follow             bool              // Value of Input.Follow.
+	wanted             map[string]int    // Value of Input.Wanted.
 	givenUpDark        map[groupKey]bool // Epochs that the plan doesn't hold any more, and whether their heads were dark when they were given up.
 }
 
@@ -106,6 +109,9 @@
 	leftDark     bool     // The head of lastGroup was dark when it left.
 }
 
+// followDemand lets all tests stage weights ahead, and allow moves, as with the setting --follow-demand.
+var followDemand = flag.Bool("follow-demand", false, "replicas follow the demand for models")
+
 // emulatorStart is the time at which an emulator starts.
 const emulatorStart = clock.Time(time.Hour)
 
@@ -115,7 +121,7 @@
 func newEmulator(t testing.TB, domains, size int, e *fleet.Engine) *emulator {
 	m := &emulator{t: t, clock: clock.NewManual(time.Duration(emulatorStart)), engine: e, vms: map[string]*vm{}, readyOnce: map[string]map[string]bool{},
 		loadedBy: map[string]int{}, lastEntries: map[string]*fleet.Replica{}, planner: newPlannerState(), records: map[string]Record{}, formerRecords: map[string]Record{}, givenUpDark: map[groupKey]bool{},
-		reportLag: 200 * time.Millisecond, entryTTL: 3600 * time.Millisecond, beforeFirstRequest: true}
+		follow: *followDemand, reportLag: 200 * time.Millisecond, entryTTL: 3600 * time.Millisecond, beforeFirstRequest: true}
 	for d := range domains {
 		for i := range size {
 			m.add(fmt.Sprintf("vm-%d-%02d", d, i), fmt.Sprintf("domain-%d", d))
@@ -566,7 +572,7 @@
 	orders := p.Step(Input{Now: m.clock.Now(), Engine: m.engine, Replicas: entries, Need: need, BeforeFirstRequest: m.beforeFirstRequest,
 		Lapsed: m.lapsed(entries), Incomplete: m.incomplete, MayBeOutdated: m.uncertain(), Confirmed: m.queryReplicas(entries),
 		LoadWindow: 5 * time.Second, StallAfter: stallAfter, HeadActivity: m.activity, GroupActivity: m.groupActivity,
-		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }})
+		Limited: func(r *fleet.Replica) bool { return m.limited[r.ID] && !m.unheard[r.ID] }, Follow: m.follow, Wanted: m.wanted})
 	m.noteGivenUp(planned, p.plannedEpochs())
 	if m.detailed {
 		m.keepRecords(p)
--- a/internal/placement/faults_test.go
+++ b/internal/placement/faults_test.go
@@ -31,8 +31,13 @@
 }
 
 func newFaultyDay(t *testing.T, seed uint64, hides bool) *faultyDay {
+	return newFaultyDayOf(t, seed, hides, 10)
+}
+
+// newFaultyDayOf returns a day of three fabric domains of a size.
+func newFaultyDayOf(t *testing.T, seed uint64, hides bool, size int) *faultyDay {
 	random := rand.New(rand.NewPCG(seed, 43))
-	m, p := startedDetailedSystem(t, 3, 10)
+	m, p := startedDetailedSystem(t, 3, size)
 	day := &faultyDay{emulator: m, t: t, random: random, plan: p, term: 1, returnAt: map[string]time.Duration{}, hides: hides}
 	m.seed, m.otherWay = seed, true
 	day.busyFor = []time.Duration{0, time.Second, 4 * time.Second}[random.IntN(3)]
@@ -230,3 +235,40 @@
 		})
 	}
 }
+
+// Simulates the same while replicas move between two models to and fro: in addition, no replicas may be left unused at the end.
+func TestGroupRulesHoldWhileReplicasMove(t *testing.T) {
+	moves := 0
+	for seed := *firstFault; seed < *firstFault+*faultSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := quicktest.New(t)
+			day := newFaultyDayOf(t, seed, true, 14)
+			day.follow = true
+			day.run(day.plan, 40*time.Second, day.eachTick) // Weights are staged ahead.
+			before := day.openGroups()
+			for range 6 + day.random.IntN(8) {
+				day.wanted = maps.Clone(before)
+				if units := day.random.IntN(5) - 2; units != 0 {
+					day.wanted["large"] += units
+					day.wanted["small"] -= 2 * units
+				}
+				day.run(day.plan, day.duration(200*time.Millisecond, 4*time.Second), day.eachTick)
+				day.disturb()
+				for _, e := range day.plan.TakeMoveEvents() {
+					if e.Outcome == MoveReleased {
+						moves++
+					}
+				}
+			}
+			day.loseAnswer, day.wanted = nil, nil
+			day.run(day.plan, 90*time.Second, day.eachTick)
+			c.Check(day.violations, quicktest.HasLen, 0)
+			c.Check(day.soundInterruptions, quicktest.HasLen, 0)
+			c.Check(day.strictViolations, quicktest.HasLen, 0)
+			used, usedBefore := 4*day.openGroups()["large"]+2*day.openGroups()["small"], 4*before["large"]+2*before["small"]
+			c.Check(used >= usedBefore-4, quicktest.IsTrue, quicktest.Commentf("%d replicas in open groups, at first %d", used, usedBefore))
+		})
+	}
+	quicktest.Check(t, moves > 0, quicktest.IsTrue)
+	t.Logf("%d moves", moves)
+}
--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -441,7 +441,7 @@
 		if m.joinSentAt == 0 || s.Now.Sub(m.joinSentAt) > reportTimeout && !m.joinAccepted {
 			m.joinSentAt = s.Now
 			m.joinAttempts++
-			if !s.BeforeFirstRequest && !r.HasStaged(g.model) {
+			if !s.BeforeFirstRequest && !s.joinsWithoutLoad(r, g.model) {
 				s.loadStarts = append(s.loadStarts, s.Now)
 			}
 			if i == 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -156,6 +156,10 @@
 	// Limited tells whether a replica has stated a limit on its rate of requests. The limit of a group is that of its head. Nil if not
 	// known.
 	Limited func(*fleet.Replica) bool
+	// Follow tells whether replicas may change the model as Wanted says. It has an effect only with two models. Wanted is the number of
+	// groups that each model should have; nil if the present division is to stay.
+	Follow bool
+	Wanted map[string]int
 }
 
 // Outcome is the result of an order.
@@ -293,6 +297,13 @@
 	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
 	departures      map[fleet.Incarnation]departure  // Members that have left a group whose head may have served it.
 	refusals        map[fleet.Incarnation]clock.Time // When a replica, listed or not, was last found to refuse connections.
+	moves           map[string]*move                 // Moves of replicas between models, by fabric domain.
+	moved           map[string]map[string]int        // Replicas by which the models differ from the configured division, by fabric domain.
+	abandoned       map[string]clock.Time            // When a domain's last move was abandoned.
+	residents       map[fleet.Incarnation]string     // Models that replicas have loaded while their hosts have staged another one.
+	aheadAt         clock.Time                       // When hosts that should stage weights ahead were last looked for.
+	moveEvents      []MoveEvent                      // Not yet taken.
+	moveBlocked     string                           // Why a wanted move wasn't begun in the last step.
 }
 
 // epochsPerTerm is the size of the range of epochs of one term. The ranges of later terms lie above those of earlier ones.
@@ -306,7 +317,8 @@
 		slowUntil:    map[fleet.Incarnation]clock.Time{}, standbyJoins: map[fleet.Incarnation]clock.Time{},
 		domains: map[string]domainSize{}, formerHeads: map[groupKey]formerHead{},
 		ended: map[groupKey]clock.Time{}, memberLeaves: map[membership]memberLeave{}, outdatedRecords: map[string]bool{},
-		departures: map[fleet.Incarnation]departure{}, refusals: map[fleet.Incarnation]clock.Time{}}
+		departures: map[fleet.Incarnation]departure{}, refusals: map[fleet.Incarnation]clock.Time{},
+		moves: map[string]*move{}, moved: map[string]map[string]int{}, residents: map[fleet.Incarnation]string{}, abandoned: map[string]clock.Time{}}
 }
 
 // nextEpoch returns an epoch above all earlier ones.
@@ -545,14 +557,20 @@
 			s.used[m.incarnation.ID] = true
 		}
 	}
+	s.noteResidents()
 	s.releaseFormerHeads()
 	s.noteReturns()
+	s.beginMoves()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
-		s.advance(p.groups[name])
+		if !s.closeForMove(p.groups[name]) {
+			s.advance(p.groups[name])
+		}
 	}
+	s.followMoves()
 	s.formGroups()
 	s.stageWeights()
 	s.joinStandbys()
+	s.stageAhead()
 	return s.orders
 }
 
--- a/internal/placement/quota.go
+++ b/internal/placement/quota.go
@@ -41,7 +41,7 @@
 	var undivided []string // Domains that get whole groups.
 	covered := map[string]int{}
 	for _, fabric := range s.fabricDomains() {
-		quotas[fabric] = s.quotaByShare(sizes[fabric])
+		quotas[fabric] = s.withMoved(fabric, s.quotaByShare(sizes[fabric]))
 		switch {
 		case s.fitsGroups(s.quotaByShare(s.domains[fabric].largest)):
 		case s.stillRegistering(fabric):
@@ -125,7 +125,7 @@
 			counts[g.model]++
 		}
 	}
-	return counts
+	return s.afterMove(fabric, counts)
 }
 
 // wholeGroups returns the quota of a domain that keeps its planned groups and adds whole ones as long as they fit, each of the model
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -13,6 +13,11 @@
 // given up lately. Entries of replicas can't replace it, since they lapse while their replicas serve.
 type Record struct {
 	Groups []RecordedGroup
+	// Moved holds by how many replicas each model differs from the configured division, since replicas follow the demand. Empty if
+	// none has moved.
+	Moved map[string]int
+	// MovedUnknown is set if the store may hold another value of Moved.
+	MovedUnknown bool
 }
 
 // RecordedGroup is one epoch of a group.
@@ -42,9 +47,12 @@
 		g.GivenUp == other.GivenUp && g.HeadLost == other.HeadLost && g.Ended == other.Ended && slices.Equal(g.Members, other.Members)
 }
 
-// Covers reports whether each group of the other record is in this one as it is there. Groups that this one has besides may have
+// Covers reports whether each group of the other record is in this one as it is there, and the moved replicas are the same. Groups that this one has besides may have
 // ended since.
 func (r Record) Covers(other Record) bool {
+	if r.MovedUnknown || !maps.Equal(r.Moved, other.Moved) {
+		return false
+	}
 	for _, g := range other.Groups {
 		if !slices.ContainsFunc(r.Groups, g.equal) {
 			return false
@@ -56,7 +64,8 @@
 // Common returns the groups that both records have.
 func (r Record) Common(other Record) Record {
 	groups := slices.Clone(r.Groups)
-	return Record{slices.DeleteFunc(groups, func(g RecordedGroup) bool { return !slices.ContainsFunc(other.Groups, g.equal) })}
+	return Record{Groups: slices.DeleteFunc(groups, func(g RecordedGroup) bool { return !slices.ContainsFunc(other.Groups, g.equal) }),
+		Moved: r.Moved, MovedUnknown: r.MovedUnknown || other.MovedUnknown || !maps.Equal(r.Moved, other.Moved)}
 }
 
 // Holds reports whether the record has the epoch of the group.
@@ -89,7 +98,7 @@
 }
 
 func (p *Plan) record(fabric string) Record {
-	var r Record
+	r := Record{Moved: maps.Clone(p.moved[fabric])}
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		if g := p.groups[name]; g.fabric == fabric {
 			r.Groups = append(r.Groups, g.recorded())
@@ -158,6 +167,7 @@
 	p.restoredRecords = true
 	for _, fabric := range slices.Sorted(maps.Keys(records)) {
 		p.changed(fabric) // Also written if it holds nothing of use any more.
+		p.restoreMoved(fabric, records[fabric].Moved)
 		for _, r := range records[fabric].withoutOldGivenUp() {
 			if len(r.Members) == 0 {
 				continue
@@ -291,3 +301,15 @@
 		g.members[i].joinAccepted, g.members[i].joinSentAt = true, s.Now
 	}
 }
+
+// restoreMoved takes over by how many replicas the models of a domain differ from the configured division. Records of other versions may hold
+// values that don't add up, which are left out.
+func (p *Plan) restoreMoved(fabric string, moved map[string]int) {
+	sum := 0
+	for _, n := range moved {
+		sum += n
+	}
+	if len(moved) == 2 && sum == 0 && len(p.moved[fabric]) == 0 {
+		p.setMoved(fabric, maps.Clone(moved))
+	}
+}
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -42,7 +42,7 @@
 
 // stagedReplicas returns the free replicas of the fabric domain that have staged the model's weights and aren't slow.
 func (s *step) stagedReplicas(fabric, model string) []*fleet.Replica {
-	return slices.DeleteFunc(s.freeReplicas(fabric), func(r *fleet.Replica) bool { return !r.HasStaged(model) || s.isSlow(r.Incarnation()) })
+	return slices.DeleteFunc(s.freeReplicas(fabric), func(r *fleet.Replica) bool { return !s.joinsWithoutLoad(r, model) || s.isSlow(r.Incarnation()) })
 }
 
 // fabricDomains returns the fabric domains of the listed replicas in order of name.
@@ -134,11 +134,12 @@
 			list = s.initialMembers(fabric, m)
 		}
 		atOnce := slices.DeleteFunc(slices.Clone(list), s.joinsLate)
+		s.formerMembersFirst(fabric, atOnce)
 		if late {
 			atOnce = append(atOnce, slices.DeleteFunc(list, func(r *fleet.Replica) bool { return !s.joinsLate(r) })...)
 		}
 		// The domain with the most candidates is chosen, as it can best do without them as spares.
-		if len(atOnce) >= m.Size && len(atOnce) > len(best) {
+		if len(atOnce) >= m.Size && len(atOnce) > len(best) && !s.exceedsDivision(fabric, m) {
 			best = atOnce
 		}
 	}
@@ -165,6 +166,9 @@
 
 // assignedModel returns the model whose weights a replica is staging or has staged, or "".
 func (s *step) assignedModel(r *fleet.Replica) string {
+	if model, known := s.residents[r.Incarnation()]; known {
+		return model
+	}
 	if st, ok := s.staging[r.Incarnation()]; ok {
 		return st.model
 	}
@@ -200,6 +204,9 @@
 // a model is worth more than the second of another.
 func (s *step) stageWeights() {
 	for _, fabric := range s.fabricDomains() {
+		if s.changesModel(fabric) {
+			continue
+		}
 		quota, assigned := s.quota(fabric), s.assignedCounts(fabric)
 		for _, r := range s.freeReplicas(fabric) {
 			current := s.assignedModel(r)
@@ -214,6 +221,10 @@
 			if current != "" {
 				assigned[current]--
 			}
+			if _, resident := s.residents[r.Incarnation()]; resident && r.HasStaged(best.Name) {
+				delete(s.residents, r.Incarnation())
+				continue // It only counts for the other model from now on.
+			}
 			s.staging[r.Incarnation()] = staging{model: best.Name, sentAt: s.Now}
 			s.loadStarts = append(s.loadStarts, s.Now)
 			s.orders = append(s.orders, Order{To: r, Action: Stage, Model: best.Name,
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -42,6 +43,8 @@
 	Fabric string        `json:"fabric"`
 	Write  int64         `json:"write"` // Differs in each write of a term, so that each one raises the revision.
 	Groups []storedGroup `json:"groups"`
+	// Moved holds the replicas by which the models differ from the configured division. Earlier versions ignore it.
+	Moved map[string]int `json:"moved,omitempty"`
 }
 
 type storedGroup struct {
@@ -75,7 +78,7 @@
 }
 
 func (s storedRecord) decode() placement.Record {
-	var r placement.Record
+	r := placement.Record{Moved: s.Moved}
 	for _, stored := range s.Groups {
 		g := placement.RecordedGroup{Name: stored.Name, Epoch: stored.Epoch, Model: stored.Model, FormerEpoch: stored.FormerEpoch, GivenUp: stored.GivenUp,
 			HeadLost: stored.HeadLost, Ended: stored.Ended}
@@ -287,7 +290,7 @@
 		return stored, record, at, false
 	}
 	r.writes++
-	return storedRecord{Term: term, Fabric: fabric, Write: r.writes, Groups: encodeRecord(d.wanted)}, d.wanted, d.at, true
+	return storedRecord{Term: term, Fabric: fabric, Write: r.writes, Groups: encodeRecord(d.wanted), Moved: d.wanted.Moved}, d.wanted, d.at, true
 }
 
 func (r *recorder) put(ctx context.Context, at position, stored storedRecord) (platform.Object, error) {
@@ -344,7 +347,7 @@
 func sameGroups(a, b storedRecord) bool {
 	dataA, errA := json.Marshal(a.Groups)
 	dataB, errB := json.Marshal(b.Groups)
-	return errA == nil && errB == nil && bytes.Equal(dataA, dataB)
+	return errA == nil && errB == nil && bytes.Equal(dataA, dataB) && maps.Equal(a.Moved, b.Moved)
 }
 
 // await waits until the store holds the epoch of an order to join. While the store answers no node, nobody can succeed this planner, and
