--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+	"github.com/rotisserie/eris"
 
 	"cassiadeal.example/cassiadeal/internal/entry"
 	"cassiadeal.example/cassiadeal/internal/node"
@@ -21,6 +22,7 @@
 type arguments struct {
 	Config   string `arg:"--config" help:"settings file of this node (INI)"`
 	Platform bool   `arg:"--platform" help:"serve on the users' platform, with the settings file that it provides"`
+	Follow   bool   `arg:"--follow-demand" help:"with --platform: let model replicas follow the demand for two models"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warning or error"`
 }
 
@@ -29,15 +31,27 @@
 	return "cassiadeald serves callers of model replicas and services on one entry VM."
 }
 
+// check returns an error if the arguments don't fit together.
+func (a arguments) check() error {
+	switch {
+	case !a.Platform && a.Config == "":
+		return eris.New("either --config or --platform must be given")
+	case a.Follow && !a.Platform:
+		return eris.New("--follow-demand is only used with --platform")
+	}
+	return nil
+}
+
 func main() {
 	var args arguments
 	arg.MustParse(&args)
+	if err := args.check(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
 	serve := run
 	if args.Platform {
 		serve = runOnPlatform
-	} else if args.Config == "" {
-		fmt.Fprintln(os.Stderr, "either --config or --platform must be given")
-		os.Exit(2)
 	}
 	if err := serve(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -84,6 +98,11 @@
 	if err != nil {
 		return err
 	}
+	if args.Follow {
+		if err := n.FollowDemand(); err != nil {
+			return err
+		}
+	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"cassiadeal.example/cassiadeal/internal/demand"
+	"cassiadeal.example/cassiadeal/internal/planner"
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
@@ -39,3 +40,8 @@
 	}
 	n.demand.SetPeer(msg.Node, work)
 }
+
+// FollowDemand lets model replicas follow the demand for two models. It must be called before Run.
+func (n *Node) FollowDemand() error {
+	return n.planner.FollowDemand(planner.FollowOptions{Demand: n.demand, NodesAlive: func() int { return len(n.mesh.Alive()) }, Meter: n.metrics.Meter()})
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -101,8 +101,9 @@
 	orderLocks    map[string]*sync.Mutex // By replica ID; see orderLock.
 	counts        orderCounts
 	active        bool
-	lastSummary   clock.Time // Last summary in the log.
-	restoredAt    clock.Time // When the store last came back from an older copy; 0 if it never did.
+	lastSummary   clock.Time    // Last summary in the log.
+	follow        *followDemand // Nil if replicas don't follow the demand.
+	restoredAt    clock.Time    // When the store last came back from an older copy; 0 if it never did.
 }
 
 // New returns a Planner.
@@ -115,6 +116,12 @@
 	return p
 }
 
+// FollowDemand lets replicas follow the demand for two models. It must be called before Run.
+func (p *Planner) FollowDemand(opt FollowOptions) (err error) {
+	p.follow, err = newFollowDemand(opt, p.opt.Log)
+	return err
+}
+
 // Active tells whether this node was the planner at the last tick.
 func (p *Planner) Active() bool {
 	p.mu.Lock()
@@ -138,10 +145,25 @@
 		p.setActive(valid)
 		if valid {
 			p.planOnce(ctx)
+		} else {
+			p.observeDemand()
 		}
 	}
 }
 
+// observeDemand keeps the usual demand up to date while another node plans.
+func (p *Planner) observeDemand() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	view := p.opt.Registry.View()
+	if p.follow == nil || view.Config == nil {
+		return
+	}
+	if service := view.Config.EngineService(); service != nil {
+		p.follow.observe(p.opt.Clock.Now(), service.Engine)
+	}
+}
+
 // maintainLease acquires and renews the lease until the context is done. It runs in its own goroutine, so that calls to the store
 // don't delay plans.
 func (p *Planner) maintainLease(ctx context.Context) {
@@ -237,11 +259,16 @@
 	if !p.recordRead || !beforeFirstRequest && now.Sub(p.termStart) < settleTime {
 		return nil, nil, queries
 	}
+	var wanted map[string]int
+	if p.follow != nil {
+		wanted = p.follow.need(now, p.term, service.Engine, p.plan, complete && !uncertain && !p.opt.StoreFailing())
+		defer func() { p.follow.logMoves(p.plan) }()
+	}
 	orders = p.plan.Step(placement.Input{Now: now, Engine: service.Engine, Replicas: replicas,
 		Need: p.modelShares(service.Engine), BeforeFirstRequest: beforeFirstRequest, LoadWindow: p.opt.LoadWindow, StallAfter: p.opt.StallAfter,
 		Lapsed: view.Lapsed, Incomplete: !complete, MayBeOutdated: uncertain, Confirmed: confirmed,
 		HeadActivity: p.headActivity, GroupActivity: p.groupActivity,
-		Limited: p.opt.Limited})
+		Limited: p.opt.Limited, Follow: p.follow != nil, Wanted: wanted})
 	p.logEvents(now)
 	probes = p.dueProbes(replicas, now)
 	p.summarize(view, replicas, now)
