Stage fewer hosts ahead, and form groups beyond the division where the other model lacks none

With the setting, hosts of a domain without enough groups for its direction staged the other one, so that all domains of small deployments had only one direction staged; now such a domain stages nothing. The bound on groups beyond a domain's division held also where the other model lacked no group, so that replicas stayed unused.

With the setting, TestReplacedMemberThatReturnsFirstIsReleased, TestReplacedMemberWaitsForItsFormerHead, TestLimitedHeadsAreReplaced and TestNewPlannerAdoptsGroups failed before and pass now. Without it nothing changes.

--- a/internal/placement/ahead.go
+++ b/internal/placement/ahead.go
@@ -153,15 +153,12 @@
 		}
 	}
 	from = &s.Engine.Models[index%2]
-	for range 2 {
-		to = s.otherModel(from)
-		given, got := demand.Exchange(from, to)
-		if got > 0 && countGroups(groups, from.Name) >= given {
-			return from, to
-		}
-		from = to
+	to = s.otherModel(from)
+	given, got := demand.Exchange(from, to)
+	if got == 0 || countGroups(groups, from.Name) < given {
+		return nil, nil // Staging the other way too would leave less to restart with.
 	}
-	return nil, nil
+	return from, to
 }
 
 func countGroups(groups []*group, model string) (n int) {
--- a/internal/placement/moves.go
+++ b/internal/placement/moves.go
@@ -358,7 +358,8 @@
 }
 
 // exceedsDivision reports whether another group of the model would exceed the replicas that a domain which is divided among the models has for
-// it. After hosts have restarted, they have what was staged last: without a bound, all would form groups of that model.
+// it, while the other model lacks a group there. After hosts have restarted, they have what was staged last: without a bound, all would form
+// groups of that model.
 func (s *step) exceedsDivision(fabric string, m *fleet.Model) bool {
 	if !s.follows() || s.BeforeFirstRequest {
 		return false
@@ -367,7 +368,8 @@
 	if !s.fitsGroups(whole) {
 		return false
 	}
-	return (s.countsOf(fabric)[m.Name]+1)*m.Size > s.withMoved(fabric, whole)[m.Name]
+	counts, quota, other := s.countsOf(fabric), s.withMoved(fabric, whole), s.otherModel(m)
+	return (counts[m.Name]+1)*m.Size > quota[m.Name] && (counts[other.Name]+1)*other.Size <= quota[other.Name]
 }
 
 // formerMembersFirst moves the former members of a released move to the front of the candidates of its domain, so that spares stay.
--- a/internal/placement/moves_test.go
+++ b/internal/placement/moves_test.go
@@ -80,6 +80,7 @@
 func TestFollowingChangesNothingWithSteadyDemand(t *testing.T) {
 	c := quicktest.New(t)
 	without, plan := newEmulator(t, 6, 37, moveEngine()), New(1)
+	without.follow = false
 	without.run(plan, 20*time.Second, nil)
 	m, p := followingSystem(t)
 	c.Check(m.openGroups(), quicktest.DeepEquals, without.openGroups())
@@ -316,6 +317,7 @@
 func TestStagingAheadIsBounded(t *testing.T) {
 	c := quicktest.New(t)
 	m, p := newEmulator(t, 6, 37, moveEngine()), New(1)
+	m.follow = false
 	m.run(p, 20*time.Second, nil)
 	m.beforeFirstRequest = false
 	m.follow = true
