Planner: index the replicas once a step

Cause: a step sorted all replicas for each fabric domain, model and group that it formed, and looked for each replica through all members of all groups. With 3,000 replicas the first step didn't end within 20 s, longer than the lease. Change: an index by fabric domain, member and candidate list, built once a step. Decisions and their order are unchanged.

--- a/internal/placement/groups.go
+++ b/internal/placement/groups.go
@@ -15,7 +15,8 @@
 // of at least one member must be known: entries that may be outdated show groups that have ended since.
 func (s *step) adoptReportedGroups() {
 	reported, known := map[groupKey][]*fleet.Replica{}, map[groupKey]bool{}
-	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
+	s.indexMembers()
+	for _, id := range s.index().ids {
 		r := s.Replicas[id]
 		if r.Group == nil || strings.HasPrefix(r.Group.Name, StandbyPrefix) {
 			continue
@@ -27,6 +28,7 @@
 		}
 		if g != nil && g.epoch == key.epoch && !s.plannedElsewhere(r) {
 			if g.addReportedMember(r, s.Now) {
+				s.index().noteMember(g, r.Incarnation())
 				s.changed(g.fabric)
 			}
 		}
@@ -71,8 +73,8 @@
 // dropFormerMemberships removes a replica from the groups that were adopted from an older entry of it: it has reported a later epoch since, and
 // this plan hasn't ordered it to join those groups.
 func (s *step) dropFormerMemberships(r *fleet.Replica) {
-	for name, g := range s.groups {
-		if name == r.Group.Name || g.adoptedAt == 0 || g.epoch >= r.Group.Epoch {
+	for _, g := range s.index().groupsOf[r.Incarnation()] {
+		if g.name == r.Group.Name || g.adoptedAt == 0 || g.epoch >= r.Group.Epoch {
 			continue
 		}
 		for i, m := range g.members {
@@ -80,6 +82,7 @@
 				continue
 			}
 			g.members[i] = member{}
+			s.index().noteFormerMember(g, r.Incarnation())
 			if i == 0 {
 				s.headEnded(g.name, g.epoch, showing(r))
 				s.headEnded(g.name, g.formerEpoch, showing(r))
@@ -114,7 +117,7 @@
 // wasn't answered may be carried out later.
 func (s *step) releaseFormerHeads() {
 	serving := map[groupKey]bool{}
-	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
+	for _, id := range s.index().ids {
 		r := s.Replicas[id]
 		if s.used[id] || !servesGroup(r) || s.usableReplica(r.Incarnation()) == nil {
 			continue
@@ -140,16 +143,6 @@
 	return r.Group != nil && r.Group.Serves()
 }
 
-// plannedElsewhere reports whether a planned group other than the one that the replica reports has it as a member.
-func (s *step) plannedElsewhere(r *fleet.Replica) bool {
-	for name, g := range s.groups {
-		if name != r.Group.Name && slices.ContainsFunc(g.members, func(m member) bool { return m.incarnation == r.Incarnation() }) {
-			return true
-		}
-	}
-	return false
-}
-
 // addReportedMember sets the member of a rank from the entry of a replica that reports the group. It reports false if it is already set.
 func (g *group) addReportedMember(r *fleet.Replica, now clock.Time) bool {
 	if r.Group.Rank >= len(g.members) || g.members[r.Group.Rank].incarnation.ID != "" {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -291,6 +291,7 @@
 	now             clock.Time                       // Time of the last step.
 	probeSilence    map[fleet.Incarnation]clock.Time // When a replica, listed or not, last didn't answer a probe.
 	entries         map[string]*fleet.Replica        // Input.Replicas of the last step.
+	sortedIDs       []string                         // Of the replicas of the last step, in order.
 	departures      map[fleet.Incarnation]departure  // Members that have left a group whose head may have served it.
 	refusals        map[fleet.Incarnation]clock.Time // When a replica, listed or not, was last found to refuse connections.
 }
@@ -529,6 +530,8 @@
 	quotas map[string]map[string]int // By fabric domain and model; nil until they are needed.
 	served map[groupKey]bool         // Groups that are no longer planned, but that their heads still serve.
 	orders []Order
+	// indexed is the index of the step; nil until it is needed.
+	indexed *stepIndex
 }
 
 // Step compares the plan with the entries of the replicas, changes the plan where it can no longer be carried out, and returns
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -10,12 +10,11 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
-// freeReplicas returns the usable replicas of a fabric domain that are in no planned group and don't drain, in order of ID.
-func (s *step) freeReplicas(fabric string) []*fleet.Replica {
+// findFree finds what freeReplicas returns.
+func (s *step) findFree(fabric string) []*fleet.Replica {
 	var list []*fleet.Replica
-	for _, id := range slices.Sorted(maps.Keys(s.Replicas)) {
-		r := s.Replicas[id]
-		if r.Fabric != fabric || s.used[id] || r.Draining || s.usableReplica(r.Incarnation()) == nil || !s.stateKnown(r) {
+	for _, r := range s.index().byFabric[fabric] {
+		if s.used[r.ID] || r.Draining || s.usableReplica(r.Incarnation()) == nil || !s.stateKnown(r) {
 			continue
 		}
 		if r.Group != nil && !strings.HasPrefix(r.Group.Name, StandbyPrefix) {
@@ -42,17 +41,11 @@
 
 // stagedReplicas returns the free replicas of the fabric domain that have staged the model's weights and aren't slow.
 func (s *step) stagedReplicas(fabric, model string) []*fleet.Replica {
-	return slices.DeleteFunc(s.freeReplicas(fabric), func(r *fleet.Replica) bool { return !r.HasStaged(model) || s.isSlow(r.Incarnation()) })
+	return slices.DeleteFunc(slices.Clone(s.freeReplicas(fabric)), func(r *fleet.Replica) bool { return !r.HasStaged(model) || s.isSlow(r.Incarnation()) })
 }
 
 // fabricDomains returns the fabric domains of the listed replicas in order of name.
-func (s *step) fabricDomains() []string {
-	names := map[string]bool{}
-	for _, r := range s.Replicas {
-		names[r.Fabric] = true
-	}
-	return slices.Sorted(maps.Keys(names))
-}
+func (s *step) fabricDomains() []string { return s.index().fabrics }
 
 // groupedReplicas returns the number of replicas in planned groups, by model.
 func (s *step) groupedReplicas() map[string]float64 {
@@ -80,6 +73,7 @@
 // formGroups forms as many new groups as possible of spares that have staged the weights. While Input.BeforeFirstRequest is set,
 // replicas without weights may be members too (see initialMembers).
 func (s *step) formGroups() {
+	s.index().free = map[string][]*fleet.Replica{}
 	for again := true; again; {
 		again = false
 		counts := s.groupedReplicas()
@@ -110,6 +104,7 @@
 	}
 	s.groups[g.name] = g
 	s.changed(g.fabric)
+	s.noteFormed(g)
 	s.joinMembers(g)
 	return true
 }
@@ -129,13 +124,9 @@
 func (s *step) candidates(m *fleet.Model, late bool) []*fleet.Replica {
 	var best []*fleet.Replica
 	for _, fabric := range s.fabricDomains() {
-		list := s.stagedReplicas(fabric, m.Name)
-		if s.BeforeFirstRequest {
-			list = s.initialMembers(fabric, m)
-		}
-		atOnce := slices.DeleteFunc(slices.Clone(list), s.joinsLate)
+		atOnce := s.candidatesAtOnce(fabric, m)
 		if late {
-			atOnce = append(atOnce, slices.DeleteFunc(list, func(r *fleet.Replica) bool { return !s.joinsLate(r) })...)
+			atOnce = append(slices.Clone(atOnce), slices.DeleteFunc(s.mayForm(fabric, m), func(r *fleet.Replica) bool { return !s.joinsLate(r) })...)
 		}
 		// The domain with the most candidates is chosen, as it can best do without them as spares.
 		if len(atOnce) >= m.Size && len(atOnce) > len(best) {
@@ -180,13 +171,7 @@
 // staged its weights.
 func (s *step) assignedCounts(fabric string) map[string]int {
 	n := map[string]int{}
-	for _, g := range s.groups {
-		for _, m := range g.members {
-			if r := s.Replicas[m.incarnation.ID]; r != nil && r.Fabric == fabric {
-				n[g.model]++
-			}
-		}
-	}
+	maps.Copy(n, s.groupedIn(fabric))
 	for _, r := range s.freeReplicas(fabric) {
 		if model := s.assignedModel(r); model != "" {
 			n[model]++
