Mirrors: keep the history by object

Cause: changes were kept as the last 256 answers of the store, and only from positions at which one of them began. A reader that was further behind, or came from another source, had to list all entries; so did all readers when the mirror listed again. Any position after its start is answered, with each changed object once, and a list that the mirror reads is compared with its copy.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,57 +12,84 @@
 	"cassiadeal.example/cassiadeal/platform"
 )
 
-const (
-	// maxBatches is the number of store answers whose changes are kept. A reader that is further behind has to list again.
-	maxBatches = 256
-	// relistWait is the time for which a list waits for the copy to be read anew after the store has come back from an older copy. The
-	// readers would otherwise all turn to the store.
-	relistWait = 500 * time.Millisecond
-)
+// relistWait is the time for which a list waits for the copy to be read anew after the store has come back from an older copy. The
+// readers would otherwise all turn to the store.
+const relistWait = 500 * time.Millisecond
 
 // ErrNotFresh is returned while this node doesn't follow the store itself, or the store doesn't answer it.
 var ErrNotFresh = errors.New("this node has no fresh copy")
 
-// batch holds the changes in one store answer: those after revision from, up to and including revision to.
-type batch struct {
-	from, to int64
-	events   []platform.Object
-}
-
 // Copy is a copy of all store objects of one kind. It is safe for concurrent use.
 type Copy struct {
 	mu       sync.Mutex
 	fresh    bool
+	indirect bool // The contents are read through another mirror.
 	objects  map[string]platform.Object
 	position platform.Position
 	era      int64         // Lowest era that the copy may be from.
-	batches  []batch       // Each starts at the revision where the previous one ends.
+	history  history       // Of the changes in this era.
 	changed  chan struct{} // Closed and replaced when waiting readers have to check the copy again.
 }
 
 // New returns an empty copy that isn't fresh.
-func New() *Copy { return &Copy{objects: map[string]platform.Object{}, changed: make(chan struct{})} }
+func New() *Copy {
+	c := &Copy{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	c.history.reset(0)
+	return c
+}
 
 func (c *Copy) notifyReaders() {
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
-// Replace replaces the contents with a full list read from the store.
+// SetDirect sets whether the contents are read from the store itself. Otherwise they are kept, so that the node can go on as a mirror at once,
+// but the copy isn't fresh.
+func (c *Copy) SetDirect(direct bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.indirect = !direct
+	if c.fresh && c.indirect {
+		c.fresh = false
+		c.notifyReaders()
+	}
+}
+
+// Replace replaces the contents with a full list. Readers of the same era get what differs from the contents before.
 func (c *Copy) Replace(list []platform.Object, at platform.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.Era < c.era {
 		return
 	}
+	former := c.objects
 	c.objects = make(map[string]platform.Object, len(list))
 	for _, o := range list {
 		c.objects[o.Name] = o
 	}
-	c.position, c.batches, c.fresh = at, nil, true
+	if c.position.Revision != 0 && c.position.Era == at.Era {
+		c.noteDifferences(former, at.Revision)
+	} else {
+		c.history.reset(at.Revision)
+	}
+	c.position, c.fresh = at, !c.indirect
 	c.notifyReaders()
 }
 
+// noteDifferences notes how the contents differ from the former ones. The lock is held.
+func (c *Copy) noteDifferences(former map[string]platform.Object, upTo int64) {
+	for name := range former {
+		if _, listed := c.objects[name]; !listed {
+			c.history.note(platform.Object{Name: name, Deleted: true, Era: c.position.Era}, upTo)
+		}
+	}
+	for name, o := range c.objects {
+		if known, found := former[name]; !found || known.Revision != o.Revision {
+			c.history.note(o, upTo)
+		}
+	}
+}
+
 // Apply applies the answer to a watch that started at the copy's position.
 func (c *Copy) Apply(events []platform.Object, at platform.Position) {
 	c.mu.Lock()
@@ -70,7 +97,7 @@
 	if at.Era < c.era {
 		return
 	}
-	c.fresh = true
+	c.fresh = !c.indirect
 	if at == c.position {
 		return
 	}
@@ -80,10 +107,7 @@
 		} else {
 			c.objects[o.Name] = o
 		}
-	}
-	c.batches = append(c.batches, batch{c.position.Revision, at.Revision, events})
-	if len(c.batches) > maxBatches {
-		c.batches = c.batches[1:]
+		c.history.note(o, at.Revision)
 	}
 	c.position = at
 	if len(events) > 0 {
@@ -183,7 +207,8 @@
 	}
 }
 
-// changesSince returns the changes after a position that an earlier call returned, and ErrHistoryGone if they are no longer kept.
+// changesSince returns the changes after a position, of this copy, another one or the store itself, and ErrHistoryGone if they are no longer
+// known. A reader whose position is later than the copy's waits until the copy has caught up.
 func (c *Copy) changesSince(from platform.Position) ([]platform.Object, platform.Position, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,18 +221,8 @@
 	if from.Era != 0 && from.Era != c.position.Era { // A reader that states no era knows of none.
 		return nil, platform.Position{}, nil, platform.ErrHistoryGone
 	}
-	if from.Revision == c.position.Revision {
-		return nil, c.position, c.changed, nil
-	}
-	var events []platform.Object
-	found := false
-	for _, b := range c.batches {
-		found = found || b.from == from.Revision
-		if found {
-			events = append(events, b.events...)
-		}
-	}
-	if !found {
+	events, known := c.history.since(from.Revision, c.objects)
+	if !known {
 		return nil, platform.Position{}, nil, platform.ErrHistoryGone
 	}
 	return events, c.position, c.changed, nil
