Mirrors: refuse positions within a range that was read by a list

Cause: found by a model test: an object that was created and removed again between a copy's last answer and its next list is in neither. A reader that read it elsewhere, at a position in between, kept it for ever. Change: such positions get 410, so that the reader lists. A removal is dated before the next change in its answer, so that a reader that knows both isn't told of it again: a replica that returned would be held back.

--- a/internal/mirror/history.go
+++ b/internal/mirror/history.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"slices"
 	"sort"
 
 	"cassiadeal.example/cassiadeal/platform"
@@ -12,6 +13,8 @@
 	maxRemovals = 4096
 	// minCompaction is the length of the history below which superseded changes aren't dropped.
 	minCompaction = 256
+	// maxGaps is the number of lists after which positions between the copy and the list are remembered as unknown.
+	maxGaps = 16
 )
 
 // history tells which objects have changed after a revision: the newest change of each object, and all removals. Its size is bounded by the
@@ -22,8 +25,13 @@
 	newest   map[string]int64 // Sequence of the newest change of each name.
 	noted    int64            // Sequence of the last change.
 	removals int              // In changes.
+	gaps     []gap            // In order.
 }
 
+// gap is a range of revisions, without its ends, in which not all changes are known: a list doesn't show objects that were created and removed
+// again since the copy was read last. A reader that is within has possibly read such an object elsewhere.
+type gap struct{ from, to int64 }
+
 // change is a change of one object.
 type change struct {
 	revision int64 // Not below that of the change before.
@@ -36,12 +44,36 @@
 	*h = history{horizon: revision, newest: map[string]int64{}}
 }
 
-// note adds an event of a store answer up to the given revision. A removal has no revision of its own.
-func (h *history) note(event platform.Object, upTo int64) {
-	revision := upTo
-	if !event.Deleted && event.Revision > h.horizon && event.Revision < upTo {
-		revision = event.Revision
+// noteAll adds the events of a store answer with the changes after one revision and up to another one.
+func (h *history) noteAll(events []platform.Object, after, upTo int64) {
+	for i, revision := range changeRevisions(events, after, upTo) {
+		h.note(events[i], revision)
+	}
+}
+
+// changeRevisions returns for each event of a store answer the revision of its change, or a later one that precedes the next event. A removal
+// has no revision of its own. A reader that has read the next event elsewhere isn't told of the removal again.
+func changeRevisions(events []platform.Object, after, upTo int64) []int64 {
+	revisions, latest, last := make([]int64, len(events)), upTo, after
+	inOrder := true
+	for _, e := range events {
+		if !e.Deleted {
+			inOrder = inOrder && e.Revision > last && e.Revision <= upTo
+			last = e.Revision
+		}
+	}
+	for i := len(events) - 1; i >= 0; i-- {
+		if inOrder && !events[i].Deleted {
+			revisions[i], latest = events[i].Revision, max(after+1, events[i].Revision-1)
+			continue
+		}
+		revisions[i] = latest
 	}
+	return revisions
+}
+
+// note adds a change that was made at the revision or before.
+func (h *history) note(event platform.Object, revision int64) {
 	if n := len(h.changes); n > 0 {
 		revision = max(revision, h.changes[n-1].revision)
 	}
@@ -57,6 +89,23 @@
 	}
 }
 
+// noteGap records that the changes between two revisions were read by a list.
+func (h *history) noteGap(from, to int64) {
+	if to-from < 2 {
+		return
+	}
+	h.gaps = append(h.gaps, gap{from, to})
+	if len(h.gaps) > maxGaps {
+		h.horizon = max(h.horizon, h.gaps[0].to)
+		h.gaps = h.gaps[1:]
+	}
+}
+
+// knows reports whether all changes after a revision are known.
+func (h *history) knows(revision int64) bool {
+	return revision >= h.horizon && !slices.ContainsFunc(h.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
+}
+
 // superseded reports whether a later change of the object replaces this one. A removal is always handed on: an object that exists again is
 // another one than before.
 func (h *history) superseded(c change) bool {
@@ -85,7 +134,7 @@
 
 // since returns the events after a revision, with the contents in objects, or false if they are no longer known.
 func (h *history) since(revision int64, objects map[string]platform.Object) ([]platform.Object, bool) {
-	if revision < h.horizon {
+	if !h.knows(revision) {
 		return nil, false
 	}
 	var events []platform.Object
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -69,6 +69,7 @@
 	}
 	if c.position.Revision != 0 && c.position.Era == at.Era {
 		c.noteDifferences(former, at.Revision)
+		c.history.noteGap(c.position.Revision, at.Revision)
 	} else {
 		c.history.reset(at.Revision)
 	}
@@ -107,8 +108,8 @@
 		} else {
 			c.objects[o.Name] = o
 		}
-		c.history.note(o, at.Revision)
 	}
+	c.history.noteAll(events, c.position.Revision, at.Revision)
 	c.position = at
 	if len(events) > 0 {
 		c.notifyReaders()
