--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -2,7 +2,7 @@
 
 import (
 	"maps"
-	"sort"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +39,7 @@
 
 	mu        sync.Mutex
 	replicas  map[string]*Replica
+	sortedIDs []string // Keys of replicas at the last snapshot, in order.
 	coldUntil map[string]clock.Time
 	evacuated map[string]bool
 	config    *Config
@@ -381,7 +382,9 @@
 	for id, l := range r.lapsed {
 		v.Lapsed[id] = l.replica
 	}
-	for id, entry := range r.replicas {
+	r.sortIDs()
+	for _, id := range r.sortedIDs {
+		entry := r.replicas[id]
 		replica := r.withStatement(r.withObservation(entry))
 		v.Replicas[id] = replica
 		if until := max(r.restored.coldUntil(entry), r.heldOf(entry).coldUntil()); until > v.ColdUntil[id] {
@@ -391,8 +394,16 @@
 			v.ByService[replica.Service] = append(v.ByService[replica.Service], replica)
 		}
 	}
-	for _, list := range v.ByService {
-		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	}
 	r.view.Store(v)
 }
+
+// sortIDs sets sortedIDs. Most changes are to entries that are known, so that the IDs of the snapshot before can be used. The lock is held.
+func (r *Registry) sortIDs() {
+	same := len(r.sortedIDs) == len(r.replicas)
+	for i := 0; same && i < len(r.sortedIDs); i++ {
+		_, same = r.replicas[r.sortedIDs[i]]
+	}
+	if !same {
+		r.sortedIDs = slices.Sorted(maps.Keys(r.replicas))
+	}
+}
