Planner: bound orders in flight and joins that wait, and take no lock for Active

Cause: with 3,000 replicas the first plan sent some 3,000 orders at once, each with a connection and a time-out of 400 ms, which is less than the time of the planner's core that they need. An order without an answer is sent again at once and counts as an attempt of three. Each waiting order looked through the records of all fabric domains every 50 ms. Active waited for steps of the plan, and datagrams wait for Active. Change: at most 256 orders in flight, whose time-outs begin when they are sent; no further group is formed while 500 joins wait for an answer; waiting orders look at the record of their own fabric domain first; the time-out of the list of all records grows from 0.4 to 3 s while the store answers. At up to 222 replicas neither bound is reached.

--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -7,6 +7,23 @@
 	"cassiadeal.example/cassiadeal/internal/fleet"
 )
 
+// maxPendingJoins is the number of join orders without an answer from which on no further group is formed. More would wait for longer than
+// reportTimeout until they are sent, and be sent again.
+const maxPendingJoins = 500
+
+// pendingJoins returns the number of members that have been ordered to join their groups and haven't answered.
+func (s *step) pendingJoins() int {
+	n := 0
+	for _, g := range s.groups {
+		for i := range g.members {
+			if m := &g.members[i]; m.joinSentAt != 0 && !m.joinAccepted {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // stepIndex holds what one step looks up for each fabric domain, group or replica, so that a step doesn't go through all replicas for each of
 // them. With 3,000 replicas in 81 fabric domains, the first step without it took longer than the lease.
 type stepIndex struct {
--- a/internal/placement/spares.go
+++ b/internal/placement/spares.go
@@ -74,11 +74,16 @@
 // replicas without weights may be members too (see initialMembers).
 func (s *step) formGroups() {
 	s.index().free = map[string][]*fleet.Replica{}
+	pending := s.pendingJoins()
 	for again := true; again; {
 		again = false
 		counts := s.groupedReplicas()
 		for _, m := range s.modelsByCoverage(counts) {
+			if pending >= maxPendingJoins {
+				return
+			}
 			if s.formGroup(m) {
+				pending += m.Size
 				again = true
 				break
 			}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -20,8 +20,13 @@
 // of orders that the replica has begun, so that the replica refuses it once it has begun another. Orders to leave name the one epoch of a
 // group that they end, and must be carried out whatever came before.
 
-// orderTimeout bounds one order. It takes some milliseconds at a healthy replica.
-const orderTimeout = 400 * time.Millisecond
+const (
+	// orderTimeout bounds one order. It takes some milliseconds at a healthy replica.
+	orderTimeout = 400 * time.Millisecond
+	// maxOrdersInFlight bounds the orders that are sent at the same time. With 3,000 at once, the time of this node's core that they need is
+	// several times orderTimeout, so that most would count as not answered and be sent again.
+	maxOrdersInFlight = 256
+)
 
 var (
 	// errReplicaMoved means that a replica isn't in the group any more in which it was when the order to it was planned.
@@ -105,6 +110,12 @@
 	lock := p.orderLock(o.To.ID)
 	lock.Lock()
 	defer lock.Unlock()
+	select {
+	case <-ctx.Done():
+		return
+	case p.inFlight <- struct{}{}:
+	}
+	defer func() { <-p.inFlight }()
 	if !p.mayOrder() || !p.stillWants(o) {
 		return
 	}
--- a/internal/planner/orders_test.go
+++ b/internal/planner/orders_test.go
@@ -114,7 +114,8 @@
 	t.Cleanup(server.Close)
 	manual := clock.NewManual(time.Hour)
 	p := New(Options{Lease: heldLease(nil, manual, log), Replicas: platform.NewReplicaClient(func(fleet.Incarnation, fleet.Answer) {}), Clock: manual, Log: log})
-	p.plan, p.active = placement.New(1), true
+	p.plan = placement.New(1)
+	p.active.Store(true)
 	return &orderTest{p, f, fleet.Replica{ID: "i-1", Address: strings.TrimPrefix(server.URL, "http://"), StartedUnixMs: 1}}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,6 +84,8 @@
 type Planner struct {
 	opt      Options
 	recorder *recorder // Nil if no record is kept.
+	// inFlight holds a value for each order that is being sent.
+	inFlight chan struct{}
 
 	mu   sync.Mutex // Guards the fields below. No network call is made while it is held.
 	plan *placement.Plan
@@ -100,14 +103,15 @@
 	nextProbe     map[string]clock.Time  // When a group may be probed again, by group name.
 	orderLocks    map[string]*sync.Mutex // By replica ID; see orderLock.
 	counts        orderCounts
-	active        bool
-	lastSummary   clock.Time // Last summary in the log.
-	restoredAt    clock.Time // When the store last came back from an older copy; 0 if it never did.
+	// active isn't guarded: datagrams, the choice of a mirror and logs ask for it, and mustn't wait for a step of the plan.
+	active      atomic.Bool
+	lastSummary clock.Time // Last summary in the log.
+	restoredAt  clock.Time // When the store last came back from an older copy; 0 if it never did.
 }
 
 // New returns a Planner.
 func New(opt Options) *Planner {
-	p := &Planner{opt: opt, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
+	p := &Planner{opt: opt, inFlight: make(chan struct{}, maxOrdersInFlight), nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
 		unconfirmed: unconfirmedFailures{}, orderLocks: map[string]*sync.Mutex{}, counts: newOrderCounts()}
 	if opt.Store != nil {
 		p.recorder = newRecorder(opt.Store, opt.Lease, opt.StoreFailing, opt.Log)
@@ -116,11 +120,7 @@
 }
 
 // Active tells whether this node was the planner at the last tick.
-func (p *Planner) Active() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.active
-}
+func (p *Planner) Active() bool { return p.active.Load() }
 
 // Run plans until the context is done.
 func (p *Planner) Run(ctx context.Context) {
@@ -164,12 +164,9 @@
 }
 
 func (p *Planner) setActive(valid bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.active != valid {
+	if p.active.Swap(valid) != valid {
 		p.opt.Log.WithField("plans", valid).Info("the right to plan groups has changed")
 	}
-	p.active = valid
 }
 
 // startTerm discards the state of an earlier term of this node and starts a new plan.
@@ -252,17 +249,21 @@
 // from what the replicas report until it answers.
 func (p *Planner) restorePlan(ctx context.Context, term int64) {
 	var retry retryDelay
+	timeout := recordCallTimeout
 	for ctx.Err() == nil && p.opt.Lease.Holds(term) {
 		if !p.opt.Lease.Valid() {
 			sleep(ctx, recordRetryInterval)
 			continue
 		}
-		records, err := p.recorder.load(ctx, term)
+		records, err := p.recorder.load(ctx, term, timeout)
 		if err != nil {
 			p.opt.Log.WithError(err).Info("the record of the plan of groups could not be read")
 			if p.opt.Lease.PlansInOutage() {
 				p.addRecords(nil, term)
 			}
+			if timeout = min(2*timeout, maxRecordLoadTimeout); p.recorder.storeFailing() {
+				timeout = recordCallTimeout // The call may never be answered.
+			}
 			sleep(ctx, retry.next())
 			continue
 		}
--- a/internal/planner/record.go
+++ b/internal/planner/record.go
@@ -29,6 +29,9 @@
 	recordCallTimeout      = 400 * time.Millisecond
 	recordRetryInterval    = 50 * time.Millisecond
 	maxRecordRetryInterval = 400 * time.Millisecond
+	// maxRecordLoadTimeout bounds the list of all records, which begins with recordCallTimeout and doubles with each failure while the store answers other calls. The records of 3,000
+	// replicas have several 100 KB, and when all nodes start at once they share the store's link with the lists of these.
+	maxRecordLoadTimeout = 3 * time.Second
 )
 
 var (
@@ -161,8 +164,8 @@
 }
 
 // load reads the records of an earlier planner.
-func (r *recorder) load(ctx context.Context, term int64) (map[string]placement.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, recordCallTimeout)
+func (r *recorder) load(ctx context.Context, term int64, timeout time.Duration) (map[string]placement.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	objects, _, err := r.store.List(ctx, recordKind)
 	if err != nil {
@@ -361,7 +364,7 @@
 	for {
 		r.mu.Lock()
 		notify, term := r.notify, r.term
-		written, wanted := r.holds(o.Group, o.Epoch)
+		written, wanted := r.holds(o.To.Fabric, o.Group, o.Epoch)
 		r.mu.Unlock()
 		switch {
 		case !wanted && !written || !r.lease.Holds(term):
@@ -383,8 +386,11 @@
 }
 
 // holds reports whether the store holds an epoch, and whether it is planned. An epoch is in the record of one fabric domain, which needn't be
-// that of a member's newest entry. The lock is held.
-func (r *recorder) holds(group string, epoch int64) (written, wanted bool) {
+// that of a member's newest entry, but mostly is: thousands of orders may wait at a time. The lock is held.
+func (r *recorder) holds(fabric, group string, epoch int64) (written, wanted bool) {
+	if d := r.domains[fabric]; d != nil && d.wanted.Holds(group, epoch) {
+		return d.written.Holds(group, epoch), true
+	}
 	for _, d := range r.domains {
 		written = written || d.written.Holds(group, epoch)
 		wanted = wanted || d.wanted.Holds(group, epoch)
--- a/internal/planner/record_test.go
+++ b/internal/planner/record_test.go
@@ -228,7 +228,7 @@
 
 // stored returns what the store holds for the replica's fabric domain.
 func (r *recordTest) stored() placement.Record {
-	records, err := r.planner.recorder.load(context.Background(), 3)
+	records, err := r.planner.recorder.load(context.Background(), 3, recordCallTimeout)
 	r.c.Assert(err, quicktest.IsNil)
 	return records[r.entry.Fabric]
 }
