Followers: go on at another source without a list, several mirrors in a large failure domain

Cause: each change of the source made a node list all entries again. When a mirror of 100 readers was slow, they all turned to the store and then to a mirror again, each time with lists of 1 MB that no link carries within their 3 s. After a restart all nodes list from the store at once. Change: a follower goes on with a watch from its position at any source, with a first wait of 10 ms; it lists after 410, an answer that can't be decoded, or a new era. Its copy is kept while it reads through a mirror, so that it is a mirror with all contents at once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -109,6 +110,7 @@
 	mirrorClients         map[string]*platform.Store // By address.
 	zoneSums              map[string]zoneSum         // By failure domain.
 	mirrorOf              map[string]string          // Address of the mirror that a node last served, by its name.
+	startShare            float64                    // Random part of the time for which nodes that start at once spread their lists; not modified after New.
 }
 
 // New returns a node and binds its gossip address. Run binds the other addresses.
@@ -120,7 +122,7 @@
 	c := clock.Boottime()
 	n := &Node{settings: s, log: log, clock: c, metrics: metrics, store: platform.NewStore(s.Store), registry: fleet.NewRegistry(c),
 		table: balance.NewTable(c), crashes: crash.New(crash.Options{Now: func() time.Duration { return time.Duration(c.Now()) }}), incarnation: time.Now().UnixNano(), storeContact: newStoreContact(c), storeEra: &eraRecord{clock: c, maxGap: maxConfigAge(s.Bounds)},
-		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), recordOutdated: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now()}
+		mirrorAvoidedUntil: map[string]clock.Time{}, mirrorClients: map[string]*platform.Store{}, mirrorOf: map[string]string{}, registered: make(chan struct{}), recordOutdated: make(chan struct{}, 1), zoneSums: map[string]zoneSum{}, plannerLastSeen: c.Now(), startShare: rand.Float64()}
 	n.dialDirectly = func(ctx context.Context, address string) (net.Conn, error) {
 		var dialer net.Dialer
 		return dialer.DialContext(ctx, "tcp", address)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +57,7 @@
 	mu            sync.Mutex
 	listed        bool // The objects have been listed, so that the next call is a watch.
 	watching      bool // The pending call is a watch.
+	moved         bool // The present source hasn't answered yet.
 	cancelPending context.CancelFunc
 }
 
@@ -81,7 +81,7 @@
 	f.watching = f.listed
 	timeout := listTimeout
 	switch {
-	case f.listed:
+	case f.listed && !f.moved:
 		timeout = f.maxWait + watchSlack
 	case f.node.storeContact.failing():
 		timeout = fraction(f.node.settings.Bounds.ChangeKnown(), outageListFraction)
@@ -97,7 +97,7 @@
 func (f *follower) cancelPendingList() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed && f.cancelPending != nil {
+	if (!f.listed || f.moved) && f.cancelPending != nil {
 		f.cancelPending()
 	}
 }
@@ -148,7 +148,7 @@
 		case f.source != "":
 			// The next call goes to another mirror or the store itself, without a delay.
 			log.WithError(err).WithField("mirror", f.source).Info("could not read from a mirror; switching to another source")
-			f.node.avoidMirror(f.source)
+			f.leaveMirror(err)
 			continue
 		}
 		f.mirrorCopy.MarkStale()
@@ -191,17 +191,11 @@
 	return slowRetryDelay
 }
 
-// selectSource sets the source of the next call. A change of the source makes the follower list again.
+// selectSource sets the source of the next call.
 func (f *follower) selectSource() {
-	source := f.node.mirrorSource()
-	if source == f.source {
-		return
-	}
-	f.source = source
-	if source != "" {
-		f.mirrorCopy.MarkStale()
+	if source := f.node.mirrorSource(); source != f.source {
+		f.moveTo(source)
 	}
-	f.setListed(false)
 }
 
 // client returns the client of the current source.
@@ -227,12 +221,11 @@
 		f.noteRead(items, next)
 		f.replace(items)
 		f.setListed(true)
-		if f.source == "" {
-			f.mirrorCopy.Replace(items, next)
-		}
+		f.mirrorCopy.Replace(items, next)
+		f.noteSourceAnswered()
 		return next, nil
 	}
-	events, next, err := f.client().Watch(ctx, f.kind, f.position, f.maxWait)
+	events, next, err := f.client().Watch(ctx, f.kind, f.position, f.watchWait())
 	if err = f.checkEra(next, err); err != nil {
 		return platform.Position{}, err
 	}
@@ -240,9 +233,8 @@
 		f.noteRead(events, next)
 		f.apply(events)
 	}
-	if f.source == "" {
-		f.mirrorCopy.Apply(events, next)
-	}
+	f.mirrorCopy.Apply(events, next)
+	f.noteSourceAnswered()
 	return next, nil
 }
 
@@ -312,6 +304,9 @@
 	if f.lastAnswerAt != 0 && f.source == "" {
 		return // This follower reads the store already.
 	}
+	if f.isFirstListAfterRestart() {
+		f.node.awaitStartSlot(ctx)
+	}
 	for ctx.Err() == nil && f.node.mirrorSource() == "" && !f.node.readsStore(f.lastAnswerAt) {
 		sleep(ctx, sourceCheckInterval)
 	}
@@ -334,9 +329,7 @@
 	if uptime < discoveryTime {
 		return false
 	}
-	return !slices.ContainsFunc(n.mesh.Alive(), func(p gossip.Peer) bool {
-		return p.Zone == n.settings.Zone && !p.Draining && n.precedes(p) && !n.mirrorAvoided(n.peerMirror(p))
-	})
+	return !n.precededByMirror(n.mesh.Alive())
 }
 
 // peerMirror returns the address at which a node serves as a mirror when it does, whether or not it does now: that at which it was
@@ -350,29 +343,6 @@
 	return n.mirrorOf[p.Node]
 }
 
-// mirrorSource returns the address of the mirror from which this node reads, or "" for the store itself. It is the mirror of
-// the first node in its failure domain (see precedes) that follows the store itself. The planner always reads from the store,
-// since a mirror's delay would hold up its repairs.
-func (n *Node) mirrorSource() string {
-	if n.planner.Active() {
-		return ""
-	}
-	var best gossip.Peer
-	for _, p := range n.mesh.Alive() {
-		usable := p.Zone == n.settings.Zone && p.MirrorAddress != "" && !p.Draining && n.precedes(p) && !n.mirrorAvoided(p.MirrorAddress)
-		if usable && (best.NodeGossip == nil || p.Capacity > best.Capacity) {
-			best = p // Peers are sorted by name.
-		}
-	}
-	if best.NodeGossip == nil {
-		return ""
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.mirrorOf[best.Node] = best.MirrorAddress
-	return best.MirrorAddress
-}
-
 func (n *Node) avoidMirror(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
