--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -24,6 +24,7 @@
 	mu       sync.Mutex
 	fresh    bool
 	indirect bool // The contents are read through another mirror.
+	closed   bool // See Close.
 	objects  map[string]platform.Object
 	position platform.Position
 	era      int64         // Lowest era that the copy may be from.
@@ -73,7 +74,7 @@
 	} else {
 		c.history.reset(at.Revision)
 	}
-	c.position, c.fresh = at, !c.indirect
+	c.position, c.fresh = at, !c.indirect && !c.closed
 	c.notifyReaders()
 }
 
@@ -98,7 +99,7 @@
 	if at.Era < c.era {
 		return
 	}
-	c.fresh = !c.indirect
+	c.fresh = !c.indirect && !c.closed
 	if at == c.position {
 		return
 	}
@@ -126,6 +127,15 @@
 	}
 }
 
+// Close makes the copy stale for good, since its node is about to stop. Its readers then turn to another source while this node still
+// serves their requests, and don't wait for the end of their watches.
+func (c *Copy) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.MarkStale()
+}
+
 // Restored records that the store has come back from an older copy, in the given era. The contents aren't handed on any more until they
 // are replaced by a list of that era or a later one.
 func (c *Copy) Restored(era int64) {
