Mirrors of a large failure domain are its strong nodes, and busy ones are asked again

Cause: a trial of the unchanged code with 2 nodes of 0.8 cores and 98 of 0.134 in each failure domain: readers of a strong mirror that was slow turned to weak nodes, which can't send lists to 98 readers within 3 s, and then to the next weak one. A mirror that is busy (503 with Retry-After) is asked again up to twice.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -51,6 +51,7 @@
 	source       string            // Address of the mirror that is read; empty for the store itself.
 	lastAnswerAt clock.Time        // Last answer of any source; 0 if there was none.
 	position     platform.Position // Where the next watch starts; valid while listed is set.
+	busyAnswers  int               // Successive answers of the present source that it is busy.
 	// newest is the position of the newest object of this kind that was read. A list of an earlier position isn't used.
 	newest platform.Position
 
@@ -148,7 +149,7 @@
 		case f.source != "":
 			// The next call goes to another mirror or the store itself, without a delay.
 			log.WithError(err).WithField("mirror", f.source).Info("could not read from a mirror; switching to another source")
-			f.leaveMirror(err)
+			f.leaveMirror(ctx, err)
 			continue
 		}
 		f.mirrorCopy.MarkStale()
--- a/internal/entry/sources.go
+++ b/internal/entry/sources.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,6 +26,10 @@
 	startSpread      = 6 * time.Millisecond
 	// sizeKnownTimeout is the longest wait of a node that has just started for the records of the nodes, which tell their number.
 	sizeKnownTimeout = 250 * time.Millisecond
+	// busyRetryDelay is the time after which a mirror that is busy is asked again, randomized by +-50%, and maxBusyAnswers how often. A mirror
+	// lets a reader wait for up to a second before it says so.
+	busyRetryDelay = 300 * time.Millisecond
+	maxBusyAnswers = 2
 	// firstWatchWait is the wait of the first watch at another source. It shows as soon as a list would whether the source answers.
 	firstWatchWait = 10 * time.Millisecond
 )
@@ -37,26 +42,38 @@
 	return (nodes + nodesPerMirror - 1) / nodesPerMirror
 }
 
-// mirrorRanks returns the live nodes of this failure domain that precede this one, in order, and the number of mirrors that the failure
-// domain should have. Where it should have several, the planner isn't among them.
+// mirrorRanks returns the live nodes of this failure domain that precede this one and may serve as mirrors, in order, and the number of mirrors
+// that the failure domain should have. In a large one, these are only nodes with at least half of the capacity of the strongest, and the
+// planner only if there is no other: a weak node can't carry the readers of a strong one that is slow for a moment.
 func (n *Node) mirrorRanks(alive []gossip.Peer) (preceding []gossip.Peer, wanted int) {
-	nodes := 1
+	nodes, strongest := 1, n.settings.Capacity
 	for _, p := range alive {
 		if p.Zone != n.settings.Zone || p.Draining {
 			continue
 		}
 		nodes++
+		strongest = max(strongest, int(p.Capacity))
 		if n.precedes(p) {
 			preceding = append(preceding, p)
 		}
 	}
-	if wanted = mirrorsWanted(nodes); wanted > 1 {
-		preceding = slices.DeleteFunc(preceding, func(p gossip.Peer) bool { return p.Planner })
-	}
 	slices.SortStableFunc(preceding, func(a, b gossip.Peer) int { return cmp.Compare(b.Capacity, a.Capacity) }) // They are sorted by name.
+	if wanted = mirrorsWanted(nodes); wanted == 1 {
+		return preceding, wanted
+	}
+	preceding = slices.DeleteFunc(preceding, func(p gossip.Peer) bool { return isWeak(int(p.Capacity), strongest) })
+	if others := slices.DeleteFunc(slices.Clone(preceding), func(p gossip.Peer) bool { return p.Planner }); len(others) > 0 || !isWeak(n.settings.Capacity, strongest) {
+		preceding = others
+	}
+	if isWeak(n.settings.Capacity, strongest) {
+		wanted = min(wanted, len(preceding)) // This node isn't one of them.
+	}
 	return preceding, wanted
 }
 
+// isWeak reports whether a node has less than half of the capacity of the strongest one.
+func isWeak(capacity, strongest int) bool { return 2*capacity < strongest }
+
 // mirrorSource returns the address of the mirror from which this node reads, or "" for the store itself. It is the mirror of
 // the first node in its failure domain (see precedes) that follows the store itself, or one of the first where there are several. The planner
 // always reads from the store, since a mirror's delay would hold up its repairs.
@@ -69,7 +86,7 @@
 
 func (n *Node) chooseMirror(alive []gossip.Peer) string {
 	preceding, wanted := n.mirrorRanks(alive)
-	if len(preceding) < wanted && wanted > 1 {
+	if len(preceding) < wanted {
 		return "" // This node is one of the mirrors.
 	}
 	usable := slices.DeleteFunc(preceding, func(p gossip.Peer) bool { return p.MirrorAddress == "" || n.mirrorAvoided(p.MirrorAddress) })
@@ -102,7 +119,7 @@
 // precededByMirror reports whether another node is to read the store before this one.
 func (n *Node) precededByMirror(alive []gossip.Peer) bool {
 	preceding, wanted := n.mirrorRanks(alive)
-	if wanted > 1 && len(preceding) < wanted {
+	if len(preceding) < wanted {
 		return false
 	}
 	return slices.ContainsFunc(preceding, func(p gossip.Peer) bool { return !n.mirrorAvoided(n.peerMirror(p)) })
@@ -138,9 +155,14 @@
 	f.moved, f.cancelPending = true, nil
 }
 
-// leaveMirror avoids the present mirror for a while after a call failed. What it sent may be wrong if it can't be decoded, so all objects
-// are listed then.
-func (f *follower) leaveMirror(err error) {
+// leaveMirror avoids the present mirror for a while after a call failed. One that is only busy is asked again a few times. What it sent may be
+// wrong if it can't be decoded, so all objects are listed then.
+func (f *follower) leaveMirror(ctx context.Context, err error) {
+	if f.busyAnswers++; errors.Is(err, platform.ErrBusy) && f.busyAnswers <= maxBusyAnswers {
+		sleep(ctx, time.Duration((0.5+rand.Float64())*float64(busyRetryDelay)))
+		return
+	}
+	f.busyAnswers = 0
 	f.node.avoidMirror(f.source)
 	if undecodable := new(platform.UndecodableError); errors.As(err, &undecodable) {
 		f.setListed(false)
@@ -161,5 +183,5 @@
 func (f *follower) noteSourceAnswered() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.moved = false
+	f.moved, f.busyAnswers = false, 0
 }
--- a/internal/entry/sources_test.go
+++ b/internal/entry/sources_test.go
@@ -88,6 +88,41 @@
 	c.Check(mirrorsWanted(100), quicktest.Equals, 4)
 }
 
+// Load: a failure domain with two strong nodes and 98 weak ones, as in a trial in which readers of a strong mirror that was slow turned to weak
+// ones, whose links can't carry them. Guards against weak mirrors beside strong ones.
+func TestWeakNodesAreNoMirrorsBesideStrongOnes(t *testing.T) {
+	c := quicktest.New(t)
+	n, alive := newNode(c, testSettings), zoneOf(99, 4)
+	for i := range alive {
+		alive[i].Capacity = 134
+	}
+	n.settings.Capacity, alive[0].Capacity, alive[1].Capacity = 134, 800, 800
+	n.settings.Node = "y"
+	sources := func() map[string]bool {
+		found := map[string]bool{}
+		for i := range 40 {
+			n.settings.Node = fmt.Sprintf("y%d", i)
+			found[n.chooseMirror(alive)] = true
+		}
+		return found
+	}
+	c.Check(sources(), quicktest.DeepEquals, map[string]bool{"mirror-0": true, "mirror-1": true})
+	alive[0].Planner = true
+	c.Check(sources(), quicktest.DeepEquals, map[string]bool{"mirror-1": true})
+	n.avoidMirror("mirror-1")
+	c.Check(sources(), quicktest.DeepEquals, map[string]bool{"": true}) // The store, for a while.
+	c.Check(n.precededByMirror(alive), quicktest.IsFalse)
+	alive[1].Draining = true
+	c.Check(sources(), quicktest.DeepEquals, map[string]bool{"mirror-0": true}) // Better than weak ones.
+	alive[0].Draining = true
+	c.Check(sources(), quicktest.DeepEquals, map[string]bool{"mirror-2": true, "mirror-3": true})
+
+	// A strong node that isn't the planner is a mirror whatever the planner does.
+	alive[0].Draining, alive[1].Draining = false, false
+	n.settings.Node, n.settings.Capacity = "x001", 800
+	c.Check(n.chooseMirror(append(alive[:1:1], alive[2:]...)), quicktest.Equals, "")
+}
+
 // countedMirror serves a copy and counts lists and watches.
 type countedMirror struct {
 	copy           *mirror.Copy
@@ -178,7 +213,15 @@
 	second.damage.Store(true)
 	err = read()
 	c.Assert(err, quicktest.IsNotNil)
-	f.leaveMirror(err)
+	f.leaveMirror(context.Background(), err)
 	c.Check(f.listed, quicktest.IsFalse)
 	c.Check(n.mirrorAvoided(second.address), quicktest.IsTrue)
+
+	// One that is only busy is asked again before it is avoided.
+	f.moveTo(first.address)
+	for i := range maxBusyAnswers + 1 {
+		c.Check(n.mirrorAvoided(first.address), quicktest.IsFalse, quicktest.Commentf("after %d answers", i))
+		f.leaveMirror(context.Background(), platform.ErrBusy)
+	}
+	c.Check(n.mirrorAvoided(first.address), quicktest.IsTrue)
 }
