Gossip: hand loads of other failure domains on in large ones, and send large messages in parts

Cause: a relay sent the sums of all failure domains to each node of its own every 200 ms, and with all datagrams to others. Change: above 60 nodes in a failure domain the relay sends the others' sums to a few nodes by capacity every 600 ms, which hand them on; other relays get its own sum only. A message that is too large is sent with one failure domain's sums at a time, and with shorter lists if need be. Behaviour with up to 60 nodes in each failure domain is as before, except for messages that weren't sent at all.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -52,7 +52,7 @@
 // frequentPeers returns the addresses of the nodes that get a datagram every relayInterval: none, or for a relay and the planner
 // the nodes of the own failure domain and the relays of the others.
 func (n *Node) frequentPeers(alive []gossip.Peer) map[string]bool {
-	if len(alive) < relayMinNodes || !n.planner.Active() && !n.isRelay(alive) {
+	if len(alive) < relayMinNodes || !n.planner.Active() && (!n.isRelay(alive) || n.loadReceivers(alive) != nil) {
 		return nil
 	}
 	addresses, zones := map[string]bool{}, map[string]bool{}
@@ -87,7 +87,7 @@
 func (n *Node) zoneLoads() []*schema.ZoneLoads {
 	alive := n.mesh.Alive()
 	if !n.isRelay(alive) {
-		return nil
+		return n.handedOnLoads(alive)
 	}
 	var names []string
 	for _, p := range alive {
@@ -97,11 +97,16 @@
 	}
 	sum := n.table.SumOf(names)
 	list := []*schema.ZoneLoads{{Zone: n.settings.Zone, Loads: encodeLoads(sum.Loads, sum.EventAges)}}
+	return append(list, n.knownZoneLoads(relayTimeout)...)
+}
+
+// knownZoneLoads returns the sums of other failure domains that are younger than maxAge.
+func (n *Node) knownZoneLoads(maxAge time.Duration) (list []*schema.ZoneLoads) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	for zone, s := range n.zoneSums {
-		if age := now.Sub(s.formedAt); age < relayTimeout {
+		if age := now.Sub(s.formedAt); age < maxAge {
 			list = append(list, &schema.ZoneLoads{Zone: zone, AgeMs: uint32(age.Milliseconds()), Loads: s.loads})
 		}
 	}
@@ -142,7 +147,11 @@
 	if n.mesh.PeerCount() < relayMinNodes {
 		return n.mesh.OtherZoneInterval()
 	}
-	return min(n.mesh.OtherZoneInterval(), n.mesh.SameZoneInterval()/2+2*relayInterval)
+	handedOn := 2 * relayInterval
+	if n.mesh.SameZoneInterval() > gossip.Interval*singleMirrorNodes/10 {
+		handedOn = relayInterval + 2*loadInterval // See loadReceivers.
+	}
+	return min(n.mesh.OtherZoneInterval(), n.mesh.SameZoneInterval()/2+handedOn)
 }
 
 // announcesPlanner reports whether another node's last datagram shows that it is the planner and alive.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -68,6 +68,7 @@
 	// frequent holds the addresses that get a datagram at least every frequentInterval.
 	frequent         map[string]bool
 	frequentInterval time.Duration
+	loadReceivers    map[string]time.Duration // See SetLoadReceivers.
 	started          clock.Time
 }
 
@@ -76,6 +77,8 @@
 	zone     string // Failure domain; empty until a datagram from the node was received.
 	expires  clock.Time
 	lastSent clock.Time
+	// lastLoads is when the loads of failure domains were last sent to it, while they aren't in all datagrams.
+	lastLoads clock.Time
 }
 
 // New returns a Mesh that is bound to its address.
@@ -225,19 +228,42 @@
 	if len(addresses) == 0 {
 		return
 	}
-	data, err := proto.Marshal(m.opt.LocalState())
-	if err != nil || len(data) > maxDatagram {
-		m.opt.Log.WithField("bytes", len(data)).WithError(err).Error("could not encode the gossip message, or it is larger than a datagram may be")
+	msg := m.opt.LocalState()
+	all, others, own, none := m.byContent(addresses)
+	m.sendTo(all, msg)
+	for _, part := range []struct {
+		addresses []string
+		selected  func(zone string) bool
+	}{{others, func(zone string) bool { return zone != m.opt.Zone }}, {own, func(zone string) bool { return zone == m.opt.Zone }}, {none, func(string) bool { return false }}} {
+		if len(part.addresses) > 0 {
+			m.sendTo(part.addresses, withZoneLoads(msg, part.selected))
+		}
+	}
+}
+
+// sendTo sends a message to the addresses, in several datagrams if it is too large for one.
+func (m *Mesh) sendTo(addresses []string, msg *schema.NodeGossip) {
+	if len(addresses) == 0 {
 		return
 	}
+	list, err := datagrams(msg)
+	if err != nil {
+		m.opt.Log.WithError(err).Error("could not encode the gossip message")
+		return
+	}
+	if size := len(list[0]); size > maxDatagram {
+		m.opt.Log.WithField("bytes", size).Error("the gossip message is larger than a datagram may be")
+	}
 	for _, address := range addresses {
 		addr, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			m.opt.Log.WithField("peer_address", address).WithError(err).Warning("could not resolve the gossip address of a node")
 			continue
 		}
-		// An error means a full send queue or a closed socket. It is ignored, since the next datagram replaces this one.
-		_, _ = m.conn.WriteToUDP(data, addr)
+		for _, data := range list {
+			// An error means a full send queue or a closed socket. It is ignored, since the next datagram replaces this one.
+			_, _ = m.conn.WriteToUDP(data, addr)
+		}
 	}
 }
 
@@ -260,6 +286,9 @@
 		if m.frequent[a] {
 			interval = min(interval, m.frequentInterval)
 		}
+		if receives := m.loadReceivers[a]; receives > 0 {
+			interval = min(interval, receives)
+		}
 		// Calls are Interval apart. An address that falls due before the middle between this call and the next is sent to now.
 		if now.Sub(d.lastSent) >= interval-Interval/2 {
 			d.lastSent = now
