--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,6 +103,7 @@
 	eraEvent       sync.Mutex // Held while an era is learnt; taken before all other locks.
 	eraMetrics     eraMetrics
 	heldEntries    metric.Int64Counter
+	mirrorMetrics  mirrorMetrics
 	newest         newestConfig
 	unreadable     unreadableCounter
 
@@ -137,6 +138,9 @@
 	if n.eraMetrics, err = newEraMetrics(metrics.Meter()); err != nil {
 		return nil, err
 	}
+	if n.mirrorMetrics, err = newMirrorMetrics(metrics.Meter()); err != nil {
+		return nil, err
+	}
 	if n.heldEntries, err = newHeldCounter(metrics.Meter()); err != nil {
 		return nil, err
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -118,6 +118,7 @@
 		f.selectSource()
 		callCtx, cancel, watch := f.startCall(ctx)
 		next, err := f.poll(callCtx, watch)
+		f.countRead(watch, err)
 		interrupted := errors.Is(callCtx.Err(), context.Canceled)
 		cancel()
 		switch {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -98,7 +98,7 @@
 	for _, f := range n.followers {
 		sources[f.kind] = f.mirrorCopy
 	}
-	return platform.MirrorHandler(sources, n.newest.inForce.Load, n.learnEra)
+	return n.mirrorMetrics.handler(platform.MirrorHandler(sources, n.newest.inForce.Load, n.learnEra))
 }
 
 // metricsHandler serves metrics.
