Gossip: hand loads on where they don't fit into a datagram, whatever the number of nodes

Cause: at the design size (14 failure domains of 24 nodes, 1,700 heads) a relay's message doesn't fit into a datagram either. Change: more than 700 loads of other failure domains count as a large failure domain does; the age of loads that choices allow for follows. Measured: TestLoadsAreHandedOn passes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,6 +104,7 @@
 	eraMetrics     eraMetrics
 	heldEntries    metric.Int64Counter
 	mirrorMetrics  mirrorMetrics
+	loadsHandedOn  atomic.Bool // See loadReceivers.
 	newest         newestConfig
 	unreadable     unreadableCounter
 
@@ -449,7 +450,7 @@
 				"nodes": len(n.mesh.Alive()) + 1, "in_flight": n.edge.InFlight(), "replica_connections": n.pool.TakeStats()}).Info("summary")
 		}
 		n.mesh.SetFrequent(n.frequentPeers(n.mesh.Alive()), relayInterval)
-		n.mesh.SetLoadReceivers(n.loadReceivers(n.mesh.Alive()))
+		n.updateLoadReceivers(n.mesh.Alive())
 		if n.nodesListed.Load() {
 			n.statements.DivideAmong(n.settings.Peer, n.mesh.Destinations())
 		}
--- a/internal/entry/loadtree.go
+++ b/internal/entry/loadtree.go
@@ -9,7 +9,7 @@
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
-// In a failure domain with more than singleMirrorNodes nodes, its relay sends the loads of other failure domains to a few nodes, which hand them
+// In a failure domain with more than singleMirrorNodes nodes, or with more loads than maxRelayedTargets, the relay sends the loads of other failure domains to a few nodes, which hand them
 // on to the others: with 100 nodes and 470 heads in each failure domain, the relay would send 38 KB for each of two others to each node every
 // relayInterval, which is 38 MB/s.
 
@@ -19,6 +19,9 @@
 	weakestReceivers = 4
 	// loadInterval is the time between two datagrams with loads to the same node of the failure domain.
 	loadInterval = 3 * relayInterval
+	// maxRelayedTargets is the number of loads of other failure domains up to which the relay of a small failure domain sends them all in one
+	// datagram. More don't fit into it.
+	maxRelayedTargets = 700
 	// maxHandedOnAge is the age of loads up to which they are handed on; balance counts them for 2 s.
 	maxHandedOnAge = 2 * time.Second
 )
@@ -50,10 +53,13 @@
 // where they are in all datagrams of the relay.
 func (n *Node) loadReceivers(alive []gossip.Peer) map[string]time.Duration {
 	order := n.zoneOrder(alive)
-	if len(alive) < relayMinNodes || len(order) <= singleMirrorNodes {
+	if len(alive) < relayMinNodes || len(order) <= singleMirrorNodes && n.relayedTargets() <= maxRelayedTargets {
 		return nil
 	}
 	receivers := map[string]time.Duration{}
+	if len(order) == 0 {
+		return receivers // This node drains, and is the last one.
+	}
 	for _, r := range receiversOf(n.settings.Node, order) {
 		receivers[r.address] = loadInterval
 	}
@@ -68,6 +74,24 @@
 	return receivers
 }
 
+// relayedTargets returns the number of loads of other failure domains.
+func (n *Node) relayedTargets() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	targets := 0
+	for _, s := range n.zoneSums {
+		targets += len(s.loads)
+	}
+	return targets
+}
+
+// updateLoadReceivers tells the mesh to which nodes to send loads of failure domains.
+func (n *Node) updateLoadReceivers(alive []gossip.Peer) {
+	receivers := n.loadReceivers(alive)
+	n.loadsHandedOn.Store(receivers != nil)
+	n.mesh.SetLoadReceivers(receivers)
+}
+
 // receiversOf returns the nodes to which one node of the order hands on what it gets: the first sends to those that follow it in the order,
 // the second to the next ones, and so on. All nodes compute the same from the same order; where they differ for a moment, some nodes get the
 // loads twice or not at all.
--- a/internal/entry/loadtree_test.go
+++ b/internal/entry/loadtree_test.go
@@ -87,4 +87,14 @@
 	}
 	c.Check(n.loadReceivers(small), quicktest.IsNil)
 	c.Check(len(n.frequentPeers(small)) > 0, quicktest.IsTrue)
+
+	// More loads than fit into one datagram.
+	many := make([]*schema.TargetLoad, maxRelayedTargets+1)
+	for i := range many {
+		many[i] = &schema.TargetLoad{Target: fmt.Sprint("head-", i), Running: 1}
+	}
+	n.applyPeerGossip(&schema.NodeGossip{Node: "y0", Zone: "far", PeerAddress: "10.9.0.0:1", ZoneLoads: []*schema.ZoneLoads{{Zone: "far", Loads: many}}})
+	c.Check(n.loadReceivers(small), quicktest.Not(quicktest.IsNil))
+	n.updateLoadReceivers(small)
+	c.Check(n.loadsHandedOn.Load(), quicktest.IsTrue)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -148,7 +148,7 @@
 		return n.mesh.OtherZoneInterval()
 	}
 	handedOn := 2 * relayInterval
-	if n.mesh.SameZoneInterval() > gossip.Interval*singleMirrorNodes/10 {
+	if n.loadsHandedOn.Load() {
 		handedOn = relayInterval + 2*loadInterval // See loadReceivers.
 	}
 	return min(n.mesh.OtherZoneInterval(), n.mesh.SameZoneInterval()/2+handedOn)
