--- a/internal/placement/fleet_size_test.go
+++ b/internal/placement/fleet_size_test.go
@@ -38,6 +38,7 @@
 			p.RecordOutcome(o, m.execute(o))
 		}
 	}
+	m.beforeFirstRequest = after < 10*time.Second
 	in := m.fleetInput()
 	b.Logf("%d groups", len(p.groups))
 	for b.Loop() {
