--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -18,6 +18,7 @@
 	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/reach"
 	"cassiadeal.example/cassiadeal/internal/recovery"
+	"cassiadeal.example/cassiadeal/internal/respstatus"
 	"cassiadeal.example/cassiadeal/internal/result"
 	"cassiadeal.example/cassiadeal/internal/retry"
 	"cassiadeal.example/cassiadeal/internal/statement"
@@ -83,12 +84,12 @@
 	if err != nil {
 		return fail(true, reader.failure(err))
 	}
-	if _, err := l.Write(c.encodeRequest(replica, lastEventID, l.kept != nil)); err != nil {
+	if err := c.writeRequest(l, c.encodeRequest(replica, lastEventID, l.kept != nil)); err != nil {
 		return fail(true, reader.failure(err))
 	}
 	limited := &io.LimitedReader{R: reader, N: maxResponseHeaderBytes}
 	buffered := bufio.NewReaderSize(limited, 4096)
-	resp, err := http.ReadResponse(buffered, &http.Request{Method: c.req.Method})
+	resp, err := c.readFinal(buffered)
 	if err != nil {
 		return fail(true, reader.failure(err))
 	}
@@ -131,7 +132,8 @@
 	return c.opt.Statements.Admit(r.Incarnation().Target(), 1) == statement.NotRefused
 }
 
-// encodeRequest returns the HTTP/1.1 request for the replica, which is asked to close the connection afterwards unless it may be kept.
+// encodeRequest returns the HTTP/1.1 request for the replica, with the body if it is small. The replica is asked to close the connection
+// afterwards unless that may be kept.
 func (c *call) encodeRequest(replica *fleet.Replica, lastEventID string, keep bool) []byte {
 	var b bytes.Buffer
 	b.WriteString(c.req.Method + " " + c.req.URI + " HTTP/1.1\r\nHost: " + c.req.Host + "\r\n")
@@ -145,7 +147,7 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(c.req.Body)
+	b.Write(c.inlineBody())
 	return b.Bytes()
 }
 
@@ -154,7 +156,7 @@
 	c.view = c.opt.Registry.View()
 	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
 		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
-		GapTarget: c.route.GapTarget}
+		GapTarget: c.route.GapTarget, Arrivals: c.arrivals()}
 }
 
 // serveBuffered serves a request whose response is buffered until it is complete, so that an incomplete one can be replaced.
@@ -224,8 +226,8 @@
 func (c *call) unusableReason(r *replicaResponse) string {
 	status := r.resp.StatusCode
 	switch {
-	case status < 200:
-		return "status " + strconv.Itoa(status) + " is not a final response"
+	case !respstatus.Final(status):
+		return "status " + strconv.Itoa(status) + " is not one of a final response"
 	case status < 300 && !r.header.Sealed:
 		return "success status without the replica's seal"
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout:
@@ -244,6 +246,10 @@
 	if c.ctx.Err() != nil {
 		return // The client disconnected or its deadline passed, which is no failure of the replica.
 	}
+	if sent && c.clientBlocked() {
+		c.opt.Metrics.Retry("client_blocked")
+		return // The replica may have cut off what the client didn't read.
+	}
 	if errors.Is(err, errBarred) {
 		c.opt.Metrics.Retry("target_barred")
 		c.opt.Log.WithFields(logrus.Fields{"request_id": c.req.ID, "target": string(key)}).Info(err.Error())
