Gossip: read the clock once for the number of known nodes

Cause: each node asks for that number every 50 ms, and read the clock once for each of 300 nodes. Measured: tests of loads and of the mesh pass; the saving wasn't measured.

--- a/internal/entry/loadtree.go
+++ b/internal/entry/loadtree.go
@@ -64,8 +64,10 @@
 		receivers[r.address] = loadInterval
 	}
 	if n.isRelay(alive) {
+		asked := map[string]bool{n.settings.Zone: true}
 		for _, p := range alive {
-			if p.Zone != n.settings.Zone {
+			if !asked[p.Zone] {
+				asked[p.Zone] = true
 				receivers[n.relayAddress(alive, p.Zone)] = relayInterval
 			}
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -373,9 +373,9 @@
 func (m *Mesh) KnownCount() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known := 0
+	known, now := 0, m.opt.Clock.Now()
 	for _, p := range m.peers {
-		if !p.Draining && m.opt.Clock.Now().Sub(p.ReceivedAt) <= destinationTTL {
+		if !p.Draining && now.Sub(p.ReceivedAt) <= destinationTTL {
 			known++
 		}
 	}
