Planner: don't repeat an order to join that still waits or is being sent

Cause: the plan repeats a join after 0.9 s. With thousands of orders the first may still wait then; the repetition counts as an attempt without an answer, and a member with more than three of them is replaced. Change: a join of the same epoch to the same replica is sent once at a time; the repetition counts as not sent.

--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -100,6 +100,13 @@
 // send sends one order once its epoch is recorded, unless this node is no longer the planner when the earlier orders to the
 // replica have ended, or the replica has moved to another group meanwhile.
 func (p *Planner) send(ctx context.Context, o placement.Order) {
+	if o.Action == placement.Join {
+		if !p.beginJoin(o) {
+			p.recordOutcome(o, placement.NotSent)
+			return
+		}
+		defer p.endJoin(o)
+	}
 	if p.recorder != nil {
 		if err := p.recorder.await(ctx, o); err != nil {
 			p.opt.Log.WithError(err).WithFields(logrus.Fields{"replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).Info("an order to join is dropped")
@@ -139,6 +146,25 @@
 	p.recordOutcome(o, outcome)
 }
 
+// beginJoin reports whether no order to join the same epoch waits or is being sent to the replica. With thousands of orders an order may wait for
+// longer than the time after which the plan repeats it; the repetition would count as an attempt that wasn't answered.
+func (p *Planner) beginJoin(o placement.Order) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := waitingOrder{o.To.Incarnation(), o.Epoch}
+	if p.joins[key] {
+		return false
+	}
+	p.joins[key] = true
+	return true
+}
+
+func (p *Planner) endJoin(o placement.Order) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.joins, waitingOrder{o.To.Incarnation(), o.Epoch})
+}
+
 func (p *Planner) recordOutcome(o placement.Order, outcome placement.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/planner/orders_test.go
+++ b/internal/planner/orders_test.go
@@ -217,3 +217,38 @@
 	}
 	c.Assert(state, quicktest.Equals, "open")
 }
+
+// Load: thousands of orders, so that one waits for longer than the time after which the plan repeats it. Guards against repetitions that are
+// sent after the first, and count as attempts that a sound replica hasn't answered.
+func TestOrderToJoinThatStillWaitsIsNotRepeated(t *testing.T) {
+	c := quicktest.New(t)
+	o := newOrderTest(t)
+	order := placement.Order{To: &o.entry, Action: placement.Join, Group: "g", Epoch: 5, Model: "m", Members: []string{"i-1"}}
+	for range maxOrdersInFlight {
+		o.planner.inFlight <- struct{}{}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.planner.send(context.Background(), order)
+	}()
+	waiting := func() bool {
+		o.planner.mu.Lock()
+		defer o.planner.mu.Unlock()
+		return len(o.planner.joins) == 1
+	}
+	for end := time.Now().Add(5 * time.Second); !waiting() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(waiting(), quicktest.IsTrue)
+	o.planner.send(context.Background(), order) // Returns at once.
+	other := order
+	other.Epoch = 6
+	c.Check(o.planner.beginJoin(other), quicktest.IsTrue)
+	o.planner.endJoin(other)
+	for range maxOrdersInFlight {
+		<-o.planner.inFlight
+	}
+	<-done
+	c.Check(waiting(), quicktest.IsFalse)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -105,13 +105,14 @@
 	counts        orderCounts
 	// active isn't guarded: datagrams, the choice of a mirror and logs ask for it, and mustn't wait for a step of the plan.
 	active      atomic.Bool
-	lastSummary clock.Time // Last summary in the log.
-	restoredAt  clock.Time // When the store last came back from an older copy; 0 if it never did.
+	joins       map[waitingOrder]bool // Orders to join that wait or are being sent.
+	lastSummary clock.Time            // Last summary in the log.
+	restoredAt  clock.Time            // When the store last came back from an older copy; 0 if it never did.
 }
 
 // New returns a Planner.
 func New(opt Options) *Planner {
-	p := &Planner{opt: opt, inFlight: make(chan struct{}, maxOrdersInFlight), nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
+	p := &Planner{opt: opt, inFlight: make(chan struct{}, maxOrdersInFlight), joins: map[waitingOrder]bool{}, nextProbe: map[string]clock.Time{}, queriedAt: map[fleet.Incarnation]clock.Time{}, reportAskedAt: map[fleet.Incarnation]clock.Time{}, confirmed: map[fleet.Incarnation]int64{},
 		unconfirmed: unconfirmedFailures{}, orderLocks: map[string]*sync.Mutex{}, counts: newOrderCounts()}
 	if opt.Store != nil {
 		p.recorder = newRecorder(opt.Store, opt.Lease, opt.StoreFailing, opt.Log)
