--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -20,8 +20,13 @@
 // of orders that the replica has begun, so that the replica refuses it once it has begun another. Orders to leave name the one epoch of a
 // group that they end, and must be carried out whatever came before.
 
-// orderTimeout bounds one order. It takes some milliseconds at a healthy replica.
-const orderTimeout = 400 * time.Millisecond
+const (
+	// orderTimeout bounds one order. It takes some milliseconds at a healthy replica.
+	orderTimeout = 400 * time.Millisecond
+	// maxOrdersInFlight bounds the orders that are sent at the same time. With 3,000 at once, the time of this node's core that they need is
+	// several times orderTimeout, so that most would count as not answered and be sent again.
+	maxOrdersInFlight = 256
+)
 
 var (
 	// errReplicaMoved means that a replica isn't in the group any more in which it was when the order to it was planned.
@@ -95,6 +100,13 @@
 // send sends one order once its epoch is recorded, unless this node is no longer the planner when the earlier orders to the
 // replica have ended, or the replica has moved to another group meanwhile.
 func (p *Planner) send(ctx context.Context, o placement.Order) {
+	if o.Action == placement.Join {
+		if !p.beginJoin(o) {
+			p.recordOutcome(o, placement.NotSent)
+			return
+		}
+		defer p.endJoin(o)
+	}
 	if p.recorder != nil {
 		if err := p.recorder.await(ctx, o); err != nil {
 			p.opt.Log.WithError(err).WithFields(logrus.Fields{"replica": o.To.ID, "group": o.Group, "epoch": o.Epoch}).Info("an order to join is dropped")
@@ -105,6 +117,12 @@
 	lock := p.orderLock(o.To.ID)
 	lock.Lock()
 	defer lock.Unlock()
+	select {
+	case <-ctx.Done():
+		return
+	case p.inFlight <- struct{}{}:
+	}
+	defer func() { <-p.inFlight }()
 	if !p.mayOrder() || !p.stillWants(o) {
 		return
 	}
@@ -128,6 +146,25 @@
 	p.recordOutcome(o, outcome)
 }
 
+// beginJoin reports whether no order to join the same epoch waits or is being sent to the replica. With thousands of orders an order may wait for
+// longer than the time after which the plan repeats it; the repetition would count as an attempt that wasn't answered.
+func (p *Planner) beginJoin(o placement.Order) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := waitingOrder{o.To.Incarnation(), o.Epoch}
+	if p.joins[key] {
+		return false
+	}
+	p.joins[key] = true
+	return true
+}
+
+func (p *Planner) endJoin(o placement.Order) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.joins, waitingOrder{o.To.Incarnation(), o.Epoch})
+}
+
 func (p *Planner) recordOutcome(o placement.Order, outcome placement.Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
