--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -27,6 +27,7 @@
 	Platform bool   `arg:"--platform" help:"serve on the users' platform, with the settings file that it provides"`
 	Follow   bool   `arg:"--follow-demand" help:"with --platform: let model replicas follow the demand for two models"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warning or error"`
+	Shares   bool   `arg:"--account-shares" help:"with --platform: let client accounts beyond their fair share give way also where all routes have one priority"`
 	MaxIdle  int    `arg:"--max-idle-connections" help:"connections to replicas that --platform keeps for later requests; 0 opens one for each request"`
 }
 
@@ -45,6 +46,8 @@
 		return eris.New("either --config or --platform must be given")
 	case a.Follow && !a.Platform:
 		return eris.New("--follow-demand is only used with --platform")
+	case a.Shares && !a.Platform:
+		return eris.New("--account-shares is only used with --platform")
 	case a.MaxIdle < 0 || a.MaxIdle > maxIdleLimit:
 		return eris.Errorf("--max-idle-connections must be from 0 to %d", maxIdleLimit)
 	}
@@ -106,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	s.MaxIdleConnections = args.MaxIdle
+	s.MaxIdleConnections, s.AccountShares = args.MaxIdle, args.Shares
 	limitMemory(s.MemoryMB)
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close(logFlushTimeout)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,6 +89,8 @@
 	ConfigDoubt func() string
 	// Nodes returns the number of serving nodes, including this one.
 	Nodes func() int
+	// AccountShares lets client accounts that offer more than their fair share give way also where all routes of a service have one priority.
+	AccountShares bool
 	// LoadAge returns how old the loads reported by nodes of other failure domains may be.
 	LoadAge func() time.Duration
 }
--- a/internal/edge/precedence.go
+++ b/internal/edge/precedence.go
@@ -30,6 +30,9 @@
 
 // precede decides whether the request gives way to others that are to be served first.
 func (c *call) precede(head *balance.Selection) precedence.Verdict {
+	if !c.hasUrgency && !c.opt.AccountShares {
+		return precedence.Verdict{Reason: precedence.ReasonCalm}
+	}
 	r := precedence.Request{Class: c.class(), Account: c.tenant, Draw: c.draw(), Delay: head.QueueDelay, Target: c.route.LatencyTarget,
 		Unloaded: c.opt.Table.UnloadedFirstEvent(c.service.Engine, c.model)}
 	if c.hasUrgency {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,7 +169,7 @@
 	}
 	n.edge = edge.New(edge.Options{Pool: n.pool, Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Demand: n.demand, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
-		LoadAge: n.loadAge})
+		LoadAge: n.loadAge, AccountShares: s.AccountShares})
 	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
 	n.replicas.Paths = n.paths
 	n.lease = planner.NewLease(n.store, c, log, s.Node, n.incarnation)
