--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+	"github.com/rotisserie/eris"
 
 	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/entry"
@@ -24,6 +25,7 @@
 type arguments struct {
 	Config   string `arg:"--config" help:"settings file of this node (INI)"`
 	Platform bool   `arg:"--platform" help:"serve on the users' platform, with the settings file that it provides"`
+	Follow   bool   `arg:"--follow-demand" help:"with --platform: let model replicas follow the demand for two models"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warning or error"`
 	MaxIdle  int    `arg:"--max-idle-connections" help:"connections to replicas that --platform keeps for later requests; 0 opens one for each request"`
 }
@@ -36,19 +38,29 @@
 // maxIdleLimit is a third of the descriptors of the smallest machines (2,870), which requests need too.
 const maxIdleLimit = 950
 
+// check returns an error if the arguments don't fit together.
+func (a arguments) check() error {
+	switch {
+	case !a.Platform && a.Config == "":
+		return eris.New("either --config or --platform must be given")
+	case a.Follow && !a.Platform:
+		return eris.New("--follow-demand is only used with --platform")
+	case a.MaxIdle < 0 || a.MaxIdle > maxIdleLimit:
+		return eris.Errorf("--max-idle-connections must be from 0 to %d", maxIdleLimit)
+	}
+	return nil
+}
+
 func main() {
 	args := arguments{MaxIdle: connpool.DefaultMaxIdle}
 	arg.MustParse(&args)
+	if err := args.check(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
 	serve := run
 	if args.Platform {
 		serve = runOnPlatform
-	} else if args.Config == "" {
-		fmt.Fprintln(os.Stderr, "either --config or --platform must be given")
-		os.Exit(2)
-	}
-	if args.MaxIdle < 0 || args.MaxIdle > maxIdleLimit {
-		fmt.Fprintf(os.Stderr, "--max-idle-connections must be from 0 to %d\n", maxIdleLimit)
-		os.Exit(2)
 	}
 	if err := serve(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -76,9 +88,10 @@
 	return n.Run(ctx)
 }
 
-// limitMemory makes the garbage collector run more often when the heap approaches the memory of the machine, if the settings state it.
+// limitMemory makes the garbage collector run more often when the heap approaches the memory of the machine; 0 if the settings state none.
+// GOMEMLIMIT takes precedence.
 func limitMemory(memoryMB int) {
-	if memoryMB > 0 {
+	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(intake.SoftMemoryLimit(memoryMB))
 	}
 }
@@ -105,6 +118,11 @@
 	if err != nil {
 		return err
 	}
+	if args.Follow {
+		if err := n.FollowDemand(); err != nil {
+			return err
+		}
+	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -38,6 +38,16 @@
 	return r.Repeat == RepeatSafe || r.Repeat == RepeatStream && r.Resumable
 }
 
+// LeadsTo tells whether the service gets requests of the route.
+func (r *Route) LeadsTo(service string) bool {
+	for _, b := range r.Backends {
+		if b.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Backend is a service that gets a share of a route's requests.
 type Backend struct {
 	Service string
@@ -69,6 +79,7 @@
 	LoadsAtOnce       int           // Weight loads that can run in parallel without slowing each other down.
 	MeanPromptTokens  int           // Mean prompt tokens of a request.
 	MeanOutputTokens  float64       // Mean output tokens of a request.
+	KVCapacityTokens  int           // Tokens that a group can hold in memory (KV cache); 0 if it isn't stated.
 }
 
 // Model returns the model with the name, or nil.
@@ -107,7 +118,8 @@
 	// Tenants maps an API key to its client account; nil if no keys are required.
 	Tenants map[string]Tenant
 
-	byHost map[string][]*Route // By host name in lower case; longest prefix first.
+	byHost     map[string][]*Route // By host name in lower case; longest prefix first.
+	priorities map[string][]int    // By service; see Priorities.
 }
 
 // Tenant is a client account.
@@ -117,8 +129,19 @@
 	HasPriority bool
 }
 
+// Account returns the client account with the name.
+func (c *Config) Account(name string) (Tenant, bool) {
+	for _, t := range c.Tenants {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Tenant{}, false
+}
+
 // Index prepares the configuration for Match.
 func (c *Config) Index() {
+	c.indexPriorities()
 	c.byHost = map[string][]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
