Name the wire paths of mirrors in the platform package only

Cause: the counters of a mirror's answers took the kind from the path themselves (TestWireNamesStayInThisPackage failed). Measured: tests of platform pass.

--- a/internal/entry/mirrormetrics.go
+++ b/internal/entry/mirrormetrics.go
@@ -4,11 +4,12 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"cassiadeal.example/cassiadeal/platform"
 )
 
 // mirrorMetrics counts what this node sends as a mirror, and from where it reads.
@@ -35,8 +36,8 @@
 		if counted.status == http.StatusNotFound {
 			return // The path may be anything.
 		}
-		kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/cassiadeal/objects/"), "/")
-		of := []attribute.KeyValue{attribute.String("kind", kind), attribute.String("call", callName(r.URL.Query().Get("watch") != ""))}
+		kind, watch := platform.DescribeRead(r)
+		of := []attribute.KeyValue{attribute.String("kind", kind), attribute.String("call", callName(watch))}
 		m.bytes.Add(r.Context(), counted.bytes, metric.WithAttributes(of...))
 		m.answers.Add(r.Context(), 1, metric.WithAttributes(append(of, attribute.String("status", strconv.Itoa(counted.status)),
 			attribute.String("encoding", w.Header().Get("Content-Encoding")))...))
