--- a/internal/entry/demand_test.go
+++ b/internal/entry/demand_test.go
@@ -25,3 +25,16 @@
 	n.applyDemand(&schema.NodeGossip{Node: "busy", Demand: encodeDemand(work)})
 	c.Check(n.demand.Total(), quicktest.DeepEquals, work)
 }
+
+// Guards against the setting that can't be put into effect, and against reports that aren't in the datagrams.
+func TestNodeFollowsAndReportsDemand(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, testSettings)
+	c.Assert(n.FollowDemand(), quicktest.IsNil)
+	class := demand.Class{Model: "small"}
+	n.demand.Offer(class, 700, 200)
+	msg := n.localGossip()
+	c.Assert(msg.Demand, quicktest.HasLen, 1)
+	c.Check(msg.Demand[0].Model, quicktest.Equals, "small")
+	c.Check(msg.Demand[0].ReadTokens > 0, quicktest.IsTrue)
+}
