--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -23,6 +23,7 @@
 	Config   string `arg:"--config" help:"settings file of this node (INI)"`
 	Platform bool   `arg:"--platform" help:"serve on the users' platform, with the settings file that it provides"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warning or error"`
+	Prefer   bool   `arg:"--prefer-connected" help:"send streams of --platform to a replica with a kept connection among those that are equally good"`
 	MaxIdle  int    `arg:"--max-idle-connections" help:"connections to replicas that --platform keeps for later requests; 0 opens one for each request"`
 }
 
@@ -83,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	s.MaxIdleConnections = args.MaxIdle
+	s.MaxIdleConnections, s.PreferConnected = args.MaxIdle, args.Prefer
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close(logFlushTimeout)
 	log, err := telemetry.NewLogger(output, s.Node, args.LogLevel)
--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -530,9 +530,9 @@
 	Exclude      map[Key]bool
 	// Refused reports whether what a replica has stated in responses keeps the request from it; nil for never.
 	Refused func(*fleet.Replica) bool
-	// Limited reports whether a replica has stated a limit on its rate of requests, of which only a few nodes have a part; nil for
-	// never.
-	Limited func(*fleet.Replica) bool
+	// Limited reports whether a replica has stated a limit on its rate of requests, of which only a few nodes have a part, and
+	// Connected whether this node has an idle connection to it; each nil for never.
+	Limited, Connected func(*fleet.Replica) bool
 	// ColdShare is the part of a cold replica's request rate that this node may use: one over the number of serving nodes.
 	ColdShare float64
 	// LoadAge is how old the loads reported by nodes of other failure domains may be. It also serves as the age of the loads of
@@ -567,7 +567,7 @@
 		}
 		candidates = append(candidates, t.candidateLocked(r, k, q, now))
 	}
-	return choose(candidates, t.arrivalsLocked(q, now))
+	return preferConnected(choose(candidates, t.arrivalsLocked(q, now)), candidates, q.Connected)
 }
 
 // arrivalsLocked estimates how many requests all nodes send to the heads of the model within half of LoadAge, if each node
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -287,6 +287,13 @@
 	return peek(conn.TCPConn)
 }
 
+// Has reports whether there is an idle connection to the target, which may have ended meanwhile.
+func (p *Pool) Has(target Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[target]) > 0
+}
+
 // Idle returns the number of idle connections.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -74,6 +74,8 @@
 	Paths *reach.Paths
 	// Pool keeps connections to replicas for later requests; nil to keep none.
 	Pool *connpool.Pool
+	// PreferConnected makes requests go to a head with an idle connection among those of equal cost.
+	PreferConnected bool
 	// OnBlocked is called when a crash has been recorded after which requests are refused. It must not block.
 	OnBlocked func()
 	Clock     clock.Clock
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -158,7 +158,7 @@
 func (c *call) balanceQuery(exclude map[balance.Key]bool) balance.Query {
 	c.view = c.opt.Registry.View()
 	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, Zone: c.opt.Zone,
-		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
+		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, Connected: c.connectedIfPreferred(), ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
 		GapTarget: c.route.GapTarget}
 }
 
--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -86,10 +86,15 @@
 
 func poolTarget(r *fleet.Replica) connpool.Target { return connpool.Target(reach.TargetOf(r)) }
 
-// takeKept returns a kept connection for the first send of a request that may be repeated, or nil. A route without a latency target doesn't
-// tell when a kept connection counts as silent.
+// mayReuse reports whether the first send of the request may use a kept connection: it may be repeated. A route without a latency target
+// doesn't tell when such a connection counts as silent.
+func (c *call) mayReuse() bool {
+	return c.mayKeep() && c.route.Idempotent() && c.route.LatencyTarget > 0 && len(c.req.Body) <= maxKeptBody
+}
+
+// takeKept returns a kept connection for the first send of the request, or nil.
 func (c *call) takeKept(replica *fleet.Replica) *link {
-	if !c.mayKeep() || !c.route.Idempotent() || c.route.LatencyTarget <= 0 || len(c.req.Body) > maxKeptBody || c.dropReason(c.opt.Registry.View(), poolTarget(replica)) != "" {
+	if !c.mayReuse() || c.dropReason(c.opt.Registry.View(), poolTarget(replica)) != "" {
 		return nil
 	}
 	conn := c.pool.Take(poolTarget(replica))
@@ -99,6 +104,15 @@
 	return &link{Conn: conn, kept: conn, reused: true}
 }
 
+// connectedIfPreferred returns a function that reports whether there is an idle connection to a replica, or nil if that doesn't matter. Only
+// the first send uses one.
+func (c *call) connectedIfPreferred() func(*fleet.Replica) bool {
+	if !c.opt.PreferConnected || c.attempts.sends > 0 || !c.mayReuse() {
+		return nil
+	}
+	return func(r *fleet.Replica) bool { return c.pool.Has(poolTarget(r)) }
+}
+
 // dropReason returns why no connections to a target are kept, or "".
 func (s *Server) dropReason(view *fleet.View, target connpool.Target) connpool.Reason {
 	r := view.Replicas[target.ID]
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -628,3 +628,26 @@
 	_, err = s.ask("unsafe")
 	c.Check(err, quicktest.IsNil)
 }
+
+// Guards against new connections where an equal head has an idle one, and against a preference that wasn't asked for.
+func TestPreferredConnections(t *testing.T) {
+	for _, prefer := range []bool{false, true} {
+		c := quicktest.New(t)
+		var heads []*keepingReplica
+		for range 8 {
+			heads = append(heads, newKeepingReplica(t, sound))
+		}
+		s := newKeepingServer(t, heads, nil)
+		s.opt.PreferConnected = prefer
+		for range 24 {
+			_, err := s.ask("stream")
+			c.Assert(err, quicktest.IsNil)
+			time.Sleep(10 * time.Millisecond) // The load of the request has been taken back by then.
+		}
+		accepted := int64(0)
+		for _, r := range heads {
+			accepted += r.accepted.Load()
+		}
+		c.Check(accepted <= 3, quicktest.Equals, prefer, quicktest.Commentf("prefer %v: %d connections", prefer, accepted))
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,7 +152,7 @@
 	if n.pool, err = connpool.New(connpool.Options{Clock: c, MaxIdle: s.MaxIdleConnections, Meter: metrics.Meter()}); err != nil {
 		return nil, err
 	}
-	n.edge = edge.New(edge.Options{Pool: n.pool, Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
+	n.edge = edge.New(edge.Options{Pool: n.pool, PreferConnected: s.PreferConnected, Codec: platform.Codec{}, Registry: n.registry, Table: n.table, Budget: n.budget, Crashes: n.crashes, Statements: n.statements, Paths: n.paths, OnBlocked: n.announceBlocked, Clock: c, Log: log,
 		Metrics: metrics, Zone: s.Zone, StoreAge: n.storeContact.outageAge, ConfigDoubt: n.configDoubt, Nodes: func() int { return len(n.mesh.Alive()) + 1 },
 		LoadAge: n.loadAge})
 	n.replicas = platform.NewReplicaClient(func(from fleet.Incarnation, a fleet.Answer) { n.statements.Record(from.Target(), a.Statement) })
