Read a response that arrived before a late deadline

Cause: on machines with a fifth of a core a process may get no processor time until after the deadline of a read on a kept connection. The read then fails although the response has arrived, and the request was repeated.

Change: bytes that have arrived are looked for before a kept connection counts as silent.

Measured: TestResponseThatArrivedBeforeALateReadIsRead; the tests of silent and faulty kept connections pass with -race.

--- a/internal/connpool/peek.go
+++ b/internal/connpool/peek.go
@@ -40,6 +40,9 @@
 	return ReasonLeftover
 }
 
+// Readable reports whether bytes have arrived that haven't been read.
+func (c *Conn) Readable() bool { return peek(c.TCPConn) == ReasonLeftover }
+
 // probe makes the kernel probe an idle connection. It returns a reason if the connection can't be used.
 func probe(conn *net.TCPConn) Reason {
 	err := conn.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: maxProbes})
--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -238,10 +238,17 @@
 	return n, err
 }
 
-// awaitLonger reports whether a kept connection on which nothing came until its deadline is read for longer: the replica's host has
-// acknowledged the request, and there is time left.
+// awaitLonger reports whether a kept connection on which nothing was read until its deadline is read for longer: bytes have arrived meanwhile,
+// which a process that got no processor time for a while hasn't seen, or the replica's host has acknowledged the request and there is time
+// left.
 func (r *linkReader) awaitLonger(err error) bool {
-	if r.received || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(r.giveUpAt) || r.link.kept.Unacknowledged() {
+	if r.received || !r.link.reused || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if r.link.kept.Readable() {
+		return r.link.SetDeadline(time.Time{}) == nil
+	}
+	if !time.Now().Before(r.giveUpAt) || r.link.kept.Unacknowledged() {
 		return false
 	}
 	return r.link.SetDeadline(r.giveUpAt) == nil
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -651,3 +651,32 @@
 		c.Check(accepted <= 3, quicktest.Equals, prefer, quicktest.Commentf("prefer %v: %d connections", prefer, accepted))
 	}
 }
+
+// Guards against a connection that is taken for silent because this process got no processor time until after the deadline, as on machines
+// with a fifth of a core: the response has arrived meanwhile.
+func TestResponseThatArrivedBeforeALateReadIsRead(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer l.Close()
+	here, err := net.Dial("tcp4", l.Addr().String())
+	c.Assert(err, quicktest.IsNil)
+	defer here.Close()
+	there, err := l.Accept()
+	c.Assert(err, quicktest.IsNil)
+	defer there.Close()
+	kept := connpool.NewConn(connpool.Target{}, here.(*net.TCPConn))
+	r := &linkReader{link: &link{Conn: kept, kept: kept, reused: true}, clock: clock.Boottime(), giveUpAt: time.Now().Add(-time.Second)}
+	c.Assert(kept.SetDeadline(time.Now().Add(-time.Second)), quicktest.IsNil)
+	b := make([]byte, 16)
+	_, err = r.Read(b)
+	c.Check(r.failure(err), quicktest.ErrorIs, errSilentConnection)
+	_, err = there.Write([]byte("HTTP"))
+	c.Assert(err, quicktest.IsNil)
+	for !kept.Readable() {
+		time.Sleep(time.Millisecond)
+	}
+	n, err := r.Read(b)
+	c.Check(err, quicktest.IsNil)
+	c.Check(string(b[:n]), quicktest.Equals, "HTTP")
+}
