Keep routes that allow no repetition off kept connections

Cause: a request of a route with one attempt that fails on a kept connection can't be sent again, although it would have been answered on a new one.

Change: such routes use new connections, as those without a latency target do.

--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -86,10 +86,10 @@
 
 func poolTarget(r *fleet.Replica) connpool.Target { return connpool.Target(reach.TargetOf(r)) }
 
-// mayReuse reports whether the first send of the request may use a kept connection: it may be repeated. A route without a latency target
-// doesn't tell when such a connection counts as silent.
+// mayReuse reports whether the first send of the request may use a kept connection: it may be repeated if that fails. A route without a latency
+// target doesn't tell when such a connection counts as silent.
 func (c *call) mayReuse() bool {
-	return c.mayKeep() && c.route.Idempotent() && c.route.LatencyTarget > 0 && len(c.req.Body) <= maxKeptBody
+	return c.mayKeep() && c.route.Idempotent() && c.route.MaxAttempts > 1 && c.route.LatencyTarget > 0 && len(c.req.Body) <= maxKeptBody
 }
 
 // takeKept returns a kept connection for the first send of the request, or nil.
@@ -176,7 +176,7 @@
 
 // mayRepeat reports whether the request may be sent to the same replica again, which then counts as a retry.
 func (c *call) mayRepeat(replica *fleet.Replica) bool {
-	if c.route.MaxAttempts < 2 || c.timeLeft() <= 0 || !c.repeat.claim() {
+	if c.timeLeft() <= 0 || !c.repeat.claim() {
 		return false
 	}
 	if !c.admittedByStatement(replica) || !c.opt.Budget.Allow(c.service.Name, retry.ReasonTargetFailed) {
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -617,6 +618,32 @@
 	}
 }
 
+// Guards against a request that fails on a kept connection and can't be repeated, since its route allows one attempt, or that waits on one for
+// longer than its route tells.
+func TestRoutesThatAllowNoRepetitionGetNewConnections(t *testing.T) {
+	for name, change := range map[string]func(*fleet.Route){
+		"one attempt":       func(r *fleet.Route) { r.MaxAttempts = 1 },
+		"no latency target": func(r *fleet.Route) { r.LatencyTarget = 0 },
+		"not resumable":     func(r *fleet.Route) { r.Resumable = false },
+	} {
+		c := quicktest.New(t)
+		r := newKeepingReplica(t, sound)
+		s := newKeepingServer(t, []*keepingReplica{r}, nil)
+		cfg := *s.opt.Registry.View().Config
+		cfg.Version++
+		cfg.Routes = slices.Clone(cfg.Routes)
+		for i := range cfg.Routes {
+			change(&cfg.Routes[i])
+		}
+		s.opt.Registry.SetConfig(&cfg)
+		for range 3 {
+			_, err := s.ask("stream")
+			c.Assert(err, quicktest.IsNil)
+		}
+		c.Check(r.used.Load(), quicktest.Equals, int64(3), quicktest.Commentf("%s", name))
+	}
+}
+
 // Guards against idle connections that keep a replica from accepting new ones: it resets these while it has too many.
 func TestIdleConnectionsGiveWayToNewOnes(t *testing.T) {
 	c := quicktest.New(t)
