--- a/cmd/cassiadeald/main.go
+++ b/cmd/cassiadeald/main.go
@@ -28,6 +28,7 @@
 	Follow   bool   `arg:"--follow-demand" help:"with --platform: let model replicas follow the demand for two models"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warning or error"`
 	Shares   bool   `arg:"--account-shares" help:"with --platform: let client accounts beyond their fair share give way also where all routes have one priority"`
+	Prefer   bool   `arg:"--prefer-connected" help:"send streams of --platform to a replica with a kept connection among those that are equally good"`
 	MaxIdle  int    `arg:"--max-idle-connections" help:"connections to replicas that --platform keeps for later requests; 0 opens one for each request"`
 }
 
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	s.MaxIdleConnections, s.AccountShares = args.MaxIdle, args.Shares
+	s.MaxIdleConnections, s.PreferConnected, s.AccountShares = args.MaxIdle, args.Prefer, args.Shares
 	limitMemory(s.MemoryMB)
 	output := telemetry.NewBoundedWriter(os.Stdout)
 	defer output.Close(logFlushTimeout)
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -164,7 +164,7 @@
 	}
 	return balance.Query{View: c.view, Service: c.service, Model: c.model, PromptTokens: c.req.PromptTokens, OutputTokens: c.output, Zone: c.opt.Zone,
 		Exclude: exclude, Refused: c.refusedByStatement, Limited: c.limitedByStatement, ColdShare: 1 / float64(max(c.opt.Nodes(), 1)), LoadAge: c.opt.LoadAge(),
-		GapTarget: c.route.GapTarget, Arrivals: c.arrivals()}
+		GapTarget: c.route.GapTarget, Arrivals: c.arrivals(), Connected: c.connectedIfPreferred()}
 }
 
 // serveBuffered serves a request whose response is buffered until it is complete, so that an incomplete one can be replaced.
--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -88,10 +88,15 @@
 
 func poolTarget(r *fleet.Replica) connpool.Target { return connpool.Target(reach.TargetOf(r)) }
 
-// takeKept returns a kept connection for the first send of a request that may be repeated, or nil. A route without a latency target doesn't
-// tell when a kept connection counts as silent.
+// mayReuse reports whether the first send of the request may use a kept connection: it may be repeated if that fails. A route without a latency
+// target doesn't tell when such a connection counts as silent.
+func (c *call) mayReuse() bool {
+	return c.mayKeep() && c.route.Idempotent() && c.route.MaxAttempts > 1 && c.route.LatencyTarget > 0 && len(c.req.Body) <= maxKeptBody
+}
+
+// takeKept returns a kept connection for the first send of the request, or nil.
 func (c *call) takeKept(replica *fleet.Replica) *link {
-	if !c.mayKeep() || !c.route.Idempotent() || c.route.LatencyTarget <= 0 || len(c.req.Body) > maxKeptBody || c.dropReason(c.opt.Registry.View(), poolTarget(replica)) != "" {
+	if !c.mayReuse() || c.dropReason(c.opt.Registry.View(), poolTarget(replica)) != "" {
 		return nil
 	}
 	conn := c.pool.Take(poolTarget(replica))
@@ -101,6 +106,15 @@
 	return &link{Conn: conn, kept: conn, reused: true, replica: replica}
 }
 
+// connectedIfPreferred returns a function that reports whether there is an idle connection to a replica, or nil if that doesn't matter. Only
+// the first send uses one.
+func (c *call) connectedIfPreferred() func(*fleet.Replica) bool {
+	if !c.opt.PreferConnected || c.attempts.sends > 0 || !c.mayReuse() {
+		return nil
+	}
+	return func(r *fleet.Replica) bool { return c.pool.Has(poolTarget(r)) }
+}
+
 // dropReason returns why no connections to a target are kept, or "".
 func (s *Server) dropReason(view *fleet.View, target connpool.Target) connpool.Reason {
 	r := view.Replicas[target.ID]
@@ -165,7 +179,7 @@
 
 // mayRepeat reports whether the request may be sent to the same replica again, which then counts as a retry.
 func (c *call) mayRepeat(replica *fleet.Replica) bool {
-	if c.route.MaxAttempts < 2 || c.timeLeft() <= 0 || !c.repeat.claim() {
+	if c.timeLeft() <= 0 || !c.repeat.claim() {
 		return false
 	}
 	if !c.admittedByStatement(replica) || !c.opt.Budget.Allow(c.service.Name, retry.ReasonTargetFailed) {
@@ -236,10 +250,17 @@
 	return n, err
 }
 
-// awaitLonger reports whether a kept connection on which nothing came until its deadline is read for longer: the replica's host has
-// acknowledged the request, and the replica may still answer it, or the request can't be repeated.
+// awaitLonger reports whether a kept connection on which nothing was read until its deadline is read for longer: bytes have arrived meanwhile,
+// which a process that got no processor time for a while hasn't seen, or the replica's host has acknowledged the request, and the replica may
+// still answer it or the request can't be repeated.
 func (r *linkReader) awaitLonger(err error) bool {
-	if r.received || !errors.Is(err, os.ErrDeadlineExceeded) || r.link.kept.Unacknowledged() {
+	if r.received || !r.link.reused || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if r.link.kept.Readable() {
+		return r.link.SetDeadline(time.Time{}) == nil
+	}
+	if r.link.kept.Unacknowledged() {
 		return false
 	}
 	if !r.giveUpAt.IsZero() && !time.Now().Before(r.giveUpAt) {
