--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,6 +110,7 @@
 	durations drain.Durations // By route.
 	checks    pathChecks
 	offered   *precedence.Counter
+	competing competingRoutes
 	costs     *cost.Table
 
 	receivedRequest atomic.Bool // A request with a known route and key has arrived.
--- a/internal/edge/precedence.go
+++ b/internal/edge/precedence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
@@ -24,13 +25,15 @@
 		return
 	}
 	c.output = c.expectedOutput()
+	c.competing.note(c.model.Name, c.route.Priority)
 	work := precedence.Work{ReadTokens: float64(c.req.PromptTokens), WriteTokens: float64(c.output)}
 	c.offered.Offer(c.class(), c.tenant, c.req.PromptTokens, c.output, work.Millis(c.service.Engine, c.model.TimeFactor))
 }
 
 // precede decides whether the request gives way to others that are to be served first.
 func (c *call) precede(head *balance.Selection) precedence.Verdict {
-	if !c.hasUrgency && !c.opt.AccountShares {
+	competing := c.hasUrgency && c.competing.differ(c.model.Name)
+	if !competing && !c.opt.AccountShares {
 		return precedence.Verdict{Reason: precedence.ReasonCalm}
 	}
 	r := precedence.Request{Class: c.class(), Account: c.tenant, Draw: c.draw(), Delay: head.QueueDelay, Target: c.route.LatencyTarget,
@@ -42,8 +45,37 @@
 		return precedence.Verdict{Reason: precedence.ReasonAtOnce}
 	}
 	groups, delay := c.opt.Table.Pressure(c.balanceQuery(nil))
-	return precedence.Decide(r, precedence.Model{Engine: c.service.Engine, TimeFactor: c.model.TimeFactor, Groups: groups, MeanDelay: delay,
-		Offered: c.offeredByAll(), Accounts: c.offered.Accounts(r.Class), OnePriority: !c.hasUrgency})
+	m := precedence.Model{Engine: c.service.Engine, TimeFactor: c.model.TimeFactor, Groups: groups, MeanDelay: delay, Offered: c.offeredByAll(), OnePriority: !competing}
+	if c.opt.AccountShares {
+		m.Accounts = c.offered.Accounts(r.Class)
+	}
+	return precedence.Decide(r, m)
+}
+
+// competingRoutes knows the priorities of the routes whose requests use a model. The configuration doesn't tell which routes do.
+type competingRoutes struct {
+	mu      sync.Mutex
+	byModel map[string]map[int]bool
+}
+
+// note records that a route of the priority uses the model.
+func (r *competingRoutes) note(model string, priority int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byModel == nil {
+		r.byModel = map[string]map[int]bool{}
+	}
+	if r.byModel[model] == nil {
+		r.byModel[model] = map[int]bool{}
+	}
+	r.byModel[model][priority] = true
+}
+
+// differ reports whether routes of several priorities use the model.
+func (r *competingRoutes) differ(model string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.byModel[model]) > 1
 }
 
 // draw returns the request's draw. Requests without an ID would all have the same one.
--- a/internal/edge/precedence_test.go
+++ b/internal/edge/precedence_test.go
@@ -44,6 +44,7 @@
 				{Model: "m", Priority: 0}: {Requests: 20, ReadTokens: 20_000, WriteTokens: 200}})
 			h.opt.Table.SetPeerState("n", balance.PeerState{Loads: map[balance.Key]balance.Load{
 				balance.KeyOf(view.Replicas["i-0"]): {Running: 6, Waiting: 6, UnreadTokens: 11_000}}})
+			h.competing.note("m", test.other) // A request of the other route has arrived before.
 			resp, _, err := sendRequest(t, h, http.MethodPost)
 			c.Assert(err, qt.IsNil)
 			c.Check(resp.StatusCode, qt.Equals, test.want)
