Pass heads on to net/http only when they are complete

Cause: net/http parses a head as it arrives. Refused heads of 100 clients made so much garbage that the soft limit of the heap was exceeded.

Change: Conn.Read keeps the bytes of a head that doesn't arrive in one read until its end, and passes them on then. Such heads without an end get 408 or 431 instead of 400.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -112,7 +112,8 @@
 	charged      int64 // Bytes of the head that the account holds.
 	unmarked     int   // Bytes since the last progress.
 	ended        Reason
-	writeLimited bool // A write deadline is set.
+	writeLimited bool   // A write deadline is set.
+	pending      []byte // Bytes from the start of a head on that haven't been passed on.
 }
 
 // errClosed makes net/http close the connection without a response: it takes it as a failed read.
@@ -162,23 +163,45 @@
 	return n, err
 }
 
-// Read implements net.Conn. Bytes of a head are passed on only if there is room for them.
+// Read implements net.Conn. A head is passed on only when it is complete, so that unfinished ones and those over the limit aren't parsed.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	c.mu.Lock()
-	at, ended := c.phase, c.ended
-	c.mu.Unlock()
-	switch {
-	case ended != reasonNothing:
-		return 0, c.endRead(at)
-	case at == phaseIdle && n > 0:
-		return c.beginHead(p[:n], err)
-	case at == phaseHead:
-		return c.readHead(p[:n], err)
-	case at == phaseBody:
-		c.noteProgress(n)
+	for {
+		if n := c.takePending(p); n > 0 {
+			return n, nil
+		}
+		n, err := c.TCPConn.Read(p)
+		c.mu.Lock()
+		at, ended := c.phase, c.ended
+		c.mu.Unlock()
+		switch {
+		case ended != reasonNothing:
+			return 0, c.endRead(at)
+		case at == phaseIdle && n > 0, at == phaseHead && !c.head.done:
+			whole, headErr := c.readHead(at, p[:n], err)
+			if whole {
+				return n, headErr
+			}
+			if headErr != nil {
+				return 0, headErr
+			}
+			continue
+		case at == phaseBody:
+			c.noteProgress(n)
+		}
+		return n, err
 	}
-	return n, err
+}
+
+// takePending returns bytes of a head that has become complete, and of what arrived with its end.
+func (c *Conn) takePending(p []byte) int {
+	if len(c.pending) == 0 || !c.head.done {
+		return 0
+	}
+	n := copy(p, c.pending)
+	if c.pending = c.pending[n:]; len(c.pending) == 0 {
+		c.pending = nil
+	}
+	return n
 }
 
 // endRead ends a connection that was interrupted. If a head was being received, it answers the client. The handler does so for a body.
@@ -189,8 +212,8 @@
 	return errClosed
 }
 
-// beginHead takes the first bytes of a request.
-func (c *Conn) beginHead(p []byte, err error) (int, error) {
+// beginHead records the first byte of a request.
+func (c *Conn) beginHead() error {
 	limits := c.headLimits()
 	c.mu.Lock()
 	if c.writeLimited { // For the response to the request before.
@@ -200,10 +223,7 @@
 	c.phase, c.head, c.limits, c.charged, c.unmarked = phaseHead, head{}, limits, 0, 0
 	c.headDeadline = time.Now().Add(limits.Time)
 	c.mu.Unlock()
-	if beginErr := c.account.Begin(); beginErr != nil {
-		return 0, c.refuseRead(noRoom(beginErr.Error()))
-	}
-	return c.readHead(p, err)
+	return c.account.Begin()
 }
 
 func (c *Conn) headLimits() HeadLimits {
@@ -213,31 +233,37 @@
 	return c.listener.opt.HeadLimits().orDefaults()
 }
 
-// readHead takes bytes of a head. The deadline is set only if the head isn't complete, which is rare.
-func (c *Conn) readHead(p []byte, err error) (int, error) {
-	if c.head.done {
-		return len(p), err // net/http found it malformed, and is closing the connection.
+// readHead takes bytes of a head. whole is set if they are all of it and can be passed on as they are; otherwise they are pending. The deadline
+// is set only if the head isn't complete, which is rare. An error ends the read.
+func (c *Conn) readHead(at phase, p []byte, err error) (whole bool, _ error) {
+	if at == phaseIdle {
+		if beginErr := c.beginHead(); beginErr != nil {
+			return false, c.refuseRead(noRoom(beginErr.Error()))
+		}
 	}
 	if len(p) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(c.headDeadline) {
 		c.listener.limiter.count(HeadTooSlow)
-		return 0, c.refuseRead(result.New(result.BodyIncomplete, "the head of the request did not arrive within %v", c.limits.Time))
+		return false, c.refuseRead(result.New(result.BodyIncomplete, "the head of the request did not arrive within %v", c.limits.Time))
 	}
-	first := c.head.largest() == 0
 	c.scan(p)
 	if c.head.largest() > c.limits.Bytes {
 		c.listener.limiter.count(HeadTooLarge)
-		return 0, c.refuseRead(result.New(result.HeadersTooLarge, "the head of the request has more than %d bytes", c.limits.Bytes))
+		return false, c.refuseRead(result.New(result.HeadersTooLarge, "the head of the request has more than %d bytes", c.limits.Bytes))
 	}
 	if growErr := c.chargeHead(int64(c.head.requestLine + c.head.fields + c.head.lines*lineBytes)); growErr != nil {
-		return 0, c.refuseRead(noRoom(growErr.Error()))
+		return false, c.refuseRead(noRoom(growErr.Error()))
+	}
+	if c.head.done && len(c.pending) == 0 {
+		return true, err
 	}
+	c.pending = append(c.pending, p...)
 	if !c.head.done {
 		c.noteProgress(len(p))
-		if first {
+		if at == phaseIdle {
 			_ = c.SetReadDeadline(time.Time{}) // That of the head. An error shows at the next read.
 		}
 	}
-	return len(p), err
+	return false, err
 }
 
 func (c *Conn) scan(p []byte) {
@@ -266,6 +292,7 @@
 
 // refuseRead answers a request whose head is not complete, and returns the error of the read.
 func (c *Conn) refuseRead(e *result.Error) error {
+	c.pending = nil
 	c.refuse(e)
 	c.mu.Lock()
 	c.phase = phaseClosing
