Don't count a part of the last line of a head

Cause: a head exactly at the limit was refused with 431 if the carriage return of its last line was read before the line feed, as by net/http's read of one byte between two requests. Change: a line that is only a carriage return so far doesn't count.

--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -698,7 +698,8 @@
 	c.Assert(err, quicktest.IsNil)
 	defer there.Close()
 	kept := connpool.NewConn(connpool.Target{}, here.(*net.TCPConn))
-	r := &linkReader{link: &link{Conn: kept, kept: kept, reused: true}, clock: clock.Boottime(), giveUpAt: time.Now().Add(-time.Second)}
+	r := &linkReader{link: &link{Conn: kept, kept: kept, reused: true}, clock: clock.Boottime(), giveUpAt: time.Now().Add(-time.Second),
+		claimRepeat: func() bool { return true }}
 	c.Assert(kept.SetDeadline(time.Now().Add(-time.Second)), quicktest.IsNil)
 	b := make([]byte, 16)
 	_, err = r.Read(b)
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -15,8 +15,14 @@
 }
 
 // largest returns the size of the request line or that of the header lines, whichever is larger. The blank line at the end counts towards
-// neither.
-func (h *head) largest() int { return max(h.requestLine, h.fields) }
+// neither, also if only its carriage return has arrived.
+func (h *head) largest() int {
+	fields := h.fields
+	if h.inFields && h.onlyCR {
+		fields--
+	}
+	return max(h.requestLine, fields)
+}
 
 // scan takes the next bytes. Those after the head are ignored.
 func (h *head) scan(p []byte) {
--- a/internal/intake/head_test.go
+++ b/internal/intake/head_test.go
@@ -32,3 +32,15 @@
 		}
 	}
 }
+
+// Guards against a head at the limit that is refused because the two bytes of its last line arrive one after the other.
+func TestLastLineCountsTowardsNeitherSizeAtAnyByte(t *testing.T) {
+	c := qt.New(t)
+	var h head
+	const text = "GET / HTTP/1.1\r\nHost: a-long-name.example\r\n\r\n"
+	for _, b := range []byte(text) {
+		h.scan([]byte{b})
+		c.Assert(h.largest() <= len("Host: a-long-name.example\r\n"), qt.IsTrue)
+	}
+	c.Check(h.done, qt.IsTrue)
+}
