--- a/internal/balance/table.go
+++ b/internal/balance/table.go
@@ -389,15 +389,6 @@
 	return suspected
 }
 
-// stallLimitLocked returns how long the requests at a target may be silent; allWait tells that none of them has had an event yet.
-func (t *Table) stallLimitLocked(k Key, s *targetState, allWait bool, gap func(Key, Load) time.Duration, now clock.Time) time.Duration {
-	limit := max(minStallSilence, time.Duration(stallGaps*t.slowFactorLocked(k, now)*float64(gap(k, s.load))))
-	if allWait {
-		limit = max(limit, s.expectedFirst+minStallSilence)
-	}
-	return limit
-}
-
 // SetPeerState stores the state that another node reported.
 func (t *Table) SetPeerState(node string, state PeerState) {
 	t.mu.Lock()
