Tell small differences of speed from a slowness that has ended

Change: a small difference must show in the newest events too, and the steady slowdown starts anew after slowdownMaxAge without events.

--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -35,6 +35,9 @@
 }
 
 func (s *slowdown) record(ratio float64, reading bool, now clock.Time) {
+	if now.Sub(s.lastEvent) >= slowdownMaxAge {
+		s.steady = steadySlowdown{}
+	}
 	s.events++
 	s.lastEvent = now
 	s.ratio += (ratio - s.ratio) * max(slowdownWeight, 1/float64(s.events))
--- a/internal/balance/steady.go
+++ b/internal/balance/steady.go
@@ -42,6 +42,8 @@
 		return 1
 	}
 	factor := s.slowdown.steady.ratio / max(t.steadyMedianLocked(s.model, now), 1e-3)
+	// The newest events must show the difference too: a target that was much slower for a while is told from a slow one by them only.
+	factor = min(factor, s.slowdown.ratio/max(t.medianLocked(s.model, now), 1e-3))
 	if factor < minSmallDifference || factor >= slowThreshold {
 		return 1
 	}
