Test precedence when half of a model's groups are lost

Cause: no test covered a capacity that falls while the offered work stays. Change: a test of the verdicts with six groups and with three. Measured: it passes. Conclusion: the capacity that is left decides, before queues have grown.

--- a/internal/precedence/precedence_test.go
+++ b/internal/precedence/precedence_test.go
@@ -163,3 +163,26 @@
 		qt.Assert(t, v.Action, qt.Equals, Default, qt.Commentf("draw %g: %s", draw, v.Reason))
 	}
 }
+
+// Failure: half of the groups are lost, under a load that six groups can do and three can't. Guards against less urgent work that gives way only after
+// the queues of the others have grown, and against urgent work that gives way too.
+func TestLostGroupsLetLessUrgentWorkGiveWay(t *testing.T) {
+	c := qt.New(t)
+	refused := func(groups int, class Class) (n int) {
+		for i := range 100 {
+			r := digestRequest(fmt.Sprint(i), 100*time.Millisecond)
+			if r.Class = class; class == largeTrail {
+				r.UrgentTarget, r.LongestUrgentTarget, r.Target = 0, 0, 300*time.Millisecond
+			}
+			m := Model{Engine: testEngine(), TimeFactor: 1, Groups: groups, MeanDelay: 40 * time.Millisecond, Offered: Offered{mapWork(3.5), 1}}
+			if Decide(r, m).Action == Refuse {
+				n++
+			}
+		}
+		return n
+	}
+	c.Check(refused(6, largeDigest), qt.Equals, 0)
+	c.Check(refused(3, largeDigest) > 50, qt.IsTrue, qt.Commentf("%d", refused(3, largeDigest)))
+	c.Check(refused(3, largeDigest) < 98, qt.IsTrue, qt.Commentf("%d", refused(3, largeDigest)))
+	c.Check(refused(3, largeTrail), qt.Equals, 0)
+}
