--- a/internal/entry/loadtree.go
+++ b/internal/entry/loadtree.go
@@ -9,9 +9,9 @@
 	"cassiadeal.example/cassiadeal/internal/schema"
 )
 
-// In a failure domain with more than singleMirrorNodes nodes, or with more loads than maxRelayedTargets, the relay sends the loads of other failure domains to a few nodes, which hand them
-// on to the others: with 100 nodes and 470 heads in each failure domain, the relay would send 38 KB for each of two others to each node every
-// relayInterval, which is 38 MB/s.
+// In a failure domain with more than singleMirrorNodes nodes, or with more loads than maxRelayedTargets, the relay sends the loads of other
+// failure domains to a few nodes, which hand them on to the others: with 100 nodes and 470 heads in each failure domain, the relay would send
+// 38 KB for each of two others to each node every relayInterval, which is 38 MB/s.
 
 const (
 	// weakestReceivers is the number of nodes to which the weakest node hands loads on; others get as many more as they have more capacity.
