--- a/review/standins-2/cold.go
+++ b/review/standins-2/cold.go
@@ -3,24 +3,24 @@
 import (
 	"fmt"
 	"net/http"
-	"sort"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// cold kills all nodes at the same moment while the replica of a service is cold. They start again while it still is.
+// cold starts the replica of a service during traffic, and kills all nodes at the same moment while it is cold. They start again while it still is.
 func cold(rec *record, program string, trouble bool) (bool, error) {
 	const (
-		coldPerS, overshoot, slack = 10.0, 1.5, 5.0 // cold_per_s, cold_overshoot, cold_slack.
-		coldFor                    = 12 * time.Second
-		perNode                    = 60 // Requests a second.
+		coldPerS, overshoot, slack = 10.0, 1.5, 5.0  // cold_per_s, cold_overshoot, cold_slack.
+		coldFor                    = 6 * time.Second // cold_start_s.
+		perNode                    = 25              // Requests a second.
 	)
 	s, err := newStore("127.31.200.1:0")
 	if err != nil {
 		return false, err
 	}
-	zones := []string{"zone-a", "zone-b", "zone-c"}
+	zones := []string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-c"}
 	ns, err := newNodes(program, s, zones)
 	if err != nil {
 		return false, err
@@ -32,9 +32,6 @@
 	if err != nil {
 		return false, err
 	}
-	r.coldUntil.Store(time.Now().Add(coldFor).UnixMilli())
-	r.serve()
-	defer r.end()
 	if err := ns.startAll(); err != nil {
 		return false, err
 	}
@@ -56,11 +53,18 @@
 				case <-stop:
 					return
 				case <-tick.C:
-					go c.do(http.MethodGet, "/label/1", nil, 2*time.Second)
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						ask(c)
+					}()
 				}
 			}
 		}()
 	}
+	time.Sleep(time.Second)
+	r.startCold(coldFor, int(coldPerS*overshoot+slack))
+	defer r.end()
 	time.Sleep(2 * time.Second)
 	if trouble {
 		for _, n := range ns.all {
@@ -78,18 +82,31 @@
 	time.Sleep(4 * time.Second)
 	close(stop)
 	wg.Wait()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	sort.Slice(r.arrivals, func(i, j int) bool { return r.arrivals[i].at.Before(r.arrivals[j].at) })
-	most, end := 0, 0
-	for start := range r.arrivals {
-		for end < len(r.arrivals) && r.arrivals[end].at.Sub(r.arrivals[start].at) < time.Second {
-			end++
-		}
-		most = max(most, end-start)
-	}
 	limit := coldPerS*overshoot + slack
+	most := r.mostWhileCold()
 	rec.log("FAILBACK: the cold replica got up to %d requests in one second; allowed are %g", most, limit)
 	fmt.Println("most in one second:", most, "allowed:", limit)
 	return float64(most) > limit, nil
 }
+
+// ask sends a request as a client does: it tries again a few times within its time limit, and honours Retry-After.
+func ask(c *client) {
+	const limit, tries, pause = 2 * time.Second, 4, 250 * time.Millisecond
+	end := time.Now().Add(limit)
+	for range tries {
+		a := c.do(http.MethodGet, "/label/1", nil, time.Until(end))
+		if a.status != 0 && a.status != http.StatusServiceUnavailable {
+			return
+		}
+		wait := pause
+		if a.header != nil {
+			if s, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); err == nil {
+				wait = time.Duration(s * float64(time.Second))
+			}
+		}
+		if wait > time.Until(end)/3 {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,7 +16,7 @@
 	notRun     = 2
 )
 
-var cases = map[string]func(*record, string, bool) (bool, error){"leaving": leaving, "cold": cold}
+var cases = map[string]func(*record, string, bool) (bool, error){"leaving": leaving, "cold": cold, "silent": silent}
 
 var errSetup = errors.New("the case could not run")
 
--- a/review/standins-2/replica.go
+++ b/review/standins-2/replica.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,43 @@
 	mu       sync.Mutex
 	arrivals []arrival
 	runs     map[string]int
+	coldFrom time.Time
+	crashAt  int // Requests within a second at which the cold replica crashes; 0 for never.
+	crashed  bool
+}
+
+// startCold starts the replica, which is cold for a while. It crashes if it gets more requests within a second than given.
+func (r *replica) startCold(d time.Duration, tolerated int) {
+	r.coldFrom, r.crashAt, r.born = time.Now(), tolerated+1, time.Now().UnixMilli()
+	r.coldUntil.Store(time.Now().Add(d).UnixMilli())
+	r.rec.log("replica %s starts and is cold for %v", r.id, d)
+	r.serve()
+}
+
+// mostWhileCold returns the most requests that have arrived within a second of the cold time, without those that got 421.
+func (r *replica) mostWhileCold() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mostWhileColdLocked(0)
+}
+
+// mostWhileColdLocked looks at the arrivals from an index on.
+func (r *replica) mostWhileColdLocked(from int) int {
+	var times []time.Time
+	for _, a := range r.arrivals[from:] {
+		if a.ran && !r.coldFrom.IsZero() && a.at.After(r.coldFrom) && a.at.UnixMilli() < r.coldUntil.Load() {
+			times = append(times, a.at)
+		}
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
+	most, end := 0, 0
+	for start := range times {
+		for end < len(times) && times[end].Sub(times[start]) < time.Second {
+			end++
+		}
+		most = max(most, end-start)
+	}
+	return most
 }
 
 type arrival struct {
@@ -128,11 +166,17 @@
 		r.runs[id]++
 	}
 	n := r.runs[id]
+	crash := r.crashAt > 0 && !r.crashed && r.mostWhileColdLocked(max(0, len(r.arrivals)-4*r.crashAt)) >= r.crashAt
+	r.crashed = r.crashed || crash
 	r.mu.Unlock()
 	r.rec.log("replica %s: request %s arrives (%s %s, %d bytes); runs: %v (run %d)", r.id, id, q.Method, q.URL.Path, len(body), ran, n)
 	switch {
 	case err != nil:
 		return
+	case crash:
+		r.rec.log("replica %s is cold and has got %d requests in a second: it crashes, with all that it runs", r.id, r.crashAt)
+		go r.end()
+		panic(http.ErrAbortHandler)
 	case id == "":
 		r.notRun(w, id, http.StatusBadRequest)
 	case !ran:
