Test crowds of clients that go on after an answer or send whole requests

The tests of untrusted clients sent one message a connection and stopped short of a whole request, or sent requests that a fast target answered. Not covered were what a client sends after an answer, what a node makes of whole requests beyond the bytes that it received, answers that aren't read, resets, and requests that another node forwards.

The bounds are the memory and descriptors of the machine that the settings state, and an ordinary request, readiness and metrics afterwards.

--- a/test/untrusted/clients_test.go
+++ b/test/untrusted/clients_test.go
@@ -94,25 +94,37 @@
 	conns map[net.Conn]bool
 }
 
-// startClients starts the clients of a load. Half of them use the first listener, and the others are spread over the rest.
-func startClients(t *testing.T, n *node, l load) *clients {
+// startClients starts the clients of a load.
+func startClients(t *testing.T, n *node, l load) {
+	t.Helper()
+	m := l.message(n)
+	startConnecting(t, n, l.clients, func(c *clients, conn net.Conn) error {
+		if err := c.send(conn, m, l.pieces); err != nil {
+			return err
+		}
+		return c.readSlowly(conn)
+	})
+}
+
+// startConnecting starts clients that each open one connection after the other for loadTime and behave as told on each of them. Half of
+// them use the first listener, and the others are spread over the rest.
+func startConnecting(t *testing.T, n *node, count int, behave func(*clients, net.Conn) error) {
 	t.Helper()
 	c := &clients{stop: make(chan struct{}), conns: map[net.Conn]bool{}}
-	m, end := l.message(n), time.Now().Add(loadTime)
-	for i := range l.clients {
+	end := time.Now().Add(loadTime)
+	for i := range count {
 		address := n.listeners[0]
 		if i%2 == 1 {
 			address = n.listeners[1+i/2%(len(n.listeners)-1)]
 		}
 		c.done.Go(func() {
 			for time.Now().Before(end) {
-				c.connect(address, m, l.pieces)
+				c.connect(address, behave)
 				c.pause(reconnectPause)
 			}
 		})
 	}
 	t.Cleanup(c.close)
-	return c
 }
 
 func (c *clients) pause(d time.Duration) {
@@ -122,8 +134,8 @@
 	}
 }
 
-// connect sends the message on a new connection, and returns when the server has closed the connection or the load ends.
-func (c *clients) connect(address string, m message, pieces bool) {
+// connect behaves as told on a new connection. Its errors mean that the server has closed the connection or that the load ends.
+func (c *clients) connect(address string, behave func(*clients, net.Conn) error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return // The next connection may be accepted.
@@ -137,13 +149,14 @@
 		delete(c.conns, conn)
 		c.mu.Unlock()
 	}()
-	if c.send(conn, m, pieces) != nil {
-		return
-	}
-	// Reads what the server answers, slowly, until it closes the connection.
+	_ = behave(c, conn)
+}
+
+// readSlowly reads what the server answers, slowly, until it closes the connection.
+func (c *clients) readSlowly(conn net.Conn) error {
 	for buffer := make([]byte, 512); ; c.pause(piecePause) {
 		if _, err := conn.Read(buffer); err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/test/untrusted/node_test.go
+++ b/test/untrusted/node_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -34,10 +35,13 @@
 	ownHeadBytes = 64 << 10
 	ownBodyBytes = 1 << 20
 
-	heartbeat    = 500 * time.Millisecond
-	workTime     = 100 * time.Millisecond
-	startTimeout = 60 * time.Second // Allows for a start on a busy machine.
-	callTimeout  = 10 * time.Second
+	heartbeat = 500 * time.Millisecond
+	workTime  = 100 * time.Millisecond
+	// slowWorkTime is longer than the requests' deadlines. largeAnswerBytes is a legal size on both front ends.
+	slowWorkTime     = 15 * time.Second
+	largeAnswerBytes = 2 << 20
+	startTimeout     = 60 * time.Second // Allows for a start on a busy machine.
+	callTimeout      = 10 * time.Second
 
 	clientHost = "untrusted.example"
 	clientKey  = "key-of-the-ordinary-client"
@@ -47,7 +51,7 @@
 
 // node is a process of the system under test.
 type node struct {
-	process    *harness.Process
+	processes  []*harness.Process
 	listeners  []string // Addresses that clients may reach; the first one takes requests for replicas.
 	method     string   // Of requests that a service takes with a body.
 	path       string   // Of ordinary requests.
@@ -57,6 +61,9 @@
 	maxFDs     int      // Descriptor limit of its machine; 0 if the settings state none.
 	ordinary   func() error
 	headerText string // Header lines that identify the client.
+	// unknownPrefix begins paths that lead nowhere.
+	unknownPrefix string
+	store         *store // Of the platform; nil on the own interface.
 }
 
 // startPlatformNode starts cassiadeald --platform with a store and one replica.
@@ -65,7 +72,7 @@
 	s := newStore()
 	storeServer := httptest.NewServer(s)
 	t.Cleanup(storeServer.CloseClientConnections)
-	s.put("config", "main", platformConfig())
+	s.put("config", "main", platformConfig(1))
 	startReplica(t, s)
 	base := freePorts(t)
 	address := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(base+offset)) }
@@ -80,7 +87,7 @@
 		t.Fatal(err)
 	}
 	t.Setenv("CASSIADEAL_BOOT", file)
-	n := &node{process: harness.Start(t, "cassiadeald", "--platform"), listeners: []string{address(0), address(3), address(1)}, method: http.MethodPost, path: "/look/1",
+	n := &node{processes: []*harness.Process{harness.Start(t, "cassiadeald", "--platform")}, store: s, unknownPrefix: "/nowhere/", listeners: []string{address(0), address(3), address(1)}, method: http.MethodPost, path: "/look/1",
 		headBytes: platformHeadBytes, bodyBytes: platformBodyBytes, memoryMB: platformMemoryMB, maxFDs: maxFDs,
 		headerText: "X-Api-Key: " + clientKey + "\r\n" + headerName + "Deadline-Ms: 4000\r\n"}
 	n.ordinary = func() error {
@@ -101,8 +108,8 @@
 	}
 }
 
-func platformConfig() map[string]any {
-	return map[string]any{"version": 1,
+func platformConfig(version int) map[string]any {
+	return map[string]any{"version": version,
 		"routes": []any{map[string]any{"name": "look", "host": clientHost, "path_prefix": "/look/", "type": "safe", "timeout_ms": 4000, "target_latency_ms": 300,
 			"priority": 1, "service": service, "max_attempts": 2}},
 		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 384, "protocol": "h1"}},
@@ -124,12 +131,12 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		time.Sleep(workTime)
+		body := work(r)
 		request := r.Header.Get(headerName + "Request-Id")
 		w.Header().Set(headerName+"Request-Id", request)
 		w.Header().Set(headerName+"Instance-Id", id)
 		w.Header().Set(headerName+"Response-Seal", "seal."+request)
-		_, _ = io.WriteString(w, "done") // A caller that has left gets no answer.
+		_, _ = w.Write(body) // A caller that has left gets no answer.
 	}))
 	sequence := 0
 	entry = func() map[string]any {
@@ -152,16 +159,73 @@
 	t.Cleanup(func() { close(done); server.CloseClientConnections() })
 }
 
+// work waits for as long as a request takes that asks for a slow or an ordinary target, and returns the body of its answer.
+func work(r *http.Request) []byte {
+	wait, body := workTime, []byte("done")
+	switch path := r.URL.Path; {
+	case strings.HasSuffix(path, "/slow"):
+		wait = slowWorkTime
+	case strings.HasSuffix(path, "/large"):
+		body = make([]byte, largeAnswerBytes)
+	}
+	select {
+	case <-time.After(wait):
+	case <-r.Context().Done():
+	}
+	return body
+}
+
 // startOwnNode starts cassiadeald --config with one service.
 func startOwnNode(t *testing.T) *node {
 	t.Helper()
+	return ownNode(cluster.Start(t, ownOptions(1, 0)))
+}
+
+// startOwnNodes starts nodes like startOwnNode, with a descriptor limit in their settings unless it is 0, and a service that also has slow
+// and large answers.
+func startOwnNodes(t *testing.T, nodes, maxFDs int) *node {
+	t.Helper()
+	c := cluster.Start(t, ownOptions(nodes, maxFDs))
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Incarnation", "incarnation-1")
+		if r.URL.Path == "/healthz" {
+			reply(w, http.StatusOK, map[string]any{"incarnation": "incarnation-1", "cold": false})
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		body := work(r)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		_, _ = w.Write(body) // A caller that has left gets no answer.
+	}))
+	t.Cleanup(backend.CloseClientConnections)
+	c.MustApply(strings.ReplaceAll(c.Rules(nil), c.ServiceProxy[0].Addr(), backend.Listener.Addr().String()))
+	n := ownNode(c)
+	n.maxFDs = maxFDs
+	return n
+}
+
+func ownOptions(nodes, maxFDs int) cluster.Options {
 	o := cluster.Defaults()
-	o.Domains, o.Nodes, o.Replicas, o.Services = []string{"fd-a"}, []string{"fd-a"}, 0, 1
-	c := cluster.Start(t, o)
+	o.Domains, o.Nodes, o.Replicas, o.Services = []string{"fd-a"}, slices.Repeat([]string{"fd-a"}, nodes), 0, 1
+	if maxFDs > 0 {
+		o.Timing = fmt.Sprintf("[limits]\nmax_fds = %d", maxFDs)
+	}
+	return o
+}
+
+func ownNode(c *cluster.Cluster) *node {
 	d := c.Nodes[0]
-	n := &node{process: d.Process, listeners: []string{d.CallerAddr, d.OperatorAddr}, method: http.MethodGet, path: "/v1/services/bookings/stock/1", headBytes: ownHeadBytes,
-		bodyBytes: ownBodyBytes, memoryMB: ownMemoryMB, headerText: "Authorization: Bearer " + cluster.Token + "\r\n"}
-	n.ordinary = func() error { return errorsOf(get(d.OperatorAddr, "/readyz"), n.call()) }
+	n := &node{listeners: []string{d.CallerAddr, d.OperatorAddr}, method: http.MethodGet, path: "/v1/services/bookings/stock/1", headBytes: ownHeadBytes,
+		bodyBytes: ownBodyBytes, memoryMB: ownMemoryMB, headerText: "Authorization: Bearer " + cluster.Token + "\r\n", unknownPrefix: "/v1/services/"}
+	for _, other := range c.Nodes {
+		n.processes = append(n.processes, other.Process)
+		if other != d {
+			n.listeners = append(n.listeners, other.CallerAddr)
+		}
+	}
+	n.ordinary = func() error { return errorsOf(get(d.OperatorAddr, "/readyz"), get(d.OperatorAddr, "/metrics"), n.call()) }
 	return n
 }
 
--- a/test/untrusted/store_test.go
+++ b/test/untrusted/store_test.go
@@ -19,6 +19,7 @@
 	objects  map[string]map[string]object // By kind and name.
 	events   []event
 	changed  chan struct{} // Closed and replaced at each change.
+	away     bool          // Calls are answered with 503.
 }
 
 type object struct {
@@ -66,8 +67,25 @@
 	return o
 }
 
+// setAway makes the store refuse all calls, or serve them again.
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isAway() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	path, found := strings.CutPrefix(r.URL.Path, "/cassiadeal/objects/")
 	kind, name, _ := strings.Cut(path, "/")
 	switch {
--- a/test/untrusted/untrusted_test.go
+++ b/test/untrusted/untrusted_test.go
@@ -48,32 +48,42 @@
 
 // checkLoad starts the clients of a load, and checks the process while they run and after an ordinary request beside those that stay.
 func checkLoad(t *testing.T, n *node, l load) {
+	t.Helper()
+	checkClients(t, n, l.name, func() { startClients(t, n, l) })
+}
+
+func checkClients(t *testing.T, n *node, name string, start func()) {
 	t.Helper()
 	harness.Eventually(t, startTimeout, n.ordinary)
-	atStart := peakMemoryMB(t, n)
-	descriptors := sampleDescriptors(t, n)
-	startClients(t, n, l)
+	atStart := peakMemoryMB(t, n.processes[0])
+	var descriptors []*atomic.Int64
+	for _, p := range n.processes {
+		descriptors = append(descriptors, sampleDescriptors(t, p))
+	}
+	start()
 	time.Sleep(loadTime)
 	harness.Eventually(t, startTimeout, n.ordinary)
-	select {
-	case <-n.process.Exited():
-		t.Fatal("the process has ended")
-	default:
-	}
-	memory, most := peakMemoryMB(t, n), int(descriptors.Load())
-	t.Logf("%s: peak memory %d MB of %d (%d at the start), at most %d descriptors of %d", l.name, memory, n.memoryMB, atStart, most, n.maxFDs)
-	if memory > n.memoryMB {
-		t.Errorf("peak memory %d MB, the machine has %d", memory, n.memoryMB)
-	}
-	if n.maxFDs > 0 && most > n.maxFDs {
-		t.Errorf("%d open descriptors, the machine allows %d", most, n.maxFDs)
+	for i, p := range n.processes {
+		select {
+		case <-p.Exited():
+			t.Fatal("the process has ended")
+		default:
+		}
+		memory, most := peakMemoryMB(t, p), int(descriptors[i].Load())
+		t.Logf("%s: peak memory %d MB of %d (%d at the start), at most %d descriptors of %d", name, memory, n.memoryMB, atStart, most, n.maxFDs)
+		if memory > n.memoryMB {
+			t.Errorf("peak memory %d MB, the machine has %d", memory, n.memoryMB)
+		}
+		if n.maxFDs > 0 && most > n.maxFDs {
+			t.Errorf("%d open descriptors, the machine allows %d", most, n.maxFDs)
+		}
 	}
 }
 
 // peakMemoryMB returns the highest resident memory that the process has had.
-func peakMemoryMB(t *testing.T, n *node) int {
+func peakMemoryMB(t *testing.T, p *harness.Process) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Pid()))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,10 +103,10 @@
 }
 
 // sampleDescriptors returns the highest number of open descriptors of the process, which is updated until the test ends.
-func sampleDescriptors(t *testing.T, n *node) *atomic.Int64 {
+func sampleDescriptors(t *testing.T, p *harness.Process) *atomic.Int64 {
 	t.Helper()
 	most, stop, stopped := &atomic.Int64{}, make(chan struct{}), make(chan struct{})
-	directory := fmt.Sprintf("/proc/%d/fd", n.process.Pid())
+	directory := fmt.Sprintf("/proc/%d/fd", p.Pid())
 	go func() {
 		defer close(stopped)
 		for {
