intake: close the longest idle connections when connections lack

Callers and checks were refused with 503 for minutes after a crowd had sent one request on each connection: 400 clients on a machine with 300 descriptors kept GET /readyz at 503 for longer than 60 s, and the platform's readiness and directory for 12 s.

Cause: an idle connection was closed for another one only after four fifths of the idle timeout, 96 s on the product's own interface, as clients may reuse it until then. A request every 90 s was enough to keep all connections.

When a group of connections is full, the one that has been idle for longest is closed now, after 1 s at least. Connections past four fifths of the idle timeout still come first, as the order is that of their last use, so Options.IdleTimeout is gone. A client finds a closed connection and opens another one, which is cheaper for it than a refusal; nothing that was read is lost.

--- a/internal/entry/intake.go
+++ b/internal/entry/intake.go
@@ -17,13 +17,7 @@
 		return err
 	}
 	bounds := intake.Derive(n.settings.MemoryMB, n.settings.MaxFDs)
-	n.intake = intake.New(intake.Options{Bounds: bounds, Now: func() time.Duration { return time.Duration(n.clock.Now()) }, Count: count,
-		IdleTimeout: func() time.Duration {
-			if cfg := n.registry.View().Config; cfg != nil {
-				return cfg.Limits.IdleTimeout
-			}
-			return 0
-		}})
+	n.intake = intake.New(intake.Options{Bounds: bounds, Now: func() time.Duration { return time.Duration(n.clock.Now()) }, Count: count})
 	n.log.WithFields(logrus.Fields{"request_bytes": bounds.Bytes, "client_connections": bounds.Clients, "check_connections": bounds.Checks, "partly_received": bounds.Parts}).Info("limits on what clients send")
 	return nil
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,7 +43,8 @@
 	progressBytes = 16 << 10
 	// minStall is the time without progress after which a request may be ended. A lost packet delays data by up to 400 ms.
 	minStall = 500 * time.Millisecond
-	// minUnused is the time after which a connection that has sent nothing may be closed.
+	// minUnused is the time after which a connection without a request may be closed, the one that was unused for longest first. Clients
+	// that send requests one after the other are faster.
 	minUnused = time.Second
 )
 
@@ -132,8 +133,6 @@
 	Now    func() time.Duration
 	// Count counts a refusal or an ended connection. It must not block.
 	Count func(Reason)
-	// IdleTimeout returns the time for which clients keep idle connections; 0 if it isn't known.
-	IdleTimeout func() time.Duration
 }
 
 // Limiter decides which requests get room. It does no I/O and is safe for concurrent use.
@@ -244,7 +243,7 @@
 	if g.open-g.ending < g.bound {
 		return true // Some are being closed.
 	}
-	return l.endStalledOf(g) || l.endFirst(&g.fresh, minUnused, EndedIdle, nil) || l.endFirst(&g.idle, l.reusedFor(), EndedIdle, nil)
+	return l.endStalledOf(g) || l.endFirst(&g.fresh, minUnused, EndedIdle, nil) || l.endFirst(&g.idle, minUnused, EndedIdle, nil)
 }
 
 // maxSearched bounds the search for a stalled request of a group among those of other groups.
@@ -264,17 +263,6 @@
 	return false
 }
 
-// reusedFor is the time for which clients may reuse idle connections: four fifths of the configured time.
-func (l *Limiter) reusedFor() time.Duration {
-	const unknown = 2 * time.Minute // Longer than any configured time.
-	if l.opt.IdleTimeout != nil {
-		if d := l.opt.IdleTimeout(); d > 0 {
-			return d * 4 / 5
-		}
-	}
-	return unknown
-}
-
 // endStalled ends the partly received request with the least progress, if it has stalled.
 func (l *Limiter) endStalled(except *Account) bool {
 	for _, in := range []*list{&l.large, &l.small} {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -21,7 +20,7 @@
 		return err
 	}
 	bounds := n.bounds()
-	n.intake = intake.New(intake.Options{Bounds: bounds, Now: n.now, Count: count, IdleTimeout: func() time.Duration { return idleTimeout }})
+	n.intake = intake.New(intake.Options{Bounds: bounds, Now: n.now, Count: count})
 	n.log.WithFields(logrus.Fields{"request_bytes": bounds.Bytes, "client_connections": bounds.Clients, "check_connections": bounds.Checks,
 		"partly_received": bounds.Parts}).Info("limits on what clients send")
 	return nil
