intake: pass OPTIONS * to the handler

Cause: net/http answers OPTIONS * by itself, without the server's handler. Package intake learns from the handler that a head has ended and a request is over. After such a request it took the next head for a part of the old one, which was complete, and passed its bytes on uncounted, up to the 16 MB that net/http allows.

DisableGeneralOptionsHandler makes net/http pass the request to the handler, which refuses it as it does other paths without a route. The client also gets no success any more that no replica has given.

--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -378,3 +378,18 @@
 		s.awaitUsage(t, func(u Usage) bool { return u.Bytes == connBytes })
 	})
 }
+
+// Guards against requests that net/http answers without the handler: what follows them on their connection isn't bounded.
+func TestRequestsForTheServerItselfAreAccountedFor(t *testing.T) {
+	c := qt.New(t)
+	s := newServer(t, ample, NoBodies, testWait)
+	conn := s.dial(t, "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n")
+	r := bufio.NewReader(conn)
+	answer(t, r)
+	c.Check(s.handled.Load(), qt.Equals, int64(1))
+	s.awaitUsage(t, func(u Usage) bool { return u.Parts == 0 })
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nA: "+strings.Repeat("y", 8192))
+	c.Assert(err, qt.IsNil)
+	resp, _ := answer(t, r)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -31,6 +31,8 @@
 func Serve(server *http.Server, bodies Bodies) {
 	next := server.Handler
 	server.MaxHeaderBytes = maxHeadBytes
+	// Otherwise net/http answers OPTIONS * itself, so that the request never ends here and the next head isn't bounded.
+	server.DisableGeneralOptionsHandler = true
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if c, ok := conn.(*Conn); ok {
 			return context.WithValue(ctx, contextKey{}, c)
