intake: find the end of each message

Callers that sent a request behind others without waiting for the responses, as proxies do, were refused with 431 although its head was inside the limit, waited for as long as they liked for a request whose last line end came after the response before it, or got "malformed chunked encoding" for a sound body. A crowd that sent the start of a head without end behind a whole request took a node to 217 MB of 136.

Cause: package intake took each read that followed a request for the start of a head. The end of a body and the start of the next head arrive in one read, so heads were counted from their middle, in pieces, and bytes that waited for the end of such a head could be overtaken by later ones.

Conn.Read now ends at the end of a message. net/http says after the head whether a body has a length or chunks; chunks are followed by a scanner of their framing. What was received behind the end, at most one read of 4 KB, waits and is counted as the next head. The byte that net/http reads while a request is served, to notice that the client leaves, counts towards the next head as well.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -112,8 +112,13 @@
 	charged      int64 // Bytes of the head that the account holds.
 	unmarked     int   // Bytes since the last progress.
 	ended        Reason
-	writeLimited bool   // A write deadline is set.
-	pending      []byte // Bytes from the start of a head on that haven't been passed on.
+	writeLimited bool // A write deadline is set.
+	body         framing
+	// The fields below are used only by Read, which net/http doesn't call concurrently.
+	pending []byte // Of a head, not passed on yet.
+	early   []byte // Of the next head, passed on already: while a request is served, net/http reads a byte to notice that the client leaves.
+	ahead   []byte // Received behind the present head or body. Bytes before aheadAt have been passed on.
+	aheadAt int
 }
 
 // errClosed makes net/http close the connection without a response: it takes it as a failed read.
@@ -163,36 +168,94 @@
 	return n, err
 }
 
-// Read implements net.Conn. A head is passed on only when it is complete, so that unfinished ones and those over the limit aren't parsed.
+// Read implements net.Conn. A head is passed on only when it is complete, so that unfinished ones and those over the limit aren't parsed. One
+// read never returns bytes of two messages.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		if n := c.takePending(p); n > 0 {
 			return n, nil
 		}
-		n, err := c.TCPConn.Read(p)
+		n, err := c.receive(c.limitToMessage(p))
 		c.mu.Lock()
-		at, ended := c.phase, c.ended
+		at, ended, between := c.phase, c.ended, c.betweenMessages()
 		c.mu.Unlock()
 		switch {
 		case ended != reasonNothing:
 			return 0, c.endRead(at)
-		case at == phaseIdle && n > 0, at == phaseHead && !c.head.done:
-			whole, headErr := c.readHead(at, p[:n], err)
-			if whole {
-				return n, headErr
+		case between:
+			c.early = append(c.early, p[:n]...)
+		case at == phaseIdle && n > 0, at == phaseHead:
+			whole, headErr := c.readHead(at == phaseIdle || c.head.done, p[:n], err)
+			if whole > 0 {
+				return whole, headErr
 			}
 			if headErr != nil {
 				return 0, headErr
 			}
 			continue
 		case at == phaseBody:
-			c.noteProgress(n)
+			n = c.takeBody(p[:n])
 		}
 		return n, err
 	}
 }
 
-// takePending returns bytes of a head that has become complete, and of what arrived with its end.
+// limitToMessage returns the part of a read's buffer that bytes of the present message may fill.
+func (c *Conn) limitToMessage(p []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == phaseClosing:
+		c.ahead, c.aheadAt = nil, 0 // No other request follows.
+	case len(p) > 0 && c.betweenMessages():
+		return p[:1]
+	case c.phase == phaseBody && c.body.chunks == nil && !c.body.unknown:
+		return p[:min(c.body.left, int64(len(p)))]
+	}
+	return p
+}
+
+// betweenMessages reports whether a whole request has been passed on, so that what is read now is the first byte of the next one. The lock is held.
+func (c *Conn) betweenMessages() bool {
+	if len(c.early) > 0 {
+		return false
+	}
+	return c.phase == phaseServing || c.phase == phaseHead && c.head.done || c.phase == phaseBody && c.body.ended()
+}
+
+// receive reads what has been received ahead, or else from the connection.
+func (c *Conn) receive(p []byte) (int, error) {
+	if c.aheadAt < len(c.ahead) {
+		n := copy(p, c.ahead[c.aheadAt:])
+		c.aheadAt += n
+		return n, nil
+	}
+	c.ahead, c.aheadAt = nil, 0
+	return c.TCPConn.Read(p)
+}
+
+// keepAhead keeps bytes that were received and belong to the next message.
+func (c *Conn) keepAhead(rest []byte) {
+	switch {
+	case len(rest) == 0:
+	case c.aheadAt > 0: // They come from there.
+		c.aheadAt -= len(rest)
+	default:
+		c.ahead = append([]byte(nil), rest...)
+	}
+}
+
+// takeBody keeps what follows the body, and returns the number of bytes before it.
+func (c *Conn) takeBody(p []byte) int {
+	c.mu.Lock()
+	n := c.body.take(p)
+	c.mu.Unlock()
+	c.keepAhead(p[n:])
+	c.noteProgress(n)
+	return n
+}
+
+// takePending returns bytes of a head that has become complete.
 func (c *Conn) takePending(p []byte) int {
 	if len(c.pending) == 0 || !c.head.done {
 		return 0
@@ -222,6 +285,8 @@
 	}
 	c.phase, c.head, c.limits, c.charged, c.unmarked = phaseHead, head{}, limits, 0, 0
 	c.headDeadline = time.Now().Add(limits.Time)
+	c.head.scan(c.early)
+	c.early = nil
 	c.mu.Unlock()
 	return c.account.Begin()
 }
@@ -233,43 +298,44 @@
 	return c.listener.opt.HeadLimits().orDefaults()
 }
 
-// readHead takes bytes of a head. whole is set if they are all of it and can be passed on as they are; otherwise they are pending. The deadline
-// is set only if the head isn't complete, which is rare. An error ends the read.
-func (c *Conn) readHead(at phase, p []byte, err error) (whole bool, _ error) {
-	if at == phaseIdle {
+// readHead takes bytes of a head, the first ones if first is set, and what follows it. whole is the number of bytes of a complete head that can be passed on as they are; otherwise
+// they are pending. The deadline is set only if the head isn't complete, which is rare. An error ends the read.
+func (c *Conn) readHead(first bool, p []byte, err error) (whole int, _ error) {
+	if first {
 		if beginErr := c.beginHead(); beginErr != nil {
-			return false, c.refuseRead(noRoom(beginErr.Error()))
+			return 0, c.refuseRead(noRoom(beginErr.Error()))
 		}
 	}
 	if len(p) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(c.headDeadline) {
 		c.listener.limiter.count(HeadTooSlow)
-		return false, c.refuseRead(result.New(result.BodyIncomplete, "the head of the request did not arrive within %v", c.limits.Time))
+		return 0, c.refuseRead(result.New(result.BodyIncomplete, "the head of the request did not arrive within %v", c.limits.Time))
 	}
-	c.scan(p)
+	n := c.scan(p)
+	c.keepAhead(p[n:])
 	if c.head.largest() > c.limits.Bytes {
 		c.listener.limiter.count(HeadTooLarge)
-		return false, c.refuseRead(result.New(result.HeadersTooLarge, "the head of the request has more than %d bytes", c.limits.Bytes))
+		return 0, c.refuseRead(result.New(result.HeadersTooLarge, "the head of the request has more than %d bytes", c.limits.Bytes))
 	}
 	if growErr := c.chargeHead(int64(c.head.requestLine + c.head.fields + c.head.lines*lineBytes)); growErr != nil {
-		return false, c.refuseRead(noRoom(growErr.Error()))
+		return 0, c.refuseRead(noRoom(growErr.Error()))
 	}
 	if c.head.done && len(c.pending) == 0 {
-		return true, err
+		return n, err
 	}
-	c.pending = append(c.pending, p...)
+	c.pending = append(c.pending, p[:n]...)
 	if !c.head.done {
-		c.noteProgress(len(p))
-		if at == phaseIdle {
+		c.noteProgress(n)
+		if first {
 			_ = c.SetReadDeadline(time.Time{}) // That of the head. An error shows at the next read.
 		}
 	}
-	return false, err
+	return 0, err
 }
 
-func (c *Conn) scan(p []byte) {
+func (c *Conn) scan(p []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.scan(p)
+	return c.head.scan(p)
 }
 
 // chargeHead charges what the head takes in all once it is parsed.
@@ -292,7 +358,7 @@
 
 // refuseRead answers a request whose head is not complete, and returns the error of the read.
 func (c *Conn) refuseRead(e *result.Error) error {
-	c.pending = nil
+	c.pending, c.ahead, c.aheadAt = nil, nil, 0
 	c.refuse(e)
 	c.mu.Lock()
 	c.phase = phaseClosing
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -73,7 +73,7 @@
 	return nil
 }
 
-// checkParsed checks and charges a head by what was parsed. Heads that arrived together with an earlier request have not been seen by Read.
+// checkParsed checks and charges a head by what was parsed.
 func (c *Conn) checkParsed(r *http.Request) *result.Error {
 	size, lines := 0, 0
 	for name, values := range r.Header {
@@ -97,7 +97,7 @@
 func (c *Conn) admit(w http.ResponseWriter, r *http.Request, bodies Bodies) error {
 	hasBody := r.Body != nil && r.Body != http.NoBody
 	if hasBody && bodies != NoBodies {
-		c.setPhase(phaseBody)
+		c.startBody(framingOf(r))
 		if err := c.account.Begin(); err != nil {
 			return err
 		}
@@ -114,6 +114,12 @@
 	return c.account.Complete()
 }
 
+func (c *Conn) startBody(f framing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.body = phaseBody, f
+}
+
 func (c *Conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -24,18 +24,21 @@
 	return max(h.requestLine, fields)
 }
 
-// scan takes the next bytes. Those after the head are ignored.
-func (h *head) scan(p []byte) {
-	for len(p) > 0 && !h.done {
-		end := bytes.IndexByte(p, '\n')
+// scan takes the next bytes and returns how many of them belong to the head.
+func (h *head) scan(p []byte) int {
+	taken := 0
+	for taken < len(p) && !h.done {
+		rest := p[taken:]
+		end := bytes.IndexByte(rest, '\n')
 		if end < 0 {
-			h.add(p)
-			return
+			h.add(rest)
+			return len(p)
 		}
-		h.add(p[:end])
+		h.add(rest[:end])
 		h.endLine()
-		p = p[end+1:]
+		taken += end + 1
 	}
+	return taken
 }
 
 func (h *head) add(p []byte) {
