gateway: label metrics of unknown destinations alike

After a crowd of callers had asked for services that don't exist, GET /metrics answered 500 for good on the product's own interface.

Cause: the name in the path became the label "destination" of two metrics and a field of a log line, whatever it was. A name that isn't UTF-8 made the whole exposition fail; 2000 names of up to 64 KB, kept for the life of the process, would have been written once for each bucket of a histogram.

Before: TestOwnNodeStaysWithinItsMemoryBesideCrowds/ long_paths_without_a_route and the new crowd "long refusals unread" failed ("condition not met within 1m0s: GET /metrics: status 500"). After: both pass, with 81 MB of 256 and 41 MB.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,6 +212,14 @@
 	return c, release, nil
 }
 
+// unknownDestination stands for all destinations that the rules don't have: callers choose their names, which would be labels of metrics.
+const unknownDestination = "unknown"
+
+func (c *callerRequest) setUnknownDestination() {
+	c.destination = unknownDestination
+	c.log = c.log.WithField("destination", unknownDestination)
+}
+
 func findAccount(current *rules.Rules, req *http.Request) (rules.Account, *result.Error) {
 	token, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -65,6 +65,7 @@
 func (g *Gateway) prepareGenerate(w http.ResponseWriter, req *http.Request, c *callerRequest, poolName string) (stream bool, releaseBody func(), err *result.Error) {
 	pool, ok := c.rules.Pools[poolName]
 	if !ok {
+		c.setUnknownDestination()
 		return false, nil, result.New(result.UnknownPool, "pool %.100q does not exist", poolName)
 	}
 	if err := c.setDeadline(pool.Deadline, req); err != nil {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -61,6 +61,7 @@
 func (g *Gateway) prepareService(w http.ResponseWriter, req *http.Request, c *callerRequest, serviceName string) (releaseBody func(), err *result.Error) {
 	service, ok := c.rules.Services[serviceName]
 	if !ok {
+		c.setUnknownDestination()
 		return nil, result.New(result.UnknownService, "service %.100q does not exist", serviceName)
 	}
 	if err := c.setDeadline(service.Deadline, req); err != nil {
--- a/test/untrusted/sessions_test.go
+++ b/test/untrusted/sessions_test.go
@@ -106,6 +106,7 @@
 		request := fmt.Appendf(nil, "GET /nowhere HTTP/1.1\r\nHost: %s\r\n\r\n", clientHost)
 		return s.sendUnread(bytes.Repeat(request, 512))
 	}},
+	{"long refusals unread", 400, func(s *session) error { return s.sendUnread(s.node.request("GET", s.node.unknownPath(), "", 0)) }},
 	{"answers unread", 400, func(s *session) error {
 		return s.sendUnread(bytes.Repeat(s.node.request("GET", s.node.path, "", 0), 64))
 	}},
