intake: end writes that clients don't read

A client that sent requests without reading the responses kept its connection for ever: on the front, the directory and the readiness listener of the platform's front end, one such connection each was still blocked after 15 s. Enough of them keep all callers and checks out.

Cause: only the edge and the gateway set a deadline for writes, once they know the request. Refusals before that, and the answers of the directory, of checks and of operators, had none. A blocked write is neither idle nor partly received, so nothing ended the connection.

intake.Conn now gives each write 10 s if the handler has set no deadline. Connections of other nodes are left as they were.

Before: TestResponsesThatAreNotReadEnd failed ("usage {Bytes:16602 Clients:1 ...}" after 20 s). After: it passes with -race, and so do the crowds that don't read refusals, long refusals and answers, on both front ends. Those crowds also passed before, as too few connections were blocked within their 4 s.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -24,7 +24,10 @@
 	// refusalTime limits the writing of a refusal, and the reading of what the client has still sent: if the connection were closed with
 	// unread bytes, the client might lose the refusal. lingerBytes limits the latter too.
 	refusalTime = 250 * time.Millisecond
-	lingerBytes = 64 << 10
+	// DefaultWriteTime limits a write for which the handler has set no deadline, as for refusals before a request is known, and for checks.
+	// Their responses have a few KB.
+	DefaultWriteTime = 10 * time.Second
+	lingerBytes      = 64 << 10
 )
 
 // HeadLimits are the limits of the head of a request.
@@ -50,12 +53,17 @@
 	From Origin
 	// HeadLimits returns the limits in force. It is called for each request. Nil for those of checks and other nodes.
 	HeadLimits func() HeadLimits
+	// WriteTime limits each write for which no deadline is set. 0 for DefaultWriteTime. It doesn't apply to other nodes.
+	WriteTime time.Duration
 	// Refused is called with the code of each refusal that package intake sends itself. It may be nil.
 	Refused func(result.Code)
 }
 
 // Listen returns a listener whose connections are accounted for.
 func (l *Limiter) Listen(inner net.Listener, o Listening) net.Listener {
+	if o.WriteTime <= 0 {
+		o.WriteTime = DefaultWriteTime
+	}
 	return &listener{Listener: inner, limiter: l, opt: o}
 }
 
@@ -159,8 +167,18 @@
 	return c.TCPConn.Close()
 }
 
+// limitWrite sets a deadline for the next write unless the handler has set one.
+func (c *Conn) limitWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeLimited && c.listener.opt.From != Peers {
+		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(c.listener.opt.WriteTime)) // An error shows at the write.
+	}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.limitWrite()
 	n, err := c.TCPConn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.listener.limiter.count(WriteTooSlow)
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -20,6 +20,8 @@
 const (
 	testBody = 1 << 20
 	testWait = 20 * time.Second // Not a stated limit; the machine may be busy.
+	// testWriteTime leaves clients that read time enough on a busy machine.
+	testWriteTime = 3 * time.Second
 )
 
 // server is an HTTP server on loopback that answers with the length of the body.
@@ -53,7 +55,7 @@
 		s.handle(w, r, bodies, bodyTime)
 	})}
 	Serve(h, bodies)
-	listener := s.Listen(inner, Listening{From: Clients, HeadLimits: func() HeadLimits { return *s.limits.Load() }, Refused: func(code result.Code) {
+	listener := s.Listen(inner, Listening{From: Clients, WriteTime: testWriteTime, HeadLimits: func() HeadLimits { return *s.limits.Load() }, Refused: func(code result.Code) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.refused[code]++
@@ -393,3 +395,17 @@
 	resp, _ := answer(t, r)
 	c.Check(resp.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 }
+
+// Guards against clients that keep connections for ever because they don't read refusals, or answers for which the handler sets no deadline.
+func TestResponsesThatAreNotReadEnd(t *testing.T) {
+	s := newServer(t, ample, NoBodies, testWait)
+	for _, request := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "BREW / HTTP/1.1\r\nHost: x\r\nA: 1\r\n\r\n"} {
+		conn := s.dial(t, "")
+		qt.Assert(t, conn.(*net.TCPConn).SetReadBuffer(4096), qt.IsNil)
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(conn, strings.Repeat(request, 1000))
+		}
+		s.awaitUsage(t, func(u Usage) bool { return u == Usage{} })
+	}
+	qt.Check(t, s.count(WriteTooSlow), qt.Equals, 2)
+}
