intake: keep the room of refused requests until their connection closes

Cause: a heap profile at the peak shows 227 MB in the header maps of some 280 requests, while the room for requests is 77 MB. When a body is refused, the handler returns and the request gave its room back. net/http then waits for 500 ms before it closes a connection with an unread body, and holds the parsed request for that time. The next clients got the same room meanwhile.

A request whose connection ends after its response now keeps its room until the connection is closed, and its parsed header is dropped as soon as the handler has returned.

--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -409,3 +409,17 @@
 	}
 	qt.Check(t, s.count(WriteTooSlow), qt.Equals, 2)
 }
+
+// Guards against room that is given to others while net/http still holds a refused request: it closes the connection only after 500 ms.
+func TestRefusedRequestsKeepTheirRoomUntilTheirConnectionCloses(t *testing.T) {
+	const lines = 100
+	s := newServer(t, ample, ReadBodies, testWait)
+	head := "POST / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\r\n", lines)
+	conn := s.dial(t, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", testBody+1))
+	resp, _ := answer(t, bufio.NewReader(conn))
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	s.awaitUsage(t, func(u Usage) bool {
+		qt.Check(t, u.Clients == 0 || u.Bytes >= lines*lineBytes, qt.IsTrue, qt.Commentf("%+v", u))
+		return u == Usage{}
+	})
+}
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -50,9 +50,10 @@
 			w.Header().Set("Connection", "close")
 			c.abandon()
 			result.Write(w, refusal)
+			r.Header = nil // As in endRequest.
 			return
 		}
-		defer c.endRequest()
+		defer c.endRequest(r)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -134,19 +135,24 @@
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // An error means that the connection is closed.
 }
 
-// endRequest records that the handler has returned.
-func (c *Conn) endRequest() {
-	c.account.Finish()
+// endRequest records that the handler has returned. If the connection ends after the response, the request keeps its room until then: net/http
+// waits for 500 ms before it closes a connection with an unread body, and holds the request meanwhile.
+func (c *Conn) endRequest(r *http.Request) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.charged = 0
 	if c.phase == phaseBody { // The body was not read to its end.
 		c.phase = phaseClosing
 		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // As in abandon.
 	}
-	if c.phase != phaseClosing {
-		c.phase = phaseIdle
+	closing := c.phase == phaseClosing
+	if !closing {
+		c.charged, c.phase = 0, phaseIdle
 	}
+	c.mu.Unlock()
+	if closing {
+		r.Header = nil // Most of what net/http holds.
+		return
+	}
+	c.account.Finish()
 }
 
 // complete records that the whole request has arrived.
