Test a platform node with a large configuration beside crowds

The control plane and requests share a machine's memory; the tests of crowds ran with one route and one replica.

--- a/test/untrusted/node_test.go
+++ b/test/untrusted/node_test.go
@@ -69,10 +69,15 @@
 // startPlatformNode starts cassiadeald --platform with a store and one replica.
 func startPlatformNode(t *testing.T, maxFDs int) *node {
 	t.Helper()
-	s := newStore()
+	return startPlatformNodeWith(t, maxFDs, newStore(), platformConfig(1))
+}
+
+// startPlatformNodeWith is startPlatformNode with objects that the store has already, and a configuration.
+func startPlatformNodeWith(t *testing.T, maxFDs int, s *store, config map[string]any) *node {
+	t.Helper()
 	storeServer := httptest.NewServer(s)
 	t.Cleanup(storeServer.CloseClientConnections)
-	s.put("config", "main", platformConfig(1))
+	s.put("config", "main", config)
 	startReplica(t, s)
 	base := freePorts(t)
 	address := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(base+offset)) }
@@ -225,7 +230,9 @@
 			n.listeners = append(n.listeners, other.CallerAddr)
 		}
 	}
-	n.ordinary = func() error { return errorsOf(get(d.OperatorAddr, "/readyz"), get(d.OperatorAddr, "/metrics"), n.call()) }
+	n.ordinary = func() error {
+		return errorsOf(get(d.OperatorAddr, "/readyz"), get(d.OperatorAddr, "/metrics"), n.call())
+	}
 	return n
 }
 
--- a/test/untrusted/sessions_test.go
+++ b/test/untrusted/sessions_test.go
@@ -177,6 +177,29 @@
 	}})
 }
 
+// Guards against requests that take the memory that the control plane of a large deployment needs.
+func TestPlatformNodeOfALargeDeploymentStaysWithinItsMemory(t *testing.T) {
+	const routes, replicas = 6000, 3000
+	for _, c := range crowds {
+		if !strings.Contains(c.name, "bodies") && !strings.Contains(c.name, "large answers") {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			s, config := newStore(), platformConfig(1)
+			for i := range replicas {
+				s.put("servers", fmt.Sprintf("idle-replica-%d", i), map[string]any{"service": "idle", "address": fmt.Sprintf("127.1.%d.%d:1", i/250, i%250+1), "zone": "zone-a", "version": "v1",
+					"slots": 16, "state": "draining", "sequence": 1, "born": 1})
+			}
+			config["services"] = append(config["services"].([]any), map[string]any{"name": "idle", "health_path": "/health", "max_connections": 384, "protocol": "h1"})
+			for i := range routes {
+				config["routes"] = append(config["routes"].([]any), map[string]any{"name": fmt.Sprintf("idle-%d", i), "host": fmt.Sprintf("host-%d.example", i), "path_prefix": "/look/",
+					"type": "safe", "timeout_ms": 4000, "target_latency_ms": 300, "priority": 1, "service": "idle", "max_attempts": 2})
+			}
+			checkCrowd(t, startPlatformNodeWith(t, platformMaxFDs, s, config), c)
+		})
+	}
+}
+
 // Guards against clients that keep a node from ending after SIGTERM.
 func TestNodesEndBesideCrowds(t *testing.T) {
 	stay := crowd{"all kinds", 300, func(s *session) error {
