telemetry: bound the log in bytes as well

What clients send is in the log lines of their requests: the ID of a request and the path that no route has, up to the size of a head and up to six times that once encoded. While the log's reader was slow, 1200 such lines of 96 KB held 112 MB, and up to 39 MB a second could be written.

Cause: the queue and the rate of lines were bounded by number only.

Both now have the same bounds in bytes, for lines of 1 KB: 2 MB are queued, and 400 KB a second are written after a burst of 1.2 MB. Lines above that are dropped and counted as others are.

Before: the new TestLongLinesAreBoundedTogether failed ("112 MB", 4 allowed). After: it passes.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -15,25 +15,32 @@
 	// one to three lines for each.
 	logLinesPerSecond = 400
 	logBurst          = 1200
+	// usualLineBytes is twice the size of the lines of requests. The bounds in lines also apply in bytes, for lines of this size: lines
+	// contain what clients send, up to the limit of a head.
+	usualLineBytes = 1 << 10
 )
 
 // BoundedWriter passes log lines to a writer without blocking its callers. Lines above the rate limit, and lines that don't
 // fit into the buffer because the writer is slow, are dropped and counted.
 type BoundedWriter struct {
 	lines      chan []byte
-	limiter    *rate.Limiter
+	limiter    *rate.Limiter // Of lines.
+	volume     *rate.Limiter // Of bytes.
+	queued     atomic.Int64  // Bytes in lines.
 	dropped    atomic.Int64
 	writerDone chan struct{}
 }
 
 // NewBoundedWriter returns a BoundedWriter and starts the goroutine that writes its lines to w. Close ends the goroutine.
 func NewBoundedWriter(w io.Writer) *BoundedWriter {
-	b := &BoundedWriter{lines: make(chan []byte, logQueueLines), limiter: rate.NewLimiter(logLinesPerSecond, logBurst), writerDone: make(chan struct{})}
+	b := &BoundedWriter{lines: make(chan []byte, logQueueLines), limiter: rate.NewLimiter(logLinesPerSecond, logBurst),
+		volume: rate.NewLimiter(logLinesPerSecond*usualLineBytes, logBurst*usualLineBytes), writerDone: make(chan struct{})}
 	go func() {
 		defer close(b.writerDone)
 		for line := range b.lines {
 			// The error is ignored: a failure to write the log can't be reported anywhere else.
 			_, _ = w.Write(line)
+			b.queued.Add(-int64(len(line)))
 		}
 	}()
 	return b
@@ -41,13 +48,20 @@
 
 // Write implements io.Writer. It never returns an error, even for dropped lines.
 func (b *BoundedWriter) Write(p []byte) (int, error) {
-	if !b.limiter.AllowN(time.Now(), 1) {
+	now, size := time.Now(), int64(len(p))
+	if !b.limiter.AllowN(now, 1) || !b.volume.AllowN(now, len(p)) {
+		b.dropped.Add(1)
+		return len(p), nil
+	}
+	if b.queued.Add(size) > logQueueLines*usualLineBytes {
+		b.queued.Add(-size)
 		b.dropped.Add(1)
 		return len(p), nil
 	}
 	select {
 	case b.lines <- append([]byte(nil), p...):
 	default:
+		b.queued.Add(-size)
 		b.dropped.Add(1)
 	}
 	return len(p), nil
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -32,3 +32,22 @@
 	close(out.release)
 	b.Close(10 * time.Second)
 }
+
+// Guards against lines with what clients send that fill the memory while the log is slow, or the log itself: 1200 lines of 96 KB have 112 MB.
+func TestLongLinesAreBoundedTogether(t *testing.T) {
+	c := quicktest.New(t)
+	const lines, lineBytes, most = 1200, 96 << 10, 4 << 20
+	out := blockedWriter{make(chan struct{})}
+	b := NewBoundedWriter(out)
+	for range lines {
+		_, err := b.Write(make([]byte, lineBytes))
+		c.Assert(err, quicktest.IsNil)
+	}
+	held := 0
+	for range len(b.lines) {
+		held += len(<-b.lines)
+	}
+	c.Check(held > 0 && held < most, quicktest.IsTrue, quicktest.Commentf("%d MB", held>>20))
+	close(out.release)
+	b.Close(10 * time.Second)
+}
