node: bound the memory of forwarded requests

Five nodes of the product's own interface whose callers sent whole bodies of legal size to a slow service: the holder of the target and a second node exceeded their machines (269 and 294 MB of 256; in a run with a heap profile 381 and 285).

Cause: a request counts at the node that received it, but not at the holder that runs it. There the profile shows 147 MB in drpc's read buffers and 102 MB in decoded bodies, and at the other nodes a second copy of each body, the encoded message. Pooled connections keep their buffers.

The holder charges a forwarded request to its room for requests, three times for these copies, and answers that it has not run if there is no room; the gateway then tries another holder and else refuses it with 503 and Retry-After. Since a message is read before that, a node has bodies above 64 KB under way to another one only up to its share of a third of the room, one in any case. Such bodies use connections of their own.

Before: TestOwnNodesStayWithinTheirMemoryBesideForwardedRequests/ whole_bodies_slow_target_five_nodes failed with the figures above.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -188,7 +188,7 @@
 func retryable(code result.Code, notRun bool) bool {
 	switch code {
 	case result.QueueFull, result.DeadlineUnreachable, result.NoTarget, result.NodeStopping, result.NoRightToServe,
-		result.TargetUnreachable, result.NodeUnreachable, result.TargetsLimited, result.TargetRefused:
+		result.TargetUnreachable, result.NodeUnreachable, result.TargetsLimited, result.TargetRefused, result.NoRoom:
 		return notRun
 	case result.StreamIncomplete, result.TargetFailed, result.AnswerMismatch, result.ShutdownLimit:
 		return true
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -20,10 +20,11 @@
 	// roomTenths is the part of the memory, in tenths, that connections, heads and bodies may use. The control plane, responses, garbage
 	// and the program use the rest.
 	roomTenths = 3
-	// smallReserve is the part of the room, as a divisor, that only requests of up to smallBytes may use: large ones never keep small
+	// smallReserve is the part of the room, as a divisor, that only requests of up to SmallBytes may use: large ones never keep small
 	// ones out.
 	smallReserve = 4
-	smallBytes   = 64 << 10
+	// SmallBytes is the size up to which requests count as small.
+	SmallBytes = 64 << 10
 	// clientEighths is the part of the descriptors, in eighths, that connections of clients may use. Each request needs another one to a
 	// replica, and the control plane has some hundred.
 	clientEighths = 3
@@ -143,7 +144,7 @@
 	held   int64 // Bytes of accounts that haven't been ended.
 	ending int64 // Bytes of accounts that have been ended and not yet closed.
 	parts  int   // Partly received requests.
-	// small and large hold the partly received requests of up to smallBytes and above, in the order of their last progress.
+	// small and large hold the partly received requests of up to SmallBytes and above, in the order of their last progress.
 	small, large list
 	clients      group
 	checks       group
@@ -301,7 +302,7 @@
 func (l *Limiter) takeLocked(a *Account, n int64) bool {
 	limit := l.opt.Bounds.Bytes
 	lists := []*list{&l.large, &l.small}
-	if a.held+n > smallBytes {
+	if a.held+n > SmallBytes {
 		limit -= limit / smallReserve
 		lists = lists[:1]
 	}
@@ -368,7 +369,7 @@
 		l.count(NoMemory)
 		return ErrNoRoom
 	}
-	if a.held > smallBytes && a.in == &l.small {
+	if a.held > SmallBytes && a.in == &l.small {
 		l.small.remove(a)
 		l.large.insert(a)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,8 +97,10 @@
 
 	// forwardedInFlight counts the requests in flight that other nodes forwarded to this one.
 	forwardedInFlight atomic.Int64
-	listeners         listeners
-	intake            *intake.Limiter
+	// forwarded bounds the large requests that this node forwards.
+	forwarded forwardedLoad
+	listeners listeners
+	intake    *intake.Limiter
 	// requestContext is the parent context of all requests. cancelRequests cancels it at the shutdown limit.
 	requestContext context.Context
 	cancelRequests context.CancelCauseFunc
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -142,6 +142,11 @@
 	if node.Self {
 		return setShutdownCode(ctx, req, n.executor.Execute(ctx, req, sink))
 	}
+	release, ok := n.startForward(node.Name, req)
+	if !ok {
+		return noRoomEnd("too many large requests are under way from this node to " + node.Name)
+	}
+	defer release()
 	return setShutdownCode(ctx, req, n.peers.Dispatch(ctx, node.PeerAddress, req, sink))
 }
 
@@ -253,6 +258,11 @@
 func (h handler) Execute(ctx context.Context, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
 	h.node.forwardedInFlight.Add(1)
 	defer h.node.forwardedInFlight.Add(-1)
+	release, err := h.node.acceptForwarded(req)
+	if err != nil {
+		return noRoomEnd("node " + h.node.self.Name + ": " + err.Error())
+	}
+	defer release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stop := context.AfterFunc(h.node.requestContext, func() { cancel(context.Cause(h.node.requestContext)) })
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	maxMessageBytes     = 4 << 20 // Above the default limits of a request body (1 MiB) and its headers (64 KiB) together.
-	idleConnExpiry      = 2 * time.Second
+	maxMessageBytes = 4 << 20 // Above the default limits of a request body (1 MiB) and its headers (64 KiB) together.
+	idleConnExpiry  = 2 * time.Second
+	// maxPooledBytes is the size up to which bodies use pooled connections.
+	maxPooledBytes      = 64 << 10
 	maxIdleConnsPerNode = 64
 	keepAliveInterval   = 500 * time.Millisecond
 	// chunkTimeout is the time without a chunk after which a dispatch that can be repeated elsewhere is cancelled. It covers three
@@ -125,13 +127,13 @@
 
 // Dispatch runs a request on a target held by the node at address. It passes the response chunks to sink and returns the
 // end. A request that is not repeatable uses a new connection: on a pooled connection that no longer delivers data, a
-// lost request could not be distinguished from a lost response.
+// lost request could not be distinguished from a lost response. So does a large one, as drpc keeps the buffers of a connection.
 func (c *Client) Dispatch(ctx context.Context, address string, req *schema.DispatchRequest, sink func(*schema.DispatchChunk) error) *schema.DispatchEnd {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
 	var conn drpc.Conn
-	if req.Repeatable {
+	if req.Repeatable && len(req.Body) <= maxPooledBytes {
 		conn = c.pool.Get(ctx, address, c.dial)
 	} else {
 		newConn, err := c.dial(ctx, address)
--- a/test/untrusted/sessions_test.go
+++ b/test/untrusted/sessions_test.go
@@ -140,6 +140,11 @@
 			t.Run(c.name, func(t *testing.T) { checkCrowd(t, startOwnNodes(t, 2, 0), c) })
 		}
 	}
+	t.Run("whole bodies slow target five nodes", func(t *testing.T) {
+		checkCrowd(t, startOwnNodes(t, 5, 0), crowd{"whole bodies", 500, func(s *session) error {
+			return s.sendThenRead(s.node.request(s.node.method, s.node.at("slow").path, "", s.node.bodyBytes), make([]byte, s.node.bodyBytes))
+		}})
+	})
 }
 
 // Guards against clients that keep all connections of a machine, so that nobody else gets one.
