buffer: hold responses in chunks

Cause: a buffer was one slice that grew by append, so each growth copied it and left the old one as garbage; the budget counts only what is held. An answer to POST generate existed three times more while it was encoded as JSON.

A buffer holds its bytes in chunks of 16 KB now; only the first one grows. Responses are written chunk by chunk, the JSON of generated text is encoded chunk by chunk at the ends of characters, and an answer that is too large to be stored with its claim isn't joined for that. TestKeptAnswerIsPassedOnWhole named a constant that is gone; it sends as many bytes as before.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -13,6 +13,8 @@
 	Allowance = 32 << 10
 	// readChunkBytes is the size of one read of ReadAll.
 	readChunkBytes = 8 << 10
+	// chunkBytes is the size of the parts in which larger messages are held. Up to that size, a buffer grows as it needs.
+	chunkBytes = 16 << 10
 )
 
 var (
@@ -43,20 +45,61 @@
 	return false
 }
 
-// Buffer collects bytes. What exceeds Allowance is taken from the budget until Release is called.
+// Buffer collects bytes. What exceeds Allowance is taken from the budget until Release is called. It holds them in chunks, so that growing
+// leaves no garbage of the size of the buffer.
 type Buffer struct {
 	budget *Budget
 	limit  int
-	data   []byte
+	chunks [][]byte
+	size   int
 	taken  int64
 }
 
-// Bytes returns what was appended. It must not be used after Release.
-func (b *Buffer) Bytes() []byte { return b.data }
+// Len returns the number of bytes.
+func (b *Buffer) Len() int { return b.size }
+
+// Bytes returns what was appended, as a copy if it is larger than a chunk. It must not be used after Release.
+func (b *Buffer) Bytes() []byte { return b.From(0) }
+
+// From returns what was appended from the given offset on, as a copy if it spans chunks. It must not be used after Release.
+func (b *Buffer) From(start int) []byte {
+	skip := start
+	for i, chunk := range b.chunks {
+		if skip >= len(chunk) {
+			skip -= len(chunk)
+			continue
+		}
+		if i == len(b.chunks)-1 {
+			return chunk[skip:]
+		}
+		joined := make([]byte, 0, b.size-start)
+		joined = append(joined, chunk[skip:]...)
+		for _, rest := range b.chunks[i+1:] {
+			joined = append(joined, rest...)
+		}
+		return joined
+	}
+	return nil
+}
+
+// Chunks returns what was appended in parts of up to chunkBytes. They must not be used after Release.
+func (b *Buffer) Chunks() [][]byte { return b.chunks }
+
+// WriteTo implements io.WriterTo. It doesn't empty the buffer.
+func (b *Buffer) WriteTo(w io.Writer) (written int64, err error) {
+	for _, chunk := range b.chunks {
+		n, err := w.Write(chunk)
+		written += int64(n)
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
 
 // Append adds a copy of the bytes. It adds nothing if it returns an error.
 func (b *Buffer) Append(p []byte) error {
-	size := len(b.data) + len(p)
+	size := b.size + len(p)
 	if size > b.limit {
 		return ErrTooLarge
 	}
@@ -66,14 +109,31 @@
 		}
 		b.taken += more
 	}
-	b.data = append(b.data, p...)
+	b.size = size
+	b.store(p)
 	return nil
 }
 
+func (b *Buffer) store(p []byte) {
+	if len(b.chunks) == 0 {
+		b.chunks = append(b.chunks, nil)
+	}
+	for len(p) > 0 {
+		last := &b.chunks[len(b.chunks)-1]
+		n := min(len(p), chunkBytes-len(*last))
+		if n == 0 {
+			b.chunks = append(b.chunks, make([]byte, 0, chunkBytes))
+			continue
+		}
+		*last = append(*last, p[:n]...) // Only the first chunk grows.
+		p = p[n:]
+	}
+}
+
 // Release empties the buffer and gives back what was taken from the budget.
 func (b *Buffer) Release() {
 	b.budget.free.Add(b.taken)
-	b.taken, b.data = 0, nil
+	b.taken, b.chunks, b.size = 0, nil, 0
 }
 
 // ReadAll appends everything up to the end of r.
--- a/internal/claims/settle.go
+++ b/internal/claims/settle.go
@@ -64,6 +64,8 @@
 	Status  uint32
 	Headers []*schema.Header
 	Body    []byte
+	// TooLarge is set if the body has more than MaxStoredAnswer bytes; it may then be left out.
+	TooLarge bool
 }
 
 // size returns the number of bytes of the body and headers. Their JSON encoding is up to six times as large. For an answer
@@ -84,7 +86,7 @@
 	settled.Status = answer.Status
 	settled.Headers = answer.Headers
 	settled.Answer = answer.Body
-	dropped := answer.size() > MaxStoredAnswer
+	dropped := answer.TooLarge || answer.size() > MaxStoredAnswer
 	if !dropped { // A header that is not valid UTF-8 can't be encoded as JSON.
 		_, err := platform.Encode(settled)
 		dropped = err != nil
--- a/internal/edge/buffer.go
+++ b/internal/edge/buffer.go
@@ -31,13 +31,13 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue // The line goes on.
-		case errors.Is(err, io.EOF) && len(b.Bytes()) > 0:
+		case errors.Is(err, io.EOF) && b.Len() > 0:
 			return id, io.ErrUnexpectedEOF
 		case err != nil:
 			return id, err
 		}
-		line := bytes.TrimRight(b.Bytes()[lineStart:], "\r\n")
-		lineStart = len(b.Bytes())
+		line := bytes.TrimRight(b.From(lineStart), "\r\n")
+		lineStart = b.Len()
 		if len(line) == 0 {
 			return id, nil
 		}
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -99,7 +99,7 @@
 	}
 	s.began = true
 	if s.err = s.body.ReadAll(s.response.resp.Body); s.err != nil {
-		if len(s.body.Bytes()) > 0 {
+		if s.body.Len() > 0 {
 			s.heard.Reach(lastheard.Body)
 		}
 		return
@@ -180,7 +180,7 @@
 	for _, other := range b.running {
 		other.cancel()
 	}
-	b.writeResponse(s.response, s.body.Bytes())
+	b.writeResponse(s.response, s.body)
 	return true, false
 }
 
@@ -201,7 +201,7 @@
 	}
 	b.attempts.lastTarget = string(b.failed.key)
 	b.attempts.maybeRun += len(b.running)
-	b.writeResponse(b.failed.response, b.failed.body.Bytes())
+	b.writeResponse(b.failed.response, b.failed.body)
 	return true
 }
 
--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/connpool"
 	"cassiadeal.example/cassiadeal/internal/fleet"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
@@ -337,17 +338,17 @@
 }
 
 // writeResponse writes a complete response to the client.
-func (c *call) writeResponse(r *replicaResponse, body []byte) {
+func (c *call) writeResponse(r *replicaResponse, body *buffer.Buffer) {
 	c.opt.Codec.CopyHeaders(r.resp.Header, c.w.Header())
 	c.announceClose()
 	if r.resp.Header.Get("Content-Type") == "" {
 		c.w.Header()["Content-Type"] = nil // Keeps net/http from detecting one.
 	}
 	if c.req.Method != http.MethodHead {
-		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		c.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	}
 	c.w.WriteHeader(r.resp.StatusCode)
-	_, err := c.w.Write(body)
+	_, err := body.WriteTo(c.w)
 	c.durations.Record(c.route.Name, time.Since(c.start))
 	outcome, reason := outcomeAnswered, "answered"
 	if err != nil {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cassiadeal.example/cassiadeal/internal/balance"
+	"cassiadeal.example/cassiadeal/internal/buffer"
 	"cassiadeal.example/cassiadeal/internal/lastheard"
 	"cassiadeal.example/cassiadeal/internal/precedence"
 	"cassiadeal.example/cassiadeal/internal/result"
@@ -422,9 +423,9 @@
 	response *replicaResponse // Nil if err is set.
 	data     []byte
 	eventID  string
-	body     []byte // Of a response that is no stream.
-	sent     bool   // The target may have received a byte of the request.
-	err      error  // io.EOF if the stream is complete.
+	body     *buffer.Buffer // Of a response that is no stream.
+	sent     bool           // The target may have received a byte of the request.
+	err      error          // io.EOF if the stream is complete.
 }
 
 // handleStep forwards one step to the client or ends the send. It returns 0 while the stream continues.
@@ -564,7 +565,7 @@
 			return
 		}
 		r.release()
-		if emit(streamStep{response: r, body: body.Bytes(), sent: true}) {
+		if emit(streamStep{response: r, body: body, sent: true}) {
 			<-ctx.Done() // The body is being written until then.
 		}
 		return
--- a/internal/executor/collector_test.go
+++ b/internal/executor/collector_test.go
@@ -37,7 +37,7 @@
 	kept := collector{body: buffer.NewBudget(1 << 20).NewBuffer(1 << 20)}
 	defer kept.body.Release()
 	c.Assert(kept.add(&schema.DispatchChunk{Part: &schema.DispatchChunk_Head{Head: &schema.DispatchHead{Status: 201}}}), qt.IsNil)
-	sent := make([]byte, 3*answerPartBytes/2)
+	sent := make([]byte, 3*buffer.Allowance/2)
 	for i := range sent {
 		sent[i] = byte(i)
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,9 +25,6 @@
 // lookupTimeout bounds the read of an earlier claim when a request is refused.
 const lookupTimeout = time.Second
 
-// answerPartBytes is the size of the parts in which an answer that was kept is passed on.
-const answerPartBytes = 32 << 10
-
 // Sink receives the chunks of an answer. The end isn't passed to it. It must not keep a chunk's data, which is overwritten by later chunks.
 type Sink func(*schema.DispatchChunk) error
 
@@ -269,13 +265,17 @@
 }
 
 func (c *collector) answer() claims.Answer {
-	return claims.Answer{Status: c.head.GetStatus(), Headers: c.head.GetHeaders(), Body: c.body.Bytes()}
+	a := claims.Answer{Status: c.head.GetStatus(), Headers: c.head.GetHeaders(), TooLarge: c.body.Len() > claims.MaxStoredAnswer}
+	if !a.TooLarge {
+		a.Body = c.body.Bytes()
+	}
+	return a
 }
 
 // chunks returns the answer in parts that can be sent to another node.
 func (c *collector) chunks() []*schema.DispatchChunk {
 	list := []*schema.DispatchChunk{{Part: &schema.DispatchChunk_Head{Head: c.head}}}
-	for part := range slices.Chunk(c.body.Bytes(), answerPartBytes) {
+	for _, part := range c.body.Chunks() {
 		list = append(list, &schema.DispatchChunk{Part: &schema.DispatchChunk_Data{Data: part}})
 	}
 	return list
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
@@ -106,11 +108,48 @@
 	return nil
 }
 
-// generateAnswer is the JSON answer to a generate request.
-type generateAnswer struct {
-	RequestID string `json:"request_id"`
-	Text      string `json:"text"`
-	Tokens    uint64 `json:"tokens"`
+// writeGenerateAnswer writes the JSON answer to a generate request. The text, which may have megabytes, is encoded in parts.
+func writeGenerateAnswer(w io.Writer, requestID string, text [][]byte, tokens uint64) error {
+	if _, err := fmt.Fprintf(w, `{"request_id":%s,"text":"`, jsonString([]byte(requestID))); err != nil {
+		return err
+	}
+	var rest []byte // The start of a character that goes on in the next part.
+	for i, part := range text {
+		part = append(rest, part...)
+		whole := len(part)
+		if i < len(text)-1 {
+			whole = endOfCharacters(part)
+		}
+		encoded := jsonString(part[:whole])
+		if _, err := w.Write(encoded[1 : len(encoded)-1]); err != nil {
+			return err
+		}
+		rest = append([]byte(nil), part[whole:]...)
+	}
+	_, err := fmt.Fprintf(w, `","tokens":%d}`+"\n", tokens)
+	return err
+}
+
+// endOfCharacters returns the length of the text without a character that is incomplete at its end.
+func endOfCharacters(text []byte) int {
+	for start := len(text) - 1; start >= 0 && start >= len(text)-utf8.UTFMax; start-- {
+		if utf8.RuneStart(text[start]) {
+			if !utf8.FullRune(text[start:]) {
+				return start
+			}
+			break
+		}
+	}
+	return len(text)
+}
+
+// jsonString returns the text as a JSON string.
+func jsonString(text []byte) []byte {
+	encoded, err := json.Marshal(string(text))
+	if err != nil {
+		return []byte(`""`) // A string can always be encoded.
+	}
+	return encoded
 }
 
 func (g *Gateway) answerJSON(w http.ResponseWriter, req *http.Request, c *callerRequest) {
@@ -124,8 +163,8 @@
 	g.extendWriteDeadline(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Request-Id", c.id)
-	// An encoding error means that the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(generateAnswer{RequestID: c.id, Text: string(tokens.text.Bytes()), Tokens: tokens.tokenCount})
+	// An error means that the caller has disconnected.
+	_ = writeGenerateAnswer(w, c.id, tokens.text.Chunks(), tokens.tokenCount)
 	g.recordOutcome(c, result.OK, end.Target)
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -140,9 +140,9 @@
 		}
 	}
 	w.Header().Set("X-Request-Id", requestID)
-	w.Header().Set("Content-Length", strconv.Itoa(len(b.body.Bytes())))
+	w.Header().Set("Content-Length", strconv.Itoa(b.body.Len()))
 	w.WriteHeader(int(b.head.GetStatus()))
-	_, _ = w.Write(b.body.Bytes()) // A write error means that the caller has disconnected; it may repeat the request.
+	_, _ = b.body.WriteTo(w) // A write error means that the caller has disconnected; it may repeat the request.
 }
 
 func errorFromEnd(end *schema.DispatchEnd) *result.Error {
