edge: don't repeat requests at replicas that leave

Cause: mayRepeat looked at what the replica had stated and at the budget, but not at whether the replica drains, is gone or belongs to an evacuated zone since it was chosen.

It looks at the present view of the replicas now. The request then goes to another replica as after any other failure, or waits for the response.

--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -177,9 +177,16 @@
 	return r, true, nil
 }
 
-// mayRepeat reports whether the request may be sent to the same replica again, which then counts as a retry.
+// takesNoMore reports whether a replica drains, is gone or belongs to an evacuated zone, as far as this node knows now.
+func (s *Server) takesNoMore(replica *fleet.Replica) bool {
+	reason := s.dropReason(s.opt.Registry.View(), poolTarget(replica))
+	return reason == connpool.ReasonReplicaGone || reason == connpool.ReasonDraining
+}
+
+// mayRepeat reports whether the request may be sent to the same replica again, which then counts as a retry. The replica was chosen before the
+// kept connection failed, which may be seconds ago.
 func (c *call) mayRepeat(replica *fleet.Replica) bool {
-	if c.timeLeft() <= 0 || !c.repeat.claim() {
+	if c.timeLeft() <= 0 || c.takesNoMore(replica) || !c.repeat.claim() {
 		return false
 	}
 	if !c.admittedByStatement(replica) || !c.opt.Budget.Allow(c.service.Name, retry.ReasonTargetFailed) {
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -538,6 +538,41 @@
 	}
 }
 
+// Guards against requests that are sent again to a replica which drains, is gone or is evacuated since it was chosen, because a kept connection
+// to it is silent or fails.
+func TestRequestsAreNotRepeatedAtAReplicaThatLeaves(t *testing.T) {
+	for name, leave := range map[string]func(*keepingServer, fleet.Replica){
+		"drains": func(s *keepingServer, r fleet.Replica) {
+			r.Draining = true
+			s.opt.Registry.Apply([]fleet.Change{{ID: r.ID, Replica: &r}})
+		},
+		"is gone":      func(s *keepingServer, r fleet.Replica) { s.opt.Registry.Apply([]fleet.Change{{ID: r.ID}}) },
+		"is evacuated": func(s *keepingServer, r fleet.Replica) { s.opt.Registry.SetEvacuated(map[string]bool{"z": true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			leaving, other := newKeepingReplica(t, silentLater), newKeepingReplica(t, sound)
+			s := newKeepingServer(t, nil, []*keepingReplica{leaving})
+			_, err := s.ask("safe")
+			c.Assert(err, quicktest.IsNil)
+			r := *s.opt.Registry.View().Replicas["p-0"]
+			asked := make(chan error)
+			go func() {
+				id, err := s.ask("safe")
+				c.Check(leaving.count(id), quicktest.Equals, 1)
+				asked <- err
+			}()
+			time.Sleep(300 * time.Millisecond) // Less than the time after which the connection counts as silent.
+			replacement := r
+			replacement.ID, replacement.Address, replacement.Zone = "p-1", other.address, "y"
+			s.opt.Registry.Apply([]fleet.Change{{ID: "p-1", Replica: &replacement}})
+			leave(s, r)
+			c.Check(<-asked, quicktest.IsNil)
+		})
+	}
+}
+
 // Guards against a request that waits for its time limit because a kept connection is silent while new ones work.
 func TestSilentKeptConnectionCostsLittleTime(t *testing.T) {
 	for _, route := range []string{"safe", "stream"} {
