edge: reset connections of requests that were given up

Cause: the connection was closed, but the kernel goes on delivering what has been written to a closed connection, and does so as soon as the path works again.

A connection whose request was given up, or whose response wasn't read to its end, is closed with what hasn't been sent discarded (SO_LINGER 0), which reach.Conn passes on to the other end of a tunnel. The replica sees a reset in place of an orderly close.

--- a/internal/edge/exchange.go
+++ b/internal/edge/exchange.go
@@ -74,10 +74,10 @@
 func (c *call) sendOn(ctx context.Context, l *link, replica *fleet.Replica, lastEventID string, ticket *balance.Ticket, h *lastheard.Record) (r *replicaResponse, sent bool, err error) {
 	h.Connect(l.through)
 	ticket.Connected(replica, l.through)
-	stop := context.AfterFunc(ctx, func() { l.Close() })
+	stop := context.AfterFunc(ctx, l.discard)
 	fail := func(sent bool, err error) (*replicaResponse, bool, error) {
 		stop()
-		l.Close()
+		l.discard()
 		c.pool.Closed(connpool.ReasonUnused)
 		return nil, sent, err
 	}
--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -66,6 +66,15 @@
 	replica *fleet.Replica
 }
 
+// discard closes the connection of a request that was given up, with what the kernel hasn't sent yet: while the path is cut, it would
+// otherwise keep the request and deliver it seconds later.
+func (l *link) discard() {
+	if conn, ok := l.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // An error means that the connection is closed.
+	}
+	l.Close()
+}
+
 // mayKeep reports whether connections of this request may be kept: its responses can be told from those of others by its ID.
 func (c *call) mayKeep() bool { return c.pool.Enabled() && c.req.ID != "" }
 
@@ -324,7 +333,11 @@
 		return
 	}
 	r.done = true
-	r.link.Close()
+	if r.body.reached {
+		r.link.Close()
+	} else {
+		r.link.discard()
+	}
 	if r.reason == "" {
 		r.reason = connpool.ReasonUnused
 	}
--- a/internal/edge/kept_test.go
+++ b/internal/edge/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -748,3 +750,27 @@
 	c.Check(err, quicktest.IsNil)
 	c.Check(string(b[:n]), quicktest.Equals, "HTTP")
 }
+
+// Guards against requests that were given up and reach their replica later: what the kernel hasn't delivered is discarded only if the connection
+// is reset.
+func TestConnectionsOfRequestsThatWereGivenUpAreReset(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer conn.Close()
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	s := newKeepingServer(t, nil, []*keepingReplica{{address: l.Addr().String()}})
+	_, err = s.ask("unsafe")
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(errors.Is(<-ended, syscall.ECONNRESET), quicktest.IsTrue)
+}
