intake: give a request's room back before the next head begins

Since requests keep their room until their connection closes, endRequest let the connection read the next head before it gave back the room of the request that had ended. In between, the byte that net/http reads ahead could begin the next head, whose room was then given back too, and whose connection was listed as idle. Found by reading; not seen in a run.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -24,10 +24,10 @@
 	// refusalTime limits the writing of a refusal, and the reading of what the client has still sent: if the connection were closed with
 	// unread bytes, the client might lose the refusal. lingerBytes limits the latter too.
 	refusalTime = 250 * time.Millisecond
+	lingerBytes = 64 << 10
 	// DefaultWriteTime limits a write for which the handler has set no deadline, as for refusals before a request is known, and for checks.
 	// Their responses have a few KB.
 	DefaultWriteTime = 10 * time.Second
-	lingerBytes      = 64 << 10
 )
 
 // HeadLimits are the limits of the head of a request.
@@ -233,7 +233,8 @@
 	return p
 }
 
-// betweenMessages reports whether a whole request has been passed on, so that what is read now is the first byte of the next one. The lock is held.
+// betweenMessages reports whether a whole request has been passed on, so that what is read now is the first byte of the next one. The lock is
+// held.
 func (c *Conn) betweenMessages() bool {
 	if len(c.early) > 0 {
 		return false
@@ -316,8 +317,9 @@
 	return c.listener.opt.HeadLimits().orDefaults()
 }
 
-// readHead takes bytes of a head, the first ones if first is set, and what follows it. whole is the number of bytes of a complete head that can be passed on as they are; otherwise
-// they are pending. The deadline is set only if the head isn't complete, which is rare. An error ends the read.
+// readHead takes bytes of a head, the first ones if first is set, and of what follows it. whole is the number of bytes of a complete head that
+// can be passed on as they are; otherwise they are pending. The deadline is set only if the head isn't complete, which is rare. An error ends
+// the read.
 func (c *Conn) readHead(first bool, p []byte, err error) (whole int, _ error) {
 	if first {
 		if beginErr := c.beginHead(); beginErr != nil {
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -144,15 +144,15 @@
 		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // As in abandon.
 	}
 	closing := c.phase == phaseClosing
-	if !closing {
-		c.charged, c.phase = 0, phaseIdle
-	}
 	c.mu.Unlock()
 	if closing {
 		r.Header = nil // Most of what net/http holds.
 		return
 	}
-	c.account.Finish()
+	c.account.Finish() // Before the next head may begin.
+	c.mu.Lock()
+	c.charged, c.phase = 0, phaseIdle
+	c.mu.Unlock()
 }
 
 // complete records that the whole request has arrived.
